--- /dev/null
+++ b/src/cli/audit.rs
@@ -0,0 +1,56 @@
+//! `cartvane audit`: who changed what, when.
+
+use super::{
+    Command, CommandFault, CommandResult, Options, operator::Operator, options::print_json,
+};
+use crate::{audit::AuditRow, context::Context};
+
+pub(super) const COMMAND: Command = Command {
+    name: "audit",
+    summary: "print the audit trail",
+    usage: "cartvane audit [--since TIME] [--entity NAME] [--by NAME] [OPTIONS]
+
+  --since TIME            from this time, such as 2026-12-02T08:00:00Z
+  --entity NAME           only what concerns this entity, such as team/drivers
+  --by NAME               only what this operator did
+  --at ADDRESS            an instance's operator address (or CARTVANE_AT)
+  --credential-file FILE  file with the credential (or CARTVANE_CREDENTIAL)
+  --as NAME               who you are, for the audit trail (or USER)
+  --json                  print JSON",
+    options: &["--since", "--entity", "--by", "--at", "--credential-file", "--as", "--json"],
+    run,
+};
+
+fn run(mut options: Options, cx: &Context) -> CommandResult {
+    let json = options.flag("--json");
+    let since: Option<String> = options.value("--since")?;
+    let entity: Option<String> = options.value("--entity")?;
+    let by: Option<String> = options.value("--by")?;
+    let operator = Operator::open(&mut options, cx)?;
+    options.done()?;
+    let since = since.map(|text| millis_of(&text)).transpose()?;
+    let mut query = Vec::new();
+    if let Some(since) = &since {
+        query.push(("since", since.as_str()));
+    }
+    if let Some(entity) = &entity {
+        query.push(("entity", entity.as_str()));
+    }
+    if let Some(by) = &by {
+        query.push(("by", by.as_str()));
+    }
+    let rows: Vec<AuditRow> = operator.get("/v1/audit", &query)?;
+    if json {
+        return print_json(&rows);
+    }
+    rows.iter().for_each(|row| println!("{row}"));
+    Ok(())
+}
+
+fn millis_of(text: &str) -> Result<String, CommandFault> {
+    let time = humantime::parse_rfc3339_weak(text).map_err(|_| {
+        CommandFault::Usage(format!("--since {text:?}: write a time such as 2026-12-02T08:00:00Z"))
+    })?;
+    let since = time.duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    Ok(since.as_millis().to_string())
+}
--- /dev/null
+++ b/src/cli/diff.rs
@@ -0,0 +1,35 @@
+//! `cartvane diff`: what a file would change.
+
+use super::{
+    Command, CommandResult, Options,
+    operator::Operator,
+    options::{print_json, read_file},
+};
+use crate::{context::Context, instance::apply::Applied};
+
+pub(super) const COMMAND: Command = Command {
+    name: "diff",
+    summary: "show what a file would change",
+    usage: "cartvane diff FILE [OPTIONS]
+
+  --at ADDRESS            an instance's operator address (or CARTVANE_AT)
+  --credential-file FILE  file with the credential (or CARTVANE_CREDENTIAL)
+  --as NAME               who you are, for the audit trail (or USER)
+  --json                  print JSON",
+    options: &["--at", "--credential-file", "--as", "--json"],
+    run,
+};
+
+fn run(mut options: Options, cx: &Context) -> CommandResult {
+    let json = options.flag("--json");
+    let operator = Operator::open(&mut options, cx)?;
+    let path = options.free("FILE")?;
+    options.done()?;
+    let answer: Applied = operator.post("/v1/diff", &[], &read_file(&path)?)?;
+    if json {
+        return print_json(&answer);
+    }
+    println!("against revision {}: {} changes", answer.revision, answer.changes.len());
+    answer.changes.iter().for_each(|change| println!("  {change}"));
+    Ok(())
+}
--- /dev/null
+++ b/src/cli/drain.rs
@@ -0,0 +1,35 @@
+//! `cartvane drain`: takes an instance or a backend server out without cutting a request.
+
+use super::{Command, CommandResult, Options, operator::Operator, options::print_json};
+use crate::{context::Context, instance::operators::Drained};
+
+pub(super) const COMMAND: Command = Command {
+    name: "drain",
+    summary: "take an instance or a backend server out without cutting a request",
+    usage: "cartvane drain INSTANCE|BACKEND_SERVER [OPTIONS]
+
+  --at ADDRESS            an instance's operator address (or CARTVANE_AT)
+  --credential-file FILE  file with the credential (or CARTVANE_CREDENTIAL)
+  --as NAME               who you are, for the audit trail (or USER)
+  --json                  print JSON",
+    options: &["--at", "--credential-file", "--as", "--json"],
+    run,
+};
+
+fn run(mut options: Options, cx: &Context) -> CommandResult {
+    let json = options.flag("--json");
+    let operator = Operator::open(&mut options, cx)?;
+    let target = options.free("INSTANCE|BACKEND_SERVER")?;
+    options.done()?;
+    let drained: Drained = operator.post("/v1/drain", &[("target", &target)], "")?;
+    if json {
+        return print_json(&drained);
+    }
+    match drained.revision {
+        Some(revision) => {
+            println!("{} gets nothing new from revision {revision} on", drained.target)
+        }
+        None => println!("{} is draining", drained.target),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/cli/explain.rs
@@ -0,0 +1,50 @@
+//! `cartvane explain`: where a chat would go now, and why.
+
+use super::{
+    Command, CommandFault, CommandResult, Options, operator::Operator, options::print_json,
+};
+use crate::{context::Context, instance::operators::Explanation};
+
+pub(super) const COMMAND: Command = Command {
+    name: "explain",
+    summary: "tell where a chat would go now, and why",
+    usage: "cartvane explain --service SERVICE --team TEAM --chat CHAT [OPTIONS]
+
+  --service SERVICE       the service
+  --team TEAM             the team
+  --chat CHAT             the chat, as in the header Cartvane-Chat
+  --at ADDRESS            an instance's operator address (or CARTVANE_AT)
+  --credential-file FILE  file with the credential (or CARTVANE_CREDENTIAL)
+  --as NAME               who you are, for the audit trail (or USER)
+  --json                  print JSON",
+    options: &["--service", "--team", "--chat", "--at", "--credential-file", "--as", "--json"],
+    run,
+};
+
+fn run(mut options: Options, cx: &Context) -> CommandResult {
+    let json = options.flag("--json");
+    let mut needed = |name: &'static str| -> Result<String, CommandFault> {
+        options.value(name)?.ok_or_else(|| CommandFault::Usage(format!("{name} is missing")))
+    };
+    let (service, team, chat) = (needed("--service")?, needed("--team")?, needed("--chat")?);
+    let operator = Operator::open(&mut options, cx)?;
+    options.done()?;
+    let query = [("service", service.as_str()), ("team", team.as_str()), ("chat", chat.as_str())];
+    let explanation: Explanation = operator.get("/v1/explain", &query)?;
+    if json {
+        return print_json(&explanation);
+    }
+    let none = || "-".to_owned();
+    println!("service {}, chat key {}", explanation.service, explanation.chat);
+    for shard in &explanation.shards {
+        println!("  shard {} at home {}", shard.number, shard.home);
+    }
+    println!("  remembered on {}", explanation.remembered.clone().unwrap_or_else(none));
+    println!(
+        "  would go to {}: {}",
+        explanation.would_go.clone().unwrap_or_else(none),
+        explanation.why
+    );
+    println!("  rank {}", explanation.rank.join(" "));
+    Ok(())
+}
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,133 @@
+//! The command line: a list of commands and what they share.
+
+mod apply;
+mod audit;
+mod check;
+mod completions;
+mod diff;
+mod drain;
+mod explain;
+mod hash_key;
+mod operator;
+mod options;
+mod router;
+mod show;
+mod status;
+
+use std::{ffi::OsString, process::ExitCode};
+
+use crate::{context::Context, utils::nearest::nearest};
+
+pub use options::Options;
+
+/// How a command ended.
+#[derive(Debug, thiserror::Error)]
+pub enum CommandFault {
+    /// What was asked was refused, or found faulty.
+    #[error("{0}")]
+    Refused(String),
+    /// The command line is wrong.
+    #[error("{0}")]
+    Usage(String),
+    /// An instance, file or service could not be reached.
+    #[error("{0}")]
+    Unreachable(String),
+}
+
+impl CommandFault {
+    /// Returns the process's exit code.
+    pub fn code(&self) -> u8 {
+        match self {
+            CommandFault::Refused(_) => 1,
+            CommandFault::Usage(_) => 2,
+            CommandFault::Unreachable(_) => 3,
+        }
+    }
+}
+
+/// What a command returns.
+pub type CommandResult = Result<(), CommandFault>;
+
+/// One command.
+pub struct Command {
+    /// Name.
+    pub name: &'static str,
+    /// What it does, in a line.
+    pub summary: &'static str,
+    /// Its use, with every option.
+    pub usage: &'static str,
+    /// Names of its options, for completions and for the nearest name.
+    pub options: &'static [&'static str],
+    run: fn(Options, &Context) -> CommandResult,
+}
+
+/// Every command.
+pub const COMMANDS: [Command; 11] = [
+    router::COMMAND,
+    check::COMMAND,
+    apply::COMMAND,
+    diff::COMMAND,
+    show::COMMAND,
+    status::COMMAND,
+    audit::COMMAND,
+    explain::COMMAND,
+    drain::COMMAND,
+    hash_key::COMMAND,
+    completions::COMMAND,
+];
+
+/// Runs the command line and returns the exit code: 0 done, 1 refused, 2 usage, 3 unreachable.
+pub fn run(args: Vec<OsString>, cx: &Context) -> ExitCode {
+    match dispatch(args, cx) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("cartvane: {fault}");
+            ExitCode::from(fault.code())
+        }
+    }
+}
+
+fn dispatch(args: Vec<OsString>, cx: &Context) -> CommandResult {
+    let mut args = pico_args::Arguments::from_vec(args);
+    let name = match args.subcommand() {
+        Ok(name) => name,
+        Err(e) => return Err(CommandFault::Usage(e.to_string())),
+    };
+    let Some(name) = name else {
+        if args.contains("--version") {
+            println!("cartvane {}", env!("CARGO_PKG_VERSION"));
+            return Ok(());
+        }
+        if args.contains(["-h", "--help"]) {
+            print!("{}", overview());
+            return Ok(());
+        }
+        return Err(CommandFault::Usage(format!("no command given\n\n{}", overview())));
+    };
+    let Some(command) = COMMANDS.iter().find(|command| command.name == name) else {
+        let near = nearest(&name, COMMANDS.iter().map(|c| c.name));
+        let hint = near.map_or_else(String::new, |near| format!("; did you mean {near:?}?"));
+        return Err(CommandFault::Usage(format!(
+            "{name:?} is no command{hint} See cartvane --help"
+        )));
+    };
+    if args.contains(["-h", "--help"]) {
+        println!("{}\n\nusage: {}", command.summary, command.usage);
+        return Ok(());
+    }
+    (command.run)(Options::new(args, command), cx)
+}
+
+fn overview() -> String {
+    let mut text = String::from(
+        "cartvane: a router fleet for returning chats\n\nusage: cartvane COMMAND [OPTIONS]\n\n",
+    );
+    for command in &COMMANDS {
+        text.push_str(&format!("  {:<12} {}\n", command.name, command.summary));
+    }
+    text.push_str(
+        "\n  --help       with a command: its options\n  --version    print the version\n",
+    );
+    text.push_str("\nexit codes: 0 done, 1 refused, 2 usage, 3 unreachable\n");
+    text
+}
--- /dev/null
+++ b/src/cli/options.rs
@@ -0,0 +1,90 @@
+//! Options of one command; what is left over is refused with the nearest known name.
+
+use std::{fmt::Display, fs, str::FromStr};
+
+use super::{Command, CommandFault};
+use crate::utils::nearest::nearest;
+
+/// The options given to a command.
+pub struct Options {
+    args: pico_args::Arguments,
+    known: &'static [&'static str],
+    usage: &'static str,
+}
+
+impl Options {
+    /// Returns the options of `command`.
+    pub fn new(args: pico_args::Arguments, command: &Command) -> Options {
+        Options { args, known: command.options, usage: command.usage }
+    }
+
+    /// Takes a flag.
+    pub fn flag(&mut self, name: &'static str) -> bool {
+        self.args.contains(name)
+    }
+
+    /// Takes an option with a value.
+    pub fn value<T>(&mut self, name: &'static str) -> Result<Option<T>, CommandFault>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        self.args.opt_value_from_str(name).map_err(|e| CommandFault::Usage(format!("{name}: {e}")))
+    }
+
+    /// Takes an option that may be given several times.
+    pub fn values(&mut self, name: &'static str) -> Result<Vec<String>, CommandFault> {
+        self.args.values_from_str(name).map_err(|e| CommandFault::Usage(format!("{name}: {e}")))
+    }
+
+    /// Takes the next free argument.
+    ///
+    /// Call this after every option has been taken.
+    pub fn free(&mut self, what: &str) -> Result<String, CommandFault> {
+        let missing = || CommandFault::Usage(format!("{what} is missing\n\nusage: {}", self.usage));
+        let text: Option<String> =
+            self.args.opt_free_from_str().map_err(|e| CommandFault::Usage(e.to_string()))?;
+        let text = text.ok_or_else(missing)?;
+        if text.starts_with('-') && text.len() > 1 {
+            return Err(self.unknown(&text));
+        }
+        Ok(text)
+    }
+
+    /// Ends the reading: anything left over is refused.
+    pub fn done(self) -> Result<(), CommandFault> {
+        let known = self.known;
+        let usage = self.usage;
+        match self.args.finish().first() {
+            None => Ok(()),
+            Some(word) => Err(unknown(&word.to_string_lossy(), known, usage)),
+        }
+    }
+
+    fn unknown(&self, word: &str) -> CommandFault {
+        unknown(word, self.known, self.usage)
+    }
+}
+
+fn unknown(word: &str, known: &[&'static str], usage: &str) -> CommandFault {
+    let near = nearest(word, known.iter().copied());
+    let hint = near.map_or_else(String::new, |near| format!("; did you mean {near}?"));
+    CommandFault::Usage(format!("{word:?} is not known here{hint}\n\nusage: {usage}"))
+}
+
+/// Reads a file named on the command line.
+pub(super) fn read_file(path: &str) -> Result<String, CommandFault> {
+    fs::read_to_string(path).map_err(|e| {
+        CommandFault::Unreachable(format!(
+            "cannot read {path}: {e}; correct the path or its rights"
+        ))
+    })
+}
+
+/// Prints a value as JSON.
+pub(super) fn print_json(value: &impl serde::Serialize) -> Result<(), CommandFault> {
+    let text =
+        serde_json::to_string_pretty(value).map_err(|e| CommandFault::Refused(e.to_string()))?;
+    println!("{text}");
+    Ok(())
+}
--- /dev/null
+++ b/src/cli/show.rs
@@ -0,0 +1,34 @@
+//! `cartvane show`: the file in force, or an earlier one.
+
+use super::{Command, CommandResult, Options, operator::Operator, options::print_json};
+use crate::{context::Context, instance::operators::Shown, units::Revision};
+
+pub(super) const COMMAND: Command = Command {
+    name: "show",
+    summary: "print the file in force, or that of an earlier revision",
+    usage: "cartvane show [--revision REV] [OPTIONS]
+
+  --revision REV          this revision's file; to go back to it, apply it again
+  --at ADDRESS            an instance's operator address (or CARTVANE_AT)
+  --credential-file FILE  file with the credential (or CARTVANE_CREDENTIAL)
+  --as NAME               who you are, for the audit trail (or USER)
+  --json                  print JSON",
+    options: &["--revision", "--at", "--credential-file", "--as", "--json"],
+    run,
+};
+
+fn run(mut options: Options, cx: &Context) -> CommandResult {
+    let json = options.flag("--json");
+    let revision: Option<Revision> = options.value("--revision")?;
+    let operator = Operator::open(&mut options, cx)?;
+    options.done()?;
+    let revision = revision.map(|revision| revision.to_string());
+    let query: Vec<(&str, &str)> = revision.iter().map(|r| ("revision", r.as_str())).collect();
+    let shown: Shown = operator.get("/v1/show", &query)?;
+    if json {
+        return print_json(&shown);
+    }
+    eprintln!("revision {}", shown.revision);
+    print!("{}", shown.text);
+    Ok(())
+}
--- /dev/null
+++ b/src/contract/membership.rs
@@ -0,0 +1,223 @@
+//! Which instances are live: the platform's lagging list, what peers say, and own evidence.
+//!
+//! Suspicion moves homes for a bounded time; it never removes an instance for others.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use indexmap::IndexMap;
+
+use crate::{
+    names::{InstanceId, Tag},
+    platform::{Member, MemberKind, MemberState},
+    zone::homes::Candidate,
+};
+
+/// First time for which a peer that did not answer is passed over.
+const SUSPECT_FIRST: Duration = Duration::from_secs(2);
+
+/// Longest such time.
+const SUSPECT_MAX: Duration = Duration::from_secs(60);
+
+/// Time after which earlier failures no longer lengthen a new suspicion.
+const FLAP_MEMORY: Duration = Duration::from_secs(120);
+
+/// Time for which another instance's suspicion is believed.
+const RUMOUR: Duration = Duration::from_secs(2);
+
+/// Own contact this recent outweighs a rumour.
+const HEARD_RECENTLY: Duration = Duration::from_secs(3);
+
+/// Another instance.
+#[derive(Debug, Clone)]
+pub struct Peer {
+    /// Id, tag and zone.
+    pub candidate: Candidate,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// State on the platform's list.
+    pub listed: MemberState,
+    /// Start of its running process, as it told; grows with each restart.
+    pub incarnation: u64,
+    /// Whether it told that it is leaving.
+    pub told_leaving: bool,
+    suspect_until: Option<Instant>,
+    failures: u32,
+    last_failure: Option<Instant>,
+    last_heard: Option<Instant>,
+}
+
+impl Peer {
+    fn new(candidate: Candidate, address: SocketAddr) -> Peer {
+        Peer {
+            candidate,
+            address,
+            listed: MemberState::Live,
+            incarnation: 0,
+            told_leaving: false,
+            suspect_until: None,
+            failures: 0,
+            last_failure: None,
+            last_heard: None,
+        }
+    }
+
+    /// Returns whether it is passed over for now.
+    pub fn is_suspect(&self, now: Instant) -> bool {
+        self.suspect_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns whether it may be a home.
+    pub fn may_be_home(&self, now: Instant) -> bool {
+        self.listed == MemberState::Live && !self.told_leaving && !self.is_suspect(now)
+    }
+
+    /// Returns when it was last heard.
+    pub fn last_heard(&self) -> Option<Instant> {
+        self.last_heard
+    }
+}
+
+/// What one instance knows of the others.
+#[derive(Debug)]
+pub struct Membership {
+    own: Candidate,
+    own_leaving: bool,
+    peers: IndexMap<Tag, Peer>,
+    leaving_servers: IndexMap<String, MemberState>,
+    version: u64,
+}
+
+impl Membership {
+    /// Returns the view of an instance that knows only itself.
+    pub fn new(own: Candidate) -> Membership {
+        Membership {
+            own,
+            own_leaving: false,
+            peers: IndexMap::new(),
+            leaving_servers: IndexMap::new(),
+            version: 0,
+        }
+    }
+
+    /// Returns the version of the list taken in last.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Takes in changes of the platform's list.
+    pub fn listed(&mut self, version: u64, changed: Vec<Member>) {
+        self.version = version;
+        for member in changed {
+            match member.kind {
+                MemberKind::BackendServer => {
+                    self.leaving_servers.insert(member.id, member.state);
+                }
+                MemberKind::Instance => self.listed_instance(member),
+            }
+        }
+    }
+
+    fn listed_instance(&mut self, member: Member) {
+        let Ok(id) = member.id.parse::<InstanceId>() else { return };
+        let tag = id.tag();
+        if tag == self.own.tag {
+            return;
+        }
+        if member.state == MemberState::Gone {
+            self.peers.swap_remove(&tag);
+            return;
+        }
+        let candidate = Candidate { id, tag, zone: member.zone };
+        let peer =
+            self.peers.entry(tag).or_insert_with(|| Peer::new(candidate.clone(), member.address));
+        if peer.address != member.address {
+            *peer = Peer::new(candidate, member.address);
+        }
+        peer.listed = member.state;
+    }
+
+    /// Notes an exchange with a peer.
+    pub fn heard(&mut self, now: Instant, peer: Tag, incarnation: u64, leaving: bool) {
+        let Some(peer) = self.peers.get_mut(&peer) else { return };
+        if incarnation < peer.incarnation {
+            return;
+        }
+        peer.incarnation = incarnation;
+        peer.told_leaving = leaving;
+        peer.suspect_until = None;
+        peer.last_heard = Some(now);
+    }
+
+    /// Notes that a peer could not be reached or did not answer.
+    pub fn failed(&mut self, now: Instant, peer: Tag) {
+        let Some(peer) = self.peers.get_mut(&peer) else { return };
+        if peer.is_suspect(now) {
+            return;
+        }
+        if peer.last_failure.is_some_and(|at| now.duration_since(at) > FLAP_MEMORY) {
+            peer.failures = 0;
+        }
+        let wait = SUSPECT_FIRST.saturating_mul(1 << peer.failures.min(10)).min(SUSPECT_MAX);
+        peer.failures += 1;
+        peer.last_failure = Some(now);
+        peer.suspect_until = Some(now + wait);
+    }
+
+    /// Notes that another instance suspects a peer.
+    pub fn rumour(&mut self, now: Instant, peer: Tag) {
+        let Some(peer) = self.peers.get_mut(&peer) else { return };
+        let heard = peer.last_heard.is_some_and(|at| now.duration_since(at) < HEARD_RECENTLY);
+        if !heard && !peer.is_suspect(now) {
+            peer.suspect_until = Some(now + RUMOUR);
+        }
+    }
+
+    /// Notes that this instance itself is leaving.
+    pub fn leave(&mut self) {
+        self.own_leaving = true;
+    }
+
+    /// Returns whether this instance is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.own_leaving
+    }
+
+    /// Returns the peers that this instance has reason to suspect by its own evidence.
+    pub fn suspected(&self, now: Instant) -> Vec<Tag> {
+        let own = |p: &&Peer| p.is_suspect(now) && p.last_failure.is_some();
+        self.peers.values().filter(own).map(|p| p.candidate.tag).collect()
+    }
+
+    /// Returns the instances that may be homes; this one stands in when there is no other.
+    pub fn homes(&self, now: Instant) -> Vec<&Candidate> {
+        let peers = self.peers.values().filter(|p| p.may_be_home(now));
+        let mut homes: Vec<&Candidate> = peers.map(|p| &p.candidate).collect();
+        if !self.own_leaving || homes.is_empty() {
+            homes.push(&self.own);
+        }
+        homes
+    }
+
+    /// Returns every known peer.
+    pub fn peers(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values()
+    }
+
+    /// Returns a peer.
+    pub fn peer(&self, tag: Tag) -> Option<&Peer> {
+        self.peers.get(&tag)
+    }
+
+    /// Returns this instance.
+    pub fn own(&self) -> &Candidate {
+        &self.own
+    }
+
+    /// Returns whether the list says that a backend server takes nothing new.
+    pub fn server_leaves(&self, id: &str) -> bool {
+        self.leaving_servers.get(id).is_some_and(|state| *state != MemberState::Live)
+    }
+}
--- /dev/null
+++ b/src/contract/token_bucket.rs
@@ -0,0 +1,47 @@
+//! A token bucket on a clock that is passed in.
+
+use std::time::{Duration, Instant};
+
+use crate::units::Rate;
+
+/// Tokens that come at a rate up to a most.
+#[derive(Debug, Clone)]
+pub struct TokenBucket {
+    rate: Rate,
+    most: f64,
+    tokens: f64,
+    at: Instant,
+}
+
+impl TokenBucket {
+    /// Returns a full bucket that holds one second's tokens, at least one.
+    pub fn new(rate: Rate, now: Instant) -> TokenBucket {
+        let most = rate.0.max(1.0);
+        TokenBucket { rate, most, tokens: most, at: now }
+    }
+
+    /// Takes one token, or says how long until there is one.
+    pub fn take(&mut self, now: Instant) -> Result<(), Duration> {
+        let passed = now.saturating_duration_since(self.at).as_secs_f64();
+        self.tokens = (self.tokens + passed * self.rate.0).min(self.most);
+        self.at = now;
+        if self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            return Ok(());
+        }
+        Err(Duration::from_secs_f64((1.0 - self.tokens) / self.rate.0))
+    }
+
+    /// Changes the rate; tokens already there stay, up to the new most.
+    pub fn set_rate(&mut self, rate: Rate) {
+        self.rate = rate;
+        self.most = rate.0.max(1.0);
+        self.tokens = self.tokens.min(self.most);
+    }
+
+    /// Returns whether the bucket would be full at `now`.
+    pub fn is_full(&self, now: Instant) -> bool {
+        let passed = now.saturating_duration_since(self.at).as_secs_f64();
+        self.tokens + passed * self.rate.0 >= self.most
+    }
+}
--- /dev/null
+++ b/src/instance/forward.rs
@@ -0,0 +1,616 @@
+//! Has a request answered: claim, permit, attempts, and the answer on its way to the caller.
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+
+use crate::{
+    configs::fleet::{BackendServer, ServiceKind, chunks::Digest},
+    contract::{
+        claim::{Claim, ClaimState, StoredAnswer, row_key},
+        outcome::{AttemptFault, Outcome, Refusal, Repeat, may_retry},
+        permit::ReleaseKind,
+        retry::{RetryBudget, backoff},
+    },
+    instance::{
+        claims::{Begun, HeldClaim},
+        place::{self, NoPlace, Place},
+        request::{DEADLINE_HEADER, Request},
+        shared::Shared,
+        snapshot::{ServiceView, Snapshot},
+        tokens,
+    },
+    link::{
+        answer::{AnswerBody, AnswerNote, AnswerWriter, send_whole},
+        backend::{Answer, Attempt},
+        http1::{Conn, conn::ConnState, head::drop_hop_by_hop},
+    },
+    names::Tag,
+    utils::sync::lock,
+};
+
+/// Largest answer of known length that is read whole before its first byte goes to the caller, so
+/// that a cut one can be tried again.
+const WHOLE_MAX: u64 = 256 << 10;
+
+/// Tries to resume a stream whose connection was lost.
+const RESUMES_MAX: u32 = 3;
+
+/// Most time for an engine to answer a resume or a cancel.
+const RESUME_TIME: Duration = Duration::from_secs(2);
+
+/// Period at which a caller that sends no more is probed for still reading.
+const PROBE_PERIOD: Duration = Duration::from_secs(1);
+
+/// Time to come back after a refusal that has no better estimate.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Header with which an engine reports its load.
+pub const LOAD_HEADER: &str = "engine-load";
+/// Header with which an engine says that it is leaving.
+pub const STATE_HEADER: &str = "engine-state";
+/// Header with which an engine says that the stream can be resumed.
+pub const RESUMABLE_HEADER: &str = "engine-resumable";
+/// Header with the offset at which a resumed stream goes on.
+pub const OFFSET_HEADER: &str = "engine-offset";
+
+/// How a request ended.
+pub enum Ended {
+    /// An answer went to the caller, whole or visibly cut.
+    Answered {
+        /// Its status.
+        status: u16,
+        /// Whether the request ran.
+        outcome: Outcome,
+        /// Whether the caller's connection may be used again.
+        reusable: bool,
+    },
+    /// Nothing went to the caller yet: it is to be told this.
+    Refused(Refusal),
+}
+
+/// How one attempt ended.
+enum Tried {
+    /// An answer went to the caller.
+    Answered(Ended),
+    /// It failed and nothing reached the caller.
+    Fault(AttemptFault),
+    /// It failed after the answer's head had reached the caller, who has seen the cut.
+    Cut(AttemptFault, u16),
+}
+
+/// One request on its way.
+struct Job<'j> {
+    shared: &'j Shared,
+    snapshot: &'j Snapshot,
+    view: &'j ServiceView,
+    team: Tag,
+    request: &'j Request,
+    note: AnswerNote,
+    claim: Option<HeldClaim>,
+}
+
+/// Has a request answered.
+pub fn run(
+    shared: &Shared,
+    conn: &mut Conn,
+    snapshot: &Snapshot,
+    view: &ServiceView,
+    team: &Tag,
+    request: &Request,
+    note: AnswerNote,
+) -> Ended {
+    let mut job = Job { shared, snapshot, view, team: *team, request, note, claim: None };
+    if let Some(key) = &request.key {
+        match job.claim(key) {
+            Begun::Run(held) => job.claim = Some(held),
+            Begun::Replay(answer) => return job.replay(conn, &answer),
+            Begun::Refuse(refusal) => return Ended::Refused(refusal),
+        }
+    }
+    let ended = job.attempts(conn);
+    job.settle_claim(&ended);
+    ended
+}
+
+impl Job<'_> {
+    fn claim(&self, key: &str) -> Begun {
+        let Request { method, target, body, .. } = self.request;
+        let digest =
+            Digest::of(&[method.as_str().as_bytes(), target.as_bytes(), body].join(&b'\n'));
+        let now = self.shared.clock.wall_millis();
+        let left = self.request.deadline.saturating_duration_since(self.shared.clock.now());
+        let life = self.shared.settings.timeouts.claim.0;
+        let claim = Claim {
+            attempt: self.request.id.clone(),
+            request: digest,
+            state: ClaimState::Running,
+            deadline_at: now + left.as_millis() as u64,
+            expires_at: now + life.as_millis() as u64,
+        };
+        let team = self.snapshot.team_id(self.team);
+        let begun = self.shared.claims.begin(&row_key(&self.view.service.id, team, key), &claim);
+        self.shared.metrics.claim(match &begun {
+            Begun::Run(_) => "run",
+            Begun::Replay(_) => "replay",
+            Begun::Refuse(_) => "refuse",
+        });
+        begun
+    }
+
+    fn replay(&self, conn: &mut Conn, answer: &StoredAnswer) -> Ended {
+        let mut headers = HeaderMap::new();
+        for (name, value) in &answer.headers {
+            if let (Ok(name), Ok(value)) =
+                (HeaderName::try_from(name), HeaderValue::try_from(value))
+            {
+                headers.append(name, value);
+            }
+        }
+        headers.insert("cartvane-replayed", HeaderValue::from_static("true"));
+        let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+        let note = AnswerNote { outcome: Outcome::Run, ..self.note.clone() };
+        let head_only = self.request.method == Method::HEAD;
+        let stall = self.shared.settings.timeouts.slow_reader.0;
+        let sent = send_whole(conn, stall, status, &headers, &note, &answer.body, head_only);
+        Ended::Answered { status: answer.status, outcome: Outcome::Run, reusable: sent.is_ok() }
+    }
+
+    /// Gives back or closes a claim that no answer has closed.
+    fn settle_claim(&mut self, ended: &Ended) {
+        let Some(held) = self.claim.take() else { return };
+        let outcome = match ended {
+            Ended::Answered { outcome, .. } => *outcome,
+            Ended::Refused(refusal) => refusal.outcome,
+        };
+        let state = if outcome == Outcome::NotRun { None } else { Some(ClaimState::Unknown) };
+        self.shared.claims.finish(&held, state);
+    }
+
+    /// Tries backend servers until one answers or no further try is allowed.
+    fn attempts(&mut self, conn: &mut Conn) -> Ended {
+        let service = &self.view.service;
+        self.with_budget(RetryBudget::request);
+        let mut avoid = Vec::new();
+        // Whether an earlier attempt may have run the request.
+        let mut in_doubt = false;
+        for number in 0..service.attempts {
+            let place = match self.place(conn, &avoid) {
+                Ok(place) => place,
+                Err(refusal) => return Ended::Refused(doubt(refusal, in_doubt)),
+            };
+            let Some(server) = self.snapshot.server(place.engine()).cloned() else {
+                place::release(self.shared, service, place, ReleaseKind::Unused, None);
+                return Ended::Refused(doubt(no_server(), in_doubt));
+            };
+            let tried = self.attempt(conn, &server, number, place);
+            let fault = match tried {
+                Tried::Answered(ended) => return ended,
+                Tried::Cut(fault, status) => {
+                    return Ended::Answered { status, outcome: fault.outcome(), reusable: false };
+                }
+                Tried::Fault(fault) => fault,
+            };
+            in_doubt |= fault.outcome() != Outcome::NotRun;
+            log::warn!(
+                "attempt id={} service={} backend_server={} fault={fault:?}",
+                self.request.id,
+                service.id,
+                server.id
+            );
+            let last = number + 1 == service.attempts;
+            if last || !self.may_try_again(fault, number) {
+                return Ended::Refused(doubt(Refusal::of_fault(fault, RETRY_AFTER), in_doubt));
+            }
+            self.shared.metrics.retry(&service.id);
+            avoid.push(server.id.tag());
+        }
+        Ended::Refused(doubt(no_server(), in_doubt))
+    }
+
+    /// Decides on another attempt and pauses before it.
+    fn may_try_again(&self, fault: AttemptFault, number: u32) -> bool {
+        if !may_retry(fault, self.request.repeat, false) {
+            return false;
+        }
+        let pause = backoff(number, fastrand::f64());
+        let left = self.request.deadline.saturating_duration_since(self.shared.clock.now());
+        if pause >= left || !self.with_budget(RetryBudget::take) {
+            return false;
+        }
+        thread::sleep(pause);
+        true
+    }
+
+    fn with_budget<T>(&self, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let service = &self.view.service;
+        let mut budgets = lock(&self.shared.budgets);
+        let share = service.retry_budget;
+        let budget = budgets.entry(service.id.clone()).or_insert_with(|| RetryBudget::new(share));
+        budget.set_share(share);
+        f(budget)
+    }
+
+    fn place(&self, conn: &mut Conn, avoid: &[Tag]) -> Result<Place, Refusal> {
+        let watch = &mut CallerWatch::new(self.shared, self.request, self.claim.is_some());
+        let go_on = &mut || watch.waits(conn);
+        place::obtain(self.shared, self.view, self.team, self.request, avoid, go_on).map_err(|no| {
+            match no {
+                NoPlace::Refused(refusal) => refusal,
+                NoPlace::CallerGone => Refusal::not_run(499, "caller gone", "the caller went away"),
+            }
+        })
+    }
+
+    /// Makes one attempt and gives its place back.
+    fn attempt(
+        &mut self,
+        conn: &mut Conn,
+        server: &BackendServer,
+        number: u32,
+        place: Place,
+    ) -> Tried {
+        let service = &self.view.service;
+        let id = format!("{}-{number}", self.request.id);
+        let mut report = EngineReport::default();
+        let tried = self.exchange(conn, server, &id, &place, &mut report);
+        let fault = match &tried {
+            Tried::Answered(_) => None,
+            Tried::Fault(fault) | Tried::Cut(fault, _) => Some(*fault),
+        };
+        self.shared.metrics.attempt(&service.id, fault);
+        if fault == Some(AttemptFault::CallerGone) && report.resumable {
+            self.cancel(server, &id);
+        }
+        let kind = match fault {
+            None if report.leaving => ReleaseKind::Leaving,
+            None => ReleaseKind::Done,
+            Some(AttemptFault::Refused) => ReleaseKind::Refused,
+            Some(fault) if fault.blames_server() => ReleaseKind::Failed,
+            Some(_) => ReleaseKind::Unused,
+        };
+        place::release(self.shared, service, place, kind, report.load);
+        tried
+    }
+
+    fn exchange(
+        &mut self,
+        conn: &mut Conn,
+        server: &BackendServer,
+        id: &str,
+        place: &Place,
+        report: &mut EngineReport,
+    ) -> Tried {
+        let request = self.request;
+        let left = request.deadline.saturating_duration_since(self.shared.clock.now());
+        let mut headers = request.headers.clone();
+        headers.insert(DEADLINE_HEADER, HeaderValue::from(left.as_millis() as u64));
+        if let Ok(value) = HeaderValue::from_str(&request.id) {
+            headers.insert("cartvane-request-id", value);
+        }
+        let attempt = Attempt {
+            address: server.address,
+            method: &request.method,
+            target: &request.target,
+            headers: &headers,
+            body: &request.body,
+            id,
+            fresh: request.repeat == Repeat::AtMostOnce,
+            until: request.deadline,
+        };
+        let mut watch = CallerWatch::new(self.shared, request, self.claim.is_some());
+        let sent = self.shared.backends.send(&attempt, &mut || watch.waits(conn));
+        let answer = match sent {
+            Ok(answer) => answer,
+            Err(fault) => return Tried::Fault(fault),
+        };
+        report.read(&answer);
+        let chat = request.chat.filter(|_| self.view.service.kind == ServiceKind::Model);
+        self.note.placement = chat.map(|chat| {
+            tokens::hint(&self.shared.settings.credentials.placement, chat, place.engine())
+        });
+        self.note.outcome = Outcome::Run;
+        let whole = answer.content_length().is_some_and(|length| length <= WHOLE_MAX);
+        if whole || request.method == Method::HEAD || request.http10 {
+            self.pass_whole(conn, answer, &mut watch)
+        } else {
+            self.pass_stream(conn, answer, server, id)
+        }
+    }
+
+    /// Reads the answer whole, then writes it.
+    fn pass_whole(
+        &mut self,
+        conn: &mut Conn,
+        mut answer: Answer,
+        watch: &mut CallerWatch<'_>,
+    ) -> Tried {
+        let mut body = Vec::new();
+        loop {
+            match answer.next(self.stall_end(), &mut || watch.waits(conn)) {
+                Ok(Some(piece)) => body.extend_from_slice(&piece),
+                Ok(None) => break,
+                Err(fault) => return Tried::Fault(fault),
+            }
+            if self.request.http10 && body.len() > self.shared.settings.limits.body.bytes() {
+                return Tried::Fault(AttemptFault::Garbage);
+            }
+        }
+        let status = answer.head.status;
+        let headers = answer_headers(&answer.head.headers);
+        self.keep_answer(status, &headers, Some(&body));
+        self.shared.backends.finish(answer);
+        let stall = self.shared.settings.timeouts.slow_reader.0;
+        let head_only = self.request.method == Method::HEAD;
+        let sent = send_whole(conn, stall, status, &headers, &self.note, &body, head_only);
+        self.note_first_byte();
+        let reusable = sent.is_ok();
+        Tried::Answered(Ended::Answered {
+            status: status.as_u16(),
+            outcome: Outcome::Run,
+            reusable,
+        })
+    }
+
+    /// Passes the answer on as it comes.
+    fn pass_stream(
+        &mut self,
+        conn: &mut Conn,
+        mut answer: Answer,
+        server: &BackendServer,
+        id: &str,
+    ) -> Tried {
+        let status = answer.head.status;
+        let headers = answer_headers(&answer.head.headers);
+        let events = is_event_stream(&headers);
+        let resumable = answer.head.header(RESUMABLE_HEADER).is_some();
+        let stall = self.shared.settings.timeouts.slow_reader.0;
+        let framing = AnswerBody::Chunked;
+        let mut kept = self.claim.as_ref().map(|_| Vec::new());
+        let mut caller_here = true;
+        let started = AnswerWriter::start(conn, stall, status, &headers, &self.note, framing, &[]);
+        let mut writer = match started {
+            Ok(writer) => writer,
+            Err(_) => return Tried::Cut(AttemptFault::CallerGone, status.as_u16()),
+        };
+        let mut received = 0_u64;
+        let mut resumes = 0;
+        loop {
+            let stays = self.claim.is_some();
+            let mut here = || stays || writer.conn().state() != ConnState::Broken;
+            match answer.next(self.stall_end(), &mut here) {
+                Ok(None) => break,
+                Ok(Some(piece)) => {
+                    if received == 0 {
+                        self.note_first_byte();
+                    }
+                    received += piece.len() as u64;
+                    self.keep_piece(&mut kept, &piece);
+                    caller_here = caller_here && writer.piece(&piece).is_ok();
+                    if !caller_here && self.claim.is_none() {
+                        return Tried::Cut(AttemptFault::CallerGone, status.as_u16());
+                    }
+                }
+                Err(AttemptFault::CallerGone) => {
+                    return Tried::Cut(AttemptFault::CallerGone, status.as_u16());
+                }
+                Err(fault) => {
+                    let resumed = (resumable && resumes < RESUMES_MAX)
+                        .then(|| self.resume(server, id, received));
+                    resumes += 1;
+                    if let Some(Some(rest)) = resumed {
+                        answer = rest;
+                        continue;
+                    }
+                    let words =
+                        if events { error_event(fault, &self.request.id) } else { Vec::new() };
+                    writer.cut(&words);
+                    return Tried::Cut(fault, status.as_u16());
+                }
+            }
+        }
+        self.keep_answer(status, &headers, kept.as_deref());
+        let sent = if caller_here { writer.end().is_ok() } else { false };
+        self.shared.backends.finish(answer);
+        Tried::Answered(Ended::Answered {
+            status: status.as_u16(),
+            outcome: Outcome::Run,
+            reusable: sent,
+        })
+    }
+
+    /// Asks the engine for the rest of a stream from `offset`.
+    fn resume(&self, server: &BackendServer, id: &str, offset: u64) -> Option<Answer> {
+        let target = format!("/engine/streams/{id}?from={offset}");
+        let answer = self.engine_call(server, &Method::GET, &target, id)?;
+        let goes_on_at: Option<u64> = answer.head.header(OFFSET_HEADER)?.parse().ok();
+        if answer.head.status != StatusCode::OK || goes_on_at != Some(offset) {
+            return None;
+        }
+        log::info!("resumed id={} backend_server={} offset={offset}", self.request.id, server.id);
+        self.shared.metrics.resumed(&self.view.service.id);
+        Some(answer)
+    }
+
+    /// Tells the engine that nobody waits for the stream.
+    fn cancel(&self, server: &BackendServer, id: &str) {
+        let target = format!("/engine/streams/{id}");
+        if let Some(answer) = self.engine_call(server, &Method::DELETE, &target, id) {
+            self.shared.backends.finish(answer);
+        }
+    }
+
+    fn engine_call(
+        &self,
+        server: &BackendServer,
+        method: &Method,
+        target: &str,
+        id: &str,
+    ) -> Option<Answer> {
+        let until = self.shared.clock.now() + RESUME_TIME;
+        let headers = HeaderMap::new();
+        let attempt = Attempt {
+            address: server.address,
+            method,
+            target,
+            headers: &headers,
+            body: &[],
+            id,
+            fresh: true,
+            until,
+        };
+        self.shared.backends.send(&attempt, &mut || true).ok()
+    }
+
+    /// Returns when the next byte of the answer must have come.
+    fn stall_end(&self) -> Instant {
+        let stall = self.shared.clock.now() + self.shared.settings.timeouts.stall.0;
+        stall.min(self.request.deadline)
+    }
+
+    fn note_first_byte(&self) {
+        let left = self.request.deadline.saturating_duration_since(self.shared.clock.now());
+        let service = &self.view.service;
+        let took = service.deadline.0.saturating_sub(left);
+        self.shared.metrics.first_byte(&service.id, took);
+    }
+
+    fn keep_piece(&self, kept: &mut Option<Vec<u8>>, piece: &[u8]) {
+        let most = self.shared.settings.limits.stored_answer.bytes();
+        if let Some(body) = kept {
+            body.extend_from_slice(piece);
+            if body.len() > most {
+                *kept = None;
+            }
+        }
+    }
+
+    /// Closes the claim with the whole answer, before its end reaches the caller: from then on a
+    /// repeat gets this answer, also when this instance is lost.
+    fn keep_answer(&mut self, status: StatusCode, headers: &HeaderMap, body: Option<&[u8]>) {
+        let Some(held) = self.claim.take() else { return };
+        let most = self.shared.settings.limits.stored_answer.bytes();
+        let state = match body {
+            Some(body) if body.len() <= most => ClaimState::Done(StoredAnswer {
+                status: status.as_u16(),
+                headers: text_headers(headers),
+                body: body.to_vec(),
+            }),
+            _ => ClaimState::DoneTooLarge,
+        };
+        self.shared.claims.finish(&held, Some(state));
+    }
+}
+
+/// What an engine tells of itself with an answer.
+#[derive(Debug, Default)]
+struct EngineReport {
+    load: Option<u32>,
+    leaving: bool,
+    resumable: bool,
+}
+
+impl EngineReport {
+    fn read(&mut self, answer: &Answer) {
+        self.load = answer.head.header(LOAD_HEADER).and_then(|load| load.parse().ok());
+        self.leaving = answer.head.header(STATE_HEADER) == Some("leaving");
+        self.resumable = answer.head.header(RESUMABLE_HEADER).is_some();
+    }
+}
+
+/// Watches whether a caller still waits for its answer.
+///
+/// A caller that has closed its sending side may still read: an interim answer, which every
+/// HTTP/1.1 caller passes over, shows whether it does.
+struct CallerWatch<'w> {
+    shared: &'w Shared,
+    probes: bool,
+    /// The request is to be carried through whether or not its caller waits.
+    stays: bool,
+    last_probe: Option<Instant>,
+}
+
+impl<'w> CallerWatch<'w> {
+    fn new(shared: &'w Shared, request: &Request, stays: bool) -> CallerWatch<'w> {
+        CallerWatch { shared, probes: !request.http10, stays, last_probe: None }
+    }
+
+    fn waits(&mut self, conn: &mut Conn) -> bool {
+        if self.stays {
+            return true;
+        }
+        match conn.state() {
+            ConnState::Broken => false,
+            ConnState::Open | ConnState::Readable => true,
+            ConnState::HalfClosed => !self.probes || self.probe(conn),
+        }
+    }
+
+    fn probe(&mut self, conn: &mut Conn) -> bool {
+        let now = self.shared.clock.now();
+        if self.last_probe.is_some_and(|at| now.duration_since(at) < PROBE_PERIOD) {
+            return true;
+        }
+        self.last_probe = Some(now);
+        conn.send(b"HTTP/1.1 100 Continue\r\n\r\n", PROBE_PERIOD).is_ok()
+    }
+}
+
+fn doubt(refusal: Refusal, in_doubt: bool) -> Refusal {
+    if in_doubt && refusal.outcome == Outcome::NotRun {
+        let detail = format!("{}; an earlier attempt may have run it", refusal.detail);
+        return Refusal { outcome: Outcome::Unknown, detail, ..refusal };
+    }
+    refusal
+}
+
+fn no_server() -> Refusal {
+    Refusal::not_run(
+        503,
+        "no backend server",
+        "no backend server can take the request now; send it again later",
+    )
+    .retry_after(RETRY_AFTER)
+}
+
+/// Returns the answer's end-to-end headers.
+fn answer_headers(headers: &HeaderMap) -> HeaderMap {
+    let mut headers = headers.clone();
+    drop_hop_by_hop(&mut headers);
+    let internal = [
+        "content-length",
+        LOAD_HEADER,
+        STATE_HEADER,
+        RESUMABLE_HEADER,
+        OFFSET_HEADER,
+        "cartvane-attempt",
+        "cartvane-outcome",
+    ];
+    for name in internal {
+        headers.remove(name);
+    }
+    headers
+}
+
+fn text_headers(headers: &HeaderMap) -> Vec<(String, String)> {
+    let text = |(name, value): (&HeaderName, &HeaderValue)| {
+        Some((name.to_string(), value.to_str().ok()?.to_owned()))
+    };
+    headers.iter().filter_map(text).collect()
+}
+
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let value = headers.get("content-type").and_then(|value| value.to_str().ok());
+    value.is_some_and(|value| value.starts_with("text/event-stream"))
+}
+
+/// Returns the event that ends a stream which cannot be completed.
+fn error_event(fault: AttemptFault, id: &str) -> Vec<u8> {
+    let data = serde_json::json!({
+        "error": { "title": "answer cut short", "detail": fault.detail(), "outcome": "unknown", "request_id": id }
+    });
+    format!("\n\nevent: error\ndata: {data}\n\n").into_bytes()
+}
--- /dev/null
+++ b/src/instance/gossip.rs
@@ -0,0 +1,122 @@
+//! Signs of life among instances, and the platform's membership list.
+
+use crate::{
+    instance::shared::Shared,
+    link::wire::{HEARTBEAT, Heartbeat, LOADS, LoadsMessage},
+    metrics::Purpose,
+    names::Tag,
+    utils::sync::lock,
+    zone::{home::Event, shard::ShardId},
+};
+
+/// Fetches what changed in the platform's list; while the platform is out, the view stays.
+pub fn poll_members(shared: &Shared) {
+    let version = lock(&shared.membership).version();
+    match shared.platform.members.since(version) {
+        Ok(page) if page.version != version => {
+            lock(&shared.membership).listed(page.version, page.changed);
+            tell_homes_who_leaves(shared);
+        }
+        Ok(_) => {}
+        Err(fault) => log::debug!("membership list: {fault}"),
+    }
+}
+
+/// Tells the homes held here which backend servers the list calls leaving.
+fn tell_homes_who_leaves(shared: &Shared) {
+    let Some(snapshot) = shared.snapshot.load_full() else { return };
+    shared.homes.each(|id| {
+        let Some(shard) = snapshot.shard(id) else { return Vec::new() };
+        let membership = lock(&shared.membership);
+        let leaves = |tag: Tag| {
+            snapshot.server(tag).is_some_and(|b| membership.server_leaves(b.id.as_str()))
+        };
+        shard.engines.iter().map(|e| Event::Leaving(e.tag, leaves(e.tag))).collect()
+    });
+}
+
+/// Sends a heartbeat to one peer drawn at random.
+pub fn beat(shared: &Shared) {
+    let peer = {
+        let now = shared.clock.now();
+        let membership = lock(&shared.membership);
+        let peers: Vec<Tag> =
+            membership.peers().filter(|p| !p.is_suspect(now)).map(|p| p.candidate.tag).collect();
+        fastrand::choice(peers)
+    };
+    if let Some(peer) = peer {
+        beat_to(shared, peer);
+    }
+}
+
+/// Sends a heartbeat to every peer, so that all learn of a change at once.
+pub fn beat_to_all(shared: &Shared) {
+    let peers: Vec<Tag> = lock(&shared.membership).peers().map(|p| p.candidate.tag).collect();
+    peers.into_iter().for_each(|peer| beat_to(shared, peer));
+}
+
+fn beat_to(shared: &Shared, peer: Tag) {
+    let now = shared.clock.now();
+    let (address, suspects) = {
+        let membership = lock(&shared.membership);
+        let Some(known) = membership.peer(peer) else { return };
+        (known.address, membership.suspected(now))
+    };
+    let heartbeat = Heartbeat { hello: shared.hello(), suspects };
+    match shared.peers.call::<Heartbeat>(Purpose::Heartbeat, address, HEARTBEAT, &heartbeat) {
+        Ok(reply) => {
+            take_heartbeat(shared, &reply);
+        }
+        Err(fault) => {
+            log::debug!("heartbeat: {fault}");
+            lock(&shared.membership).failed(shared.clock.now(), peer);
+        }
+    }
+}
+
+/// Takes in a peer's heartbeat and returns the answer to it.
+pub fn take_heartbeat(shared: &Shared, heartbeat: &Heartbeat) -> Heartbeat {
+    shared.greeted(&heartbeat.hello);
+    let now = shared.clock.now();
+    let mut membership = lock(&shared.membership);
+    for suspect in &heartbeat.suspects {
+        membership.rumour(now, *suspect);
+    }
+    let suspects = membership.suspected(now);
+    drop(membership);
+    Heartbeat { hello: shared.hello(), suspects }
+}
+
+/// Tells the homes of other shards of the same services the loads of the shards held here.
+pub fn tell_loads(shared: &Shared) {
+    let Some(snapshot) = shared.snapshot.load_full() else { return };
+    let mine = shared.homes.loads();
+    let mut by_peer: std::collections::HashMap<Tag, Vec<_>> = std::collections::HashMap::new();
+    for (id, load) in mine {
+        let Some(view) = snapshot.service_by_tag(id.service) else { continue };
+        for shard in view.shards.iter().filter(|s| s.id != id) {
+            by_peer.entry(shared.home_of(shard)).or_default().push((id, load));
+        }
+    }
+    for (peer, mut loads) in by_peer {
+        loads.dedup();
+        if peer == shared.tag {
+            take_loads(shared, &loads);
+            continue;
+        }
+        let Some(address) = lock(&shared.membership).peer(peer).map(|p| p.address) else {
+            continue;
+        };
+        let message = LoadsMessage { hello: shared.hello(), loads };
+        // A lost message is made good by the next.
+        let _ = shared.peers.call::<()>(Purpose::Loads, address, LOADS, &message);
+    }
+}
+
+/// Takes in the loads of shards held elsewhere.
+pub fn take_loads(shared: &Shared, loads: &[(ShardId, crate::zone::home::ShardLoad)]) {
+    shared.homes.each(|id| {
+        let others = loads.iter().filter(|(other, _)| other.service == id.service && *other != id);
+        others.map(|(other, load)| Event::Elsewhere(Tag(u32::from(other.number)), *load)).collect()
+    });
+}
--- /dev/null
+++ b/src/instance/homes.rs
@@ -0,0 +1,309 @@
+//! The shards whose home this instance is: a thin shell around [`Home`].
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Condvar, Mutex},
+    time::{Duration, Instant},
+};
+
+use crate::{
+    clock::Clock,
+    contract::permit::{PermitId, Reply},
+    instance::snapshot::Snapshot,
+    link::wire::{Hello, LateReply, ReplyWire, ShardBatch, short},
+    names::Tag,
+    utils::sync::lock,
+    zone::{
+        home::{Action, Event, Home, HomeTerms, ShardLoad},
+        rendezvous::ChatKey,
+        shard::{Shard, ShardId},
+    },
+};
+
+/// Time for which a shard that has moved to another home and holds nothing is kept.
+const LINGER: Duration = Duration::from_secs(10);
+
+/// Longest wait of an entry for the grants of its queued asks.
+pub const WAIT_MAX: Duration = Duration::from_secs(5);
+
+struct Slot {
+    home: Mutex<Home>,
+    last_used: Mutex<Instant>,
+}
+
+/// What a home tells in answer to a batch.
+#[derive(Debug, Default)]
+pub struct BatchAnswer {
+    /// Replies in the order of the asks.
+    pub replies: Vec<ReplyWire>,
+    /// Whether the entry is to announce all it holds.
+    pub want_announcement: bool,
+}
+
+type Deliver = dyn Fn(PermitId, Reply) + Send + Sync;
+
+/// A shard as operators see it.
+#[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
+pub struct ShardStatus {
+    /// The shard.
+    pub shard: ShardId,
+    /// Most permits of one engine now.
+    pub bound: u32,
+    /// Requests waiting.
+    pub queued: usize,
+    /// Chats remembered.
+    pub remembered: usize,
+    /// Engines: tag, permits, reported load, whether it may get work.
+    pub engines: Vec<EngineStatus>,
+}
+
+/// An engine as operators see it.
+#[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
+pub struct EngineStatus {
+    /// Tag of its id.
+    pub tag: Tag,
+    /// Permits in force.
+    pub permits: u32,
+    /// Load it last reported.
+    pub reported: Option<u32>,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Whether it is suspected of being down.
+    pub suspect: bool,
+}
+
+/// The homes of this instance.
+pub struct HomeShards {
+    own: Tag,
+    clock: Clock,
+    remembered: usize,
+    slots: Mutex<HashMap<ShardId, Arc<Slot>>>,
+    outbox: Mutex<HashMap<Tag, Vec<LateReply>>>,
+    posted: Condvar,
+    deliver: Box<Deliver>,
+}
+
+impl HomeShards {
+    /// Returns an instance's homes; `deliver` takes late replies for the instance's own entry.
+    pub fn new(
+        own: Tag,
+        clock: Clock,
+        remembered: usize,
+        deliver: impl Fn(PermitId, Reply) + Send + Sync + 'static,
+    ) -> HomeShards {
+        HomeShards {
+            own,
+            clock,
+            remembered,
+            slots: Mutex::default(),
+            outbox: Mutex::default(),
+            posted: Condvar::new(),
+            deliver: Box::new(deliver),
+        }
+    }
+
+    /// Takes in an entry's batch for one shard; `None` when the file in force has no such shard.
+    pub fn batch(
+        &self,
+        hello: &Hello,
+        batch: ShardBatch,
+        snapshot: &Snapshot,
+    ) -> Option<BatchAnswer> {
+        let slot = self.slot(batch.shard, snapshot)?;
+        let now = self.clock.now();
+        *lock(&slot.last_used) = now;
+        let mut actions = Vec::new();
+        let asked: Vec<PermitId> = batch.asks.iter().map(|ask| hello.permit(ask.number)).collect();
+        {
+            let mut home = lock(&slot.home);
+            let releases = batch.releases.into_iter().map(|r| r.into_release(hello));
+            for release in releases {
+                actions.extend(home.handle(now, Event::Release(hello.from, release)));
+            }
+            match batch.announce {
+                Some(held) => {
+                    let held = held.into_iter().map(|mut h| {
+                        h.number = hello.permit(short(h.number)).number;
+                        h
+                    });
+                    actions.extend(home.handle(now, Event::Announce(hello.from, held.collect())));
+                }
+                None if batch.held != u32::MAX => {
+                    let count = Event::Count(hello.from, batch.held as usize);
+                    actions.extend(home.handle(now, count));
+                }
+                None => {}
+            }
+            for ask in batch.asks {
+                let terms = snapshot.team_terms(ask.team);
+                actions.extend(home.handle(now, Event::Ask(ask.into_ask(hello), terms)));
+            }
+        }
+        Some(self.carry_out(actions, &asked))
+    }
+
+    /// Lets time pass for every home, and forgets those that have moved and hold nothing.
+    ///
+    /// `is_home` says whether this instance is the home of a shard by its own view.
+    pub fn tick(&self, snapshot: &Snapshot, is_home: impl Fn(&Shard) -> bool) {
+        let now = self.clock.now();
+        let slots: Vec<(ShardId, Arc<Slot>)> =
+            lock(&self.slots).iter().map(|(id, slot)| (*id, Arc::clone(slot))).collect();
+        for (id, slot) in slots {
+            let shard = snapshot.shard(id);
+            let ours = shard.is_some_and(&is_home);
+            let mut actions = Vec::new();
+            let idle = {
+                let mut home = lock(&slot.home);
+                actions.extend(home.handle(now, Event::Role(ours)));
+                actions.extend(home.handle(now, Event::Tick));
+                home.permits() == 0 && home.queued() == 0
+            };
+            self.carry_out(actions, &[]);
+            let unused = now.duration_since(*lock(&slot.last_used)) > LINGER;
+            if idle && unused && !ours {
+                lock(&self.slots).remove(&id);
+            }
+        }
+    }
+
+    /// Takes over the engines and terms of a new revision.
+    pub fn install(&self, snapshot: &Snapshot) {
+        let now = self.clock.now();
+        let slots: Vec<(ShardId, Arc<Slot>)> =
+            lock(&self.slots).iter().map(|(id, slot)| (*id, Arc::clone(slot))).collect();
+        for (id, slot) in slots {
+            let Some(shard) = snapshot.shard(id) else {
+                lock(&self.slots).remove(&id);
+                continue;
+            };
+            let Some(terms) = self.terms(id, snapshot) else { continue };
+            let mut home = lock(&slot.home);
+            let mut actions = home.handle(now, Event::Terms(terms));
+            actions.extend(home.handle(now, Event::Engines(shard.engines.clone())));
+            drop(home);
+            self.carry_out(actions, &[]);
+        }
+    }
+
+    /// Gives every home an event made for its shard.
+    pub fn each(&self, event: impl Fn(ShardId) -> Vec<Event>) {
+        let now = self.clock.now();
+        let slots: Vec<(ShardId, Arc<Slot>)> =
+            lock(&self.slots).iter().map(|(id, slot)| (*id, Arc::clone(slot))).collect();
+        for (id, slot) in slots {
+            let mut actions = Vec::new();
+            for event in event(id) {
+                actions.extend(lock(&slot.home).handle(now, event));
+            }
+            self.carry_out(actions, &[]);
+        }
+    }
+
+    /// Waits until a queued ask of `entry` has its reply, at most [`WAIT_MAX`].
+    pub fn wait(&self, entry: Tag) -> Vec<LateReply> {
+        let mut outbox = lock(&self.outbox);
+        let until = Instant::now() + WAIT_MAX;
+        loop {
+            if let Some(replies) = outbox.remove(&entry) {
+                return replies;
+            }
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Vec::new();
+            }
+            outbox = match self.posted.wait_timeout(outbox, left) {
+                Ok((outbox, _)) => outbox,
+                Err(poisoned) => poisoned.into_inner().0,
+            };
+        }
+    }
+
+    /// Returns the loads of the shards held here.
+    pub fn loads(&self) -> Vec<(ShardId, ShardLoad)> {
+        let now = self.clock.now();
+        self.map_homes(|id, home| (id, home.shard_load(now)))
+    }
+
+    /// Returns the shards held here as operators see them.
+    pub fn status(&self) -> Vec<ShardStatus> {
+        let now = self.clock.now();
+        self.map_homes(|shard, home| ShardStatus {
+            shard,
+            bound: home.bound(now),
+            queued: home.queued(),
+            remembered: home.remembered(),
+            engines: home
+                .engines()
+                .map(|e| EngineStatus {
+                    tag: e.spec.tag,
+                    permits: e.permits,
+                    reported: e.reported_load(),
+                    leaving: e.is_leaving(),
+                    suspect: e.is_suspect(now),
+                })
+                .collect(),
+        })
+    }
+
+    /// Returns where `chat` was last and where it would go now, if its shard is held here.
+    pub fn explain(&self, shard: ShardId, chat: ChatKey) -> Option<(Option<Tag>, Option<Tag>)> {
+        let slot = lock(&self.slots).get(&shard).cloned()?;
+        let home = lock(&slot.home);
+        Some(home.explain(self.clock.now(), chat))
+    }
+
+    fn map_homes<T>(&self, f: impl Fn(ShardId, &Home) -> T) -> Vec<T> {
+        let slots = lock(&self.slots);
+        let mut all: Vec<_> = slots.iter().collect();
+        all.sort_by_key(|(id, _)| **id);
+        all.into_iter().map(|(id, slot)| f(*id, &lock(&slot.home))).collect()
+    }
+
+    fn slot(&self, id: ShardId, snapshot: &Snapshot) -> Option<Arc<Slot>> {
+        if let Some(slot) = lock(&self.slots).get(&id) {
+            return Some(Arc::clone(slot));
+        }
+        let shard = snapshot.shard(id)?;
+        let terms = self.terms(id, snapshot)?;
+        let now = self.clock.now();
+        let home = Mutex::new(Home::new(terms, shard.engines.clone(), now));
+        let slot = Arc::new(Slot { home, last_used: Mutex::new(now) });
+        let mut slots = lock(&self.slots);
+        Some(Arc::clone(slots.entry(id).or_insert(slot)))
+    }
+
+    fn terms(&self, id: ShardId, snapshot: &Snapshot) -> Option<HomeTerms> {
+        let service = &snapshot.service_by_tag(id.service)?.service;
+        Some(HomeTerms {
+            load_bound: service.load_bound,
+            queue: service.queue as usize,
+            remembered: self.remembered,
+        })
+    }
+
+    /// Sorts actions into answers of the batch at hand and late replies for whom they concern.
+    fn carry_out(&self, actions: Vec<Action>, asked: &[PermitId]) -> BatchAnswer {
+        let mut answer = BatchAnswer {
+            replies: vec![ReplyWire::of(Reply::Spill); asked.len()],
+            ..BatchAnswer::default()
+        };
+        for action in actions {
+            match action {
+                Action::WantAnnouncement(_) => answer.want_announcement = true,
+                Action::Reply(id, reply) => match asked.iter().position(|ask| *ask == id) {
+                    Some(at) => answer.replies[at] = ReplyWire::of(reply),
+                    None if id.entry == self.own => (self.deliver)(id, reply),
+                    None => self.post(id, reply),
+                },
+            }
+        }
+        answer
+    }
+
+    fn post(&self, id: PermitId, reply: Reply) {
+        let late = LateReply { number: short(id.number), reply: ReplyWire::of(reply) };
+        lock(&self.outbox).entry(id.entry).or_default().push(late);
+        self.posted.notify_all();
+    }
+}
--- /dev/null
+++ b/src/instance/mod.rs
@@ -0,0 +1,434 @@
+//! One running instance: entry for callers, home of some shards, peer of the others.
+
+pub mod apply;
+pub mod claims;
+pub mod config;
+pub mod desk;
+pub mod entry;
+pub mod forward;
+pub mod gossip;
+pub mod homes;
+pub mod objects;
+pub mod operators;
+pub mod peers;
+pub mod place;
+pub mod request;
+pub mod shared;
+pub mod snapshot;
+pub mod status;
+pub mod tokens;
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, OnceLock, Weak, atomic::AtomicU64, mpsc},
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use anyhow::Context as _;
+use arc_swap::ArcSwapOption;
+
+use crate::{
+    configs::settings::{Platform as PlatformSettings, Settings},
+    context::Context,
+    contract::{membership::Membership, revision::InForce},
+    instance::{
+        claims::Claims,
+        config::Waker,
+        desk::{Desk, DeskLinks, HomeLost},
+        homes::{HomeShards, WAIT_MAX},
+        objects::ObjectCache,
+        shared::{DrainState, Shared, Usage},
+    },
+    link::{
+        backend::BackendLinks,
+        caller::Listener,
+        peer::{self, PeerLinks},
+        wire::{ASK, LateReply, WAIT, WaitRequest},
+    },
+    metrics::{Metrics, Purpose},
+    names::Tag,
+    platform::{Platform, embedded::Embedded, http::HttpPlatform},
+    utils::sync::lock,
+    zone::homes::Candidate,
+};
+
+/// Connections of other instances served at once.
+const PEER_CONNECTIONS: usize = 4000;
+
+/// Period of the work of homes and desks.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Ticks between two rounds of the homes' own work.
+const HOME_TICKS: u64 = 5;
+
+/// A running instance.
+pub struct Instance {
+    shared: Arc<Shared>,
+    callers: Listener,
+    peers: Listener,
+    operators: SocketAddr,
+    operators_stop: mpsc::Sender<()>,
+    operators_thread: Option<JoinHandle<()>>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Instance {
+    /// Starts an instance and returns its running handle.
+    ///
+    /// # Errors
+    ///
+    /// An address cannot be listened on, or a thread cannot be started.
+    pub fn spawn(settings: Settings, context: &Context) -> anyhow::Result<Instance> {
+        let metrics = Metrics::new()?;
+        let platform = open_platform(&settings, &metrics);
+        let waker = Arc::new(Waker::default());
+        let shared = build_shared(settings, context, metrics, platform, &waker);
+        let limits = &shared.settings.limits;
+        let listen = &shared.settings.listen;
+        let peers = serve_peers(&shared)?;
+        let callers = serve_callers(&shared, limits.connections as usize)?;
+        let operator_shared = Arc::clone(&shared);
+        let server = rouille::Server::new(listen.operators, move |request| {
+            operators::answer(&operator_shared, request)
+        })
+        .map_err(|e| anyhow::anyhow!("{e}"))
+        .with_context(|| format!("cannot listen for operators on {}", listen.operators))?
+        .pool_size(operators::THREADS);
+        let operators = server.server_addr();
+        let (operators_thread, operators_stop) = server.stoppable();
+        let mut instance = Instance {
+            shared,
+            callers,
+            peers,
+            operators,
+            operators_stop,
+            operators_thread: Some(operators_thread),
+            threads: Vec::new(),
+        };
+        instance.start_background(&waker)?;
+        log::info!(
+            "instance {} callers={} peers={} operators={}",
+            instance.shared.settings.id,
+            instance.callers.address(),
+            instance.peers.address(),
+            instance.operators
+        );
+        Ok(instance)
+    }
+
+    fn start_background(&mut self, waker: &Arc<Waker>) -> anyhow::Result<()> {
+        let waker = Arc::clone(waker);
+        self.background("config", move |shared| config_loop(shared, &waker))?;
+        let members = self.shared.settings.timeouts.members_poll.0;
+        self.background("members", move |shared| {
+            gossip::poll_members(shared);
+            jittered(members)
+        })?;
+        let heartbeat = self.shared.settings.timeouts.heartbeat.0;
+        self.background("heartbeat", move |shared| {
+            gossip::beat(shared);
+            jittered(heartbeat)
+        })?;
+        let mut ticks = 0_u64;
+        self.background("tick", move |shared| {
+            ticks += 1;
+            tick(shared, ticks);
+            TICK
+        })
+    }
+
+    /// Runs `step` in a thread of its own, with the pause that it returns, until the instance ends.
+    fn background(
+        &mut self,
+        name: &str,
+        mut step: impl FnMut(&Arc<Shared>) -> Duration + Send + 'static,
+    ) -> anyhow::Result<()> {
+        let shared = Arc::clone(&self.shared);
+        let thread = thread::Builder::new().name(name.to_owned()).spawn(move || {
+            while !shared.drain.is_stopped() {
+                let pause = step(&shared);
+                thread::sleep(pause);
+            }
+        })?;
+        self.threads.push(thread);
+        Ok(())
+    }
+
+    /// Returns the callers' address.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers.address()
+    }
+
+    /// Returns the peers' address.
+    pub fn peers(&self) -> SocketAddr {
+        self.peers.address()
+    }
+
+    /// Returns the operators' address.
+    pub fn operators(&self) -> SocketAddr {
+        self.operators
+    }
+
+    /// Returns what the instance's parts share.
+    pub fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    /// Starts a drain: not ready at once, no request in flight is cut.
+    pub fn drain(&self) {
+        self.shared.drain.start(self.shared.clock.now());
+    }
+
+    /// Returns whether a drain has begun.
+    pub fn is_draining(&self) -> bool {
+        self.shared.drain.is_draining()
+    }
+
+    /// Waits for a drain to end and stops the instance.
+    ///
+    /// New connections are answered for the grace time; then the listener closes and requests in
+    /// flight finish, for at most the drain time or until `hurry` says so. Returns whether all
+    /// requests finished.
+    pub fn finish(mut self, hurry: impl Fn() -> bool) -> bool {
+        let timeouts = &self.shared.settings.timeouts;
+        gossip::beat_to_all(&self.shared);
+        let grace_over = || {
+            let age = self.shared.drain.age(self.shared.clock.now());
+            age.is_none_or(|age| age >= timeouts.drain_grace.0)
+        };
+        while !grace_over() && !hurry() {
+            thread::sleep(TICK);
+        }
+        self.callers.stop();
+        let over = || {
+            let age = self.shared.drain.age(self.shared.clock.now());
+            age.is_none_or(|age| age >= timeouts.drain.0)
+        };
+        while self.callers.open() > 0 && !over() && !hurry() {
+            thread::sleep(TICK);
+        }
+        let clean = self.callers.open() == 0;
+        self.shared.desk.flush_all();
+        while self.shared.claims.deferred() > 0 && !over() && !hurry() {
+            thread::sleep(TICK);
+        }
+        self.stop_all();
+        clean
+    }
+
+    fn stop_all(&mut self) {
+        self.shared.drain.stop();
+        self.peers.stop();
+        // The operators' server ends with its channel either way.
+        let _ = self.operators_stop.send(());
+        if let Some(thread) = self.operators_thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn jittered(period: Duration) -> Duration {
+    period.mul_f64(0.75 + 0.5 * fastrand::f64())
+}
+
+fn open_platform(settings: &Settings, metrics: &Metrics) -> Platform {
+    match settings.platform {
+        PlatformSettings::Embedded => Embedded::new().platform(),
+        PlatformSettings::Http { table, objects, members } => {
+            let timeout = settings.timeouts.platform.0;
+            let credential = settings.credentials.platform.clone();
+            let metrics = metrics.clone();
+            HttpPlatform { table, objects, members, timeout, credential }.connect(
+                move |sent, received| {
+                    metrics.control_sent(Purpose::Platform, sent);
+                    metrics.control_received(Purpose::Platform, received);
+                },
+            )
+        }
+    }
+}
+
+fn build_shared(
+    settings: Settings,
+    context: &Context,
+    metrics: Metrics,
+    platform: Platform,
+    waker: &Arc<Waker>,
+) -> Arc<Shared> {
+    let clock = context.clock.clone();
+    let tag = settings.id.tag();
+    let incarnation = u32::try_from(clock.wall_millis() / 1000).unwrap_or(u32::MAX);
+    let credential = settings.credentials.peers[0].clone();
+    let peers =
+        PeerLinks::new(clock.clone(), credential, settings.timeouts.peer.0, metrics.clone());
+    let own = Candidate { id: settings.id.clone(), tag, zone: settings.zone.clone() };
+    let waker = Arc::clone(waker);
+    // The desk and the homes speak to each other through the instance, which holds both.
+    let this: Arc<OnceLock<Weak<Shared>>> = Arc::default();
+    let desk = Desk::new(tag, incarnation, clock.clone(), desk_links(&this));
+    let late = Arc::clone(&this);
+    let remembered = settings.limits.remembered_chats as usize;
+    let homes = HomeShards::new(tag, clock.clone(), remembered, move |id, reply| {
+        if let Some(shared) = upgrade(&late) {
+            shared.desk.late_own(id, reply);
+        }
+    });
+    let shared = Arc::new(Shared {
+        tag,
+        incarnation,
+        backends: BackendLinks::new(clock.clone(), settings.timeouts.connect.0),
+        claims: Claims::new(platform.table.clone(), clock.clone()),
+        settings,
+        clock,
+        metrics,
+        platform,
+        peers,
+        snapshot: ArcSwapOption::empty(),
+        in_force: Mutex::new(InForce::default()),
+        objects: ObjectCache::default(),
+        membership: Mutex::new(Membership::new(own)),
+        desk,
+        homes,
+        budgets: Mutex::new(HashMap::new()),
+        baselines: Mutex::new(HashMap::new()),
+        drain: DrainState::default(),
+        usage: Usage::default(),
+        request_counter: AtomicU64::new(1),
+        wake_sync: Arc::new(move || waker.wake()),
+    });
+    // Set once, here.
+    let _ = this.set(Arc::downgrade(&shared));
+    shared
+}
+
+fn upgrade(this: &OnceLock<Weak<Shared>>) -> Option<Arc<Shared>> {
+    this.get()?.upgrade()
+}
+
+fn desk_links(this: &Arc<OnceLock<Weak<Shared>>>) -> DeskLinks {
+    let [a, b, c] = std::array::from_fn(|_| Arc::clone(this));
+    DeskLinks {
+        exchange: Box::new(move |home, request| {
+            let shared = upgrade(&a).ok_or(HomeLost)?;
+            if home == shared.tag {
+                return Ok(peers::ask(&shared, request.clone()));
+            }
+            let address = lock(&shared.membership).peer(home).map(|p| p.address).ok_or(HomeLost)?;
+            let reply: crate::link::wire::AskReply =
+                shared.peers.call(Purpose::Permits, address, ASK, request).map_err(|fault| {
+                    log::debug!("ask: {fault}");
+                    HomeLost
+                })?;
+            shared.greeted(&reply.hello);
+            Ok(reply)
+        }),
+        start_waiting: Box::new(move |home| {
+            let Some(shared) = upgrade(&b) else { return };
+            // Late replies of the own home come by call.
+            if home != shared.tag {
+                let spawned = thread::Builder::new()
+                    .name("wait".to_owned())
+                    .spawn(move || wait_loop(&shared, home));
+                if let Err(e) = spawned {
+                    log::error!("cannot start a thread ({e}); queued requests are asked again");
+                }
+            }
+        }),
+        hello: Box::new(move || {
+            upgrade(&c).map_or_else(
+                || crate::link::wire::Hello {
+                    from: Tag(0),
+                    incarnation: 0,
+                    revision: crate::units::Revision::default(),
+                    leaving: true,
+                },
+                |shared| shared.hello(),
+            )
+        }),
+    }
+}
+
+/// Waits for a home's late replies while asks are queued there.
+fn wait_loop(shared: &Shared, home: Tag) {
+    while shared.desk.waits_for(home) && !shared.drain.is_stopped() {
+        let address = lock(&shared.membership).peer(home).map(|p| p.address);
+        let request = WaitRequest { hello: shared.hello() };
+        let timeout = WAIT_MAX + shared.settings.timeouts.peer.0;
+        let replies: Option<Vec<LateReply>> = address.and_then(|address| {
+            shared.peers.call_within(Purpose::Permits, address, WAIT, &request, timeout).ok()
+        });
+        match replies {
+            Some(replies) => shared.desk.late(home, replies),
+            None => {
+                lock(&shared.membership).failed(shared.clock.now(), home);
+                shared.desk.home_lost(home);
+            }
+        }
+    }
+}
+
+fn serve_peers(shared: &Arc<Shared>) -> anyhow::Result<Listener> {
+    let listen = shared.settings.listen.peers;
+    let serving = Arc::clone(shared);
+    let serve = move |conn| {
+        let shared = &serving;
+        let timeout = shared.settings.timeouts.peer.0 + WAIT_MAX;
+        peer::serve(conn, &shared.settings.credentials.peers, timeout, |path, body| {
+            peers::answer(shared, path, body)
+        });
+    };
+    Listener::bind(listen, shared.clock.clone(), PEER_CONNECTIONS, serve, drop)
+        .with_context(|| format!("cannot listen for other instances on {listen}"))
+}
+
+fn serve_callers(shared: &Arc<Shared>, most: usize) -> anyhow::Result<Listener> {
+    let listen = shared.settings.listen.callers;
+    let (serving, refusing) = (Arc::clone(shared), Arc::clone(shared));
+    let serve = move |conn| entry::serve(&serving, conn);
+    let refuse = move |conn| entry::refuse_connection(&refusing, conn);
+    Listener::bind(listen, shared.clock.clone(), most, serve, refuse)
+        .with_context(|| format!("cannot listen for callers on {listen}"))
+}
+
+fn config_loop(shared: &Arc<Shared>, waker: &Waker) -> Duration {
+    if let Err(fault) = config::sync(shared) {
+        log::debug!("configuration: {fault}");
+    }
+    let ready = shared.snapshot.load().is_some();
+    let pause = if ready { jittered(shared.settings.timeouts.revision_poll.0) } else { TICK };
+    if waker.wait(pause)
+        && let Err(fault) = config::sync_from_peers(shared)
+    {
+        log::debug!("configuration from peers: {fault}");
+    }
+    Duration::ZERO
+}
+
+fn tick(shared: &Arc<Shared>, ticks: u64) {
+    shared.desk.flush(|id| shared.home_of_id(id));
+    if !ticks.is_multiple_of(HOME_TICKS) {
+        return;
+    }
+    shared.claims.tick();
+    let Some(snapshot) = shared.snapshot.load_full() else { return };
+    shared.homes.tick(&snapshot, |shard| shared.home_of(shard) == shared.tag);
+    gossip::tell_loads(shared);
+    show_homes(shared);
+}
+
+fn show_homes(shared: &Shared) {
+    let status = status::own(shared);
+    shared.metrics.homes(status.shards.len());
+    for shard in &status.shards {
+        if let Ok(service) = shard.service.parse() {
+            shared.metrics.shard(&service, shard.bound, shard.queued);
+        }
+        for engine in &shard.engines {
+            if let Ok(id) = engine.id.parse() {
+                shared.metrics.engine_load(&id, engine.permits);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/instance/operators.rs
@@ -0,0 +1,394 @@
+//! The operators' interface: HTTP with JSON, by `rouille`.
+
+use std::{io::Read as _, sync::Arc};
+
+use rouille::{Request, Response};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    audit::{AUDIT_PREFIX, AuditAction, AuditRow, RevisionRow, revision_key},
+    configs::fleet::{Fleet, chunks::Digest, diff::diff},
+    contract::revision::HEAD_KEY,
+    instance::{
+        apply::{ApplyFault, append, apply},
+        config::object_key,
+        shared::Shared,
+        status,
+    },
+    link::wire::DRAIN,
+    metrics::Purpose,
+    names::InstanceId,
+    platform::PlatformFault,
+    units::Revision,
+    utils::{secret::any_matches, sync::lock},
+    zone::rendezvous::ChatKey,
+};
+
+/// Largest operators' file taken.
+const FILE_MAX: u64 = 64 << 20;
+
+/// Audit rows read from the store at once.
+const AUDIT_PAGE: usize = 500;
+
+/// Threads that answer operators.
+pub const THREADS: usize = 4;
+
+/// What an operator's credential allows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Right {
+    Read,
+    Apply,
+}
+
+/// An answer that says why not.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Problem {
+    /// What happened and what to do about it.
+    pub detail: String,
+    /// The apply's fault, where it is one.
+    pub apply: Option<ApplyFault>,
+}
+
+/// Where a chat would go.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Explanation {
+    /// Service.
+    pub service: String,
+    /// Key of the chat.
+    pub chat: String,
+    /// Shards in the chat's rank, each with its home.
+    pub shards: Vec<RankedShard>,
+    /// Engine that the home remembers for the chat.
+    pub remembered: Option<String>,
+    /// Engine that it would go to now.
+    pub would_go: Option<String>,
+    /// Engines of the first shard in the chat's rank.
+    pub rank: Vec<String>,
+    /// Why, in a sentence.
+    pub why: String,
+}
+
+/// A shard in a chat's rank.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct RankedShard {
+    /// Number.
+    pub number: u16,
+    /// Home by this instance's view.
+    pub home: String,
+}
+
+fn problem(status: u16, detail: impl Into<String>) -> Response {
+    Response::json(&Problem { detail: detail.into(), apply: None }).with_status_code(status)
+}
+
+fn store_out(fault: &PlatformFault) -> Response {
+    problem(503, fault.to_string())
+}
+
+/// Answers one request of an operator.
+pub fn answer(shared: &Arc<Shared>, request: &Request) -> Response {
+    let path = request.url();
+    match (request.method(), path.as_str()) {
+        ("GET", "/healthz") => Response::text("ok\n"),
+        ("GET", "/readyz") => ready(shared),
+        ("GET", "/metrics") => Response::text(shared.metrics.text()),
+        (method, path) => match right(shared, request) {
+            None => {
+                problem(401, "show an operator's credential as Authorization: Bearer CREDENTIAL")
+            }
+            Some(right) => with_right(shared, request, method, path, right),
+        },
+    }
+}
+
+fn with_right(
+    shared: &Arc<Shared>,
+    request: &Request,
+    method: &str,
+    path: &str,
+    right: Right,
+) -> Response {
+    let needed = if method == "POST" { Right::Apply } else { Right::Read };
+    if right < needed {
+        return problem(403, "this credential may only read; use one of credentials.operators");
+    }
+    match (method, path) {
+        ("GET", "/v1/status") => Response::json(&status::fleet(shared)),
+        ("GET", "/v1/show") => show(shared, request),
+        ("GET", "/v1/audit") => audit(shared, request),
+        ("GET", "/v1/explain") => explain(shared, request),
+        ("POST", "/v1/apply") => post_apply(shared, request),
+        ("POST", "/v1/diff") => post_diff(shared, request),
+        ("POST", "/v1/drain") => post_drain(shared, request),
+        _ => problem(
+            404,
+            format!("{method} {path} is not known; see docs/operators for the interface"),
+        ),
+    }
+}
+
+fn right(shared: &Shared, request: &Request) -> Option<Right> {
+    let given = request.header("authorization")?.strip_prefix("Bearer ")?;
+    let credentials = &shared.settings.credentials;
+    let apply = any_matches(&credentials.operators, given);
+    let read = any_matches(&credentials.readers, given);
+    match (apply, read) {
+        (true, _) => Some(Right::Apply),
+        (false, true) => Some(Right::Read),
+        (false, false) => None,
+    }
+}
+
+fn ready(shared: &Shared) -> Response {
+    if shared.is_ready() {
+        return Response::text("ready\n");
+    }
+    let why = if shared.drain.is_draining() { "draining" } else { "no configuration learned yet" };
+    Response::text(format!("not ready: {why}\n")).with_status_code(503)
+}
+
+/// Returns who the operator says they are; the credential says what they may do.
+fn operator(request: &Request) -> String {
+    request.header("cartvane-operator").unwrap_or("operator").to_owned()
+}
+
+fn body_text(request: &Request) -> Result<String, Response> {
+    let mut text = String::new();
+    let body = request.data().ok_or_else(|| problem(400, "the body is missing"))?;
+    let read = body.take(FILE_MAX + 1).read_to_string(&mut text);
+    if read.is_err() {
+        return Err(problem(400, "the file is not UTF-8 text"));
+    }
+    if text.len() as u64 > FILE_MAX {
+        return Err(problem(413, format!("a file may have {FILE_MAX} bytes")));
+    }
+    Ok(text)
+}
+
+fn post_apply(shared: &Shared, request: &Request) -> Response {
+    let text = match body_text(request) {
+        Ok(text) => text,
+        Err(response) => return response,
+    };
+    let base = match request.get_param("base").map(|base| base.parse::<Revision>()).transpose() {
+        Ok(base) => base,
+        Err(e) => return problem(400, e.to_string()),
+    };
+    match apply(shared, &text, base, &operator(request)) {
+        Ok(applied) => Response::json(&applied),
+        Err(fault) => {
+            let status = match &fault {
+                ApplyFault::Faults(_) => 422,
+                ApplyFault::Moved { .. } => 409,
+                ApplyFault::Store(_) | ApplyFault::Unknown(_) => 503,
+            };
+            Response::json(&Problem { detail: fault.to_string(), apply: Some(fault) })
+                .with_status_code(status)
+        }
+    }
+}
+
+fn post_diff(shared: &Shared, request: &Request) -> Response {
+    let text = match body_text(request) {
+        Ok(text) => text,
+        Err(response) => return response,
+    };
+    let fleet = match Fleet::parse(&text) {
+        Ok(fleet) => fleet,
+        Err(faults) => {
+            let fault = ApplyFault::Faults(faults);
+            return Response::json(&Problem { detail: fault.to_string(), apply: Some(fault) })
+                .with_status_code(422);
+        }
+    };
+    let in_force = shared.snapshot.load_full();
+    let changes = match &in_force {
+        Some(snapshot) => diff(&snapshot.fleet, &fleet),
+        None => diff(&Fleet::default(), &fleet),
+    };
+    Response::json(&crate::instance::apply::Applied { revision: shared.revision(), changes })
+}
+
+/// A revision's file as it was applied.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Shown {
+    /// Revision.
+    pub revision: Revision,
+    /// The text as it was applied.
+    pub text: String,
+}
+
+fn show(shared: &Shared, request: &Request) -> Response {
+    let revision = match request.get_param("revision").map(|r| r.parse::<Revision>()).transpose() {
+        Ok(revision) => revision.unwrap_or_else(|| shared.revision()),
+        Err(e) => return problem(400, e.to_string()),
+    };
+    if revision == Revision::default() {
+        return problem(404, "no file is in force; apply one");
+    }
+    match source_of(shared, revision) {
+        Ok(Some(text)) => Response::json(&Shown { revision, text }),
+        Ok(None) => problem(404, format!("there is no revision {revision}; see `cartvane audit`")),
+        Err(fault) => store_out(&fault),
+    }
+}
+
+/// Returns the text of a revision.
+fn source_of(shared: &Shared, revision: Revision) -> Result<Option<String>, PlatformFault> {
+    let Some(row) = shared.platform.table.get(&revision_key(revision))? else { return Ok(None) };
+    let Ok(row) = serde_json::from_slice::<RevisionRow>(&row.value) else { return Ok(None) };
+    let bytes = shared.platform.objects.get(&object_key(&row.source))?;
+    let sound = bytes.filter(|bytes| Digest::of(bytes) == row.source);
+    Ok(sound.and_then(|bytes| String::from_utf8(bytes).ok()))
+}
+
+fn audit(shared: &Shared, request: &Request) -> Response {
+    let since: u64 = request.get_param("since").and_then(|since| since.parse().ok()).unwrap_or(0);
+    let (entity, by) = (request.get_param("entity"), request.get_param("by"));
+    let mut after = format!("{AUDIT_PREFIX}{since:015}");
+    let mut rows: Vec<AuditRow> = Vec::new();
+    loop {
+        let page = match shared.platform.table.scan(AUDIT_PREFIX, &after, AUDIT_PAGE) {
+            Ok(page) => page,
+            Err(fault) => return store_out(&fault),
+        };
+        let Some(last) = page.last() else { break };
+        after.clone_from(&last.key);
+        rows.extend(
+            page.iter().filter_map(|row| serde_json::from_slice::<AuditRow>(&row.value).ok()),
+        );
+        if page.len() < AUDIT_PAGE {
+            break;
+        }
+    }
+    rows.retain(|row| entity.as_deref().is_none_or(|entity| row.concerns(entity)));
+    rows.retain(|row| by.as_deref().is_none_or(|by| row.by == by));
+    Response::json(&rows)
+}
+
+fn explain(shared: &Shared, request: &Request) -> Response {
+    let Some(snapshot) = shared.snapshot.load_full() else {
+        return problem(503, "no file is in force");
+    };
+    let (Some(service), Some(team), Some(chat)) =
+        (request.get_param("service"), request.get_param("team"), request.get_param("chat"))
+    else {
+        return problem(400, "state service, team and chat");
+    };
+    let Some(view) = snapshot.service(&service) else {
+        return problem(404, format!("no service is called {service:?}"));
+    };
+    let key = ChatKey::of(&[&service, &team, &chat]);
+    let shards = view.ranked_shards(key);
+    let home_name = |tag| {
+        let membership = lock(&shared.membership);
+        let peer = membership.peer(tag).map(|p| p.candidate.id.to_string());
+        peer.unwrap_or_else(|| shared.settings.id.to_string())
+    };
+    let name = |tag| snapshot.server(tag).map(|b| b.id.to_string());
+    let ranked = shards
+        .iter()
+        .map(|s| RankedShard { number: s.id.number, home: home_name(shared.home_of(s)) });
+    let first = shards[0];
+    let rank =
+        crate::zone::rendezvous::ranked(key.0, first.engines.iter().map(|e| (e.tag, e.weight)));
+    let known = shared.homes.explain(first.id, key);
+    let (remembered, would_go) = known.unwrap_or((None, None));
+    let why = match (known, remembered, would_go) {
+        (None, ..) => "this instance is not the home of the chat's first shard; ask the home named",
+        (_, Some(a), Some(b)) if a == b => {
+            "its context is on this engine and the engine is under the bound"
+        }
+        (_, Some(_), Some(_)) => {
+            "the engine with its context is at the bound, leaving or suspected; the next in its rank takes it"
+        }
+        (_, None, Some(_)) => {
+            "the home does not remember it; the first in its rank that is under the bound takes it"
+        }
+        (.., None) => "no engine is under the bound with room; it would wait",
+    };
+    Response::json(&Explanation {
+        service,
+        chat: key.to_string(),
+        shards: ranked.collect(),
+        remembered: remembered.and_then(name),
+        would_go: would_go.and_then(name),
+        rank: rank.into_iter().filter_map(|at| name(first.engines[at].tag)).collect(),
+        why: why.to_owned(),
+    })
+}
+
+/// What a drain did.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Drained {
+    /// What was told to drain.
+    pub target: String,
+    /// Revision that takes a backend server out, where the target is one.
+    pub revision: Option<Revision>,
+}
+
+fn post_drain(shared: &Shared, request: &Request) -> Response {
+    let Some(target) = request.get_param("target") else { return problem(400, "state the target") };
+    let by = operator(request);
+    let snapshot = shared.snapshot.load_full();
+    let is_server =
+        snapshot.is_some_and(|s| s.fleet.backend_servers.keys().any(|id| id.as_str() == target));
+    if is_server {
+        return drain_server(shared, &target, &by);
+    }
+    let Ok(id) = target.parse::<InstanceId>() else { return problem(404, unknown_target(&target)) };
+    if id == shared.settings.id {
+        shared.drain.start(shared.clock.now());
+    } else {
+        let Some(address) = lock(&shared.membership).peer(id.tag()).map(|p| p.address) else {
+            return problem(404, unknown_target(&target));
+        };
+        if let Err(fault) = shared.peers.call::<()>(Purpose::Operators, address, DRAIN, &()) {
+            return problem(503, fault.to_string());
+        }
+    }
+    let action = AuditAction::Drain { instance: target.clone() };
+    append(shared, &AuditRow { at: shared.clock.wall_millis(), by, action });
+    Response::json(&Drained { target, revision: None })
+}
+
+fn unknown_target(target: &str) -> String {
+    format!("{target:?} is neither an instance nor a backend server; see `cartvane status`")
+}
+
+/// Takes a backend server out by applying the file in force with the server marked as leaving.
+fn drain_server(shared: &Shared, id: &str, by: &str) -> Response {
+    let head = match shared.platform.table.get(HEAD_KEY) {
+        Ok(_) => shared.revision(),
+        Err(fault) => return store_out(&fault),
+    };
+    let text = match source_of(shared, head) {
+        Ok(Some(text)) => text,
+        Ok(None) => {
+            return problem(
+                503,
+                "the file in force is not in the store; apply it again with the server marked as leaving",
+            );
+        }
+        Err(fault) => return store_out(&fault),
+    };
+    let Some(text) = mark_leaving(&text, id) else {
+        return problem(404, unknown_target(id));
+    };
+    match apply(shared, &text, Some(head), by) {
+        Ok(applied) => {
+            Response::json(&Drained { target: id.to_owned(), revision: Some(applied.revision) })
+        }
+        Err(fault) => Response::json(&Problem { detail: fault.to_string(), apply: Some(fault) })
+            .with_status_code(409),
+    }
+}
+
+/// Marks a backend server as leaving in a file's text, keeping all else as it is written.
+pub fn mark_leaving(text: &str, id: &str) -> Option<String> {
+    let mut document: toml_edit::DocumentMut = text.parse().ok()?;
+    let servers = document.get_mut("backend_server")?.as_array_of_tables_mut()?;
+    let server = servers.iter_mut().find(|t| t.get("id").and_then(|v| v.as_str()) == Some(id))?;
+    server["leaving"] = toml_edit::value(true);
+    Some(document.to_string())
+}
--- /dev/null
+++ b/src/instance/shared.rs
@@ -0,0 +1,214 @@
+//! What the parts of one instance share.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use arc_swap::ArcSwapOption;
+
+use crate::{
+    clock::Clock,
+    configs::settings::Settings,
+    contract::{membership::Membership, retry::RetryBudget, revision::InForce},
+    instance::{
+        claims::Claims, desk::Desk, homes::HomeShards, objects::ObjectCache, snapshot::Snapshot,
+    },
+    link::{backend::BackendLinks, peer::PeerLinks, wire::Hello},
+    metrics::Metrics,
+    names::{ServiceId, Tag},
+    platform::Platform,
+    units::Revision,
+    utils::sync::lock,
+    zone::{
+        baseline::Baseline,
+        homes::home_of,
+        shard::{Shard, ShardId},
+    },
+};
+
+/// What the parts of one instance share.
+pub struct Shared {
+    /// Settings.
+    pub settings: Settings,
+    /// Tag of the instance's id.
+    pub tag: Tag,
+    /// Start of the process, in seconds since 1970.
+    pub incarnation: u32,
+    /// Clock.
+    pub clock: Clock,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// The platform.
+    pub platform: Platform,
+    /// Links to other instances.
+    pub peers: PeerLinks,
+    /// Links to backend servers.
+    pub backends: BackendLinks,
+    /// The file in force, ready for requests.
+    pub snapshot: ArcSwapOption<Snapshot>,
+    /// Which file is in force.
+    pub in_force: Mutex<InForce>,
+    /// Objects of the file in force and the one before.
+    pub objects: ObjectCache,
+    /// Which instances are live.
+    pub membership: Mutex<Membership>,
+    /// The entry's permits.
+    pub desk: Desk,
+    /// The homes held here.
+    pub homes: HomeShards,
+    /// Claims of idempotency keys.
+    pub claims: Claims,
+    /// Retry budgets by service.
+    pub budgets: Mutex<HashMap<ServiceId, RetryBudget>>,
+    /// Baselines by service.
+    pub baselines: Mutex<HashMap<ServiceId, Baseline>>,
+    /// How far a drain has come.
+    pub drain: DrainState,
+    /// Use of the limits.
+    pub usage: Usage,
+    /// Numbers requests.
+    pub request_counter: AtomicU64,
+    /// Asks the configuration thread to look now.
+    pub wake_sync: Arc<dyn Fn() + Send + Sync>,
+}
+
+/// How far a drain has come.
+#[derive(Debug, Default)]
+pub struct DrainState {
+    draining: AtomicBool,
+    since: Mutex<Option<Instant>>,
+    stopped: AtomicBool,
+}
+
+impl DrainState {
+    /// Starts the drain; a second start changes nothing.
+    pub fn start(&self, now: Instant) {
+        if !self.draining.swap(true, Ordering::SeqCst) {
+            *lock(&self.since) = Some(now);
+        }
+    }
+
+    /// Returns whether the instance is draining.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::SeqCst)
+    }
+
+    /// Returns how long the instance has been draining.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        lock(&self.since).map(|since| now.saturating_duration_since(since))
+    }
+
+    /// Ends the instance's background work.
+    pub fn stop(&self) {
+        self.stopped.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns whether the background work is to end.
+    pub fn is_stopped(&self) -> bool {
+        self.stopped.load(Ordering::SeqCst)
+    }
+}
+
+/// Requests in flight and bytes held.
+#[derive(Debug, Default)]
+pub struct Usage {
+    requests: AtomicU32,
+    buffered: AtomicU64,
+}
+
+/// A request's hold on the limits; given back on drop, also on a panic.
+pub struct UsageGuard<'u> {
+    usage: &'u Usage,
+    bytes: u64,
+}
+
+impl Drop for UsageGuard<'_> {
+    fn drop(&mut self) {
+        self.usage.requests.fetch_sub(1, Ordering::SeqCst);
+        self.usage.buffered.fetch_sub(self.bytes, Ordering::SeqCst);
+    }
+}
+
+impl Usage {
+    /// Takes a request's place; `None` when there is none.
+    pub fn enter(&self, most: u32) -> Option<UsageGuard<'_>> {
+        if self.requests.fetch_add(1, Ordering::SeqCst) >= most {
+            self.requests.fetch_sub(1, Ordering::SeqCst);
+            return None;
+        }
+        Some(UsageGuard { usage: self, bytes: 0 })
+    }
+
+    /// Returns the number of requests in flight.
+    pub fn requests(&self) -> u32 {
+        self.requests.load(Ordering::SeqCst)
+    }
+}
+
+impl UsageGuard<'_> {
+    /// Takes room for `bytes` of a body; false when there is none.
+    pub fn reserve(&mut self, bytes: u64, most: u64) -> bool {
+        if self.usage.buffered.fetch_add(bytes, Ordering::SeqCst) + bytes > most {
+            self.usage.buffered.fetch_sub(bytes, Ordering::SeqCst);
+            return false;
+        }
+        self.bytes += bytes;
+        true
+    }
+}
+
+impl Shared {
+    /// Returns the revision in force; zero when there is none.
+    pub fn revision(&self) -> Revision {
+        lock(&self.in_force).revision()
+    }
+
+    /// Returns the greeting of the moment.
+    pub fn hello(&self) -> Hello {
+        Hello {
+            from: self.tag,
+            incarnation: self.incarnation,
+            revision: self.revision(),
+            leaving: self.drain.is_draining(),
+        }
+    }
+
+    /// Takes in a greeting: its sender is alive, and may know a newer revision.
+    pub fn greeted(&self, hello: &Hello) {
+        let now = self.clock.now();
+        lock(&self.membership).heard(now, hello.from, u64::from(hello.incarnation), hello.leaving);
+        if hello.revision > self.revision() {
+            (self.wake_sync)();
+        }
+    }
+
+    /// Returns the home of `shard` by this instance's view.
+    pub fn home_of(&self, shard: &Shard) -> Tag {
+        let now = self.clock.now();
+        let membership = lock(&self.membership);
+        let homes = membership.homes(now);
+        home_of(shard.id, shard.zone.as_ref(), homes.into_iter()).map_or(self.tag, |c| c.tag)
+    }
+
+    /// Returns the home of the shard named, if the file in force has it.
+    pub fn home_of_id(&self, id: ShardId) -> Option<Tag> {
+        let snapshot = self.snapshot.load_full()?;
+        Some(self.home_of(snapshot.shard(id)?))
+    }
+
+    /// Returns whether the instance may be given callers: it has a file and is not leaving.
+    pub fn is_ready(&self) -> bool {
+        self.snapshot.load().is_some() && !self.drain.is_draining()
+    }
+
+    /// Returns a fresh request id.
+    pub fn next_request_id(&self) -> String {
+        let number = self.request_counter.fetch_add(1, Ordering::SeqCst);
+        format!("{}-{:x}-{number:x}", self.tag, self.incarnation)
+    }
+}
--- /dev/null
+++ b/src/link/http1/conn.rs
@@ -0,0 +1,217 @@
+//! A connection with a read buffer and reads that end at an exact time.
+
+use std::{
+    io::{self, Read, Write},
+    net::{Shutdown, SocketAddr, TcpStream},
+    time::{Duration, Instant},
+};
+
+use crate::clock::Clock;
+
+/// Bytes read from the socket at once.
+const READ_SIZE: usize = 16 << 10;
+
+/// Longest single wait for a read before the caller's condition is looked at again.
+const LOOK_PERIOD: Duration = Duration::from_millis(50);
+
+/// Least time a socket time-out is set to.
+const TIMEOUT_MIN: Duration = Duration::from_millis(1);
+
+/// Why bytes could not be read.
+#[derive(Debug, thiserror::Error)]
+pub enum ReadFault {
+    /// The other side closed its sending direction.
+    #[error("the connection was closed")]
+    Closed,
+    /// The time ran out.
+    #[error("the time ran out")]
+    Timeout,
+    /// The reader's condition to go on no longer holds.
+    #[error("the reading was given up")]
+    GivenUp,
+    /// The connection failed.
+    #[error("the connection failed: {0}")]
+    Io(io::Error),
+    /// What came does not follow the protocol.
+    #[error("what came is not HTTP: {0}")]
+    Protocol(&'static str),
+    /// What came is larger than allowed.
+    #[error("what came is too large")]
+    TooLarge,
+}
+
+/// A TCP connection with its read buffer.
+#[derive(Debug)]
+pub struct Conn {
+    stream: TcpStream,
+    clock: Clock,
+    buf: Vec<u8>,
+    start: usize,
+}
+
+impl Conn {
+    /// Takes over an accepted or connected stream.
+    ///
+    /// # Errors
+    ///
+    /// The stream's options cannot be set.
+    pub fn new(stream: TcpStream, clock: Clock) -> io::Result<Conn> {
+        stream.set_nodelay(true)?;
+        Ok(Conn { stream, clock, buf: Vec::new(), start: 0 })
+    }
+
+    /// Connects to `address` within `timeout`.
+    ///
+    /// # Errors
+    ///
+    /// The connection is refused or not made in time; no byte has been sent then.
+    pub fn connect(address: SocketAddr, timeout: Duration, clock: &Clock) -> io::Result<Conn> {
+        let stream = TcpStream::connect_timeout(&address, timeout.max(TIMEOUT_MIN))?;
+        Conn::new(stream, clock.clone())
+    }
+
+    /// Returns the bytes read and not yet taken.
+    pub fn buffered(&self) -> &[u8] {
+        &self.buf[self.start..]
+    }
+
+    /// Takes `count` buffered bytes away.
+    pub fn consume(&mut self, count: usize) {
+        self.start += count;
+        if self.start >= self.buf.len() {
+            self.buf.clear();
+            self.start = 0;
+        }
+    }
+
+    /// Takes up to `most` buffered bytes.
+    pub fn take(&mut self, most: usize) -> Vec<u8> {
+        let count = most.min(self.buffered().len());
+        let bytes = self.buffered()[..count].to_vec();
+        self.consume(count);
+        bytes
+    }
+
+    /// Reads more bytes into the buffer.
+    ///
+    /// Waits until `until` and gives up earlier when `go_on` says so; `go_on` is asked every
+    /// 50 ms of waiting.
+    ///
+    /// # Errors
+    ///
+    /// See [`ReadFault`]; the buffer keeps what was read before.
+    pub fn fill(
+        &mut self,
+        until: Instant,
+        go_on: &mut dyn FnMut() -> bool,
+    ) -> Result<(), ReadFault> {
+        loop {
+            let left = until.saturating_duration_since(self.clock.now());
+            if left.is_zero() {
+                return Err(ReadFault::Timeout);
+            }
+            let wait = left.min(LOOK_PERIOD).max(TIMEOUT_MIN);
+            self.stream.set_read_timeout(Some(wait)).map_err(ReadFault::Io)?;
+            match self.read_once() {
+                Ok(0) => return Err(ReadFault::Closed),
+                Ok(_) => return Ok(()),
+                Err(e) if is_wait(&e) => {
+                    if !go_on() {
+                        return Err(ReadFault::GivenUp);
+                    }
+                }
+                Err(e) => return Err(ReadFault::Io(e)),
+            }
+        }
+    }
+
+    fn read_once(&mut self) -> io::Result<usize> {
+        if self.start > 0 {
+            self.buf.drain(..self.start);
+            self.start = 0;
+        }
+        let filled = self.buf.len();
+        self.buf.resize(filled + READ_SIZE, 0);
+        let read = self.stream.read(&mut self.buf[filled..]);
+        self.buf.truncate(filled + *read.as_ref().unwrap_or(&0));
+        read
+    }
+
+    /// Writes all of `bytes`; no single wait for the other side takes longer than `stall`.
+    ///
+    /// # Errors
+    ///
+    /// The count of bytes handed over before the failure, and the failure.
+    pub fn send(&mut self, bytes: &[u8], stall: Duration) -> Result<(), (usize, io::Error)> {
+        let set = self.stream.set_write_timeout(Some(stall.max(TIMEOUT_MIN)));
+        set.map_err(|e| (0, e))?;
+        let mut sent = 0;
+        while sent < bytes.len() {
+            match self.stream.write(&bytes[sent..]) {
+                Ok(0) => return Err((sent, io::ErrorKind::WriteZero.into())),
+                Ok(count) => sent += count,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err((sent, e)),
+            }
+        }
+        Ok(())
+    }
+
+    /// Looks, without waiting, whether the other side has closed or broken the connection.
+    pub fn state(&self) -> ConnState {
+        if self.stream.set_nonblocking(true).is_err() {
+            return ConnState::Broken;
+        }
+        let mut byte = [0];
+        let peeked = self.stream.peek(&mut byte);
+        if self.stream.set_nonblocking(false).is_err() {
+            return ConnState::Broken;
+        }
+        match peeked {
+            Ok(0) => ConnState::HalfClosed,
+            Ok(_) => ConnState::Readable,
+            Err(e) if is_wait(&e) => ConnState::Open,
+            Err(_) => ConnState::Broken,
+        }
+    }
+
+    /// Closes both directions at once, so that the other side sees a cut.
+    pub fn cut(&self) {
+        // A connection that is already gone needs no cutting.
+        let _ = self.stream.shutdown(Shutdown::Both);
+    }
+
+    /// Returns a second handle of the stream, with which another thread may cut it.
+    ///
+    /// # Errors
+    ///
+    /// The handle cannot be duplicated.
+    pub fn handle(&self) -> io::Result<TcpStream> {
+        self.stream.try_clone()
+    }
+
+    /// Returns the clock of the connection.
+    pub fn clock(&self) -> &Clock {
+        &self.clock
+    }
+}
+
+/// State of an idle or waiting connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnState {
+    /// Open, nothing to read.
+    Open,
+    /// Bytes wait to be read.
+    Readable,
+    /// The other side sends no more; it may still read.
+    HalfClosed,
+    /// Failed.
+    Broken,
+}
+
+fn is_wait(e: &io::Error) -> bool {
+    matches!(
+        e.kind(),
+        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut | io::ErrorKind::Interrupted
+    )
+}
--- /dev/null
+++ b/src/link/http1/head.rs
@@ -0,0 +1,310 @@
+//! Heads of requests and answers.
+
+use std::time::Instant;
+
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+
+use super::{
+    body::BodyFraming,
+    conn::{Conn, ReadFault},
+};
+
+/// Most header lines of a head.
+const HEADERS_MAX: usize = 100;
+
+/// Headers that belong to one connection and are never passed on (RFC 9110, 7.6.1).
+const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Why a head cannot be taken.
+#[derive(Debug, thiserror::Error)]
+pub enum HeadFault {
+    /// Reading failed.
+    #[error(transparent)]
+    Read(#[from] ReadFault),
+    /// The head does not follow the protocol.
+    #[error("bad request: {0}")]
+    Bad(&'static str),
+    /// The head is larger than allowed.
+    #[error("the head is larger than allowed; send fewer or shorter headers")]
+    TooLarge,
+    /// A transfer coding other than chunked.
+    #[error("only the transfer coding chunked is understood")]
+    Coding,
+}
+
+/// A request's head.
+#[derive(Debug, Clone)]
+pub struct RequestHead {
+    /// Method.
+    pub method: Method,
+    /// Path and query as sent.
+    pub target: String,
+    /// Whether the sender speaks HTTP/1.0.
+    pub http10: bool,
+    /// Headers.
+    pub headers: HeaderMap,
+}
+
+/// An answer's head.
+#[derive(Debug, Clone)]
+pub struct ResponseHead {
+    /// Status.
+    pub status: StatusCode,
+    /// Whether the sender speaks HTTP/1.0.
+    pub http10: bool,
+    /// Headers.
+    pub headers: HeaderMap,
+}
+
+impl RequestHead {
+    /// Reads a request's head of at most `max` bytes before `until`.
+    ///
+    /// # Errors
+    ///
+    /// See [`HeadFault`]; a connection closed before its first byte is `Read(Closed)`.
+    pub fn read(conn: &mut Conn, max: usize, until: Instant) -> Result<RequestHead, HeadFault> {
+        skip_blank_lines(conn);
+        let length = wait_for_head(conn, max, until, &mut || true)?;
+        let head = RequestHead::parse(&conn.buffered()[..length])?;
+        conn.consume(length);
+        Ok(head)
+    }
+
+    /// Parses the bytes of a whole head.
+    ///
+    /// # Errors
+    ///
+    /// The bytes are no head, or one that different readers could take differently.
+    pub fn parse(bytes: &[u8]) -> Result<RequestHead, HeadFault> {
+        let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
+        let mut request = httparse::Request::new(&mut headers);
+        match request.parse(bytes) {
+            Ok(httparse::Status::Complete(_)) => {}
+            Ok(httparse::Status::Partial) => return Err(HeadFault::Bad("the head is not whole")),
+            Err(httparse::Error::TooManyHeaders) => return Err(HeadFault::TooLarge),
+            Err(_) => return Err(HeadFault::Bad("the head cannot be read")),
+        }
+        let method = request.method.unwrap_or_default();
+        let method =
+            Method::from_bytes(method.as_bytes()).map_err(|_| HeadFault::Bad("unknown method"))?;
+        let target = request.path.unwrap_or_default().to_owned();
+        if !target.starts_with('/') {
+            return Err(HeadFault::Bad("the target must be a path that starts with /"));
+        }
+        let http10 = request.version == Some(0);
+        let headers = header_map(request.headers)?;
+        if !http10 && headers.get_all("host").iter().count() != 1 {
+            return Err(HeadFault::Bad("send exactly one Host header"));
+        }
+        Ok(RequestHead { method, target, http10, headers })
+    }
+
+    /// Decides how the request's body is framed.
+    ///
+    /// # Errors
+    ///
+    /// Framing that different readers could take differently (RFC 9112, 6.3) is refused.
+    pub fn framing(&self) -> Result<BodyFraming, HeadFault> {
+        let length = content_length(&self.headers)?;
+        match (is_chunked(&self.headers)?, length) {
+            (true, Some(_)) => {
+                Err(HeadFault::Bad("both Content-Length and Transfer-Encoding; send one"))
+            }
+            (true, None) if self.http10 => Err(HeadFault::Bad("Transfer-Encoding in HTTP/1.0")),
+            (true, None) => Ok(BodyFraming::Chunked),
+            (false, Some(length)) => Ok(BodyFraming::Length(length)),
+            (false, None) => Ok(BodyFraming::Length(0)),
+        }
+    }
+
+    /// Returns whether the connection may carry another request.
+    pub fn keep_alive(&self) -> bool {
+        keep_alive(self.http10, &self.headers)
+    }
+
+    /// Returns the value of a header as text, if it is there and readable.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
+impl ResponseHead {
+    /// Reads an answer's head, passing over interim answers (1xx).
+    ///
+    /// # Errors
+    ///
+    /// See [`HeadFault`].
+    pub fn read(
+        conn: &mut Conn,
+        max: usize,
+        until: Instant,
+        go_on: &mut dyn FnMut() -> bool,
+    ) -> Result<ResponseHead, HeadFault> {
+        loop {
+            let length = wait_for_head(conn, max, until, go_on)?;
+            let head = ResponseHead::parse(&conn.buffered()[..length])?;
+            conn.consume(length);
+            if !head.status.is_informational() {
+                return Ok(head);
+            }
+        }
+    }
+
+    fn parse(bytes: &[u8]) -> Result<ResponseHead, HeadFault> {
+        let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
+        let mut response = httparse::Response::new(&mut headers);
+        match response.parse(bytes) {
+            Ok(httparse::Status::Complete(_)) => {}
+            _ => return Err(HeadFault::Bad("the answer's head cannot be read")),
+        }
+        let code = response.code.unwrap_or_default();
+        let status = StatusCode::from_u16(code).map_err(|_| HeadFault::Bad("no such status"))?;
+        let http10 = response.version == Some(0);
+        Ok(ResponseHead { status, http10, headers: header_map(response.headers)? })
+    }
+
+    /// Decides how the answer's body is framed, given the request's method.
+    ///
+    /// # Errors
+    ///
+    /// Contradicting framing.
+    pub fn framing(&self, method: &Method) -> Result<BodyFraming, HeadFault> {
+        let bodiless = matches!(self.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+        if bodiless || *method == Method::HEAD {
+            return Ok(BodyFraming::Length(0));
+        }
+        let length = content_length(&self.headers)?;
+        match (is_chunked(&self.headers)?, length) {
+            (true, Some(_)) => Err(HeadFault::Bad("both Content-Length and Transfer-Encoding")),
+            (true, None) => Ok(BodyFraming::Chunked),
+            (false, Some(length)) => Ok(BodyFraming::Length(length)),
+            (false, None) => Ok(BodyFraming::UntilClose),
+        }
+    }
+
+    /// Returns whether the connection may carry another request.
+    pub fn keep_alive(&self) -> bool {
+        keep_alive(self.http10, &self.headers)
+    }
+
+    /// Returns the value of a header as text, if it is there and readable.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
+/// Removes the headers that belong to one connection, those that `Connection` names included.
+pub fn drop_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<String> = headers
+        .get_all("connection")
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for name in named.iter().map(String::as_str).chain(HOP_BY_HOP) {
+        headers.remove(name);
+    }
+}
+
+/// Appends header lines to a head being written.
+pub fn write_headers(buf: &mut Vec<u8>, headers: &HeaderMap) {
+    for (name, value) in headers {
+        write_header(buf, name.as_str(), value.as_bytes());
+    }
+}
+
+/// Appends one header line to a head being written.
+pub fn write_header(buf: &mut Vec<u8>, name: &str, value: &[u8]) {
+    buf.extend_from_slice(name.as_bytes());
+    buf.extend_from_slice(b": ");
+    buf.extend_from_slice(value);
+    buf.extend_from_slice(b"\r\n");
+}
+
+fn skip_blank_lines(conn: &mut Conn) {
+    while conn.buffered().starts_with(b"\r\n") {
+        conn.consume(2);
+    }
+}
+
+/// Reads until the buffer holds a whole head and returns its length.
+fn wait_for_head(
+    conn: &mut Conn,
+    max: usize,
+    until: Instant,
+    go_on: &mut dyn FnMut() -> bool,
+) -> Result<usize, HeadFault> {
+    let mut searched = 0;
+    loop {
+        let buffered = conn.buffered();
+        if let Some(end) = find_end(buffered, searched) {
+            return if end > max { Err(HeadFault::TooLarge) } else { Ok(end) };
+        }
+        if buffered.len() > max {
+            return Err(HeadFault::TooLarge);
+        }
+        searched = buffered.len().saturating_sub(3);
+        conn.fill(until, go_on)?;
+    }
+}
+
+fn find_end(bytes: &[u8], from: usize) -> Option<usize> {
+    let at = bytes[from..].windows(4).position(|w| w == b"\r\n\r\n")?;
+    Some(from + at + 4)
+}
+
+fn header_map(parsed: &[httparse::Header<'_>]) -> Result<HeaderMap, HeadFault> {
+    let mut headers = HeaderMap::with_capacity(parsed.len());
+    for header in parsed {
+        let name = HeaderName::from_bytes(header.name.as_bytes())
+            .map_err(|_| HeadFault::Bad("bad header name"))?;
+        let value = HeaderValue::from_bytes(header.value)
+            .map_err(|_| HeadFault::Bad("bad header value"))?;
+        headers.append(name, value);
+    }
+    Ok(headers)
+}
+
+fn content_length(headers: &HeaderMap) -> Result<Option<u64>, HeadFault> {
+    let mut length = None;
+    for value in headers.get_all("content-length") {
+        let text = value.to_str().map_err(|_| HeadFault::Bad("bad Content-Length"))?;
+        if text.is_empty() || !text.bytes().all(|b| b.is_ascii_digit()) {
+            return Err(HeadFault::Bad("Content-Length is not a number"));
+        }
+        let parsed = text.parse().map_err(|_| HeadFault::Bad("Content-Length is too large"))?;
+        if length.is_some_and(|known| known != parsed) {
+            return Err(HeadFault::Bad("two different Content-Length headers"));
+        }
+        length = Some(parsed);
+    }
+    Ok(length)
+}
+
+fn is_chunked(headers: &HeaderMap) -> Result<bool, HeadFault> {
+    let mut codings = headers.get_all("transfer-encoding").iter();
+    match (codings.next(), codings.next()) {
+        (None, _) => Ok(false),
+        (Some(value), None) if value.as_bytes().eq_ignore_ascii_case(b"chunked") => Ok(true),
+        _ => Err(HeadFault::Coding),
+    }
+}
+
+fn keep_alive(http10: bool, headers: &HeaderMap) -> bool {
+    let says = |word: &str| {
+        let values = headers.get_all("connection").iter().filter_map(|v| v.to_str().ok());
+        values.flat_map(|v| v.split(',')).any(|part| part.trim().eq_ignore_ascii_case(word))
+    };
+    if http10 { says("keep-alive") } else { !says("close") }
+}
--- /dev/null
+++ b/src/link/mod.rs
@@ -0,0 +1,8 @@
+//! Links to callers, backend servers and other instances: transports and codecs.
+
+pub mod answer;
+pub mod backend;
+pub mod caller;
+pub mod http1;
+pub mod peer;
+pub mod wire;
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,275 @@
+//! Metrics by `opentelemetry`, shown in the Prometheus text format.
+
+use std::{sync::Arc, time::Duration};
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge, Histogram, MeterProvider as _, UpDownCounter},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+use crate::{
+    contract::outcome::{AttemptFault, Outcome},
+    names::{BackendId, ServiceId},
+};
+
+/// Bounds of latency histograms, in seconds.
+const LATENCY_BOUNDS: [f64; 14] =
+    [0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0, 60.0];
+
+/// What control traffic is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Purpose {
+    /// Asks for permits, releases, late grants.
+    Permits,
+    /// Heartbeats.
+    Heartbeat,
+    /// Loads among homes.
+    Loads,
+    /// Files in force, among instances.
+    Config,
+    /// Exchanges with the platform.
+    Platform,
+    /// Probes of backend servers.
+    Probe,
+    /// Operators' questions passed on.
+    Operators,
+}
+
+impl Purpose {
+    /// Every purpose.
+    pub const ALL: [Purpose; 7] = [
+        Purpose::Permits,
+        Purpose::Heartbeat,
+        Purpose::Loads,
+        Purpose::Config,
+        Purpose::Platform,
+        Purpose::Probe,
+        Purpose::Operators,
+    ];
+
+    /// Returns the purpose's name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Purpose::Permits => "permits",
+            Purpose::Heartbeat => "heartbeat",
+            Purpose::Loads => "loads",
+            Purpose::Config => "config",
+            Purpose::Platform => "platform",
+            Purpose::Probe => "probe",
+            Purpose::Operators => "operators",
+        }
+    }
+}
+
+struct Instruments {
+    requests: Counter<u64>,
+    in_flight: UpDownCounter<i64>,
+    first_byte: Histogram<f64>,
+    total: Histogram<f64>,
+    decision: Histogram<f64>,
+    attempts: Counter<u64>,
+    retries: Counter<u64>,
+    permits: Counter<u64>,
+    dropped_answers: Counter<u64>,
+    resumed: Counter<u64>,
+    control_bytes: Counter<u64>,
+    control_messages: Counter<u64>,
+    engine_load: Gauge<u64>,
+    load_bound: Gauge<u64>,
+    queued: Gauge<u64>,
+    revision: Gauge<u64>,
+    homes: Gauge<u64>,
+    claims: Counter<u64>,
+}
+
+/// The instance's metrics; clones share them.
+#[derive(Clone)]
+pub struct Metrics {
+    registry: Registry,
+    // Keeps the reader alive.
+    _provider: SdkMeterProvider,
+    i: Arc<Instruments>,
+}
+
+fn kv(key: &'static str, value: impl ToString) -> KeyValue {
+    KeyValue::new(key, value.to_string())
+}
+
+impl Metrics {
+    /// Returns fresh metrics with a registry of their own.
+    ///
+    /// # Errors
+    ///
+    /// The exporter cannot be built.
+    pub fn new() -> anyhow::Result<Metrics> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .scope_info_enabled(false)
+            .without_target_info()
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("cartvane");
+        let latency = |name: &'static str, what: &'static str| {
+            let bounds = LATENCY_BOUNDS.to_vec();
+            meter
+                .f64_histogram(name)
+                .with_unit("s")
+                .with_description(what)
+                .with_boundaries(bounds)
+                .build()
+        };
+        let counter = |name: &'static str, what: &'static str| {
+            meter.u64_counter(name).with_description(what).build()
+        };
+        let gauge = |name: &'static str, what: &'static str| {
+            meter.u64_gauge(name).with_description(what).build()
+        };
+        let i = Instruments {
+            requests: counter(
+                "cartvane_requests",
+                "Requests ended, by service, status and outcome",
+            ),
+            in_flight: meter.i64_up_down_counter("cartvane_requests_in_flight").build(),
+            first_byte: latency(
+                "cartvane_first_byte",
+                "From a request's end to its answer's first byte",
+            ),
+            total: latency("cartvane_request", "From a request's end to its answer's end"),
+            decision: latency("cartvane_permit", "From an ask to its reply"),
+            attempts: counter("cartvane_attempts", "Attempts at backend servers, by result"),
+            retries: counter("cartvane_retries", "Attempts after the first, by service"),
+            permits: counter("cartvane_permit_replies", "Replies of homes to this entry, by kind"),
+            dropped_answers: counter(
+                "cartvane_answers_dropped",
+                "Answers that belong to another attempt",
+            ),
+            resumed: counter(
+                "cartvane_streams_resumed",
+                "Streams resumed after their connection was lost",
+            ),
+            control_bytes: counter(
+                "cartvane_control_bytes",
+                "Control traffic, heads included, by purpose and direction",
+            ),
+            control_messages: counter(
+                "cartvane_control_messages",
+                "Control messages sent, by purpose",
+            ),
+            engine_load: gauge(
+                "cartvane_engine_load",
+                "Permits in force, by backend server, at its home",
+            ),
+            load_bound: gauge(
+                "cartvane_load_bound",
+                "Most permits of one backend server, by service, at its home",
+            ),
+            queued: gauge("cartvane_queued", "Requests waiting, by service, at its home"),
+            revision: gauge("cartvane_revision", "Revision in force"),
+            homes: gauge("cartvane_homes", "Shards whose home this instance is"),
+            claims: counter("cartvane_claims", "Claims of idempotency keys, by verdict"),
+        };
+        Ok(Metrics { registry, _provider: provider, i: Arc::new(i) })
+    }
+
+    /// Returns all metrics in the Prometheus text format.
+    pub fn text(&self) -> String {
+        TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
+    }
+
+    /// Notes that a request began.
+    pub fn request_began(&self) {
+        self.i.in_flight.add(1, &[]);
+    }
+
+    /// Notes that a request ended.
+    pub fn request_ended(&self, service: &str, status: u16, outcome: Outcome, took: Duration) {
+        self.i.in_flight.add(-1, &[]);
+        let labels = [kv("service", service), kv("status", status), kv("outcome", outcome)];
+        self.i.requests.add(1, &labels);
+        self.i.total.record(took.as_secs_f64(), &[kv("service", service)]);
+    }
+
+    /// Notes the time to an answer's first byte.
+    pub fn first_byte(&self, service: &ServiceId, took: Duration) {
+        self.i.first_byte.record(took.as_secs_f64(), &[kv("service", service)]);
+    }
+
+    /// Notes an attempt's result.
+    pub fn attempt(&self, service: &ServiceId, fault: Option<AttemptFault>) {
+        let result = fault.map_or("answered", |fault| match fault {
+            AttemptFault::Connect => "connect",
+            AttemptFault::BeforeSend => "before-send",
+            AttemptFault::AfterSend => "after-send",
+            AttemptFault::HeadTimeout => "head-timeout",
+            AttemptFault::Garbage => "garbage",
+            AttemptFault::Foreign => "foreign",
+            AttemptFault::Refused => "refused",
+            AttemptFault::CutBody => "cut-body",
+            AttemptFault::StalledBody => "stalled-body",
+            AttemptFault::CallerGone => "caller-gone",
+        });
+        self.i.attempts.add(1, &[kv("service", service), kv("result", result)]);
+        if fault == Some(AttemptFault::Foreign) {
+            self.i.dropped_answers.add(1, &[kv("service", service)]);
+        }
+    }
+
+    /// Notes a retry.
+    pub fn retry(&self, service: &ServiceId) {
+        self.i.retries.add(1, &[kv("service", service)]);
+    }
+
+    /// Notes a resumed stream.
+    pub fn resumed(&self, service: &ServiceId) {
+        self.i.resumed.add(1, &[kv("service", service)]);
+    }
+
+    /// Notes a home's reply and the time it took.
+    pub fn permit_reply(&self, kind: &'static str, took: Duration) {
+        self.i.permits.add(1, &[kv("reply", kind)]);
+        self.i.decision.record(took.as_secs_f64(), &[]);
+    }
+
+    /// Notes control bytes sent, as one message.
+    pub fn control_sent(&self, purpose: Purpose, bytes: usize) {
+        let labels = [kv("purpose", purpose.name()), kv("direction", "sent")];
+        self.i.control_bytes.add(bytes as u64, &labels);
+        self.i.control_messages.add(1, &[kv("purpose", purpose.name())]);
+    }
+
+    /// Notes control bytes received.
+    pub fn control_received(&self, purpose: Purpose, bytes: usize) {
+        let labels = [kv("purpose", purpose.name()), kv("direction", "received")];
+        self.i.control_bytes.add(bytes as u64, &labels);
+    }
+
+    /// Shows an engine's load.
+    pub fn engine_load(&self, server: &BackendId, load: u32) {
+        self.i.engine_load.record(u64::from(load), &[kv("backend_server", server)]);
+    }
+
+    /// Shows the bound and queue of a service's shard.
+    pub fn shard(&self, service: &ServiceId, bound: u32, queued: usize) {
+        let labels = [kv("service", service)];
+        self.i.load_bound.record(u64::from(bound), &labels);
+        self.i.queued.record(queued as u64, &labels);
+    }
+
+    /// Shows the revision in force.
+    pub fn revision(&self, revision: u64) {
+        self.i.revision.record(revision, &[]);
+    }
+
+    /// Shows the number of shards whose home this is.
+    pub fn homes(&self, count: usize) {
+        self.i.homes.record(count as u64, &[]);
+    }
+
+    /// Notes a claim's verdict.
+    pub fn claim(&self, verdict: &'static str) {
+        self.i.claims.add(1, &[kv("verdict", verdict)]);
+    }
+}
--- /dev/null
+++ b/src/names.rs
@@ -0,0 +1,141 @@
+//! Identifiers of the things cartvane talks about, as newtypes.
+//!
+//! Every id is a short text checked at the edge, cheap to clone, and has a 32-bit [`Tag`] that
+//! stands for it in messages between instances.
+
+use std::{fmt, str::FromStr, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Longest id accepted, in bytes.
+pub const ID_MAX: usize = 64;
+
+/// Why a text is not an id.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum IdError {
+    /// The text is empty.
+    #[error("an id is empty; give it 1 to {ID_MAX} characters")]
+    Empty,
+    /// The text is longer than [`ID_MAX`].
+    #[error("an id has {0} characters; shorten it to {ID_MAX}")]
+    Long(usize),
+    /// The text has a character outside the allowed set.
+    #[error("an id holds {0:?}; use a-z, 0-9, '-', '_' and '.' only")]
+    Character(char),
+}
+
+/// A 32-bit hash of an id, used in messages between instances in place of the id.
+///
+/// The operators' file is refused when two ids of one kind share a tag, so a tag is as good as
+/// the id within one revision.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Tag(pub u32);
+
+impl Tag {
+    /// Returns the tag of `text`.
+    pub fn of(text: &str) -> Tag {
+        Tag(xxh3_64(text.as_bytes()) as u32)
+    }
+}
+
+impl fmt::Display for Tag {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:08x}", self.0)
+    }
+}
+
+fn check_id(text: &str) -> Result<(), IdError> {
+    if text.is_empty() {
+        return Err(IdError::Empty);
+    }
+    if text.len() > ID_MAX {
+        return Err(IdError::Long(text.len()));
+    }
+    let allowed =
+        |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || matches!(c, '-' | '_' | '.');
+    match text.chars().find(|&c| !allowed(c)) {
+        Some(c) => Err(IdError::Character(c)),
+        None => Ok(()),
+    }
+}
+
+macro_rules! id {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Returns the id as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+
+            /// Returns the tag that stands for the id in messages.
+            pub fn tag(&self) -> Tag {
+                Tag::of(&self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self, IdError> {
+                check_id(text)?;
+                Ok(Self(Arc::from(text)))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = IdError;
+
+            fn try_from(text: String) -> Result<Self, IdError> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(id: $name) -> String {
+                id.0.to_string()
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    };
+}
+
+id!(
+    /// One running router process's name, from its settings.
+    InstanceId
+);
+id!(
+    /// An availability zone.
+    ZoneId
+);
+id!(
+    /// A region: a group of availability zones.
+    RegionId
+);
+id!(
+    /// A team: the callers that share one weight and one set of limits.
+    TeamId
+);
+id!(
+    /// A service: backend servers that answer the same requests.
+    ServiceId
+);
+id!(
+    /// A backend server: a model engine or one server of a plain service.
+    BackendId
+);
+id!(
+    /// A model that engines load.
+    ModelId
+);
--- /dev/null
+++ b/src/units.rs
@@ -0,0 +1,135 @@
+//! Sizes, rates and revisions as newtypes with `Display` and `FromStr`.
+
+use std::{fmt, str::FromStr, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+/// Why a text is not a quantity.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum UnitError {
+    /// Not a size.
+    #[error("{0:?} is not a size; write a whole number with B, KiB, MiB or GiB, such as \"64KiB\"")]
+    Size(String),
+    /// Not a rate.
+    #[error("{0:?} is not a rate; write a number per second, such as \"50/s\"")]
+    Rate(String),
+    /// Not a duration.
+    #[error("{0:?} is not a duration; write such as \"250ms\", \"3s\" or \"2min\"")]
+    Span(String),
+    /// Not a revision.
+    #[error("{0:?} is not a revision; write a whole number, as `cartvane show` prints it")]
+    Revision(String),
+}
+
+/// A number of bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Size(pub u64);
+
+const SIZE_UNITS: [(&str, u64); 4] =
+    [("GiB", 1 << 30), ("MiB", 1 << 20), ("KiB", 1 << 10), ("B", 1)];
+
+impl Size {
+    /// Returns the size as a count of bytes in memory.
+    pub fn bytes(self) -> usize {
+        usize::try_from(self.0).unwrap_or(usize::MAX)
+    }
+}
+
+impl fmt::Display for Size {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let whole = |&&(_, unit): &&(&str, u64)| self.0 >= unit && self.0.is_multiple_of(unit);
+        let (name, unit) = SIZE_UNITS.iter().find(whole).unwrap_or(&SIZE_UNITS[3]);
+        write!(f, "{}{name}", self.0 / unit)
+    }
+}
+
+impl FromStr for Size {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Size, UnitError> {
+        let fault = || UnitError::Size(text.to_owned());
+        let (name, unit) =
+            SIZE_UNITS.iter().find(|(name, _)| text.ends_with(name)).ok_or_else(fault)?;
+        let count: u64 = text[..text.len() - name.len()].trim().parse().map_err(|_| fault())?;
+        count.checked_mul(*unit).map(Size).ok_or_else(fault)
+    }
+}
+
+/// A number of events a second.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd, Serialize, Deserialize)]
+pub struct Rate(pub f64);
+
+impl fmt::Display for Rate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.0)
+    }
+}
+
+impl FromStr for Rate {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Rate, UnitError> {
+        let fault = || UnitError::Rate(text.to_owned());
+        let number = text.strip_suffix("/s").ok_or_else(fault)?;
+        let rate: f64 = number.trim().parse().map_err(|_| fault())?;
+        if rate.is_finite() && rate > 0.0 { Ok(Rate(rate)) } else { Err(fault()) }
+    }
+}
+
+/// A duration in settings and files: a [`Duration`] with a readable text form.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Span(pub Duration);
+
+impl Span {
+    /// Returns a span of `millis` milliseconds.
+    pub const fn millis(millis: u64) -> Span {
+        Span(Duration::from_millis(millis))
+    }
+
+    /// Returns a span of `secs` seconds.
+    pub const fn secs(secs: u64) -> Span {
+        Span(Duration::from_secs(secs))
+    }
+}
+
+impl fmt::Display for Span {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", humantime::format_duration(self.0).to_string().replace(' ', ""))
+    }
+}
+
+impl FromStr for Span {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Span, UnitError> {
+        humantime::parse_duration(text).map(Span).map_err(|_| UnitError::Span(text.to_owned()))
+    }
+}
+
+/// The number of an accepted operators' file; it only grows. Zero: none accepted yet.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Revision(pub u64);
+
+impl Revision {
+    /// Returns the revision that follows.
+    pub fn next(self) -> Revision {
+        Revision(self.0 + 1)
+    }
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for Revision {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Revision, UnitError> {
+        text.parse().map(Revision).map_err(|_| UnitError::Revision(text.to_owned()))
+    }
+}
--- /dev/null
+++ b/src/utils/mod.rs
@@ -0,0 +1,5 @@
+//! Small helpers shared by several features.
+
+pub mod nearest;
+pub mod secret;
+pub mod sync;
--- /dev/null
+++ b/src/zone/engine.rs
@@ -0,0 +1,103 @@
+//! One engine as its home sees it.
+
+use std::time::{Duration, Instant};
+
+use crate::names::Tag;
+
+/// First time for which an engine that failed gets nothing new; doubles with each failure.
+const SUSPECT_FIRST: Duration = Duration::from_millis(500);
+
+/// Longest such time.
+const SUSPECT_MAX: Duration = Duration::from_secs(30);
+
+/// Age at which a reported load no longer counts.
+const REPORT_AGE_MAX: Duration = Duration::from_secs(10);
+
+/// What the operators' file says of an engine.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct EngineSpec {
+    /// Tag of its id.
+    pub tag: Tag,
+    /// Relative share of new chats.
+    pub weight: f64,
+    /// Most requests in flight.
+    pub capacity: u32,
+    /// Whether it is leaving: it gets nothing new.
+    pub leaving: bool,
+}
+
+/// An engine with its load.
+#[derive(Debug, Clone)]
+pub struct EngineSlot {
+    /// What the file says.
+    pub spec: EngineSpec,
+    /// Permits in force.
+    pub permits: u32,
+    /// Load it last reported and when.
+    reported: Option<(u32, Instant)>,
+    /// Until when it gets nothing new because it failed.
+    suspect_until: Option<Instant>,
+    failures: u32,
+    /// Whether the membership list or the engine itself says that it is leaving.
+    pub told_leaving: bool,
+}
+
+impl EngineSlot {
+    /// Returns a slot without load.
+    pub fn new(spec: EngineSpec) -> EngineSlot {
+        EngineSlot {
+            spec,
+            permits: 0,
+            reported: None,
+            suspect_until: None,
+            failures: 0,
+            told_leaving: false,
+        }
+    }
+
+    /// Notes a load that the engine reported.
+    pub fn report(&mut self, now: Instant, load: u32) {
+        self.reported = Some((load, now));
+    }
+
+    /// Returns the load; while `guarded`, the larger of permits and report.
+    pub fn load(&self, now: Instant, guarded: bool) -> u32 {
+        match self.reported {
+            Some((load, at)) if guarded && now.duration_since(at) < REPORT_AGE_MAX => {
+                load.max(self.permits)
+            }
+            _ => self.permits,
+        }
+    }
+
+    /// Returns the last reported load.
+    pub fn reported_load(&self) -> Option<u32> {
+        self.reported.map(|(load, _)| load)
+    }
+
+    /// Returns whether it is leaving, by any account.
+    pub fn is_leaving(&self) -> bool {
+        self.spec.leaving || self.told_leaving
+    }
+
+    /// Returns whether it is suspected of being down.
+    pub fn is_suspect(&self, now: Instant) -> bool {
+        self.suspect_until.is_some_and(|until| now < until)
+    }
+
+    /// Notes a failure: nothing new for a time that doubles with each failure in a row.
+    pub fn failed(&mut self, now: Instant) {
+        if self.is_suspect(now) {
+            return;
+        }
+        let wait = SUSPECT_FIRST.saturating_mul(1 << self.failures.min(10)).min(SUSPECT_MAX);
+        self.failures += 1;
+        self.suspect_until = Some(now + wait);
+    }
+
+    /// Notes a whole answer: the engine is well.
+    pub fn succeeded(&mut self) {
+        self.failures = 0;
+        self.suspect_until = None;
+    }
+}
--- /dev/null
+++ b/src/zone/home.rs
@@ -0,0 +1,504 @@
+//! The home of one shard: grants permits and holds the load bound.
+//!
+//! Pure decisions: `handle(now, event)` returns the actions for the shell to carry out. The home
+//! knows every request in flight on its engines, so no engine is granted more than
+//! `ceil(bound x mean)` requests, the mean taken over the service and counting the arriving one
+//! (consistent hashing with bounded loads, Mirrokni, Thorup and Zadimoghaddam, 2018).
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use indexmap::IndexMap;
+
+use crate::{
+    contract::{
+        fair_queue::FairQueue,
+        permit::{Ask, Held, PermitId, RefuseReason, Release, ReleaseKind, Reply, TeamTerms},
+        token_bucket::TokenBucket,
+    },
+    names::Tag,
+    zone::{
+        engine::{EngineSlot, EngineSpec},
+        recency::Recency,
+        rendezvous::{ChatKey, score},
+    },
+};
+
+/// Time in which a new home also counts what engines report, until entries have announced theirs.
+pub const WARM_UP: Duration = Duration::from_millis(1500);
+
+/// Silence after which an entry counts as lost and its permits end.
+pub const ENTRY_SILENCE: Duration = Duration::from_secs(4);
+
+/// Age at which another home's load no longer counts.
+const ELSEWHERE_AGE_MAX: Duration = Duration::from_secs(5);
+
+/// Time added to a permit's life over the request's own deadline.
+const PERMIT_MARGIN: Duration = Duration::from_secs(2);
+
+/// Weight of the newest sample in the mean holding time.
+const HOLD_SMOOTHING: f64 = 0.05;
+
+/// Retry-After told with refusals that have no better estimate.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What the operators state for the service of the shard.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct HomeTerms {
+    /// Most load of one engine, as a multiple of the mean.
+    pub load_bound: f64,
+    /// Most requests waiting.
+    pub queue: usize,
+    /// Most chats remembered.
+    pub remembered: usize,
+}
+
+/// What happens to a home.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// An entry asks for a permit.
+    Ask(Ask, TeamTerms),
+    /// An entry gives a permit back, or no longer waits for one.
+    Release(Tag, Release),
+    /// An entry tells the number of permits it holds here.
+    Count(Tag, usize),
+    /// An entry tells every permit it holds here; what it does not name, it no longer holds.
+    Announce(Tag, Vec<Held>),
+    /// The engines of the shard changed.
+    Engines(Vec<EngineSpec>),
+    /// The terms changed.
+    Terms(HomeTerms),
+    /// An engine reported its load.
+    Report(Tag, u32),
+    /// The list or an engine itself says that it is leaving, or no longer.
+    Leaving(Tag, bool),
+    /// The home of another shard of the service tells its load and number of usable engines.
+    Elsewhere(Tag, ShardLoad),
+    /// By this instance's view it is the home of the shard, or is not.
+    Role(bool),
+    /// Time passes.
+    Tick,
+}
+
+/// What a home wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Answer an ask.
+    Reply(PermitId, Reply),
+    /// Ask the entry to announce the permits it holds.
+    WantAnnouncement(Tag),
+}
+
+/// Load of a shard, as homes of one service tell each other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, serde::Serialize, serde::Deserialize)]
+pub struct ShardLoad {
+    /// Permits in force.
+    pub load: u32,
+    /// Engines that may get work.
+    pub engines: u32,
+}
+
+#[derive(Debug, Clone)]
+struct Permit {
+    engine: Tag,
+    team: Tag,
+    granted: Instant,
+    expires: Instant,
+}
+
+#[derive(Debug, Clone)]
+struct Waiting {
+    ask: Ask,
+    terms: TeamTerms,
+    until: Instant,
+}
+
+/// The home of one shard.
+#[derive(Debug)]
+pub struct Home {
+    terms: HomeTerms,
+    engines: IndexMap<Tag, EngineSlot>,
+    permits: HashMap<PermitId, Permit>,
+    queue: FairQueue<Waiting>,
+    recency: Recency,
+    team_load: HashMap<Tag, u32>,
+    team_rates: HashMap<Tag, TokenBucket>,
+    entries: HashMap<Tag, Instant>,
+    elsewhere: HashMap<Tag, (ShardLoad, Instant)>,
+    guarded_until: Option<Instant>,
+    is_home: bool,
+    mean_hold: f64,
+}
+
+impl Home {
+    /// Returns a home that has just taken over its shard.
+    pub fn new(terms: HomeTerms, engines: Vec<EngineSpec>, now: Instant) -> Home {
+        Home {
+            terms,
+            engines: engines.into_iter().map(|spec| (spec.tag, EngineSlot::new(spec))).collect(),
+            permits: HashMap::new(),
+            queue: FairQueue::default(),
+            recency: Recency::new(terms.remembered),
+            team_load: HashMap::new(),
+            team_rates: HashMap::new(),
+            entries: HashMap::new(),
+            elsewhere: HashMap::new(),
+            guarded_until: Some(now + WARM_UP),
+            is_home: true,
+            mean_hold: 0.0,
+        }
+    }
+
+    /// Takes in one event and returns what is to be done.
+    pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        match event {
+            Event::Ask(ask, terms) => self.ask(now, ask, terms, &mut actions),
+            Event::Release(entry, release) => self.release(now, entry, release, &mut actions),
+            Event::Count(entry, held) => self.count(now, entry, held, &mut actions),
+            Event::Announce(entry, held) => self.announce(now, entry, held, &mut actions),
+            Event::Engines(specs) => self.set_engines(now, specs, &mut actions),
+            Event::Terms(terms) => self.terms = terms,
+            Event::Report(engine, load) => self.report(now, engine, load),
+            Event::Leaving(engine, leaving) => self.set_leaving(engine, leaving),
+            Event::Elsewhere(home, load) => {
+                self.elsewhere.insert(home, (load, now));
+            }
+            Event::Role(is_home) => self.set_role(now, is_home),
+            Event::Tick => self.tick(now, &mut actions),
+        }
+        actions
+    }
+
+    /// Returns the load of this shard, as other homes of the service need it.
+    pub fn shard_load(&self, now: Instant) -> ShardLoad {
+        let usable = self.engines.values().filter(|e| is_usable(e, now));
+        let (mut load, mut engines) = (0, 0);
+        for engine in usable {
+            load += engine.permits;
+            engines += 1;
+        }
+        ShardLoad { load, engines }
+    }
+
+    /// Returns the greatest load that an engine may have once one more request has arrived.
+    pub fn bound(&self, now: Instant) -> u32 {
+        let guarded = self.is_guarded(now);
+        let usable = self.engines.values().filter(|e| is_usable(e, now));
+        let (load, engines) =
+            usable.fold((0, 0), |(load, n), e| (load + e.load(now, guarded), n + 1));
+        let fresh =
+            self.elsewhere.values().filter(|(_, at)| now.duration_since(*at) < ELSEWHERE_AGE_MAX);
+        let (load, engines) = fresh
+            .fold((load, engines), |(load, n), (other, _)| (load + other.load, n + other.engines));
+        bound_of(self.terms.load_bound, load + 1, engines)
+    }
+
+    /// Returns the engines and their loads.
+    pub fn engines(&self) -> impl Iterator<Item = &EngineSlot> {
+        self.engines.values()
+    }
+
+    /// Returns the number of requests that wait.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns the number of permits in force.
+    pub fn permits(&self) -> usize {
+        self.permits.len()
+    }
+
+    /// Returns the number of chats remembered.
+    pub fn remembered(&self) -> usize {
+        self.recency.len()
+    }
+
+    /// Returns the engine that `chat` was last on, and the engine it would go to now.
+    pub fn explain(&self, now: Instant, chat: ChatKey) -> (Option<Tag>, Option<Tag>) {
+        (self.recency.get(chat), self.choose(now, chat, None, &[]))
+    }
+
+    fn is_guarded(&self, now: Instant) -> bool {
+        !self.is_home || self.guarded_until.is_some_and(|until| now < until)
+    }
+
+    fn ask(&mut self, now: Instant, ask: Ask, terms: TeamTerms, actions: &mut Vec<Action>) {
+        self.entries.insert(ask.id.entry, now);
+        if let Some(permit) = self.permits.get(&ask.id) {
+            // The answer to the same ask was lost on its way.
+            actions.push(Action::Reply(ask.id, Reply::Granted(permit.engine)));
+            return;
+        }
+        if let Some(refusal) = self.team_refuses(now, &ask, &terms) {
+            actions.push(Action::Reply(ask.id, refusal));
+            return;
+        }
+        let first_in_line = terms.reserved || self.queue.is_empty();
+        let engine =
+            if first_in_line { self.choose(now, ask.chat, ask.hint, &ask.avoid) } else { None };
+        if let Some(engine) = engine {
+            self.grant(now, &ask, engine, actions);
+        } else if ask.may_spill {
+            actions.push(Action::Reply(ask.id, Reply::Spill));
+        } else {
+            self.enqueue(now, ask, terms, actions);
+        }
+    }
+
+    fn team_refuses(&mut self, now: Instant, ask: &Ask, terms: &TeamTerms) -> Option<Reply> {
+        let load = self.team_load.get(&ask.team).copied().unwrap_or(0);
+        if terms.max_in_flight.is_some_and(|most| load >= most) {
+            return Some(refused(RefuseReason::TeamInFlight, RETRY_AFTER));
+        }
+        let rate = terms.rate?;
+        let bucket = self.team_rates.entry(ask.team).or_insert_with(|| TokenBucket::new(rate, now));
+        bucket.set_rate(rate);
+        let wait = bucket.take(now).err()?;
+        Some(refused(RefuseReason::TeamRate, wait))
+    }
+
+    /// Chooses an engine: the one that holds the chat's context if it is under the bound, else
+    /// the first under the bound in the chat's own rank.
+    fn choose(&self, now: Instant, chat: ChatKey, hint: Option<Tag>, avoid: &[Tag]) -> Option<Tag> {
+        let bound = self.bound(now);
+        let guarded = self.is_guarded(now);
+        let takes = |engine: &EngineSlot| {
+            let load = engine.load(now, guarded);
+            let free = load < engine.spec.capacity && load < bound;
+            is_usable(engine, now) && free && !avoid.contains(&engine.spec.tag)
+        };
+        let known = [self.recency.get(chat), hint];
+        for tag in known.into_iter().flatten() {
+            if self.engines.get(&tag).is_some_and(&takes) {
+                return Some(tag);
+            }
+        }
+        let ranked = |engine: &&EngineSlot| score(chat.0, engine.spec.tag, engine.spec.weight);
+        let mut free: Vec<&EngineSlot> = self.engines.values().filter(|e| takes(e)).collect();
+        if free.is_empty() && self.engines.values().all(|e| !is_usable(e, now)) {
+            // Every engine is suspected: try them rather than refuse all work.
+            let desperate = |e: &&EngineSlot| {
+                !e.is_leaving()
+                    && e.load(now, guarded) < e.spec.capacity
+                    && !avoid.contains(&e.spec.tag)
+            };
+            free = self.engines.values().filter(desperate).collect();
+        }
+        free.iter().max_by(|a, b| ranked(a).total_cmp(&ranked(b))).map(|e| e.spec.tag)
+    }
+
+    fn grant(&mut self, now: Instant, ask: &Ask, engine: Tag, actions: &mut Vec<Action>) {
+        let expires = now + ask.left + PERMIT_MARGIN;
+        let permit = Permit { engine, team: ask.team, granted: now, expires };
+        self.add_permit(ask.id, permit);
+        self.recency.put(ask.chat, engine);
+        actions.push(Action::Reply(ask.id, Reply::Granted(engine)));
+    }
+
+    fn add_permit(&mut self, id: PermitId, permit: Permit) {
+        if let Some(engine) = self.engines.get_mut(&permit.engine) {
+            engine.permits += 1;
+        }
+        *self.team_load.entry(permit.team).or_default() += 1;
+        self.permits.insert(id, permit);
+    }
+
+    fn remove_permit(&mut self, id: PermitId) -> Option<Permit> {
+        let permit = self.permits.remove(&id)?;
+        if let Some(engine) = self.engines.get_mut(&permit.engine) {
+            engine.permits = engine.permits.saturating_sub(1);
+        }
+        if let Some(load) = self.team_load.get_mut(&permit.team) {
+            *load = load.saturating_sub(1);
+            if *load == 0 {
+                self.team_load.remove(&permit.team);
+            }
+        }
+        Some(permit)
+    }
+
+    fn enqueue(&mut self, now: Instant, ask: Ask, terms: TeamTerms, actions: &mut Vec<Action>) {
+        if self.engines.values().all(|e| e.is_leaving() || ask.avoid.contains(&e.spec.tag)) {
+            actions.push(Action::Reply(ask.id, refused(RefuseReason::NoEngine, RETRY_AFTER)));
+            return;
+        }
+        let ahead = self.queue.ahead_of(ask.team, terms.weight, terms.reserved);
+        let wait = self.expected_wait(ahead + 1);
+        if !terms.reserved && self.queue.len() >= self.terms.queue {
+            actions.push(Action::Reply(
+                ask.id,
+                refused(RefuseReason::QueueFull, wait.max(RETRY_AFTER)),
+            ));
+            return;
+        }
+        if wait >= ask.left {
+            actions.push(Action::Reply(
+                ask.id,
+                refused(RefuseReason::Deadline, wait.max(RETRY_AFTER)),
+            ));
+            return;
+        }
+        actions.push(Action::Reply(ask.id, Reply::Queued));
+        let until = now + ask.left;
+        self.queue.push(ask.team, terms.weight, terms.reserved, Waiting { ask, terms, until });
+    }
+
+    /// Returns how long the request at `place` in line is expected to wait, from the mean time
+    /// that permits are held.
+    fn expected_wait(&self, place: usize) -> Duration {
+        let slots: u32 =
+            self.engines.values().filter(|e| !e.is_leaving()).map(|e| e.spec.capacity).sum();
+        Duration::from_secs_f64(self.mean_hold * place as f64 / f64::from(slots.max(1)))
+    }
+
+    fn release(&mut self, now: Instant, entry: Tag, release: Release, actions: &mut Vec<Action>) {
+        self.entries.insert(entry, now);
+        let id = PermitId { entry, number: release.number };
+        match self.remove_permit(id) {
+            Some(permit) => self.note_end(now, &permit, &release),
+            None => {
+                self.queue.extract(|w| w.ask.id == id);
+            }
+        }
+        self.serve_queue(now, actions);
+    }
+
+    fn note_end(&mut self, now: Instant, permit: &Permit, release: &Release) {
+        if let Some(engine) = self.engines.get_mut(&permit.engine) {
+            if let Some(load) = release.load {
+                engine.report(now, load);
+            }
+            match release.kind {
+                ReleaseKind::Done => engine.succeeded(),
+                ReleaseKind::Leaving => engine.told_leaving = true,
+                ReleaseKind::Failed | ReleaseKind::Refused => engine.failed(now),
+                ReleaseKind::Unused => {}
+            }
+        }
+        if release.kind == ReleaseKind::Done {
+            let held = now.duration_since(permit.granted).as_secs_f64();
+            let old = if self.mean_hold == 0.0 { held } else { self.mean_hold };
+            self.mean_hold = old + HOLD_SMOOTHING * (held - old);
+        }
+    }
+
+    /// Grants to waiting requests while engines have room.
+    fn serve_queue(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        while let Some(waiting) = self.queue.pop() {
+            let Waiting { ask, terms, until } = &waiting;
+            if *until <= now {
+                actions.push(Action::Reply(ask.id, refused(RefuseReason::Deadline, RETRY_AFTER)));
+                continue;
+            }
+            let Some(engine) = self.choose(now, ask.chat, ask.hint, &ask.avoid) else {
+                let (team, weight, reserved) = (ask.team, terms.weight, terms.reserved);
+                self.queue.push_front(team, weight, reserved, waiting);
+                return;
+            };
+            let ask = Ask { left: until.duration_since(now), ..ask.clone() };
+            self.grant(now, &ask, engine, actions);
+        }
+    }
+
+    fn count(&mut self, now: Instant, entry: Tag, held: usize, actions: &mut Vec<Action>) {
+        self.entries.insert(entry, now);
+        let known = self.permits.keys().filter(|id| id.entry == entry).count();
+        if known != held {
+            actions.push(Action::WantAnnouncement(entry));
+        }
+    }
+
+    fn announce(&mut self, now: Instant, entry: Tag, held: Vec<Held>, actions: &mut Vec<Action>) {
+        self.entries.insert(entry, now);
+        let gone: Vec<PermitId> = self
+            .permits
+            .keys()
+            .filter(|id| id.entry == entry && !held.iter().any(|h| h.number == id.number))
+            .copied()
+            .collect();
+        for id in gone {
+            self.remove_permit(id);
+        }
+        for Held { number, engine, chat, team, left_ms } in held {
+            let id = PermitId { entry, number };
+            if self.permits.contains_key(&id) {
+                continue;
+            }
+            let expires = now + Duration::from_millis(u64::from(left_ms)) + PERMIT_MARGIN;
+            self.add_permit(id, Permit { engine, team, granted: now, expires });
+            self.recency.put(chat, engine);
+        }
+        self.serve_queue(now, actions);
+    }
+
+    fn set_engines(&mut self, now: Instant, specs: Vec<EngineSpec>, actions: &mut Vec<Action>) {
+        let mut old = std::mem::take(&mut self.engines);
+        for spec in specs {
+            let mut slot = old.swap_remove(&spec.tag).unwrap_or_else(|| EngineSlot::new(spec));
+            slot.spec = spec;
+            slot.permits = self.permits.values().filter(|p| p.engine == spec.tag).count() as u32;
+            self.engines.insert(spec.tag, slot);
+        }
+        self.serve_queue(now, actions);
+    }
+
+    fn report(&mut self, now: Instant, engine: Tag, load: u32) {
+        if let Some(engine) = self.engines.get_mut(&engine) {
+            engine.report(now, load);
+        }
+    }
+
+    fn set_leaving(&mut self, engine: Tag, leaving: bool) {
+        if let Some(engine) = self.engines.get_mut(&engine) {
+            engine.told_leaving = leaving;
+        }
+    }
+
+    fn set_role(&mut self, now: Instant, is_home: bool) {
+        if is_home && !self.is_home {
+            self.guarded_until = Some(now + WARM_UP);
+        }
+        self.is_home = is_home;
+    }
+
+    fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let silent = |id: &PermitId| {
+            self.entries.get(&id.entry).is_none_or(|at| now.duration_since(*at) >= ENTRY_SILENCE)
+        };
+        let ended: Vec<PermitId> = self
+            .permits
+            .iter()
+            .filter(|(id, permit)| permit.expires <= now || silent(id))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in ended {
+            self.remove_permit(id);
+        }
+        self.entries.retain(|_, at| now.duration_since(*at) < ENTRY_SILENCE);
+        self.team_rates.retain(|_, bucket| !bucket.is_full(now));
+        let late = self.queue.extract(|w| w.until <= now);
+        actions.extend(
+            late.iter()
+                .map(|w| Action::Reply(w.ask.id, refused(RefuseReason::Deadline, RETRY_AFTER))),
+        );
+        self.serve_queue(now, actions);
+    }
+}
+
+/// Returns `ceil(bound x load / engines)`, at least one.
+pub fn bound_of(bound: f64, load: u32, engines: u32) -> u32 {
+    let mean = f64::from(load) / f64::from(engines.max(1));
+    ((bound * mean).ceil() as u32).max(1)
+}
+
+fn is_usable(engine: &EngineSlot, now: Instant) -> bool {
+    !engine.is_leaving() && !engine.is_suspect(now)
+}
+
+fn refused(reason: RefuseReason, retry_after: Duration) -> Reply {
+    let retry_after_ms = u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX);
+    Reply::Refused { reason, retry_after_ms }
+}
--- /dev/null
+++ b/src/zone/homes.rs
@@ -0,0 +1,31 @@
+//! Which instance is the home of a shard.
+
+use crate::{
+    names::{InstanceId, Tag, ZoneId},
+    zone::{rendezvous::score, shard::ShardId},
+};
+
+/// An instance that may be a home.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Candidate {
+    /// Id.
+    pub id: InstanceId,
+    /// Tag of the id.
+    pub tag: Tag,
+    /// Its zone.
+    pub zone: ZoneId,
+}
+
+/// Returns the home of `shard` among `live`: rendezvous hashing, instances of the shard's own
+/// zone first.
+pub fn home_of<'c>(
+    shard: ShardId,
+    zone: Option<&ZoneId>,
+    live: impl Iterator<Item = &'c Candidate>,
+) -> Option<&'c Candidate> {
+    let key = u64::from(shard.service.0) << 16 | u64::from(shard.number);
+    let near = |c: &Candidate| zone.is_none_or(|zone| c.zone == *zone);
+    live.map(|c| (near(c), score(key, c.tag, 1.0), c))
+        .max_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.id.cmp(&b.2.id)))
+        .map(|(_, _, c)| c)
+}
--- /dev/null
+++ b/src/zone/mod.rs
@@ -0,0 +1,9 @@
+//! Places: how chats rank engines, how engines form shards, and the home of each shard.
+
+pub mod baseline;
+pub mod engine;
+pub mod home;
+pub mod homes;
+pub mod recency;
+pub mod rendezvous;
+pub mod shard;
--- /dev/null
+++ b/src/zone/rendezvous.rs
@@ -0,0 +1,45 @@
+//! Weighted rendezvous hashing (highest random weight).
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::names::Tag;
+
+/// Identity of a chat within the fleet: a hash of its service, team and caller-given id.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+#[serde(transparent)]
+pub struct ChatKey(pub u64);
+
+impl ChatKey {
+    /// Returns the key of the chat that `parts` name together.
+    pub fn of(parts: &[&str]) -> ChatKey {
+        let key = parts
+            .iter()
+            .fold(0, |seed, part| xxh3_64_with_seed(part.as_bytes(), seed ^ part.len() as u64));
+        ChatKey(key)
+    }
+}
+
+impl std::fmt::Display for ChatKey {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// Returns the score of `node` for `key`; the node with the greatest score comes first.
+///
+/// A node of weight 2 comes first for twice as many keys as a node of weight 1; a change of one
+/// node's weight moves only keys to or from that node.
+pub fn score(key: u64, node: Tag, weight: f64) -> f64 {
+    let hash = xxh3_64_with_seed(&node.0.to_le_bytes(), key);
+    // 53 bits make a float in (0, 1).
+    let unit = ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
+    -weight / unit.ln()
+}
+
+/// Returns the positions of `nodes`, best first, for `key`.
+pub fn ranked(key: u64, nodes: impl Iterator<Item = (Tag, f64)>) -> Vec<usize> {
+    let mut scored: Vec<(f64, usize)> =
+        nodes.enumerate().map(|(i, (node, weight))| (score(key, node, weight), i)).collect();
+    scored.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+    scored.into_iter().map(|(_, i)| i).collect()
+}
--- /dev/null
+++ b/standins/src/fault.rs
@@ -0,0 +1,59 @@
+//! Faults that a backend server's stand-in can be told to have, one a request.
+
+use std::{collections::VecDeque, sync::Mutex, time::Duration};
+
+use cartvane::utils::sync::lock;
+
+/// What goes wrong with one request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// Nothing.
+    None,
+    /// The connection is closed before the request is read.
+    CloseBeforeRead,
+    /// The request is read and the connection closed; it is not run.
+    CloseAfterRead,
+    /// The request is run and the connection closed before the answer's head.
+    CloseAfterRun,
+    /// 503 with the statement that it was not run.
+    RefuseNotRun,
+    /// 503 without such a statement.
+    RefusePlain,
+    /// The request is run and no head comes for this long.
+    StallHead(Duration),
+    /// The answer stops half-way for this long.
+    StallBody(Duration),
+    /// The answer is cut half-way.
+    CutBody,
+    /// The answer carries the id of another attempt.
+    Foreign,
+    /// What comes is not HTTP.
+    Garbage,
+    /// The answer's head is larger than any router takes.
+    Oversize,
+    /// The answer comes twice on the same connection.
+    Duplicate,
+    /// The answer is whole and comes this late.
+    Late(Duration),
+}
+
+/// Faults in line; one is taken for each request.
+#[derive(Debug, Default)]
+pub struct Faults(Mutex<VecDeque<Fault>>);
+
+impl Faults {
+    /// Adds faults for the next requests.
+    pub fn push(&self, faults: impl IntoIterator<Item = Fault>) {
+        lock(&self.0).extend(faults);
+    }
+
+    /// Takes the fault for a request.
+    pub fn take(&self) -> Fault {
+        lock(&self.0).pop_front().unwrap_or(Fault::None)
+    }
+
+    /// Forgets the faults in line.
+    pub fn clear(&self) {
+        lock(&self.0).clear();
+    }
+}
--- /dev/null
+++ b/standins/src/fleet.rs
@@ -0,0 +1,497 @@
+//! A small fleet on loopback: the platform, engines, plain servers and real router processes.
+
+use std::{
+    fs,
+    io::{self, BufRead as _, BufReader},
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
+    thread,
+    time::{Duration, Instant},
+};
+
+use anyhow::{Context as _, bail};
+use cartvane::{
+    configs::fleet::team::KeyHash,
+    instance::{apply::Applied, status::FleetStatus},
+    platform::{Member, MemberKind, MemberState, http::agent},
+};
+use indexmap::IndexMap;
+use rustix::process::{Pid, Signal, kill_process};
+
+use crate::{
+    engine::{Engine, EngineConfig},
+    plain::Plain,
+    platform::PlatformServer,
+};
+
+/// Salt of the team keys.
+pub const SALT: &str = "loopback-fleet";
+
+/// Credential among routers.
+const PEER_CREDENTIAL: &str = "peers-on-loopback-0001";
+
+/// Credential of operators.
+pub const OPERATOR_CREDENTIAL: &str = "operators-on-loopback-0001";
+
+/// Longest wait for a fleet to do what it is told.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Pause between two looks.
+const LOOK_PERIOD: Duration = Duration::from_millis(20);
+
+/// Numbers settings files of this process.
+static FILES: AtomicU32 = AtomicU32::new(0);
+
+/// Returns an address on loopback with a port that the machine chooses.
+pub fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// A team for the operators' file.
+#[derive(Debug, Clone)]
+pub struct TeamSpec {
+    /// Id.
+    pub id: String,
+    /// Further lines of its table.
+    pub lines: String,
+}
+
+impl TeamSpec {
+    /// Returns a team with nothing special.
+    pub fn new(id: &str) -> TeamSpec {
+        TeamSpec { id: id.to_owned(), lines: String::new() }
+    }
+
+    /// Returns the key that its callers show.
+    pub fn key(&self) -> String {
+        team_key(&self.id)
+    }
+}
+
+/// Returns the key that callers of a team show.
+pub fn team_key(id: &str) -> String {
+    format!("key-of-{id}")
+}
+
+/// What a fleet is made of.
+#[derive(Debug, Clone)]
+pub struct FleetSpec {
+    /// The `cartvane` binary.
+    pub binary: PathBuf,
+    /// Number of routers.
+    pub routers: usize,
+    /// Zones.
+    pub zones: Vec<String>,
+    /// Id of the model service.
+    pub model_service: String,
+    /// Number of its engines.
+    pub engines: usize,
+    /// How they behave.
+    pub engine: EngineConfig,
+    /// Capacity that the file states for each.
+    pub capacity: u32,
+    /// Id of the plain service.
+    pub plain_service: String,
+    /// Number of its servers.
+    pub plains: usize,
+    /// Teams.
+    pub teams: Vec<TeamSpec>,
+    /// Further lines of the model service's table.
+    pub model_lines: String,
+    /// Further lines of the plain service's table.
+    pub plain_lines: String,
+    /// Further lines of every router's settings, sections included.
+    pub settings: String,
+}
+
+impl FleetSpec {
+    /// Returns a small fleet: two routers, three engines, two plain servers, one team.
+    pub fn small(binary: impl Into<PathBuf>) -> FleetSpec {
+        FleetSpec {
+            binary: binary.into(),
+            routers: 2,
+            zones: vec!["east".to_owned(), "west".to_owned()],
+            model_service: "llm".to_owned(),
+            engines: 3,
+            engine: EngineConfig::default(),
+            capacity: 16,
+            plain_service: "app".to_owned(),
+            plains: 2,
+            teams: vec![TeamSpec::new("crew")],
+            model_lines: String::new(),
+            plain_lines: String::new(),
+            settings: String::new(),
+        }
+    }
+}
+
+/// A router process.
+pub struct Router {
+    /// Id.
+    pub id: String,
+    /// Zone.
+    pub zone: String,
+    /// Callers' address.
+    pub callers: SocketAddr,
+    /// Peers' address.
+    pub peers: SocketAddr,
+    /// Operators' address.
+    pub operators: SocketAddr,
+    child: Child,
+    settings: PathBuf,
+}
+
+impl Router {
+    /// Starts a router process and waits for its addresses.
+    ///
+    /// # Errors
+    ///
+    /// The process cannot be started or ends at once.
+    pub fn spawn(
+        binary: &Path,
+        id: &str,
+        zone: &str,
+        platform: SocketAddr,
+        lines: &str,
+    ) -> anyhow::Result<Router> {
+        let number = FILES.fetch_add(1, Ordering::SeqCst);
+        let settings =
+            std::env::temp_dir().join(format!("cartvane-{}-{number}.toml", std::process::id()));
+        fs::write(&settings, settings_text(id, zone, platform, lines))?;
+        let mut child = Command::new(binary)
+            .arg("router")
+            .arg("--settings")
+            .arg(&settings)
+            .env("FLEET_PEERS", PEER_CREDENTIAL)
+            .env("FLEET_OPERATORS", OPERATOR_CREDENTIAL)
+            .stdout(Stdio::piped())
+            .spawn()
+            .with_context(|| format!("cannot start {}", binary.display()))?;
+        let stdout = child.stdout.take().context("the router has no output")?;
+        let mut line = String::new();
+        BufReader::new(stdout).read_line(&mut line)?;
+        let address = |name: &str| -> anyhow::Result<SocketAddr> {
+            let word = line.split_whitespace().find_map(|word| word.strip_prefix(name));
+            Ok(word.with_context(|| format!("router {id} said {line:?}"))?.parse()?)
+        };
+        Ok(Router {
+            id: id.to_owned(),
+            zone: zone.to_owned(),
+            callers: address("callers=")?,
+            peers: address("peers=")?,
+            operators: address("operators=")?,
+            child,
+            settings,
+        })
+    }
+
+    /// Returns the process id.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: Signal) {
+        if let Some(pid) = Pid::from_raw(self.child.id() as i32) {
+            // A process that has ended gets no signal.
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Kills the process at once.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Waits for the process to end by itself; `None` when it does not in time.
+    pub fn wait(&mut self, most: Duration) -> Option<i32> {
+        let until = Instant::now() + most;
+        while Instant::now() < until {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return status.code();
+            }
+            thread::sleep(LOOK_PERIOD);
+        }
+        None
+    }
+
+    fn member(&self, state: MemberState) -> anyhow::Result<Member> {
+        let (id, zone) = (self.id.clone(), self.zone.parse()?);
+        Ok(Member { id, kind: MemberKind::Instance, address: self.peers, zone, state })
+    }
+}
+
+impl Drop for Router {
+    fn drop(&mut self) {
+        self.kill();
+        let _ = fs::remove_file(&self.settings);
+    }
+}
+
+fn settings_text(id: &str, zone: &str, platform: SocketAddr, lines: &str) -> String {
+    format!(
+        r#"id = "{id}"
+region = "loopback"
+zone = "{zone}"
+
+[listen]
+callers = "127.0.0.1:0"
+peers = "127.0.0.1:0"
+operators = "127.0.0.1:0"
+
+[platform]
+table = "{platform}"
+objects = "{platform}"
+members = "{platform}"
+
+[credentials]
+peers = ["env:FLEET_PEERS"]
+operators = ["env:FLEET_OPERATORS"]
+
+{lines}
+"#
+    )
+}
+
+/// A running fleet.
+pub struct Fleet {
+    /// What it is made of.
+    pub spec: FleetSpec,
+    /// The platform.
+    pub platform: PlatformServer,
+    /// Engines by id.
+    pub engines: IndexMap<String, Engine>,
+    /// Plain servers by id.
+    pub plains: IndexMap<String, Plain>,
+    /// Routers.
+    pub routers: Vec<Router>,
+    /// Engines whose entry says that they are leaving.
+    pub leaving: Vec<String>,
+}
+
+impl Fleet {
+    /// Starts everything, applies the operators' file and waits until it is in force everywhere.
+    ///
+    /// # Errors
+    ///
+    /// Something cannot be started or does not come up in time.
+    pub fn start(spec: FleetSpec) -> anyhow::Result<Fleet> {
+        let platform = PlatformServer::spawn(any_port())?;
+        let mut fleet = Fleet {
+            spec,
+            platform,
+            engines: IndexMap::new(),
+            plains: IndexMap::new(),
+            routers: Vec::new(),
+            leaving: Vec::new(),
+        };
+        for n in 0..fleet.spec.engines {
+            fleet.add_engine(&format!("engine-{n:02}"))?;
+        }
+        for n in 0..fleet.spec.plains {
+            fleet.plains.insert(format!("plain-{n:02}"), Plain::spawn(any_port())?);
+        }
+        for n in 0..fleet.spec.routers {
+            fleet.add_router(&format!("router-{n:02}"))?;
+        }
+        fleet.apply()?;
+        fleet.wait_known()?;
+        Ok(fleet)
+    }
+
+    /// Starts an engine; it is in force after the next [`Fleet::apply`].
+    ///
+    /// # Errors
+    ///
+    /// It cannot be started.
+    pub fn add_engine(&mut self, id: &str) -> io::Result<()> {
+        self.engines.insert(id.to_owned(), Engine::spawn(any_port(), self.spec.engine)?);
+        Ok(())
+    }
+
+    /// Starts a router and enters it in the membership list.
+    ///
+    /// # Errors
+    ///
+    /// It cannot be started.
+    pub fn add_router(&mut self, id: &str) -> anyhow::Result<()> {
+        let zone = self.spec.zones[self.routers.len() % self.spec.zones.len()].clone();
+        let router = Router::spawn(
+            &self.spec.binary,
+            id,
+            &zone,
+            self.platform.address(),
+            &self.spec.settings,
+        )?;
+        self.platform.set_member(router.member(MemberState::Live)?);
+        self.routers.push(router);
+        Ok(())
+    }
+
+    /// Changes a router's entry in the membership list.
+    ///
+    /// # Errors
+    ///
+    /// The router's zone is no zone id.
+    pub fn list_router(&self, at: usize, state: MemberState) -> anyhow::Result<()> {
+        self.platform.set_member(self.routers[at].member(state)?);
+        Ok(())
+    }
+
+    /// Returns the operators' file of the fleet as it stands.
+    pub fn file(&self) -> String {
+        let spec = &self.spec;
+        let mut file = format!("key_salt = \"{SALT}\"\n");
+        for zone in &spec.zones {
+            file.push_str(&format!("[[zone]]\nid = \"{zone}\"\nregion = \"loopback\"\n"));
+        }
+        for team in &spec.teams {
+            let hash = KeyHash::of(SALT, &team.key());
+            file.push_str(&format!(
+                "[[team]]\nid = \"{}\"\nkeys = [\"{hash}\"]\n{}\n",
+                team.id, team.lines
+            ));
+        }
+        for (id, kind, lines) in [
+            (&spec.model_service, "model", &spec.model_lines),
+            (&spec.plain_service, "plain", &spec.plain_lines),
+        ] {
+            let servers = if kind == "model" { self.engines.len() } else { self.plains.len() };
+            if servers > 0 {
+                file.push_str(&format!("[[service]]\nid = \"{id}\"\nkind = \"{kind}\"\n{lines}\n"));
+            }
+        }
+        let engines =
+            self.engines.iter().map(|(id, e)| (id, e.address(), &spec.model_service, true));
+        let plains =
+            self.plains.iter().map(|(id, p)| (id, p.address(), &spec.plain_service, false));
+        for (at, (id, address, service, reports)) in engines.chain(plains).enumerate() {
+            let zone = &spec.zones[at % spec.zones.len()];
+            let (capacity, leaving) = (spec.capacity, self.leaving.contains(id));
+            file.push_str(&format!(
+                "[[backend_server]]\nid = \"{id}\"\nservice = \"{service}\"\naddress = \"{address}\"\nzone = \"{zone}\"\ncapacity = {capacity}\nreports_load = {reports}\nleaving = {leaving}\n"
+            ));
+        }
+        file
+    }
+
+    /// Applies the file of the fleet as it stands and waits until it is in force everywhere.
+    ///
+    /// # Errors
+    ///
+    /// The file is refused, or not in force everywhere in time.
+    pub fn apply(&self) -> anyhow::Result<Applied> {
+        let applied: Applied = self.post(0, "/v1/apply", &self.file())?;
+        self.wait_for("the revision in force everywhere", |status| {
+            status.instances.iter().all(|i| i.revision >= applied.revision)
+                && status.instances.len() == self.routers.len()
+        })?;
+        Ok(applied)
+    }
+
+    /// Waits until every router knows every other.
+    ///
+    /// # Errors
+    ///
+    /// They do not in time.
+    pub fn wait_known(&self) -> anyhow::Result<()> {
+        let until = Instant::now() + PATIENCE;
+        for at in 0..self.routers.len() {
+            while self.status(at)?.instances.len() < self.routers.len() {
+                if Instant::now() > until {
+                    bail!("the routers do not know each other");
+                }
+                thread::sleep(LOOK_PERIOD);
+            }
+        }
+        Ok(())
+    }
+
+    /// Waits until router 0's view of the fleet is as wanted.
+    ///
+    /// # Errors
+    ///
+    /// It is not in time.
+    pub fn wait_for(
+        &self,
+        what: &str,
+        wanted: impl Fn(&FleetStatus) -> bool,
+    ) -> anyhow::Result<()> {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let status = self.status(0)?;
+            if wanted(&status) {
+                return Ok(());
+            }
+            if Instant::now() > until {
+                bail!("not in time: {what}; {status:?}");
+            }
+            thread::sleep(LOOK_PERIOD);
+        }
+    }
+
+    /// Returns a router's view of the fleet.
+    ///
+    /// # Errors
+    ///
+    /// The router does not answer.
+    pub fn status(&self, at: usize) -> anyhow::Result<FleetStatus> {
+        let url = format!("http://{}/v1/status", self.routers[at].operators);
+        let credential = format!("Bearer {OPERATOR_CREDENTIAL}");
+        let mut response = agent(PATIENCE).get(url).header("authorization", credential).call()?;
+        Ok(serde_json::from_slice(&response.body_mut().read_to_vec()?)?)
+    }
+
+    /// Posts to a router's operators' interface.
+    ///
+    /// # Errors
+    ///
+    /// The router does not answer, or refuses.
+    pub fn post<T: serde::de::DeserializeOwned>(
+        &self,
+        at: usize,
+        path: &str,
+        body: &str,
+    ) -> anyhow::Result<T> {
+        let url = format!("http://{}{path}", self.routers[at].operators);
+        let credential = format!("Bearer {OPERATOR_CREDENTIAL}");
+        let mut response =
+            agent(PATIENCE).post(url).header("authorization", credential).send(body)?;
+        let bytes = response.body_mut().read_to_vec()?;
+        if response.status() != 200 {
+            bail!("{path} is refused: {}", String::from_utf8_lossy(&bytes));
+        }
+        Ok(serde_json::from_slice(&bytes)?)
+    }
+
+    /// Returns a router's metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// The router does not answer.
+    pub fn metrics(&self, at: usize) -> anyhow::Result<String> {
+        let url = format!("http://{}/metrics", self.routers[at].operators);
+        Ok(agent(PATIENCE).get(url).call()?.body_mut().read_to_string()?)
+    }
+}
+
+/// Returns the samples of a metric whose labels hold all of `labels`.
+pub fn samples(text: &str, metric: &str, labels: &[&str]) -> Vec<(String, f64)> {
+    let fits =
+        |line: &&str| line.starts_with(metric) && labels.iter().all(|label| line.contains(label));
+    let lines = text.lines().filter(|line| !line.starts_with('#')).filter(fits);
+    lines
+        .filter_map(|line| {
+            let (name, value) = line.rsplit_once(' ')?;
+            Some((name.to_owned(), value.parse().ok()?))
+        })
+        .collect()
+}
+
+/// Returns the sum of the samples of a metric whose labels hold all of `labels`.
+pub fn sum(text: &str, metric: &str, labels: &[&str]) -> f64 {
+    samples(text, metric, labels).iter().map(|(_, value)| value).sum()
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,14 @@
+//! Small stand-ins for what cartvane meets: model engines, plain services and the platform; and
+//! the fleet and load driver that run real routers against them. Development only.
+//!
+//! The contracts they stand for are written in docs/CONTRACTS.md.
+
+pub mod cache;
+pub mod caller;
+pub mod engine;
+pub mod fault;
+pub mod fleet;
+pub mod model;
+pub mod plain;
+pub mod platform;
+pub mod server;
--- /dev/null
+++ b/tests/suite/main.rs
@@ -0,0 +1,4 @@
+//! All integration tests, as one crate.
+
+mod support;
+mod whole_path;
--- /dev/null
+++ b/tests/suite/support.rs
@@ -0,0 +1,57 @@
+//! What the tests share: fleets of the built binary, and requests to them.
+
+use cartvane::instance::status::FleetStatus;
+use standins::{
+    caller::{Answer, Call},
+    fleet::{Fleet, FleetSpec, team_key},
+    model::{ChatRequest, Message},
+};
+
+/// The built `cartvane`.
+pub(crate) const BINARY: &str = env!("CARGO_BIN_EXE_cartvane");
+
+/// Returns the parts of a small fleet.
+pub(crate) fn small() -> FleetSpec {
+    let mut spec = FleetSpec::small(BINARY);
+    spec.settings = "[timeouts]\nrevision_poll = \"200ms\"\nmembers_poll = \"100ms\"\nheartbeat = \"200ms\"\ndrain_grace = \"300ms\"\n[logging]\nlevel = \"error\"\n".to_owned();
+    spec
+}
+
+/// Starts a fleet.
+pub(crate) fn fleet(spec: FleetSpec) -> Fleet {
+    Fleet::start(spec).expect("the fleet starts")
+}
+
+/// Returns a chat with one user message.
+pub(crate) fn chat(text: &str, tokens: u32) -> ChatRequest {
+    let message =
+        |role: &str, content: &str| Message { role: role.to_owned(), content: content.to_owned() };
+    let messages = vec![message("system", "you help movers and drivers"), message("user", text)];
+    ChatRequest { messages, stream: true, max_tokens: Some(tokens) }
+}
+
+/// Returns the call that sends a chat to the model service.
+pub(crate) fn chat_call(chat: &ChatRequest) -> Call {
+    let body = serde_json::to_vec(chat).expect("a chat can be encoded");
+    Call::post("/llm/v1/chat/completions", &team_key("crew"), body)
+        .with("content-type", "application/json")
+}
+
+/// Returns the call that posts to the plain service.
+pub(crate) fn plain_call(path: &str, body: &str) -> Call {
+    Call::post(&format!("/app{path}"), &team_key("crew"), body)
+}
+
+/// Sends a call to a router of the fleet.
+pub(crate) fn send(fleet: &Fleet, router: usize, call: &Call) -> Answer {
+    call.send(fleet.routers[router].callers)
+}
+
+/// Waits until no home counts a permit.
+pub(crate) fn wait_idle(fleet: &Fleet) {
+    let idle = |status: &FleetStatus| {
+        let shards = status.instances.iter().flat_map(|i| &i.shards);
+        shards.flat_map(|s| &s.engines).all(|e| e.permits == 0)
+    };
+    fleet.wait_for("every permit given back", idle).expect("permits are given back");
+}
--- /dev/null
+++ b/tests/suite/whole_path.rs
@@ -0,0 +1,51 @@
+//! The whole path: caller, router processes, engines and plain servers, platform.
+
+use standins::{model::read_events, plain::expected_answer};
+
+use crate::support::{chat, chat_call, fleet, plain_call, send, small, wait_idle};
+
+#[test]
+fn a_stream_and_a_plain_answer_come_whole_through_every_router() {
+    let fleet = fleet(small());
+    for router in 0..2 {
+        let chat = chat(&format!("inventory of router {router}"), 12);
+        let answer = send(&fleet, router, &chat_call(&chat));
+        assert_eq!(
+            (answer.status, answer.whole, answer.outcome()),
+            (200, true, "run"),
+            "{}",
+            answer.text()
+        );
+        let events = read_events(&answer.text());
+        assert_eq!(events.text, chat.expected_answer());
+        assert!(events.done && !events.error);
+        assert!(
+            answer.pieces.len() > 6,
+            "tokens come one by one, not in a heap: {:?}",
+            answer.pieces
+        );
+
+        let answer = send(&fleet, router, &plain_call("/bookings?day=3", "two vans"));
+        assert_eq!(
+            (answer.status, answer.whole, answer.outcome()),
+            (200, true, "run"),
+            "{}",
+            answer.text()
+        );
+        assert_eq!(answer.text(), expected_answer("POST", "/bookings?day=3", b"two vans"));
+    }
+}
+
+#[test]
+fn a_returning_chat_finds_its_context_through_another_router() {
+    let fleet = fleet(small());
+    let chat = chat("a long inventory with a piano", 8);
+    let call = chat_call(&chat).with("cartvane-chat", "c1");
+    let first =
+        read_events(&send(&fleet, 0, &call).text()).usage.expect("the stream ends with its usage");
+    wait_idle(&fleet);
+    let second =
+        read_events(&send(&fleet, 1, &call).text()).usage.expect("the stream ends with its usage");
+    assert_eq!(first.cached_tokens, 0);
+    assert_eq!(second.cached_tokens, second.prompt_tokens);
+}
