--- a/standins/src/fault.rs
+++ b/standins/src/fault.rs
@@ -39,21 +39,31 @@
 
 /// Faults in line; one is taken for each request.
 #[derive(Debug, Default)]
-pub struct Faults(Mutex<VecDeque<Fault>>);
+pub struct Faults {
+    line: Mutex<VecDeque<Fault>>,
+    standing: Mutex<Option<Fault>>,
+}
 
 impl Faults {
     /// Adds faults for the next requests.
     pub fn push(&self, faults: impl IntoIterator<Item = Fault>) {
-        lock(&self.0).extend(faults);
+        lock(&self.line).extend(faults);
     }
 
     /// Takes the fault for a request.
     pub fn take(&self) -> Fault {
-        lock(&self.0).pop_front().unwrap_or(Fault::None)
+        let standing = *lock(&self.standing);
+        lock(&self.line).pop_front().or(standing).unwrap_or(Fault::None)
     }
 
     /// Forgets the faults in line.
     pub fn clear(&self) {
-        lock(&self.0).clear();
+        lock(&self.line).clear();
+        *lock(&self.standing) = None;
+    }
+
+    /// Gives every request without a fault of its own this one, or none.
+    pub fn set_standing(&self, fault: Option<Fault>) {
+        *lock(&self.standing) = fault;
     }
 }
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -270,6 +270,8 @@
     pub routers: Vec<Router>,
     /// Engines whose entry says that they are leaving.
     pub leaving: Vec<String>,
+    /// Engines that take no connection.
+    pub down: Vec<String>,
 }
 
 impl Fleet {
@@ -287,6 +289,7 @@
             plains: IndexMap::new(),
             routers: Vec::new(),
             leaving: Vec::new(),
+            down: Vec::new(),
         };
         for n in 0..fleet.spec.engines {
             fleet.add_engine(&format!("engine-{n:02}"))?;
@@ -331,6 +334,25 @@
         Ok(())
     }
 
+    /// Starts a router in the place of another, which has ended.
+    ///
+    /// # Errors
+    ///
+    /// It cannot be started.
+    pub fn replace_router(&mut self, at: usize, id: &str) -> anyhow::Result<()> {
+        let zone = self.routers[at].zone.clone();
+        let router = Router::spawn(
+            &self.spec.binary,
+            id,
+            &zone,
+            self.platform.address(),
+            &self.spec.settings,
+        )?;
+        self.platform.set_member(router.member(MemberState::Live)?);
+        self.routers[at] = router;
+        Ok(())
+    }
+
     /// Changes a router's entry in the membership list.
     ///
     /// # Errors
@@ -392,6 +414,16 @@
         Ok(applied)
     }
 
+    /// Applies the file of the fleet as it stands without waiting.
+    ///
+    /// # Errors
+    ///
+    /// The file is refused.
+    pub fn apply_now(&self) -> anyhow::Result<()> {
+        let _: Applied = self.post(0, "/v1/apply", &self.file())?;
+        Ok(())
+    }
+
     /// Waits until every router knows every other.
     ///
     /// # Errors
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod engine;
 pub mod fault;
 pub mod fleet;
+pub mod load;
 pub mod model;
 pub mod plain;
 pub mod platform;
