--- a/src/instance/desk.rs
+++ b/src/instance/desk.rs
@@ -1,8 +1,7 @@
-//! The entry's side of permits: asks in batches, holds permits, gives them back.
+//! The entry's side of permits: asks homes, holds permits, gives them back.
 //!
-//! Asks for one home that arrive while an exchange with it is under way travel together in the
-//! next one; releases ride along. The thread that finds a home's link free leads the exchange for
-//! all that wait, so an idle link costs no hand-over between threads.
+//! Each home is told by one stream of messages; what is told to one home is put together and
+//! handed over in one order, so that counts and announcements are true when they arrive.
 
 use std::{
     collections::{HashMap, HashSet},
@@ -14,7 +13,7 @@
     clock::Clock,
     contract::permit::{Ask, Held, PermitId, Release, ReleaseKind, Reply},
     link::wire::{
-        AskReply, AskRequest, AskWire, Hello, LateReply, ReleaseWire, ReplyWire, ShardBatch,
+        Announcement, AskWire, HomeMessage, NumberedReply, ReleaseWire, ReplyWire, ShardBatch,
         millis, short,
     },
     names::Tag,
@@ -22,32 +21,18 @@
     zone::{rendezvous::ChatKey, shard::ShardId},
 };
 
-/// Longest wait of a release for an ask to ride on.
-const RELEASE_WAIT: Duration = Duration::from_millis(100);
-
-/// Silence towards a home that holds permits of this entry, after which it is told they stand.
+/// Silence towards a home that holds permits of this entry, after which it is told their number.
 const KEEPALIVE: Duration = Duration::from_secs(1);
 
 /// Pause of a waiting thread before it looks again whether it should go on waiting.
 const LOOK_PERIOD: Duration = Duration::from_millis(100);
 
-/// Tells a home not to compare counts, since late grants may be on their way.
-const COUNT_UNSURE: u32 = u32::MAX;
-
-type Exchange = dyn Fn(Tag, &AskRequest) -> Result<AskReply, HomeLost> + Send + Sync;
-
-/// A home was not reached or did not answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct HomeLost;
-
-/// How a home is reached: in this process or by an exchange.
+/// How homes are reached.
 pub struct DeskLinks {
-    /// Exchanges a message with a home; `Err` when it was not reached or did not answer.
-    pub exchange: Box<Exchange>,
-    /// Starts waiting for late replies of a home, until `Desk::waits_for` it no longer.
-    pub start_waiting: Box<dyn Fn(Tag) + Send + Sync>,
-    /// Returns the greeting of the moment.
-    pub hello: Box<dyn Fn() -> Hello + Send + Sync>,
+    /// Hands batches to a home; false when it is not reached.
+    pub send: Box<dyn Fn(Tag, Vec<ShardBatch>) -> bool + Send + Sync>,
+    /// Cuts the stream to a home that does not answer.
+    pub cut: Box<dyn Fn(Tag) + Send + Sync>,
 }
 
 /// A permit in hand.
@@ -64,7 +49,7 @@
 pub enum AskEnd {
     /// The home answered otherwise.
     Reply(Reply),
-    /// The home was not reached.
+    /// The home was not reached or did not answer.
     HomeLost,
     /// The time ran out.
     Deadline,
@@ -74,11 +59,14 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum SlotState {
-    Waiting,
-    Lead,
+    /// The home has not answered yet.
+    Asked,
+    /// The home has put the ask in its queue.
+    Queued,
+    /// The home has decided.
     Answered(Reply),
+    /// The home was lost.
     HomeLost,
-    GivenUp,
 }
 
 /// Where one asking thread waits.
@@ -105,17 +93,21 @@
     until: Instant,
 }
 
-/// What is to be told to one home.
+/// An ask that its home has not decided.
+#[derive(Debug)]
+struct PendingAsk {
+    shard: ShardId,
+    ask: AskWire,
+    slot: Arc<Slot>,
+}
+
+/// What is known of one home.
 #[derive(Debug, Default)]
 struct Link {
-    busy: bool,
-    asks: Vec<(ShardId, AskWire, Arc<Slot>)>,
-    releases: Vec<(ShardId, ReleaseWire)>,
-    oldest_release: Option<Instant>,
+    order: Arc<Mutex<()>>,
+    pending: HashMap<u32, PendingAsk>,
     announce: HashSet<ShardId>,
-    queued: HashMap<u32, (ShardId, AskWire, Arc<Slot>)>,
-    waiting: bool,
-    last_exchange: Option<Instant>,
+    last_sent: Option<Instant>,
 }
 
 #[derive(Debug, Default)]
@@ -130,14 +122,23 @@
     clock: Clock,
     incarnation: u32,
     own: Tag,
+    reply_time: Duration,
     state: Mutex<State>,
     links: DeskLinks,
 }
 
 impl Desk {
     /// Returns the desk of an entry that holds nothing.
-    pub fn new(own: Tag, incarnation: u32, clock: Clock, links: DeskLinks) -> Desk {
-        Desk { clock, incarnation, own, state: Mutex::default(), links }
+    ///
+    /// A home that gives no first reply within `reply_time` counts as lost.
+    pub fn new(
+        own: Tag,
+        incarnation: u32,
+        reply_time: Duration,
+        clock: Clock,
+        links: DeskLinks,
+    ) -> Desk {
+        Desk { clock, incarnation, own, reply_time, state: Mutex::default(), links }
     }
 
     /// Returns the identity of a new ask.
@@ -164,49 +165,56 @@
         ask: &Ask,
         go_on: &mut dyn FnMut() -> bool,
     ) -> Result<Permit, AskEnd> {
-        let until = self.clock.now() + ask.left;
-        let slot =
-            Arc::new(Slot { state: Mutex::new(SlotState::Waiting), changed: Condvar::new() });
-        let leads = {
-            let mut state = lock(&self.state);
-            let link = state.links.entry(home).or_default();
-            link.asks.push((shard, AskWire::of(ask), Arc::clone(&slot)));
-            !std::mem::replace(&mut link.busy, true)
-        };
-        if leads {
-            self.lead(home);
-        }
+        let began = self.clock.now();
+        let slot = Arc::new(Slot { state: Mutex::new(SlotState::Asked), changed: Condvar::new() });
         let number = short(ask.id.number);
-        loop {
-            let seen = *lock(&slot.state);
-            match seen {
+        let wire = AskWire::of(ask);
+        let sent = self.tell(home, |_, link| {
+            let pending = PendingAsk { shard, ask: wire.clone(), slot: Arc::clone(&slot) };
+            link.pending.insert(number, pending);
+            vec![ShardBatch { asks: vec![wire], ..ShardBatch::new(shard) }]
+        });
+        if !sent {
+            self.home_lost(home);
+        }
+        let end = loop {
+            let state = *lock(&slot.state);
+            match state {
                 SlotState::Answered(Reply::Granted(engine)) => {
                     return Ok(Permit { number: ask.id.number, engine });
                 }
                 SlotState::Answered(reply) => return Err(AskEnd::Reply(reply)),
-                SlotState::HomeLost | SlotState::GivenUp => return Err(AskEnd::HomeLost),
-                SlotState::Lead => {
-                    *lock(&slot.state) = SlotState::Waiting;
-                    self.lead(home);
-                }
-                SlotState::Waiting => {
-                    if let Some(end) = self.wait_a_little(&slot, until, go_on) {
-                        self.give_up(home, shard, number, &slot);
-                        return Err(end);
-                    }
-                }
+                SlotState::HomeLost => return Err(AskEnd::HomeLost),
+                SlotState::Asked | SlotState::Queued => {}
             }
+            let reply_until =
+                if state == SlotState::Asked { began + self.reply_time } else { began + ask.left };
+            if let Some(end) =
+                self.wait_a_little(&slot, state, reply_until.min(began + ask.left), go_on)
+            {
+                break end;
+            }
+        };
+        self.give_up(home, shard, number);
+        let unanswered = *lock(&slot.state) == SlotState::Asked;
+        if end == AskEnd::Deadline && unanswered && self.clock.now() < began + ask.left {
+            // No first reply in time: the home is frozen or cut off.
+            (self.links.cut)(home);
+            self.home_lost(home);
+            return Err(AskEnd::HomeLost);
         }
+        Err(end)
     }
 
     fn wait_a_little(
         &self,
         slot: &Slot,
+        seen: SlotState,
         until: Instant,
         go_on: &mut dyn FnMut() -> bool,
     ) -> Option<AskEnd> {
         let state = lock(&slot.state);
-        if *state != SlotState::Waiting {
+        if *state != seen {
             return None;
         }
         let left = until.saturating_duration_since(self.clock.now());
@@ -219,250 +227,160 @@
     }
 
     /// Withdraws an ask: what the home granted or queued for it is given back.
-    fn give_up(&self, home: Tag, shard: ShardId, number: u32, slot: &Slot) {
-        let mut state = lock(&self.state);
-        let State { held, links, .. } = &mut *state;
-        let link = links.entry(home).or_default();
-        let led = std::mem::replace(&mut *lock(&slot.state), SlotState::GivenUp) == SlotState::Lead;
-        held.remove(&number);
-        link.queued.remove(&number);
-        link.asks.retain(|(_, ask, _)| ask.number != number);
+    fn give_up(&self, home: Tag, shard: ShardId, number: u32) {
         let release = Release { number: u64::from(number), kind: ReleaseKind::Unused, load: None };
-        push_release(link, self.clock.now(), shard, &release);
-        if led {
-            pass_lead(link);
-        }
+        self.tell(home, |held, link| {
+            link.pending.remove(&number);
+            held.remove(&number);
+            vec![ShardBatch { releases: vec![ReleaseWire::of(&release)], ..ShardBatch::new(shard) }]
+        });
     }
 
-    /// Gives a permit back; it travels with the next ask or after [`RELEASE_WAIT`].
+    /// Gives a permit back.
     pub fn release(&self, permit: Permit, kind: ReleaseKind, load: Option<u32>) {
-        let now = self.clock.now();
-        let mut state = lock(&self.state);
-        let Some(held) = state.held.remove(&short(permit.number)) else { return };
-        let link = state.links.entry(held.home).or_default();
-        push_release(link, now, held.shard, &Release { number: permit.number, kind, load });
-    }
-
-    /// Exchanges with `home` once; the caller has marked the link busy.
-    fn lead(&self, home: Tag) {
-        let (request, sent) = self.collect(home);
-        let answer = (self.links.exchange)(home, &request);
-        self.distribute(home, &request, sent, answer);
-    }
-
-    fn collect(&self, home: Tag) -> (AskRequest, Vec<Vec<Arc<Slot>>>) {
-        let now = self.clock.now();
-        let hello = (self.links.hello)();
-        let mut state = lock(&self.state);
-        let State { held, links, .. } = &mut *state;
-        let link = links.entry(home).or_default();
-        link.last_exchange = Some(now);
-        link.oldest_release = None;
-        let asks = std::mem::take(&mut link.asks);
-        let releases = std::mem::take(&mut link.releases);
-        let announce = std::mem::take(&mut link.announce);
-        let mut shards: Vec<ShardId> = asks.iter().map(|(shard, ..)| *shard).collect();
-        shards.extend(releases.iter().map(|(shard, _)| *shard));
-        shards.extend(&announce);
-        shards.extend(held.values().filter(|h| h.home == home).map(|h| h.shard));
-        shards.sort_unstable();
-        shards.dedup();
-        let mut sent = Vec::new();
-        let mut batches = Vec::new();
-        for shard in shards {
-            let own = || held.iter().filter(|(_, h)| h.home == home && h.shard == shard);
-            let unsure = link.queued.values().any(|(queued, ..)| *queued == shard);
-            let (wires, slots): (Vec<AskWire>, Vec<Arc<Slot>>) = asks
-                .iter()
-                .filter(|(at, ..)| *at == shard)
-                .map(|(_, wire, slot)| (wire.clone(), Arc::clone(slot)))
-                .unzip();
-            let announcement = || own().map(|(number, h)| held_of(*number, h, now)).collect();
-            batches.push(ShardBatch {
-                shard,
-                releases: releases.iter().filter(|(at, _)| *at == shard).map(|(_, r)| *r).collect(),
-                announce: (announce.contains(&shard) && !unsure).then(announcement),
-                held: if unsure { COUNT_UNSURE } else { own().count() as u32 },
-                asks: wires,
-            });
-            sent.push(slots);
-        }
-        (AskRequest { hello, batches }, sent)
-    }
-
-    fn distribute(
-        &self,
-        home: Tag,
-        request: &AskRequest,
-        sent: Vec<Vec<Arc<Slot>>>,
-        answer: Result<AskReply, HomeLost>,
-    ) {
-        let mut state = lock(&self.state);
-        let State { held, links, .. } = &mut *state;
-        let link = links.entry(home).or_default();
-        let waited = link.waiting;
-        match answer {
-            Err(HomeLost) => sent.iter().flatten().for_each(|slot| slot.set(SlotState::HomeLost)),
-            Ok(answer) => {
-                for (at, (batch, slots)) in request.batches.iter().zip(&sent).enumerate() {
-                    if answer.want_announcement.contains(&(at as u16)) {
-                        link.announce.insert(batch.shard);
-                    }
-                    let replies = answer.replies.get(at).map_or(&[][..], Vec::as_slice);
-                    for ((ask, slot), reply) in batch.asks.iter().zip(slots).zip(replies) {
-                        self.take_reply(held, link, home, batch.shard, ask, slot, reply.reply());
-                    }
-                }
-            }
-        }
-        let starts_waiting = link.waiting && !waited;
-        pass_lead(link);
-        drop(state);
-        if starts_waiting {
-            (self.links.start_waiting)(home);
-        }
+        let number = short(permit.number);
+        let Some((home, shard)) = lock(&self.state).held.get(&number).map(|h| (h.home, h.shard))
+        else {
+            return;
+        };
+        let release = Release { number: permit.number, kind, load };
+        // A home that is not reached learns by the count, or drops what it hears no more of.
+        self.tell(home, |held, _| {
+            held.remove(&number);
+            vec![ShardBatch { releases: vec![ReleaseWire::of(&release)], ..ShardBatch::new(shard) }]
+        });
     }
 
-    #[expect(
-        clippy::too_many_arguments,
-        reason = "the parts of the locked state and one ask's reply"
-    )]
-    fn take_reply(
+    /// Puts batches together and hands them over, one message to a home at a time.
+    fn tell(
         &self,
-        held: &mut HashMap<u32, HeldPermit>,
-        link: &mut Link,
         home: Tag,
-        shard: ShardId,
-        ask: &AskWire,
-        slot: &Arc<Slot>,
-        reply: Reply,
-    ) {
-        if *lock(&slot.state) == SlotState::GivenUp {
-            // Its release is already in line behind this exchange.
-            return;
-        }
-        match reply {
-            Reply::Queued => {
-                link.queued.insert(ask.number, (shard, ask.clone(), Arc::clone(slot)));
-                link.waiting = true;
-                return;
-            }
-            Reply::Granted(engine) => {
-                let until = self.clock.now() + Duration::from_millis(u64::from(ask.left_ms));
-                let permit =
-                    HeldPermit { shard, home, engine, chat: ask.chat, team: ask.team, until };
-                held.insert(ask.number, permit);
-            }
-            Reply::Spill | Reply::Refused { .. } => {}
-        }
-        slot.set(SlotState::Answered(reply));
-    }
-
-    /// Returns whether asks wait at `home`; when none do, the waiting is over.
-    pub fn waits_for(&self, home: Tag) -> bool {
-        let mut state = lock(&self.state);
-        let link = state.links.entry(home).or_default();
-        link.waiting = !link.queued.is_empty();
-        link.waiting
+        make: impl FnOnce(&mut HashMap<u32, HeldPermit>, &mut Link) -> Vec<ShardBatch>,
+    ) -> bool {
+        let order = Arc::clone(&lock(&self.state).links.entry(home).or_default().order);
+        let _in_order = lock(&order);
+        let batches = {
+            let mut state = lock(&self.state);
+            let State { held, links, .. } = &mut *state;
+            let link = links.entry(home).or_default();
+            link.last_sent = Some(self.clock.now());
+            make(held, link)
+        };
+        batches.is_empty() || (self.links.send)(home, batches)
     }
 
-    /// Takes in a home's late replies.
-    pub fn late(&self, home: Tag, replies: Vec<LateReply>) {
+    /// Takes in a home's message.
+    pub fn take(&self, home: Tag, message: HomeMessage) {
         let mut state = lock(&self.state);
         let State { held, links, .. } = &mut *state;
         let link = links.entry(home).or_default();
-        for LateReply { number, reply } in replies {
-            // Whoever has given up has its release in line already.
-            if let Some((shard, ask, slot)) = link.queued.remove(&number) {
-                self.take_reply(held, link, home, shard, &ask, &slot, reply.reply());
+        link.announce.extend(message.want_announcement);
+        for NumberedReply { number, reply } in message.replies {
+            // Whoever has given up has its release on the way already.
+            let Some(pending) = link.pending.get(&number) else { continue };
+            let reply = reply.reply();
+            if reply == Reply::Queued {
+                pending.slot.set(SlotState::Queued);
+                continue;
+            }
+            if let Some(PendingAsk { shard, ask, slot }) = link.pending.remove(&number) {
+                if let Reply::Granted(engine) = reply {
+                    let until = self.clock.now() + Duration::from_millis(u64::from(ask.left_ms));
+                    held.insert(
+                        number,
+                        HeldPermit { shard, home, engine, chat: ask.chat, team: ask.team, until },
+                    );
+                }
+                slot.set(SlotState::Answered(reply));
             }
         }
     }
 
     /// Takes in a late reply of this instance's own home.
-    pub fn late_own(&self, id: PermitId, reply: Reply) {
-        self.late(
-            self.own,
-            vec![LateReply { number: short(id.number), reply: ReplyWire::of(reply) }],
-        );
+    pub fn take_own(&self, id: PermitId, reply: Reply) {
+        let reply = NumberedReply { number: short(id.number), reply: ReplyWire::of(reply) };
+        self.take(self.own, HomeMessage { replies: vec![reply], ..HomeMessage::default() });
     }
 
     /// Notes that `home` is lost: what waits there is asked again elsewhere.
     pub fn home_lost(&self, home: Tag) {
         let mut state = lock(&self.state);
         let link = state.links.entry(home).or_default();
-        for (_, (_, _, slot)) in link.queued.drain() {
-            slot.set(SlotState::HomeLost);
+        for (_, pending) in link.pending.drain() {
+            pending.slot.set(SlotState::HomeLost);
         }
     }
 
-    /// Sends what has waited long enough; called every few tens of milliseconds.
+    /// Tells homes what they want announced, and that permits still stand; called every few tens
+    /// of milliseconds.
     ///
     /// `home_of` returns the home of a shard by the view of the moment; permits whose shard has
     /// moved are announced to the new home.
     pub fn flush(&self, home_of: impl Fn(ShardId) -> Option<Tag>) {
         let now = self.clock.now();
+        let shards: HashSet<ShardId> = lock(&self.state).held.values().map(|h| h.shard).collect();
+        let moved: HashMap<ShardId, Tag> =
+            shards.into_iter().filter_map(|id| Some((id, home_of(id)?))).collect();
         let mut due = Vec::new();
         {
             let mut state = lock(&self.state);
             let State { held, links, .. } = &mut *state;
             for permit in held.values_mut() {
-                let Some(home) = home_of(permit.shard) else { continue };
+                let Some(&home) = moved.get(&permit.shard) else { continue };
                 if home != permit.home {
                     permit.home = home;
                     links.entry(home).or_default().announce.insert(permit.shard);
                 }
             }
-            let homes: HashSet<Tag> = held.values().map(|h| h.home).collect();
-            for (home, link) in links.iter_mut() {
-                let ripe =
-                    link.oldest_release.is_some_and(|at| now.duration_since(at) >= RELEASE_WAIT);
-                let silent =
-                    link.last_exchange.is_none_or(|at| now.duration_since(at) >= KEEPALIVE);
-                let keepalive = silent && homes.contains(home);
-                if (ripe || keepalive || !link.announce.is_empty()) && !link.busy {
-                    link.busy = true;
+            let holding: HashSet<Tag> = held.values().map(|h| h.home).collect();
+            for (home, link) in links.iter() {
+                let silent = link.last_sent.is_none_or(|at| now.duration_since(at) >= KEEPALIVE);
+                if !link.announce.is_empty() || (silent && holding.contains(home)) {
                     due.push(*home);
                 }
             }
         }
         for home in due {
-            self.lead(home);
+            self.tell(home, |held, link| standing(home, held, link, now));
         }
     }
 
-    /// Sends every release now; for the end of a drain.
-    pub fn flush_all(&self) {
-        let homes: Vec<Tag> = {
-            let mut state = lock(&self.state);
-            let links = state.links.iter_mut();
-            let due = links.filter(|(_, link)| !link.releases.is_empty() && !link.busy);
-            due.map(|(home, link)| {
-                link.busy = true;
-                *home
-            })
-            .collect()
-        };
-        homes.into_iter().for_each(|home| self.lead(home));
-    }
-
     /// Returns the number of permits held.
     pub fn held(&self) -> usize {
         lock(&self.state).held.len()
     }
 }
 
-/// Hands the link to the first that waits; without one the link is free.
-fn pass_lead(link: &mut Link) {
-    match link.asks.first() {
-        Some((_, _, slot)) => slot.set(SlotState::Lead),
-        None => link.busy = false,
-    }
-}
-
-fn push_release(link: &mut Link, now: Instant, shard: ShardId, release: &Release) {
-    link.oldest_release.get_or_insert(now);
-    link.releases.push((shard, ReleaseWire::of(release)));
+/// Returns what stands at a home: announcements where they are wanted, else counts.
+fn standing(
+    home: Tag,
+    held: &HashMap<u32, HeldPermit>,
+    link: &mut Link,
+    now: Instant,
+) -> Vec<ShardBatch> {
+    let announce = std::mem::take(&mut link.announce);
+    let own = held.values().filter(|h| h.home == home).map(|h| h.shard);
+    let shards: HashSet<ShardId> = own.chain(announce.iter().copied()).collect();
+    let batch = |shard: ShardId| {
+        let here = || held.iter().filter(move |(_, h)| h.home == home && h.shard == shard);
+        let pending: Vec<u32> = link
+            .pending
+            .iter()
+            .filter(|(_, p)| p.shard == shard)
+            .map(|(number, _)| *number)
+            .collect();
+        let sure = pending.is_empty();
+        let announcement = announce.contains(&shard).then(|| Announcement {
+            held: here().map(|(number, h)| held_of(*number, h, now)).collect(),
+            pending,
+        });
+        ShardBatch {
+            announce: announcement,
+            held: sure.then(|| here().count() as u32),
+            ..ShardBatch::new(shard)
+        }
+    };
+    shards.into_iter().map(batch).collect()
 }
 
 fn held_of(number: u32, permit: &HeldPermit, now: Instant) -> Held {
--- a/src/instance/homes.rs
+++ b/src/instance/homes.rs
@@ -2,15 +2,15 @@
 
 use std::{
     collections::HashMap,
-    sync::{Arc, Condvar, Mutex},
+    sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
 
 use crate::{
     clock::Clock,
-    contract::permit::{PermitId, Reply},
+    contract::permit::{Held, PermitId, Reply},
     instance::snapshot::Snapshot,
-    link::wire::{Hello, LateReply, ReplyWire, ShardBatch, short},
+    link::wire::{Announcement, Hello, NumberedReply, ReplyWire, ShardBatch, short},
     names::Tag,
     utils::sync::lock,
     zone::{
@@ -23,9 +23,6 @@
 /// Time for which a shard that has moved to another home and holds nothing is kept.
 const LINGER: Duration = Duration::from_secs(10);
 
-/// Longest wait of an entry for the grants of its queued asks.
-pub const WAIT_MAX: Duration = Duration::from_secs(5);
-
 struct Slot {
     home: Mutex<Home>,
     last_used: Mutex<Instant>,
@@ -34,8 +31,8 @@
 /// What a home tells in answer to a batch.
 #[derive(Debug, Default)]
 pub struct BatchAnswer {
-    /// Replies in the order of the asks.
-    pub replies: Vec<ReplyWire>,
+    /// Replies to the asks, and to earlier ones of the same entry.
+    pub replies: Vec<NumberedReply>,
     /// Whether the entry is to announce all it holds.
     pub want_announcement: bool,
 }
@@ -74,32 +71,20 @@
 
 /// The homes of this instance.
 pub struct HomeShards {
-    own: Tag,
     clock: Clock,
     remembered: usize,
     slots: Mutex<HashMap<ShardId, Arc<Slot>>>,
-    outbox: Mutex<HashMap<Tag, Vec<LateReply>>>,
-    posted: Condvar,
     deliver: Box<Deliver>,
 }
 
 impl HomeShards {
-    /// Returns an instance's homes; `deliver` takes late replies for the instance's own entry.
+    /// Returns an instance's homes; `deliver` takes replies to asks made earlier.
     pub fn new(
-        own: Tag,
         clock: Clock,
         remembered: usize,
         deliver: impl Fn(PermitId, Reply) + Send + Sync + 'static,
     ) -> HomeShards {
-        HomeShards {
-            own,
-            clock,
-            remembered,
-            slots: Mutex::default(),
-            outbox: Mutex::default(),
-            posted: Condvar::new(),
-            deliver: Box::new(deliver),
-        }
+        HomeShards { clock, remembered, slots: Mutex::default(), deliver: Box::new(deliver) }
     }
 
     /// Takes in an entry's batch for one shard; `None` when the file in force has no such shard.
@@ -113,33 +98,29 @@
         let now = self.clock.now();
         *lock(&slot.last_used) = now;
         let mut actions = Vec::new();
-        let asked: Vec<PermitId> = batch.asks.iter().map(|ask| hello.permit(ask.number)).collect();
         {
             let mut home = lock(&slot.home);
-            let releases = batch.releases.into_iter().map(|r| r.into_release(hello));
-            for release in releases {
-                actions.extend(home.handle(now, Event::Release(hello.from, release)));
+            for release in batch.releases {
+                actions.extend(
+                    home.handle(now, Event::Release(hello.from, release.into_release(hello))),
+                );
             }
-            match batch.announce {
-                Some(held) => {
-                    let held = held.into_iter().map(|mut h| {
-                        h.number = hello.permit(short(h.number)).number;
-                        h
-                    });
-                    actions.extend(home.handle(now, Event::Announce(hello.from, held.collect())));
-                }
-                None if batch.held != u32::MAX => {
-                    let count = Event::Count(hello.from, batch.held as usize);
-                    actions.extend(home.handle(now, count));
-                }
-                None => {}
+            if let Some(Announcement { held, pending }) = batch.announce {
+                let full = |number: u32| hello.permit(number).number;
+                let held =
+                    held.into_iter().map(|h| Held { number: full(short(h.number)), ..h }).collect();
+                let pending = pending.into_iter().map(full).collect();
+                actions.extend(home.handle(now, Event::Announce(hello.from, held, pending)));
+            }
+            if let Some(held) = batch.held {
+                actions.extend(home.handle(now, Event::Count(hello.from, held as usize)));
             }
             for ask in batch.asks {
                 let terms = snapshot.team_terms(ask.team);
                 actions.extend(home.handle(now, Event::Ask(ask.into_ask(hello), terms)));
             }
         }
-        Some(self.carry_out(actions, &asked))
+        Some(self.carry_out(actions, Some(hello.from)))
     }
 
     /// Lets time pass for every home, and forgets those that have moved and hold nothing.
@@ -159,7 +140,7 @@
                 actions.extend(home.handle(now, Event::Tick));
                 home.permits() == 0 && home.queued() == 0
             };
-            self.carry_out(actions, &[]);
+            self.carry_out(actions, None);
             let unused = now.duration_since(*lock(&slot.last_used)) > LINGER;
             if idle && unused && !ours {
                 lock(&self.slots).remove(&id);
@@ -182,7 +163,7 @@
             let mut actions = home.handle(now, Event::Terms(terms));
             actions.extend(home.handle(now, Event::Engines(shard.engines.clone())));
             drop(home);
-            self.carry_out(actions, &[]);
+            self.carry_out(actions, None);
         }
     }
 
@@ -196,26 +177,7 @@
             for event in event(id) {
                 actions.extend(lock(&slot.home).handle(now, event));
             }
-            self.carry_out(actions, &[]);
-        }
-    }
-
-    /// Waits until a queued ask of `entry` has its reply, at most [`WAIT_MAX`].
-    pub fn wait(&self, entry: Tag) -> Vec<LateReply> {
-        let mut outbox = lock(&self.outbox);
-        let until = Instant::now() + WAIT_MAX;
-        loop {
-            if let Some(replies) = outbox.remove(&entry) {
-                return replies;
-            }
-            let left = until.saturating_duration_since(Instant::now());
-            if left.is_zero() {
-                return Vec::new();
-            }
-            outbox = match self.posted.wait_timeout(outbox, left) {
-                Ok((outbox, _)) => outbox,
-                Err(poisoned) => poisoned.into_inner().0,
-            };
+            self.carry_out(actions, None);
         }
     }
 
@@ -282,28 +244,19 @@
         })
     }
 
-    /// Sorts actions into answers of the batch at hand and late replies for whom they concern.
-    fn carry_out(&self, actions: Vec<Action>, asked: &[PermitId]) -> BatchAnswer {
-        let mut answer = BatchAnswer {
-            replies: vec![ReplyWire::of(Reply::Spill); asked.len()],
-            ..BatchAnswer::default()
-        };
+    /// Sorts actions into the answer to the entry at hand and late replies to others.
+    fn carry_out(&self, actions: Vec<Action>, at_hand: Option<Tag>) -> BatchAnswer {
+        let mut answer = BatchAnswer::default();
         for action in actions {
             match action {
                 Action::WantAnnouncement(_) => answer.want_announcement = true,
-                Action::Reply(id, reply) => match asked.iter().position(|ask| *ask == id) {
-                    Some(at) => answer.replies[at] = ReplyWire::of(reply),
-                    None if id.entry == self.own => (self.deliver)(id, reply),
-                    None => self.post(id, reply),
-                },
+                Action::Reply(id, reply) if Some(id.entry) == at_hand => {
+                    let reply = ReplyWire::of(reply);
+                    answer.replies.push(NumberedReply { number: short(id.number), reply });
+                }
+                Action::Reply(id, reply) => (self.deliver)(id, reply),
             }
         }
         answer
     }
-
-    fn post(&self, id: PermitId, reply: Reply) {
-        let late = LateReply { number: short(id.number), reply: ReplyWire::of(reply) };
-        lock(&self.outbox).entry(id.entry).or_default().push(late);
-        self.posted.notify_all();
-    }
 }
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -7,6 +7,7 @@
 pub mod entry;
 pub mod forward;
 pub mod gossip;
+pub mod home_links;
 pub mod homes;
 pub mod objects;
 pub mod operators;
@@ -36,21 +37,19 @@
     instance::{
         claims::Claims,
         config::Waker,
-        desk::{Desk, DeskLinks, HomeLost},
-        homes::{HomeShards, WAIT_MAX},
+        desk::{Desk, DeskLinks},
+        home_links::HomeLinks,
+        homes::HomeShards,
         objects::ObjectCache,
         shared::{DrainState, Shared, Usage},
     },
     link::{
         backend::BackendLinks,
         caller::Listener,
-        peer::{self, PeerLinks},
-        wire::{ASK, LateReply, WAIT, WaitRequest},
+        peer::{self, PeerLinks, PeerService},
     },
     metrics::{Metrics, Purpose},
-    names::Tag,
     platform::{Platform, embedded::Embedded, http::HttpPlatform},
-    utils::sync::lock,
     zone::homes::Candidate,
 };
 
@@ -210,7 +209,6 @@
             thread::sleep(TICK);
         }
         let clean = self.callers.open() == 0;
-        self.shared.desk.flush_all();
         while self.shared.claims.deferred() > 0 && !over() && !hurry() {
             thread::sleep(TICK);
         }
@@ -267,12 +265,16 @@
     let waker = Arc::clone(waker);
     // The desk and the homes speak to each other through the instance, which holds both.
     let this: Arc<OnceLock<Weak<Shared>>> = Arc::default();
-    let desk = Desk::new(tag, incarnation, clock.clone(), desk_links(&this));
+    let reply_time = settings.timeouts.peer.0;
+    let desk = Desk::new(tag, incarnation, reply_time, clock.clone(), desk_links(&this));
     let late = Arc::clone(&this);
     let remembered = settings.limits.remembered_chats as usize;
-    let homes = HomeShards::new(tag, clock.clone(), remembered, move |id, reply| {
-        if let Some(shared) = upgrade(&late) {
-            shared.desk.late_own(id, reply);
+    let homes = HomeShards::new(clock.clone(), remembered, move |id, reply| {
+        let Some(shared) = upgrade(&late) else { return };
+        if id.entry == tag {
+            shared.desk.take_own(id, reply);
+        } else {
+            shared.home_links.reply(&shared, id, reply);
         }
     });
     let shared = Arc::new(Shared {
@@ -291,6 +293,7 @@
         membership: Mutex::new(Membership::new(own)),
         desk,
         homes,
+        home_links: HomeLinks::default(),
         budgets: Mutex::new(HashMap::new()),
         baselines: Mutex::new(HashMap::new()),
         drain: DrainState::default(),
@@ -308,64 +311,22 @@
 }
 
 fn desk_links(this: &Arc<OnceLock<Weak<Shared>>>) -> DeskLinks {
-    let [a, b, c] = std::array::from_fn(|_| Arc::clone(this));
+    let (sends, cuts) = (Arc::clone(this), Arc::clone(this));
     DeskLinks {
-        exchange: Box::new(move |home, request| {
-            let shared = upgrade(&a).ok_or(HomeLost)?;
-            if home == shared.tag {
-                return Ok(peers::ask(&shared, request.clone()));
-            }
-            let address = lock(&shared.membership).peer(home).map(|p| p.address).ok_or(HomeLost)?;
-            let reply: crate::link::wire::AskReply =
-                shared.peers.call(Purpose::Permits, address, ASK, request).map_err(|fault| {
-                    log::debug!("ask: {fault}");
-                    HomeLost
-                })?;
-            shared.greeted(&reply.hello);
-            Ok(reply)
-        }),
-        start_waiting: Box::new(move |home| {
-            let Some(shared) = upgrade(&b) else { return };
-            // Late replies of the own home come by call.
+        send: Box::new(move |home, batches| {
+            let Some(shared) = upgrade(&sends) else { return false };
             if home != shared.tag {
-                let spawned = thread::Builder::new()
-                    .name("wait".to_owned())
-                    .spawn(move || wait_loop(&shared, home));
-                if let Err(e) = spawned {
-                    log::error!("cannot start a thread ({e}); queued requests are asked again");
-                }
+                return shared.home_links.send(&shared, home, batches);
             }
+            let answer = home_links::take_batches(&shared, &shared.hello(), batches);
+            shared.desk.take(home, answer);
+            true
         }),
-        hello: Box::new(move || {
-            upgrade(&c).map_or_else(
-                || crate::link::wire::Hello {
-                    from: Tag(0),
-                    incarnation: 0,
-                    revision: crate::units::Revision::default(),
-                    leaving: true,
-                },
-                |shared| shared.hello(),
-            )
-        }),
-    }
-}
-
-/// Waits for a home's late replies while asks are queued there.
-fn wait_loop(shared: &Shared, home: Tag) {
-    while shared.desk.waits_for(home) && !shared.drain.is_stopped() {
-        let address = lock(&shared.membership).peer(home).map(|p| p.address);
-        let request = WaitRequest { hello: shared.hello() };
-        let timeout = WAIT_MAX + shared.settings.timeouts.peer.0;
-        let replies: Option<Vec<LateReply>> = address.and_then(|address| {
-            shared.peers.call_within(Purpose::Permits, address, WAIT, &request, timeout).ok()
-        });
-        match replies {
-            Some(replies) => shared.desk.late(home, replies),
-            None => {
-                lock(&shared.membership).failed(shared.clock.now(), home);
-                shared.desk.home_lost(home);
+        cut: Box::new(move |home| {
+            if let Some(shared) = upgrade(&cuts) {
+                shared.home_links.cut(home);
             }
-        }
+        }),
     }
 }
 
@@ -374,10 +335,15 @@
     let serving = Arc::clone(shared);
     let serve = move |conn| {
         let shared = &serving;
-        let timeout = shared.settings.timeouts.peer.0 + WAIT_MAX;
-        peer::serve(conn, &shared.settings.credentials.peers, timeout, |path, body| {
-            peers::answer(shared, path, body)
-        });
+        let service = PeerService {
+            accepted: &shared.settings.credentials.peers,
+            timeout: shared.settings.timeouts.peer.0,
+            metrics: &shared.metrics,
+            answer: |path: &str, body: &[u8]| peers::answer(shared, path, body),
+            stream: |sender, receiver| shared.home_links.serve(shared, sender, receiver),
+            purpose: peers::purpose,
+        };
+        peer::serve(conn, &service);
     };
     Listener::bind(listen, shared.clock.clone(), PEER_CONNECTIONS, serve, drop)
         .with_context(|| format!("cannot listen for other instances on {listen}"))
--- a/src/instance/peers.rs
+++ b/src/instance/peers.rs
@@ -2,12 +2,11 @@
 
 use crate::{
     configs::fleet::chunks::{decode, encode},
-    contract::permit::{RefuseReason, Reply},
     instance::{gossip, shared::Shared, status},
     link::wire::{
-        ASK, AskReply, AskRequest, DRAIN, FETCH, FetchReply, FetchRequest, HEARTBEAT, Heartbeat,
-        LOADS, LoadsMessage, ReplyWire, STATUS, WAIT, WaitRequest,
+        DRAIN, FETCH, FetchReply, FetchRequest, HEARTBEAT, Heartbeat, LOADS, LoadsMessage, STATUS,
     },
+    metrics::Purpose,
     utils::sync::lock,
 };
 
@@ -25,12 +24,6 @@
 pub fn answer(shared: &Shared, path: &str, body: &[u8]) -> Result<Vec<u8>, u16> {
     let bad = |_| BAD_MESSAGE;
     match path {
-        ASK => Ok(encode(&ask(shared, decode(body).map_err(bad)?))),
-        WAIT => {
-            let request: WaitRequest = decode(body).map_err(bad)?;
-            shared.greeted(&request.hello);
-            Ok(encode(&shared.homes.wait(request.hello.from)))
-        }
         HEARTBEAT => {
             let heartbeat: Heartbeat = decode(body).map_err(bad)?;
             Ok(encode(&gossip::take_heartbeat(shared, &heartbeat)))
@@ -51,32 +44,15 @@
     }
 }
 
-/// Answers an entry's batches for the shards whose home this is.
-pub fn ask(shared: &Shared, request: AskRequest) -> AskReply {
-    if request.hello.from != shared.tag {
-        shared.greeted(&request.hello);
-    }
-    let hello = shared.hello();
-    let mut reply = AskReply { hello, replies: Vec::new(), want_announcement: Vec::new() };
-    let snapshot = shared.snapshot.load_full();
-    for (at, batch) in request.batches.into_iter().enumerate() {
-        let asks = batch.asks.len();
-        let answer = snapshot.as_ref().and_then(|s| shared.homes.batch(&request.hello, batch, s));
-        match answer {
-            Some(answer) => {
-                reply.replies.push(answer.replies);
-                if answer.want_announcement {
-                    reply.want_announcement.push(at as u16);
-                }
-            }
-            // The sender's file is newer; it is being fetched.
-            None => {
-                let none = Reply::Refused { reason: RefuseReason::NoEngine, retry_after_ms: 1000 };
-                reply.replies.push(vec![ReplyWire::of(none); asks]);
-            }
-        }
+/// Returns what a message on `path` is for.
+pub fn purpose(path: &str) -> Purpose {
+    match path {
+        HEARTBEAT => Purpose::Heartbeat,
+        LOADS => Purpose::Loads,
+        FETCH => Purpose::Config,
+        STATUS | DRAIN => Purpose::Operators,
+        _ => Purpose::Permits,
     }
-    reply
 }
 
 fn fetch(shared: &Shared, request: &FetchRequest) -> FetchReply {
--- a/src/instance/shared.rs
+++ b/src/instance/shared.rs
@@ -16,7 +16,8 @@
     configs::settings::Settings,
     contract::{membership::Membership, retry::RetryBudget, revision::InForce},
     instance::{
-        claims::Claims, desk::Desk, homes::HomeShards, objects::ObjectCache, snapshot::Snapshot,
+        claims::Claims, desk::Desk, home_links::HomeLinks, homes::HomeShards, objects::ObjectCache,
+        snapshot::Snapshot,
     },
     link::{backend::BackendLinks, peer::PeerLinks, wire::Hello},
     metrics::Metrics,
@@ -61,6 +62,8 @@
     pub desk: Desk,
     /// The homes held here.
     pub homes: HomeShards,
+    /// Streams between entries and homes.
+    pub home_links: HomeLinks,
     /// Claims of idempotency keys.
     pub claims: Claims,
     /// Retry budgets by service.
--- a/src/link/http1/body.rs
+++ b/src/link/http1/body.rs
@@ -88,6 +88,35 @@
         }
     }
 
+    /// Returns the next chunk whole; `None` at the body's true end.
+    ///
+    /// # Errors
+    ///
+    /// As [`BodyReader::next`]; [`ReadFault::TooLarge`] for a chunk of more than `max` bytes.
+    pub fn next_chunk(
+        &mut self,
+        conn: &mut Conn,
+        max: usize,
+        until: Instant,
+        go_on: &mut dyn FnMut() -> bool,
+    ) -> Result<Option<Vec<u8>>, ReadFault> {
+        let mut chunk = Vec::new();
+        loop {
+            let Some(piece) = self.next(conn, until, go_on)? else { return Ok(None) };
+            if chunk.is_empty() {
+                chunk = piece
+            } else {
+                chunk.extend_from_slice(&piece)
+            }
+            if chunk.len() > max {
+                return Err(ReadFault::TooLarge);
+            }
+            if !matches!(self.state, State::ChunkData(_)) {
+                return Ok(Some(chunk));
+            }
+        }
+    }
+
     /// Reads the whole body of at most `max` bytes.
     ///
     /// # Errors
--- a/src/link/peer.rs
+++ b/src/link/peer.rs
@@ -1,16 +1,26 @@
 //! Exchanges between instances: HTTP/1.1 with `rmp-serde` bodies on kept connections.
 //!
-//! Heads are the shortest that HTTP allows and the credential is shown once a connection, since
-//! every byte counts against the control budget; see docs/DESIGN.md, "Between instances".
+//! Two kinds: short calls, a request and its answer; and streams, one request whose body and
+//! answer both go on in chunks, each chunk a message. Heads are the shortest that HTTP allows and
+//! the credential is shown once a connection, since every byte counts against the control budget;
+//! see docs/DESIGN.md, "Between instances", for the figures.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Mutex, time::Duration};
+use std::{
+    collections::HashMap,
+    io::Write as _,
+    net::{Shutdown, SocketAddr, TcpStream},
+    sync::Mutex,
+    time::Duration,
+};
 
 use serde::{Serialize, de::DeserializeOwned};
 
 use crate::{
     clock::Clock,
     configs::fleet::chunks::{decode, encode},
-    link::http1::{BodyReader, Conn, HeadFault, RequestHead, ResponseHead},
+    link::http1::{
+        BodyFraming, BodyReader, ChunkWriter, Conn, HeadFault, RequestHead, ResponseHead,
+    },
     metrics::{Metrics, Purpose},
     utils::{
         secret::{Secret, any_matches},
@@ -18,6 +28,12 @@
     },
 };
 
+/// Path of streams.
+const STREAM_PATH: &str = "/p";
+
+/// Head with which a stream is answered.
+const STREAM_ANSWER: &[u8] = b"HTTP/1.1 200 \r\ntransfer-encoding:chunked\r\n\r\n";
+
 /// Largest head between instances.
 const HEAD_MAX: usize = 2 << 10;
 
@@ -30,6 +46,9 @@
 /// Idle time after which a peer's connection is closed by its server.
 const IDLE_TIME: Duration = Duration::from_secs(300);
 
+/// Longest wait for a peer to take a message of a stream; one that takes longer is cut.
+const STREAM_SEND_TIME: Duration = Duration::from_millis(250);
+
 /// Why an exchange with a peer failed.
 #[derive(Debug, thiserror::Error)]
 pub enum PeerFault {
@@ -78,37 +97,48 @@
         path: &str,
         message: &impl Serialize,
     ) -> Result<T, PeerFault> {
-        self.call_within(purpose, to, path, message, self.timeout)
+        let body = encode(message);
+        if let Some(conn) = self.take_idle(to)
+            && let Ok(reply) = self.exchange(purpose, conn, to, path, &body, false)
+        {
+            return reply_of(to, &reply);
+        }
+        let conn = self.connect(to)?;
+        let reply = self.exchange(purpose, conn, to, path, &body, true)?;
+        reply_of(to, &reply)
     }
 
-    /// Like [`PeerLinks::call`], with a time-out of its own.
+    /// Opens a stream to a peer.
     ///
     /// # Errors
     ///
-    /// See [`PeerFault`].
-    pub fn call_within<T: DeserializeOwned>(
+    /// The peer was not reached.
+    pub fn open_stream(
         &self,
         purpose: Purpose,
         to: SocketAddr,
-        path: &str,
-        message: &impl Serialize,
-        timeout: Duration,
-    ) -> Result<T, PeerFault> {
-        let body = encode(message);
-        if let Some(conn) = self.take_idle(to)
-            && let Ok(reply) = self.exchange(purpose, conn, to, path, &body, false, timeout)
-        {
-            return reply_of(to, &reply);
-        }
-        let connect = Conn::connect(to, timeout.min(self.timeout), &self.clock);
-        let conn = connect.map_err(|e| PeerFault::Unreachable(to, e.to_string()))?;
-        let reply = self.exchange(purpose, conn, to, path, &body, true, timeout)?;
-        reply_of(to, &reply)
+    ) -> Result<(StreamSender, StreamReceiver), PeerFault> {
+        let mut conn = self.connect(to)?;
+        let head = format!(
+            "POST {STREAM_PATH} HTTP/1.1\r\nhost:\r\nauthorization:Bearer {}\r\ntransfer-encoding:chunked\r\n\r\n",
+            self.credential.expose()
+        );
+        let broken = |e: std::io::Error| PeerFault::Broken(to, e.to_string());
+        conn.send(head.as_bytes(), self.timeout).map_err(|(_, e)| broken(e))?;
+        self.metrics.control_sent(purpose, head.len());
+        let sender = StreamSender::new(&conn, purpose, &self.metrics).map_err(broken)?;
+        let receiver =
+            StreamReceiver { conn, reader: None, purpose, metrics: self.metrics.clone() };
+        Ok((sender, receiver))
+    }
+
+    fn connect(&self, to: SocketAddr) -> Result<Conn, PeerFault> {
+        Conn::connect(to, self.timeout, &self.clock)
+            .map_err(|e| PeerFault::Unreachable(to, e.to_string()))
     }
 
     fn take_idle(&self, to: SocketAddr) -> Option<Conn> {
-        let mut idle = lock(&self.idle);
-        idle.get_mut(&to)?.pop()
+        lock(&self.idle).get_mut(&to)?.pop()
     }
 
     fn put_idle(&self, to: SocketAddr, conn: Conn) {
@@ -119,7 +149,6 @@
         }
     }
 
-    #[expect(clippy::too_many_arguments, reason = "one exchange, described in full")]
     fn exchange(
         &self,
         purpose: Purpose,
@@ -128,20 +157,19 @@
         path: &str,
         body: &[u8],
         first: bool,
-        timeout: Duration,
     ) -> Result<Vec<u8>, PeerFault> {
         let broken = |e: &dyn std::fmt::Display| PeerFault::Broken(to, e.to_string());
         let credential = if first { Some(&self.credential) } else { None };
         let message = request_bytes(path, body, credential);
-        let until = self.clock.now() + timeout;
+        let until = self.clock.now() + self.timeout;
         self.metrics.control_sent(purpose, message.len());
-        conn.send(&message, timeout).map_err(|(_, e)| broken(&e))?;
+        conn.send(&message, self.timeout).map_err(|(_, e)| broken(&e))?;
         let head =
             ResponseHead::read(&mut conn, HEAD_MAX, until, &mut || true).map_err(|e| broken(&e))?;
         let framing = head.framing(&http::Method::POST).map_err(|e| broken(&e))?;
         let mut reader = BodyReader::new(framing);
         let reply = reader.read_all(&mut conn, MESSAGE_MAX, until).map_err(|e| broken(&e))?;
-        self.metrics.control_received(purpose, reply_head_len(reply.len()) + reply.len());
+        self.metrics.control_received(purpose, reply_bytes(200, &reply).len());
         if head.status != http::StatusCode::OK {
             return Err(PeerFault::Refused(to, head.status.as_u16()));
         }
@@ -173,40 +201,140 @@
     message
 }
 
-fn reply_head_len(body: usize) -> usize {
-    reply_bytes(200, &[]).len() - 1 + body.to_string().len()
+/// The sending side of a stream; any thread may use it.
+pub struct StreamSender {
+    stream: Mutex<TcpStream>,
+    purpose: Purpose,
+    metrics: Metrics,
+}
+
+impl StreamSender {
+    fn new(conn: &Conn, purpose: Purpose, metrics: &Metrics) -> std::io::Result<StreamSender> {
+        let stream = conn.handle()?;
+        stream.set_write_timeout(Some(STREAM_SEND_TIME))?;
+        Ok(StreamSender { stream: Mutex::new(stream), purpose, metrics: metrics.clone() })
+    }
+
+    /// Sends a message; one that the peer does not take at once ends the stream.
+    ///
+    /// Returns whether it was handed over.
+    pub fn send(&self, message: &impl Serialize) -> bool {
+        let mut chunk = ChunkWriter::default();
+        let bytes = chunk.frame(&encode(message)).to_vec();
+        let mut stream = lock(&self.stream);
+        let sent = stream.write_all(&bytes).is_ok();
+        if sent {
+            self.metrics.control_sent(self.purpose, bytes.len());
+        } else {
+            cut(&stream);
+        }
+        sent
+    }
+
+    /// Ends the stream in both directions.
+    pub fn cut(&self) {
+        cut(&lock(&self.stream));
+    }
+}
+
+fn cut(stream: &TcpStream) {
+    // A stream that has ended already needs no cutting.
+    let _ = stream.shutdown(Shutdown::Both);
+}
+
+/// The receiving side of a stream, for one thread.
+pub struct StreamReceiver {
+    conn: Conn,
+    reader: Option<BodyReader>,
+    purpose: Purpose,
+    metrics: Metrics,
+}
+
+impl StreamReceiver {
+    /// Waits for the next message; `None` when the stream has ended.
+    ///
+    /// `go_on` is asked every 50 ms.
+    pub fn next<T: DeserializeOwned>(&mut self, go_on: &mut dyn FnMut() -> bool) -> Option<T> {
+        let until = self.conn.clock().now() + IDLE_TIME;
+        if self.reader.is_none() {
+            let head = ResponseHead::read(&mut self.conn, HEAD_MAX, until, go_on).ok()?;
+            if head.status != http::StatusCode::OK {
+                return None;
+            }
+            self.metrics.control_received(self.purpose, STREAM_ANSWER.len());
+            self.reader = Some(BodyReader::new(head.framing(&http::Method::POST).ok()?));
+        }
+        let chunk =
+            self.reader.as_mut()?.next_chunk(&mut self.conn, MESSAGE_MAX, until, go_on).ok()??;
+        self.metrics.control_received(self.purpose, ChunkWriter::default().frame(&chunk).len());
+        decode(&chunk).ok()
+    }
+}
+
+/// What a peer's connection is given to.
+pub struct PeerService<'s, A, S> {
+    /// Credentials accepted.
+    pub accepted: &'s [Secret],
+    /// Longest wait for a message or for the peer to take an answer.
+    pub timeout: Duration,
+    /// Metrics.
+    pub metrics: &'s Metrics,
+    /// Answers a call: path and message to the encoded answer, or a status.
+    pub answer: A,
+    /// Serves a stream until it ends.
+    pub stream: S,
+    /// Names the purpose of a call by its path.
+    pub purpose: fn(&str) -> Purpose,
 }
 
 /// Serves one connection of a peer until it ends.
-///
-/// `answer` is given the path and the message and returns the encoded answer, or a status.
-pub fn serve(
-    mut conn: Conn,
-    accepted: &[Secret],
-    timeout: Duration,
-    answer: impl Fn(&str, &[u8]) -> Result<Vec<u8>, u16>,
-) {
+pub fn serve<A, S>(mut conn: Conn, service: &PeerService<'_, A, S>)
+where
+    A: Fn(&str, &[u8]) -> Result<Vec<u8>, u16>,
+    S: Fn(StreamSender, StreamReceiver),
+{
     let mut shown = false;
     loop {
         let until = conn.clock().now() + IDLE_TIME;
         let Ok(head) = RequestHead::read(&mut conn, HEAD_MAX, until) else { return };
-        shown = shown || shows_credential(&head, accepted);
+        shown = shown || shows_credential(&head, service.accepted);
         if !shown {
             // The other side learns why; that it may not get the message is no loss.
-            let _ = conn.send(&reply_bytes(401, &[]), timeout);
+            let _ = conn.send(&reply_bytes(401, &[]), service.timeout);
             return;
         }
-        let Ok(body) = read_message(&mut conn, &head, timeout) else { return };
-        let reply = match answer(&head.target, &body) {
+        if head.target == STREAM_PATH {
+            return serve_stream(conn, service);
+        }
+        let Ok(body) = read_message(&mut conn, &head, service.timeout) else { return };
+        let purpose = (service.purpose)(&head.target);
+        service.metrics.control_received(purpose, request_bytes(&head.target, &body, None).len());
+        let reply = match (service.answer)(&head.target, &body) {
             Ok(reply) => reply_bytes(200, &reply),
             Err(status) => reply_bytes(status, &[]),
         };
-        if conn.send(&reply, timeout).is_err() {
+        service.metrics.control_sent(purpose, reply.len());
+        if conn.send(&reply, service.timeout).is_err() {
             return;
         }
     }
 }
 
+fn serve_stream<A, S: Fn(StreamSender, StreamReceiver)>(
+    mut conn: Conn,
+    service: &PeerService<'_, A, S>,
+) {
+    let purpose = (service.purpose)(STREAM_PATH);
+    if conn.send(STREAM_ANSWER, service.timeout).is_err() {
+        return;
+    }
+    service.metrics.control_sent(purpose, STREAM_ANSWER.len());
+    let Ok(sender) = StreamSender::new(&conn, purpose, service.metrics) else { return };
+    let reader = Some(BodyReader::new(BodyFraming::Chunked));
+    let receiver = StreamReceiver { conn, reader, purpose, metrics: service.metrics.clone() };
+    (service.stream)(sender, receiver);
+}
+
 fn shows_credential(head: &RequestHead, accepted: &[Secret]) -> bool {
     let given = head.header("authorization").and_then(|value| value.strip_prefix("Bearer "));
     given.is_some_and(|given| any_matches(accepted, given))
--- a/src/link/wire.rs
+++ b/src/link/wire.rs
@@ -17,10 +17,6 @@
     zone::{home::ShardLoad, rendezvous::ChatKey, shard::ShardId},
 };
 
-/// Path of [`AskRequest`].
-pub const ASK: &str = "/a";
-/// Path of [`WaitRequest`].
-pub const WAIT: &str = "/w";
 /// Path of [`Heartbeat`].
 pub const HEARTBEAT: &str = "/h";
 /// Path of [`FetchRequest`].
@@ -32,7 +28,7 @@
 /// Path of [`LoadsMessage`].
 pub const LOADS: &str = "/l";
 
-/// Who speaks, carried by every message.
+/// Who speaks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hello {
     /// Tag of the instance.
@@ -147,6 +143,15 @@
     }
 }
 
+/// All permits that an entry holds at a shard.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Announcement {
+    /// Permits held.
+    pub held: Vec<Held>,
+    /// Asks under way, whose grants the entry may not know yet.
+    pub pending: Vec<u32>,
+}
+
 /// What one entry tells the home of one shard.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShardBatch {
@@ -155,18 +160,25 @@
     /// Permits given back.
     pub releases: Vec<ReleaseWire>,
     /// All permits held, when the home asked for them or is new.
-    pub announce: Option<Vec<Held>>,
-    /// Number of permits held after the releases and before the asks.
-    pub held: u32,
+    pub announce: Option<Announcement>,
+    /// Number of permits held after the releases, when it is known for sure.
+    pub held: Option<u32>,
     /// New asks.
     pub asks: Vec<AskWire>,
 }
 
-/// Asks, releases and announcements of an entry for one home instance.
+impl ShardBatch {
+    /// Returns a batch that says nothing yet.
+    pub fn new(shard: ShardId) -> ShardBatch {
+        ShardBatch { shard, releases: Vec::new(), announce: None, held: None, asks: Vec::new() }
+    }
+}
+
+/// A message of an entry on its stream to a home.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct AskRequest {
-    /// Sender.
-    pub hello: Hello,
+pub struct EntryMessage {
+    /// Sender, in the first message and whenever something of it has changed.
+    pub hello: Option<Hello>,
     /// One batch a shard.
     pub batches: Vec<ShardBatch>,
 }
@@ -214,33 +226,34 @@
     }
 }
 
-/// Answer to [`AskRequest`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct AskReply {
-    /// Sender.
-    pub hello: Hello,
-    /// Replies by batch, in the order of the asks.
-    pub replies: Vec<Vec<ReplyWire>>,
-    /// Batches whose shard wants an announcement.
-    pub want_announcement: Vec<u16>,
-}
-
-/// Waits for the grants of queued asks.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WaitRequest {
-    /// Sender.
-    pub hello: Hello,
-}
-
-/// A queued ask's answer.
+/// A home's answer to the ask with this number.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LateReply {
+pub struct NumberedReply {
     /// Number of the permit.
     pub number: u32,
     /// Answer.
     pub reply: ReplyWire,
 }
 
+impl NumberedReply {
+    /// Returns the reply of a home that knows no engine for an ask.
+    pub fn no_engine(number: u32) -> NumberedReply {
+        let reply = Reply::Refused { reason: RefuseReason::NoEngine, retry_after_ms: 1000 };
+        NumberedReply { number, reply: ReplyWire::of(reply) }
+    }
+}
+
+/// A message of a home on an entry's stream.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct HomeMessage {
+    /// Sender, in the first message and whenever something of it has changed.
+    pub hello: Option<Hello>,
+    /// Replies, to asks just made or made earlier and queued.
+    pub replies: Vec<NumberedReply>,
+    /// Shards for which the entry is to announce what it holds.
+    pub want_announcement: Vec<ShardId>,
+}
+
 /// A sign of life, with news.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
--- a/src/zone/home.rs
+++ b/src/zone/home.rs
@@ -64,8 +64,9 @@
     Release(Tag, Release),
     /// An entry tells the number of permits it holds here.
     Count(Tag, usize),
-    /// An entry tells every permit it holds here; what it does not name, it no longer holds.
-    Announce(Tag, Vec<Held>),
+    /// An entry tells every permit it holds here and the numbers of its asks under way; what it
+    /// does not name, it no longer holds.
+    Announce(Tag, Vec<Held>, Vec<u64>),
     /// The engines of the shard changed.
     Engines(Vec<EngineSpec>),
     /// The terms changed.
@@ -158,7 +159,9 @@
             Event::Ask(ask, terms) => self.ask(now, ask, terms, &mut actions),
             Event::Release(entry, release) => self.release(now, entry, release, &mut actions),
             Event::Count(entry, held) => self.count(now, entry, held, &mut actions),
-            Event::Announce(entry, held) => self.announce(now, entry, held, &mut actions),
+            Event::Announce(entry, held, pending) => {
+                self.announce(now, entry, held, &pending, &mut actions)
+            }
             Event::Engines(specs) => self.set_engines(now, specs, &mut actions),
             Event::Terms(terms) => self.terms = terms,
             Event::Report(engine, load) => self.report(now, engine, load),
@@ -411,12 +414,20 @@
         }
     }
 
-    fn announce(&mut self, now: Instant, entry: Tag, held: Vec<Held>, actions: &mut Vec<Action>) {
+    fn announce(
+        &mut self,
+        now: Instant,
+        entry: Tag,
+        held: Vec<Held>,
+        pending: &[u64],
+        actions: &mut Vec<Action>,
+    ) {
         self.entries.insert(entry, now);
         let gone: Vec<PermitId> = self
             .permits
             .keys()
-            .filter(|id| id.entry == entry && !held.iter().any(|h| h.number == id.number))
+            .filter(|id| id.entry == entry && !pending.contains(&id.number))
+            .filter(|id| !held.iter().any(|h| h.number == id.number))
             .copied()
             .collect();
         for id in gone {
