test(standins): hold each arrival against the bound

Cause: samples beyond ceil(bound x mean) also count loads granted when the mean was higher; the promise is about the arriving request. Change: a board of all engines' loads notes each arrival against the bound of that instant.

--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -137,8 +137,69 @@
     grown: Condvar,
 }
 
+/// Loads of a service's engines, and how arrivals stand to the bound.
+#[derive(Debug, Default)]
+pub struct Board {
+    loads: Mutex<Vec<BoardEntry>>,
+    bound: Mutex<f64>,
+    arrivals: Mutex<Vec<Arrival>>,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct BoardEntry {
+    load: u32,
+    in_use: bool,
+}
+
+/// One arrival at an engine.
+#[derive(Debug, Clone, Copy)]
+pub struct Arrival {
+    /// When.
+    pub at: Instant,
+    /// Requests beyond `ceil(bound x mean)` at the engine, the arriving one counted in both.
+    pub beyond: u32,
+}
+
+impl Board {
+    /// Returns a board that holds arrivals against `bound`.
+    pub fn new(bound: f64) -> Board {
+        Board { bound: Mutex::new(bound), ..Board::default() }
+    }
+
+    fn join(&self) -> usize {
+        let mut loads = lock(&self.loads);
+        loads.push(BoardEntry { load: 0, in_use: true });
+        loads.len() - 1
+    }
+
+    /// Says whether an engine counts for the mean.
+    pub fn set_in_use(&self, at: usize, in_use: bool) {
+        lock(&self.loads)[at].in_use = in_use;
+    }
+
+    fn arrive(&self, at: usize) {
+        let mut loads = lock(&self.loads);
+        loads[at].load += 1;
+        let used: Vec<u32> = loads.iter().filter(|e| e.in_use).map(|e| e.load).collect();
+        let mean = f64::from(used.iter().sum::<u32>()) / used.len().max(1) as f64;
+        let most = (*lock(&self.bound) * mean).ceil() as u32;
+        let beyond = if loads[at].in_use { loads[at].load.saturating_sub(most) } else { 0 };
+        lock(&self.arrivals).push(Arrival { at: Instant::now(), beyond });
+    }
+
+    fn depart(&self, at: usize) {
+        lock(&self.loads)[at].load -= 1;
+    }
+
+    /// Takes the arrivals noted so far.
+    pub fn take_arrivals(&self) -> Vec<Arrival> {
+        std::mem::take(&mut lock(&self.arrivals))
+    }
+}
+
 struct State {
     cfg: EngineConfig,
+    board: Option<(Arc<Board>, usize)>,
     cache: Mutex<PrefixCache>,
     active: AtomicU32,
     most_active: AtomicU32,
@@ -176,16 +237,25 @@
 }
 
 impl Engine {
-    /// Starts an engine on `address`.
+    /// Starts an engine on `address`; `board` notes its load.
     ///
     /// # Errors
     ///
     /// The address cannot be listened on.
-    pub fn spawn(address: SocketAddr, cfg: EngineConfig) -> io::Result<Engine> {
+    pub fn spawn(
+        address: SocketAddr,
+        cfg: EngineConfig,
+        board: Option<Arc<Board>>,
+    ) -> io::Result<Engine> {
+        let board = board.map(|board| {
+            let at = board.join();
+            (board, at)
+        });
         let faults: Arc<Faults> = Arc::default();
         let runs: Arc<Runs> = Arc::default();
         let state = Arc::new(State {
             cfg,
+            board,
             cache: Mutex::new(PrefixCache::new(cfg.cache_tokens)),
             active: AtomicU32::new(0),
             most_active: AtomicU32::new(0),
@@ -243,6 +313,13 @@
         (lock(&self.state.order).clone(), self.state.orders.load(Ordering::SeqCst))
     }
 
+    /// Says on the board whether the engine counts for the mean.
+    pub fn set_in_use(&self, in_use: bool) {
+        if let Some((board, at)) = &self.state.board {
+            board.set_in_use(*at, in_use);
+        }
+    }
+
     /// Makes the engine say that it is leaving, or no longer.
     pub fn set_leaving(&self, leaving: bool) {
         self.state.leaving.store(leaving, Ordering::SeqCst);
@@ -262,6 +339,9 @@
         let load = state.active.fetch_add(1, Ordering::SeqCst) + 1;
         state.most_active.fetch_max(load, Ordering::SeqCst);
         state.note_load(load);
+        if let Some((board, at)) = &state.board {
+            board.arrive(*at);
+        }
         ActiveGuard(state)
     }
 }
@@ -270,6 +350,9 @@
     fn drop(&mut self) {
         let load = self.0.active.fetch_sub(1, Ordering::SeqCst) - 1;
         self.0.note_load(load);
+        if let Some((board, at)) = &self.0.board {
+            board.depart(*at);
+        }
     }
 }
 
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -6,7 +6,10 @@
     net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::atomic::{AtomicU32, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -21,7 +24,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 
 use crate::{
-    engine::{Engine, EngineConfig},
+    engine::{Board, Engine, EngineConfig},
     plain::Plain,
     platform::PlatformServer,
 };
@@ -98,6 +101,8 @@
     pub plains: usize,
     /// Teams.
     pub teams: Vec<TeamSpec>,
+    /// Load bound of the model service.
+    pub load_bound: f64,
     /// Further lines of the model service's table.
     pub model_lines: String,
     /// Further lines of the plain service's table.
@@ -120,6 +125,7 @@
             plain_service: "app".to_owned(),
             plains: 2,
             teams: vec![TeamSpec::new("crew")],
+            load_bound: 1.25,
             model_lines: String::new(),
             plain_lines: String::new(),
             settings: String::new(),
@@ -262,6 +268,8 @@
     pub spec: FleetSpec,
     /// The platform.
     pub platform: PlatformServer,
+    /// Loads of the engines.
+    pub board: Arc<Board>,
     /// Engines by id.
     pub engines: IndexMap<String, Engine>,
     /// Plain servers by id.
@@ -282,9 +290,11 @@
     /// Something cannot be started or does not come up in time.
     pub fn start(spec: FleetSpec) -> anyhow::Result<Fleet> {
         let platform = PlatformServer::spawn(any_port())?;
+        let bound = spec.load_bound;
         let mut fleet = Fleet {
             spec,
             platform,
+            board: Arc::new(Board::new(bound)),
             engines: IndexMap::new(),
             plains: IndexMap::new(),
             routers: Vec::new(),
@@ -305,13 +315,23 @@
         Ok(fleet)
     }
 
+    /// Notes on the board which engines may be given work.
+    pub fn mark_in_use(&self) {
+        for (id, engine) in &self.engines {
+            engine.set_in_use(!self.leaving.contains(id) && !self.down.contains(id));
+        }
+    }
+
     /// Starts an engine; it is in force after the next [`Fleet::apply`].
     ///
     /// # Errors
     ///
     /// It cannot be started.
     pub fn add_engine(&mut self, id: &str) -> io::Result<()> {
-        self.engines.insert(id.to_owned(), Engine::spawn(any_port(), self.spec.engine)?);
+        self.engines.insert(
+            id.to_owned(),
+            Engine::spawn(any_port(), self.spec.engine, Some(Arc::clone(&self.board)))?,
+        );
         Ok(())
     }
 
@@ -383,7 +403,8 @@
         ] {
             let servers = if kind == "model" { self.engines.len() } else { self.plains.len() };
             if servers > 0 {
-                file.push_str(&format!("[[service]]\nid = \"{id}\"\nkind = \"{kind}\"\n{lines}\n"));
+                let bound = spec.load_bound;
+                file.push_str(&format!("[[service]]\nid = \"{id}\"\nkind = \"{kind}\"\nload_bound = {bound:?}\n{lines}\n"));
             }
         }
         let engines =
--- a/standins/src/load/driver.rs
+++ b/standins/src/load/driver.rs
@@ -19,6 +19,7 @@
 };
 use crate::{
     caller::Call,
+    engine::Arrival,
     fleet::{Fleet, samples, team_key},
     model::read_events,
 };
@@ -38,8 +39,6 @@
     pub scenario: &'r str,
     /// Placement's name.
     pub placement: &'r str,
-    /// The load bound stated in the file.
-    pub bound: f64,
     /// Told the time now and then; changes the fleet.
     pub act: &'r mut dyn FnMut(&mut Fleet, Duration),
     /// Told how far the run has come.
@@ -70,6 +69,7 @@
     let stop = AtomicBool::new(false);
     let mut sampled = Vec::new();
     let mut control = ControlMeter::start(fleet);
+    fleet.board.take_arrivals();
     let start = Instant::now();
     let mut threads = Vec::new();
     let mut next_sample = SAMPLE_PERIOD;
@@ -79,6 +79,7 @@
             if now >= next_sample {
                 next_sample += SAMPLE_PERIOD;
                 (run.act)(fleet, now);
+                fleet.mark_in_use();
                 *lock(&callers.routers) = addresses(fleet);
                 control.note(fleet);
                 sampled.push(sample(fleet, now));
@@ -108,7 +109,9 @@
     let mut outcomes = std::mem::take(&mut *lock(&callers.outcomes));
     outcomes.retain(|o| o.at >= WARM_UP);
     sampled.retain(|s| s.at >= WARM_UP);
-    Ok(figures(&run, &outcomes, &sampled, &control))
+    let mut arrivals = fleet.board.take_arrivals();
+    arrivals.retain(|arrival| arrival.at >= start + WARM_UP);
+    Ok(figures(&run, &outcomes, &sampled, &arrivals, &control))
 }
 
 fn addresses(fleet: &Fleet) -> Vec<SocketAddr> {
@@ -167,9 +170,11 @@
     run: &Run<'_>,
     outcomes: &[Outcome],
     sampled: &[LoadSample],
+    arrivals: &[Arrival],
     control: &ControlBytes,
 ) -> Figures {
-    let (skew_worst, skew_p99, over_bound, over_bound_percent) = skew(sampled, run.bound);
+    let (skew_worst, skew_p99) = skew(sampled);
+    let beyond = arrivals.iter().filter(|a| a.beyond > 0).count();
     let normal = || outcomes.iter().filter(|o| !o.surge && !o.reserved);
     Figures {
         scenario: run.scenario.to_owned(),
@@ -180,8 +185,8 @@
         reuse: reuse(outcomes),
         skew_worst,
         skew_p99,
-        over_bound,
-        over_bound_percent,
+        over_bound: arrivals.iter().map(|a| a.beyond).max().unwrap_or(0),
+        over_bound_percent: 100.0 * beyond as f64 / arrivals.len().max(1) as f64,
         control_sent: control.by_purpose.iter().map(|(_, sent, _)| sent).sum(),
         control_received: control.by_purpose.iter().map(|(_, _, received)| received).sum(),
         control_by_purpose: control
--- a/standins/src/load/measure.rs
+++ b/standins/src/load/measure.rs
@@ -64,9 +64,9 @@
     pub skew_worst: f64,
     /// The same, 99th percentile of samples.
     pub skew_p99: f64,
-    /// Most requests of an engine beyond `ceil(bound x mean)` in any sample.
+    /// Most requests of an engine beyond `ceil(bound x mean)` at any arrival.
     pub over_bound: u32,
-    /// Share of samples in which an engine was beyond it, in percent.
+    /// Share of arrivals beyond it, in percent.
     pub over_bound_percent: f64,
     /// Bytes a second that a router sends for control.
     pub control_sent: f64,
@@ -97,25 +97,18 @@
 /// Least mean load at which a sample's skew counts.
 const MEAN_LEAST: f64 = 2.0;
 
-/// Skew of a set of samples: worst, 99th percentile, most beyond the bound, share beyond it.
-pub fn skew(samples: &[LoadSample], bound: f64) -> (f64, f64, u32, f64) {
+/// Returns the skew of a set of samples: worst, and 99th percentile.
+pub fn skew(samples: &[LoadSample]) -> (f64, f64) {
     let mut ratios = Vec::new();
-    let (mut beyond_most, mut beyond_count) = (0, 0);
     for LoadSample { loads, .. } in samples {
-        let total: u32 = loads.iter().sum();
         let most = loads.iter().copied().max().unwrap_or(0);
-        let mean = f64::from(total) / loads.len().max(1) as f64;
-        if mean < MEAN_LEAST {
-            continue;
+        let mean = f64::from(loads.iter().sum::<u32>()) / loads.len().max(1) as f64;
+        if mean >= MEAN_LEAST {
+            ratios.push(f64::from(most) / mean);
         }
-        ratios.push(f64::from(most) / mean);
-        let beyond = most.saturating_sub((bound * mean).ceil() as u32);
-        beyond_most = beyond_most.max(beyond);
-        beyond_count += u32::from(beyond > 0);
     }
-    let share = 100.0 * f64::from(beyond_count) / ratios.len().max(1) as f64;
     let p99 = percentile(&mut ratios, 0.99);
-    (ratios.last().copied().unwrap_or(0.0), p99, beyond_most, share)
+    (ratios.last().copied().unwrap_or(0.0), p99)
 }
 
 /// Returns cached tokens of returning chats over those that could have been found.
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -34,9 +34,6 @@
 const PLACEMENTS: [&str; 5] =
     ["permit", "round-robin", "least-reported", "rendezvous", "bounded-alone"];
 
-/// Load bound stated in the files of benches.
-const BOUND: f64 = 1.25;
-
 fn main() -> anyhow::Result<()> {
     let mut args = pico_args::Arguments::from_env();
     match args.subcommand()?.as_deref() {
@@ -75,8 +72,7 @@
     };
     spec.plains = 0;
     spec.teams = teams(10);
-    spec.model_lines =
-        format!("placement = \"{placement}\"\nload_bound = {BOUND}\ndeadline = \"20s\"");
+    spec.model_lines = format!("placement = \"{placement}\"\ndeadline = \"20s\"");
     spec.settings = "[logging]\nlevel = \"off\"".to_owned();
     Ok(spec)
 }
@@ -141,7 +137,6 @@
     let run = Run {
         scenario: name,
         placement,
-        bound: BOUND,
         act: &mut |fleet, now| script.act(fleet, now),
         progress: &progress,
     };
