feat(routing): returning chats wait a little for the engine with their context

Cause: at the bound a returning chat went to the next engine in its rank and its prompt was read again; with a mean of three requests an engine, about a quarter of the returns met a full engine. Change: a new chat fills the least loaded engine; a returning chat waits at the home for its own engine when a place is likely within the service's patience, then goes on in its rank. Reserved requests never wait for it.

--- a/src/configs/fleet/service.rs
+++ b/src/configs/fleet/service.rs
@@ -103,12 +103,17 @@
     pub retry_budget: f64,
     /// Most requests waiting at a home.
     pub queue: u32,
+    /// Longest wait of a returning chat for the engine that holds its context.
+    pub patience: Span,
     /// Models its engines hold.
     pub models: Vec<ModelId>,
     /// How a place is chosen.
     pub placement: Placement,
 }
 
+/// Default patience of model services; the figures behind it are in docs/MEASUREMENTS.md.
+const PATIENCE: Span = Span::millis(700);
+
 const KINDS: [(&str, ServiceKind); 2] =
     [("model", ServiceKind::Model), ("plain", ServiceKind::Plain)];
 
@@ -150,6 +155,11 @@
             attempts: table.whole("attempts", 1, 10).unwrap_or(3) as u32,
             retry_budget: table.number("retry_budget", 0.0, 1.0).unwrap_or(0.1),
             queue: table.whole("queue", 0, 100_000).unwrap_or(1000) as u32,
+            patience: table.text("patience").unwrap_or(if kind == Some(ServiceKind::Model) {
+                PATIENCE
+            } else {
+                Span::secs(0)
+            }),
             models: table.texts("models"),
             placement: table.choice("placement", &PLACEMENTS).unwrap_or(Placement::Permit),
         };
--- a/src/instance/homes.rs
+++ b/src/instance/homes.rs
@@ -241,6 +241,7 @@
             load_bound: service.load_bound,
             queue: service.queue as usize,
             remembered: self.remembered,
+            patience: service.patience.0,
         })
     }
 
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -60,7 +60,7 @@
 const TICK: Duration = Duration::from_millis(50);
 
 /// Ticks between two rounds of the homes' own work.
-const HOME_TICKS: u64 = 5;
+const HOME_TICKS: u64 = 1;
 
 /// A running instance.
 pub struct Instance {
--- a/src/zone/home.rs
+++ b/src/zone/home.rs
@@ -53,6 +53,8 @@
     pub queue: usize,
     /// Most chats remembered.
     pub remembered: usize,
+    /// Longest wait of a returning chat for the engine that holds its context.
+    pub patience: Duration,
 }
 
 /// What happens to a home.
@@ -116,6 +118,15 @@
     until: Instant,
 }
 
+/// A returning chat that waits for the engine with its context.
+#[derive(Debug, Clone)]
+struct Patient {
+    waiting: Waiting,
+    engine: Tag,
+    /// When it goes elsewhere.
+    leaves: Instant,
+}
+
 /// The home of one shard.
 #[derive(Debug)]
 pub struct Home {
@@ -123,6 +134,7 @@
     engines: IndexMap<Tag, EngineSlot>,
     permits: HashMap<PermitId, Permit>,
     queue: FairQueue<Waiting>,
+    patients: Vec<Patient>,
     recency: Recency,
     team_load: HashMap<Tag, u32>,
     team_rates: HashMap<Tag, TokenBucket>,
@@ -141,6 +153,7 @@
             engines: engines.into_iter().map(|spec| (spec.tag, EngineSlot::new(spec))).collect(),
             permits: HashMap::new(),
             queue: FairQueue::default(),
+            patients: Vec::new(),
             recency: Recency::new(terms.remembered),
             team_load: HashMap::new(),
             team_rates: HashMap::new(),
@@ -206,7 +219,7 @@
 
     /// Returns the number of requests that wait.
     pub fn queued(&self) -> usize {
-        self.queue.len()
+        self.queue.len() + self.patients.len()
     }
 
     /// Returns the number of permits in force.
@@ -239,6 +252,12 @@
             actions.push(Action::Reply(ask.id, refusal));
             return;
         }
+        if let Some(engine) = self.worth_waiting_for(now, &ask, &terms) {
+            actions.push(Action::Reply(ask.id, Reply::Queued));
+            let (until, leaves) = (now + ask.left, now + self.terms.patience.min(ask.left / 4));
+            self.patients.push(Patient { waiting: Waiting { ask, terms, until }, engine, leaves });
+            return;
+        }
         let first_in_line = terms.reserved || self.queue.is_empty();
         let engine =
             if first_in_line { self.choose(now, ask.chat, ask.hint, &ask.avoid) } else { None };
@@ -251,6 +270,52 @@
         }
     }
 
+    /// Returns the engine with the chat's context when it is full just now and a place on it is
+    /// likely within the service's patience.
+    fn worth_waiting_for(&self, now: Instant, ask: &Ask, terms: &TeamTerms) -> Option<Tag> {
+        if self.terms.patience.is_zero() || terms.reserved || !self.queue.is_empty() {
+            return None;
+        }
+        let known = [self.recency.get(ask.chat), ask.hint].into_iter().flatten();
+        let engine = known.filter_map(|tag| self.engines.get(&tag)).next()?;
+        let tag = engine.spec.tag;
+        if !is_usable(engine, now) || ask.avoid.contains(&tag) || self.takes(now, engine) {
+            return None;
+        }
+        let ahead = self.patients.iter().filter(|p| p.engine == tag).count();
+        let wait = self.mean_hold * (ahead + 1) as f64
+            / f64::from(engine.load(now, self.is_guarded(now)).max(1));
+        (wait < self.terms.patience.as_secs_f64()).then_some(tag)
+    }
+
+    /// Returns whether an engine may be granted one more request.
+    fn takes(&self, now: Instant, engine: &EngineSlot) -> bool {
+        let load = engine.load(now, self.is_guarded(now));
+        is_usable(engine, now) && load < engine.spec.capacity && load < self.bound(now)
+    }
+
+    /// Grants to patients whose engine has room; those whose patience is over go elsewhere.
+    fn serve_patients(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let mut at = 0;
+        while at < self.patients.len() {
+            let Patient { engine, leaves, .. } = &self.patients[at];
+            let slot = self.engines.get(engine);
+            let stays = slot.is_some_and(|slot| is_usable(slot, now)) && now < *leaves;
+            let granted = slot.filter(|slot| self.takes(now, slot)).map(|slot| slot.spec.tag);
+            if granted.is_none() && stays {
+                at += 1;
+                continue;
+            }
+            let Waiting { ask, terms, until } = self.patients.remove(at).waiting;
+            let ask = Ask { left: until.saturating_duration_since(now), ..ask };
+            let elsewhere = || self.choose(now, ask.chat, ask.hint, &ask.avoid);
+            match granted.or_else(elsewhere) {
+                Some(engine) => self.grant(now, &ask, engine, actions),
+                None => self.enqueue(now, ask, terms, actions),
+            }
+        }
+    }
+
     fn team_refuses(&mut self, now: Instant, ask: &Ask, terms: &TeamTerms) -> Option<Reply> {
         let load = self.team_load.get(&ask.team).copied().unwrap_or(0);
         if terms.max_in_flight.is_some_and(|most| load >= most) {
@@ -264,7 +329,7 @@
     }
 
     /// Chooses an engine: the one that holds the chat's context if it is under the bound, else
-    /// the first under the bound in the chat's own rank.
+    /// the first under the bound in the chat's own rank; a new chat fills the least loaded.
     fn choose(&self, now: Instant, chat: ChatKey, hint: Option<Tag>, avoid: &[Tag]) -> Option<Tag> {
         let bound = self.bound(now);
         let guarded = self.is_guarded(now);
@@ -279,7 +344,6 @@
                 return Some(tag);
             }
         }
-        let ranked = |engine: &&EngineSlot| score(chat.0, engine.spec.tag, engine.spec.weight);
         let mut free: Vec<&EngineSlot> = self.engines.values().filter(|e| takes(e)).collect();
         if free.is_empty() && self.engines.values().all(|e| !is_usable(e, now)) {
             // Every engine is suspected: try them rather than refuse all work.
@@ -290,7 +354,21 @@
             };
             free = self.engines.values().filter(desperate).collect();
         }
-        free.iter().max_by(|a, b| ranked(a).total_cmp(&ranked(b))).map(|e| e.spec.tag)
+        let ranked = |engine: &EngineSlot| score(chat.0, engine.spec.tag, engine.spec.weight);
+        if known.iter().any(Option::is_some) {
+            return free
+                .into_iter()
+                .max_by(|a, b| ranked(a).total_cmp(&ranked(b)))
+                .map(|e| e.spec.tag);
+        }
+        // A new chat has no context to go to: it fills up the least loaded engine.
+        let filled = |engine: &EngineSlot| {
+            f64::from(engine.load(now, guarded) + 1) / engine.spec.weight.max(f64::MIN_POSITIVE)
+        };
+        let order = |a: &&EngineSlot, b: &&EngineSlot| {
+            filled(a).total_cmp(&filled(b)).then_with(|| ranked(b).total_cmp(&ranked(a)))
+        };
+        free.into_iter().min_by(order).map(|e| e.spec.tag)
     }
 
     fn grant(&mut self, now: Instant, ask: &Ask, engine: Tag, actions: &mut Vec<Action>) {
@@ -364,6 +442,7 @@
             Some(permit) => self.note_end(now, &permit, &release),
             None => {
                 self.queue.extract(|w| w.ask.id == id);
+                self.patients.retain(|p| p.waiting.ask.id != id);
             }
         }
         self.serve_queue(now, actions);
@@ -390,6 +469,7 @@
 
     /// Grants to waiting requests while engines have room.
     fn serve_queue(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.serve_patients(now, actions);
         while let Some(waiting) = self.queue.pop() {
             let Waiting { ask, terms, until } = &waiting;
             if *until <= now {
