--- a/src/configs/settings/listen.rs
+++ b/src/configs/settings/listen.rs
@@ -15,13 +15,15 @@
     pub operators: SocketAddr,
     /// Where other instances reach `peers`; unset: the bound address.
     pub advertised: Option<SocketAddr>,
+    /// Peers' addresses of some other instances, asked while the membership list is out.
+    pub seeds: Vec<SocketAddr>,
 }
 
 impl Default for Listen {
     /// Loopback with ports that the machine chooses; a real instance states its own.
     fn default() -> Listen {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        Listen { callers: any, peers: any, operators: any, advertised: None }
+        Listen { callers: any, peers: any, operators: any, advertised: None, seeds: Vec::new() }
     }
 }
 
@@ -48,7 +50,8 @@
         if advertised.is_some_and(|a| a.ip().is_unspecified()) {
             table.fault("advertised", "is no address to connect to; state one that others reach");
         }
+        let seeds = table.texts("seeds");
         table.done();
-        Some(Listen { callers: callers?, peers: peers?, operators: operators?, advertised })
+        Some(Listen { callers: callers?, peers: peers?, operators: operators?, advertised, seeds })
     }
 }
--- a/src/configs/settings/reference.rs
+++ b/src/configs/settings/reference.rs
@@ -33,6 +33,11 @@
             "address and port for operators, `/healthz`, `/readyz`, `/metrics`",
         ),
         row("listen.advertised", "listen.peers", "where other instances reach `listen.peers`"),
+        row(
+            "listen.seeds",
+            "none",
+            "peers' addresses of some other instances, asked while the membership list is out",
+        ),
         row(
             "platform.embedded",
             "true without `[platform]`",
--- a/src/contract/membership.rs
+++ b/src/contract/membership.rs
@@ -30,6 +30,9 @@
 /// Own contact this recent outweighs a rumour.
 const HEARD_RECENTLY: Duration = Duration::from_secs(3);
 
+/// Time for which an introduction is passed on.
+const INTRODUCED: Duration = Duration::from_secs(8);
+
 /// Another instance.
 #[derive(Debug, Clone)]
 pub struct Peer {
@@ -87,6 +90,7 @@
     own_leaving: bool,
     peers: IndexMap<Tag, Peer>,
     leaving_servers: IndexMap<String, MemberState>,
+    introduced: Vec<(Instant, Member)>,
     version: u64,
 }
 
@@ -98,6 +102,7 @@
             own_leaving: false,
             peers: IndexMap::new(),
             leaving_servers: IndexMap::new(),
+            introduced: Vec::new(),
             version: 0,
         }
     }
@@ -139,6 +144,34 @@
         peer.listed = member.state;
     }
 
+    /// Takes in an instance that introduced itself while the list is out.
+    pub fn introduce(&mut self, now: Instant, member: Member) {
+        let known = member.id.parse::<InstanceId>().ok().and_then(|id| self.peers.get(&id.tag()));
+        let news = known.is_none_or(|peer| peer.address != member.address);
+        if news && member.kind == MemberKind::Instance && member.state == MemberState::Live {
+            self.introduced.push((now, member.clone()));
+            self.listed_instance(member);
+        }
+    }
+
+    /// Returns the introductions to be passed on.
+    pub fn introduced(&mut self, now: Instant) -> Vec<Member> {
+        self.introduced.retain(|(at, _)| now.duration_since(*at) < INTRODUCED);
+        self.introduced.iter().map(|(_, member)| member.clone()).collect()
+    }
+
+    /// Returns the other instances as entries of a list.
+    pub fn members(&self) -> Vec<Member> {
+        let member = |peer: &Peer| Member {
+            id: peer.candidate.id.to_string(),
+            kind: MemberKind::Instance,
+            address: peer.address,
+            zone: peer.candidate.zone.clone(),
+            state: peer.listed,
+        };
+        self.peers.values().map(member).collect()
+    }
+
     /// Notes an exchange with a peer.
     pub fn heard(&mut self, now: Instant, peer: Tag, incarnation: u64, leaving: bool) {
         let Some(peer) = self.peers.get_mut(&peer) else { return };
--- a/src/contract/mod.rs
+++ b/src/contract/mod.rs
@@ -8,4 +8,5 @@
 pub mod permit;
 pub mod retry;
 pub mod revision;
+pub mod team_limits;
 pub mod token_bucket;
--- a/src/instance/gossip.rs
+++ b/src/instance/gossip.rs
@@ -1,14 +1,24 @@
 //! Signs of life among instances, and the platform's membership list.
 
+use std::time::Instant;
+
 use crate::{
     instance::shared::Shared,
-    link::wire::{HEARTBEAT, Heartbeat, LOADS, LoadsMessage},
+    link::wire::{
+        FETCH, FetchReply, FetchRequest, HEARTBEAT, Heartbeat, LOADS, LoadsMessage, MEMORY, Memory,
+        MemoryMessage,
+    },
     metrics::Purpose,
     names::Tag,
+    platform::{Member, MemberKind, MemberState},
     utils::sync::lock,
     zone::{home::Event, shard::ShardId},
 };
 
+/// Most places of chats told of one shard at once; with the period of the telling this keeps a
+/// hand-over of a whole memory under 6 KB/s.
+const PLACES_MAX: usize = 200;
+
 /// Fetches what changed in the platform's list; while the platform is out, the view stays.
 pub fn poll_members(shared: &Shared) {
     let version = lock(&shared.membership).version();
@@ -18,10 +28,54 @@
             tell_homes_who_leaves(shared);
         }
         Ok(_) => {}
-        Err(fault) => log::debug!("membership list: {fault}"),
+        Err(fault) => {
+            log::debug!("membership list: {fault}");
+            if lock(&shared.membership).peers().next().is_none() {
+                ask_seeds(shared);
+            }
+        }
     }
 }
 
+/// Learns the other instances from one that the settings name, and introduces this one.
+fn ask_seeds(shared: &Shared) {
+    let Some(address) = shared.advertised.get().copied() else { return };
+    let settings = &shared.settings;
+    let own = Member {
+        id: settings.id.to_string(),
+        kind: MemberKind::Instance,
+        address,
+        zone: settings.zone.clone(),
+        state: MemberState::Live,
+    };
+    for seed in settings.listen.seeds.iter().filter(|seed| **seed != address) {
+        let request = FetchRequest::Members(own.clone());
+        let reply = shared.peers.call::<FetchReply>(Purpose::Heartbeat, *seed, FETCH, &request);
+        if let Ok(FetchReply::Members(members)) = reply {
+            let now = shared.clock.now();
+            let mut membership = lock(&shared.membership);
+            members.into_iter().for_each(|member| membership.introduce(now, member));
+            return;
+        }
+    }
+}
+
+/// Returns the instances known to one that introduces itself.
+pub fn take_introduction(shared: &Shared, member: Member) -> Vec<Member> {
+    let settings = &shared.settings;
+    let mut membership = lock(&shared.membership);
+    let mut known = membership.members();
+    known.extend(shared.advertised.get().map(|address| Member {
+        id: settings.id.to_string(),
+        kind: MemberKind::Instance,
+        address: *address,
+        zone: settings.zone.clone(),
+        state: MemberState::Live,
+    }));
+    membership.introduce(shared.clock.now(), member);
+    known
+}
+
 /// Tells the homes held here which backend servers the list calls leaving.
 fn tell_homes_who_leaves(shared: &Shared) {
     let Some(snapshot) = shared.snapshot.load_full() else { return };
@@ -57,12 +111,10 @@
 
 fn beat_to(shared: &Shared, peer: Tag) {
     let now = shared.clock.now();
-    let (address, suspects) = {
-        let membership = lock(&shared.membership);
-        let Some(known) = membership.peer(peer) else { return };
-        (known.address, membership.suspected(now))
+    let Some(address) = lock(&shared.membership).peer(peer).map(|known| known.address) else {
+        return;
     };
-    let heartbeat = Heartbeat { hello: shared.hello(), suspects };
+    let heartbeat = own_heartbeat(shared, now);
     match shared.peers.call::<Heartbeat>(Purpose::Heartbeat, address, HEARTBEAT, &heartbeat) {
         Ok(reply) => {
             take_heartbeat(shared, &reply);
@@ -82,9 +134,17 @@
     for suspect in &heartbeat.suspects {
         membership.rumour(now, *suspect);
     }
-    let suspects = membership.suspected(now);
+    for member in &heartbeat.introduced {
+        membership.introduce(now, member.clone());
+    }
     drop(membership);
-    Heartbeat { hello: shared.hello(), suspects }
+    own_heartbeat(shared, now)
+}
+
+fn own_heartbeat(shared: &Shared, now: Instant) -> Heartbeat {
+    let hello = shared.hello();
+    let mut membership = lock(&shared.membership);
+    Heartbeat { hello, suspects: membership.suspected(now), introduced: membership.introduced(now) }
 }
 
 /// Tells the homes of other shards of the same services the loads of the shards held here.
@@ -120,3 +180,23 @@
         others.map(|(other, load)| Event::Elsewhere(Tag(u32::from(other.number)), *load)).collect()
     });
 }
+
+/// Tells replicas where chats went since they were told last.
+pub fn tell_memories(shared: &Shared) {
+    let Some(snapshot) = shared.snapshot.load_full() else { return };
+    let untold = shared.homes.untold(&snapshot, PLACES_MAX, |shard| shared.replica_of(shard));
+    for (to, memory) in untold {
+        let Some(address) = lock(&shared.membership).peer(to).map(|p| p.address) else { continue };
+        let message = MemoryMessage { hello: shared.hello(), memories: vec![memory] };
+        // What is lost with a message is learned again when its chats return.
+        let _ = shared.peers.call::<()>(Purpose::Memory, address, MEMORY, &message);
+    }
+}
+
+/// Takes over where chats were last.
+pub fn take_memories(shared: &Shared, memories: Vec<Memory>) {
+    let Some(snapshot) = shared.snapshot.load_full() else { return };
+    for memory in memories {
+        shared.homes.remember(memory, &snapshot);
+    }
+}
--- a/src/instance/homes.rs
+++ b/src/instance/homes.rs
@@ -10,7 +10,7 @@
     clock::Clock,
     contract::permit::{Held, PermitId, Reply},
     instance::snapshot::Snapshot,
-    link::wire::{Announcement, Hello, NumberedReply, ReplyWire, ShardBatch, short},
+    link::wire::{Announcement, Hello, Memory, NumberedReply, ReplyWire, ShardBatch, short},
     names::Tag,
     utils::sync::lock,
     zone::{
@@ -21,11 +21,13 @@
 };
 
 /// Time for which a shard that has moved to another home and holds nothing is kept.
-const LINGER: Duration = Duration::from_secs(10);
+const LINGER: Duration = Duration::from_secs(60);
 
 struct Slot {
     home: Mutex<Home>,
     last_used: Mutex<Instant>,
+    /// Who is told where chats go.
+    replica: Mutex<Option<Tag>>,
 }
 
 /// What a home tells in answer to a batch.
@@ -128,9 +130,7 @@
     /// `is_home` says whether this instance is the home of a shard by its own view.
     pub fn tick(&self, snapshot: &Snapshot, is_home: impl Fn(&Shard) -> bool) {
         let now = self.clock.now();
-        let slots: Vec<(ShardId, Arc<Slot>)> =
-            lock(&self.slots).iter().map(|(id, slot)| (*id, Arc::clone(slot))).collect();
-        for (id, slot) in slots {
+        for (id, slot) in self.all_slots() {
             let shard = snapshot.shard(id);
             let ours = shard.is_some_and(&is_home);
             let mut actions = Vec::new();
@@ -151,9 +151,7 @@
     /// Takes over the engines and terms of a new revision.
     pub fn install(&self, snapshot: &Snapshot) {
         let now = self.clock.now();
-        let slots: Vec<(ShardId, Arc<Slot>)> =
-            lock(&self.slots).iter().map(|(id, slot)| (*id, Arc::clone(slot))).collect();
-        for (id, slot) in slots {
+        for (id, slot) in self.all_slots() {
             let Some(shard) = snapshot.shard(id) else {
                 lock(&self.slots).remove(&id);
                 continue;
@@ -170,9 +168,7 @@
     /// Gives every home an event made for its shard.
     pub fn each(&self, event: impl Fn(ShardId) -> Vec<Event>) {
         let now = self.clock.now();
-        let slots: Vec<(ShardId, Arc<Slot>)> =
-            lock(&self.slots).iter().map(|(id, slot)| (*id, Arc::clone(slot))).collect();
-        for (id, slot) in slots {
+        for (id, slot) in self.all_slots() {
             let mut actions = Vec::new();
             for event in event(id) {
                 actions.extend(lock(&slot.home).handle(now, event));
@@ -181,6 +177,43 @@
         }
     }
 
+    /// Returns what replicas are to be told now, at most `most` places for each shard.
+    ///
+    /// `replica_of` names who holds the replica of a shard's memory, or the shard's home once
+    /// this instance no longer is it.
+    pub fn untold(
+        &self,
+        snapshot: &Snapshot,
+        most: usize,
+        replica_of: impl Fn(&Shard) -> Option<Tag>,
+    ) -> Vec<(Tag, Memory)> {
+        let mut told = Vec::new();
+        for (id, slot) in self.all_slots() {
+            let Some(to) = snapshot.shard(id).and_then(&replica_of) else { continue };
+            let mut home = lock(&slot.home);
+            if lock(&slot.replica).replace(to) != Some(to) {
+                home.memory_mut().tell_all();
+            }
+            let places = home.memory_mut().take_untold(most);
+            if !places.is_empty() {
+                told.push((to, Memory { shard: id, places }));
+            }
+        }
+        told
+    }
+
+    /// Takes over where chats of a shard were last.
+    pub fn remember(&self, memory: Memory, snapshot: &Snapshot) {
+        let Some(slot) = self.slot(memory.shard, snapshot) else { return };
+        let now = self.clock.now();
+        *lock(&slot.last_used) = now;
+        lock(&slot.home).handle(now, Event::Remember(memory.places));
+    }
+
+    fn all_slots(&self) -> Vec<(ShardId, Arc<Slot>)> {
+        lock(&self.slots).iter().map(|(id, slot)| (*id, Arc::clone(slot))).collect()
+    }
+
     /// Returns the loads of the shards held here.
     pub fn loads(&self) -> Vec<(ShardId, ShardLoad)> {
         let now = self.clock.now();
@@ -230,7 +263,7 @@
         let terms = self.terms(id, snapshot)?;
         let now = self.clock.now();
         let home = Mutex::new(Home::new(terms, shard.engines.clone(), now));
-        let slot = Arc::new(Slot { home, last_used: Mutex::new(now) });
+        let slot = Arc::new(Slot { home, last_used: Mutex::new(now), replica: Mutex::new(None) });
         let mut slots = lock(&self.slots);
         Some(Arc::clone(slots.entry(id).or_insert(slot)))
     }
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -59,8 +59,11 @@
 /// Period of the work of homes and desks.
 const TICK: Duration = Duration::from_millis(50);
 
-/// Ticks between two rounds of the homes' own work.
-const HOME_TICKS: u64 = 1;
+/// Period of the telling of homes' memory to its replicas.
+const MEMORY_PERIOD: Duration = Duration::from_millis(500);
+
+/// Ticks between two rounds of slower work: loads, claims, metrics.
+const SLOW_TICKS: u64 = 5;
 
 /// A running instance.
 pub struct Instance {
@@ -87,6 +90,9 @@
         let limits = &shared.settings.limits;
         let listen = &shared.settings.listen;
         let peers = serve_peers(&shared)?;
+        let advertised = shared.settings.listen.advertised.unwrap_or(peers.address());
+        // Set once, here.
+        let _ = shared.advertised.set(advertised);
         let callers = serve_callers(&shared, limits.connections as usize)?;
         let operator_shared = Arc::clone(&shared);
         let server = rouille::Server::new(listen.operators, move |request| {
@@ -130,6 +136,10 @@
             gossip::beat(shared);
             jittered(heartbeat)
         })?;
+        self.background("memory", |shared| {
+            gossip::tell_memories(shared);
+            MEMORY_PERIOD
+        })?;
         let mut ticks = 0_u64;
         self.background("tick", move |shared| {
             ticks += 1;
@@ -296,6 +306,7 @@
         home_links: HomeLinks::default(),
         budgets: Mutex::new(HashMap::new()),
         baselines: Mutex::new(HashMap::new()),
+        advertised: OnceLock::new(),
         drain: DrainState::default(),
         usage: Usage::default(),
         request_counter: AtomicU64::new(1),
@@ -374,12 +385,12 @@
 
 fn tick(shared: &Arc<Shared>, ticks: u64) {
     shared.desk.flush(|id| shared.home_of_id(id));
-    if !ticks.is_multiple_of(HOME_TICKS) {
+    let Some(snapshot) = shared.snapshot.load_full() else { return };
+    shared.homes.tick(&snapshot, |shard| shared.home_of(shard) == shared.tag);
+    if !ticks.is_multiple_of(SLOW_TICKS) {
         return;
     }
     shared.claims.tick();
-    let Some(snapshot) = shared.snapshot.load_full() else { return };
-    shared.homes.tick(&snapshot, |shard| shared.home_of(shard) == shared.tag);
     gossip::tell_loads(shared);
     show_homes(shared);
 }
--- a/src/instance/peers.rs
+++ b/src/instance/peers.rs
@@ -4,7 +4,8 @@
     configs::fleet::chunks::{decode, encode},
     instance::{gossip, shared::Shared, status},
     link::wire::{
-        DRAIN, FETCH, FetchReply, FetchRequest, HEARTBEAT, Heartbeat, LOADS, LoadsMessage, STATUS,
+        DRAIN, FETCH, FetchReply, FetchRequest, HEARTBEAT, Heartbeat, LOADS, LoadsMessage, MEMORY,
+        MemoryMessage, STATUS,
     },
     metrics::Purpose,
     utils::sync::lock,
@@ -34,6 +35,12 @@
             gossip::take_loads(shared, &message.loads);
             Ok(encode(&()))
         }
+        MEMORY => {
+            let message: MemoryMessage = decode(body).map_err(bad)?;
+            shared.greeted(&message.hello);
+            gossip::take_memories(shared, message.memories);
+            Ok(encode(&()))
+        }
         FETCH => Ok(encode(&fetch(shared, &decode(body).map_err(bad)?))),
         STATUS => Ok(encode(&status::own(shared))),
         DRAIN => {
@@ -49,6 +56,7 @@
     match path {
         HEARTBEAT => Purpose::Heartbeat,
         LOADS => Purpose::Loads,
+        MEMORY => Purpose::Memory,
         FETCH => Purpose::Config,
         STATUS | DRAIN => Purpose::Operators,
         _ => Purpose::Permits,
@@ -58,6 +66,9 @@
 fn fetch(shared: &Shared, request: &FetchRequest) -> FetchReply {
     match request {
         FetchRequest::Head => FetchReply::Head(lock(&shared.in_force).installed().cloned()),
+        FetchRequest::Members(member) => {
+            FetchReply::Members(gossip::take_introduction(shared, member.clone()))
+        }
         FetchRequest::Object(name) => FetchReply::Object(shared.objects.get(name).map(Into::into)),
     }
 }
--- a/src/instance/shared.rs
+++ b/src/instance/shared.rs
@@ -2,8 +2,9 @@
 
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     sync::{
-        Arc, Mutex,
+        Arc, Mutex, OnceLock,
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
     time::{Duration, Instant},
@@ -70,6 +71,8 @@
     pub budgets: Mutex<HashMap<ServiceId, RetryBudget>>,
     /// Baselines by service.
     pub baselines: Mutex<HashMap<ServiceId, Baseline>>,
+    /// Where other instances reach this one, once it listens.
+    pub advertised: OnceLock<SocketAddr>,
     /// How far a drain has come.
     pub drain: DrainState,
     /// Use of the limits.
@@ -198,6 +201,16 @@
         home_of(shard.id, shard.zone.as_ref(), homes.into_iter()).map_or(self.tag, |c| c.tag)
     }
 
+    /// Returns who is to hold the replica of what is remembered of `shard`: the next home in line,
+    /// or the home itself when that is another instance.
+    pub fn replica_of(&self, shard: &Shard) -> Option<Tag> {
+        let now = self.clock.now();
+        let membership = lock(&self.membership);
+        let homes = membership.homes(now);
+        let others = homes.into_iter().filter(|candidate| candidate.tag != self.tag);
+        home_of(shard.id, shard.zone.as_ref(), others).map(|c| c.tag)
+    }
+
     /// Returns the home of the shard named, if the file in force has it.
     pub fn home_of_id(&self, id: ShardId) -> Option<Tag> {
         let snapshot = self.snapshot.load_full()?;
--- a/src/link/wire.rs
+++ b/src/link/wire.rs
@@ -13,6 +13,7 @@
         revision::Head,
     },
     names::Tag,
+    platform::Member,
     units::Revision,
     zone::{home::ShardLoad, rendezvous::ChatKey, shard::ShardId},
 };
@@ -25,6 +26,8 @@
 pub const STATUS: &str = "/s";
 /// Path of the order to drain.
 pub const DRAIN: &str = "/d";
+/// Path of [`MemoryMessage`].
+pub const MEMORY: &str = "/m";
 /// Path of [`LoadsMessage`].
 pub const LOADS: &str = "/l";
 
@@ -261,6 +264,8 @@
     pub hello: Hello,
     /// Instances that the sender suspects by its own evidence.
     pub suspects: Vec<Tag>,
+    /// Instances that introduced themselves a short while ago.
+    pub introduced: Vec<Member>,
 }
 
 /// Loads of the sender's shards, for the homes of other shards of the same services.
@@ -272,6 +277,24 @@
     pub loads: Vec<(ShardId, ShardLoad)>,
 }
 
+/// Where chats of a shard went.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Memory {
+    /// The shard.
+    pub shard: ShardId,
+    /// Chats with their engines.
+    pub places: Vec<(ChatKey, Tag)>,
+}
+
+/// Where chats went, told to the replica of a home's memory.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemoryMessage {
+    /// Sender.
+    pub hello: Hello,
+    /// By shard.
+    pub memories: Vec<Memory>,
+}
+
 /// Asks for parts of the file in force.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FetchRequest {
@@ -279,6 +302,8 @@
     Head,
     /// An object: a manifest or a chunk.
     Object(Digest),
+    /// The instances known; the asker introduces itself.
+    Members(Member),
 }
 
 /// Answer to [`FetchRequest`].
@@ -288,4 +313,6 @@
     Head(Option<Head>),
     /// The object, if it is there.
     Object(Option<serde_bytes::ByteBuf>),
+    /// The instances known.
+    Members(Vec<Member>),
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -27,6 +27,8 @@
     Heartbeat,
     /// Loads among homes.
     Loads,
+    /// Where chats went, told to replicas of homes' memory.
+    Memory,
     /// Files in force, among instances.
     Config,
     /// Exchanges with the platform.
@@ -39,10 +41,11 @@
 
 impl Purpose {
     /// Every purpose.
-    pub const ALL: [Purpose; 7] = [
+    pub const ALL: [Purpose; 8] = [
         Purpose::Permits,
         Purpose::Heartbeat,
         Purpose::Loads,
+        Purpose::Memory,
         Purpose::Config,
         Purpose::Platform,
         Purpose::Probe,
@@ -55,6 +58,7 @@
             Purpose::Permits => "permits",
             Purpose::Heartbeat => "heartbeat",
             Purpose::Loads => "loads",
+            Purpose::Memory => "memory",
             Purpose::Config => "config",
             Purpose::Platform => "platform",
             Purpose::Probe => "probe",
--- a/src/zone/home.rs
+++ b/src/zone/home.rs
@@ -16,12 +16,13 @@
     contract::{
         fair_queue::FairQueue,
         permit::{Ask, Held, PermitId, RefuseReason, Release, ReleaseKind, Reply, TeamTerms},
-        token_bucket::TokenBucket,
+        team_limits::TeamLimits,
     },
     names::Tag,
     zone::{
         engine::{EngineSlot, EngineSpec},
-        recency::Recency,
+        load_view::LoadView,
+        memory::ChatMemory,
         rendezvous::{ChatKey, score},
     },
 };
@@ -79,6 +80,8 @@
     Leaving(Tag, bool),
     /// The home of another shard of the service tells its load and number of usable engines.
     Elsewhere(Tag, ShardLoad),
+    /// Another instance tells where chats were last.
+    Remember(Vec<(ChatKey, Tag)>),
     /// By this instance's view it is the home of the shard, or is not.
     Role(bool),
     /// Time passes.
@@ -135,9 +138,8 @@
     permits: HashMap<PermitId, Permit>,
     queue: FairQueue<Waiting>,
     patients: Vec<Patient>,
-    recency: Recency,
-    team_load: HashMap<Tag, u32>,
-    team_rates: HashMap<Tag, TokenBucket>,
+    memory: ChatMemory,
+    teams: TeamLimits,
     entries: HashMap<Tag, Instant>,
     elsewhere: HashMap<Tag, (ShardLoad, Instant)>,
     guarded_until: Option<Instant>,
@@ -154,9 +156,8 @@
             permits: HashMap::new(),
             queue: FairQueue::default(),
             patients: Vec::new(),
-            recency: Recency::new(terms.remembered),
-            team_load: HashMap::new(),
-            team_rates: HashMap::new(),
+            memory: ChatMemory::new(terms.remembered),
+            teams: TeamLimits::default(),
             entries: HashMap::new(),
             elsewhere: HashMap::new(),
             guarded_until: Some(now + WARM_UP),
@@ -182,6 +183,7 @@
             Event::Elsewhere(home, load) => {
                 self.elsewhere.insert(home, (load, now));
             }
+            Event::Remember(chats) => self.memory.learn(chats, self.is_home),
             Event::Role(is_home) => self.set_role(now, is_home),
             Event::Tick => self.tick(now, &mut actions),
         }
@@ -190,26 +192,27 @@
 
     /// Returns the load of this shard, as other homes of the service need it.
     pub fn shard_load(&self, now: Instant) -> ShardLoad {
-        let usable = self.engines.values().filter(|e| is_usable(e, now));
-        let (mut load, mut engines) = (0, 0);
-        for engine in usable {
-            load += engine.permits;
-            engines += 1;
-        }
-        ShardLoad { load, engines }
+        let view = self.view(now);
+        let usable = self.engines.values().filter(|e| view.is_usable(e));
+        usable.fold(ShardLoad::default(), |sum, e| ShardLoad {
+            load: sum.load + e.permits,
+            engines: sum.engines + 1,
+        })
     }
 
     /// Returns the greatest load that an engine may have once one more request has arrived.
     pub fn bound(&self, now: Instant) -> u32 {
-        let guarded = self.is_guarded(now);
-        let usable = self.engines.values().filter(|e| is_usable(e, now));
-        let (load, engines) =
-            usable.fold((0, 0), |(load, n), e| (load + e.load(now, guarded), n + 1));
+        self.view(now).bound
+    }
+
+    fn view(&self, now: Instant) -> LoadView {
         let fresh =
             self.elsewhere.values().filter(|(_, at)| now.duration_since(*at) < ELSEWHERE_AGE_MAX);
-        let (load, engines) = fresh
-            .fold((load, engines), |(load, n), (other, _)| (load + other.load, n + other.engines));
-        bound_of(self.terms.load_bound, load + 1, engines)
+        let elsewhere = fresh.fold(ShardLoad::default(), |sum, (load, _)| ShardLoad {
+            load: sum.load + load.load,
+            engines: sum.engines + load.engines,
+        });
+        LoadView::new(now, &self.engines, self.is_guarded(now), elsewhere, self.terms.load_bound)
     }
 
     /// Returns the engines and their loads.
@@ -229,12 +232,12 @@
 
     /// Returns the number of chats remembered.
     pub fn remembered(&self) -> usize {
-        self.recency.len()
+        self.memory.len()
     }
 
     /// Returns the engine that `chat` was last on, and the engine it would go to now.
     pub fn explain(&self, now: Instant, chat: ChatKey) -> (Option<Tag>, Option<Tag>) {
-        (self.recency.get(chat), self.choose(now, chat, None, &[]))
+        (self.memory.get(chat), self.choose(now, chat, None, &[]))
     }
 
     fn is_guarded(&self, now: Instant) -> bool {
@@ -248,8 +251,8 @@
             actions.push(Action::Reply(ask.id, Reply::Granted(permit.engine)));
             return;
         }
-        if let Some(refusal) = self.team_refuses(now, &ask, &terms) {
-            actions.push(Action::Reply(ask.id, refusal));
+        if let Err((reason, wait)) = self.teams.admit(now, ask.team, &terms) {
+            actions.push(Action::Reply(ask.id, refused(reason, wait)));
             return;
         }
         if let Some(engine) = self.worth_waiting_for(now, &ask, &terms) {
@@ -266,7 +269,7 @@
         } else if ask.may_spill {
             actions.push(Action::Reply(ask.id, Reply::Spill));
         } else {
-            self.enqueue(now, ask, terms, actions);
+            self.enqueue(now, ask, terms, false, actions);
         }
     }
 
@@ -276,32 +279,26 @@
         if self.terms.patience.is_zero() || terms.reserved || !self.queue.is_empty() {
             return None;
         }
-        let known = [self.recency.get(ask.chat), ask.hint].into_iter().flatten();
+        let known = [self.memory.get(ask.chat), ask.hint].into_iter().flatten();
         let engine = known.filter_map(|tag| self.engines.get(&tag)).next()?;
-        let tag = engine.spec.tag;
-        if !is_usable(engine, now) || ask.avoid.contains(&tag) || self.takes(now, engine) {
+        let (tag, view) = (engine.spec.tag, self.view(now));
+        if !view.is_usable(engine) || ask.avoid.contains(&tag) || view.takes(engine) {
             return None;
         }
         let ahead = self.patients.iter().filter(|p| p.engine == tag).count();
-        let wait = self.mean_hold * (ahead + 1) as f64
-            / f64::from(engine.load(now, self.is_guarded(now)).max(1));
+        let wait = self.mean_hold * (ahead + 1) as f64 / f64::from(view.load(engine).max(1));
         (wait < self.terms.patience.as_secs_f64()).then_some(tag)
     }
 
-    /// Returns whether an engine may be granted one more request.
-    fn takes(&self, now: Instant, engine: &EngineSlot) -> bool {
-        let load = engine.load(now, self.is_guarded(now));
-        is_usable(engine, now) && load < engine.spec.capacity && load < self.bound(now)
-    }
-
     /// Grants to patients whose engine has room; those whose patience is over go elsewhere.
     fn serve_patients(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let mut at = 0;
         while at < self.patients.len() {
             let Patient { engine, leaves, .. } = &self.patients[at];
             let slot = self.engines.get(engine);
-            let stays = slot.is_some_and(|slot| is_usable(slot, now)) && now < *leaves;
-            let granted = slot.filter(|slot| self.takes(now, slot)).map(|slot| slot.spec.tag);
+            let view = self.view(now);
+            let stays = slot.is_some_and(|slot| view.is_usable(slot)) && now < *leaves;
+            let granted = slot.filter(|slot| view.takes(slot)).map(|slot| slot.spec.tag);
             if granted.is_none() && stays {
                 at += 1;
                 continue;
@@ -311,79 +308,51 @@
             let elsewhere = || self.choose(now, ask.chat, ask.hint, &ask.avoid);
             match granted.or_else(elsewhere) {
                 Some(engine) => self.grant(now, &ask, engine, actions),
-                None => self.enqueue(now, ask, terms, actions),
+                None => self.enqueue(now, ask, terms, true, actions),
             }
         }
     }
 
-    fn team_refuses(&mut self, now: Instant, ask: &Ask, terms: &TeamTerms) -> Option<Reply> {
-        let load = self.team_load.get(&ask.team).copied().unwrap_or(0);
-        if terms.max_in_flight.is_some_and(|most| load >= most) {
-            return Some(refused(RefuseReason::TeamInFlight, RETRY_AFTER));
-        }
-        let rate = terms.rate?;
-        let bucket = self.team_rates.entry(ask.team).or_insert_with(|| TokenBucket::new(rate, now));
-        bucket.set_rate(rate);
-        let wait = bucket.take(now).err()?;
-        Some(refused(RefuseReason::TeamRate, wait))
-    }
-
     /// Chooses an engine: the one that holds the chat's context if it is under the bound, else
     /// the first under the bound in the chat's own rank; a new chat fills the least loaded.
     fn choose(&self, now: Instant, chat: ChatKey, hint: Option<Tag>, avoid: &[Tag]) -> Option<Tag> {
-        let bound = self.bound(now);
-        let guarded = self.is_guarded(now);
-        let takes = |engine: &EngineSlot| {
-            let load = engine.load(now, guarded);
-            let free = load < engine.spec.capacity && load < bound;
-            is_usable(engine, now) && free && !avoid.contains(&engine.spec.tag)
-        };
-        let known = [self.recency.get(chat), hint];
-        for tag in known.into_iter().flatten() {
-            if self.engines.get(&tag).is_some_and(&takes) {
-                return Some(tag);
-            }
-        }
-        let mut free: Vec<&EngineSlot> = self.engines.values().filter(|e| takes(e)).collect();
-        if free.is_empty() && self.engines.values().all(|e| !is_usable(e, now)) {
-            // Every engine is suspected: try them rather than refuse all work.
-            let desperate = |e: &&EngineSlot| {
-                !e.is_leaving()
-                    && e.load(now, guarded) < e.spec.capacity
-                    && !avoid.contains(&e.spec.tag)
-            };
-            free = self.engines.values().filter(desperate).collect();
-        }
+        let view = self.view(now);
+        let takes = |engine: &&EngineSlot| view.takes(engine) && !avoid.contains(&engine.spec.tag);
+        let known = [self.memory.get(chat), hint];
+        let mut known_engines = known.iter().flatten().filter_map(|tag| self.engines.get(tag));
+        if let Some(engine) = known_engines.find(takes) {
+            return Some(engine.spec.tag);
+        }
+        let free = self.engines.values().filter(takes);
         let ranked = |engine: &EngineSlot| score(chat.0, engine.spec.tag, engine.spec.weight);
         if known.iter().any(Option::is_some) {
-            return free
-                .into_iter()
-                .max_by(|a, b| ranked(a).total_cmp(&ranked(b)))
-                .map(|e| e.spec.tag);
+            return free.max_by(|a, b| ranked(a).total_cmp(&ranked(b))).map(|e| e.spec.tag);
         }
         // A new chat has no context to go to: it fills up the least loaded engine.
-        let filled = |engine: &EngineSlot| {
-            f64::from(engine.load(now, guarded) + 1) / engine.spec.weight.max(f64::MIN_POSITIVE)
-        };
         let order = |a: &&EngineSlot, b: &&EngineSlot| {
-            filled(a).total_cmp(&filled(b)).then_with(|| ranked(b).total_cmp(&ranked(a)))
+            view.filled(a).total_cmp(&view.filled(b)).then_with(|| ranked(b).total_cmp(&ranked(a)))
         };
-        free.into_iter().min_by(order).map(|e| e.spec.tag)
+        free.min_by(order).map(|e| e.spec.tag)
     }
 
     fn grant(&mut self, now: Instant, ask: &Ask, engine: Tag, actions: &mut Vec<Action>) {
         let expires = now + ask.left + PERMIT_MARGIN;
         let permit = Permit { engine, team: ask.team, granted: now, expires };
         self.add_permit(ask.id, permit);
-        self.recency.put(ask.chat, engine);
+        self.memory.put(ask.chat, engine);
         actions.push(Action::Reply(ask.id, Reply::Granted(engine)));
     }
 
+    /// Returns what is remembered of chats.
+    pub fn memory_mut(&mut self) -> &mut ChatMemory {
+        &mut self.memory
+    }
+
     fn add_permit(&mut self, id: PermitId, permit: Permit) {
         if let Some(engine) = self.engines.get_mut(&permit.engine) {
             engine.permits += 1;
         }
-        *self.team_load.entry(permit.team).or_default() += 1;
+        self.teams.began(permit.team);
         self.permits.insert(id, permit);
     }
 
@@ -392,16 +361,19 @@
         if let Some(engine) = self.engines.get_mut(&permit.engine) {
             engine.permits = engine.permits.saturating_sub(1);
         }
-        if let Some(load) = self.team_load.get_mut(&permit.team) {
-            *load = load.saturating_sub(1);
-            if *load == 0 {
-                self.team_load.remove(&permit.team);
-            }
-        }
+        self.teams.ended(permit.team);
         Some(permit)
     }
 
-    fn enqueue(&mut self, now: Instant, ask: Ask, terms: TeamTerms, actions: &mut Vec<Action>) {
+    /// Puts an ask in line; `told` says that its entry knows already that it waits.
+    fn enqueue(
+        &mut self,
+        now: Instant,
+        ask: Ask,
+        terms: TeamTerms,
+        told: bool,
+        actions: &mut Vec<Action>,
+    ) {
         if self.engines.values().all(|e| e.is_leaving() || ask.avoid.contains(&e.spec.tag)) {
             actions.push(Action::Reply(ask.id, refused(RefuseReason::NoEngine, RETRY_AFTER)));
             return;
@@ -422,7 +394,9 @@
             ));
             return;
         }
-        actions.push(Action::Reply(ask.id, Reply::Queued));
+        if !told {
+            actions.push(Action::Reply(ask.id, Reply::Queued));
+        }
         let until = now + ask.left;
         self.queue.push(ask.team, terms.weight, terms.reserved, Waiting { ask, terms, until });
     }
@@ -520,7 +494,7 @@
             }
             let expires = now + Duration::from_millis(u64::from(left_ms)) + PERMIT_MARGIN;
             self.add_permit(id, Permit { engine, team, granted: now, expires });
-            self.recency.put(chat, engine);
+            self.memory.put(chat, engine);
         }
         self.serve_queue(now, actions);
     }
@@ -569,7 +543,7 @@
             self.remove_permit(id);
         }
         self.entries.retain(|_, at| now.duration_since(*at) < ENTRY_SILENCE);
-        self.team_rates.retain(|_, bucket| !bucket.is_full(now));
+        self.teams.tick(now);
         let late = self.queue.extract(|w| w.until <= now);
         actions.extend(
             late.iter()
@@ -585,10 +559,6 @@
     ((bound * mean).ceil() as u32).max(1)
 }
 
-fn is_usable(engine: &EngineSlot, now: Instant) -> bool {
-    !engine.is_leaving() && !engine.is_suspect(now)
-}
-
 fn refused(reason: RefuseReason, retry_after: Duration) -> Reply {
     let retry_after_ms = u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX);
     Reply::Refused { reason, retry_after_ms }
--- a/src/zone/mod.rs
+++ b/src/zone/mod.rs
@@ -4,6 +4,8 @@
 pub mod engine;
 pub mod home;
 pub mod homes;
+pub mod load_view;
+pub mod memory;
 pub mod recency;
 pub mod rendezvous;
 pub mod shard;
--- a/src/zone/recency.rs
+++ b/src/zone/recency.rs
@@ -27,12 +27,20 @@
         self.young.get(&chat).or_else(|| self.old.get(&chat)).copied()
     }
 
-    /// Remembers that `chat` went to `engine`.
-    pub fn put(&mut self, chat: ChatKey, engine: Tag) {
+    /// Remembers that `chat` went to `engine`; returns whether that is news.
+    pub fn put(&mut self, chat: ChatKey, engine: Tag) -> bool {
+        let news = self.get(chat) != Some(engine);
         self.young.insert(chat, engine);
         if self.young.len() >= self.half {
             self.old = std::mem::take(&mut self.young);
         }
+        news
+    }
+
+    /// Returns every chat remembered, those not seen for long first.
+    pub fn all(&self) -> Vec<(ChatKey, Tag)> {
+        let old = self.old.iter().filter(|(chat, _)| !self.young.contains_key(*chat));
+        old.chain(&self.young).map(|(chat, engine)| (*chat, *engine)).collect()
     }
 
     /// Forgets `chat`.
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -246,12 +246,13 @@
         address: SocketAddr,
         cfg: EngineConfig,
         board: Option<Arc<Board>>,
+        faults: Faults,
     ) -> io::Result<Engine> {
         let board = board.map(|board| {
             let at = board.join();
             (board, at)
         });
-        let faults: Arc<Faults> = Arc::default();
+        let faults = Arc::new(faults);
         let runs: Arc<Runs> = Arc::default();
         let state = Arc::new(State {
             cfg,
--- a/standins/src/fault.rs
+++ b/standins/src/fault.rs
@@ -1,6 +1,10 @@
 //! Faults that a backend server's stand-in can be told to have, one a request.
 
-use std::{collections::VecDeque, sync::Mutex, time::Duration};
+use std::{
+    collections::VecDeque,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use cartvane::utils::sync::lock;
 
@@ -40,11 +44,17 @@
 /// Faults in line; one is taken for each request.
 #[derive(Debug, Default)]
 pub struct Faults {
-    line: Mutex<VecDeque<Fault>>,
+    line: Arc<Mutex<VecDeque<Fault>>>,
     standing: Mutex<Option<Fault>>,
 }
 
 impl Faults {
+    /// Returns faults that share their line with `other`: whichever server is asked first has the
+    /// first of them.
+    pub fn sharing(other: &Faults) -> Faults {
+        Faults { line: Arc::clone(&other.line), standing: Mutex::default() }
+    }
+
     /// Adds faults for the next requests.
     pub fn push(&self, faults: impl IntoIterator<Item = Fault>) {
         lock(&self.line).extend(faults);
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -25,6 +25,7 @@
 
 use crate::{
     engine::{Board, Engine, EngineConfig},
+    fault::Faults,
     plain::Plain,
     platform::PlatformServer,
 };
@@ -160,12 +161,13 @@
         id: &str,
         zone: &str,
         platform: SocketAddr,
+        seeds: &[SocketAddr],
         lines: &str,
     ) -> anyhow::Result<Router> {
         let number = FILES.fetch_add(1, Ordering::SeqCst);
         let settings =
             std::env::temp_dir().join(format!("cartvane-{}-{number}.toml", std::process::id()));
-        fs::write(&settings, settings_text(id, zone, platform, lines))?;
+        fs::write(&settings, settings_text(id, zone, platform, seeds, lines))?;
         let mut child = Command::new(binary)
             .arg("router")
             .arg("--settings")
@@ -237,7 +239,15 @@
     }
 }
 
-fn settings_text(id: &str, zone: &str, platform: SocketAddr, lines: &str) -> String {
+fn settings_text(
+    id: &str,
+    zone: &str,
+    platform: SocketAddr,
+    seeds: &[SocketAddr],
+    lines: &str,
+) -> String {
+    let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+    let seeds = seeds.join(", ");
     format!(
         r#"id = "{id}"
 region = "loopback"
@@ -247,6 +257,7 @@
 callers = "127.0.0.1:0"
 peers = "127.0.0.1:0"
 operators = "127.0.0.1:0"
+seeds = [{seeds}]
 
 [platform]
 table = "{platform}"
@@ -268,6 +279,8 @@
     pub spec: FleetSpec,
     /// The platform.
     pub platform: PlatformServer,
+    /// Faults of the next requests, whichever server they reach.
+    pub faults: Faults,
     /// Loads of the engines.
     pub board: Arc<Board>,
     /// Engines by id.
@@ -294,6 +307,7 @@
         let mut fleet = Fleet {
             spec,
             platform,
+            faults: Faults::default(),
             board: Arc::new(Board::new(bound)),
             engines: IndexMap::new(),
             plains: IndexMap::new(),
@@ -305,7 +319,10 @@
             fleet.add_engine(&format!("engine-{n:02}"))?;
         }
         for n in 0..fleet.spec.plains {
-            fleet.plains.insert(format!("plain-{n:02}"), Plain::spawn(any_port())?);
+            fleet.plains.insert(
+                format!("plain-{n:02}"),
+                Plain::spawn(any_port(), Faults::sharing(&fleet.faults))?,
+            );
         }
         for n in 0..fleet.spec.routers {
             fleet.add_router(&format!("router-{n:02}"))?;
@@ -328,10 +345,9 @@
     ///
     /// It cannot be started.
     pub fn add_engine(&mut self, id: &str) -> io::Result<()> {
-        self.engines.insert(
-            id.to_owned(),
-            Engine::spawn(any_port(), self.spec.engine, Some(Arc::clone(&self.board)))?,
-        );
+        let (board, faults) = (Some(Arc::clone(&self.board)), Faults::sharing(&self.faults));
+        let engine = Engine::spawn(any_port(), self.spec.engine, board, faults)?;
+        self.engines.insert(id.to_owned(), engine);
         Ok(())
     }
 
@@ -342,14 +358,7 @@
     /// It cannot be started.
     pub fn add_router(&mut self, id: &str) -> anyhow::Result<()> {
         let zone = self.spec.zones[self.routers.len() % self.spec.zones.len()].clone();
-        let router = Router::spawn(
-            &self.spec.binary,
-            id,
-            &zone,
-            self.platform.address(),
-            &self.spec.settings,
-        )?;
-        self.platform.set_member(router.member(MemberState::Live)?);
+        let router = self.spawn_router(id, &zone)?;
         self.routers.push(router);
         Ok(())
     }
@@ -361,18 +370,25 @@
     /// It cannot be started.
     pub fn replace_router(&mut self, at: usize, id: &str) -> anyhow::Result<()> {
         let zone = self.routers[at].zone.clone();
-        let router = Router::spawn(
-            &self.spec.binary,
-            id,
-            &zone,
-            self.platform.address(),
-            &self.spec.settings,
-        )?;
-        self.platform.set_member(router.member(MemberState::Live)?);
-        self.routers[at] = router;
+        self.routers[at] = self.spawn_router(id, &zone)?;
         Ok(())
     }
 
+    fn spawn_router(&self, id: &str, zone: &str) -> anyhow::Result<Router> {
+        let seeds: Vec<SocketAddr> = self.routers.iter().map(|r| r.peers).collect();
+        let platform = self.platform.address();
+        let router =
+            Router::spawn(&self.spec.binary, id, zone, platform, &seeds, &self.spec.settings)?;
+        self.platform.set_member(router.member(MemberState::Live)?);
+        Ok(router)
+    }
+
+    /// Returns whether a router says that it takes callers.
+    pub fn is_ready(&self, at: usize) -> bool {
+        let url = format!("http://{}/readyz", self.routers[at].operators);
+        agent(LOOK_PERIOD * 50).get(url).call().is_ok_and(|response| response.status() == 200)
+    }
+
     /// Changes a router's entry in the membership list.
     ///
     /// # Errors
--- a/standins/src/load/driver.rs
+++ b/standins/src/load/driver.rs
@@ -114,8 +114,10 @@
     Ok(figures(&run, &outcomes, &sampled, &arrivals, &control))
 }
 
+/// Returns the routers that say they are ready, as the platform's balancer would choose.
 fn addresses(fleet: &Fleet) -> Vec<SocketAddr> {
-    fleet.routers.iter().map(|r| r.callers).collect()
+    let ready = (0..fleet.routers.len()).filter(|&at| fleet.is_ready(at));
+    ready.map(|at| fleet.routers[at].callers).collect()
 }
 
 fn sample(fleet: &Fleet, at: Duration) -> LoadSample {
--- a/standins/src/plain.rs
+++ b/standins/src/plain.rs
@@ -19,13 +19,13 @@
 }
 
 impl Plain {
-    /// Starts a server on `address`.
+    /// Starts a server on `address` with the faults given.
     ///
     /// # Errors
     ///
     /// The address cannot be listened on.
-    pub fn spawn(address: SocketAddr) -> io::Result<Plain> {
-        let faults: Arc<Faults> = Arc::default();
+    pub fn spawn(address: SocketAddr, faults: Faults) -> io::Result<Plain> {
+        let faults = Arc::new(faults);
         let runs: Arc<Runs> = Arc::default();
         let counted = Arc::clone(&runs);
         let listener = listen(address, Arc::clone(&faults), move |exchange| {
--- /dev/null
+++ b/tests/suite/home.rs
@@ -0,0 +1,433 @@
+//! The home of a shard: the bound, queues, patience, recovery. Pure decisions on a made-up clock.
+
+use std::{
+    collections::{HashMap, HashSet},
+    time::{Duration, Instant},
+};
+
+use cartvane::{
+    contract::permit::{Ask, Held, PermitId, RefuseReason, Release, ReleaseKind, Reply, TeamTerms},
+    names::Tag,
+    units::Rate,
+    zone::{
+        engine::EngineSpec,
+        home::{Action, ENTRY_SILENCE, Event, Home, HomeTerms, ShardLoad, WARM_UP, bound_of},
+        rendezvous::ChatKey,
+    },
+};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed, TestRunner},
+};
+
+const ENTRY: Tag = Tag(900);
+const TEAM: Tag = Tag(1);
+
+fn engines(count: u32, capacity: u32) -> Vec<EngineSpec> {
+    (1..=count).map(|n| EngineSpec { tag: Tag(n), weight: 1.0, capacity, leaving: false }).collect()
+}
+
+fn terms() -> HomeTerms {
+    HomeTerms { load_bound: 1.25, queue: 100, remembered: 1000, patience: Duration::ZERO }
+}
+
+fn ask(number: u64, chat: u64) -> Ask {
+    Ask {
+        id: PermitId { entry: ENTRY, number },
+        chat: ChatKey(chat),
+        team: TEAM,
+        left: Duration::from_secs(10),
+        hint: None,
+        avoid: Vec::new(),
+        may_spill: false,
+    }
+}
+
+fn release(number: u64) -> Event {
+    Event::Release(ENTRY, Release { number, kind: ReleaseKind::Done, load: None })
+}
+
+/// A home past its warm-up, and the time.
+fn home(count: u32, capacity: u32, terms: HomeTerms) -> (Home, Instant) {
+    let start = Instant::now();
+    (Home::new(terms, engines(count, capacity), start), start + WARM_UP)
+}
+
+fn reply_to(actions: &[Action], number: u64) -> Option<Reply> {
+    actions.iter().rev().find_map(|action| match action {
+        Action::Reply(id, reply) if id.number == number => Some(*reply),
+        _ => None,
+    })
+}
+
+fn ask_now(home: &mut Home, now: Instant, ask: Ask) -> Option<Reply> {
+    let number = ask.id.number;
+    reply_to(&home.handle(now, Event::Ask(ask, TeamTerms::default())), number)
+}
+
+#[test]
+fn a_returning_chat_goes_where_it_was() {
+    let (mut home, now) = home(5, 8, terms());
+    let first = ask_now(&mut home, now, ask(1, 77));
+    home.handle(now, release(1));
+    for number in 2..10 {
+        assert_eq!(ask_now(&mut home, now, ask(number, 77)), first);
+        home.handle(now, release(number));
+    }
+}
+
+#[test]
+fn a_hint_stands_in_for_lost_memory() {
+    let (mut home, now) = home(5, 8, terms());
+    let hinted = Ask { hint: Some(Tag(4)), ..ask(1, 77) };
+    assert_eq!(ask_now(&mut home, now, hinted), Some(Reply::Granted(Tag(4))));
+    let strange = Ask { hint: Some(Tag(4444)), ..ask(2, 78) };
+    assert!(matches!(ask_now(&mut home, now, strange), Some(Reply::Granted(_))));
+}
+
+#[test]
+fn the_same_ask_twice_gets_the_same_permit_once() {
+    let (mut home, now) = home(5, 8, terms());
+    let first = ask_now(&mut home, now, ask(1, 7));
+    assert_eq!(ask_now(&mut home, now, ask(1, 7)), first);
+    assert_eq!(home.permits(), 1);
+}
+
+#[test]
+fn a_returning_chat_waits_for_its_engine_and_not_longer_than_its_patience() {
+    let (mut home, now) = home(2, 8, HomeTerms { patience: Duration::from_millis(300), ..terms() });
+    let engine = ask_now(&mut home, now, ask(1, 7)).expect("granted");
+    // The chat's engine is at the bound: ceil(1.25 x 2 / 2) = 2, and it holds two of two.
+    let other = ask_now(&mut home, now, Ask { hint: granted_tag(engine), ..ask(2, 8) });
+    assert_eq!(other, Some(engine));
+    assert_eq!(ask_now(&mut home, now, ask(3, 7)), Some(Reply::Queued));
+    let actions = home.handle(now + Duration::from_millis(100), release(1));
+    assert_eq!(reply_to(&actions, 3), Some(engine), "the place that came free is its own");
+    assert_eq!(ask_now(&mut home, now, ask(4, 7)), Some(Reply::Queued));
+    let actions = home.handle(now + Duration::from_millis(301), Event::Tick);
+    let elsewhere = reply_to(&actions, 4).expect("its patience is over");
+    assert!(matches!(elsewhere, Reply::Granted(tag) if Some(tag) != granted_tag(engine)));
+}
+
+fn granted_tag(reply: Reply) -> Option<Tag> {
+    if let Reply::Granted(tag) = reply { Some(tag) } else { None }
+}
+
+#[test]
+fn a_leaving_engine_gets_nothing_new() {
+    let (mut home, now) = home(3, 8, terms());
+    home.handle(now, Event::Leaving(Tag(1), true));
+    let mut specs = engines(3, 8);
+    specs[1].leaving = true;
+    home.handle(now, Event::Engines(specs));
+    for number in 0..6 {
+        assert_eq!(ask_now(&mut home, now, ask(number, number)), Some(Reply::Granted(Tag(3))));
+    }
+}
+
+#[test]
+fn an_engine_that_fails_is_passed_over_ever_longer_and_tried_again() {
+    let (mut home, mut now) = home(2, 8, terms());
+    let mut pauses = Vec::new();
+    for number in 0..3 {
+        let hinted = Ask { hint: Some(Tag(1)), ..ask(number * 100, 10_000 + number) };
+        assert_eq!(ask_now(&mut home, now, hinted), Some(Reply::Granted(Tag(1))));
+        let failed = Release { number: number * 100, kind: ReleaseKind::Failed, load: None };
+        home.handle(now, Event::Release(ENTRY, failed));
+        let began = now;
+        let mut probe = number * 100 + 1;
+        while ask_now(&mut home, now, Ask { hint: Some(Tag(1)), ..ask(probe, probe) })
+            != Some(Reply::Granted(Tag(1)))
+        {
+            home.handle(now, release(probe));
+            now += Duration::from_millis(50);
+            probe += 1;
+        }
+        home.handle(
+            now,
+            Event::Release(ENTRY, Release { number: probe, kind: ReleaseKind::Unused, load: None }),
+        );
+        pauses.push(now - began);
+    }
+    assert!(pauses[0] < pauses[1] && pauses[1] < pauses[2], "{pauses:?}");
+}
+
+#[test]
+fn a_surging_team_waits_behind_its_own_requests() {
+    let (mut home, now) = home(1, 2, terms());
+    let of = |team: u32, number: u64| Ask { team: Tag(team), ..ask(number, number) };
+    for number in 1..=12 {
+        ask_now(&mut home, now, of(1, number));
+    }
+    assert_eq!(ask_now(&mut home, now, of(2, 50)), Some(Reply::Queued));
+    assert_eq!(ask_now(&mut home, now, of(2, 51)), Some(Reply::Queued));
+    let mut order = Vec::new();
+    for number in 1..=6 {
+        for action in home.handle(now, release(number)) {
+            if let Action::Reply(id, Reply::Granted(_)) = action {
+                order.push(id.number);
+            }
+        }
+    }
+    let place = |number| order.iter().position(|n| *n == number);
+    assert!(place(50) < Some(3) && place(51) < Some(5), "{order:?}");
+}
+
+#[test]
+fn a_reserved_request_goes_before_all_that_wait() {
+    let (mut home, now) = home(1, 1, terms());
+    for number in 1..=5 {
+        ask_now(&mut home, now, ask(number, number));
+    }
+    let reserved = TeamTerms { reserved: true, ..TeamTerms::default() };
+    let actions = home.handle(now, Event::Ask(Ask { team: Tag(9), ..ask(70, 70) }, reserved));
+    assert_eq!(reply_to(&actions, 70), Some(Reply::Queued));
+    let actions = home.handle(now, release(1));
+    assert!(matches!(reply_to(&actions, 70), Some(Reply::Granted(_))));
+}
+
+#[test]
+fn what_cannot_be_done_in_time_is_refused_at_once() {
+    let (mut home, now) = home(1, 1, terms());
+    ask_now(&mut home, now, ask(1, 1));
+    home.handle(now + Duration::from_secs(2), release(1));
+    let now = now + Duration::from_secs(2);
+    ask_now(&mut home, now, ask(2, 2));
+    assert_eq!(ask_now(&mut home, now, ask(3, 3)), Some(Reply::Queued));
+    let hurried = Ask { left: Duration::from_secs(3), ..ask(4, 4) };
+    let reply = ask_now(&mut home, now, hurried);
+    assert!(
+        matches!(reply, Some(Reply::Refused { reason: RefuseReason::Deadline, .. })),
+        "{reply:?}"
+    );
+}
+
+#[test]
+fn a_queued_request_is_refused_when_its_deadline_passes() {
+    let (mut home, now) = home(1, 1, terms());
+    ask_now(&mut home, now, ask(1, 1));
+    let hurried = Ask { left: Duration::from_secs(1), ..ask(2, 2) };
+    assert_eq!(ask_now(&mut home, now, hurried), Some(Reply::Queued));
+    let actions = home.handle(now + Duration::from_secs(1), Event::Tick);
+    let reply = reply_to(&actions, 2);
+    assert!(
+        matches!(reply, Some(Reply::Refused { reason: RefuseReason::Deadline, .. })),
+        "{reply:?}"
+    );
+    assert_eq!(home.queued(), 0);
+}
+
+#[test]
+fn a_full_queue_and_team_limits_refuse() {
+    let (mut home, now) = home(1, 1, HomeTerms { queue: 1, ..terms() });
+    ask_now(&mut home, now, ask(1, 1));
+    assert_eq!(ask_now(&mut home, now, ask(2, 2)), Some(Reply::Queued));
+    let reply = ask_now(&mut home, now, ask(3, 3));
+    assert!(matches!(reply, Some(Reply::Refused { reason: RefuseReason::QueueFull, .. })));
+    let limited = TeamTerms { max_in_flight: Some(1), ..TeamTerms::default() };
+    let reply = reply_to(&home.handle(now, Event::Ask(ask(4, 4), limited)), 4);
+    assert!(matches!(reply, Some(Reply::Refused { reason: RefuseReason::TeamInFlight, .. })));
+    let slow = TeamTerms { rate: Some(Rate(1.0)), ..TeamTerms::default() };
+    let other = |number| Ask { team: Tag(5), ..ask(number, number) };
+    home.handle(now, Event::Ask(other(5), slow));
+    let reply = reply_to(&home.handle(now, Event::Ask(other(6), slow)), 6);
+    assert!(matches!(reply, Some(Reply::Refused { reason: RefuseReason::TeamRate, .. })));
+}
+
+#[test]
+fn a_new_home_counts_reports_until_permits_are_announced() {
+    let start = Instant::now();
+    let mut home = Home::new(terms(), engines(2, 4), start);
+    home.handle(start, Event::Report(Tag(1), 4));
+    for number in 0..4 {
+        assert_eq!(ask_now(&mut home, start, ask(number, number)), Some(Reply::Granted(Tag(2))));
+    }
+    let held =
+        |number, engine| Held { number, engine, chat: ChatKey(number), team: TEAM, left_ms: 5000 };
+    let other = Tag(901);
+    home.handle(start, Event::Announce(other, vec![held(1, Tag(1)), held(2, Tag(1))], Vec::new()));
+    assert_eq!(home.permits(), 6);
+    // What is not named any more is no longer held; what is under way stays.
+    home.handle(start, Event::Announce(other, vec![held(2, Tag(1))], Vec::new()));
+    assert_eq!(home.permits(), 5);
+    home.handle(start, Event::Announce(ENTRY, Vec::new(), vec![0, 1]));
+    assert_eq!(home.permits(), 3);
+}
+
+#[test]
+fn a_count_that_differs_asks_for_an_announcement() {
+    let (mut home, now) = home(2, 4, terms());
+    ask_now(&mut home, now, ask(1, 1));
+    assert!(home.handle(now, Event::Count(ENTRY, 1)).is_empty());
+    assert_eq!(home.handle(now, Event::Count(ENTRY, 0)), [Action::WantAnnouncement(ENTRY)]);
+}
+
+#[test]
+fn the_permits_of_a_silent_entry_end() {
+    let (mut home, now) = home(2, 4, terms());
+    ask_now(&mut home, now, ask(1, 1));
+    home.handle(now + ENTRY_SILENCE / 2, Event::Tick);
+    assert_eq!(home.permits(), 1);
+    home.handle(now + ENTRY_SILENCE, Event::Tick);
+    assert_eq!(home.permits(), 0);
+}
+
+#[test]
+fn a_permit_ends_some_time_after_its_requests_deadline() {
+    let (mut home, mut now) = home(2, 4, terms());
+    ask_now(&mut home, now, ask(1, 1));
+    let until = now + Duration::from_secs(13);
+    while now < until {
+        now += Duration::from_secs(1);
+        home.handle(now, Event::Count(ENTRY, 1));
+        home.handle(now, Event::Tick);
+    }
+    assert_eq!(home.permits(), 0);
+}
+
+#[test]
+fn the_bound_follows_the_load_elsewhere() {
+    let (mut home, now) = home(2, 100, terms());
+    assert_eq!(home.bound(now), 1);
+    home.handle(now, Event::Elsewhere(Tag(2), ShardLoad { load: 39, engines: 2 }));
+    assert_eq!(home.bound(now), bound_of(1.25, 40, 4));
+    let later = now + Duration::from_secs(6);
+    assert_eq!(home.bound(later), 1, "a load heard long ago no longer counts");
+}
+
+#[test]
+fn a_full_shard_sends_on_what_may_go_on() {
+    let (mut home, now) = home(1, 1, terms());
+    ask_now(&mut home, now, ask(1, 1));
+    assert_eq!(ask_now(&mut home, now, Ask { may_spill: true, ..ask(2, 2) }), Some(Reply::Spill));
+}
+
+/// One drawn event.
+#[derive(Debug, Clone)]
+enum Draw {
+    Ask { chat: u64, team: u32, hint: u32 },
+    Release(usize),
+    Fail(usize),
+    Leave(u32, bool),
+    Advance(u64),
+    Drop(usize),
+}
+
+fn draws() -> impl Strategy<Value = Vec<Draw>> {
+    let draw = prop_oneof![
+        6 => (0..40_u64, 1..4_u32, 0..9_u32).prop_map(|(chat, team, hint)| Draw::Ask { chat, team, hint }),
+        4 => any::<prop::sample::Index>().prop_map(|i| Draw::Release(i.index(1000))),
+        1 => any::<prop::sample::Index>().prop_map(|i| Draw::Fail(i.index(1000))),
+        1 => (1..7_u32, any::<bool>()).prop_map(|(engine, leaving)| Draw::Leave(engine, leaving)),
+        2 => (1..400_u64).prop_map(Draw::Advance),
+        1 => any::<prop::sample::Index>().prop_map(|i| Draw::Drop(i.index(1000))),
+    ];
+    proptest::collection::vec(draw, 1..300)
+}
+
+/// Checks every grant against an account of its own.
+struct Account {
+    held: HashMap<u64, Tag>,
+    waiting: HashSet<u64>,
+    leaving: HashSet<Tag>,
+}
+
+impl Account {
+    fn take(&mut self, home: &Home, now: Instant, actions: &[Action]) -> Result<(), TestCaseError> {
+        for action in actions {
+            let Action::Reply(id, reply) = action else { continue };
+            match reply {
+                Reply::Queued => prop_assert!(self.waiting.insert(id.number), "queued twice"),
+                Reply::Granted(engine) => {
+                    self.waiting.remove(&id.number);
+                    prop_assert!(!self.leaving.contains(engine), "a leaving engine got work");
+                    prop_assert!(self.held.insert(id.number, *engine).is_none(), "granted twice");
+                    let load = self.held.values().filter(|e| *e == engine).count() as u32;
+                    prop_assert!(load <= 6, "over capacity: {load}");
+                    // The bound once this request counts is at most that of one more arriving.
+                    prop_assert!(
+                        load <= home.bound(now),
+                        "{load} on {engine}, bound {}",
+                        home.bound(now)
+                    );
+                }
+                Reply::Spill => prop_assert!(false, "nothing may spill here"),
+                Reply::Refused { .. } => {
+                    self.waiting.remove(&id.number);
+                }
+            }
+        }
+        prop_assert_eq!(home.permits(), self.held.len());
+        prop_assert_eq!(home.queued(), self.waiting.len());
+        Ok(())
+    }
+}
+
+#[test]
+fn drawn_events_never_break_the_bound_and_lose_no_ask() {
+    let config = Config {
+        cases: 200,
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let done = TestRunner::new(config).run(&draws(), |draws| {
+        let (mut home, mut now) =
+            home(6, 6, HomeTerms { patience: Duration::from_millis(250), ..terms() });
+        let mut account =
+            Account { held: HashMap::new(), waiting: HashSet::new(), leaving: HashSet::new() };
+        let mut number = 0;
+        for draw in draws {
+            let pick = |set: Vec<u64>, at: usize| {
+                if set.is_empty() { None } else { Some(set[at % set.len()]) }
+            };
+            let mut held: Vec<u64> = account.held.keys().copied().collect();
+            held.sort_unstable();
+            let mut waiting: Vec<u64> = account.waiting.iter().copied().collect();
+            waiting.sort_unstable();
+            let event = match draw {
+                Draw::Ask { chat, team, hint } => {
+                    number += 1;
+                    let hint = (hint > 0).then_some(Tag(hint));
+                    Event::Ask(
+                        Ask { team: Tag(team), hint, ..ask(number, chat) },
+                        TeamTerms::default(),
+                    )
+                }
+                Draw::Release(at) | Draw::Fail(at) => {
+                    let Some(number) = pick(held, at) else { continue };
+                    account.held.remove(&number);
+                    let kind = if matches!(draw, Draw::Fail(_)) {
+                        ReleaseKind::Failed
+                    } else {
+                        ReleaseKind::Done
+                    };
+                    Event::Release(ENTRY, Release { number, kind, load: None })
+                }
+                Draw::Drop(at) => {
+                    let Some(number) = pick(waiting, at) else { continue };
+                    account.waiting.remove(&number);
+                    Event::Release(ENTRY, Release { number, kind: ReleaseKind::Unused, load: None })
+                }
+                Draw::Leave(engine, leaving) => {
+                    if leaving {
+                        account.leaving.insert(Tag(engine))
+                    } else {
+                        account.leaving.remove(&Tag(engine))
+                    };
+                    Event::Leaving(Tag(engine), leaving)
+                }
+                Draw::Advance(millis) => {
+                    now += Duration::from_millis(millis);
+                    let count = account.held.len();
+                    home.handle(now, Event::Count(ENTRY, count));
+                    Event::Tick
+                }
+            };
+            let actions = home.handle(now, event);
+            account.take(&home, now, &actions)?;
+        }
+        Ok(())
+    });
+    done.expect("the home keeps its promises");
+}
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -1,4 +1,6 @@
 //! All integration tests, as one crate.
 
+mod answers;
+mod home;
 mod support;
 mod whole_path;
