--- a/tests/suite/support.rs
+++ b/tests/suite/support.rs
@@ -1,5 +1,10 @@
 //! What the tests share: fleets of the built binary, and requests to them.
 
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
 use cartvane::instance::status::FleetStatus;
 use standins::{
     caller::{Answer, Call},
@@ -55,3 +60,12 @@
     };
     fleet.wait_for("every permit given back", idle).expect("permits are given back");
 }
+
+/// Waits until `wanted` holds.
+pub(crate) fn eventually(what: &str, wanted: impl Fn() -> bool) {
+    let until = Instant::now() + Duration::from_secs(20);
+    while !wanted() {
+        assert!(Instant::now() < until, "not in time: {what}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
