feat(routing): homes probe engines of which nothing was heard for 2 s

Cause: an engine that said itself that it was leaving went on getting chats until it next answered (found by the drain tests); a home that had just taken over did not know what the list calls leaving.

--- a/src/instance/gossip.rs
+++ b/src/instance/gossip.rs
@@ -24,8 +24,7 @@
     let version = lock(&shared.membership).version();
     match shared.platform.members.since(version) {
         Ok(page) if page.version != version => {
-            lock(&shared.membership).listed(page.version, page.changed);
-            tell_homes_who_leaves(shared);
+            lock(&shared.membership).listed(page.version, page.changed)
         }
         Ok(_) => {}
         Err(fault) => {
@@ -77,7 +76,7 @@
 }
 
 /// Tells the homes held here which backend servers the list calls leaving.
-fn tell_homes_who_leaves(shared: &Shared) {
+pub fn tell_homes_who_leaves(shared: &Shared) {
     let Some(snapshot) = shared.snapshot.load_full() else { return };
     shared.homes.each(|id| {
         let Some(shard) = snapshot.shard(id) else { return Vec::new() };
@@ -85,7 +84,7 @@
         let leaves = |tag: Tag| {
             snapshot.server(tag).is_some_and(|b| membership.server_leaves(b.id.as_str()))
         };
-        shard.engines.iter().map(|e| Event::Leaving(e.tag, leaves(e.tag))).collect()
+        shard.engines.iter().map(|e| Event::Listed(e.tag, leaves(e.tag))).collect()
     });
 }
 
--- a/src/instance/homes.rs
+++ b/src/instance/homes.rs
@@ -167,14 +167,34 @@
 
     /// Gives every home an event made for its shard.
     pub fn each(&self, event: impl Fn(ShardId) -> Vec<Event>) {
+        for (id, _) in self.all_slots() {
+            self.tell(id, event(id));
+        }
+    }
+
+    /// Returns the engines that are due for a probe.
+    pub fn probes_due(&self) -> Vec<(ShardId, Tag)> {
         let now = self.clock.now();
-        for (id, slot) in self.all_slots() {
-            let mut actions = Vec::new();
-            for event in event(id) {
-                actions.extend(lock(&slot.home).handle(now, event));
-            }
-            self.carry_out(actions, None);
+        let due = |(id, slot): (ShardId, Arc<Slot>)| {
+            lock(&slot.home)
+                .probes_due(now)
+                .into_iter()
+                .map(move |engine| (id, engine))
+                .collect::<Vec<_>>()
+        };
+        self.all_slots().into_iter().flat_map(due).collect()
+    }
+
+    /// Gives events to the home of one shard, if it is held here.
+    pub fn tell(&self, shard: ShardId, events: Vec<Event>) {
+        let Some(slot) = lock(&self.slots).get(&shard).cloned() else { return };
+        let now = self.clock.now();
+        let mut actions = Vec::new();
+        {
+            let mut home = lock(&slot.home);
+            events.into_iter().for_each(|event| actions.extend(home.handle(now, event)));
         }
+        self.carry_out(actions, None);
     }
 
     /// Returns what replicas are to be told now, at most `most` places for each shard.
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -13,6 +13,7 @@
 pub mod operators;
 pub mod peers;
 pub mod place;
+pub mod probes;
 pub mod request;
 pub mod shared;
 pub mod snapshot;
@@ -62,6 +63,9 @@
 /// Period of the telling of homes' memory to its replicas.
 const MEMORY_PERIOD: Duration = Duration::from_millis(500);
 
+/// Pause between two looks for engines that are due for a probe.
+const PROBE_PERIOD: Duration = Duration::from_millis(250);
+
 /// Ticks between two rounds of slower work: loads, claims, metrics.
 const SLOW_TICKS: u64 = 5;
 
@@ -140,6 +144,10 @@
             gossip::tell_memories(shared);
             MEMORY_PERIOD
         })?;
+        self.background("probes", |shared| {
+            probes::probe_due(shared);
+            PROBE_PERIOD
+        })?;
         let mut ticks = 0_u64;
         self.background("tick", move |shared| {
             ticks += 1;
@@ -391,6 +399,7 @@
         return;
     }
     shared.claims.tick();
+    gossip::tell_homes_who_leaves(shared);
     gossip::tell_loads(shared);
     show_homes(shared);
 }
--- a/src/link/backend.rs
+++ b/src/link/backend.rs
@@ -102,7 +102,7 @@
             Some(conn) => conn,
             None => self.connect(attempt)?,
         };
-        let message = request_bytes(attempt);
+        let message = attempt.bytes();
         let stall = attempt.until.saturating_duration_since(self.clock.now());
         if let Err((sent, _)) = conn.send(&message, stall) {
             return Err(if sent == 0 { AttemptFault::BeforeSend } else { AttemptFault::AfterSend });
@@ -207,6 +207,13 @@
     }
 }
 
+impl Attempt<'_> {
+    /// Returns the bytes of the request.
+    pub fn bytes(&self) -> Vec<u8> {
+        request_bytes(self)
+    }
+}
+
 fn request_bytes(attempt: &Attempt<'_>) -> Vec<u8> {
     let mut buf = Vec::with_capacity(512 + attempt.body.len());
     buf.extend_from_slice(attempt.method.as_str().as_bytes());
--- a/src/zone/engine.rs
+++ b/src/zone/engine.rs
@@ -10,6 +10,9 @@
 /// Longest such time.
 const SUSPECT_MAX: Duration = Duration::from_secs(30);
 
+/// Time without any word of an engine after which its home probes it.
+const PROBE_AGE: Duration = Duration::from_secs(2);
+
 /// Age at which a reported load no longer counts.
 const REPORT_AGE_MAX: Duration = Duration::from_secs(10);
 
@@ -38,8 +41,12 @@
     /// Until when it gets nothing new because it failed.
     suspect_until: Option<Instant>,
     failures: u32,
-    /// Whether the membership list or the engine itself says that it is leaving.
-    pub told_leaving: bool,
+    /// When it was last heard of, or asked.
+    heard: Option<Instant>,
+    /// Whether the membership list says that it is leaving.
+    pub listed_leaving: bool,
+    /// Whether it says itself that it is leaving.
+    pub says_leaving: bool,
 }
 
 impl EngineSlot {
@@ -51,12 +58,24 @@
             reported: None,
             suspect_until: None,
             failures: 0,
-            told_leaving: false,
+            heard: None,
+            listed_leaving: false,
+            says_leaving: false,
+        }
+    }
+
+    /// Returns whether it is due for a probe; when it is, the next one is due [`PROBE_AGE`] later.
+    pub fn probe_due(&mut self, now: Instant) -> bool {
+        let due = self.heard.is_none_or(|at| now.duration_since(at) >= PROBE_AGE);
+        if due {
+            self.heard = Some(now);
         }
+        due
     }
 
     /// Notes a load that the engine reported.
     pub fn report(&mut self, now: Instant, load: u32) {
+        self.heard = Some(now);
         self.reported = Some((load, now));
     }
 
@@ -77,7 +96,7 @@
 
     /// Returns whether it is leaving, by any account.
     pub fn is_leaving(&self) -> bool {
-        self.spec.leaving || self.told_leaving
+        self.spec.leaving || self.listed_leaving || self.says_leaving
     }
 
     /// Returns whether it is suspected of being down.
--- a/src/zone/home.rs
+++ b/src/zone/home.rs
@@ -76,7 +76,11 @@
     Terms(HomeTerms),
     /// An engine reported its load.
     Report(Tag, u32),
-    /// The list or an engine itself says that it is leaving, or no longer.
+    /// An engine did not answer a probe.
+    ProbeFailed(Tag),
+    /// The membership list says that an engine is leaving, or no longer.
+    Listed(Tag, bool),
+    /// An engine says itself that it is leaving, or no longer.
     Leaving(Tag, bool),
     /// The home of another shard of the service tells its load and number of usable engines.
     Elsewhere(Tag, ShardLoad),
@@ -178,8 +182,14 @@
             }
             Event::Engines(specs) => self.set_engines(now, specs, &mut actions),
             Event::Terms(terms) => self.terms = terms,
-            Event::Report(engine, load) => self.report(now, engine, load),
-            Event::Leaving(engine, leaving) => self.set_leaving(engine, leaving),
+            Event::Report(engine, load) => self.with_engine(engine, |e| e.report(now, load)),
+            Event::ProbeFailed(engine) => self.with_engine(engine, |e| e.failed(now)),
+            Event::Listed(engine, leaving) => {
+                self.with_engine(engine, |e| e.listed_leaving = leaving)
+            }
+            Event::Leaving(engine, leaving) => {
+                self.with_engine(engine, |e| e.says_leaving = leaving)
+            }
             Event::Elsewhere(home, load) => {
                 self.elsewhere.insert(home, (load, now));
             }
@@ -429,7 +439,7 @@
             }
             match release.kind {
                 ReleaseKind::Done => engine.succeeded(),
-                ReleaseKind::Leaving => engine.told_leaving = true,
+                ReleaseKind::Leaving => engine.says_leaving = true,
                 ReleaseKind::Failed | ReleaseKind::Refused => engine.failed(now),
                 ReleaseKind::Unused => {}
             }
@@ -510,16 +520,16 @@
         self.serve_queue(now, actions);
     }
 
-    fn report(&mut self, now: Instant, engine: Tag, load: u32) {
-        if let Some(engine) = self.engines.get_mut(&engine) {
-            engine.report(now, load);
-        }
+    fn with_engine(&mut self, engine: Tag, f: impl FnOnce(&mut EngineSlot)) {
+        self.engines.get_mut(&engine).map(f);
     }
 
-    fn set_leaving(&mut self, engine: Tag, leaving: bool) {
-        if let Some(engine) = self.engines.get_mut(&engine) {
-            engine.told_leaving = leaving;
+    /// Returns the engines that are due for a probe, if this is the shard's home.
+    pub fn probes_due(&mut self, now: Instant) -> Vec<Tag> {
+        if !self.is_home {
+            return Vec::new();
         }
+        self.engines.values_mut().filter_map(|e| e.probe_due(now).then_some(e.spec.tag)).collect()
     }
 
     fn set_role(&mut self, now: Instant, is_home: bool) {
--- a/tests/suite/home.rs
+++ b/tests/suite/home.rs
@@ -116,7 +116,9 @@
 #[test]
 fn a_leaving_engine_gets_nothing_new() {
     let (mut home, now) = home(3, 8, terms());
-    home.handle(now, Event::Leaving(Tag(1), true));
+    home.handle(now, Event::Listed(Tag(1), true));
+    // What an engine says of itself does not undo what the list says.
+    home.handle(now, Event::Leaving(Tag(1), false));
     let mut specs = engines(3, 8);
     specs[1].leaving = true;
     home.handle(now, Event::Engines(specs));
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod callers;
+mod drain;
 mod framing;
 mod home;
 mod support;
