test: configuration under faults, golden sessions, decision machines, both users' files

Cause: what operators state had no proof under failure; the command line had none at all. Change: 11 tests of apply, spread, boot and claims under faults of the platform (down, cut, slow, replies lost, write limit), racing operators, frozen and new routers, a corrupt chunk; golden sessions; machines on made-up clocks; any text taken whole or refused whole; examples for both early users, checked; docs/SETTINGS.md held to the code by a test. explain asks the home; status tells homes from replicas; faults of a file are told once each and references always checked.

--- a/src/cli/status.rs
+++ b/src/cli/status.rs
@@ -49,7 +49,7 @@
         text.push_str(&format!("{id:<20} no answer\n"));
     }
     for instance in &status.instances {
-        for shard in &instance.shards {
+        for shard in instance.shards.iter().filter(|s| s.is_home) {
             text.push_str(&render_shard(instance, shard));
         }
     }
--- a/src/configs/fleet/backend_server.rs
+++ b/src/configs/fleet/backend_server.rs
@@ -46,27 +46,32 @@
     ) -> Option<BackendServer> {
         let id = table.required("id");
         let service: Option<ServiceId> = table.required("service");
-        let address: Option<SocketAddr> = table.required("address");
+        let address = table.required_address("address");
         let zone: Option<ZoneId> = table.required("zone");
+        if let Some(service) = service.as_ref().filter(|id| !services.contains_key(*id)) {
+            let near = nearest(service.as_str(), services.keys().map(ServiceId::as_str));
+            table.fault("service", unknown("service", service.as_str(), near));
+        }
+        if let Some(zone) = zone.as_ref().filter(|id| !zones.contains_key(*id)) {
+            let near = nearest(zone.as_str(), zones.keys().map(ZoneId::as_str));
+            table.fault("zone", unknown("zone", zone.as_str(), near));
+        }
+        let capacity = table.whole("capacity", 1, 1_000_000).unwrap_or(64) as u32;
+        let weight = table.number("weight", 0.001, 1000.0).unwrap_or(1.0);
+        let checks_fencing = table.flag("checks_fencing").unwrap_or(false);
+        let reports_load = table.flag("reports_load").unwrap_or(false);
+        let leaving = table.flag("leaving").unwrap_or(false);
         let server = BackendServer {
             id: id?,
             service: service?,
             address: address?,
             zone: zone?,
-            capacity: table.whole("capacity", 1, 1_000_000).unwrap_or(64) as u32,
-            weight: table.number("weight", 0.001, 1000.0).unwrap_or(1.0),
-            checks_fencing: table.flag("checks_fencing").unwrap_or(false),
-            reports_load: table.flag("reports_load").unwrap_or(false),
-            leaving: table.flag("leaving").unwrap_or(false),
+            capacity,
+            weight,
+            checks_fencing,
+            reports_load,
+            leaving,
         };
-        if !services.contains_key(&server.service) {
-            let near = nearest(server.service.as_str(), services.keys().map(ServiceId::as_str));
-            table.fault("service", unknown("service", server.service.as_str(), near));
-        }
-        if !zones.contains_key(&server.zone) {
-            let near = nearest(server.zone.as_str(), zones.keys().map(ZoneId::as_str));
-            table.fault("zone", unknown("zone", server.zone.as_str(), near));
-        }
         if server.address.port() == 0 {
             table.fault("address", "has port 0; state the port it listens on");
         }
--- a/src/configs/fleet/service.rs
+++ b/src/configs/fleet/service.rs
@@ -132,10 +132,7 @@
         models: &IndexMap<ModelId, super::Model>,
     ) -> Option<Service> {
         let id = table.required("id");
-        let kind = table.choice("kind", &KINDS);
-        if kind.is_none() {
-            table.fault("kind", "needs \"model\" or \"plain\"");
-        }
+        let kind = table.required_choice("kind", &KINDS);
         let load_bound = table.number("load_bound", 1.0, 10.0).unwrap_or(1.25);
         let deadline = table.text("deadline").unwrap_or(Span::secs(30));
         let max_deadline = table.text("max_deadline").unwrap_or(Span::secs(300));
--- a/src/configs/fleet/team.rs
+++ b/src/configs/fleet/team.rs
@@ -81,7 +81,7 @@
         let rate = table.text("rate");
         let classes = [("normal", Priority::Normal), ("reserved", Priority::Reserved)];
         let priority = table.choice("priority", &classes).unwrap_or(Priority::Normal);
-        if keys.is_empty() {
+        if table.is_empty_list("keys") {
             table.fault("keys", "needs at least one key hash; make one with `cartvane hash-key`");
         }
         Some(Team {
--- a/src/configs/reader.rs
+++ b/src/configs/reader.rs
@@ -1,6 +1,6 @@
 //! Reads TOML tables and collects every fault with its line and column.
 
-use std::{cell::RefCell, fmt, ops::Range, str::FromStr};
+use std::{cell::RefCell, fmt, net::SocketAddr, ops::Range, str::FromStr};
 
 use serde::{Deserialize, Serialize};
 use toml::{
@@ -94,6 +94,23 @@
     }
 }
 
+/// An address with a port, as files state it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Address(pub SocketAddr);
+
+/// Why a text is not an address.
+#[derive(Debug, thiserror::Error)]
+#[error("{0:?} is not an address; write an IP number and a port, such as \"10.0.0.1:8000\"")]
+pub struct AddressError(String);
+
+impl FromStr for Address {
+    type Err = AddressError;
+
+    fn from_str(text: &str) -> Result<Address, AddressError> {
+        text.parse().map(Address).map_err(|_| AddressError(text.to_owned()))
+    }
+}
+
 /// One TOML table being read; unknown keys are faults when it is dropped by [`TableReader::done`].
 pub struct TableReader<'r, 'a> {
     reader: &'r Reader<'a>,
@@ -167,6 +184,22 @@
         self.text(key)
     }
 
+    /// Reads an address with a port; absent is `None`.
+    pub fn address(&self, key: &'static str) -> Option<SocketAddr> {
+        self.text::<Address>(key).map(|address| address.0)
+    }
+
+    /// Reads an address with a port that must be there.
+    pub fn required_address(&self, key: &'static str) -> Option<SocketAddr> {
+        self.required::<Address>(key).map(|address| address.0)
+    }
+
+    /// Returns whether `key` is absent or an empty list.
+    pub fn is_empty_list(&self, key: &str) -> bool {
+        let list = self.table.get(key).and_then(|value| value.get_ref().as_array());
+        list.is_some_and(|list| list.is_empty()) || self.table.get(key).is_none()
+    }
+
     /// Reads a whole number between `least` and `most`.
     pub fn whole(&self, key: &'static str, least: u64, most: u64) -> Option<u64> {
         let value = self.value(key)?.get_ref();
@@ -222,6 +255,19 @@
         None
     }
 
+    /// Reads one of a closed set of words that must be there.
+    pub fn required_choice<T: Copy>(
+        &self,
+        key: &'static str,
+        choices: &[(&'static str, T)],
+    ) -> Option<T> {
+        if self.table.get(key).is_none() {
+            let names: Vec<&str> = choices.iter().map(|(name, _)| *name).collect();
+            self.fault(key, format!("is missing; add one of {}", names.join(", ")));
+        }
+        self.choice(key, choices)
+    }
+
     /// Reads a list of texts, each parsed.
     pub fn texts<T>(&self, key: &'static str) -> Vec<T>
     where
--- a/src/configs/settings/listen.rs
+++ b/src/configs/settings/listen.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::configs::reader::TableReader;
+use crate::configs::reader::{Address, TableReader};
 
 /// Addresses of an instance.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -37,10 +37,10 @@
             );
             return None;
         };
-        let callers = table.required("callers");
-        let peers: Option<SocketAddr> = table.required("peers");
-        let operators = table.required("operators");
-        let advertised: Option<SocketAddr> = table.text("advertised");
+        let callers = table.required_address("callers");
+        let peers = table.required_address("peers");
+        let operators = table.required_address("operators");
+        let advertised = table.address("advertised");
         if peers.is_some_and(|a| a.ip().is_unspecified()) && advertised.is_none() {
             table.fault(
                 "advertised",
@@ -50,7 +50,7 @@
         if advertised.is_some_and(|a| a.ip().is_unspecified()) {
             table.fault("advertised", "is no address to connect to; state one that others reach");
         }
-        let seeds = table.texts("seeds");
+        let seeds = table.texts::<Address>("seeds").into_iter().map(|seed| seed.0).collect();
         table.done();
         Some(Listen { callers: callers?, peers: peers?, operators: operators?, advertised, seeds })
     }
--- a/src/configs/settings/platform.rs
+++ b/src/configs/settings/platform.rs
@@ -29,9 +29,9 @@
             table.done();
             return Platform::Embedded;
         }
-        let rows = table.required("table");
-        let objects = table.required("objects");
-        let members = table.required("members");
+        let rows = table.required_address("table");
+        let objects = table.required_address("objects");
+        let members = table.required_address("members");
         table.done();
         match (rows, objects, members) {
             (Some(table), Some(objects), Some(members)) => {
--- a/src/instance/homes.rs
+++ b/src/instance/homes.rs
@@ -46,6 +46,9 @@
 pub struct ShardStatus {
     /// The shard.
     pub shard: ShardId,
+    /// Whether this instance is the shard's home; else it holds a replica of its memory, or
+    /// grants while routers disagree.
+    pub is_home: bool,
     /// Most permits of one engine now.
     pub bound: u32,
     /// Requests waiting.
@@ -245,6 +248,7 @@
         let now = self.clock.now();
         self.map_homes(|shard, home| ShardStatus {
             shard,
+            is_home: home.is_home(),
             bound: home.bound(now),
             queued: home.queued(),
             remembered: home.remembered(),
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -5,6 +5,7 @@
 pub mod config;
 pub mod desk;
 pub mod entry;
+pub mod explain;
 pub mod forward;
 pub mod gossip;
 pub mod home_links;
@@ -405,7 +406,8 @@
 }
 
 fn show_homes(shared: &Shared) {
-    let status = status::own(shared);
+    let mut status = status::own(shared);
+    status.shards.retain(|shard| shard.is_home);
     shared.metrics.homes(status.shards.len());
     for shard in &status.shards {
         if let Ok(service) = shard.service.parse() {
--- a/src/instance/operators.rs
+++ b/src/instance/operators.rs
@@ -12,6 +12,7 @@
     instance::{
         apply::{ApplyFault, append, apply},
         config::object_key,
+        explain::{self, ChatName},
         shared::Shared,
         status,
     },
@@ -21,7 +22,6 @@
     platform::PlatformFault,
     units::Revision,
     utils::{secret::any_matches, sync::lock},
-    zone::rendezvous::ChatKey,
 };
 
 /// Largest operators' file taken.
@@ -49,34 +49,6 @@
     pub apply: Option<ApplyFault>,
 }
 
-/// Where a chat would go.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct Explanation {
-    /// Service.
-    pub service: String,
-    /// Key of the chat.
-    pub chat: String,
-    /// Shards in the chat's rank, each with its home.
-    pub shards: Vec<RankedShard>,
-    /// Engine that the home remembers for the chat.
-    pub remembered: Option<String>,
-    /// Engine that it would go to now.
-    pub would_go: Option<String>,
-    /// Engines of the first shard in the chat's rank.
-    pub rank: Vec<String>,
-    /// Why, in a sentence.
-    pub why: String,
-}
-
-/// A shard in a chat's rank.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct RankedShard {
-    /// Number.
-    pub number: u16,
-    /// Home by this instance's view.
-    pub home: String,
-}
-
 fn problem(status: u16, detail: impl Into<String>) -> Response {
     Response::json(&Problem { detail: detail.into(), apply: None }).with_status_code(status)
 }
@@ -267,55 +239,15 @@
 }
 
 fn explain(shared: &Shared, request: &Request) -> Response {
-    let Some(snapshot) = shared.snapshot.load_full() else {
-        return problem(503, "no file is in force");
-    };
     let (Some(service), Some(team), Some(chat)) =
         (request.get_param("service"), request.get_param("team"), request.get_param("chat"))
     else {
         return problem(400, "state service, team and chat");
     };
-    let Some(view) = snapshot.service(&service) else {
-        return problem(404, format!("no service is called {service:?}"));
-    };
-    let key = ChatKey::of(&[&service, &team, &chat]);
-    let shards = view.ranked_shards(key);
-    let home_name = |tag| {
-        let membership = lock(&shared.membership);
-        let peer = membership.peer(tag).map(|p| p.candidate.id.to_string());
-        peer.unwrap_or_else(|| shared.settings.id.to_string())
-    };
-    let name = |tag| snapshot.server(tag).map(|b| b.id.to_string());
-    let ranked = shards
-        .iter()
-        .map(|s| RankedShard { number: s.id.number, home: home_name(shared.home_of(s)) });
-    let first = shards[0];
-    let rank =
-        crate::zone::rendezvous::ranked(key.0, first.engines.iter().map(|e| (e.tag, e.weight)));
-    let known = shared.homes.explain(first.id, key);
-    let (remembered, would_go) = known.unwrap_or((None, None));
-    let why = match (known, remembered, would_go) {
-        (None, ..) => "this instance is not the home of the chat's first shard; ask the home named",
-        (_, Some(a), Some(b)) if a == b => {
-            "its context is on this engine and the engine is under the bound"
-        }
-        (_, Some(_), Some(_)) => {
-            "the engine with its context is at the bound, leaving or suspected; the next in its rank takes it"
-        }
-        (_, None, Some(_)) => {
-            "the home does not remember it; the first in its rank that is under the bound takes it"
-        }
-        (.., None) => "no engine is under the bound with room; it would wait",
-    };
-    Response::json(&Explanation {
-        service,
-        chat: key.to_string(),
-        shards: ranked.collect(),
-        remembered: remembered.and_then(name),
-        would_go: would_go.and_then(name),
-        rank: rank.into_iter().filter_map(|at| name(first.engines[at].tag)).collect(),
-        why: why.to_owned(),
-    })
+    match explain::explain(shared, &ChatName { service, team, chat }) {
+        Ok(explanation) => Response::json(&explanation),
+        Err(fault) => problem(fault.status(), fault.to_string()),
+    }
 }
 
 /// What a drain did.
--- a/src/instance/peers.rs
+++ b/src/instance/peers.rs
@@ -2,10 +2,10 @@
 
 use crate::{
     configs::fleet::chunks::{decode, encode},
-    instance::{gossip, shared::Shared, status},
+    instance::{explain, gossip, shared::Shared, status},
     link::wire::{
-        DRAIN, FETCH, FetchReply, FetchRequest, HEARTBEAT, Heartbeat, LOADS, LoadsMessage, MEMORY,
-        MemoryMessage, STATUS,
+        DRAIN, EXPLAIN, FETCH, FetchReply, FetchRequest, HEARTBEAT, Heartbeat, LOADS, LoadsMessage,
+        MEMORY, MemoryMessage, STATUS,
     },
     metrics::Purpose,
     utils::sync::lock,
@@ -43,6 +43,10 @@
         }
         FETCH => Ok(encode(&fetch(shared, &decode(body).map_err(bad)?))),
         STATUS => Ok(encode(&status::own(shared))),
+        EXPLAIN => {
+            let name = decode(body).map_err(bad)?;
+            explain::explain_here(shared, &name).map(|e| encode(&e)).map_err(|fault| fault.status())
+        }
         DRAIN => {
             shared.drain.start(shared.clock.now());
             Ok(encode(&()))
@@ -58,7 +62,7 @@
         LOADS => Purpose::Loads,
         MEMORY => Purpose::Memory,
         FETCH => Purpose::Config,
-        STATUS | DRAIN => Purpose::Operators,
+        STATUS | DRAIN | EXPLAIN => Purpose::Operators,
         _ => Purpose::Permits,
     }
 }
--- a/src/instance/status.rs
+++ b/src/instance/status.rs
@@ -39,6 +39,9 @@
     pub service: String,
     /// Number of the shard.
     pub number: u16,
+    /// Whether the instance is the shard's home; else it holds a replica of its memory, or grants
+    /// while routers disagree.
+    pub is_home: bool,
     /// Most permits of one engine now.
     pub bound: u32,
     /// Requests waiting.
@@ -108,6 +111,7 @@
     NamedShard {
         service,
         number: shard.shard.number,
+        is_home: shard.is_home,
         bound: shard.bound,
         queued: shard.queued,
         remembered: shard.remembered,
--- a/src/link/wire.rs
+++ b/src/link/wire.rs
@@ -24,6 +24,8 @@
 pub const FETCH: &str = "/f";
 /// Path of the request for an instance's status.
 pub const STATUS: &str = "/s";
+/// Path of the question where a chat would go.
+pub const EXPLAIN: &str = "/e";
 /// Path of the order to drain.
 pub const DRAIN: &str = "/d";
 /// Path of [`MemoryMessage`].
--- a/src/names.rs
+++ b/src/names.rs
@@ -105,7 +105,7 @@
 
         impl fmt::Display for $name {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                f.write_str(&self.0)
+                f.pad(&self.0)
             }
         }
     };
--- a/src/units.rs
+++ b/src/units.rs
@@ -122,7 +122,7 @@
 
 impl fmt::Display for Revision {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", self.0)
+        self.0.fmt(f)
     }
 }
 
--- a/src/zone/home.rs
+++ b/src/zone/home.rs
@@ -230,6 +230,11 @@
         self.engines.values()
     }
 
+    /// Returns whether this instance is the shard's home by its own view.
+    pub fn is_home(&self) -> bool {
+        self.is_home
+    }
+
     /// Returns the number of requests that wait.
     pub fn queued(&self) -> usize {
         self.queue.len() + self.patients.len()
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -39,6 +39,9 @@
 /// Credential of operators.
 pub const OPERATOR_CREDENTIAL: &str = "operators-on-loopback-0001";
 
+/// Credential of operators who may only read; settings name it where they want it.
+pub const READER_CREDENTIAL: &str = "readers-on-loopback-0001";
+
 /// Longest wait for a fleet to do what it is told.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -174,6 +177,7 @@
             .arg(&settings)
             .env("FLEET_PEERS", PEER_CREDENTIAL)
             .env("FLEET_OPERATORS", OPERATOR_CREDENTIAL)
+            .env("FLEET_READERS", READER_CREDENTIAL)
             .stdout(Stdio::piped())
             .spawn()
             .with_context(|| format!("cannot start {}", binary.display()))?;
--- /dev/null
+++ b/tests/suite/machines.rs
@@ -0,0 +1,401 @@
+//! The smaller decision machines, each on a made-up clock.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use cartvane::{
+    configs::fleet::chunks::Digest,
+    contract::{
+        claim::{Claim, ClaimState, ClaimVerdict, StoredAnswer, judge},
+        fair_queue::FairQueue,
+        lease::{LEASE_LIFE, LEASE_MARGIN, Lease, LeaseRow, LeaseStep},
+        membership::Membership,
+        outcome::{AttemptFault, Outcome, Repeat, may_retry},
+        retry::{RetryBudget, backoff},
+        revision::{Head, InForce},
+        token_bucket::TokenBucket,
+    },
+    names::{InstanceId, Tag},
+    platform::{Member, MemberKind, MemberState},
+    units::{Rate, Revision},
+    zone::{
+        homes::{Candidate, home_of},
+        memory::ChatMemory,
+        recency::Recency,
+        rendezvous::{ChatKey, ranked, score},
+        shard::ShardId,
+    },
+};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed, TestRunner},
+};
+
+fn id(text: &str) -> InstanceId {
+    text.parse().expect("an id")
+}
+
+fn candidate(name: &str) -> Candidate {
+    Candidate { id: id(name), tag: id(name).tag(), zone: "z".parse().expect("a zone") }
+}
+
+fn member(name: &str, port: u16, state: MemberState) -> Member {
+    let address = ([127, 0, 0, 1], port).into();
+    Member {
+        id: name.to_owned(),
+        kind: MemberKind::Instance,
+        address,
+        zone: "z".parse().expect("a zone"),
+        state,
+    }
+}
+
+fn home_names(view: &Membership, now: Instant) -> Vec<String> {
+    let mut names: Vec<String> = view.homes(now).iter().map(|c| c.id.to_string()).collect();
+    names.sort();
+    names
+}
+
+#[test]
+fn a_suspected_peer_is_passed_over_for_a_time_that_grows_with_flapping() {
+    let mut view = Membership::new(candidate("a"));
+    let mut now = Instant::now();
+    view.listed(1, vec![member("a", 1, MemberState::Live), member("b", 2, MemberState::Live)]);
+    assert_eq!(home_names(&view, now), ["a", "b"]);
+    let b = id("b").tag();
+    let mut pauses = Vec::new();
+    for _ in 0..3 {
+        view.failed(now, b);
+        let began = now;
+        while home_names(&view, now) == ["a"] {
+            now += Duration::from_millis(100);
+        }
+        pauses.push(now - began);
+        view.heard(now, b, 1, false);
+    }
+    assert!(pauses[0] < pauses[1] && pauses[1] < pauses[2], "{pauses:?}");
+    view.failed(now, b);
+    view.heard(now, b, 1, false);
+    assert_eq!(home_names(&view, now), ["a", "b"], "whoever is heard is no longer suspected");
+}
+
+#[test]
+fn a_rumour_counts_only_where_nothing_was_heard_lately() {
+    let mut view = Membership::new(candidate("a"));
+    let now = Instant::now();
+    view.listed(1, vec![member("b", 2, MemberState::Live), member("c", 3, MemberState::Live)]);
+    view.heard(now, id("b").tag(), 1, false);
+    view.rumour(now, id("b").tag());
+    view.rumour(now, id("c").tag());
+    assert_eq!(home_names(&view, now), ["a", "b"]);
+    assert!(view.suspected(now).is_empty(), "a rumour is not passed on as own evidence");
+    assert_eq!(home_names(&view, now + Duration::from_secs(3)), ["a", "b", "c"]);
+}
+
+#[test]
+fn leaving_and_replaced_instances_are_known_as_such() {
+    let mut view = Membership::new(candidate("a"));
+    let now = Instant::now();
+    view.listed(1, vec![member("b", 2, MemberState::Live), member("c", 3, MemberState::Leaving)]);
+    assert_eq!(home_names(&view, now), ["a", "b"]);
+    view.heard(now, id("b").tag(), 7, true);
+    assert_eq!(home_names(&view, now), ["a"]);
+    view.heard(now, id("b").tag(), 6, false);
+    assert_eq!(home_names(&view, now), ["a"], "what an older process said no longer counts");
+    view.heard(now, id("b").tag(), 8, false);
+    assert_eq!(home_names(&view, now), ["a", "b"], "the same address, a new process");
+    view.listed(2, vec![member("b", 9, MemberState::Live)]);
+    assert_eq!(view.peer(id("b").tag()).expect("known").address.port(), 9);
+    view.listed(3, vec![member("b", 9, MemberState::Gone)]);
+    assert_eq!(home_names(&view, now), ["a"]);
+    view.leave();
+    assert_eq!(home_names(&view, now), ["a"], "the last one stays its own home");
+}
+
+#[test]
+fn introductions_are_passed_on_for_a_while() {
+    let mut view = Membership::new(candidate("a"));
+    let now = Instant::now();
+    view.introduce(now, member("b", 2, MemberState::Live));
+    assert_eq!(home_names(&view, now), ["a", "b"]);
+    assert_eq!(view.introduced(now).len(), 1);
+    view.introduce(now, member("b", 2, MemberState::Live));
+    assert_eq!(view.introduced(now).len(), 1);
+    assert!(view.introduced(now + Duration::from_secs(60)).is_empty());
+}
+
+fn head(revision: u64) -> Head {
+    let manifest = Digest::of(&revision.to_le_bytes());
+    Head {
+        revision: Revision(revision),
+        manifest,
+        apply: "x".to_owned(),
+        by: "y".to_owned(),
+        at: 0,
+    }
+}
+
+#[test]
+fn revisions_in_any_order_only_ever_go_forward() {
+    let strategy = proptest::collection::vec((any::<bool>(), 1..20_u64), 1..60);
+    let config = Config {
+        cases: 200,
+        rng_seed: RngSeed::Fixed(3),
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let done = TestRunner::new(config).run(&strategy, |events| {
+        let mut in_force = InForce::default();
+        let mut greatest = 0;
+        let mut before = Revision::default();
+        for (learns, revision) in events {
+            if learns {
+                greatest = greatest.max(revision);
+                in_force.learn(head(revision));
+            } else if let Some(wanted) = in_force.wanted().cloned() {
+                prop_assert!(wanted.revision > in_force.revision());
+                prop_assert!(in_force.install(wanted));
+            } else if in_force.installed().is_some() {
+                let older = head(revision.min(in_force.revision().0));
+                prop_assert!(!in_force.install(older), "an older file is never put in force");
+            }
+            prop_assert!(in_force.revision() >= before);
+            before = in_force.revision();
+        }
+        while let Some(wanted) = in_force.wanted().cloned() {
+            in_force.install(wanted);
+        }
+        prop_assert_eq!(in_force.revision(), Revision(greatest));
+        Ok(())
+    });
+    done.expect("forward only");
+}
+
+/// A table row as a lease sees it.
+#[derive(Default)]
+struct LeaseTable(Option<(LeaseRow, u64)>);
+
+impl LeaseTable {
+    fn step(&mut self, lease: &mut Lease, now: Instant) {
+        if let LeaseStep::Write(row, version) = lease.step(now, self.0.clone()) {
+            let holds = version == self.0.as_ref().map(|(_, version)| *version);
+            if holds {
+                self.0 = Some((row.clone(), version.unwrap_or(0) + 1));
+                lease.written(now, &row);
+            } else {
+                lease.not_written();
+            }
+        }
+    }
+}
+
+#[test]
+fn a_paused_holder_finds_its_lease_lapsed_before_another_holds_it() {
+    let (mut a, mut b) = (Lease::new(id("a"), 1), Lease::new(id("b"), 1));
+    let mut table = LeaseTable::default();
+    let start = Instant::now();
+    table.step(&mut a, start);
+    assert_eq!(a.fencing(start), Some(1));
+    let mut now = start;
+    while b.fencing(now).is_none() {
+        now += Duration::from_secs(1);
+        table.step(&mut b, now);
+        assert!(a.fencing(now).is_none() || b.fencing(now).is_none(), "two at once");
+    }
+    assert!(now - start >= LEASE_LIFE, "taken over only once it stood still for its life");
+    assert_eq!(a.fencing(start + LEASE_LIFE - LEASE_MARGIN), None);
+    assert_eq!(b.fencing(now), Some(2), "the number grows with the holder");
+    table.step(&mut a, now);
+    assert_eq!(a.fencing(now), None, "the holder before finds that it is no longer");
+    table.step(&mut b, now + Duration::from_secs(5));
+    assert_eq!(b.fencing(now + Duration::from_secs(5)), Some(2), "renewed under the same number");
+}
+
+#[test]
+fn a_restarted_holder_is_another_holder() {
+    let mut table = LeaseTable::default();
+    let now = Instant::now();
+    table.step(&mut Lease::new(id("a"), 1), now);
+    let mut again = Lease::new(id("a"), 2);
+    table.step(&mut again, now);
+    assert_eq!(again.fencing(now), None);
+    table.step(&mut again, now + LEASE_LIFE);
+    assert_eq!(again.fencing(now + LEASE_LIFE), Some(2));
+}
+
+#[test]
+fn a_claim_is_judged_by_whose_it_is_and_how_far_it_came() {
+    let own = Claim {
+        attempt: "mine".to_owned(),
+        request: Digest::of(b"a"),
+        state: ClaimState::Running,
+        deadline_at: 100,
+        expires_at: 1000,
+    };
+    let answer = StoredAnswer { status: 200, headers: Vec::new(), body: b"x".to_vec() };
+    let other = |state| Claim { attempt: "other".to_owned(), state, ..own.clone() };
+    let status = |found: &Claim, now| match judge(&own, found, now) {
+        ClaimVerdict::Run => "run".to_owned(),
+        ClaimVerdict::Renew => "renew".to_owned(),
+        ClaimVerdict::Replay(_) => "replay".to_owned(),
+        ClaimVerdict::Refuse(refusal) => format!("{} {}", refusal.status, refusal.outcome),
+    };
+    let table = [
+        ("own", own.clone(), 50, "run"),
+        ("own, past its deadline", own.clone(), 500, "run"),
+        ("running", other(ClaimState::Running), 50, "409 unknown"),
+        ("running past its deadline", other(ClaimState::Running), 500, "409 unknown"),
+        ("unknown", other(ClaimState::Unknown), 500, "409 unknown"),
+        ("done", other(ClaimState::Done(answer)), 500, "replay"),
+        ("done, too large", other(ClaimState::DoneTooLarge), 500, "409 run"),
+        (
+            "another request",
+            Claim { request: Digest::of(b"b"), ..other(ClaimState::Unknown) },
+            500,
+            "422 not-run",
+        ),
+        ("expired", other(ClaimState::Unknown), 1000, "renew"),
+    ];
+    for (name, found, now, verdict) in table {
+        assert_eq!(status(&found, now), verdict, "{name}");
+    }
+}
+
+#[test]
+fn faults_are_classified_by_whether_a_byte_can_have_been_seen() {
+    use AttemptFault::{
+        AfterSend, BeforeSend, CallerGone, Connect, CutBody, Foreign, Garbage, HeadTimeout,
+        Refused, StalledBody,
+    };
+    let not_run = [Connect, BeforeSend, Refused];
+    let unknown = [AfterSend, HeadTimeout, Garbage, Foreign, CutBody, StalledBody, CallerGone];
+    for fault in not_run {
+        assert_eq!(fault.outcome(), Outcome::NotRun, "{fault:?}");
+        assert!(may_retry(fault, Repeat::AtMostOnce, false), "{fault:?}");
+    }
+    for fault in unknown {
+        assert_eq!(fault.outcome(), Outcome::Unknown, "{fault:?}");
+        assert!(!may_retry(fault, Repeat::AtMostOnce, false), "{fault:?}");
+        assert_eq!(may_retry(fault, Repeat::Idempotent, false), fault != CallerGone, "{fault:?}");
+        assert!(!may_retry(fault, Repeat::Idempotent, true), "{fault:?}: part of an answer is out");
+    }
+}
+
+#[test]
+fn retries_stay_under_their_share_and_pauses_in_their_range() {
+    let mut budget = RetryBudget::new(0.1);
+    let retries = (0..10_000).filter(|_| {
+        budget.request();
+        budget.take()
+    });
+    assert!(retries.count() <= 1002);
+    for retry in 0..20 {
+        assert_eq!(backoff(retry, 0.0), Duration::ZERO);
+        assert!(backoff(retry, 1.0) <= Duration::from_secs(1));
+        assert!(backoff(retry, 1.0) >= backoff(retry, 0.5));
+    }
+}
+
+#[test]
+fn a_token_bucket_gives_its_rate() {
+    let start = Instant::now();
+    let mut bucket = TokenBucket::new(Rate(5.0), start);
+    let mut taken = 0;
+    for millis in 0..10_000 {
+        let now = start + Duration::from_millis(millis);
+        match bucket.take(now) {
+            Ok(()) => taken += 1,
+            Err(wait) => assert!(wait <= Duration::from_millis(201)),
+        }
+    }
+    assert!((54..=55).contains(&taken), "{taken}");
+}
+
+#[test]
+fn a_fair_queue_shares_by_weight_and_loses_nothing() {
+    let mut queue = FairQueue::default();
+    for n in 0..300 {
+        queue.push(Tag(1), 1, false, (1, n));
+        queue.push(Tag(2), 3, false, (2, n));
+    }
+    let first: Vec<(u32, i32)> = (0..200).filter_map(|_| queue.pop()).collect();
+    let of_two = first.iter().filter(|(team, _)| *team == 2).count();
+    assert_eq!(of_two, 150);
+    for team in [1, 2] {
+        let order: Vec<i32> = first.iter().filter(|(t, _)| *t == team).map(|(_, n)| *n).collect();
+        assert!(order.is_sorted(), "each line in its own order");
+    }
+    let item = queue.pop().expect("more");
+    queue.push_front(Tag(item.0), 1, false, item);
+    assert_eq!(queue.len(), 400);
+    let gone = queue.extract(|(team, _)| *team == 2);
+    assert_eq!((gone.len(), queue.len()), (150, 250));
+    assert_eq!(std::iter::from_fn(|| queue.pop()).count(), 250);
+    assert!(queue.is_empty() && queue.pop().is_none());
+}
+
+#[test]
+fn rendezvous_moves_only_what_it_must_and_follows_weights() {
+    let nodes: Vec<(Tag, f64)> =
+        (1..=10).map(|n| (Tag(n * 7919), if n == 1 { 2.0 } else { 1.0 })).collect();
+    let mut counts: HashMap<usize, u32> = HashMap::new();
+    for key in 0..20_000_u64 {
+        let key = ChatKey::of(&["s", &key.to_string()]).0;
+        let rank = ranked(key, nodes.iter().copied());
+        *counts.entry(rank[0]).or_default() += 1;
+        let without =
+            ranked(key, nodes.iter().copied().filter(|(tag, _)| *tag != nodes[rank[0]].0));
+        // Without the first, the second takes over; everything else stays.
+        let second = nodes[rank[1]].0;
+        let rest: Vec<Tag> = nodes.iter().map(|n| n.0).filter(|t| *t != nodes[rank[0]].0).collect();
+        assert_eq!(rest[without[0]], second);
+    }
+    let share = f64::from(counts[&0]) / 20_000.0;
+    assert!((0.165..0.20).contains(&share), "weight 2 of 11 is 0.182: {share}");
+    assert!(score(1, Tag(1), 1.0).is_finite());
+}
+
+#[test]
+fn losing_an_instance_moves_only_its_own_homes() {
+    let all: Vec<Candidate> = (0..8).map(|n| candidate(&format!("r{n}"))).collect();
+    let homes = |live: &[Candidate]| -> Vec<InstanceId> {
+        let shard = |number| ShardId { service: Tag(5), number };
+        (0..200).map(|n| home_of(shard(n), None, live.iter()).expect("a home").id.clone()).collect()
+    };
+    let (before, after) = (homes(&all), homes(&all[1..]));
+    for (a, b) in before.iter().zip(&after) {
+        assert!(a == b || *a == all[0].id);
+    }
+    let own = before.iter().filter(|home| **home == all[0].id).count();
+    assert!((10..45).contains(&own), "about an eighth of 200: {own}");
+}
+
+#[test]
+fn memory_keeps_the_most_recent_and_tells_only_news() {
+    let mut recency = Recency::new(1000);
+    for chat in 0..5000 {
+        recency.put(ChatKey(chat), Tag(1));
+    }
+    assert!(
+        recency.len() <= 1000
+            && recency.get(ChatKey(4999)).is_some()
+            && recency.get(ChatKey(0)).is_none()
+    );
+    let mut memory = ChatMemory::new(1000);
+    for _ in 0..3 {
+        memory.put(ChatKey(1), Tag(1));
+        memory.put(ChatKey(2), Tag(1));
+    }
+    memory.put(ChatKey(1), Tag(2));
+    assert_eq!(memory.take_untold(10).len(), 3, "two chats, one of which moved");
+    memory.tell_all();
+    let all = memory.take_untold(10);
+    assert_eq!(all.len(), 2);
+    let mut replica = ChatMemory::new(1000);
+    replica.learn(all, false);
+    assert_eq!(replica.get(ChatKey(1)), Some(Tag(2)));
+    replica.learn(vec![(ChatKey(1), Tag(3))], true);
+    assert_eq!(replica.get(ChatKey(1)), Some(Tag(2)), "what was seen here stays");
+}
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -2,8 +2,12 @@
 
 mod answers;
 mod callers;
+mod config;
 mod drain;
+mod files;
 mod framing;
 mod home;
+mod machines;
+mod sessions;
 mod support;
 mod whole_path;
--- /dev/null
+++ b/tests/suite/sessions.rs
@@ -0,0 +1,235 @@
+//! Golden files of whole sessions at the command line.
+
+use std::{
+    fmt::Write as _,
+    fs,
+    path::PathBuf,
+    process::{Command, Stdio},
+};
+
+use cartvane::units::Revision;
+use standins::fleet::{Fleet, OPERATOR_CREDENTIAL};
+
+use crate::support::{BINARY, chat, chat_call, fleet, send, small, wait_idle};
+
+fn example(name: &str) -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("examples").join(name)
+}
+
+/// A session: what was typed and what came back.
+struct Session<'f> {
+    text: String,
+    at: Option<&'f Fleet>,
+}
+
+impl<'f> Session<'f> {
+    fn new(at: Option<&'f Fleet>) -> Session<'f> {
+        Session { text: String::new(), at }
+    }
+
+    /// Runs a command; a file is named by its last part.
+    fn run(&mut self, words: &[&str]) {
+        let shown: Vec<&str> = words.iter().map(|w| w.rsplit('/').next().unwrap_or(w)).collect();
+        let mut command = Command::new(BINARY);
+        command.args(words).stdin(Stdio::null()).env("USER", "rana");
+        if let Some(fleet) = self.at {
+            command.env("CARTVANE_AT", fleet.routers[0].operators.to_string());
+            command.env("CARTVANE_CREDENTIAL", OPERATOR_CREDENTIAL);
+        }
+        let output = command.output().expect("the command runs");
+        let code = output.status.code().unwrap_or(-1);
+        let _ = writeln!(self.text, "$ cartvane {}", shown.join(" "));
+        self.text.push_str(&String::from_utf8_lossy(&output.stdout));
+        self.text.push_str(&String::from_utf8_lossy(&output.stderr));
+        let _ = writeln!(self.text, "[{code}]\n");
+    }
+}
+
+/// A file for the length of a test.
+struct TempFile(PathBuf);
+
+impl TempFile {
+    fn new(name: &str, text: &str) -> TempFile {
+        let dir =
+            std::env::temp_dir().join(format!("cartvane-session-{}-{name}", std::process::id()));
+        fs::create_dir_all(&dir).expect("a folder");
+        let path = dir.join(name);
+        fs::write(&path, text).expect("a file");
+        TempFile(path)
+    }
+
+    fn path(&self) -> &str {
+        self.0.to_str().expect("a readable path")
+    }
+}
+
+impl Drop for TempFile {
+    fn drop(&mut self) {
+        if let Some(dir) = self.0.parent() {
+            let _ = fs::remove_dir_all(dir);
+        }
+    }
+}
+
+/// Compares with the golden file, with times, ports, paths and ids left out.
+macro_rules! assert_session {
+    ($session:expr) => {
+        insta::with_settings!({
+            filters => vec![
+                (r"\d{4}-\d\d-\d\dT[0-9:.]+Z", "[time]"),
+                (r"127\.0\.0\.1:\d+", "[address]"),
+                (r#"/[^ \n"]*/cartvane-session-[^/\n]*/"#, ""),
+                (r#"/[^ \n"]*/examples/"#, ""),
+                (r#""at": \d+"#, "\"at\": [time]"),
+                (r"chat key [0-9a-f]{16}", "chat key [key]"),
+            ]
+        }, { insta::assert_snapshot!($session.text) });
+    };
+}
+
+#[test]
+fn both_early_users_files_are_sound() {
+    let mut session = Session::new(None);
+    for name in ["hanbit.toml", "al-harthy.toml", "alone-fleet.toml"] {
+        session.run(&["check", example(name).to_str().expect("a path")]);
+    }
+    session.run(&["check", example("hanbit.toml").to_str().expect("a path"), "--json"]);
+    assert_session!(session);
+}
+
+#[test]
+fn a_faulty_file_is_told_every_fault_at_once() {
+    let file = TempFile::new(
+        "faulty.toml",
+        r#"key_sallt = "x"
+
+[[zone]]
+id = "east"
+
+[[team]]
+id = "Crew One"
+keys = ["zz"]
+weight = 0
+
+[[team]]
+id = "crew"
+keys = []
+priority = "reservd"
+
+[[service]]
+id = "llm"
+kind = "modle"
+
+[[service]]
+id = "app"
+kind = "plain"
+deadline = "10 parsecs"
+non_idempotent = ["bookings"]
+load_bound = 0.5
+
+[[backend_server]]
+id = "app-1"
+service = "ap"
+address = "10.0.0.1"
+zone = "east"
+
+[[backend_server]]
+id = "app-2"
+service = "app"
+address = "10.0.0.1:0"
+zone = "west"
+capacity = -3
+
+[[share]]
+service = "app"
+zone = "east"
+share = 0.7
+"#,
+    );
+    let broken = TempFile::new("broken.toml", "key_salt = \"x\n[[team]]\n");
+    let mut session = Session::new(None);
+    session.run(&["check", file.path()]);
+    session.run(&["check", file.path(), "--json"]);
+    session.run(&["check", broken.path()]);
+    session.run(&["check", "nowhere.toml"]);
+    assert_session!(session);
+}
+
+#[test]
+fn wrong_command_lines_are_told_the_nearest_word() {
+    let mut session = Session::new(None);
+    session.run(&[]);
+    session.run(&["aply", "x"]);
+    session.run(&["--version"]);
+    session.run(&["check", "x.toml", "--jsn"]);
+    session.run(&["check"]);
+    session.run(&["apply", "x.toml"]);
+    session.run(&["apply", "--base", "two", "x.toml"]);
+    session.run(&["router"]);
+    session.run(&["completions", "tcsh"]);
+    session.run(&[
+        "status",
+        "--at",
+        "127.0.0.1:1",
+        "--credential-file",
+        example("alone.toml").to_str().expect("a path"),
+    ]);
+    for command in cartvane::cli::COMMANDS.iter().map(|c| c.name) {
+        session.run(&[command, "--help"]);
+    }
+    assert_session!(session);
+}
+
+#[test]
+fn an_operators_day() {
+    let fleet = fleet(small());
+    let file = fleet.file();
+    let more = file.clone()
+        + "[[team]]\nid = \"night\"\nkeys = [\"0000000000000000000000000000000000000000000000000000000000000001\"]\n";
+    let less = file.replace("load_bound = 1.25", "load_bound = 1.5");
+    let (same, more, less) = (
+        TempFile::new("same.toml", &file),
+        TempFile::new("more.toml", &more),
+        TempFile::new("less.toml", &less),
+    );
+    let bad = TempFile::new("bad.toml", "surprise = 1\n");
+    send(&fleet, 0, &chat_call(&chat("a returning chat", 4)).with("cartvane-chat", "c1"));
+    wait_idle(&fleet);
+    let mut session = Session::new(Some(&fleet));
+    session.run(&["apply", same.path()]);
+    session.run(&["diff", more.path()]);
+    session.run(&["apply", more.path(), "--wait", "--base", "1"]);
+    session.run(&["apply", less.path(), "--base", "1"]);
+    session.run(&["apply", bad.path()]);
+    session.run(&["apply", less.path(), "--wait", "--json"]);
+    session.run(&["show", "--revision", "9"]);
+    session.run(&["drain", "engine-01"]);
+    session.run(&["drain", "engine-77"]);
+    fleet
+        .wait_for("the drain in force everywhere and every engine heard of", |s| {
+            let homes = || s.instances.iter().flat_map(|i| &i.shards).filter(|shard| shard.is_home);
+            s.instances.iter().all(|i| i.revision == Revision(4))
+                && homes().count() == 1
+                && homes().flat_map(|shard| &shard.engines).all(|e| e.reported == Some(0))
+        })
+        .expect("in force");
+    session.run(&["status"]);
+    session.run(&["explain", "--service", "llm", "--team", "crew", "--chat", "c1"]);
+    session.run(&["explain", "--service", "nothing", "--team", "crew", "--chat", "c1"]);
+    session.run(&["audit"]);
+    session.run(&["audit", "--entity", "team/night", "--json"]);
+    session.run(&["audit", "--since", "yesterday"]);
+    assert_session!(session);
+}
+
+#[test]
+fn completions_name_every_command() {
+    for shell in ["bash", "zsh", "fish"] {
+        let output =
+            Command::new(BINARY).args(["completions", shell]).output().expect("the command runs");
+        let text = String::from_utf8_lossy(&output.stdout).into_owned();
+        for command in &cartvane::cli::COMMANDS {
+            assert!(text.contains(command.name), "{shell}: {}", command.name);
+        }
+    }
+}
