feat(orders): engines ordered under a lease a shard, staged; peers down until heard

Cause: models, versions and roles stated by operators did not reach the engines; a frozen home was asked again whenever its suspicion ran out, a second lost each time. Change: the home of a shard holds the shard's lease and gives full desired states under its fencing number, few at once, enough engines serving; a new holder waits out the longest order of the one before; the lease is looked at right before each order; what was ordered is in the trail and in status. A peer that failed stays passed over until it is heard, one that flaps for a growing time beyond that. A lost stream to a home is reopened at once, so a dead home is known without an ask.

--- a/src/cli/status.rs
+++ b/src/cli/status.rs
@@ -3,6 +3,7 @@
 use super::{Command, CommandResult, Options, operator::Operator, options::print_json};
 use crate::{
     context::Context,
+    contract::orders::Progress,
     instance::status::{FleetStatus, InstanceStatus, NamedShard},
 };
 
@@ -69,6 +70,14 @@
         "\nservice {} shard {}: home {}, bound {}, waiting {}, chats remembered {}\n",
         shard.service, shard.number, instance.id, shard.bound, shard.queued, shard.remembered
     );
+    if let Some(orders) = shard.orders {
+        let fencing =
+            orders.fencing.map_or_else(|| "not held".to_owned(), |number| number.to_string());
+        let Progress { done, loading, due, failed } = orders.progress;
+        text.push_str(&format!(
+            "  orders: lease {fencing}, {done} as wanted, {loading} loading, {due} due, {failed} failed\n"
+        ));
+    }
     for engine in &shard.engines {
         let reported = engine.reported.map_or_else(|| "-".to_owned(), |load| load.to_string());
         text.push_str(&format!(
--- a/src/configs/fleet/backend_server.rs
+++ b/src/configs/fleet/backend_server.rs
@@ -33,6 +33,8 @@
     pub checks_fencing: bool,
     /// Whether it reports its load.
     pub reports_load: bool,
+    /// Role that it is ordered to have; what roles there are is the engines' matter.
+    pub role: String,
     /// Whether operators are taking it out: nothing new goes to it.
     pub leaving: bool,
 }
@@ -60,6 +62,7 @@
         let weight = table.number("weight", 0.001, 1000.0).unwrap_or(1.0);
         let checks_fencing = table.flag("checks_fencing").unwrap_or(false);
         let reports_load = table.flag("reports_load").unwrap_or(false);
+        let role = table.text("role").unwrap_or_else(|| "both".to_owned());
         let leaving = table.flag("leaving").unwrap_or(false);
         let server = BackendServer {
             id: id?,
@@ -70,6 +73,7 @@
             weight,
             checks_fencing,
             reports_load,
+            role,
             leaving,
         };
         if server.address.port() == 0 {
--- a/src/configs/fleet/service.rs
+++ b/src/configs/fleet/service.rs
@@ -107,6 +107,10 @@
     pub patience: Span,
     /// Models its engines hold.
     pub models: Vec<ModelId>,
+    /// Most engines of a shard that load models at once, for the weight store's sake.
+    pub loads_at_once: u32,
+    /// Least share of a shard's engines that go on serving while models are loaded.
+    pub min_serving: f64,
     /// How a place is chosen.
     pub placement: Placement,
 }
@@ -158,6 +162,8 @@
                 Span::secs(0)
             }),
             models: table.texts("models"),
+            loads_at_once: table.whole("loads_at_once", 1, 1000).unwrap_or(2) as u32,
+            min_serving: table.number("min_serving", 0.0, 1.0).unwrap_or(0.75),
             placement: table.choice("placement", &PLACEMENTS).unwrap_or(Placement::Permit),
         };
         for model in service.models.iter().filter(|model| !models.contains_key(*model)) {
--- a/src/contract/lease.rs
+++ b/src/contract/lease.rs
@@ -12,8 +12,8 @@
 /// Time before the end of the lease, by the holder's own clock, from which it orders nothing.
 pub const LEASE_MARGIN: Duration = Duration::from_secs(5);
 
-/// Key of the row of the lease to order engines.
-pub const ORDERS_KEY: &str = "lease/orders";
+/// Prefix of the keys of the rows of the leases to order engines, one for each shard.
+pub const ORDERS_PREFIX: &str = "lease/orders/";
 
 /// The lease's row.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/contract/membership.rs
+++ b/src/contract/membership.rs
@@ -15,13 +15,13 @@
     zone::homes::Candidate,
 };
 
-/// First time for which a peer that did not answer is passed over.
-const SUSPECT_FIRST: Duration = Duration::from_secs(2);
+/// First pause before a peer that did not answer is tried again; doubles with each failure.
+const RETRY_FIRST: Duration = Duration::from_secs(1);
 
-/// Longest such time.
-const SUSPECT_MAX: Duration = Duration::from_secs(60);
+/// Longest such pause.
+const RETRY_MAX: Duration = Duration::from_secs(60);
 
-/// Time after which earlier failures no longer lengthen a new suspicion.
+/// Time after which earlier failures no longer count against a peer.
 const FLAP_MEMORY: Duration = Duration::from_secs(120);
 
 /// Time for which another instance's suspicion is believed.
@@ -46,7 +46,14 @@
     pub incarnation: u64,
     /// Whether it told that it is leaving.
     pub told_leaving: bool,
-    suspect_until: Option<Instant>,
+    /// It did not answer and has not been heard since.
+    down: bool,
+    /// When it may be tried again.
+    next_try: Option<Instant>,
+    /// It flaps: it is passed over until then even if it is heard.
+    held_off_until: Option<Instant>,
+    /// Another instance suspects it.
+    rumour_until: Option<Instant>,
     failures: u32,
     last_failure: Option<Instant>,
     last_heard: Option<Instant>,
@@ -60,7 +67,10 @@
             listed: MemberState::Live,
             incarnation: 0,
             told_leaving: false,
-            suspect_until: None,
+            down: false,
+            next_try: None,
+            held_off_until: None,
+            rumour_until: None,
             failures: 0,
             last_failure: None,
             last_heard: None,
@@ -69,7 +79,13 @@
 
     /// Returns whether it is passed over for now.
     pub fn is_suspect(&self, now: Instant) -> bool {
-        self.suspect_until.is_some_and(|until| now < until)
+        let holds = |until: Option<Instant>| until.is_some_and(|until| now < until);
+        self.down || holds(self.held_off_until) || holds(self.rumour_until)
+    }
+
+    /// Returns whether a heartbeat may be sent to it.
+    pub fn may_be_tried(&self, now: Instant) -> bool {
+        !self.down || self.next_try.is_none_or(|at| now >= at)
     }
 
     /// Returns whether it may be a home.
@@ -180,23 +196,29 @@
         }
         peer.incarnation = incarnation;
         peer.told_leaving = leaving;
-        peer.suspect_until = None;
+        peer.down = false;
+        peer.rumour_until = None;
         peer.last_heard = Some(now);
     }
 
-    /// Notes that a peer could not be reached or did not answer.
+    /// Notes that a peer could not be reached or did not answer: it is passed over until it is
+    /// heard, and if it fails again and again for a growing time beyond that.
     pub fn failed(&mut self, now: Instant, peer: Tag) {
         let Some(peer) = self.peers.get_mut(&peer) else { return };
-        if peer.is_suspect(now) {
+        if peer.down && !peer.may_be_tried(now) {
             return;
         }
         if peer.last_failure.is_some_and(|at| now.duration_since(at) > FLAP_MEMORY) {
             peer.failures = 0;
         }
-        let wait = SUSPECT_FIRST.saturating_mul(1 << peer.failures.min(10)).min(SUSPECT_MAX);
+        let pause = RETRY_FIRST.saturating_mul(1 << peer.failures.min(10)).min(RETRY_MAX);
+        if !peer.down && peer.failures > 0 {
+            peer.held_off_until = Some(now + pause);
+        }
+        peer.down = true;
+        peer.next_try = Some(now + pause);
         peer.failures += 1;
         peer.last_failure = Some(now);
-        peer.suspect_until = Some(now + wait);
     }
 
     /// Notes that another instance suspects a peer.
@@ -204,7 +226,7 @@
         let Some(peer) = self.peers.get_mut(&peer) else { return };
         let heard = peer.last_heard.is_some_and(|at| now.duration_since(at) < HEARD_RECENTLY);
         if !heard && !peer.is_suspect(now) {
-            peer.suspect_until = Some(now + RUMOUR);
+            peer.rumour_until = Some(now + RUMOUR);
         }
     }
 
@@ -220,7 +242,8 @@
 
     /// Returns the peers that this instance has reason to suspect by its own evidence.
     pub fn suspected(&self, now: Instant) -> Vec<Tag> {
-        let own = |p: &&Peer| p.is_suspect(now) && p.last_failure.is_some();
+        let recent = |at: Instant| now.duration_since(at) < RETRY_MAX;
+        let own = |p: &&Peer| p.down && p.last_failure.is_some_and(recent);
         self.peers.values().filter(own).map(|p| p.candidate.tag).collect()
     }
 
--- a/src/contract/mod.rs
+++ b/src/contract/mod.rs
@@ -4,6 +4,7 @@
 pub mod fair_queue;
 pub mod lease;
 pub mod membership;
+pub mod orders;
 pub mod outcome;
 pub mod permit;
 pub mod retry;
--- a/src/instance/config.rs
+++ b/src/instance/config.rs
@@ -149,6 +149,7 @@
             return Ok(());
         }
         shared.snapshot.store(Some(Arc::clone(&snapshot)));
+        *lock(&shared.installed) = Some(shared.clock.now());
     }
     shared.objects.keep_only(&head.manifest, &manifest);
     shared.homes.install(&snapshot);
--- /dev/null
+++ b/src/instance/engines.rs
@@ -0,0 +1,127 @@
+//! What a home says to engines beside callers' requests: status and orders.
+
+use std::{net::SocketAddr, time::Duration};
+
+use http::{HeaderMap, Method, StatusCode};
+use serde::Deserialize;
+
+use crate::{
+    contract::{orders::EngineOrder, outcome::AttemptFault},
+    instance::shared::Shared,
+    link::backend::Attempt,
+    metrics::Purpose,
+};
+
+/// Path of an engine's status.
+const STATUS_PATH: &str = "/engine/status";
+
+/// Path of orders.
+const ORDERS_PATH: &str = "/engine/orders";
+
+/// Longest wait for a status.
+const STATUS_TIME: Duration = Duration::from_secs(1);
+
+/// Largest answer read.
+const ANSWER_MAX: usize = 64 << 10;
+
+/// Bytes of an answer beside its headers and body.
+const ANSWER_LINES: usize = 19;
+
+/// What an engine tells of itself.
+#[derive(Debug, Deserialize)]
+pub struct EngineStatus {
+    /// Requests in it, as of a while ago.
+    pub load: u32,
+    /// `ready`, `loading` or `leaving`.
+    pub state: String,
+    /// The order it took last.
+    #[serde(default)]
+    pub order: EngineOrder,
+}
+
+impl EngineStatus {
+    /// Returns whether it takes requests.
+    pub fn is_ready(&self) -> bool {
+        self.state == "ready"
+    }
+}
+
+/// Why an engine did not take an order.
+#[derive(Debug, thiserror::Error)]
+pub enum OrderFault {
+    /// Not reached, or no answer.
+    #[error("{0}; it is given again")]
+    Attempt(AttemptFault),
+    /// It has taken an order with a newer fencing number.
+    #[error("it has a newer fencing number; the holder of the newer lease orders it")]
+    Fenced,
+    /// It refused otherwise.
+    #[error("status {0}; see the engine's log")]
+    Refused(StatusCode),
+}
+
+impl OrderFault {
+    /// Returns whether somebody else holds a newer lease.
+    pub fn is_fenced(&self) -> bool {
+        matches!(self, OrderFault::Fenced)
+    }
+}
+
+/// Asks an engine for its status; `None` when it does not answer.
+pub fn status(shared: &Shared, address: SocketAddr) -> Option<EngineStatus> {
+    let (status, body) =
+        exchange(shared, address, &Method::GET, STATUS_PATH, &[], STATUS_TIME).ok()?;
+    if status != StatusCode::OK {
+        return None;
+    }
+    serde_json::from_slice(&body).ok()
+}
+
+/// Gives an engine an order.
+///
+/// # Errors
+///
+/// See [`OrderFault`].
+pub fn order(
+    shared: &Shared,
+    address: SocketAddr,
+    order: &EngineOrder,
+    time: Duration,
+) -> Result<(), OrderFault> {
+    let body = serde_json::to_vec(order).unwrap_or_default();
+    let answer = exchange(shared, address, &Method::POST, ORDERS_PATH, &body, time);
+    match answer.map_err(OrderFault::Attempt)?.0 {
+        StatusCode::OK => Ok(()),
+        StatusCode::CONFLICT => Err(OrderFault::Fenced),
+        other => Err(OrderFault::Refused(other)),
+    }
+}
+
+fn exchange(
+    shared: &Shared,
+    address: SocketAddr,
+    method: &Method,
+    target: &str,
+    body: &[u8],
+    time: Duration,
+) -> Result<(StatusCode, Vec<u8>), AttemptFault> {
+    let headers = HeaderMap::new();
+    let until = shared.clock.now() + time;
+    let fresh = *method != Method::GET;
+    let attempt =
+        Attempt { address, method, target, headers: &headers, body, id: "control", fresh, until };
+    shared.metrics.control_sent(Purpose::Probe, attempt.bytes().len());
+    let mut answer = shared.backends.send(&attempt, &mut || true)?;
+    let mut bytes = Vec::new();
+    while let Some(piece) = answer.next(until, &mut || true)? {
+        bytes.extend_from_slice(&piece);
+        if bytes.len() > ANSWER_MAX {
+            return Err(AttemptFault::Garbage);
+        }
+    }
+    let head: usize = answer.head.headers.iter().map(|(n, v)| n.as_str().len() + v.len() + 4).sum();
+    shared.metrics.control_received(Purpose::Probe, ANSWER_LINES + head + bytes.len());
+    let status = answer.head.status;
+    shared.backends.finish(answer);
+    Ok((status, bytes))
+}
--- a/src/instance/gossip.rs
+++ b/src/instance/gossip.rs
@@ -94,7 +94,7 @@
         let now = shared.clock.now();
         let membership = lock(&shared.membership);
         let peers: Vec<Tag> =
-            membership.peers().filter(|p| !p.is_suspect(now)).map(|p| p.candidate.tag).collect();
+            membership.peers().filter(|p| p.may_be_tried(now)).map(|p| p.candidate.tag).collect();
         fastrand::choice(peers)
     };
     if let Some(peer) = peer {
--- a/src/instance/home_links.rs
+++ b/src/instance/home_links.rs
@@ -180,7 +180,12 @@
             *open = None;
         }
     }
-    if let Some(shared) = shared.upgrade() {
+    if let Some(shared) = shared.upgrade().filter(|shared| !shared.drain.is_stopped()) {
         shared.desk.home_lost(home);
+        // A home whose process has ended refuses at once; permits then move without waiting for
+        // the next ask to find out.
+        if shared.home_links.end_at(&shared, home).is_none() {
+            lock(&shared.membership).failed(shared.clock.now(), home);
+        }
     }
 }
--- a/src/instance/homes.rs
+++ b/src/instance/homes.rs
@@ -151,6 +151,14 @@
         }
     }
 
+    /// Takes on the shards whose home this instance is by its own view.
+    pub fn take_on(&self, snapshot: &Snapshot, is_home: impl Fn(&Shard) -> bool) {
+        let shards = snapshot.services().flat_map(|view| &view.shards);
+        for shard in shards.filter(|shard| is_home(shard)) {
+            self.slot(shard.id, snapshot);
+        }
+    }
+
     /// Takes over the engines and terms of a new revision.
     pub fn install(&self, snapshot: &Snapshot) {
         let now = self.clock.now();
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -4,6 +4,7 @@
 pub mod claims;
 pub mod config;
 pub mod desk;
+pub mod engines;
 pub mod entry;
 pub mod explain;
 pub mod forward;
@@ -12,6 +13,7 @@
 pub mod homes;
 pub mod objects;
 pub mod operators;
+pub mod orders;
 pub mod peers;
 pub mod place;
 pub mod probes;
@@ -43,6 +45,7 @@
         home_links::HomeLinks,
         homes::HomeShards,
         objects::ObjectCache,
+        orders::Orders,
         shared::{DrainState, Shared, Usage},
     },
     link::{
@@ -64,6 +67,9 @@
 /// Period of the telling of homes' memory to its replicas.
 const MEMORY_PERIOD: Duration = Duration::from_millis(500);
 
+/// Pause between two looks at leases and rollouts.
+const ORDERS_PERIOD: Duration = Duration::from_millis(200);
+
 /// Pause between two looks for engines that are due for a probe.
 const PROBE_PERIOD: Duration = Duration::from_millis(250);
 
@@ -145,6 +151,10 @@
             gossip::tell_memories(shared);
             MEMORY_PERIOD
         })?;
+        self.background("orders", |shared| {
+            shared.orders.step(shared);
+            ORDERS_PERIOD
+        })?;
         self.background("probes", |shared| {
             probes::probe_due(shared);
             PROBE_PERIOD
@@ -313,6 +323,8 @@
         desk,
         homes,
         home_links: HomeLinks::default(),
+        orders: Orders::default(),
+        installed: Mutex::new(None),
         budgets: Mutex::new(HashMap::new()),
         baselines: Mutex::new(HashMap::new()),
         advertised: OnceLock::new(),
@@ -399,6 +411,7 @@
     if !ticks.is_multiple_of(SLOW_TICKS) {
         return;
     }
+    shared.homes.take_on(&snapshot, |shard| shared.home_of(shard) == shared.tag);
     shared.claims.tick();
     gossip::tell_homes_who_leaves(shared);
     gossip::tell_loads(shared);
--- /dev/null
+++ b/src/instance/orders.rs
@@ -0,0 +1,261 @@
+//! Orders to the engines of the shards whose home this is, each shard under a lease of its own.
+
+use std::{
+    collections::HashMap,
+    sync::Mutex,
+    thread,
+    time::{Duration, Instant},
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    audit::{AuditAction, AuditRow},
+    configs::fleet::{
+        BackendServer, Service,
+        chunks::{decode, encode},
+    },
+    contract::{
+        lease::{LEASE_LIFE, Lease, LeaseRow, LeaseStep, ORDERS_PREFIX},
+        orders::{DesiredState, EngineOrder, Progress, Rollout, RolloutTerms, Seen, desired},
+    },
+    instance::{apply::append, engines, shared::Shared, snapshot::Snapshot},
+    names::Tag,
+    platform::{Expect, Operation, TransactReply, Write},
+    utils::sync::lock,
+    zone::shard::{Shard, ShardId},
+};
+
+/// Period of the renewal of a lease.
+const RENEWAL: Duration = Duration::from_secs(4);
+
+/// Period of the look at engines while a rollout is under way.
+const LOOK_BUSY: Duration = Duration::from_millis(500);
+
+/// Period of the look at engines while all are as wanted.
+const LOOK_CALM: Duration = Duration::from_secs(10);
+
+/// Longest time for an engine to take an order; well under the margin of the lease.
+pub const ORDER_TIME: Duration = Duration::from_secs(2);
+
+/// Time for which a shard's lease is watched after its home has moved; it may move back.
+const LINGER: Duration = Duration::from_secs(60);
+
+/// Engines looked at or ordered at once.
+const AT_ONCE: usize = 8;
+
+/// The orders of one shard.
+struct ShardOrders {
+    lease: Lease,
+    renewed: Option<Instant>,
+    /// When this instance first held the lease, in a row.
+    held_since: Option<Instant>,
+    looked: Option<Instant>,
+    rollout: Rollout,
+    /// When this instance was last the shard's home.
+    last_home: Instant,
+}
+
+/// The orders of one instance.
+#[derive(Default)]
+pub struct Orders {
+    shards: Mutex<HashMap<ShardId, ShardOrders>>,
+}
+
+/// A shard's rollout as operators see it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrdersStatus {
+    /// Fencing number under which orders are given; none: the lease is not held.
+    pub fencing: Option<u64>,
+    /// How far the rollout has come.
+    pub progress: Progress,
+}
+
+impl Orders {
+    /// Returns a shard's rollout, if this instance gives its orders.
+    pub fn status(&self, shard: ShardId, now: Instant) -> Option<OrdersStatus> {
+        let shards = lock(&self.shards);
+        let orders = shards.get(&shard)?;
+        Some(OrdersStatus {
+            fencing: orders.lease.fencing(now),
+            progress: orders.rollout.progress(),
+        })
+    }
+
+    /// Renews leases and gives the orders that are due.
+    pub fn step(&self, shared: &Shared) {
+        let Some(snapshot) = shared.snapshot.load_full() else { return };
+        let ordered = snapshot.services().filter(|view| !view.service.models.is_empty());
+        let mine: Vec<(&Service, &Shard)> = ordered
+            .flat_map(|view| view.shards.iter().map(|shard| (&view.service, shard)))
+            .filter(|(_, shard)| !shared.drain.is_draining() && shared.home_of(shard) == shared.tag)
+            .collect();
+        let now = shared.clock.now();
+        lock(&self.shards).retain(|_, orders| now.duration_since(orders.last_home) < LINGER);
+        for (service, shard) in mine {
+            self.step_shard(shared, &snapshot, service, shard);
+        }
+    }
+
+    fn step_shard(&self, shared: &Shared, snapshot: &Snapshot, service: &Service, shard: &Shard) {
+        let new = || ShardOrders {
+            lease: Lease::new(shared.settings.id.clone(), u64::from(shared.incarnation)),
+            renewed: None,
+            held_since: None,
+            looked: None,
+            rollout: Rollout::default(),
+            last_home: shared.clock.now(),
+        };
+        // Taken out while it is worked on: this runs in one thread, and others only look.
+        let mut orders = lock(&self.shards).remove(&shard.id).unwrap_or_else(new);
+        orders.last_home = shared.clock.now();
+        renew(shared, shard.id, &mut orders);
+        if may_order(shared, &orders) && is_due(shared, &orders) {
+            look_and_order(shared, snapshot, service, shard, &mut orders);
+        }
+        lock(&self.shards).insert(shard.id, orders);
+    }
+}
+
+/// A new holder waits out the longest order that the one before may still have under way.
+fn may_order(shared: &Shared, orders: &ShardOrders) -> bool {
+    let now = shared.clock.now();
+    let first = orders.lease.fencing(now) == Some(1);
+    let waited = orders.held_since.is_some_and(|at| now.duration_since(at) >= ORDER_TIME);
+    orders.lease.fencing(now).is_some() && (first || waited)
+}
+
+fn is_due(shared: &Shared, orders: &ShardOrders) -> bool {
+    let Progress { due, loading, failed, .. } = orders.rollout.progress();
+    let period = if due + loading + failed > 0 { LOOK_BUSY } else { LOOK_CALM };
+    let now = shared.clock.now();
+    let newer = orders.looked.is_none_or(|at| now.duration_since(at) >= period);
+    newer || shared.clock.now().duration_since(shared.installed_at()) < LOOK_BUSY * 4
+}
+
+fn renew(shared: &Shared, shard: ShardId, orders: &mut ShardOrders) {
+    let now = shared.clock.now();
+    if orders.renewed.is_some_and(|at| now.duration_since(at) < RENEWAL) {
+        return;
+    }
+    orders.renewed = Some(now);
+    let key = format!("{ORDERS_PREFIX}{shard}");
+    let Ok(row) = shared.platform.table.get(&key) else { return };
+    let seen = match &row {
+        None => None,
+        // A row that cannot be read is another version's; it is left to stand still.
+        Some(row) => match decode::<LeaseRow>(&row.value) {
+            Ok(lease) => Some((lease, row.version)),
+            Err(_) => return,
+        },
+    };
+    let LeaseStep::Write(lease, version) = orders.lease.step(now, seen) else { return };
+    let began = shared.clock.now();
+    let expect = version.map_or(Expect::Absent, Expect::Version);
+    let write = Operation { key, expect, write: Write::Put(encode(&lease)) };
+    match shared.platform.table.transact(vec![write]) {
+        Ok(TransactReply::Committed) => {
+            orders.lease.written(began, &lease);
+            orders.held_since.get_or_insert(began);
+        }
+        // A lost reply shows itself at the next renewal as an own row.
+        Ok(TransactReply::Conflict { .. }) | Err(_) => {
+            orders.lease.not_written();
+            orders.held_since = None;
+            orders.renewed = now.checked_sub(RENEWAL - LEASE_LIFE / 30);
+        }
+    }
+}
+
+/// An engine with what it is to be.
+struct Wanted<'s> {
+    server: &'s BackendServer,
+    state: DesiredState,
+}
+
+fn look_and_order(
+    shared: &Shared,
+    snapshot: &Snapshot,
+    service: &Service,
+    shard: &Shard,
+    orders: &mut ShardOrders,
+) {
+    orders.looked = Some(shared.clock.now());
+    let servers = shard.engines.iter().filter_map(|engine| snapshot.server(engine.tag));
+    let wanted: Vec<Wanted<'_>> = servers
+        .filter(|server| server.reports_load && !server.leaving)
+        .map(|server| Wanted { server, state: desired(&snapshot.fleet, server) })
+        .collect();
+    let seen = at_once(&wanted, |wanted| look(shared, wanted));
+    let engines: Vec<(Tag, Seen)> =
+        wanted.iter().zip(seen).map(|(w, seen)| (w.server.id.tag(), seen)).collect();
+    let terms = RolloutTerms {
+        loads_at_once: service.loads_at_once as usize,
+        min_serving: service.min_serving,
+    };
+    let now = shared.clock.now();
+    let due = orders.rollout.next(now, &engines, terms);
+    let due: Vec<&Wanted<'_>> =
+        wanted.iter().filter(|w| due.contains(&w.server.id.tag())).collect();
+    for wanted in due {
+        // Looked at right before each order: a pause may have let the lease lapse.
+        let Some(fencing) = orders.lease.fencing(shared.clock.now()) else { return };
+        give(shared, wanted, fencing, orders);
+    }
+}
+
+/// Does something for several engines at once.
+fn at_once<'w, T: Send>(wanted: &'w [Wanted<'w>], f: impl Fn(&Wanted<'w>) -> T + Sync) -> Vec<T> {
+    let mut all = Vec::with_capacity(wanted.len());
+    for group in wanted.chunks(AT_ONCE) {
+        let f = &f;
+        thread::scope(|scope| {
+            let calls: Vec<_> = group.iter().map(|w| scope.spawn(move || f(w))).collect();
+            all.extend(calls.into_iter().filter_map(|call| call.join().ok()));
+        });
+    }
+    all
+}
+
+fn look(shared: &Shared, wanted: &Wanted<'_>) -> Seen {
+    match engines::status(shared, wanted.server.address) {
+        None => Seen::Unreachable,
+        Some(status) => Seen::Answered {
+            as_wanted: status.order.state == wanted.state,
+            ready: status.is_ready(),
+        },
+    }
+}
+
+fn give(shared: &Shared, wanted: &Wanted<'_>, fencing: u64, orders: &mut ShardOrders) {
+    let order = EngineOrder { fencing, state: wanted.state.clone() };
+    let result = engines::order(shared, wanted.server.address, &order, ORDER_TIME);
+    let now = shared.clock.now();
+    let tag = wanted.server.id.tag();
+    let detail = match result {
+        Ok(()) => {
+            orders.rollout.ordered(now, tag);
+            "taken".to_owned()
+        }
+        Err(fault) => {
+            orders.rollout.failed(now, tag);
+            if fault.is_fenced() {
+                // Somebody holds a newer lease.
+                orders.lease.not_written();
+            }
+            fault.to_string()
+        }
+    };
+    let models: Vec<String> =
+        wanted.state.models.iter().map(|m| format!("{}@{}", m.id, m.version)).collect();
+    let action = AuditAction::Order {
+        backend_server: wanted.server.id.to_string(),
+        detail: format!("role {}, models {}: {detail}", wanted.state.role, models.join(" ")),
+        fencing,
+    };
+    log::info!("order backend_server={} fencing={fencing} result={detail:?}", wanted.server.id);
+    append(
+        shared,
+        &AuditRow { at: shared.clock.wall_millis(), by: shared.settings.id.to_string(), action },
+    );
+}
--- a/src/instance/shared.rs
+++ b/src/instance/shared.rs
@@ -18,7 +18,7 @@
     contract::{membership::Membership, retry::RetryBudget, revision::InForce},
     instance::{
         claims::Claims, desk::Desk, home_links::HomeLinks, homes::HomeShards, objects::ObjectCache,
-        snapshot::Snapshot,
+        orders::Orders, snapshot::Snapshot,
     },
     link::{backend::BackendLinks, peer::PeerLinks, wire::Hello},
     metrics::Metrics,
@@ -65,6 +65,10 @@
     pub homes: HomeShards,
     /// Streams between entries and homes.
     pub home_links: HomeLinks,
+    /// Orders to the engines of the shards held here.
+    pub orders: Orders,
+    /// When the file in force came into force.
+    pub installed: Mutex<Option<Instant>>,
     /// Claims of idempotency keys.
     pub claims: Claims,
     /// Retry budgets by service.
@@ -174,6 +178,11 @@
         lock(&self.in_force).revision()
     }
 
+    /// Returns when the file in force came into force here; now, when there is none.
+    pub fn installed_at(&self) -> Instant {
+        lock(&self.installed).unwrap_or_else(|| self.clock.now())
+    }
+
     /// Returns the greeting of the moment.
     pub fn hello(&self) -> Hello {
         Hello {
--- a/src/instance/status.rs
+++ b/src/instance/status.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    instance::{homes::ShardStatus, shared::Shared},
+    instance::{homes::ShardStatus, orders::OrdersStatus, shared::Shared},
     link::wire::STATUS,
     metrics::Purpose,
     names::{InstanceId, ZoneId},
@@ -50,6 +50,8 @@
     pub remembered: usize,
     /// Engines.
     pub engines: Vec<NamedEngine>,
+    /// Orders to the engines, if the instance gives them.
+    pub orders: Option<OrdersStatus>,
 }
 
 /// An engine with its name.
@@ -116,6 +118,7 @@
         queued: shard.queued,
         remembered: shard.remembered,
         engines: engines.collect(),
+        orders: shared.orders.status(shard.shard, shared.clock.now()),
     }
 }
 
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -105,6 +105,8 @@
     pub plains: usize,
     /// Teams.
     pub teams: Vec<TeamSpec>,
+    /// Further tables of the file.
+    pub fleet_lines: String,
     /// Load bound of the model service.
     pub load_bound: f64,
     /// Further lines of the model service's table.
@@ -129,6 +131,7 @@
             plain_service: "app".to_owned(),
             plains: 2,
             teams: vec![TeamSpec::new("crew")],
+            fleet_lines: String::new(),
             load_bound: 1.25,
             model_lines: String::new(),
             plain_lines: String::new(),
@@ -410,6 +413,7 @@
         for zone in &spec.zones {
             file.push_str(&format!("[[zone]]\nid = \"{zone}\"\nregion = \"loopback\"\n"));
         }
+        file.push_str(&spec.fleet_lines);
         for team in &spec.teams {
             let hash = KeyHash::of(SALT, &team.key());
             file.push_str(&format!(
@@ -540,6 +544,18 @@
         Ok(serde_json::from_slice(&bytes)?)
     }
 
+    /// Gets a text from a router's operators' interface.
+    ///
+    /// # Errors
+    ///
+    /// The router does not answer.
+    pub fn get_text(&self, at: usize, path: &str) -> anyhow::Result<String> {
+        let url = format!("http://{}{path}", self.routers[at].operators);
+        let credential = format!("Bearer {OPERATOR_CREDENTIAL}");
+        let mut response = agent(PATIENCE).get(url).header("authorization", credential).call()?;
+        Ok(response.body_mut().read_to_string()?)
+    }
+
     /// Returns a router's metrics as text.
     ///
     /// # Errors
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fault;
 pub mod fleet;
 pub mod load;
+pub mod measure;
 pub mod model;
 pub mod plain;
 pub mod platform;
--- a/standins/src/load/scenario.rs
+++ b/standins/src/load/scenario.rs
@@ -168,6 +168,10 @@
 
 fn list_engines(fleet: &mut Fleet, ids: &[&str], state: MemberState) -> anyhow::Result<()> {
     for id in ids {
+        fleet.leaving.retain(|known| known != id);
+        if state != MemberState::Live {
+            fleet.leaving.push((*id).to_owned());
+        }
         let Some(engine) = fleet.engines.get(*id) else { continue };
         let zone = fleet.spec.zones[0].parse()?;
         let kind = MemberKind::BackendServer;
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -13,12 +13,15 @@
         scenario::{SCENARIOS, Scenario, Script},
         workload::{WorkloadSpec, teams},
     },
+    measure::{answers, capacity, config, decisions, latency, print},
 };
 
 const USAGE: &str = "usage: standins COMMAND [OPTIONS]
 
   demo [--json] [--seed N]     run a small fleet under load and print what it did
   bench [OPTIONS]              run scenarios with every placement
+  measure NAME [--json]        latency, answers, config, decisions or capacity
+          [--svg FILE]         capacity: draw the slopes
 
 options of bench:
   --scenario NAME              only this one; may be repeated
@@ -39,6 +42,7 @@
     match args.subcommand()?.as_deref() {
         Some("demo") => demo(args),
         Some("bench") => bench(args),
+        Some("measure") => measure_one(args),
         _ => {
             print!("{USAGE}");
             bail!("no such command")
@@ -90,7 +94,7 @@
         length: Duration::from_secs(15),
         ..WorkloadSpec::default()
     };
-    let figures = measure(spec, &workload, Scenario::Calm, "demo", "permit", !json)?;
+    let figures = run_scenario(spec, &workload, Scenario::Calm, "demo", "permit", !json)?;
     if json {
         println!("{}", serde_json::to_string_pretty(&figures)?);
         return Ok(());
@@ -117,7 +121,7 @@
     if rest.is_empty() { Ok(()) } else { bail!("not known: {rest:?}\n\n{USAGE}") }
 }
 
-fn measure(
+fn run_scenario(
     spec: FleetSpec,
     workload: &WorkloadSpec,
     scenario: Scenario,
@@ -143,6 +147,30 @@
     driver::run(&mut fleet, &workload, run)
 }
 
+fn measure_one(mut args: pico_args::Arguments) -> anyhow::Result<()> {
+    let json = args.contains("--json");
+    let svg: Option<PathBuf> = args.opt_value_from_str("--svg")?;
+    let name: String = args.free_from_str()?;
+    finish(args)?;
+    let binary = binary()?;
+    let figures = match name.as_str() {
+        "latency" => latency::measure(&binary)?,
+        "answers" => answers::measure(&binary)?,
+        "config" => config::measure(&binary)?,
+        "decisions" => decisions::measure(),
+        "capacity" => {
+            let (slopes, costs) = (capacity::decisions(), capacity::routers(&binary)?);
+            if json {
+                println!("{}", serde_json::to_string_pretty(&(slopes, costs))?);
+                return Ok(());
+            }
+            return capacity::report(&slopes, &costs, svg.as_deref());
+        }
+        other => bail!("{other} is not known\n\n{USAGE}"),
+    };
+    print(&figures, json)
+}
+
 fn bench(mut args: pico_args::Arguments) -> anyhow::Result<()> {
     let json = args.contains("--json");
     let scenarios: Vec<String> = args.values_from_str("--scenario")?;
@@ -197,7 +225,14 @@
             .iter()
             .map(|placement| {
                 scope.spawn(move || {
-                    measure(bench_fleet(8, placement)?, workload, scenario, name, placement, false)
+                    run_scenario(
+                        bench_fleet(8, placement)?,
+                        workload,
+                        scenario,
+                        name,
+                        placement,
+                        false,
+                    )
                 })
             })
             .collect();
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -8,6 +8,7 @@
 mod framing;
 mod home;
 mod machines;
+mod orders;
 mod sessions;
 mod support;
 mod whole_path;
