perf(config): news of a revision are passed on at once; digests travel bare

Cause: an accepted revision waited for the next poll or heartbeat; a change of one team in 33,000 shipped 58.7 KB a router, over the aim of 32 KB, since each byte of a digest above 127 took two. Change: whoever puts a revision in force tells four peers at once, who do the same; a manifest travels as its digests one after the other; chunks hold 64 entities on average at most.

--- a/src/configs/fleet/chunks.rs
+++ b/src/configs/fleet/chunks.rs
@@ -12,20 +12,23 @@
 use crate::utils::secret::digest;
 
 /// Mean number of entities a chunk is meant to hold.
-const ENTITIES_PER_CHUNK: usize = 32;
+const ENTITIES_PER_CHUNK: usize = 64;
 
 /// Largest number of chunks, as a power of two.
 const CHUNK_BITS_MAX: u32 = 16;
 
 /// The first half of a SHA-256 digest: the name of a stored object.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Digest([u8; 16]);
+pub struct Digest(#[serde(with = "serde_bytes")] [u8; DIGEST_BYTES]);
+
+/// Bytes of a digest.
+const DIGEST_BYTES: usize = 16;
 
 impl Digest {
     /// Returns the digest of `bytes`.
     pub fn of(bytes: &[u8]) -> Digest {
-        let mut half = [0; 16];
-        half.copy_from_slice(&digest(bytes)[..16]);
+        let mut half = [0; DIGEST_BYTES];
+        half.copy_from_slice(&digest(bytes)[..DIGEST_BYTES]);
         Digest(half)
     }
 }
@@ -40,19 +43,34 @@
     type Err = hex::FromHexError;
 
     fn from_str(text: &str) -> Result<Digest, hex::FromHexError> {
-        let mut half = [0; 16];
+        let mut half = [0; DIGEST_BYTES];
         hex::decode_to_slice(text, &mut half)?;
         Ok(Digest(half))
     }
 }
 
-/// Names the chunks of one file, in order.
+/// Names the chunks of one file, in order. Travels as the bare digests one after the other.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "serde_bytes::ByteBuf", into = "serde_bytes::ByteBuf")]
 pub struct Manifest {
     /// Digests of the chunks; their number is a power of two.
     pub chunks: Vec<Digest>,
 }
 
+impl From<serde_bytes::ByteBuf> for Manifest {
+    fn from(bytes: serde_bytes::ByteBuf) -> Manifest {
+        let (digests, _) = bytes.as_chunks::<DIGEST_BYTES>();
+        Manifest { chunks: digests.iter().copied().map(Digest).collect() }
+    }
+}
+
+impl From<Manifest> for serde_bytes::ByteBuf {
+    fn from(manifest: Manifest) -> serde_bytes::ByteBuf {
+        let bytes: Vec<u8> = manifest.chunks.iter().flat_map(|digest| digest.0).collect();
+        serde_bytes::ByteBuf::from(bytes)
+    }
+}
+
 /// One stored chunk: entity keys with their encoded entities, sorted.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 struct Chunk(BTreeMap<String, serde_bytes::ByteBuf>);
--- a/src/instance/config.rs
+++ b/src/instance/config.rs
@@ -8,7 +8,7 @@
 use crate::{
     configs::fleet::chunks::{Digest, Manifest, decode, load},
     contract::revision::{HEAD_KEY, Head},
-    instance::{shared::Shared, snapshot::Snapshot},
+    instance::{gossip, shared::Shared, snapshot::Snapshot},
     link::wire::{FETCH, FetchReply, FetchRequest},
     metrics::Purpose,
     platform::PlatformFault,
@@ -155,6 +155,7 @@
     shared.homes.install(&snapshot);
     shared.metrics.revision(head.revision.0);
     log::info!("revision {} in force, applied by {}", head.revision, head.by);
+    gossip::spread_news(shared);
     Ok(())
 }
 
--- a/src/instance/gossip.rs
+++ b/src/instance/gossip.rs
@@ -19,6 +19,9 @@
 /// hand-over of a whole memory under 6 KB/s.
 const PLACES_MAX: usize = 200;
 
+/// Peers told at once of a new revision.
+const NEWS_PEERS: usize = 4;
+
 /// Fetches what changed in the platform's list; while the platform is out, the view stays.
 pub fn poll_members(shared: &Shared) {
     let version = lock(&shared.membership).version();
@@ -102,6 +105,21 @@
     }
 }
 
+/// Sends heartbeats to a few peers at once, which carry the revision just put in force; whoever
+/// learns it so and puts it in force does the same, until nobody is left behind.
+pub fn spread_news(shared: &Shared) {
+    let mut peers: Vec<Tag> = {
+        let now = shared.clock.now();
+        lock(&shared.membership)
+            .peers()
+            .filter(|p| p.may_be_tried(now))
+            .map(|p| p.candidate.tag)
+            .collect()
+    };
+    fastrand::shuffle(&mut peers);
+    peers.into_iter().take(NEWS_PEERS).for_each(|peer| beat_to(shared, peer));
+}
+
 /// Sends a heartbeat to every peer, so that all learn of a change at once.
 pub fn beat_to_all(shared: &Shared) {
     let peers: Vec<Tag> = lock(&shared.membership).peers().map(|p| p.candidate.tag).collect();
