feat(routing): contexts of leaving engines are taken over by those that get their chats

Cause: when an engine left, its chats' prompts were read again elsewhere. Change: the home has the first of the other engines in each chat's rank take the context over from the leaving one, most recent chats first, at most 100 a second a shard, and then remembers the chat there; routers name the chat to engines, so that they can hand it over.

--- /dev/null
+++ b/src/instance/contexts.rs
@@ -0,0 +1,43 @@
+//! Has engines take over the contexts of those that leave, within a rate.
+
+use std::{collections::BTreeMap, thread};
+
+use crate::{
+    instance::{engines, shared::Shared, snapshot::Snapshot},
+    names::Tag,
+    zone::{hand_over::ContextMove, home::Event, rendezvous::ChatKey, shard::ShardId},
+};
+
+/// Most chats moved for one shard at once; with the period of the moving, 100 a second.
+const MOVES_AT_ONCE: usize = 25;
+
+/// Moves the next contexts of every shard held here.
+pub fn move_next(shared: &Shared) {
+    let Some(snapshot) = shared.snapshot.load_full() else { return };
+    for (shard, moves) in shared.homes.context_moves(MOVES_AT_ONCE) {
+        move_contexts(shared, &snapshot, shard, &moves);
+    }
+}
+
+/// Moves contexts, one exchange for each pair of engines.
+fn move_contexts(shared: &Shared, snapshot: &Snapshot, shard: ShardId, moves: &[ContextMove]) {
+    let mut pairs: BTreeMap<(Tag, Tag), Vec<ChatKey>> = BTreeMap::new();
+    for ContextMove { chat, from, to } in moves {
+        pairs.entry((*from, *to)).or_default().push(*chat);
+    }
+    thread::scope(|scope| {
+        for ((from, to), chats) in &pairs {
+            let address =
+                |tag: Tag| snapshot.server(tag).filter(|b| b.reports_load).map(|b| b.address);
+            let (Some(source), Some(target)) = (address(*from), address(*to)) else { continue };
+            scope.spawn(move || {
+                let taken = engines::take_over(shared, target, source, chats);
+                let event = match taken {
+                    true => Event::Moved(chats.iter().map(|chat| (*chat, *from, *to)).collect()),
+                    false => Event::KeepsContexts(*from),
+                };
+                shared.homes.tell(shard, vec![event]);
+            });
+        }
+    });
+}
--- a/src/instance/engines.rs
+++ b/src/instance/engines.rs
@@ -10,6 +10,7 @@
     instance::shared::Shared,
     link::backend::Attempt,
     metrics::Purpose,
+    zone::rendezvous::ChatKey,
 };
 
 /// Path of an engine's status.
@@ -18,6 +19,12 @@
 /// Path of orders.
 const ORDERS_PATH: &str = "/engine/orders";
 
+/// Path on which an engine takes contexts over from another.
+const IMPORT_PATH: &str = "/engine/cache/import";
+
+/// Longest time for an engine to take contexts over.
+const IMPORT_TIME: Duration = Duration::from_secs(5);
+
 /// Longest wait for a status.
 const STATUS_TIME: Duration = Duration::from_secs(1);
 
@@ -97,6 +104,19 @@
     }
 }
 
+/// Has an engine take over the contexts of chats from another; false when it does not.
+pub fn take_over(
+    shared: &Shared,
+    target: SocketAddr,
+    source: SocketAddr,
+    chats: &[ChatKey],
+) -> bool {
+    let chats: Vec<String> = chats.iter().map(ToString::to_string).collect();
+    let body = serde_json::json!({ "from": source, "chats": chats }).to_string();
+    let answer = exchange(shared, target, &Method::POST, IMPORT_PATH, body.as_bytes(), IMPORT_TIME);
+    answer.is_ok_and(|(status, _)| status == StatusCode::OK)
+}
+
 fn exchange(
     shared: &Shared,
     address: SocketAddr,
--- a/src/instance/forward.rs
+++ b/src/instance/forward.rs
@@ -18,7 +18,7 @@
     instance::{
         claims::{Begun, HeldClaim},
         place::{self, NoPlace, Place},
-        request::{DEADLINE_HEADER, Request},
+        request::{CHAT_HEADER, DEADLINE_HEADER, Request},
         shared::Shared,
         snapshot::{ServiceView, Snapshot},
         tokens,
@@ -291,6 +291,11 @@
         if let Ok(value) = HeaderValue::from_str(&request.id) {
             headers.insert("cartvane-request-id", value);
         }
+        let chat = request.chat.filter(|_| self.view.service.kind == ServiceKind::Model);
+        if let Some(value) = chat.and_then(|chat| HeaderValue::from_str(&chat.to_string()).ok()) {
+            // Engines name the context by it when they hand it over.
+            headers.insert(CHAT_HEADER, value);
+        }
         let attempt = Attempt {
             address: server.address,
             method: &request.method,
@@ -308,7 +313,6 @@
             Err(fault) => return Tried::Fault(fault),
         };
         report.read(&answer);
-        let chat = request.chat.filter(|_| self.view.service.kind == ServiceKind::Model);
         self.note.placement = chat.map(|chat| {
             tokens::hint(&self.shared.settings.credentials.placement, chat, place.engine())
         });
--- a/src/instance/homes.rs
+++ b/src/instance/homes.rs
@@ -14,6 +14,7 @@
     names::Tag,
     utils::sync::lock,
     zone::{
+        hand_over::ContextMove,
         home::{Action, Event, Home, HomeTerms, ShardLoad},
         rendezvous::ChatKey,
         shard::{Shard, ShardId},
@@ -196,6 +197,14 @@
         self.all_slots().into_iter().flat_map(due).collect()
     }
 
+    /// Returns the contexts to be moved now, at most `most` for each shard.
+    pub fn context_moves(&self, most: usize) -> Vec<(ShardId, Vec<ContextMove>)> {
+        let now = self.clock.now();
+        let moves =
+            |(id, slot): (ShardId, Arc<Slot>)| (id, lock(&slot.home).context_moves(now, most));
+        self.all_slots().into_iter().map(moves).filter(|(_, moves)| !moves.is_empty()).collect()
+    }
+
     /// Gives events to the home of one shard, if it is held here.
     pub fn tell(&self, shard: ShardId, events: Vec<Event>) {
         let Some(slot) = lock(&self.slots).get(&shard).cloned() else { return };
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -3,6 +3,7 @@
 pub mod apply;
 pub mod claims;
 pub mod config;
+pub mod contexts;
 pub mod desk;
 pub mod engines;
 pub mod entry;
@@ -70,6 +71,9 @@
 /// Pause between two looks at leases and rollouts.
 const ORDERS_PERIOD: Duration = Duration::from_millis(200);
 
+/// Pause between two rounds of moving contexts of leaving engines.
+const MOVE_PERIOD: Duration = Duration::from_millis(250);
+
 /// Pause between two looks for engines that are due for a probe.
 const PROBE_PERIOD: Duration = Duration::from_millis(250);
 
@@ -155,6 +159,10 @@
             shared.orders.step(shared);
             ORDERS_PERIOD
         })?;
+        self.background("contexts", |shared| {
+            contexts::move_next(shared);
+            MOVE_PERIOD
+        })?;
         self.background("probes", |shared| {
             probes::probe_due(shared);
             PROBE_PERIOD
--- a/src/zone/home.rs
+++ b/src/zone/home.rs
@@ -21,6 +21,7 @@
     names::Tag,
     zone::{
         engine::{EngineSlot, EngineSpec},
+        hand_over::{ContextMove, HandOver},
         load_view::LoadView,
         memory::ChatMemory,
         rendezvous::{ChatKey, score},
@@ -84,6 +85,10 @@
     Leaving(Tag, bool),
     /// The home of another shard of the service tells its load and number of usable engines.
     Elsewhere(Tag, ShardLoad),
+    /// Contexts of chats were moved from one engine to another.
+    Moved(Vec<(ChatKey, Tag, Tag)>),
+    /// An engine that leaves does not hand its contexts over.
+    KeepsContexts(Tag),
     /// Another instance tells where chats were last.
     Remember(Vec<(ChatKey, Tag)>),
     /// By this instance's view it is the home of the shard, or is not.
@@ -143,6 +148,7 @@
     queue: FairQueue<Waiting>,
     patients: Vec<Patient>,
     memory: ChatMemory,
+    hand_over: HandOver,
     teams: TeamLimits,
     entries: HashMap<Tag, Instant>,
     elsewhere: HashMap<Tag, (ShardLoad, Instant)>,
@@ -161,6 +167,7 @@
             queue: FairQueue::default(),
             patients: Vec::new(),
             memory: ChatMemory::new(terms.remembered),
+            hand_over: HandOver::default(),
             teams: TeamLimits::default(),
             entries: HashMap::new(),
             elsewhere: HashMap::new(),
@@ -193,6 +200,8 @@
             Event::Elsewhere(home, load) => {
                 self.elsewhere.insert(home, (load, now));
             }
+            Event::Moved(moves) => self.contexts_moved(moves),
+            Event::KeepsContexts(engine) => self.hand_over.give_up(engine),
             Event::Remember(chats) => self.memory.learn(chats, self.is_home),
             Event::Role(is_home) => self.set_role(now, is_home),
             Event::Tick => self.tick(now, &mut actions),
@@ -537,6 +546,36 @@
         self.engines.values_mut().filter_map(|e| e.probe_due(now).then_some(e.spec.tag)).collect()
     }
 
+    fn contexts_moved(&mut self, moves: Vec<(ChatKey, Tag, Tag)>) {
+        for (chat, from, to) in moves {
+            if self.memory.get(chat) == Some(from) {
+                self.memory.put(chat, to);
+            }
+        }
+    }
+
+    /// Returns up to `most` contexts of leaving engines to be moved now, if this is the home.
+    pub fn context_moves(&mut self, now: Instant, most: usize) -> Vec<ContextMove> {
+        if !self.is_home {
+            return Vec::new();
+        }
+        let leaving: Vec<Tag> =
+            self.engines.values().filter(|e| e.is_leaving()).map(|e| e.spec.tag).collect();
+        self.hand_over.retain(|engine| leaving.contains(&engine));
+        for engine in leaving {
+            if !self.hand_over.knows(engine) {
+                let all = self.memory.all();
+                let own = all.into_iter().rev().filter(|(_, on)| *on == engine);
+                self.hand_over.begin(engine, own.map(|(chat, _)| chat));
+            }
+        }
+        let view = self.view(now);
+        let usable = self.engines.values().filter(|e| view.is_usable(e));
+        let targets: Vec<(Tag, f64)> = usable.map(|e| (e.spec.tag, e.spec.weight)).collect();
+        let memory = &self.memory;
+        self.hand_over.next(most, &targets, |chat, engine| memory.get(chat) == Some(engine))
+    }
+
     fn set_role(&mut self, now: Instant, is_home: bool) {
         if is_home && !self.is_home {
             self.guarded_until = Some(now + WARM_UP);
--- a/src/zone/memory.rs
+++ b/src/zone/memory.rs
@@ -38,6 +38,11 @@
         self.recency.is_empty()
     }
 
+    /// Returns every chat remembered, those not seen for long first.
+    pub fn all(&self) -> Vec<(ChatKey, Tag)> {
+        self.recency.all()
+    }
+
     /// Remembers that `chat` went to `engine`.
     pub fn put(&mut self, chat: ChatKey, engine: Tag) {
         if self.recency.put(chat, engine) {
--- a/src/zone/mod.rs
+++ b/src/zone/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod baseline;
 pub mod engine;
+pub mod hand_over;
 pub mod home;
 pub mod homes;
 pub mod load_view;
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -20,6 +20,7 @@
         caller::Listener,
         http1::{Conn, conn::ConnState},
     },
+    platform::http::agent,
     utils::sync::lock,
 };
 use serde::{Deserialize, Serialize};
@@ -36,6 +37,9 @@
 /// Time after which a stream without a reader is given up.
 const ORPHAN_TIME: Duration = Duration::from_secs(2);
 
+/// Longest wait for another engine's context.
+const TAKE_OVER_TIME: Duration = Duration::from_secs(2);
+
 /// Pause between two looks at a stream.
 const LOOK_PERIOD: Duration = Duration::from_millis(20);
 
@@ -188,6 +192,8 @@
     freed: Condvar,
     loads: Mutex<VecDeque<(Instant, u32)>>,
     streams: Mutex<HashMap<String, Arc<Generation>>>,
+    /// Contexts by the chat that routers name.
+    chats: Mutex<HashMap<String, Vec<Segment>>>,
     events: Mutex<VecDeque<CacheEvent>>,
     event_number: AtomicU64,
     leaving: AtomicBool,
@@ -245,6 +251,7 @@
             freed: Condvar::new(),
             loads: Mutex::default(),
             streams: Mutex::default(),
+            chats: Mutex::default(),
             events: Mutex::default(),
             event_number: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
@@ -473,10 +480,18 @@
 }
 
 /// Keeps the prompt together with its answer, as the chat's next turn will send it.
-fn keep_answer(state: &State, chat: &ChatRequest) {
+fn keep_answer(state: &State, chat: &ChatRequest, name: Option<&str>) {
     let answer = chat.expected_answer();
     let texts = chat.messages.iter().map(|m| m.content.as_str()).chain([answer.as_str()]);
-    state.keep(&segments(texts));
+    let context = segments(texts);
+    state.keep(&context);
+    if let Some(name) = name {
+        lock(&state.chats).insert(name.to_owned(), context);
+    }
+}
+
+fn chat_name(received: &Received) -> Option<&str> {
+    received.head.header("cartvane-chat")
 }
 
 fn generate_at_once(state: &State, received: &Received, chat: &ChatRequest) -> Usage {
@@ -485,7 +500,7 @@
     for _ in 0..chat.tokens() {
         thread::sleep(state.step());
     }
-    keep_answer(state, chat);
+    keep_answer(state, chat, chat_name(received));
     state.leave();
     usage_of(&prompt, cached_tokens, chat)
 }
@@ -504,7 +519,7 @@
     state.runs.add(&received);
     let generation: Arc<Generation> = Arc::default();
     lock(&state.streams).insert(attempt.clone(), Arc::clone(&generation));
-    start_generation(state, &generation, chat, &attempt, is_reserved(&received));
+    start_generation(state, &generation, chat, &attempt, &received);
     match fault {
         Fault::CloseAfterRun => return Next::Close,
         Fault::StallHead(time) => {
@@ -523,8 +538,9 @@
     generation: &Arc<Generation>,
     chat: &ChatRequest,
     attempt: &str,
-    reserved: bool,
+    received: &Received,
 ) {
+    let (reserved, name) = (is_reserved(received), chat_name(received).map(str::to_owned));
     let (state, generation, chat, attempt) =
         (Arc::clone(state), Arc::clone(generation), chat.clone(), attempt.to_owned());
     thread::spawn(move || {
@@ -546,7 +562,7 @@
             generation.grown.notify_all();
         }
         if whole {
-            keep_answer(&state, &chat);
+            keep_answer(&state, &chat, name.as_deref());
             let usage = usage_of(&prompt, cached, &chat);
             lock(&generation.stream).bytes.extend_from_slice(last_events(&usage).as_bytes());
         } else {
@@ -658,10 +674,18 @@
             let events = lock(&state.events);
             Reply::json(&events.iter().filter(|e| e.number > after).collect::<Vec<_>>())
         }
+        "/engine/cache/export" if received.param("chat").is_some() => {
+            let name = received.param("chat").unwrap_or_default();
+            let context = lock(&state.chats).get(name).cloned().unwrap_or_default();
+            // What has been evicted meanwhile cannot be handed over.
+            let cached = lock(&state.cache).cached(&context);
+            Reply::json(&if cached > 0 { context } else { Vec::new() })
+        }
         "/engine/cache/export" => {
             let most = received.param("most").and_then(|n| n.parse().ok()).unwrap_or(u64::MAX);
             Reply::json(&lock(&state.cache).export(most))
         }
+        "/engine/cache/import" if received.body.starts_with(b"{") => take_over(state, received),
         "/engine/cache/import" => match serde_json::from_slice::<Vec<Segment>>(&received.body) {
             Ok(imported) => {
                 state.keep(&imported);
@@ -677,6 +701,30 @@
     }
 }
 
+/// Fetches the contexts of chats from another engine.
+fn take_over(state: &State, received: &Received) -> Reply {
+    #[derive(Deserialize)]
+    struct TakeOver {
+        from: SocketAddr,
+        chats: Vec<String>,
+    }
+    let Ok(TakeOver { from, chats }) = serde_json::from_slice(&received.body) else {
+        return Reply::new(400, "not a list of chats");
+    };
+    let agent = agent(TAKE_OVER_TIME);
+    for chat in chats {
+        let url = format!("http://{from}/engine/cache/export?chat={chat}");
+        let body = agent.get(url).call().ok().and_then(|mut r| r.body_mut().read_to_vec().ok());
+        let Some(context) = body.and_then(|b| serde_json::from_slice::<Vec<Segment>>(&b).ok())
+        else {
+            return Reply::new(502, "the other engine does not hand over");
+        };
+        state.keep(&context);
+        lock(&state.chats).insert(chat, context);
+    }
+    Reply::json(&true)
+}
+
 fn take_order(state: &State, order: EngineOrder) -> Reply {
     let mut current = lock(&state.order);
     if state.cfg.checks_fencing && order.fencing < current.fencing {
--- a/tests/suite/home.rs
+++ b/tests/suite/home.rs
@@ -433,3 +433,51 @@
     });
     done.expect("the home keeps its promises");
 }
+
+#[test]
+fn the_contexts_of_a_leaving_engine_move_to_where_its_chats_will_go() {
+    let (mut home, now) = home(4, 8, terms());
+    for number in 0..40 {
+        let hinted = Ask { hint: Some(Tag(1)), ..ask(number, number) };
+        assert_eq!(ask_now(&mut home, now, hinted), Some(Reply::Granted(Tag(1))));
+        home.handle(now, release(number));
+    }
+    assert!(home.context_moves(now, 10).is_empty(), "nobody leaves");
+    home.handle(now, Event::Listed(Tag(1), true));
+    let moves: Vec<_> =
+        std::iter::from_fn(|| Some(home.context_moves(now, 15)).filter(|m| !m.is_empty()))
+            .collect();
+    assert_eq!(
+        moves.iter().map(Vec::len).collect::<Vec<_>>(),
+        [15, 15, 10],
+        "within the rate, each once"
+    );
+    let first = moves[0][0];
+    assert!(moves.iter().flatten().all(|m| m.from == Tag(1) && m.to != Tag(1)));
+    home.handle(now, Event::Moved(vec![(first.chat, first.from, first.to)]));
+    let returning = Ask { chat: first.chat, ..ask(100, 0) };
+    assert_eq!(ask_now(&mut home, now, returning), Some(Reply::Granted(first.to)));
+    // A chat that has gone elsewhere meanwhile is left where it is.
+    home.handle(
+        now,
+        Event::Moved(vec![(first.chat, Tag(1), Tag(3)), (first.chat, Tag(1), Tag(4))]),
+    );
+    assert_eq!(home.explain(now, first.chat).0, Some(first.to));
+}
+
+#[test]
+fn an_engine_that_does_not_hand_over_is_given_up() {
+    let (mut home, now) = home(3, 8, terms());
+    for number in 0..20 {
+        ask_now(&mut home, now, Ask { hint: Some(Tag(1)), ..ask(number, number) });
+        home.handle(now, release(number));
+    }
+    home.handle(now, Event::Leaving(Tag(1), true));
+    assert_eq!(home.context_moves(now, 5).len(), 5);
+    home.handle(now, Event::KeepsContexts(Tag(1)));
+    assert!(home.context_moves(now, 5).is_empty());
+    home.handle(now, Event::Leaving(Tag(1), false));
+    home.context_moves(now, 5);
+    home.handle(now, Event::Leaving(Tag(1), true));
+    assert_eq!(home.context_moves(now, 5).len(), 5, "it leaves anew");
+}
