feat(routing): permits of an entry whose stream ended end after 2 s

Cause: arrivals beyond the bound by second showed 4 s of overshoot after each killed router: its permits were counted for the whole silence and raised the mean. Change: the end of an entry's stream shortens its silence from 4 s to 2 s; an entry that is alive opens its stream anew and is heard.

--- a/src/contract/membership.rs
+++ b/src/contract/membership.rs
@@ -160,8 +160,11 @@
         peer.listed = member.state;
     }
 
-    /// Takes in an instance that introduced itself while the list is out.
+    /// Takes in an instance that introduced itself, sooner than the list shows it.
     pub fn introduce(&mut self, now: Instant, member: Member) {
+        if member.id == self.own.id.as_str() {
+            return;
+        }
         let known = member.id.parse::<InstanceId>().ok().and_then(|id| self.peers.get(&id.tag()));
         let news = known.is_none_or(|peer| peer.address != member.address);
         if news && member.kind == MemberKind::Instance && member.state == MemberState::Live {
--- a/src/instance/gossip.rs
+++ b/src/instance/gossip.rs
@@ -27,7 +27,7 @@
     let version = lock(&shared.membership).version();
     match shared.platform.members.since(version) {
         Ok(page) if page.version != version => {
-            lock(&shared.membership).listed(page.version, page.changed)
+            lock(&shared.membership).listed(page.version, page.changed);
         }
         Ok(_) => {}
         Err(fault) => {
@@ -39,17 +39,22 @@
     }
 }
 
-/// Learns the other instances from one that the settings name, and introduces this one.
-fn ask_seeds(shared: &Shared) {
-    let Some(address) = shared.advertised.get().copied() else { return };
+fn own_member(shared: &Shared) -> Option<Member> {
+    let address = *shared.advertised.get()?;
     let settings = &shared.settings;
-    let own = Member {
+    Some(Member {
         id: settings.id.to_string(),
         kind: MemberKind::Instance,
         address,
         zone: settings.zone.clone(),
         state: MemberState::Live,
-    };
+    })
+}
+
+/// Learns the other instances from one that the settings name, and introduces this one.
+fn ask_seeds(shared: &Shared) {
+    let Some(own) = own_member(shared) else { return };
+    let (settings, address) = (&shared.settings, own.address);
     for seed in settings.listen.seeds.iter().filter(|seed| **seed != address) {
         let request = FetchRequest::Members(own.clone());
         let reply = shared.peers.call::<FetchReply>(Purpose::Heartbeat, *seed, FETCH, &request);
@@ -64,16 +69,9 @@
 
 /// Returns the instances known to one that introduces itself.
 pub fn take_introduction(shared: &Shared, member: Member) -> Vec<Member> {
-    let settings = &shared.settings;
     let mut membership = lock(&shared.membership);
     let mut known = membership.members();
-    known.extend(shared.advertised.get().map(|address| Member {
-        id: settings.id.to_string(),
-        kind: MemberKind::Instance,
-        address: *address,
-        zone: settings.zone.clone(),
-        state: MemberState::Live,
-    }));
+    known.extend(own_member(shared));
     membership.introduce(shared.clock.now(), member);
     known
 }
--- a/src/instance/home_links.rs
+++ b/src/instance/home_links.rs
@@ -16,6 +16,7 @@
     metrics::Purpose,
     names::Tag,
     utils::sync::lock,
+    zone::home::Event,
 };
 
 /// One end of a stream, and what its other end was told of this instance.
@@ -127,11 +128,14 @@
             }
         }
         end.sender.cut();
-        if let Some(hello) = entry {
+        let Some(hello) = entry else { return };
+        let was_last = {
             let mut entries = lock(&self.entries);
-            if entries.get(&hello.from).is_some_and(|known| Arc::ptr_eq(known, &end)) {
-                entries.remove(&hello.from);
-            }
+            let own = entries.get(&hello.from).is_some_and(|known| Arc::ptr_eq(known, &end));
+            own && entries.remove(&hello.from).is_some()
+        };
+        if was_last {
+            shared.homes.each(|_| vec![Event::EntryCut(hello.from)]);
         }
     }
 }
--- a/src/zone/home.rs
+++ b/src/zone/home.rs
@@ -34,6 +34,9 @@
 /// Silence after which an entry counts as lost and its permits end.
 pub const ENTRY_SILENCE: Duration = Duration::from_secs(4);
 
+/// The same once the entry's stream has ended; engines may still work on what it sent for a while.
+pub const ENTRY_CUT_SILENCE: Duration = Duration::from_secs(2);
+
 /// Age at which another home's load no longer counts.
 const ELSEWHERE_AGE_MAX: Duration = Duration::from_secs(5);
 
@@ -66,6 +69,8 @@
     Ask(Ask, TeamTerms),
     /// An entry gives a permit back, or no longer waits for one.
     Release(Tag, Release),
+    /// The stream of an entry has ended.
+    EntryCut(Tag),
     /// An entry tells the number of permits it holds here.
     Count(Tag, usize),
     /// An entry tells every permit it holds here and the numbers of its asks under way; what it
@@ -183,6 +188,7 @@
         match event {
             Event::Ask(ask, terms) => self.ask(now, ask, terms, &mut actions),
             Event::Release(entry, release) => self.release(now, entry, release, &mut actions),
+            Event::EntryCut(entry) => self.entry_cut(now, entry),
             Event::Count(entry, held) => self.count(now, entry, held, &mut actions),
             Event::Announce(entry, held, pending) => {
                 self.announce(now, entry, held, &pending, &mut actions)
@@ -484,6 +490,14 @@
         }
     }
 
+    /// An entry that is alive opens its stream anew and is heard again before its permits end.
+    fn entry_cut(&mut self, now: Instant, entry: Tag) {
+        if let Some(heard) = self.entries.get_mut(&entry) {
+            let earlier = now.checked_sub(ENTRY_SILENCE - ENTRY_CUT_SILENCE);
+            *heard = earlier.map_or(*heard, |earlier| earlier.min(*heard));
+        }
+    }
+
     fn count(&mut self, now: Instant, entry: Tag, held: usize, actions: &mut Vec<Action>) {
         self.entries.insert(entry, now);
         let known = self.permits.keys().filter(|id| id.entry == entry).count();
--- a/standins/src/load/driver.rs
+++ b/standins/src/load/driver.rs
@@ -111,7 +111,19 @@
     sampled.retain(|s| s.at >= WARM_UP);
     let mut arrivals = fleet.board.take_arrivals();
     arrivals.retain(|arrival| arrival.at >= start + WARM_UP);
-    Ok(figures(&run, &outcomes, &sampled, &arrivals, &control))
+    let seconds = arrivals.iter().filter(|a| a.beyond > 0).map(|a| (a.at - start).as_secs());
+    let by_second = seconds.fold(vec![0; workload_seconds(spec)], |mut counts, second| {
+        if let Some(count) = counts.get_mut(second as usize) {
+            *count += 1;
+        }
+        counts
+    });
+    let figures = figures(&run, &outcomes, &sampled, &arrivals, &control);
+    Ok(Figures { over_bound_by_second: by_second, ..figures })
+}
+
+fn workload_seconds(spec: &WorkloadSpec) -> usize {
+    spec.length.as_secs() as usize + 1
 }
 
 /// Returns the routers that say they are ready, as the platform's balancer would choose.
@@ -189,6 +201,7 @@
         skew_p99,
         over_bound: arrivals.iter().map(|a| a.beyond).max().unwrap_or(0),
         over_bound_percent: 100.0 * beyond as f64 / arrivals.len().max(1) as f64,
+        over_bound_by_second: Vec::new(),
         control_sent: control.by_purpose.iter().map(|(_, sent, _)| sent).sum(),
         control_received: control.by_purpose.iter().map(|(_, _, received)| received).sum(),
         control_by_purpose: control
--- a/standins/src/load/measure.rs
+++ b/standins/src/load/measure.rs
@@ -68,6 +68,8 @@
     pub over_bound: u32,
     /// Share of arrivals beyond it, in percent.
     pub over_bound_percent: f64,
+    /// Arrivals beyond it, by second of the run.
+    pub over_bound_by_second: Vec<u32>,
     /// Bytes a second that a router sends for control.
     pub control_sent: f64,
     /// Bytes a second that a router receives for control.
--- a/standins/src/load/report.rs
+++ b/standins/src/load/report.rs
@@ -51,5 +51,10 @@
 pub fn purposes(f: &Figures) -> String {
     let parts: Vec<String> =
         f.control_by_purpose.iter().map(|(name, sent)| format!("{name} {sent:.0}")).collect();
-    format!("control bytes sent a second a router: {}", parts.join(", "))
+    let beyond: Vec<String> = f.over_bound_by_second.iter().map(ToString::to_string).collect();
+    format!(
+        "control bytes sent a second a router: {}; arrivals beyond the bound by second: {}",
+        parts.join(", "),
+        beyond.join(" ")
+    )
 }
--- a/tests/suite/home.rs
+++ b/tests/suite/home.rs
@@ -11,7 +11,10 @@
     units::Rate,
     zone::{
         engine::EngineSpec,
-        home::{Action, ENTRY_SILENCE, Event, Home, HomeTerms, ShardLoad, WARM_UP, bound_of},
+        home::{
+            Action, ENTRY_CUT_SILENCE, ENTRY_SILENCE, Event, Home, HomeTerms, ShardLoad, WARM_UP,
+            bound_of,
+        },
         rendezvous::ChatKey,
     },
 };
@@ -274,6 +277,22 @@
     assert_eq!(home.permits(), 0);
 }
 
+#[test]
+fn the_permits_of_an_entry_whose_stream_ended_end_sooner_unless_it_is_heard_again() {
+    for heard in [false, true] {
+        let (mut home, now) = home(2, 4, terms());
+        ask_now(&mut home, now, ask(1, 1));
+        home.handle(now, Event::EntryCut(ENTRY));
+        home.handle(now + ENTRY_CUT_SILENCE / 2, Event::Tick);
+        assert_eq!(home.permits(), 1);
+        if heard {
+            home.handle(now + ENTRY_CUT_SILENCE / 2, Event::Count(ENTRY, 1));
+        }
+        home.handle(now + ENTRY_CUT_SILENCE, Event::Tick);
+        assert_eq!(home.permits(), usize::from(heard));
+    }
+}
+
 #[test]
 fn a_permit_ends_some_time_after_its_requests_deadline() {
     let (mut home, mut now) = home(2, 4, terms());
--- a/tests/suite/machines.rs
+++ b/tests/suite/machines.rs
@@ -145,7 +145,8 @@
     assert_eq!(home_names(&view, now), ["a", "b"]);
     assert_eq!(view.introduced(now).len(), 1);
     view.introduce(now, member("b", 2, MemberState::Live));
-    assert_eq!(view.introduced(now).len(), 1);
+    view.introduce(now, member("a", 1, MemberState::Live));
+    assert_eq!(view.introduced(now).len(), 1, "neither twice nor back to itself");
     assert!(view.introduced(now + Duration::from_secs(60)).is_empty());
 }
 
