fix(drain): a draining instance gives up its homes in its own view too; logs name team and server

Cause: reading the tree: others took over a draining instance's shards while its own entry still asked itself; the time to the first byte was reckoned from the service's deadline, wrong where a caller states one; request lines named neither team nor backend server. Change: as said; a test that a panic in one connection takes no other down.

--- a/src/instance/entry.rs
+++ b/src/instance/entry.rs
@@ -125,6 +125,9 @@
     let service_name = split_target(&head.target).0.to_owned();
     shared.metrics.request_began();
     let done = take_in(shared, conn, head, &id, began);
+    let team = done
+        .as_ref()
+        .map_or_else(|_| "-".to_owned(), |t| t.snapshot.team_id(t.team_tag).to_string());
     let (ended, body_read) = match done {
         Ok(taken) => {
             let note = note(id.clone(), keep_alive);
@@ -144,16 +147,13 @@
         Err(refused) => (Ended::Refused(refused.refusal), refused.body_read),
     };
     match ended {
-        Ended::Answered { status, outcome, reusable } => {
-            shared.metrics.request_ended(
-                &service_name,
-                status,
-                outcome,
-                shared.clock.now() - began,
-            );
+        Ended::Answered { status, outcome, reusable, server } => {
+            let took = shared.clock.now() - began;
+            shared.metrics.request_ended(&service_name, status, outcome, took);
+            let server = server.map_or_else(|| "-".to_owned(), |id| id.to_string());
             log::info!(
-                "request id={id} service={service_name} status={status} outcome={outcome} ms={}",
-                (shared.clock.now() - began).as_millis()
+                "request id={id} service={service_name} team={team} backend_server={server} status={status} outcome={outcome} ms={}",
+                took.as_millis()
             );
             reusable && keep_alive
         }
--- a/src/instance/forward.rs
+++ b/src/instance/forward.rs
@@ -28,7 +28,7 @@
         backend::{Answer, Attempt},
         http1::{Conn, conn::ConnState, head::drop_hop_by_hop},
     },
-    names::Tag,
+    names::{BackendId, Tag},
     utils::sync::lock,
 };
 
@@ -67,15 +67,31 @@
         outcome: Outcome,
         /// Whether the caller's connection may be used again.
         reusable: bool,
+        /// Who answered; none for a stored answer.
+        server: Option<BackendId>,
     },
     /// Nothing went to the caller yet: it is to be told this.
     Refused(Refusal),
 }
 
+/// An answer that went to the caller.
+struct Answered {
+    status: u16,
+    outcome: Outcome,
+    reusable: bool,
+}
+
+impl Answered {
+    fn by(self, server: &BackendServer) -> Ended {
+        let Answered { status, outcome, reusable } = self;
+        Ended::Answered { status, outcome, reusable, server: Some(server.id.clone()) }
+    }
+}
+
 /// How one attempt ended.
 enum Tried {
     /// An answer went to the caller.
-    Answered(Ended),
+    Answered(Answered),
     /// It failed and nothing reached the caller.
     Fault(AttemptFault),
     /// It failed after the answer's head had reached the caller, who has seen the cut.
@@ -156,7 +172,12 @@
         let head_only = self.request.method == Method::HEAD;
         let stall = self.shared.settings.timeouts.slow_reader.0;
         let sent = send_whole(conn, stall, status, &headers, &note, &answer.body, head_only);
-        Ended::Answered { status: answer.status, outcome: Outcome::Run, reusable: sent.is_ok() }
+        Ended::Answered {
+            status: answer.status,
+            outcome: Outcome::Run,
+            reusable: sent.is_ok(),
+            server: None,
+        }
     }
 
     /// Gives back or closes a claim that no answer has closed.
@@ -188,9 +209,10 @@
             };
             let tried = self.attempt(conn, &server, number, place);
             let fault = match tried {
-                Tried::Answered(ended) => return ended,
+                Tried::Answered(answered) => return answered.by(&server),
                 Tried::Cut(fault, status) => {
-                    return Ended::Answered { status, outcome: fault.outcome(), reusable: false };
+                    return Answered { status, outcome: fault.outcome(), reusable: false }
+                        .by(&server);
                 }
                 Tried::Fault(fault) => fault,
             };
@@ -352,11 +374,7 @@
         let sent = send_whole(conn, stall, status, &headers, &self.note, &body, head_only);
         self.note_first_byte();
         let reusable = sent.is_ok();
-        Tried::Answered(Ended::Answered {
-            status: status.as_u16(),
-            outcome: Outcome::Run,
-            reusable,
-        })
+        Tried::Answered(Answered { status: status.as_u16(), outcome: Outcome::Run, reusable })
     }
 
     /// Passes the answer on as it comes.
@@ -419,11 +437,7 @@
         self.keep_answer(status, &headers, kept.as_deref());
         let sent = if caller_here { writer.end().is_ok() } else { false };
         self.shared.backends.finish(answer);
-        Tried::Answered(Ended::Answered {
-            status: status.as_u16(),
-            outcome: Outcome::Run,
-            reusable: sent,
-        })
+        Tried::Answered(Answered { status: status.as_u16(), outcome: Outcome::Run, reusable: sent })
     }
 
     /// Asks the engine for the rest of a stream from `offset`.
@@ -476,10 +490,8 @@
     }
 
     fn note_first_byte(&self) {
-        let left = self.request.deadline.saturating_duration_since(self.shared.clock.now());
-        let service = &self.view.service;
-        let took = service.deadline.0.saturating_sub(left);
-        self.shared.metrics.first_byte(&service.id, took);
+        let took = self.shared.clock.now().saturating_duration_since(self.request.began);
+        self.shared.metrics.first_byte(&self.view.service.id, took);
     }
 
     fn keep_piece(&self, kept: &mut Option<Vec<u8>>, piece: &[u8]) {
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -56,6 +56,7 @@
     },
     metrics::{Metrics, Purpose},
     platform::{Platform, embedded::Embedded, http::HttpPlatform},
+    utils::sync::lock,
     zone::homes::Candidate,
 };
 
@@ -413,6 +414,10 @@
 }
 
 fn tick(shared: &Arc<Shared>, ticks: u64) {
+    if shared.drain.is_draining() {
+        // From now on the next in line is the home of every shard held here.
+        lock(&shared.membership).leave();
+    }
     shared.desk.flush(|id| shared.home_of_id(id));
     let Some(snapshot) = shared.snapshot.load_full() else { return };
     shared.homes.tick(&snapshot, |shard| shared.home_of(shard) == shared.tag);
--- a/src/instance/place.rs
+++ b/src/instance/place.rs
@@ -1,5 +1,7 @@
 //! Finds the engine that may take a request: by permit of a home, or by a baseline.
 
+use std::time::Duration;
+
 use crate::{
     configs::fleet::{Service, service::Placement},
     contract::{
@@ -18,8 +20,6 @@
     zone::{rendezvous::ChatKey, shard::Shard},
 };
 
-use std::time::Duration;
-
 /// Homes tried that were not reached, before a request is refused.
 const LOST_HOMES_MAX: u32 = 6;
 
@@ -90,7 +90,7 @@
         retry_after_ms: 1000,
     })));
     shared.metrics.permit_reply(reply_name(&end), took);
-    end.map(Place::Permit).map_err(|end| refusal_of(end, team_name(view)))
+    end.map(Place::Permit).map_err(|end| refusal_of(end, view.service.id.as_str()))
 }
 
 /// Gives a place back.
@@ -125,7 +125,7 @@
     let engine = chosen.ok_or_else(|| {
         refusal_of(
             AskEnd::Reply(Reply::Refused { reason: RefuseReason::NoEngine, retry_after_ms: 1000 }),
-            team_name(view),
+            view.service.id.as_str(),
         )
     })?;
     baseline.started(engine);
@@ -194,10 +194,6 @@
     }
 }
 
-fn team_name(view: &ServiceView) -> &str {
-    view.service.id.as_str()
-}
-
 fn refusal_of(end: AskEnd, service: &str) -> NoPlace {
     let retry = |ms: u32| Duration::from_millis(u64::from(ms));
     let refusal = match end {
--- a/src/instance/request.rs
+++ b/src/instance/request.rs
@@ -55,6 +55,8 @@
     pub repeat: Repeat,
     /// Idempotency key.
     pub key: Option<String>,
+    /// When it had been read.
+    pub began: Instant,
     /// When the answer must be whole.
     pub deadline: Instant,
     /// Whether the caller speaks HTTP/1.0.
@@ -101,7 +103,20 @@
         let hint = head.header(PLACEMENT_HEADER).map(str::to_owned);
         let headers = forwarded_headers(&head, team);
         let RequestHead { method, http10, .. } = head;
-        Ok(Request { id, method, target, headers, body, chat, hint, repeat, key, deadline, http10 })
+        Ok(Request {
+            id,
+            method,
+            target,
+            headers,
+            body,
+            chat,
+            hint,
+            repeat,
+            key,
+            began: now,
+            deadline,
+            http10,
+        })
     }
 }
 
--- a/tests/suite/callers.rs
+++ b/tests/suite/callers.rs
@@ -241,3 +241,30 @@
     assert_eq!(count, 1.0, "{text}");
     assert!(!text.contains("key-of-crew"), "no key is shown");
 }
+
+#[test]
+fn a_panic_in_one_connection_takes_no_other_down() {
+    let panicked = std::sync::atomic::AtomicBool::new(false);
+    let listener = cartvane::link::caller::Listener::bind(
+        ([127, 0, 0, 1], 0).into(),
+        Clock::system(),
+        10,
+        move |mut conn| {
+            assert!(
+                panicked.swap(true, std::sync::atomic::Ordering::SeqCst),
+                "the first connection ends so"
+            );
+            let _ = conn.send(b"alive", Duration::from_secs(1));
+        },
+        drop,
+    )
+    .expect("a port");
+    let read = || {
+        let mut seen = String::new();
+        let mut stream = TcpStream::connect(listener.address()).expect("a connection");
+        let _ = stream.read_to_string(&mut seen);
+        seen
+    };
+    assert_eq!((read().as_str(), read().as_str()), ("", "alive"));
+    eventually("no connection is counted any more", || listener.open() == 0);
+}
