refactor(cli): the options of commands that speak to an instance stand once

Cause: seven commands repeated the same four options and their explanation. Change: one list and one text, joined to each command's own.

--- a/src/cli/apply.rs
+++ b/src/cli/apply.rs
@@ -24,12 +24,9 @@
 
   --base REV              only if this revision is in force
   --wait                  return when every live instance has it in force
-  --wait-time TIME        longest wait, default 30s
-  --at ADDRESS            an instance's operator address (or CARTVANE_AT)
-  --credential-file FILE  file with the credential (or CARTVANE_CREDENTIAL)
-  --as NAME               who you are, for the audit trail (or USER)
-  --json                  print JSON",
-    options: &["--base", "--wait", "--wait-time", "--at", "--credential-file", "--as", "--json"],
+  --wait-time TIME        longest wait, default 30s",
+    options: &["--base", "--wait", "--wait-time"],
+    operator: true,
     run,
 };
 
--- a/src/cli/audit.rs
+++ b/src/cli/audit.rs
@@ -12,12 +12,9 @@
 
   --since TIME            from this time, such as 2026-12-02T08:00:00Z
   --entity NAME           only what concerns this entity, such as team/drivers
-  --by NAME               only what this operator did
-  --at ADDRESS            an instance's operator address (or CARTVANE_AT)
-  --credential-file FILE  file with the credential (or CARTVANE_CREDENTIAL)
-  --as NAME               who you are, for the audit trail (or USER)
-  --json                  print JSON",
-    options: &["--since", "--entity", "--by", "--at", "--credential-file", "--as", "--json"],
+  --by NAME               only what this operator did",
+    options: &["--since", "--entity", "--by"],
+    operator: true,
     run,
 };
 
--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -13,6 +13,7 @@
 
   --json    print JSON",
     options: &["--json"],
+    operator: false,
     run,
 };
 
--- a/src/cli/completions.rs
+++ b/src/cli/completions.rs
@@ -8,6 +8,7 @@
     summary: "print completions for bash, zsh or fish",
     usage: "cartvane completions bash|zsh|fish",
     options: &[],
+    operator: false,
     run,
 };
 
@@ -36,7 +37,7 @@
         cases.push_str(&format!(
             "    {}) words=\"{} --help\" ;;\n",
             command.name,
-            command.options.join(" ")
+            command.all_options().collect::<Vec<_>>().join(" ")
         ));
     }
     format!(
@@ -53,7 +54,7 @@
             command.name,
             command.summary.replace('\'', "\\'")
         ));
-        for option in command.options {
+        for option in command.all_options() {
             script.push_str(&format!(
                 "complete -c cartvane -n '__fish_seen_subcommand_from {}' -l {}\n",
                 command.name,
--- a/src/cli/diff.rs
+++ b/src/cli/diff.rs
@@ -10,13 +10,9 @@
 pub(super) const COMMAND: Command = Command {
     name: "diff",
     summary: "show what a file would change",
-    usage: "cartvane diff FILE [OPTIONS]
-
-  --at ADDRESS            an instance's operator address (or CARTVANE_AT)
-  --credential-file FILE  file with the credential (or CARTVANE_CREDENTIAL)
-  --as NAME               who you are, for the audit trail (or USER)
-  --json                  print JSON",
-    options: &["--at", "--credential-file", "--as", "--json"],
+    usage: "cartvane diff FILE [OPTIONS]",
+    options: &[],
+    operator: true,
     run,
 };
 
--- a/src/cli/drain.rs
+++ b/src/cli/drain.rs
@@ -6,13 +6,9 @@
 pub(super) const COMMAND: Command = Command {
     name: "drain",
     summary: "take an instance or a backend server out without cutting a request",
-    usage: "cartvane drain INSTANCE|BACKEND_SERVER [OPTIONS]
-
-  --at ADDRESS            an instance's operator address (or CARTVANE_AT)
-  --credential-file FILE  file with the credential (or CARTVANE_CREDENTIAL)
-  --as NAME               who you are, for the audit trail (or USER)
-  --json                  print JSON",
-    options: &["--at", "--credential-file", "--as", "--json"],
+    usage: "cartvane drain INSTANCE|BACKEND_SERVER [OPTIONS]",
+    options: &[],
+    operator: true,
     run,
 };
 
--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -12,12 +12,9 @@
 
   --service SERVICE       the service
   --team TEAM             the team
-  --chat CHAT             the chat, as in the header Cartvane-Chat
-  --at ADDRESS            an instance's operator address (or CARTVANE_AT)
-  --credential-file FILE  file with the credential (or CARTVANE_CREDENTIAL)
-  --as NAME               who you are, for the audit trail (or USER)
-  --json                  print JSON",
-    options: &["--service", "--team", "--chat", "--at", "--credential-file", "--as", "--json"],
+  --chat CHAT             the chat, as in the header Cartvane-Chat",
+    options: &["--service", "--team", "--chat"],
+    operator: true,
     run,
 };
 
--- a/src/cli/hash_key.rs
+++ b/src/cli/hash_key.rs
@@ -13,6 +13,7 @@
   --salt SALT    key_salt of the operators' file
   --json         print JSON",
     options: &["--salt", "--json"],
+    operator: false,
     run,
 };
 
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -54,13 +54,41 @@
     pub name: &'static str,
     /// What it does, in a line.
     pub summary: &'static str,
-    /// Its use, with every option.
+    /// Its use, with its own options.
     pub usage: &'static str,
-    /// Names of its options, for completions and for the nearest name.
+    /// Names of its own options, for completions and for the nearest name.
     pub options: &'static [&'static str],
+    /// Whether it speaks to an instance, and so has [`OPERATOR_OPTIONS`] too.
+    pub operator: bool,
     run: fn(Options, &Context) -> CommandResult,
 }
 
+/// Options of every command that speaks to an instance.
+pub const OPERATOR_OPTIONS: [&str; 4] = ["--at", "--credential-file", "--as", "--json"];
+
+/// What [`OPERATOR_OPTIONS`] mean.
+const OPERATOR_USAGE: &str = "
+  --at ADDRESS            an instance's operator address (or CARTVANE_AT)
+  --credential-file FILE  file with the credential (or CARTVANE_CREDENTIAL)
+  --as NAME               who you are, for the audit trail (or USER)
+  --json                  print JSON";
+
+impl Command {
+    /// Returns the names of all its options.
+    pub fn all_options(&self) -> impl Iterator<Item = &'static str> {
+        let shared = if self.operator { &OPERATOR_OPTIONS[..] } else { &[] };
+        self.options.iter().chain(shared).copied()
+    }
+
+    /// Returns its use, with every option.
+    pub fn full_usage(&self) -> String {
+        let shared = if self.operator { OPERATOR_USAGE } else { "" };
+        // A command without options of its own has no list for the shared ones to follow.
+        let gap = if self.operator && self.options.is_empty() { "\n" } else { "" };
+        format!("{}{gap}{shared}", self.usage)
+    }
+}
+
 /// Every command.
 pub const COMMANDS: [Command; 11] = [
     router::COMMAND,
@@ -112,7 +140,7 @@
         )));
     };
     if args.contains(["-h", "--help"]) {
-        println!("{}\n\nusage: {}", command.summary, command.usage);
+        println!("{}\n\nusage: {}", command.summary, command.full_usage());
         return Ok(());
     }
     (command.run)(Options::new(args, command), cx)
--- a/src/cli/options.rs
+++ b/src/cli/options.rs
@@ -8,14 +8,14 @@
 /// The options given to a command.
 pub struct Options {
     args: pico_args::Arguments,
-    known: &'static [&'static str],
-    usage: &'static str,
+    known: Vec<&'static str>,
+    usage: String,
 }
 
 impl Options {
     /// Returns the options of `command`.
     pub fn new(args: pico_args::Arguments, command: &Command) -> Options {
-        Options { args, known: command.options, usage: command.usage }
+        Options { args, known: command.all_options().collect(), usage: command.full_usage() }
     }
 
     /// Takes a flag.
@@ -57,12 +57,12 @@
         let usage = self.usage;
         match self.args.finish().first() {
             None => Ok(()),
-            Some(word) => Err(unknown(&word.to_string_lossy(), known, usage)),
+            Some(word) => Err(unknown(&word.to_string_lossy(), &known, &usage)),
         }
     }
 
     fn unknown(&self, word: &str) -> CommandFault {
-        unknown(word, self.known, self.usage)
+        unknown(word, &self.known, &self.usage)
     }
 }
 
--- a/src/cli/router.rs
+++ b/src/cli/router.rs
@@ -27,6 +27,7 @@
 
 SIGTERM or SIGINT drains: no request is cut; a second signal ends at once.",
     options: &["--settings", "--set"],
+    operator: false,
     run,
 };
 
--- a/src/cli/show.rs
+++ b/src/cli/show.rs
@@ -8,12 +8,9 @@
     summary: "print the file in force, or that of an earlier revision",
     usage: "cartvane show [--revision REV] [OPTIONS]
 
-  --revision REV          this revision's file; to go back to it, apply it again
-  --at ADDRESS            an instance's operator address (or CARTVANE_AT)
-  --credential-file FILE  file with the credential (or CARTVANE_CREDENTIAL)
-  --as NAME               who you are, for the audit trail (or USER)
-  --json                  print JSON",
-    options: &["--revision", "--at", "--credential-file", "--as", "--json"],
+  --revision REV          this revision's file; to go back to it, apply it again",
+    options: &["--revision"],
+    operator: true,
     run,
 };
 
--- a/src/cli/status.rs
+++ b/src/cli/status.rs
@@ -10,13 +10,9 @@
 pub(super) const COMMAND: Command = Command {
     name: "status",
     summary: "show instances, revisions in force, homes, engines and loads",
-    usage: "cartvane status [OPTIONS]
-
-  --at ADDRESS            an instance's operator address (or CARTVANE_AT)
-  --credential-file FILE  file with the credential (or CARTVANE_CREDENTIAL)
-  --as NAME               who you are, for the audit trail (or USER)
-  --json                  print JSON",
-    options: &["--at", "--credential-file", "--as", "--json"],
+    usage: "cartvane status [OPTIONS]",
+    options: &[],
+    operator: true,
     run,
 };
 
