feat(routing): an answered probe ends an engine's suspicion

Cause: with a zone's engines back, arrivals went on beyond the bound for 2 s (zone gone) and 6 s (together): the engines were suspected for up to 8 s more and the others carried their share. Change: the probe that a home sends after 2 s without a word ends the suspicion when it is answered; the stand-in that takes no connection takes no probe either.

--- a/src/instance/probes.rs
+++ b/src/instance/probes.rs
@@ -27,7 +27,7 @@
                 scope.spawn(move || {
                     let events = match engines::status(shared, address) {
                         Some(status) => vec![
-                            Event::Report(*engine, status.load),
+                            Event::Probed(*engine, status.load),
                             // One that loads takes nothing either.
                             Event::Leaving(*engine, !status.is_ready()),
                         ],
--- a/src/zone/engine.rs
+++ b/src/zone/engine.rs
@@ -114,6 +114,13 @@
         self.suspect_until = Some(now + wait);
     }
 
+    /// Notes an answer to a probe: the engine is there again. What it failed before still counts
+    /// if it fails again.
+    pub fn probed(&mut self, now: Instant, load: u32) {
+        self.report(now, load);
+        self.suspect_until = None;
+    }
+
     /// Notes a whole answer: the engine is well.
     pub fn succeeded(&mut self) {
         self.failures = 0;
--- a/src/zone/home.rs
+++ b/src/zone/home.rs
@@ -115,6 +115,7 @@
             Event::Engines(specs) => self.set_engines(now, specs, &mut actions),
             Event::Terms(terms) => self.terms = terms,
             Event::Report(engine, load) => self.with_engine(engine, |e| e.report(now, load)),
+            Event::Probed(engine, load) => self.with_engine(engine, |e| e.probed(now, load)),
             Event::ProbeFailed(engine) => self.with_engine(engine, |e| e.failed(now)),
             Event::Listed(engine, leaving) => {
                 self.with_engine(engine, |e| e.listed_leaving = leaving)
--- a/src/zone/home_event.rs
+++ b/src/zone/home_event.rs
@@ -41,6 +41,8 @@
     Terms(HomeTerms),
     /// An engine reported its load.
     Report(Tag, u32),
+    /// An engine answered a probe with its load.
+    Probed(Tag, u32),
     /// An engine did not answer a probe.
     ProbeFailed(Tag),
     /// The membership list says that an engine is leaving, or no longer.
--- a/standins/src/fault.rs
+++ b/standins/src/fault.rs
@@ -66,6 +66,11 @@
         lock(&self.line).pop_front().or(standing).unwrap_or(Fault::None)
     }
 
+    /// Returns whether the server takes no connection at all.
+    pub fn is_down(&self) -> bool {
+        *lock(&self.standing) == Some(Fault::CloseBeforeRead)
+    }
+
     /// Forgets the faults in line.
     pub fn clear(&self) {
         lock(&self.line).clear();
--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -176,7 +176,11 @@
         let until = conn.clock().now() + READ_TIME;
         let Ok(head) = RequestHead::read(&mut conn, REQUEST_MAX, until) else { return };
         let control = head.target.starts_with("/engine/") || head.target.starts_with("/control/");
-        let fault = if control { Fault::None } else { faults.take() };
+        let fault = match (control, faults.is_down()) {
+            (true, false) => Fault::None,
+            (true, true) => Fault::CloseBeforeRead,
+            (false, _) => faults.take(),
+        };
         if fault == Fault::CloseBeforeRead {
             conn.cut();
             return;
--- a/tests/suite/home.rs
+++ b/tests/suite/home.rs
@@ -157,6 +157,16 @@
     assert!(pauses[0] < pauses[1] && pauses[1] < pauses[2], "{pauses:?}");
 }
 
+#[test]
+fn an_engine_that_answers_a_probe_is_used_again_at_once() {
+    let (mut home, now) = home(2, 8, terms());
+    home.handle(now, Event::ProbeFailed(Tag(1)));
+    let hinted = |number| Ask { hint: Some(Tag(1)), ..ask(number, number) };
+    assert_eq!(ask_now(&mut home, now, hinted(1)), Some(Reply::Granted(Tag(2))));
+    home.handle(now, Event::Probed(Tag(1), 0));
+    assert_eq!(ask_now(&mut home, now, hinted(2)), Some(Reply::Granted(Tag(1))));
+}
+
 #[test]
 fn a_surging_team_waits_behind_its_own_requests() {
     let (mut home, now) = home(1, 2, terms());
