--- a/src/zone/home.rs
+++ b/src/zone/home.rs
@@ -114,7 +114,6 @@
             }
             Event::Engines(specs) => self.set_engines(now, specs, &mut actions),
             Event::Terms(terms) => self.terms = terms,
-            Event::Report(engine, load) => self.with_engine(engine, |e| e.report(now, load)),
             Event::Probed(engine, load) => self.with_engine(engine, |e| e.probed(now, load)),
             Event::ProbeFailed(engine) => self.with_engine(engine, |e| e.failed(now)),
             Event::Listed(engine, leaving) => {
--- a/src/zone/home_event.rs
+++ b/src/zone/home_event.rs
@@ -39,8 +39,6 @@
     Engines(Vec<EngineSpec>),
     /// The terms changed.
     Terms(HomeTerms),
-    /// An engine reported its load.
-    Report(Tag, u32),
     /// An engine answered a probe with its load.
     Probed(Tag, u32),
     /// An engine did not answer a probe.
--- a/tests/suite/config.rs
+++ b/tests/suite/config.rs
@@ -426,3 +426,28 @@
         assert_eq!(ran, u32::from(*status == 200), "limited-{n}: {status}");
     }
 }
+
+#[test]
+fn half_of_the_routers_cut_off_catch_up_and_step_back_nowhere() {
+    let mut spec = small();
+    spec.routers = 4;
+    let fleet = fleet(spec);
+    // Frozen routers neither hear nor answer, as if a switch had gone between the halves.
+    for cut_off in [2, 3] {
+        fleet.routers[cut_off].signal(Signal::STOP);
+    }
+    let mut last = Revision(1);
+    for n in 0..3 {
+        let file = file_with_team(&fleet, &format!("half-{n}"));
+        last = apply_as(&fleet, n % 2, "rana", "", &file).expect("applied").revision;
+    }
+    let at = |router: usize| get::<Shown>(&fleet, router, "/v1/show").revision;
+    eventually("in force at the other half", || at(0) == last && at(1) == last);
+    for cut_off in [2, 3] {
+        fleet.routers[cut_off].signal(Signal::CONT);
+    }
+    eventually("in force everywhere", || all_at(&fleet, last));
+    let stale = apply_as(&fleet, 3, "salim", "?base=1", &file_with_team(&fleet, "late"))
+        .expect_err("refused");
+    assert!(stale.detail.contains(&format!("revision {last} by rana")), "{}", stale.detail);
+}
--- a/tests/suite/files.rs
+++ b/tests/suite/files.rs
@@ -216,3 +216,18 @@
         Settings::parse(&text, &context()).unwrap_or_else(|faults| panic!("{}: {faults}", row.key));
     }
 }
+
+#[test]
+fn a_json_log_line_is_one_object_with_the_words_of_the_message() {
+    let record = log::Record::builder().level(log::Level::Warn).build();
+    let message =
+        "attempt id=7-1 service=app backend_server=app-1 fault=Connect \"quoted\"\nsecond";
+    let line = cartvane::logging::json_line("2026-12-02T00:00:00Z", "entry-1", &record, message);
+    assert!(!line.contains('\n'), "one line: {line}");
+    let value: serde_json::Value = serde_json::from_str(&line).expect("an object");
+    let member = |name: &str| value[name].as_str().unwrap_or_default().to_owned();
+    assert_eq!(member("level"), "warn");
+    assert_eq!(member("instance"), "entry-1");
+    assert_eq!(member("message"), message);
+    assert_eq!((member("id"), member("backend_server")), ("7-1".to_owned(), "app-1".to_owned()));
+}
--- a/tests/suite/home.rs
+++ b/tests/suite/home.rs
@@ -253,7 +253,7 @@
 fn a_new_home_counts_reports_until_permits_are_announced() {
     let start = Instant::now();
     let mut home = Home::new(terms(), engines(2, 4), start);
-    home.handle(start, Event::Report(Tag(1), 4));
+    home.handle(start, Event::Probed(Tag(1), 4));
     for number in 0..4 {
         assert_eq!(ask_now(&mut home, start, ask(number, number)), Some(Reply::Granted(Tag(2))));
     }
