docs: links of public pages to private items mended

Cause: the run of the whole check in a fresh clone failed at the documentation. Change: two links are plain words. Measured: the documentation builds with warnings denied.

--- a/src/link/wire.rs
+++ b/src/link/wire.rs
@@ -115,7 +115,7 @@
 pub struct ReleaseWire {
     /// Number of the permit.
     pub number: u32,
-    /// How the request ended, by [`ReleaseWire::KINDS`].
+    /// How the request ended, by its place in `KINDS`.
     pub kind: u8,
     /// Reported load plus one; zero: none.
     pub load: u32,
--- a/src/zone/engine.rs
+++ b/src/zone/engine.rs
@@ -64,7 +64,7 @@
         }
     }
 
-    /// Returns whether it is due for a probe; when it is, the next one is due [`PROBE_AGE`] later.
+    /// Returns whether it is due for a probe; when it is, the next one is due that much later.
     pub fn probe_due(&mut self, now: Instant) -> bool {
         let due = self.heard.is_none_or(|at| now.duration_since(at) >= PROBE_AGE);
         if due {
