refactor: names of commands where they are used, a lease's retry named, an unused flag gone

Cause: read again as a newcomer: the list of command names for completions stood in the file of apply; the pause after a renewal that failed was a fraction of the lease's life without a name; the load driver set a flag that nobody read.

--- a/src/cli/apply.rs
+++ b/src/cli/apply.rs
@@ -6,7 +6,7 @@
 };
 
 use super::{
-    COMMANDS, Command, CommandFault, CommandResult, Options,
+    Command, CommandFault, CommandResult, Options,
     operator::Operator,
     options::{print_json, read_file},
 };
@@ -84,8 +84,3 @@
         thread::sleep(LOOK_PERIOD);
     }
 }
-
-/// Returns every command's name, for completions.
-pub(super) fn command_names() -> Vec<&'static str> {
-    COMMANDS.iter().map(|command| command.name).collect()
-}
--- a/src/cli/completions.rs
+++ b/src/cli/completions.rs
@@ -1,6 +1,6 @@
 //! `cartvane completions`: completions for a shell.
 
-use super::{COMMANDS, Command, CommandFault, CommandResult, Options, apply::command_names};
+use super::{COMMANDS, Command, CommandFault, CommandResult, Options};
 use crate::context::Context;
 
 pub(super) const COMMAND: Command = Command {
@@ -64,3 +64,7 @@
     }
     script
 }
+
+fn command_names() -> Vec<&'static str> {
+    COMMANDS.iter().map(|command| command.name).collect()
+}
--- a/src/instance/orders.rs
+++ b/src/instance/orders.rs
@@ -16,7 +16,7 @@
         chunks::{decode, encode},
     },
     contract::{
-        lease::{LEASE_LIFE, Lease, LeaseRow, LeaseStep, ORDERS_PREFIX},
+        lease::{Lease, LeaseRow, LeaseStep, ORDERS_PREFIX},
         orders::{DesiredState, EngineOrder, Progress, Rollout, RolloutTerms, Seen, desired},
     },
     instance::{apply::append, engines, shared::Shared, snapshot::Snapshot},
@@ -29,6 +29,9 @@
 /// Period of the renewal of a lease.
 const RENEWAL: Duration = Duration::from_secs(4);
 
+/// Pause before a renewal that did not take effect is tried again.
+const RENEWAL_RETRY: Duration = Duration::from_millis(500);
+
 /// Period of the look at engines while a rollout is under way.
 const LOOK_BUSY: Duration = Duration::from_millis(500);
 
@@ -162,7 +165,7 @@
         Ok(TransactReply::Conflict { .. }) | Err(_) => {
             orders.lease.not_written();
             orders.held_since = None;
-            orders.renewed = now.checked_sub(RENEWAL - LEASE_LIFE / 30);
+            orders.renewed = now.checked_sub(RENEWAL - RENEWAL_RETRY);
         }
     }
 }
--- a/standins/src/load/driver.rs
+++ b/standins/src/load/driver.rs
@@ -3,10 +3,7 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, Mutex},
     thread,
     time::{Duration, Instant},
 };
@@ -66,7 +63,6 @@
         outcomes: Mutex::default(),
         service: fleet.spec.model_service.clone(),
     });
-    let stop = AtomicBool::new(false);
     let mut sampled = Vec::new();
     let mut control = ControlMeter::start(fleet);
     fleet.board.take_arrivals();
@@ -99,7 +95,6 @@
             thread::Builder::new().stack_size(256 << 10).spawn(move || callers.send(&request))?,
         );
     }
-    stop.store(true, Ordering::SeqCst);
     for thread in threads {
         // A caller's thread that panicked counts as a request without an outcome.
         let _ = thread.join();
