fix(gateway): a leaving instance closes idle connections and takes on nothing it cannot finish

Change: 2.2 s after the signal, when the platform sends new connections elsewhere, idle connections close (a pipe wakes their threads); a request that may outlast the process is refused, not run. Ruled out: closing idle connections at the signal itself (their callers would come back here).

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -27,6 +27,9 @@
 /// When to come back to an instance that does not know enough to answer.
 const RETRY_AFTER_UNKNOWING: Duration = Duration::from_millis(200);
 
+/// When to come back to another instance than one that is leaving: at once.
+const RETRY_AFTER_LEAVING: Duration = Duration::from_millis(20);
+
 /// Rank of requests whose route states none: between the most and the least urgent.
 const PRIORITY_DEFAULT: u8 = 5;
 
@@ -42,7 +45,7 @@
         let idle_time = gateway.knowledge.idle_time();
         let idle_time = if idle_time.is_zero() { IDLE_TIME_FIRST } else { idle_time };
         let until = since + idle_time;
-        match conn.fill_beside(until, None) {
+        match conn.fill_until_end(until, gateway.drain.idle_end()) {
             Ok(()) => {}
             // The limit may have grown meanwhile.
             Err(ReadFault::Timeout) if gateway.knowledge.idle_time() > idle_time => {}
@@ -231,6 +234,9 @@
         return Err(unknowing("the route has no service with a weight above zero"));
     };
     let limit = route.timeout;
+    if !gateway.drain.has_time_for(began, limit) {
+        return Err(OwnAnswer::not_run("this instance is leaving", RETRY_AFTER_LEAVING));
+    }
     let deadline = asked.deadline.map_or(limit, |deadline| deadline.min(limit));
     let priority = team.and_then(|team| team.priority).unwrap_or(route.priority);
     let keep_alive = head.keep_alive();
--- a/src/gateway/drain.rs
+++ b/src/gateway/drain.rs
@@ -1,17 +1,24 @@
 //! Leaving without cutting a request: what is under way finishes, nothing new begins at the end.
 
 use std::{
-    sync::atomic::{AtomicBool, AtomicUsize, Ordering},
+    io::{self, PipeReader, PipeWriter},
+    sync::{
+        Mutex,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
 
-use crate::clock::Clock;
+use crate::{clock::Clock, utils::sync::lock};
 
 /// How long new connections may still come after the signal: the platform looks at readiness once
 /// a second and takes an instance out after two misses.
 const STILL_FOUND: Duration = Duration::from_millis(3200);
 
+/// When idle connections of callers are closed after the signal: by then new ones go elsewhere.
+const IDLE_CLOSED: Duration = Duration::from_millis(2200);
+
 /// Time before the kill at which the process ends by itself.
 const END_BEFORE_KILL: Duration = Duration::from_millis(400);
 
@@ -22,11 +29,23 @@
 const LAST_LOOK: Duration = Duration::from_millis(20);
 
 /// The state of leaving.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Drain {
+    /// When the process ends, once it is leaving.
+    leaving: Mutex<Option<Leaving>>,
     draining: AtomicBool,
     closed: AtomicBool,
     busy: AtomicUsize,
+    /// Becomes readable when idle connections are to close.
+    idle_end: PipeReader,
+    /// Dropped to make the other end readable.
+    idle_open: Mutex<Option<PipeWriter>>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Leaving {
+    since: Instant,
+    end: Instant,
 }
 
 /// Counts a request under way for as long as it lives.
@@ -40,6 +59,23 @@
 }
 
 impl Drain {
+    /// Returns the state of an instance that stays.
+    ///
+    /// # Errors
+    ///
+    /// No pipe can be made.
+    pub fn open() -> io::Result<Drain> {
+        let (idle_end, idle_open) = io::pipe()?;
+        Ok(Drain {
+            leaving: Mutex::default(),
+            draining: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
+            busy: AtomicUsize::new(0),
+            idle_end,
+            idle_open: Mutex::new(Some(idle_open)),
+        })
+    }
+
     /// Notes a request under way; `None` when the process is about to end.
     pub fn enter(&self) -> Option<Busy<'_>> {
         self.busy.fetch_add(1, Ordering::SeqCst);
@@ -47,8 +83,10 @@
         if self.closed.load(Ordering::SeqCst) { None } else { Some(busy) }
     }
 
-    /// Begins to leave.
-    pub fn start(&self) {
+    /// Begins to leave; the kill comes `grace` after `now`.
+    pub fn start(&self, now: Instant, grace: Duration) {
+        let end = now + grace.saturating_sub(END_BEFORE_KILL);
+        *lock(&self.leaving) = Some(Leaving { since: now, end });
         self.draining.store(true, Ordering::SeqCst);
     }
 
@@ -57,6 +95,21 @@
         self.draining.load(Ordering::SeqCst)
     }
 
+    /// Returns whether a request that comes now can still be carried through: one that came while
+    /// callers could not know better, or one that ends in time for sure.
+    pub fn has_time_for(&self, now: Instant, longest: Duration) -> bool {
+        if !self.is_draining() {
+            return true;
+        }
+        let leaving = *lock(&self.leaving);
+        leaving.is_none_or(|l| now < l.since + IDLE_CLOSED || now + longest < l.end)
+    }
+
+    /// Returns what becomes readable when idle connections are to close.
+    pub fn idle_end(&self) -> &PipeReader {
+        &self.idle_end
+    }
+
     /// Returns the number of requests under way.
     pub fn busy(&self) -> usize {
         self.busy.load(Ordering::SeqCst)
@@ -64,11 +117,14 @@
 
     /// Waits until nothing is under way and nothing new is to be expected, or until shortly before
     /// the kill; returns whether every request finished.
-    pub fn finish(&self, clock: &Clock, since: Instant, grace: Duration) -> bool {
-        let end = since + grace.saturating_sub(END_BEFORE_KILL);
+    pub fn finish(&self, clock: &Clock) -> bool {
+        let Some(Leaving { since, end }) = *lock(&self.leaving) else { return true };
         let quiet_from = (since + STILL_FOUND).min(end);
         loop {
             let now = clock.now();
+            if now >= since + IDLE_CLOSED {
+                drop(lock(&self.idle_open).take());
+            }
             if now >= end {
                 return self.busy() == 0;
             }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -175,7 +175,7 @@
             picker: Mutex::new(Picker::new(settings.zone.clone(), settings.bounds.load)),
             conns: ServerConns::new(clock.clone()),
             peers: Peers::default(),
-            drain: Drain::default(),
+            drain: Drain::open().context("cannot make a pipe")?,
             budgets: Mutex::default(),
             store_seen: Mutex::default(),
             store_lost: Mutex::default(),
@@ -213,12 +213,11 @@
 
     /// Leaves: not ready at once, no request cut; returns whether every request finished.
     pub fn drain(self) -> bool {
-        let since = self.gateway.clock.now();
-        self.gateway.drain.start();
+        let grace = self.gateway.settings.bounds.grace;
+        self.gateway.drain.start(self.gateway.clock.now(), grace);
         log::warn!("event=draining under_way={}", self.gateway.drain.busy());
         peers::leave(&self.gateway);
-        let grace = self.gateway.settings.bounds.grace;
-        let clean = self.gateway.drain.finish(&self.gateway.clock, since, grace);
+        let clean = self.gateway.drain.finish(&self.gateway.clock);
         log::warn!("event=stopped every_request_finished={clean}");
         clean
     }
--- a/src/link/http1/conn.rs
+++ b/src/link/http1/conn.rs
@@ -3,6 +3,7 @@
 use std::{
     io::{self, Read, Write},
     net::{Shutdown, SocketAddr, TcpStream},
+    os::fd::AsFd,
     time::{Duration, Instant},
 };
 
@@ -152,9 +153,27 @@
     ///
     /// See [`ReadFault`]; a caller that left is `GivenUp`.
     pub fn fill_beside(&mut self, until: Instant, caller: Option<&Conn>) -> Result<(), ReadFault> {
-        match self.wait(until, caller, PollFlags::IN)? {
+        let caller = caller.map(|caller| PollFd::new(&caller.stream, PollFlags::RDHUP));
+        self.fill_watching(until, caller)
+    }
+
+    /// Reads more bytes into the buffer, waiting until `until` or until `end` becomes readable.
+    ///
+    /// # Errors
+    ///
+    /// See [`ReadFault`]; an `end` that came first is `GivenUp`.
+    pub fn fill_until_end(&mut self, until: Instant, end: impl AsFd) -> Result<(), ReadFault> {
+        self.fill_watching(until, Some(PollFd::new(&end, PollFlags::IN)))
+    }
+
+    fn fill_watching(
+        &mut self,
+        until: Instant,
+        watched: Option<PollFd<'_>>,
+    ) -> Result<(), ReadFault> {
+        match self.wait(until, watched, PollFlags::IN)? {
             Wake::Timeout => Err(ReadFault::Timeout),
-            Wake::CallerGone => Err(ReadFault::GivenUp),
+            Wake::Watched => Err(ReadFault::GivenUp),
             Wake::Ready(_) => match self.read_once() {
                 Ok(0) => Err(ReadFault::Closed),
                 Ok(_) => Ok(()),
@@ -188,11 +207,12 @@
                 Err(rustix::io::Errno::AGAIN) => {}
                 Err(e) => return Err((sent, ReadFault::Io(e.into()))),
             }
+            let caller = caller.map(|caller| PollFd::new(&caller.stream, PollFlags::RDHUP));
             match self.wait(until, caller, PollFlags::IN | PollFlags::OUT) {
                 Ok(Wake::Ready(events)) if events.contains(PollFlags::IN) => return Ok(sent),
                 Ok(Wake::Ready(_)) => {}
                 Ok(Wake::Timeout) => return Err((sent, ReadFault::Timeout)),
-                Ok(Wake::CallerGone) => return Err((sent, ReadFault::GivenUp)),
+                Ok(Wake::Watched) => return Err((sent, ReadFault::GivenUp)),
                 Err(fault) => return Err((sent, fault)),
             }
         }
@@ -212,19 +232,17 @@
     fn wait(
         &self,
         until: Instant,
-        caller: Option<&Conn>,
+        watched: Option<PollFd<'_>>,
         events: PollFlags,
     ) -> Result<Wake, ReadFault> {
+        let mut fds = vec![PollFd::new(&self.stream, events)];
+        fds.extend(watched);
         loop {
             let left = until.saturating_duration_since(self.clock.now());
             if left.is_zero() {
                 return Ok(Wake::Timeout);
             }
             let timeout = Timespec::try_from(left).ok();
-            let mut fds = vec![PollFd::new(&self.stream, events)];
-            if let Some(caller) = caller {
-                fds.push(PollFd::new(&caller.stream, PollFlags::RDHUP));
-            }
             match poll(&mut fds, timeout.as_ref()) {
                 Ok(_) | Err(rustix::io::Errno::INTR) => {}
                 Err(e) => return Err(ReadFault::Io(e.into())),
@@ -233,7 +251,7 @@
                 return Ok(Wake::Ready(fds[0].revents()));
             }
             if fds.get(1).is_some_and(|fd| !fd.revents().is_empty()) {
-                return Ok(Wake::CallerGone);
+                return Ok(Wake::Watched);
             }
         }
     }
@@ -303,7 +321,7 @@
 /// What ended a wait.
 enum Wake {
     Ready(PollFlags),
-    CallerGone,
+    Watched,
     Timeout,
 }
 
