fix(roster): an entry missing after an instance alone was turned away is gone at once

Ruled out: a slow read of the list (reads took milliseconds), lost news from peers (they came each second). Change: entries are kept only where the list in force had aged over 2.5 s, which it does not while other instances pass theirs on.

--- a/src/gateway/knowledge.rs
+++ b/src/gateway/knowledge.rs
@@ -92,11 +92,6 @@
         change
     }
 
-    /// Notes that the list of backend servers could not be read.
-    pub fn servers_lost(&self) {
-        lock(&self.roster).source_lost();
-    }
-
     /// Runs `f` with the servers in force.
     pub fn with_servers<T>(&self, f: impl FnOnce(&Roster) -> T) -> T {
         f(&lock(&self.roster))
--- a/src/gateway/roster_reader.rs
+++ b/src/gateway/roster_reader.rs
@@ -32,7 +32,6 @@
             Err(fault) => {
                 lost = true;
                 gateway.store_failed("servers", &fault);
-                gateway.knowledge.servers_lost();
                 peers::catch_up(gateway);
             }
         }
--- a/src/routing/roster.rs
+++ b/src/routing/roster.rs
@@ -16,6 +16,11 @@
 /// second.
 const RETURN_GRACE: Duration = Duration::from_millis(2500);
 
+/// Age of the list in force from which its source counts as having been away from everybody. An
+/// instance that alone is turned away learns the list from others about once a second, and entries
+/// do not lapse while any instance can read them.
+const OUTAGE_AGE: Duration = Duration::from_millis(2500);
+
 /// One incarnation of a backend server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct BackendServer {
@@ -46,8 +51,6 @@
     servers: IndexMap<ServerId, Arc<BackendServer>>,
     /// When the list in force was current at its source.
     as_of: Option<Instant>,
-    /// Whether the last read failed.
-    source_lost: bool,
     /// Until when missing entries are kept.
     keep_missing_until: Option<Instant>,
 }
@@ -64,11 +67,6 @@
 }
 
 impl Roster {
-    /// Notes that the source could not be read.
-    pub fn source_lost(&mut self) {
-        self.source_lost = true;
-    }
-
     /// Takes a whole list that was current at `as_of`; an older one than is in force is ignored.
     pub fn observe(
         &mut self,
@@ -79,8 +77,7 @@
         if self.as_of.is_some_and(|known| known >= as_of) {
             return RosterChange::default();
         }
-        if self.source_lost {
-            self.source_lost = false;
+        if self.as_of.is_some_and(|known| as_of.duration_since(known) > OUTAGE_AGE) {
             self.keep_missing_until = Some(now + RETURN_GRACE);
         }
         self.as_of = Some(as_of);
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -9,6 +9,7 @@
 mod home;
 mod machines;
 mod orders;
+mod routing;
 mod sessions;
 mod support;
 mod whole_path;
--- /dev/null
+++ b/tests/suite/routing.rs
@@ -0,0 +1,414 @@
+//! The decisions of the platform's way of a request, each on a made-up clock.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use cartvane::{
+    names::ServerId,
+    routing::{
+        BackendServer, EventSplitter, Health, Intent, IntentInForce, Load, LoadReport, Picker,
+        RetryBudget, Roster, Route, RouteKind, RouteTable, ServiceShare, Teams, Wanted,
+        budget::BudgetTerms,
+    },
+};
+use indexmap::IndexMap;
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed, TestRunner},
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn server(id: &str, port: u16) -> BackendServer {
+    BackendServer {
+        id: id.parse().expect("an id"),
+        service: "llm".parse().expect("a name"),
+        address: SocketAddr::from(([10, 0, 0, 1], port)),
+        zone: "north".parse().expect("a zone"),
+        slots: 8,
+        leaving: false,
+    }
+}
+
+fn ids(roster: &Roster) -> Vec<&str> {
+    roster.servers().map(|s| s.id.as_str()).collect()
+}
+
+#[test]
+fn an_entry_that_is_missing_is_gone_at_once() {
+    let now = Instant::now();
+    let mut roster = Roster::default();
+    roster.observe(now, now, [server("a", 1), server("b", 2)]);
+    let change = roster.observe(now + SECOND, now + SECOND, [server("a", 1)]);
+    assert_eq!(ids(&roster), ["a"]);
+    assert_eq!(change.gone, ["b".parse::<ServerId>().expect("an id")]);
+}
+
+/// hunt-b2a0-11: an instance that alone was turned away kept an entry that had truly gone.
+#[test]
+fn an_entry_missing_after_others_kept_the_list_fresh_is_gone_at_once() {
+    let now = Instant::now();
+    let mut roster = Roster::default();
+    roster.observe(now, now, [server("a", 1), server("b", 2)]);
+    for passed in [2, 4, 6] {
+        let at = now + SECOND * passed;
+        roster.observe(at, at - SECOND, [server("a", 1), server("b", 2)]);
+    }
+    let at = now + SECOND * 7;
+    roster.observe(at, at, [server("a", 1)]);
+    assert_eq!(ids(&roster), ["a"]);
+}
+
+#[test]
+fn entries_that_lapsed_in_an_outage_are_kept_until_they_must_be_back() {
+    let now = Instant::now();
+    let mut roster = Roster::default();
+    roster.observe(now, now, [server("a", 1), server("b", 2), server("c", 3)]);
+    let back = now + SECOND * 6;
+    roster.observe(back, back, [server("a", 1)]);
+    assert_eq!(ids(&roster), ["a", "b", "c"]);
+    let later = back + SECOND;
+    roster.observe(later, later, [server("a", 1), server("b", 2)]);
+    assert_eq!(ids(&roster), ["a", "b", "c"]);
+    let last = back + SECOND * 3;
+    roster.observe(last, last, [server("a", 1), server("b", 2)]);
+    assert_eq!(ids(&roster), ["a", "b"]);
+}
+
+#[test]
+fn a_missing_entry_whose_address_another_has_is_gone_even_after_an_outage() {
+    let now = Instant::now();
+    let mut roster = Roster::default();
+    roster.observe(now, now, [server("a", 1), server("b", 2)]);
+    let back = now + SECOND * 6;
+    roster.observe(back, back, [server("a", 1), server("new", 2)]);
+    assert_eq!(ids(&roster), ["a", "new"]);
+}
+
+#[test]
+fn an_older_list_changes_nothing() {
+    let now = Instant::now();
+    let mut roster = Roster::default();
+    roster.observe(now, now, [server("a", 1)]);
+    let change = roster.observe(now + SECOND, now - SECOND, [server("b", 2)]);
+    assert_eq!(ids(&roster), ["a"]);
+    assert!(change.added.is_empty());
+}
+
+fn route(host: &str, prefix: &str) -> Route {
+    let share = ServiceShare { service: "llm".parse().expect("a name"), weight: 1.0 };
+    Route {
+        name: format!("{host}{prefix}"),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        kind: RouteKind::Idempotent,
+        timeout: SECOND,
+        target_latency: SECOND,
+        gap_target: None,
+        priority: 0,
+        shares: vec![share],
+        max_attempts: 2,
+        public: false,
+        affinity: false,
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let routes = ["/", "/a/", "/a/b/"].map(|prefix| route("x.example", prefix));
+    let table = RouteTable::new(routes.into_iter().chain([route("y.example", "/only/")]));
+    let cases = [
+        ("x.example", "/a/b/c", Some("/a/b/")),
+        ("x.example", "/a/b", Some("/a/")),
+        ("x.example", "/a/b/?q=/a/b/c/", Some("/a/b/")),
+        ("X.Example:8080", "/a/", Some("/a/")),
+        ("x.example", "/z?x=/a/", Some("/")),
+        ("y.example", "/other", None),
+        ("z.example", "/a/", None),
+    ];
+    for (host, target, expected) in cases {
+        let found = table.find(host, target).map(|route| route.prefix.as_str());
+        assert_eq!(found, expected, "{host}{target}");
+    }
+}
+
+#[test]
+fn shares_of_a_route_are_as_their_weights() {
+    let mut split = route("x", "/");
+    split.shares = [("old", 90.0), ("none", 0.0), ("new", 10.0)]
+        .map(|(name, weight)| ServiceShare { service: name.parse().expect("a name"), weight })
+        .to_vec();
+    let mut counts: IndexMap<String, usize> = IndexMap::new();
+    for i in 0..10_000_u64 {
+        let point = i * (u64::MAX / 10_000);
+        let service = split.service_for(point).expect("a service");
+        *counts.entry(service.to_string()).or_default() += 1;
+    }
+    assert_eq!(counts.get("none"), None);
+    assert!((990..=1010).contains(&counts["new"]), "{counts:?}");
+    split.shares.iter_mut().for_each(|share| share.weight = 0.0);
+    assert_eq!(split.service_for(7), None);
+}
+
+fn intent(version: u64, idle: Duration) -> Intent {
+    let limits = cartvane::routing::CallerLimits {
+        head_bytes: 1,
+        body_bytes: 1,
+        head_time: SECOND,
+        idle_time: idle,
+    };
+    let (routes, services) = (RouteTable::default(), IndexMap::new());
+    Intent { version, routes, services, limits, teams: Teams::new(None) }
+}
+
+#[test]
+fn an_intent_never_goes_back() {
+    let mut force = IntentInForce::default();
+    assert!(force.offer(intent(7, SECOND)));
+    assert!(!force.offer(intent(3, SECOND)));
+    assert!(!force.offer(intent(7, SECOND)));
+    assert!(force.offer(intent(12, SECOND)));
+    assert_eq!(force.version(), 12);
+}
+
+#[test]
+fn callers_that_know_the_idle_time_before_are_not_cut_off_by_a_shorter_one() {
+    let mut force = IntentInForce::default();
+    force.offer(intent(1, SECOND * 15));
+    force.offer(intent(2, SECOND * 5));
+    assert_eq!(force.idle_time(), SECOND * 15);
+}
+
+const TERMS: BudgetTerms = BudgetTerms { ratio: 0.2, slack: 56.0, window: Duration::from_secs(10) };
+
+/// Whatever the requests, all instances together stay inside the fleet's bound in every window.
+#[test]
+fn instances_together_keep_the_fleets_budget() {
+    let config = Config { cases: 64, rng_seed: RngSeed::Fixed(7), ..Config::default() };
+    let strategy = proptest::collection::vec((0..8_usize, 0..400_u64, any::<bool>()), 1..600);
+    TestRunner::new(config)
+        .run(&strategy, |events| {
+            let start = Instant::now();
+            let mut now = start;
+            let mut budgets: Vec<RetryBudget> = (0..8).map(|_| RetryBudget::default()).collect();
+            let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+            for (instance, gap, tries) in events {
+                now += Duration::from_millis(gap);
+                budgets[instance].request(now, &TERMS);
+                requests.push(now);
+                if tries && budgets[instance].take(now, &TERMS, 8, 0.0) {
+                    repeats.push(now);
+                }
+                let within = |times: &[Instant]| {
+                    times.iter().filter(|&&at| now - at <= TERMS.window).count() as f64
+                };
+                let bound = TERMS.ratio * within(&requests) + TERMS.slack;
+                prop_assert!(within(&repeats) <= bound);
+            }
+            Ok(())
+        })
+        .expect("the budget holds");
+}
+
+#[test]
+fn repeats_for_slowness_leave_some_for_failures() {
+    let now = Instant::now();
+    let mut budget = RetryBudget::default();
+    (0..100).for_each(|_| budget.request(now, &TERMS));
+    let spent = |budget: &mut RetryBudget, reserve| {
+        (0..1000).filter(|_| budget.take(now, &TERMS, 8, reserve)).count()
+    };
+    let slow = spent(&mut budget, 0.5);
+    let failures = spent(&mut budget, 0.0);
+    assert!(slow > 0 && failures > 0, "{slow} {failures}");
+    assert!(budget.take(now + TERMS.window * 2, &TERMS, 8, 0.0), "an old repeat is forgotten");
+}
+
+#[test]
+fn events_are_handed_out_whole() {
+    let mut splitter = EventSplitter::after(Some("4".to_owned()));
+    assert_eq!(splitter.push(b"id: 5\nda"), b"");
+    assert_eq!(splitter.last_id(), Some("4"));
+    assert_eq!(
+        splitter.push(b"ta: x\n\nid: 6\ndata: y\n\nid: 7"),
+        b"id: 5\ndata: x\n\nid: 6\ndata: y\n\n"
+    );
+    assert_eq!(splitter.last_id(), Some("6"));
+    splitter.drop_rest();
+    assert_eq!(splitter.push(b"id: 7\n\n"), b"id: 7\n\n");
+    assert_eq!(splitter.rest(), b"");
+}
+
+/// However the bytes are cut, the events come out whole, once, in order.
+#[test]
+fn events_survive_any_cutting() {
+    let stream: Vec<u8> = (1..40)
+        .flat_map(|i| format!("id: {i}\ndata: {}\n\n", "z".repeat(i)).into_bytes())
+        .collect();
+    let config = Config { cases: 64, rng_seed: RngSeed::Fixed(11), ..Config::default() };
+    TestRunner::new(config)
+        .run(&proptest::collection::vec(1..30_usize, 400), |cuts| {
+            let mut splitter = EventSplitter::default();
+            let (mut out, mut at) = (Vec::new(), 0);
+            for cut in cuts {
+                let end = (at + cut).min(stream.len());
+                let events = splitter.push(&stream[at..end]);
+                prop_assert!(events.is_empty() || events.ends_with(b"\n\n"));
+                out.extend(events);
+                at = end;
+            }
+            out.extend(splitter.push(&stream[at..]));
+            prop_assert_eq!(&out, &stream);
+            prop_assert_eq!(splitter.last_id(), Some("39"));
+            Ok(())
+        })
+        .expect("events stay whole");
+}
+
+#[test]
+fn an_unreachable_server_is_left_alone_longer_each_time() {
+    let mut now = Instant::now();
+    let mut health = Health::default();
+    let mut pauses = Vec::new();
+    for _ in 0..6 {
+        health.unreachable(now);
+        let from = now;
+        while health.is_paused(now) {
+            now += Duration::from_millis(10);
+        }
+        pauses.push(now - from);
+    }
+    assert!(pauses.windows(2).all(|pair| pair[0] <= pair[1]), "{pauses:?}");
+    assert_eq!(pauses[0], Duration::from_millis(500));
+    assert_eq!(pauses[5], Duration::from_secs(4));
+    health.good(now);
+    health.unreachable(now);
+    assert!(!health.is_paused(now + Duration::from_millis(500)), "a good answer starts anew");
+}
+
+#[test]
+fn a_report_ages_and_own_requests_count_at_once() {
+    let now = Instant::now();
+    let mut load = Load::default();
+    load.begin();
+    load.report(now, LoadReport { running: 20, waiting: 0, slots: 64 });
+    let fresh = load.estimate(now, 5.0);
+    assert!((fresh - 20.0).abs() < 0.01, "{fresh}");
+    load.begin();
+    assert!((load.estimate(now, 5.0) - 21.0).abs() < 0.01);
+    let old = load.estimate(now + SECOND * 20, 5.0);
+    assert!((old - 5.0).abs() < 0.1, "{old}");
+    load.end();
+    load.end();
+    load.end();
+    assert_eq!(load.own(), 0);
+}
+
+fn picker(servers: &[BackendServer]) -> Picker {
+    let list: Vec<Arc<BackendServer>> = servers.iter().cloned().map(Arc::new).collect();
+    let mut picker = Picker::new("north".parse().expect("a zone"), 2.0);
+    picker.set_servers(list.iter());
+    picker
+}
+
+fn fleet(count: u16) -> Vec<BackendServer> {
+    (0..count).map(|i| server(&format!("s{i}"), i)).collect()
+}
+
+fn pick(
+    picker: &Picker,
+    now: Instant,
+    affinity: Option<u64>,
+    tried: &[ServerId],
+) -> Option<ServerId> {
+    let service = "llm".parse().expect("a name");
+    let wanted = Wanted { service: &service, affinity, tried };
+    picker.pick(now, &wanted).map(|picked| picked.server.id.clone())
+}
+
+#[test]
+fn requests_with_one_prompt_stay_together_until_the_bound_and_then_spill_in_their_rank() {
+    let now = Instant::now();
+    let mut picker = picker(&fleet(10));
+    let home = pick(&picker, now, Some(42), &[]).expect("a server");
+    let mut spilled = Vec::new();
+    for _ in 0..60 {
+        let id = pick(&picker, now, Some(42), &[]).expect("a server");
+        if id != home && !spilled.contains(&id) {
+            spilled.push(id.clone());
+        }
+        picker.begin(&id);
+    }
+    let loads: Vec<u32> = picker.in_flight().map(|(_, own)| own).collect();
+    let mean = 6.0;
+    assert!(loads.iter().all(|&own| f64::from(own) <= 2.0 * mean + 3.0), "{loads:?}");
+    assert!(!spilled.is_empty());
+    let second = pick(&self::picker(&fleet(10)), now, Some(42), &[home]).expect("a server");
+    assert_eq!(spilled[0], second, "the first to spill to is the next in rank");
+}
+
+#[test]
+fn what_was_tried_is_leaving_or_unreachable_is_not_picked() {
+    let now = Instant::now();
+    let mut servers = fleet(3);
+    servers[0].leaving = true;
+    let mut picker = picker(&servers);
+    let (one, two) = (servers[1].id.clone(), servers[2].id.clone());
+    assert_eq!(pick(&picker, now, None, std::slice::from_ref(&one)), Some(two.clone()));
+    picker.unreachable(now, &two);
+    for key in 0..20 {
+        assert_eq!(pick(&picker, now, Some(key), &[]), Some(one.clone()));
+    }
+    picker.unreachable(now, &one);
+    assert!(pick(&picker, now, Some(1), &[]).is_some(), "the last servers are tried all the same");
+    assert_eq!(pick(&picker, now, None, &[one, two]), None);
+}
+
+#[test]
+fn a_server_that_fails_more_than_the_others_is_passed_over() {
+    let now = Instant::now();
+    let servers = fleet(4);
+    let mut picker = picker(&servers);
+    let bad = servers[0].id.clone();
+    for server in &servers {
+        (0..6).for_each(|_| picker.good(now, &server.id));
+    }
+    (0..6).for_each(|_| picker.bad(now, &bad));
+    assert!((0..50).all(|key| pick(&picker, now, Some(key), &[]) != Some(bad.clone())));
+    let later = now + SECOND * 10;
+    assert!((0..50).any(|key| pick(&picker, later, Some(key), &[]) == Some(bad.clone())));
+    // Where all fail alike, none is worse than the others.
+    for server in &servers {
+        (0..20).for_each(|_| picker.bad(later, &server.id));
+    }
+    assert!((0..50).any(|key| pick(&picker, later, Some(key), &[]) == Some(bad.clone())));
+}
+
+#[test]
+fn requests_without_a_prompt_go_to_the_least_loaded_own_zone_first() {
+    let now = Instant::now();
+    let mut servers = fleet(3);
+    servers[1].zone = "south".parse().expect("a zone");
+    servers[2].zone = "south".parse().expect("a zone");
+    let mut picker = picker(&servers);
+    let first = pick(&picker, now, None, &[]).expect("a server");
+    assert_eq!(first, servers[0].id);
+    picker.begin(&first);
+    let second = pick(&picker, now, None, &[]).expect("a server");
+    assert_ne!(second, first);
+}
+
+#[test]
+fn a_change_of_servers_moves_only_the_prompts_of_those_that_changed() {
+    let now = Instant::now();
+    let before = picker(&fleet(10));
+    let after = picker(&fleet(11));
+    let new: ServerId = "s10".parse().expect("an id");
+    for key in 0..500 {
+        let (was, is) = (pick(&before, now, Some(key), &[]), pick(&after, now, Some(key), &[]));
+        assert!(was == is || is == Some(new.clone()));
+    }
+}
