--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -145,22 +145,7 @@
     until: Instant,
     caller: Option<&Conn>,
 ) -> Result<Option<Vec<u8>>, AttemptFault> {
-    loop {
-        if body.is_done() {
-            return Ok(None);
-        }
-        if let Some(piece) = body.advance(conn).map_err(body_fault)? {
-            return Ok(Some(piece));
-        }
-        if body.is_done() {
-            return Ok(None);
-        }
-        match conn.fill_beside(until, caller) {
-            Ok(()) => {}
-            Err(ReadFault::Closed) => body.end_of_connection().map_err(body_fault)?,
-            Err(fault) => return Err(body_fault(fault)),
-        }
-    }
+    body.next_by(conn, |conn| conn.fill_beside(until, caller)).map_err(body_fault)
 }
 
 fn body_fault(fault: ReadFault) -> AttemptFault {
--- a/src/gateway/intent_reader.rs
+++ b/src/gateway/intent_reader.rs
@@ -1,6 +1,10 @@
 //! Follows the operator's intent in the store.
 
-use std::{sync::Arc, thread, time::Duration};
+use std::{
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
 
 use super::{Gateway, peers};
 use crate::adapter::{
@@ -20,13 +24,20 @@
 /// Pause after a failed call.
 const PAUSE_FAILED: Duration = Duration::from_millis(400);
 
-/// Follows the intent until the process ends.
+/// Keeps the intent fresh until the process ends: follows it in the store where others rely on
+/// this instance, and reads it only when their news stop where it relies on others.
 pub fn run(gateway: &Arc<Gateway>) {
     let mut after = None;
     loop {
+        let now = gateway.clock.now();
+        if let Some(pause) = pause_for_news(gateway, now) {
+            after = None;
+            thread::sleep(pause);
+            continue;
+        }
         let step = match after {
-            None => read(gateway),
-            Some(version) => follow(gateway, version),
+            Some(version) if gateway.peers.is_reader(now) => follow(gateway, version),
+            _ => read(gateway),
         };
         match step {
             Ok(version) => {
@@ -34,10 +45,10 @@
                 thread::sleep(PACE);
             }
             Err(fault) => {
-                log::debug!("event=intent_unread reason={fault}");
                 // Whatever was missed is read whole.
                 after = None;
                 if matches!(fault, StoreFault::HistoryGone) {
+                    log::info!("event=history_gone table={INTENT_TABLE}");
                     continue;
                 }
                 gateway.store_failed("intent", &fault);
@@ -48,6 +59,22 @@
     }
 }
 
+/// Returns how long the news of others will do; `None` when the store must be read.
+fn pause_for_news(gateway: &Gateway, now: Instant) -> Option<Duration> {
+    if gateway.peers.is_reader(now) {
+        return None;
+    }
+    let left = gateway.settings.intent_age_max().checked_sub(gateway.intent_known_age(now)?)?;
+    (!left.is_zero()).then_some(left)
+}
+
+/// Reads the intent once; a failure is logged.
+pub fn read_logged(gateway: &Gateway) {
+    if let Err(fault) = read(gateway) {
+        log::warn!("event=intent_unread reason={:?}", fault.to_string());
+    }
+}
+
 /// Reads the intent once; returns the store's version.
 ///
 /// # Errors
@@ -66,7 +93,7 @@
     Ok(rows.version.max(version))
 }
 
-fn take(gateway: &Gateway, rows: &[StoreRow], as_of: std::time::Instant) {
+fn take(gateway: &Gateway, rows: &[StoreRow], as_of: Instant) {
     let newest = rows.iter().rev().find(|row| row.key == INTENT_KEY && !row.removed);
     match newest {
         None => gateway.knowledge.confirm(as_of),
@@ -75,7 +102,7 @@
 }
 
 /// Decodes an intent that was the newest at `as_of` and puts it in force if it is newer.
-pub fn take_raw(gateway: &Gateway, raw: &[u8], as_of: std::time::Instant, source: &str) {
+pub fn take_raw(gateway: &Gateway, raw: &[u8], as_of: Instant, source: &str) {
     match intent::decode(raw) {
         Ok(decoded) => {
             let (version, routes) = (decoded.version, decoded.routes.len());
--- a/src/gateway/knowledge.rs
+++ b/src/gateway/knowledge.rs
@@ -9,7 +9,10 @@
 use arc_swap::ArcSwapOption;
 
 use crate::{
-    routing::{BackendServer, Intent, IntentInForce, Roster, roster::RosterChange},
+    routing::{
+        BackendServer, Intent, IntentInForce, ListHistory, ListNews, ListVersion, Roster,
+        roster::RosterChange,
+    },
     utils::sync::lock,
 };
 
@@ -21,17 +24,10 @@
     roster: Mutex<Roster>,
     /// Latest moment at which the intent in force was known to be the newest.
     confirmed: Mutex<Option<Instant>>,
-    /// The intent and the servers' list as they came, for other instances.
-    raw: Mutex<RawKnowledge>,
-}
-
-/// Knowledge in the form in which it was read, to be passed on.
-#[derive(Debug, Clone, Default)]
-pub struct RawKnowledge {
-    /// The operator's intent.
-    pub intent: Arc<Vec<u8>>,
-    /// Entries of backend servers, by key.
-    pub servers: Arc<Vec<(String, Vec<u8>)>>,
+    /// The intent as it came, for other instances.
+    raw_intent: Mutex<Arc<Vec<u8>>>,
+    /// Lists of servers, for other instances.
+    lists: Mutex<ListHistory>,
 }
 
 impl Knowledge {
@@ -57,7 +53,7 @@
         let newer = in_force.offer(intent);
         if newer {
             self.current.store(in_force.current().cloned());
-            lock(&self.raw).intent = Arc::new(raw);
+            *lock(&self.raw_intent) = Arc::new(raw);
         }
         if version >= in_force.version() {
             self.confirm(as_of);
@@ -82,14 +78,13 @@
         now: Instant,
         as_of: Instant,
         list: Vec<BackendServer>,
-        raw: Vec<(String, Vec<u8>)>,
     ) -> RosterChange {
         let mut roster = lock(&self.roster);
-        let change = roster.observe(now, as_of, list);
-        if roster.as_of() == Some(as_of) {
-            lock(&self.raw).servers = Arc::new(raw);
+        if roster.as_of().is_some_and(|known| known >= as_of) {
+            return RosterChange::default();
         }
-        change
+        lock(&self.lists).push(list.clone());
+        roster.observe(now, as_of, list)
     }
 
     /// Runs `f` with the servers in force.
@@ -107,8 +102,33 @@
         lock(&self.roster).as_of().map(|at| now.saturating_duration_since(at))
     }
 
-    /// Returns what can be passed on to another instance.
-    pub fn raw(&self) -> RawKnowledge {
-        lock(&self.raw).clone()
+    /// Returns the intent as it came.
+    pub fn raw_intent(&self) -> Arc<Vec<u8>> {
+        lock(&self.raw_intent).clone()
+    }
+
+    /// Returns the version of the newest list.
+    pub fn list_version(&self) -> Option<ListVersion> {
+        lock(&self.lists).newest().map(|(version, _)| *version)
+    }
+
+    /// Returns what has changed in the list since `version`.
+    pub fn list_news(&self, version: Option<ListVersion>) -> ListNews {
+        lock(&self.lists).since(version)
+    }
+
+    /// Returns the list that the newest one becomes by `news`, which is of `version`.
+    pub fn apply_list_news(
+        &self,
+        version: Option<ListVersion>,
+        news: ListNews,
+    ) -> Option<Vec<BackendServer>> {
+        let lists = lock(&self.lists);
+        match lists.newest() {
+            Some((known, list)) if Some(*known) == version => Some(news.apply(list)),
+            // The news are of another list than the newest by now.
+            _ if matches!(news, ListNews::Whole(_)) => Some(news.apply(&[])),
+            _ => None,
+        }
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -43,7 +43,10 @@
     utils::sync::lock,
 };
 
-/// Threads that answer other instances and readiness checks, each.
+/// Connections of other instances at once: all of a fleet of the planned size, twice.
+const PEER_CONNECTIONS: usize = 800;
+
+/// Threads that answer readiness checks.
 const SMALL_POOL: usize = 2;
 
 /// Connections to a server of a service that no intent describes.
@@ -78,13 +81,14 @@
 pub struct GatewayHandle {
     gateway: Arc<Gateway>,
     callers: Listener,
+    peers: Listener,
     readiness: SocketAddr,
 }
 
 impl Gateway {
     /// Returns how many instances share the fleet's bounds.
     pub fn instances(&self) -> usize {
-        self.peers.instances(self.settings.seeds.len())
+        self.peers.instances().max(self.settings.seeds.len())
     }
 
     /// Notes a caller's request for the retry budget.
@@ -167,14 +171,15 @@
     ///
     /// An address cannot be listened on, or a thread cannot be started.
     pub fn spawn(settings: GatewaySettings, clock: &Clock) -> anyhow::Result<GatewayHandle> {
+        let metrics = Metrics::new()?;
         let gateway = Arc::new(Gateway {
             clock: clock.clone(),
-            metrics: Metrics::new()?,
+            metrics: metrics.clone(),
             store: Store::new(settings.source.address),
             knowledge: Knowledge::default(),
             picker: Mutex::new(Picker::new(settings.zone.clone(), settings.bounds.load)),
             conns: ServerConns::new(clock.clone()),
-            peers: Peers::default(),
+            peers: Peers::new(&settings, clock, &metrics),
             drain: Drain::open().context("cannot make a pipe")?,
             budgets: Mutex::default(),
             store_seen: Mutex::default(),
@@ -182,10 +187,11 @@
             settings,
         });
         let readiness = serve_readiness(&gateway)?;
-        serve_peers(&gateway)?;
+        let peers = serve_peers(&gateway)?;
         background(&gateway, "intent", intent_reader::run)?;
         background(&gateway, "roster", roster_reader::run)?;
         background(&gateway, "peers", peers::run)?;
+        background(&gateway, "table", peers::keep_table)?;
         let callers = serve_callers(&gateway)?;
         log::warn!(
             "event=started node={} zone={} callers={}",
@@ -193,7 +199,7 @@
             gateway.settings.zone,
             callers.address()
         );
-        Ok(GatewayHandle { gateway, callers, readiness })
+        Ok(GatewayHandle { gateway, callers, peers, readiness })
     }
 
     /// Returns what the instance's parts share.
@@ -206,6 +212,11 @@
         self.callers.address()
     }
 
+    /// Returns the address for other instances.
+    pub fn peers(&self) -> SocketAddr {
+        self.peers.address()
+    }
+
     /// Returns the address of readiness checks.
     pub fn readiness(&self) -> SocketAddr {
         self.readiness
@@ -248,10 +259,12 @@
 /// Path of the metrics, on the address of readiness checks.
 const METRICS_PATH: &str = "/metrics";
 
-fn serve_peers(gateway: &Arc<Gateway>) -> anyhow::Result<SocketAddr> {
+fn serve_peers(gateway: &Arc<Gateway>) -> anyhow::Result<Listener> {
+    let listen = gateway.settings.addresses.peers;
     let serving = Arc::clone(gateway);
-    let address = gateway.settings.addresses.peers;
-    serve_small(address, "peers", move |request| peers::serve(&serving, request))
+    let serve = move |conn| peers::serve(&serving, conn);
+    Listener::bind(listen, gateway.clock.clone(), PEER_CONNECTIONS, serve, drop)
+        .with_context(|| format!("cannot listen for other instances on {listen}"))
 }
 
 fn serve_small(
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,111 +1,155 @@
-//! Other instances: where they are, and what they know when the store cannot be read.
+//! The exchange between instances: each tells one of them what it has in flight, and is told what
+//! the others have and what is new in the store.
+//!
+//! The one that is told (see `routing::candidates`) reads the store for the others. Every reply
+//! carries ages, and an instance whose knowledge grows too old reads the store itself.
 
 use std::{
-    io::Read,
     net::SocketAddr,
     sync::{Arc, Mutex},
     thread,
     time::{Duration, Instant},
 };
 
-use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
-use ureq::Agent;
 
-use super::{Gateway, intent_reader, roster_reader};
+use super::{Gateway, intent_reader, roster_reader, settings::GatewaySettings};
 use crate::{
     adapter::{
         calls::INSTANCE_TABLE,
-        store::{Change, StoreFault, StoreRow},
+        store::{Change, StoreFault},
     },
+    clock::Clock,
+    configs::fleet::chunks::{decode, encode},
+    link::{
+        http1::Conn,
+        peer::{self, PeerLinks, PeerService},
+    },
+    metrics::{Metrics, Purpose},
     names::NodeName,
-    platform::http::agent,
+    routing::{Aggregate, Candidates, Count, InstanceInfo, ListNews, ListVersion},
     utils::sync::lock,
 };
 
-/// Path of the question to another instance.
-pub const KNOWLEDGE_PATH: &str = "/peer/knowledge";
+/// Path of the exchange.
+const EXCHANGE_PATH: &str = "/exchange";
+
+/// Longest exchange with another instance: many round trips, and less than the news may age.
+const EXCHANGE_TIME: Duration = Duration::from_millis(300);
+
+/// Least pause between two exchanges: several within the time that a stream takes.
+const PERIOD_MIN: Duration = Duration::from_millis(250);
 
-/// Longest exchange with another instance.
-const EXCHANGE_TIME: Duration = Duration::from_millis(350);
+/// Time that the instance asked has for each exchange: with that, it spends a few hundredths of
+/// its processor on a fleet of any size.
+const PERIOD_PER_INSTANCE: Duration = Duration::from_millis(6);
 
-/// Instances asked at once when the store cannot be read.
+/// Longest pause between two exchanges: counts that are older are of no use.
+const PERIOD_MAX: Duration = Duration::from_millis(1500);
+
+/// Instances asked when the store cannot be read.
 const ASKED: usize = 2;
 
 /// Least pause between two rounds of questions.
 const ROUND_PAUSE: Duration = Duration::from_millis(300);
 
-/// Pause between two refreshes of the instance's own row and of the others'. Rows change only
-/// when instances come and go; peers are needed only while the store is away.
-const REFRESH: Duration = Duration::from_secs(20);
+/// How long an instance that others turn to goes on to read the store for them.
+const READS_FOR_OTHERS: Duration = Duration::from_millis(3000);
 
-/// First pauses, while instances that start together write their rows.
-const REFRESH_FIRST: Duration = Duration::from_secs(4);
+/// Pause between two reads of the instances' table by the one that the others turn to.
+const TABLE_PERIOD: Duration = Duration::from_secs(10);
 
-/// Age in refreshes after which a row counts as left behind by an instance that is gone.
-const STALE_REFRESHES: u64 = 3;
+/// First pause, while instances that start together write their rows.
+const TABLE_FIRST: Duration = Duration::from_secs(3);
 
-/// Largest reply, in bytes.
-const REPLY_MAX: u64 = 16 << 20;
+/// Time without a sign of an instance after which its row is removed.
+const ROW_LEFT_BEHIND: Duration = Duration::from_secs(60);
 
-/// What an instance writes of itself.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct InstanceRow {
-    /// Where it listens for other instances.
-    pub address: SocketAddr,
-    /// The store's clock at the last refresh, in milliseconds.
-    pub refreshed_ms: u64,
-}
-
-/// The question: what is newer than this?
+/// What an instance tells.
 #[derive(Debug, Serialize, Deserialize)]
-pub struct KnowledgeQuestion {
-    /// Version that the asker has in force.
+pub struct Report {
+    /// Who tells.
+    pub from: InstanceInfo,
+    /// Its requests in flight, by server.
+    pub counts: Vec<Count>,
+    /// Version of the intent that it has in force.
     pub version: u64,
+    /// Its newest list of servers.
+    pub list: Option<ListVersion>,
+    /// Hash of the instances that it knows.
+    pub instances: u64,
 }
 
-/// The reply, with ages instead of times, since instances share no clock.
-#[derive(Debug, Default, Serialize, Deserialize)]
-pub struct KnowledgeReply {
-    /// The operator's intent, if it is newer than the asker's.
-    #[serde(with = "serde_bytes")]
-    pub intent: Option<Vec<u8>>,
+/// What it is told. Instances share no clock, so times are told as ages.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct News {
+    /// The other instances' requests in flight, by server.
+    pub counts: Vec<Count>,
+    /// The operator's intent, if it is newer.
+    pub intent: Option<serde_bytes::ByteBuf>,
     /// Milliseconds since the intent was known to be the newest.
     pub intent_age_ms: Option<u64>,
-    /// Entries of backend servers.
-    pub servers: Vec<(String, serde_bytes::ByteBuf)>,
+    /// What is new in the list of servers.
+    pub list: ListNews,
     /// Milliseconds since the list was current.
-    pub servers_age_ms: Option<u64>,
+    pub list_age_ms: Option<u64>,
+    /// All instances, if the asker knows others.
+    pub instances: Option<Vec<InstanceInfo>>,
 }
 
-/// Other instances as far as they are known.
+/// Other instances, and what they tell.
 pub struct Peers {
-    known: Mutex<IndexMap<NodeName, SocketAddr>>,
+    links: PeerLinks,
+    candidates: Mutex<Candidates>,
+    aggregate: Mutex<Aggregate>,
     last_round: Mutex<Option<Instant>>,
-    agent: Agent,
 }
 
-impl Default for Peers {
-    fn default() -> Peers {
-        Peers { known: Mutex::default(), last_round: Mutex::default(), agent: agent(EXCHANGE_TIME) }
+impl Peers {
+    /// Returns the peers of an instance that knows none yet.
+    pub fn new(settings: &GatewaySettings, clock: &Clock, metrics: &Metrics) -> Peers {
+        let own = InstanceInfo {
+            node: settings.node.clone(),
+            address: settings.addresses.peers,
+            cores: settings.cores,
+        };
+        Peers {
+            links: PeerLinks::new(clock.clone(), None, EXCHANGE_TIME, metrics.clone()),
+            candidates: Mutex::new(Candidates::new(own)),
+            aggregate: Mutex::default(),
+            last_round: Mutex::default(),
+        }
     }
-}
 
-impl Peers {
-    /// Returns how many instances there are, this one included; at least as many as seeds.
-    pub fn instances(&self, seeds: usize) -> usize {
-        (lock(&self.known).len() + 1).max(seeds)
+    /// Returns how many instances are known, this one included.
+    pub fn instances(&self) -> usize {
+        lock(&self.candidates).all().len()
     }
 
-    /// Returns up to `count` other addresses, drawn anew each time.
-    fn draw(&self, gateway: &Gateway, count: usize) -> Vec<SocketAddr> {
-        let own = gateway.settings.addresses.peers;
-        let mut all: Vec<SocketAddr> = lock(&self.known).values().copied().collect();
-        for &seed in &gateway.settings.seeds {
-            if !all.contains(&seed) {
-                all.push(seed);
-            }
+    /// Returns whether this instance reads the store at a pace: it has nobody to turn to, or others
+    /// turn to it.
+    pub fn is_reader(&self, now: Instant) -> bool {
+        if lock(&self.candidates).first(now).is_none() {
+            return true;
         }
+        let own = lock(&self.candidates).own().node.clone();
+        let heard = lock(&self.aggregate).last_heard(&own);
+        heard.is_some_and(|at| now.saturating_duration_since(at) < READS_FOR_OTHERS)
+    }
+
+    fn period(&self) -> Duration {
+        let instances = u32::try_from(self.instances()).unwrap_or(u32::MAX);
+        PERIOD_PER_INSTANCE.saturating_mul(instances).clamp(PERIOD_MIN, PERIOD_MAX)
+    }
+
+    /// Returns up to `count` other addresses, drawn anew each time.
+    fn draw(&self, seeds: &[SocketAddr], count: usize) -> Vec<SocketAddr> {
+        let candidates = lock(&self.candidates);
+        let own = candidates.own().address;
+        let known = candidates.all().iter().map(|i| i.address);
+        let mut all: Vec<SocketAddr> = known.chain(seeds.iter().copied()).collect();
+        all.sort();
+        all.dedup();
         all.retain(|&address| address != own);
         fastrand::shuffle(&mut all);
         all.truncate(count);
@@ -113,42 +157,36 @@
     }
 }
 
-/// Answers another instance's question.
-pub fn answer(gateway: &Gateway, question: &KnowledgeQuestion) -> KnowledgeReply {
-    let now = gateway.clock.now();
-    let raw = gateway.knowledge.raw();
-    let newer = gateway.knowledge.version() > question.version;
-    let millis = |age: Duration| u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
-    KnowledgeReply {
-        intent: newer.then(|| raw.intent.to_vec()),
-        intent_age_ms: gateway.intent_known_age(now).map(millis),
-        servers: raw
-            .servers
-            .iter()
-            .map(|(key, value)| (key.clone(), serde_bytes::ByteBuf::from(value.clone())))
-            .collect(),
-        servers_age_ms: gateway.knowledge.servers_age(now).map(millis),
+/// Exchanges news until the process ends.
+pub fn run(gateway: &Arc<Gateway>) {
+    loop {
+        exchange(gateway);
+        let period = gateway.peers.period();
+        thread::sleep(period.mul_f64(0.9 + 0.2 * fastrand::f64()));
     }
 }
 
-/// Serves one call on the peers' address.
-pub fn serve(gateway: &Gateway, request: &rouille::Request) -> rouille::Response {
-    if request.url() != KNOWLEDGE_PATH {
-        return rouille::Response::empty_404();
-    }
-    let mut body = Vec::new();
-    let read = request.data().map(|data| data.take(REPLY_MAX).read_to_end(&mut body));
-    if !matches!(read, Some(Ok(_))) {
-        return rouille::Response::empty_400();
-    }
-    let Ok(question) = rmp_serde::from_slice(&body) else {
-        return rouille::Response::empty_400();
-    };
-    match rmp_serde::to_vec(&answer(gateway, &question)) {
-        Ok(reply) => rouille::Response::from_data("application/msgpack", reply),
-        Err(fault) => {
-            log::error!("event=peer_reply_failed reason={fault}");
-            rouille::Response::text("cannot encode").with_status_code(500)
+/// Tells the first instance that answers, and takes what it tells.
+fn exchange(gateway: &Gateway) {
+    let peers = &gateway.peers;
+    for _ in 0..2 {
+        let now = gateway.clock.now();
+        let first = lock(&peers.candidates).first(now).cloned();
+        let Some(first) = first else {
+            let own = gateway.settings.node.clone();
+            let others = lock(&peers.aggregate).others(now, &own);
+            lock(&gateway.picker).set_others(now, &others);
+            return;
+        };
+        match ask(gateway, first.address) {
+            Ok(()) => {
+                lock(&peers.candidates).note_heard(&first.node);
+                return;
+            }
+            Err(fault) => {
+                log::info!("event=peer_silent peer={} reason={fault:?}", first.node);
+                lock(&peers.candidates).note_silent(gateway.clock.now(), &first.node);
+            }
         }
     }
 }
@@ -163,93 +201,181 @@
         }
         *last = Some(now);
     }
-    for address in gateway.peers.draw(gateway, ASKED) {
-        let asked = gateway.clock.now();
-        match ask(gateway, address) {
-            Ok(reply) => take(gateway, reply, asked),
-            Err(fault) => log::info!("event=peer_silent peer={address} reason={fault:?}"),
+    for address in gateway.peers.draw(&gateway.settings.seeds, ASKED) {
+        if let Err(fault) = ask(gateway, address) {
+            log::info!("event=peer_silent peer={address} reason={fault:?}");
         }
     }
 }
 
-fn ask(gateway: &Gateway, address: SocketAddr) -> Result<KnowledgeReply, String> {
-    let question = KnowledgeQuestion { version: gateway.knowledge.version() };
-    let body = rmp_serde::to_vec(&question).map_err(|e| e.to_string())?;
-    let url = format!("http://{address}{KNOWLEDGE_PATH}");
-    let mut response = gateway.peers.agent.post(url).send(&body[..]).map_err(|e| e.to_string())?;
-    if response.status() != http::StatusCode::OK {
-        return Err(format!("status {}", response.status()));
-    }
-    let body = response.body_mut().with_config().limit(REPLY_MAX).read_to_vec();
-    rmp_serde::from_slice(&body.map_err(|e| e.to_string())?).map_err(|e| e.to_string())
+/// Makes one exchange.
+fn ask(gateway: &Gateway, address: SocketAddr) -> Result<(), String> {
+    let peers = &gateway.peers;
+    let asked = gateway.clock.now();
+    let list = gateway.knowledge.list_version();
+    let (from, instances) = {
+        let candidates = lock(&peers.candidates);
+        (candidates.own().clone(), candidates.version())
+    };
+    let report = Report {
+        from,
+        counts: lock(&gateway.picker).own_counts(),
+        version: gateway.knowledge.version(),
+        list,
+        instances,
+    };
+    let news: News = peers
+        .links
+        .call(Purpose::Loads, address, EXCHANGE_PATH, &report)
+        .map_err(|e| e.to_string())?;
+    take(gateway, news, list, asked);
+    Ok(())
 }
 
-fn take(gateway: &Gateway, reply: KnowledgeReply, asked: Instant) {
+fn take(gateway: &Gateway, news: News, list: Option<ListVersion>, asked: Instant) {
     let then = |age: Option<u64>| asked.checked_sub(Duration::from_millis(age?));
-    if let Some(as_of) = then(reply.intent_age_ms) {
-        match reply.intent {
+    lock(&gateway.picker).set_others(gateway.clock.now(), &news.counts);
+    if let Some(as_of) = then(news.intent_age_ms) {
+        match news.intent {
             Some(raw) => intent_reader::take_raw(gateway, &raw, as_of, "peer"),
             None => gateway.knowledge.confirm(as_of),
         }
     }
-    let Some(as_of) = then(reply.servers_age_ms) else { return };
-    let rows: Vec<StoreRow> = reply
-        .servers
-        .into_iter()
-        .map(|(key, value)| StoreRow { key, value: value.into_vec(), version: 0, removed: false })
-        .collect();
-    roster_reader::take(gateway, &rows, as_of, "peer");
+    if let Some(as_of) = then(news.list_age_ms)
+        && let Some(servers) = gateway.knowledge.apply_list_news(list, news.list)
+    {
+        roster_reader::take(gateway, servers, as_of, "peer");
+    }
+    if let Some(instances) = news.instances {
+        lock(&gateway.peers.candidates).set(instances);
+        gateway.conns.set_instances(gateway.instances());
+    }
 }
 
-/// Keeps the instance's own row and the list of the others fresh until the process ends.
-pub fn run(gateway: &Arc<Gateway>) {
-    let mut pause = REFRESH_FIRST;
+/// Answers another instance.
+fn answer(gateway: &Gateway, report: Report) -> News {
+    let now = gateway.clock.now();
+    let knowledge = &gateway.knowledge;
+    let millis = |age: Duration| u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+    let newer = knowledge.version() > report.version;
+    let node = report.from.node.clone();
+    let instances = {
+        let mut candidates = lock(&gateway.peers.candidates);
+        candidates.add(report.from);
+        (candidates.version() != report.instances).then(|| candidates.all().to_vec())
+    };
+    let counts = {
+        let own = gateway.settings.node.clone();
+        let own_counts = lock(&gateway.picker).own_counts();
+        let mut aggregate = lock(&gateway.peers.aggregate);
+        aggregate.take(now, own, own_counts);
+        aggregate.take(now, node.clone(), report.counts);
+        aggregate.others(now, &node)
+    };
+    News {
+        counts,
+        intent: newer.then(|| serde_bytes::ByteBuf::from(knowledge.raw_intent().to_vec())),
+        intent_age_ms: gateway.intent_known_age(now).map(millis),
+        list: knowledge.list_news(report.list),
+        list_age_ms: knowledge.servers_age(now).map(millis),
+        instances,
+    }
+}
+
+/// Serves a connection of another instance until it ends.
+pub fn serve(gateway: &Gateway, conn: Conn) {
+    let service = PeerService {
+        accepted: None,
+        timeout: EXCHANGE_TIME,
+        metrics: &gateway.metrics,
+        answer: |path: &str, body: &[u8]| {
+            if path != EXCHANGE_PATH {
+                return Err(404);
+            }
+            if gateway.drain.is_draining() {
+                // The others turn to the next instance before this one is gone.
+                return Err(503);
+            }
+            let report = decode(body).map_err(|_| 400_u16)?;
+            Ok(encode(&answer(gateway, report)))
+        },
+        stream: |_, _| {},
+        purpose: |_| Purpose::Loads,
+    };
+    peer::serve(conn, &service);
+}
+
+/// Keeps the instances' table until the process ends: every instance writes its row once; the one
+/// that the others turn to reads the table now and then and removes rows left behind.
+pub fn keep_table(gateway: &Arc<Gateway>) {
+    while let Err(fault) = join(gateway) {
+        log::info!("event=instances_unread reason={:?}", fault.to_string());
+        thread::sleep(TABLE_FIRST);
+    }
+    let began = gateway.clock.now();
+    let mut pause = TABLE_FIRST;
     loop {
-        if gateway.drain.is_draining() {
-            return;
+        thread::sleep(pause);
+        pause = TABLE_PERIOD;
+        let now = gateway.clock.now();
+        if gateway.drain.is_draining() || lock(&gateway.peers.candidates).first(now).is_some() {
+            continue;
         }
-        if let Err(fault) = refresh(gateway) {
+        if let Err(fault) = tidy(gateway, now.saturating_duration_since(began) > ROW_LEFT_BEHIND) {
             log::info!("event=instances_unread reason={:?}", fault.to_string());
         }
-        thread::sleep(pause);
-        pause = REFRESH;
     }
 }
 
-fn refresh(gateway: &Gateway) -> Result<(), StoreFault> {
+fn join(gateway: &Gateway) -> Result<(), StoreFault> {
+    let own = lock(&gateway.peers.candidates).own().clone();
+    let change = Change::Put { key: own.node.as_str(), value: &encode(&own) };
+    gateway.store.change(INSTANCE_TABLE, &[change])?;
+    read_table(gateway)
+}
+
+fn read_table(gateway: &Gateway) -> Result<(), StoreFault> {
     let rows = gateway.store.rows(INSTANCE_TABLE)?;
-    let stale_before = rows.now_ms.saturating_sub(millis(REFRESH) * STALE_REFRESHES);
-    let own = &gateway.settings.node;
-    let mut known = IndexMap::new();
-    let mut left_behind = Vec::new();
-    for row in &rows.rows {
-        let decoded: Result<InstanceRow, _> = rmp_serde::from_slice(&row.value);
-        match (row.key.parse::<NodeName>(), decoded) {
-            (Ok(node), Ok(_)) if node == *own => {}
-            (Ok(node), Ok(instance)) if instance.refreshed_ms >= stale_before => {
-                known.insert(node, instance.address);
-            }
-            _ => left_behind.push(row.key.as_str()),
+    let mut candidates = lock(&gateway.peers.candidates);
+    for row in rows.rows {
+        match decode::<InstanceInfo>(&row.value) {
+            Ok(instance) => candidates.add(instance),
+            Err(fault) => log::warn!("event=row_skipped key={} reason={fault:?}", row.key),
         }
     }
-    *lock(&gateway.peers.known) = known;
+    drop(candidates);
     gateway.conns.set_instances(gateway.instances());
-    let instance =
-        InstanceRow { address: gateway.settings.addresses.peers, refreshed_ms: rows.now_ms };
-    let value = rmp_serde::to_vec(&instance).map_err(|e| StoreFault::Reply(e.to_string()))?;
-    let mut changes = vec![Change::Put { key: own.as_str(), value: &value }];
-    changes.extend(left_behind.into_iter().map(|key| Change::Remove { key }));
-    gateway.store.change(INSTANCE_TABLE, &changes)
+    Ok(())
 }
 
-/// Removes the instance's own row; best effort, since a row left behind grows stale.
-pub fn leave(gateway: &Gateway) {
-    let changes = [Change::Remove { key: gateway.settings.node.as_str() }];
-    if let Err(fault) = gateway.store.change(INSTANCE_TABLE, &changes) {
-        log::info!("event=own_row_left reason={:?}", fault.to_string());
+fn tidy(gateway: &Gateway, remove: bool) -> Result<(), StoreFault> {
+    read_table(gateway)?;
+    if !remove {
+        return Ok(());
+    }
+    let now = gateway.clock.now();
+    let (stay, gone): (Vec<InstanceInfo>, Vec<InstanceInfo>) = {
+        let aggregate = lock(&gateway.peers.aggregate);
+        let candidates = lock(&gateway.peers.candidates);
+        let lives = |i: &InstanceInfo| i == candidates.own() || aggregate.hears(now, &i.node);
+        candidates.all().iter().cloned().partition(lives)
+    };
+    if gone.is_empty() {
+        return Ok(());
     }
+    let changes: Vec<Change<'_>> =
+        gone.iter().map(|i| Change::Remove { key: i.node.as_str() }).collect();
+    gateway.store.change(INSTANCE_TABLE, &changes)?;
+    lock(&gateway.peers.candidates).set(stay);
+    Ok(())
 }
 
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+/// Removes the instance's own row; best effort, since a row left behind is removed by another.
+pub fn leave(gateway: &Gateway) {
+    let node: &NodeName = &gateway.settings.node;
+    if let Err(fault) =
+        gateway.store.change(INSTANCE_TABLE, &[Change::Remove { key: node.as_str() }])
+    {
+        log::info!("event=own_row_left reason={:?}", fault.to_string());
+    }
 }
--- a/src/gateway/roster_reader.rs
+++ b/src/gateway/roster_reader.rs
@@ -1,45 +1,62 @@
 //! Reads the list of backend servers, at a pace.
 
-use std::{sync::Arc, thread, time::Instant};
+use std::{
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
 
 use super::{Gateway, intent_reader, peers};
 use crate::{
-    adapter::{
-        calls::SERVER_TABLE,
-        servers,
-        store::{StoreFault, StoreRow},
-    },
-    routing::roster::RosterChange,
+    adapter::{calls::SERVER_TABLE, servers, store::StoreFault},
+    routing::{BackendServer, roster::RosterChange},
 };
 
-/// Reads the list until the process ends.
+/// Pause before the store is tried again when it cannot be read.
+const PAUSE_FAILED: Duration = Duration::from_millis(500);
+
+/// Keeps the list fresh until the process ends: reads it at a pace where others rely on this
+/// instance, and only when their news stop where it relies on others.
 pub fn run(gateway: &Arc<Gateway>) {
-    let period = gateway.settings.roster_period();
     let mut lost = false;
     loop {
         let began = gateway.clock.now();
+        if let Some(pause) = pause_for_news(gateway, began) {
+            thread::sleep(pause);
+            continue;
+        }
         match read(gateway) {
             Ok(()) => {
                 if lost {
                     lost = false;
                     log::warn!("event=store_back");
                     // The call that waits for changes may hang on a connection that died.
-                    if let Err(fault) = intent_reader::read(gateway) {
-                        log::warn!("event=intent_unread reason={:?}", fault.to_string());
-                    }
+                    intent_reader::read_logged(gateway);
                 }
+                let took = gateway.clock.now().saturating_duration_since(began);
+                let period = gateway.settings.roster_period();
+                thread::sleep(period.saturating_sub(took).max(period / 4));
             }
             Err(fault) => {
                 lost = true;
                 gateway.store_failed("servers", &fault);
                 peers::catch_up(gateway);
+                thread::sleep(PAUSE_FAILED);
             }
         }
-        let took = gateway.clock.now().saturating_duration_since(began);
-        thread::sleep(period.saturating_sub(took).max(period / 4));
     }
 }
 
+/// Returns how long the news of others will do; `None` when the store must be read.
+fn pause_for_news(gateway: &Gateway, now: Instant) -> Option<Duration> {
+    if gateway.peers.is_reader(now) {
+        return None;
+    }
+    let left =
+        gateway.settings.roster_age_max().checked_sub(gateway.knowledge.servers_age(now)?)?;
+    (!left.is_zero()).then_some(left)
+}
+
 /// Reads the list once.
 ///
 /// # Errors
@@ -49,16 +66,13 @@
     let as_of = gateway.clock.now();
     let rows = gateway.store.rows(SERVER_TABLE)?;
     gateway.store_answered(as_of);
-    take(gateway, &rows.rows, as_of, "store");
+    take(gateway, servers::decode_all(&rows.rows), as_of, "store");
     Ok(())
 }
 
-/// Takes a whole list of entries that was current at `as_of`.
-pub fn take(gateway: &Gateway, rows: &[StoreRow], as_of: Instant, source: &str) {
-    let list = servers::decode_all(rows);
-    let raw = rows.iter().map(|row| (row.key.clone(), row.value.clone())).collect();
-    let now = gateway.clock.now();
-    let change = gateway.knowledge.observe_servers(now, as_of, list, raw);
+/// Takes a whole list that was current at `as_of`.
+pub fn take(gateway: &Gateway, list: Vec<BackendServer>, as_of: Instant, source: &str) {
+    let change = gateway.knowledge.observe_servers(gateway.clock.now(), as_of, list);
     log_change(&change, source);
     if change != RosterChange::default() {
         gateway.servers_changed();
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -11,6 +11,10 @@
 /// the servers' list; the rest is for the read itself, which may be slow.
 const ROSTER_PACE: f64 = 0.5;
 
+/// Part of an operator's bound at which an instance no longer waits for news from others and reads
+/// the store itself; the rest is for that read.
+const NEWS_AGE: f64 = 0.75;
+
 /// Everything an instance needs to know to start.
 #[derive(Debug, Clone, PartialEq)]
 pub struct GatewaySettings {
@@ -24,6 +28,8 @@
     pub seeds: Vec<SocketAddr>,
     /// The platform's store.
     pub source: RosterSource,
+    /// Its share of processors, in cores.
+    pub cores: f32,
     /// Most connections of callers at once.
     pub connections: usize,
     /// The operator's bounds.
@@ -66,6 +72,16 @@
 }
 
 impl GatewaySettings {
+    /// Returns the age of the servers' list at which an instance reads it itself.
+    pub fn roster_age_max(&self) -> Duration {
+        self.bounds.leaving_acted_on.mul_f64(NEWS_AGE)
+    }
+
+    /// Returns the age of the intent in force at which an instance reads it itself.
+    pub fn intent_age_max(&self) -> Duration {
+        self.bounds.intent_in_force.mul_f64(NEWS_AGE)
+    }
+
     /// Returns the pause between two reads of the servers' list.
     pub fn roster_period(&self) -> Duration {
         self.bounds.leaving_acted_on.mul_f64(ROSTER_PACE)
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -302,7 +302,7 @@
     let incarnation = u32::try_from(clock.wall_millis() / 1000).unwrap_or(u32::MAX);
     let credential = settings.credentials.peers[0].clone();
     let peers =
-        PeerLinks::new(clock.clone(), credential, settings.timeouts.peer.0, metrics.clone());
+        PeerLinks::new(clock.clone(), Some(credential), settings.timeouts.peer.0, metrics.clone());
     let own = Candidate { id: settings.id.clone(), tag, zone: settings.zone.clone() };
     let waker = Arc::clone(waker);
     // The desk and the homes speak to each other through the instance, which holds both.
@@ -382,7 +382,7 @@
     let serve = move |conn| {
         let shared = &serving;
         let service = PeerService {
-            accepted: &shared.settings.credentials.peers,
+            accepted: Some(&shared.settings.credentials.peers),
             timeout: shared.settings.timeouts.peer.0,
             metrics: &shared.metrics,
             answer: |path: &str, body: &[u8]| peers::answer(shared, path, body),
--- a/src/link/http1/body.rs
+++ b/src/link/http1/body.rs
@@ -68,6 +68,19 @@
         conn: &mut Conn,
         until: Instant,
         go_on: &mut dyn FnMut() -> bool,
+    ) -> Result<Option<Vec<u8>>, ReadFault> {
+        self.next_by(conn, |conn| conn.fill(until, go_on))
+    }
+
+    /// Returns the next piece as [`BodyReader::next`] does; `fill` waits for more bytes.
+    ///
+    /// # Errors
+    ///
+    /// Those of `fill`, and [`ReadFault::Closed`] for a body that was cut short.
+    pub fn next_by(
+        &mut self,
+        conn: &mut Conn,
+        mut fill: impl FnMut(&mut Conn) -> Result<(), ReadFault>,
     ) -> Result<Option<Vec<u8>>, ReadFault> {
         loop {
             if self.state == State::Done {
@@ -79,7 +92,7 @@
             if self.state == State::Done {
                 continue;
             }
-            match conn.fill(until, go_on) {
+            match fill(conn) {
                 Err(ReadFault::Closed) if self.state == State::UntilClose => {
                     self.state = State::Done
                 }
@@ -134,7 +147,7 @@
             return Err(ReadFault::TooLarge);
         }
         let mut body = Vec::new();
-        while let Some(piece) = self.next(conn, until, &mut || true)? {
+        while let Some(piece) = self.next_by(conn, |conn| conn.fill_beside(until, None))? {
             body.extend_from_slice(&piece);
             if body.len() > max {
                 return Err(ReadFault::TooLarge);
@@ -143,28 +156,8 @@
         Ok(body)
     }
 
-    /// Notes that the connection was closed; a body without a length ends there.
-    ///
-    /// # Errors
-    ///
-    /// [`ReadFault::Closed`]: the body was cut short.
-    pub fn end_of_connection(&mut self) -> Result<(), ReadFault> {
-        match self.state {
-            State::Done => Ok(()),
-            State::UntilClose => {
-                self.state = State::Done;
-                Ok(())
-            }
-            _ => Err(ReadFault::Closed),
-        }
-    }
-
     /// Takes what the buffer holds; `None` when more bytes are needed or the body is done.
-    ///
-    /// # Errors
-    ///
-    /// What came does not follow the framing.
-    pub fn advance(&mut self, conn: &mut Conn) -> Result<Option<Vec<u8>>, ReadFault> {
+    fn advance(&mut self, conn: &mut Conn) -> Result<Option<Vec<u8>>, ReadFault> {
         loop {
             match self.state {
                 State::Done => return Ok(None),
--- a/src/link/http1/head.rs
+++ b/src/link/http1/head.rs
@@ -74,7 +74,7 @@
     /// See [`HeadFault`]; a connection closed before its first byte is `Read(Closed)`.
     pub fn read(conn: &mut Conn, max: usize, until: Instant) -> Result<RequestHead, HeadFault> {
         skip_blank_lines(conn);
-        let length = wait_for_head(conn, max, until, &mut || true)?;
+        let length = wait_for_head(conn, max, |conn| conn.fill_beside(until, None))?;
         let head = RequestHead::parse(&conn.buffered()[..length])?;
         conn.consume(length);
         Ok(head)
@@ -151,7 +151,7 @@
         go_on: &mut dyn FnMut() -> bool,
     ) -> Result<ResponseHead, HeadFault> {
         loop {
-            let length = wait_for_head(conn, max, until, go_on)?;
+            let length = wait_for_head(conn, max, |conn| conn.fill(until, go_on))?;
             let head = ResponseHead::parse(&conn.buffered()[..length])?;
             conn.consume(length);
             if !head.status.is_informational() {
@@ -266,8 +266,7 @@
 fn wait_for_head(
     conn: &mut Conn,
     max: usize,
-    until: Instant,
-    go_on: &mut dyn FnMut() -> bool,
+    mut fill: impl FnMut(&mut Conn) -> Result<(), ReadFault>,
 ) -> Result<usize, HeadFault> {
     let mut searched = 0;
     loop {
@@ -279,7 +278,7 @@
             return Err(HeadFault::TooLarge);
         }
         searched = buffered.len().saturating_sub(3);
-        conn.fill(until, go_on)?;
+        fill(conn)?;
     }
 }
 
--- a/src/link/peer.rs
+++ b/src/link/peer.rs
@@ -71,14 +71,19 @@
 pub struct PeerLinks {
     idle: Mutex<HashMap<SocketAddr, Vec<Conn>>>,
     clock: Clock,
-    credential: Secret,
+    credential: Option<Secret>,
     timeout: Duration,
     metrics: Metrics,
 }
 
 impl PeerLinks {
-    /// Returns links that show `credential`.
-    pub fn new(clock: Clock, credential: Secret, timeout: Duration, metrics: Metrics) -> PeerLinks {
+    /// Returns links that show `credential`, if instances have one.
+    pub fn new(
+        clock: Clock,
+        credential: Option<Secret>,
+        timeout: Duration,
+        metrics: Metrics,
+    ) -> PeerLinks {
         PeerLinks { idle: Mutex::default(), clock, credential, timeout, metrics }
     }
 
@@ -120,8 +125,8 @@
     ) -> Result<(StreamSender, StreamReceiver), PeerFault> {
         let mut conn = self.connect(to)?;
         let head = format!(
-            "POST {STREAM_PATH} HTTP/1.1\r\nhost:\r\nauthorization:Bearer {}\r\ntransfer-encoding:chunked\r\n\r\n",
-            self.credential.expose()
+            "POST {STREAM_PATH} HTTP/1.1\r\nhost:\r\n{}transfer-encoding:chunked\r\n\r\n",
+            self.credential.as_ref().map_or_else(String::new, credential_line)
         );
         let broken = |e: std::io::Error| PeerFault::Broken(to, e.to_string());
         conn.send(head.as_bytes(), self.timeout).map_err(|(_, e)| broken(e))?;
@@ -159,7 +164,7 @@
         first: bool,
     ) -> Result<Vec<u8>, PeerFault> {
         let broken = |e: &dyn std::fmt::Display| PeerFault::Broken(to, e.to_string());
-        let credential = if first { Some(&self.credential) } else { None };
+        let credential = if first { self.credential.as_ref() } else { None };
         let message = request_bytes(path, body, credential);
         let until = self.clock.now() + self.timeout;
         self.metrics.control_sent(purpose, message.len());
@@ -185,15 +190,17 @@
 fn request_bytes(path: &str, body: &[u8], credential: Option<&Secret>) -> Vec<u8> {
     let mut message = format!("POST {path} HTTP/1.1\r\nhost:\r\n").into_bytes();
     if let Some(credential) = credential {
-        message.extend_from_slice(
-            format!("authorization:Bearer {}\r\n", credential.expose()).as_bytes(),
-        );
+        message.extend_from_slice(credential_line(credential).as_bytes());
     }
     message.extend_from_slice(format!("content-length:{}\r\n\r\n", body.len()).as_bytes());
     message.extend_from_slice(body);
     message
 }
 
+fn credential_line(credential: &Secret) -> String {
+    format!("authorization:Bearer {}\r\n", credential.expose())
+}
+
 fn reply_bytes(status: u16, body: &[u8]) -> Vec<u8> {
     let mut message =
         format!("HTTP/1.1 {status} \r\ncontent-length:{}\r\n\r\n", body.len()).into_bytes();
@@ -273,8 +280,8 @@
 
 /// What a peer's connection is given to.
 pub struct PeerService<'s, A, S> {
-    /// Credentials accepted.
-    pub accepted: &'s [Secret],
+    /// Credentials accepted; `None` where instances have none and their network is closed.
+    pub accepted: Option<&'s [Secret]>,
     /// Longest wait for a message or for the peer to take an answer.
     pub timeout: Duration,
     /// Metrics.
@@ -293,11 +300,11 @@
     A: Fn(&str, &[u8]) -> Result<Vec<u8>, u16>,
     S: Fn(StreamSender, StreamReceiver),
 {
-    let mut shown = false;
+    let mut shown = service.accepted.is_none();
     loop {
         let until = conn.clock().now() + IDLE_TIME;
         let Ok(head) = RequestHead::read(&mut conn, HEAD_MAX, until) else { return };
-        shown = shown || shows_credential(&head, service.accepted);
+        shown = shown || shows_credential(&head, service.accepted.unwrap_or_default());
         if !shown {
             // The other side learns why; that it may not get the message is no loss.
             let _ = conn.send(&reply_bytes(401, &[]), service.timeout);
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -1,11 +1,14 @@
-//! What is known of a backend server's load: this instance's own requests, exactly, and the
-//! server's own reports, which age.
+//! What is known of a backend server's load: this instance's own requests, exactly; the other
+//! instances' requests, as they count them; and the server's own reports. The last two age.
 
 use std::time::{Duration, Instant};
 
 /// Age at which a report counts for half: a few requests' worth of time at the users' rates.
 const HALF_LIFE: Duration = Duration::from_millis(1500);
 
+/// Age up to which the other instances' counts are believed: a few exchanges.
+const OTHERS_LIFE: Duration = Duration::from_millis(2000);
+
 /// What a backend server says of itself with an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LoadReport {
@@ -22,6 +25,7 @@
 pub struct Load {
     own: u32,
     report: Option<(LoadReport, Instant, u32)>,
+    others: Option<(u32, Instant)>,
 }
 
 impl Load {
@@ -40,6 +44,17 @@
         self.report = Some((report, now, self.own));
     }
 
+    /// Takes the other instances' requests in flight.
+    pub fn set_others(&mut self, now: Instant, count: u32) {
+        self.others = Some((count, now));
+    }
+
+    /// Returns the other instances' requests in flight, while that is known.
+    pub fn others(&self, now: Instant) -> Option<u32> {
+        let (count, at) = self.others?;
+        (now.saturating_duration_since(at) < OTHERS_LIFE).then_some(count)
+    }
+
     /// Returns this instance's own requests in flight.
     pub fn own(&self) -> u32 {
         self.own
@@ -58,6 +73,9 @@
     /// Estimates requests in flight from all instances; an old report gives way to `usual`.
     pub fn estimate(&self, now: Instant, usual: f64) -> f64 {
         let own = f64::from(self.own);
+        if let Some(others) = self.others(now) {
+            return own + f64::from(others);
+        }
         let Some((report, at, own_then)) = self.report else { return own.max(usual) };
         let then = f64::from(report.running + report.waiting);
         let since = own - f64::from(own_then);
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,7 +1,9 @@
 //! Decisions of the way of a request on a platform that lists backend servers: which route, which
 //! backend server, whether to try again. No I/O; the time is passed in.
 
+pub mod aggregate;
 pub mod budget;
+pub mod candidates;
 pub mod events;
 pub mod health;
 pub mod intent;
@@ -9,9 +11,12 @@
 pub mod picker;
 pub mod roster;
 pub mod route;
+pub mod server_list;
 pub mod team;
 
+pub use aggregate::{Aggregate, Count};
 pub use budget::RetryBudget;
+pub use candidates::{Candidates, InstanceInfo};
 pub use events::EventSplitter;
 pub use health::Health;
 pub use intent::{CallerLimits, Intent, IntentInForce, ServiceSpec};
@@ -19,4 +24,5 @@
 pub use picker::{Picked, Picker, Wanted};
 pub use roster::{BackendServer, Roster};
 pub use route::{Route, RouteKind, RouteTable, ServiceShare};
+pub use server_list::{ListHistory, ListNews, ListVersion};
 pub use team::{Team, Teams};
--- a/src/routing/picker.rs
+++ b/src/routing/picker.rs
@@ -4,13 +4,13 @@
 //! stays under a bound; beyond that they go to the next in their own rank. Other requests go to
 //! the least loaded server, those of the own availability zone first.
 
-use std::{sync::Arc, time::Instant};
+use std::{collections::HashMap, sync::Arc, time::Instant};
 
 use indexmap::IndexMap;
 
-use super::{BackendServer, Health, Load, LoadReport};
+use super::{BackendServer, Count, Health, Load, LoadReport};
 use crate::{
-    names::{ServerId, ServiceName, ZoneName},
+    names::{ServerId, ServiceName, Tag, ZoneName},
     zone::rendezvous,
 };
 
@@ -103,7 +103,7 @@
         let usual = usual_load(&pool);
         match wanted.affinity {
             Some(key) => self.by_affinity(now, key, &pool, usual),
-            None => self.by_load(&pool),
+            None => self.by_load(now, &pool),
         }
     }
 
@@ -122,6 +122,21 @@
         self.with(id, |t| t.load.report(now, report));
     }
 
+    /// Takes the other instances' requests in flight; servers not named have none.
+    pub fn set_others(&mut self, now: Instant, counts: &[Count]) {
+        let counts: HashMap<Tag, u32> = counts.iter().copied().collect();
+        for tracked in self.servers.values_mut() {
+            let count = counts.get(&tracked.server.tag()).copied().unwrap_or(0);
+            tracked.load.set_others(now, count);
+        }
+    }
+
+    /// Returns this instance's requests in flight, by server, for the other instances.
+    pub fn own_counts(&self) -> Vec<Count> {
+        let busy = self.servers.values().filter(|t| t.load.own() > 0);
+        busy.map(|t| (t.server.tag(), t.load.own())).collect()
+    }
+
     /// Notes a good answer.
     pub fn good(&mut self, now: Instant, id: &ServerId) {
         self.with(id, |t| t.health.good(now));
@@ -174,17 +189,17 @@
         Some(Picked { server: Arc::clone(&pool[i].server), rank: place, load: loads[i], bound })
     }
 
-    fn by_load(&self, pool: &[&Tracked]) -> Option<Picked> {
+    fn by_load(&self, now: Instant, pool: &[&Tracked]) -> Option<Picked> {
         let cost = |t: &Tracked| {
             let away = if t.server.zone == self.zone { 0.0 } else { OTHER_ZONE_LOAD };
-            f64::from(t.load.own()) + away
+            f64::from(t.load.own() + t.load.others(now).unwrap_or(0)) + away
         };
         // Servers that cost the same take turns by their ids, in an order of this zone's own.
         let order = |t: &Tracked| rendezvous::score(zone_key(&self.zone), t.server.tag(), 1.0);
         let least = pool.iter().min_by(|a, b| {
             cost(a).total_cmp(&cost(b)).then_with(|| order(b).total_cmp(&order(a)))
         })?;
-        let load = f64::from(least.load.own());
+        let load = f64::from(least.load.own() + least.load.others(now).unwrap_or(0));
         Some(Picked { server: Arc::clone(&least.server), rank: 0, load, bound: f64::INFINITY })
     }
 }
--- a/src/routing/roster.rs
+++ b/src/routing/roster.rs
@@ -7,6 +7,7 @@
 };
 
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::names::{ServerId, ServiceName, Tag, ZoneName};
@@ -22,7 +23,7 @@
 const OUTAGE_AGE: Duration = Duration::from_millis(2500);
 
 /// One incarnation of a backend server.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BackendServer {
     /// Id of the incarnation.
     pub id: ServerId,
--- /dev/null
+++ b/src/routing/server_list.rs
@@ -0,0 +1,108 @@
+//! Lists of backend servers as they are passed from instance to instance: only what changed.
+
+use std::{collections::VecDeque, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::BackendServer;
+use crate::names::ServerId;
+
+/// Lists remembered; an instance that is further behind gets the whole list. Lists change about
+/// once a second at the most, and instances ask several times as often.
+const HISTORY: usize = 16;
+
+/// A list.
+pub type ServerList = Arc<Vec<BackendServer>>;
+
+/// Identity of a list: a hash of what it says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ListVersion(pub u64);
+
+/// What has changed since another list.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum ListNews {
+    /// Nothing.
+    Same,
+    /// Some entries.
+    Changes {
+        /// Entries that are new or changed.
+        put: Vec<BackendServer>,
+        /// Entries that are gone.
+        gone: Vec<ServerId>,
+    },
+    /// The whole list.
+    Whole(Vec<BackendServer>),
+}
+
+/// The newest lists.
+#[derive(Debug, Default)]
+pub struct ListHistory {
+    lists: VecDeque<(ListVersion, ServerList)>,
+}
+
+impl ListVersion {
+    /// Returns the version of a list.
+    pub fn of(list: &[BackendServer]) -> ListVersion {
+        let entry = |s: &BackendServer| {
+            let text = format!(
+                "{}|{}|{}|{}|{}|{}",
+                s.id, s.service, s.address, s.zone, s.slots, s.leaving
+            );
+            xxh3_64(text.as_bytes())
+        };
+        ListVersion(list.iter().map(entry).fold(list.len() as u64, |sum, hash| sum ^ hash))
+    }
+}
+
+impl ListHistory {
+    /// Takes the newest list.
+    pub fn push(&mut self, list: Vec<BackendServer>) {
+        let version = ListVersion::of(&list);
+        if self.lists.back().is_some_and(|(known, _)| *known == version) {
+            return;
+        }
+        self.lists.push_back((version, Arc::new(list)));
+        if self.lists.len() > HISTORY {
+            self.lists.pop_front();
+        }
+    }
+
+    /// Returns the newest list with its version.
+    pub fn newest(&self) -> Option<&(ListVersion, ServerList)> {
+        self.lists.back()
+    }
+
+    /// Returns what has changed since `version`.
+    pub fn since(&self, version: Option<ListVersion>) -> ListNews {
+        let Some((newest, list)) = self.lists.back() else { return ListNews::Same };
+        if version == Some(*newest) {
+            return ListNews::Same;
+        }
+        let known = self.lists.iter().find(|(known, _)| Some(*known) == version);
+        let Some((_, old)) = known else { return ListNews::Whole(list.to_vec()) };
+        let put = list.iter().filter(|server| !old.contains(server)).cloned().collect();
+        let listed = |id: &ServerId| list.iter().any(|server| server.id == *id);
+        let gone = old.iter().map(|s| s.id.clone()).filter(|id| !listed(id)).collect();
+        ListNews::Changes { put, gone }
+    }
+}
+
+impl ListNews {
+    /// Returns the list that `old` becomes.
+    pub fn apply(self, old: &[BackendServer]) -> Vec<BackendServer> {
+        match self {
+            ListNews::Same => old.to_vec(),
+            ListNews::Whole(list) => list,
+            ListNews::Changes { put, gone } => {
+                let stays = |s: &&BackendServer| {
+                    !gone.contains(&s.id) && !put.iter().any(|changed| changed.id == s.id)
+                };
+                let mut list: Vec<BackendServer> = old.iter().filter(stays).cloned().collect();
+                list.extend(put);
+                list
+            }
+        }
+    }
+}
