fix(peers): large intents are read from the store

Change: news carry the version; an intent over 16 KB is read from the store, and is passed on only to an instance that cannot read it, with a second's time. Ages confirm an intent only of the same version.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -47,6 +47,13 @@
 /// Longest pause between two exchanges: counts that are older are of no use.
 const PERIOD_MAX: Duration = Duration::from_millis(1500);
 
+/// Longest exchange that may carry a large intent: half a megabyte over the slowest link planned for.
+const LARGE_EXCHANGE_TIME: Duration = Duration::from_millis(1000);
+
+/// Largest intent passed on unasked, in bytes: a whole fleet's copies of a larger one would fill
+/// the link of the one instance that sends them all, while the store's is made for that.
+const INTENT_PASSED_ON: usize = 16 << 10;
+
 /// Instances asked when the store cannot be read.
 const ASKED: usize = 2;
 
@@ -74,6 +81,8 @@
     pub counts: Vec<Count>,
     /// Version of the intent that it has in force.
     pub version: u64,
+    /// Whether it wants a newer intent however large, since it cannot read the store.
+    pub wants_intent: bool,
     /// Its newest list of servers.
     pub list: Option<ListVersion>,
     /// Hash of the instances that it knows.
@@ -85,7 +94,9 @@
 pub struct News {
     /// The other instances' requests in flight, by server.
     pub counts: Vec<Count>,
-    /// The operator's intent, if it is newer.
+    /// Version of the intent that the other has in force.
+    pub version: u64,
+    /// The operator's intent, if it is newer, and small or wanted.
     pub intent: Option<serde_bytes::ByteBuf>,
     /// Milliseconds since the intent was known to be the newest.
     pub intent_age_ms: Option<u64>,
@@ -100,6 +111,7 @@
 /// Other instances, and what they tell.
 pub struct Peers {
     links: PeerLinks,
+    large_links: PeerLinks,
     candidates: Mutex<Candidates>,
     aggregate: Mutex<Aggregate>,
     last_round: Mutex<Option<Instant>>,
@@ -113,8 +125,10 @@
             address: settings.addresses.peers,
             cores: settings.cores,
         };
+        let links = |time| PeerLinks::new(clock.clone(), None, time, metrics.clone());
         Peers {
-            links: PeerLinks::new(clock.clone(), None, EXCHANGE_TIME, metrics.clone()),
+            links: links(EXCHANGE_TIME),
+            large_links: links(LARGE_EXCHANGE_TIME),
             candidates: Mutex::new(Candidates::new(own)),
             aggregate: Mutex::default(),
             last_round: Mutex::default(),
@@ -178,7 +192,7 @@
             lock(&gateway.picker).set_others(now, &others);
             return;
         };
-        match ask(gateway, first.address) {
+        match ask(gateway, first.address, false) {
             Ok(()) => {
                 lock(&peers.candidates).note_heard(&first.node);
                 return;
@@ -202,14 +216,14 @@
         *last = Some(now);
     }
     for address in gateway.peers.draw(&gateway.settings.seeds, ASKED) {
-        if let Err(fault) = ask(gateway, address) {
+        if let Err(fault) = ask(gateway, address, true) {
             log::info!("event=peer_silent peer={address} reason={fault:?}");
         }
     }
 }
 
-/// Makes one exchange.
-fn ask(gateway: &Gateway, address: SocketAddr) -> Result<(), String> {
+/// Makes one exchange; `wants_intent` is said where the store cannot be read.
+fn ask(gateway: &Gateway, address: SocketAddr, wants_intent: bool) -> Result<(), String> {
     let peers = &gateway.peers;
     let asked = gateway.clock.now();
     let list = gateway.knowledge.list_version();
@@ -221,11 +235,12 @@
         from,
         counts: lock(&gateway.picker).own_counts(),
         version: gateway.knowledge.version(),
+        wants_intent,
         list,
         instances,
     };
-    let news: News = peers
-        .links
+    let links = if wants_intent { &peers.large_links } else { &peers.links };
+    let news: News = links
         .call(Purpose::Loads, address, EXCHANGE_PATH, &report)
         .map_err(|e| e.to_string())?;
     take(gateway, news, list, asked);
@@ -238,7 +253,10 @@
     if let Some(as_of) = then(news.intent_age_ms) {
         match news.intent {
             Some(raw) => intent_reader::take_raw(gateway, &raw, as_of, "peer"),
-            None => gateway.knowledge.confirm(as_of),
+            None if news.version == gateway.knowledge.version() => {
+                gateway.knowledge.confirm(as_of);
+            }
+            None => {}
         }
     }
     if let Some(as_of) = then(news.list_age_ms)
@@ -246,6 +264,9 @@
     {
         roster_reader::take(gateway, servers, as_of, "peer");
     }
+    if news.version > gateway.knowledge.version() {
+        intent_reader::read_logged(gateway);
+    }
     if let Some(instances) = news.instances {
         lock(&gateway.peers.candidates).set(instances);
         gateway.conns.set_instances(gateway.instances());
@@ -257,7 +278,9 @@
     let now = gateway.clock.now();
     let knowledge = &gateway.knowledge;
     let millis = |age: Duration| u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
-    let newer = knowledge.version() > report.version;
+    let (version, raw) = (knowledge.version(), knowledge.raw_intent());
+    let passed_on = version > report.version
+        && (report.wants_intent || raw.len() <= INTENT_PASSED_ON);
     let node = report.from.node.clone();
     let instances = {
         let mut candidates = lock(&gateway.peers.candidates);
@@ -274,7 +297,8 @@
     };
     News {
         counts,
-        intent: newer.then(|| serde_bytes::ByteBuf::from(knowledge.raw_intent().to_vec())),
+        version,
+        intent: passed_on.then(|| serde_bytes::ByteBuf::from(raw.to_vec())),
         intent_age_ms: gateway.intent_known_age(now).map(millis),
         list: knowledge.list_news(report.list),
         list_age_ms: knowledge.servers_age(now).map(millis),
