feat(routing): memory of shared prompts is fetched from the server next in rank

Change: each request names the best other server of its prompt's rank, leaving ones included: the one that was home before a newer one came, before it began to leave, or from which the request spilled.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -244,6 +244,7 @@
             team: request.team.as_ref(),
             priority: request.priority,
             last_event,
+            prompt_holder: picked.holder.as_ref().map(|holder| holder.address),
         };
         lock(&gateway.picker).begin(&server.id);
         let flight = Flight { gateway, server: server.id.clone() };
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -240,9 +240,8 @@
         instances,
     };
     let links = if wants_intent { &peers.large_links } else { &peers.links };
-    let news: News = links
-        .call(Purpose::Loads, address, EXCHANGE_PATH, &report)
-        .map_err(|e| e.to_string())?;
+    let news: News =
+        links.call(Purpose::Loads, address, EXCHANGE_PATH, &report).map_err(|e| e.to_string())?;
     take(gateway, news, list, asked);
     Ok(())
 }
@@ -279,8 +278,8 @@
     let knowledge = &gateway.knowledge;
     let millis = |age: Duration| u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
     let (version, raw) = (knowledge.version(), knowledge.raw_intent());
-    let passed_on = version > report.version
-        && (report.wants_intent || raw.len() <= INTENT_PASSED_ON);
+    let passed_on =
+        version > report.version && (report.wants_intent || raw.len() <= INTENT_PASSED_ON);
     let node = report.from.node.clone();
     let instances = {
         let mut candidates = lock(&gateway.peers.candidates);
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -1,6 +1,7 @@
 //! A caller's request, understood and admitted.
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -50,6 +51,9 @@
     pub priority: u8,
     /// Last event that the caller has.
     pub last_event: Option<&'a str>,
+    /// Server from which the shared prompt's memory is fetched, where the one that runs the
+    /// request does not keep it.
+    pub prompt_holder: Option<SocketAddr>,
 }
 
 /// A request that was admitted.
--- a/src/routing/picker.rs
+++ b/src/routing/picker.rs
@@ -50,6 +50,8 @@
     pub load: f64,
     /// The bound that it was held against, in requests.
     pub bound: f64,
+    /// Server that most likely keeps the shared prompt, if this one does not.
+    pub holder: Option<Arc<BackendServer>>,
 }
 
 #[derive(Debug)]
@@ -186,7 +188,24 @@
         let under = |&(_, &i): &(usize, &usize)| loads[i] < bound && !is_full(now, pool[i]);
         let least = || rank.iter().enumerate().min_by(|a, b| loads[*a.1].total_cmp(&loads[*b.1]));
         let (place, &i) = rank.iter().enumerate().find(under).or_else(least)?;
-        Some(Picked { server: Arc::clone(&pool[i].server), rank: place, load: loads[i], bound })
+        let server = Arc::clone(&pool[i].server);
+        let holder = self.holder(now, key, &server);
+        Some(Picked { server, rank: place, load: loads[i], bound, holder })
+    }
+
+    /// Returns the server that keeps the prompt `key` if `picked` does not: the best of the key's
+    /// rank beside it, leaving ones included. That is the server before a newer one took its place,
+    /// before it began to leave, or from which the request spilled.
+    fn holder(&self, now: Instant, key: u64, picked: &BackendServer) -> Option<Arc<BackendServer>> {
+        let reachable = |t: &&Tracked| {
+            t.server.service == picked.service
+                && t.server.id != picked.id
+                && !t.health.is_paused(now)
+        };
+        let score = |t: &Tracked| rendezvous::score(key, t.server.tag(), 1.0);
+        let best =
+            self.servers.values().filter(reachable).max_by(|a, b| score(a).total_cmp(&score(b)));
+        best.map(|t| Arc::clone(&t.server))
     }
 
     fn by_load(&self, now: Instant, pool: &[&Tracked]) -> Option<Picked> {
@@ -200,7 +219,8 @@
             cost(a).total_cmp(&cost(b)).then_with(|| order(b).total_cmp(&order(a)))
         })?;
         let load = f64::from(least.load.own() + least.load.others(now).unwrap_or(0));
-        Some(Picked { server: Arc::clone(&least.server), rank: 0, load, bound: f64::INFINITY })
+        let server = Arc::clone(&least.server);
+        Some(Picked { server, rank: 0, load, bound: f64::INFINITY, holder: None })
     }
 }
 
