fix(gateway): the first connections wait for knowledge; a drained process ends at once

Change: connections wait up to 300 ms for the first intent and list; the process exits after the drain.

--- a/src/cli/gateway.rs
+++ b/src/cli/gateway.rs
@@ -44,7 +44,9 @@
         reload(cx, &instance);
     }
     instance.drain();
-    Ok(())
+    log_sink::flush();
+    // Stopping the listeners one by one could take longer than the kill lets it.
+    std::process::exit(0)
 }
 
 /// Reads the settings again; faulty ones change nothing.
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -24,6 +24,10 @@
 const HEAD_TIME_FIRST: Duration = Duration::from_secs(3);
 const IDLE_TIME_FIRST: Duration = Duration::from_secs(15);
 
+/// How long the first connections wait for an instance that is starting; callers give up on a
+/// connection that is not read for a second.
+const START_PATIENCE: Duration = Duration::from_millis(300);
+
 /// When to come back to an instance that does not know enough to answer.
 const RETRY_AFTER_UNKNOWING: Duration = Duration::from_millis(200);
 
@@ -35,6 +39,8 @@
 
 /// Serves a connection until it ends.
 pub fn serve(gateway: &Gateway, mut conn: Conn) {
+    // An instance that has just started knows enough within some hundredths of a second.
+    gateway.knowledge.wait_complete(START_PATIENCE);
     while wait_for_request(gateway, &mut conn) && serve_one(gateway, &mut conn) {}
 }
 
--- a/src/gateway/drain.rs
+++ b/src/gateway/drain.rs
@@ -19,8 +19,8 @@
 /// When idle connections of callers are closed after the signal: by then new ones go elsewhere.
 const IDLE_CLOSED: Duration = Duration::from_millis(2200);
 
-/// Time before the kill at which the process ends by itself.
-const END_BEFORE_KILL: Duration = Duration::from_millis(400);
+/// Time before the kill at which the process ends by itself: room for a slow machine's last steps.
+const END_BEFORE_KILL: Duration = Duration::from_millis(700);
 
 /// Pause between two looks at the requests under way.
 const LOOK_PERIOD: Duration = Duration::from_millis(50);
--- a/src/gateway/knowledge.rs
+++ b/src/gateway/knowledge.rs
@@ -2,7 +2,7 @@
 //! is.
 
 use std::{
-    sync::{Arc, Mutex},
+    sync::{Arc, Condvar, Mutex, PoisonError},
     time::{Duration, Instant},
 };
 
@@ -28,9 +28,30 @@
     raw_intent: Mutex<Arc<Vec<u8>>>,
     /// Lists of servers, for other instances.
     lists: Mutex<ListHistory>,
+    /// Whether there is an intent and a list of servers.
+    complete: Mutex<bool>,
+    became_complete: Condvar,
 }
 
 impl Knowledge {
+    /// Returns whether there is an intent and a list of servers; waits up to `patience` for that.
+    pub fn wait_complete(&self, patience: Duration) -> bool {
+        let complete = lock(&self.complete);
+        if *complete {
+            return true;
+        }
+        let waited = self.became_complete.wait_timeout_while(complete, patience, |done| !*done);
+        *waited.unwrap_or_else(PoisonError::into_inner).0
+    }
+
+    fn note_progress(&self) {
+        let listed = lock(&self.roster).servers().next().is_some();
+        if listed && self.current.load().is_some() {
+            *lock(&self.complete) = true;
+            self.became_complete.notify_all();
+        }
+    }
+
     /// Returns the intent in force.
     pub fn intent(&self) -> Option<Arc<Intent>> {
         self.current.load_full()
@@ -58,6 +79,8 @@
         if version >= in_force.version() {
             self.confirm(as_of);
         }
+        drop(in_force);
+        self.note_progress();
         newer
     }
 
@@ -84,7 +107,10 @@
             return RosterChange::default();
         }
         lock(&self.lists).push(list.clone());
-        roster.observe(now, as_of, list)
+        let change = roster.observe(now, as_of, list);
+        drop(roster);
+        self.note_progress();
+        change
     }
 
     /// Runs `f` with the servers in force.
--- a/src/gateway/log_sink.rs
+++ b/src/gateway/log_sink.rs
@@ -26,6 +26,25 @@
 /// Pause between two writes, so that many lines share one.
 const WRITE_PAUSE: Duration = Duration::from_millis(100);
 
+/// Longest wait for the last lines at the end of the process.
+const FLUSH_TIME: Duration = Duration::from_millis(250);
+
+/// Pause between two looks whether the last lines are written.
+const FLUSH_LOOK: Duration = Duration::from_millis(10);
+
+/// Lines that wait to be written.
+static WAITING: AtomicU64 = AtomicU64::new(0);
+
+/// Waits until all lines are written, for a quarter of a second at most.
+pub fn flush() {
+    for _ in 0..FLUSH_TIME.as_millis() / FLUSH_LOOK.as_millis() {
+        if WAITING.load(Ordering::SeqCst) == 0 {
+            return;
+        }
+        thread::sleep(FLUSH_LOOK);
+    }
+}
+
 /// Starts logging for the process.
 ///
 /// # Errors
@@ -56,7 +75,9 @@
 }
 
 fn offer(tx: &SyncSender<String>, line: String, dropped: &AtomicU64) {
+    WAITING.fetch_add(1, Ordering::SeqCst);
     if tx.try_send(line).is_err() {
+        WAITING.fetch_sub(1, Ordering::SeqCst);
         dropped.fetch_add(1, Ordering::Relaxed);
     }
 }
@@ -67,7 +88,9 @@
         thread::sleep(WRITE_PAUSE);
         let mut text = first;
         text.push('\n');
+        let mut lines = 1;
         for line in rx.try_iter() {
+            lines += 1;
             text.push_str(&line);
             text.push('\n');
         }
@@ -79,5 +102,6 @@
             // Nobody reads the output; requests go on without it.
             dropped.fetch_add(left_out, Ordering::Relaxed);
         }
+        WAITING.fetch_sub(lines, Ordering::SeqCst);
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -223,7 +223,10 @@
     }
 
     /// Leaves: not ready at once, no request cut; returns whether every request finished.
-    pub fn drain(self) -> bool {
+    ///
+    /// The listeners stay until the process ends: a caller that comes at the last moment is better
+    /// off with a closed connection than with none.
+    pub fn drain(&self) -> bool {
         let grace = self.gateway.settings.bounds.grace;
         self.gateway.drain.start(self.gateway.clock.now(), grace);
         log::warn!("event=draining under_way={}", self.gateway.drain.busy());
