feat(gateway): log lines that explain a request, metrics of what is believed; tests of the process

Cause: a line of a request told its end but not what decided it; values with spaces broke the lines' fields; metrics lacked ages, store calls and the budget. Tests: process.rs (signals in series, bad settings), logs, metrics, callers that leave or half-close, pipelined requests.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -6,7 +6,7 @@
 
 use super::{
     Gateway,
-    forward::{Done, Forwarding},
+    forward::{Decided, Done, Forwarding},
     reply::OwnAnswer,
     request::{Asked, Request},
 };
@@ -169,32 +169,41 @@
     let keep = head.keep_alive() && !gateway.drain.is_draining();
     let head_only = head.method == Method::HEAD;
     let target = head.target.clone();
+    let id = adapter::headers::request_id(&head).unwrap_or_default().to_owned();
     match admit(gateway, head, body, intent, began) {
         Ok(request) => {
             gateway.note_request(began, &request.service);
-            let done = Forwarding::new(gateway, &request).run(conn);
-            log_end(gateway, &request, &done);
+            let (done, decided) = Forwarding::new(gateway, &request).run(conn);
+            log_end(gateway, &request, &done, decided.as_ref());
             Ended { done: Some(done), service: request.service.to_string() }
         }
         Err(own) => {
             let keep = own.send(conn, keep, head_only);
             log::info!(
-                "event=refused status={} reason={:?} target={target:?} version={} age_ms={}",
+                "event=refused request={id} status={} reason={:?} target={target:?} version={} \
+                 version_age_ms={}",
                 own.status.as_u16(),
                 own.reason,
                 gateway.knowledge.version(),
-                gateway.knowledge.intent_age(began).map_or(0, |age| age.as_millis())
+                gateway.intent_known_age(began).map_or(-1, |age| age.as_millis() as i64)
             );
             Ended { done: Some(done_of(&own, keep)), service: String::new() }
         }
     }
 }
 
-fn log_end(gateway: &Gateway, request: &Request, done: &Done) {
-    let took = gateway.clock.now().saturating_duration_since(request.began);
+fn log_end(gateway: &Gateway, request: &Request, done: &Done, decided: Option<&Decided>) {
+    let now = gateway.clock.now();
+    let millis = |age: Option<Duration>| age.map_or(-1, |age| age.as_millis() as i64);
+    let decided = decided.map_or_else(String::new, |d| {
+        format!(
+            " server={} rank={} load={:.1} bound={:.1} arrivals={}",
+            d.server, d.rank, d.load, d.bound, d.arrivals
+        )
+    });
     log::info!(
         "event=request request={} route={} service={} team={} status={} outcome={} reason={:?} \
-         took_ms={}",
+         took_ms={} version={} version_age_ms={} servers_age_ms={}{decided}",
         request.asked.id,
         request.route.name,
         request.service,
@@ -202,7 +211,10 @@
         done.status,
         done.outcome,
         done.reason,
-        took.as_millis()
+        now.saturating_duration_since(request.began).as_millis(),
+        request.version,
+        millis(gateway.intent_known_age(now)),
+        millis(gateway.knowledge.servers_age(now)),
     );
 }
 
@@ -259,6 +271,7 @@
         until: began + deadline,
         keep_alive,
         http10: head.http10,
+        version: intent.version,
         asked,
     })
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -53,6 +53,21 @@
     pub reason: &'static str,
 }
 
+/// What decided where a request went, for its log line.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Decided {
+    /// Last server that it was sent to.
+    pub server: ServerId,
+    /// The server's place in the request's rank.
+    pub rank: usize,
+    /// Its load as believed, in requests.
+    pub load: f64,
+    /// The bound that the load was held against.
+    pub bound: f64,
+    /// Times that the request may have arrived somewhere.
+    pub arrivals: u32,
+}
+
 /// An answer whose head has come from the server that was picked for it.
 pub struct Opened<'g> {
     /// The answer.
@@ -99,6 +114,7 @@
     granted: bool,
     last_fault: Option<AttemptFault>,
     last_failure: Option<WholeAnswer>,
+    decided: Option<Decided>,
 }
 
 impl<'a> Forwarding<'a> {
@@ -113,16 +129,22 @@
             granted: false,
             last_fault: None,
             last_failure: None,
+            decided: None,
         }
     }
 
     /// Carries the request through and answers the caller on `conn`.
-    pub fn run(mut self, conn: &mut Conn) -> Done {
+    pub fn run(mut self, conn: &mut Conn) -> (Done, Option<Decided>) {
+        let done = self.carry(conn);
+        (done, self.decided)
+    }
+
+    fn carry(&mut self, conn: &mut Conn) -> Done {
         loop {
             let Some(opened) = self.open(Some(conn), None) else { return self.give_up(conn) };
             let streams = self.request.route.kind.is_stream();
             if streams && opened.answer.head.status.is_success() {
-                match stream::pass(&mut self, conn, opened) {
+                match stream::pass(self, conn, opened) {
                     Some(done) => return done,
                     None => continue,
                 }
@@ -251,6 +273,13 @@
         };
         self.arrivals += 1;
         self.granted = false;
+        self.decided = Some(Decided {
+            server: server.id.clone(),
+            rank: picked.rank,
+            load: picked.load,
+            bound: picked.bound,
+            arrivals: self.arrivals,
+        });
         // A caller that leaves ends only what may run again or is a stream: ending anything else
         // leaves its outcome in doubt.
         let watched = if request.route.kind == RouteKind::AtMostOnce { None } else { caller };
--- a/src/gateway/log_sink.rs
+++ b/src/gateway/log_sink.rs
@@ -35,6 +35,14 @@
 /// Lines that wait to be written.
 static WAITING: AtomicU64 = AtomicU64::new(0);
 
+/// Lines left out that no metric has counted yet.
+static LEFT_OUT: AtomicU64 = AtomicU64::new(0);
+
+/// Returns the lines left out since the last call.
+pub fn take_left_out() -> u64 {
+    LEFT_OUT.swap(0, Ordering::Relaxed)
+}
+
 /// Waits until all lines are written, for a quarter of a second at most.
 pub fn flush() {
     for _ in 0..FLUSH_TIME.as_millis() / FLUSH_LOOK.as_millis() {
@@ -67,7 +75,8 @@
                 return;
             }
             let at = humantime::format_rfc3339_millis(clock.wall()).to_string();
-            let line = logging::json_line(&at, &instance, record, &record.args().to_string());
+            let line =
+                logging::event_line(&at, &instance, record.level(), &record.args().to_string());
             offer(&tx, line, &dropped);
         }))
         .apply()?;
@@ -96,6 +105,7 @@
         }
         let left_out = dropped.swap(0, Ordering::Relaxed);
         if left_out > 0 {
+            LEFT_OUT.fetch_add(left_out, Ordering::Relaxed);
             text.push_str(&format!("{{\"event\":\"lines_left_out\",\"count\":{left_out}}}\n"));
         }
         if out.write_all(text.as_bytes()).and_then(|()| out.flush()).is_err() {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -83,6 +83,7 @@
     callers: Listener,
     peers: Listener,
     readiness: SocketAddr,
+    metrics: Option<SocketAddr>,
 }
 
 impl Gateway {
@@ -175,6 +176,27 @@
         self.intent_known_age(now).is_some_and(|age| age <= bound)
     }
 
+    /// Brings the metrics that are looked up, not counted, up to date.
+    fn show_gauges(&self) {
+        let now = self.clock.now();
+        self.metrics.revision(self.knowledge.version());
+        for (subject, age) in
+            [("intent", self.intent_known_age(now)), ("servers", self.knowledge.servers_age(now))]
+        {
+            if let Some(age) = age {
+                self.metrics.knowledge_age(subject, age);
+            }
+        }
+        let terms = &self.settings.bounds.retries;
+        for (service, budget) in lock(&self.budgets).iter_mut() {
+            self.metrics.budget_spent(service, budget.spent(now, terms));
+        }
+        for (server, count) in lock(&self.picker).in_flight() {
+            self.metrics.in_flight_at(server, count);
+        }
+        self.metrics.log_lines_left_out(log_sink::take_left_out());
+    }
+
     /// Returns whether callers should be sent here.
     pub fn is_ready(&self) -> bool {
         let served = self.knowledge.with_servers(|roster| roster.servers().next().is_some());
@@ -193,7 +215,7 @@
         let gateway = Arc::new(Gateway {
             clock: clock.clone(),
             metrics: metrics.clone(),
-            store: Store::new(settings.source.address),
+            store: Store::new(settings.source.address, metrics.clone()),
             knowledge: Knowledge::default(),
             picker: Mutex::new(Picker::new(settings.zone.clone(), settings.bounds.load)),
             conns: ServerConns::new(clock.clone()),
@@ -205,6 +227,7 @@
             settings,
         });
         let readiness = serve_readiness(&gateway)?;
+        let metrics = serve_metrics(&gateway);
         let peers = serve_peers(&gateway)?;
         gateway.peers.advertise(peers.address());
         background(&gateway, "intent", intent_reader::run)?;
@@ -218,7 +241,7 @@
             gateway.settings.zone,
             callers.address()
         );
-        Ok(GatewayHandle { gateway, callers, peers, readiness })
+        Ok(GatewayHandle { gateway, callers, peers, readiness, metrics })
     }
 
     /// Returns what the instance's parts share.
@@ -241,6 +264,11 @@
         self.readiness
     }
 
+    /// Returns the address of the metrics, if they are served.
+    pub fn metrics(&self) -> Option<SocketAddr> {
+        self.metrics
+    }
+
     /// Leaves: not ready at once, no request cut; returns whether every request finished.
     ///
     /// The listeners stay until the process ends: a caller that comes at the last moment is better
@@ -269,17 +297,21 @@
 fn serve_readiness(gateway: &Arc<Gateway>) -> anyhow::Result<SocketAddr> {
     let address = gateway.settings.addresses.readiness;
     let serving = Arc::clone(gateway);
-    serve_small(address, "readiness", move |request| {
-        if request.url() == METRICS_PATH {
-            return rouille::Response::text(serving.metrics.text());
-        }
+    serve_small(address, "readiness", move |_| {
         let status = if serving.is_ready() { 200 } else { 503 };
         rouille::Response::text("").with_status_code(status)
     })
 }
 
-/// Path of the metrics, on the address of readiness checks.
-const METRICS_PATH: &str = "/metrics";
+/// Serves the metrics at any path; an address that is taken costs the metrics, not the instance.
+fn serve_metrics(gateway: &Arc<Gateway>) -> Option<SocketAddr> {
+    let serving = Arc::clone(gateway);
+    let served = serve_small(gateway.settings.addresses.metrics, "metrics", move |_| {
+        serving.show_gauges();
+        rouille::Response::text(serving.metrics.text())
+    });
+    served.inspect_err(|fault| log::error!("event=no_metrics reason=\"{fault:#}\"")).ok()
+}
 
 fn serve_peers(gateway: &Arc<Gateway>) -> anyhow::Result<Listener> {
     let listen = gateway.settings.addresses.peers;
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -83,6 +83,8 @@
     pub keep_alive: bool,
     /// Whether the caller speaks HTTP/1.0.
     pub http10: bool,
+    /// Version of the intent by which it was admitted.
+    pub version: u64,
 }
 
 impl Request {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -45,6 +45,8 @@
     pub readiness: SocketAddr,
     /// For other instances.
     pub peers: SocketAddr,
+    /// For whoever collects metrics.
+    pub metrics: SocketAddr,
 }
 
 /// Where backend servers and the operator's intent are read.
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -51,6 +51,63 @@
     serde_json::Value::Object(object).to_string()
 }
 
+/// Keys whose values are numbers, beside those that end in `_ms`. Ids may look like numbers and are
+/// never taken for them.
+const NUMBERS: [&str; 9] =
+    ["status", "version", "rank", "load", "bound", "arrivals", "routes", "under_way", "count"];
+
+/// Returns a line of `key=value` words as a JSON object; a value in quotes may hold spaces. Words that
+/// are no pair are kept under `message`.
+pub fn event_line(at: &str, instance: &str, level: Level, message: &str) -> String {
+    let mut object = serde_json::Map::new();
+    object.insert("at".to_owned(), at.into());
+    object.insert("level".to_owned(), level_name(level).into());
+    object.insert("instance".to_owned(), instance.into());
+    let mut rest = message.trim();
+    let mut words = Vec::new();
+    while !rest.is_empty() {
+        let (word, after) = split_word(rest);
+        rest = after.trim_start();
+        match word.split_once('=') {
+            Some((key, value)) if is_key(key) => {
+                object.insert(key.to_owned(), value_of(key, value));
+            }
+            _ => words.push(word),
+        }
+    }
+    if !words.is_empty() {
+        object.insert("message".to_owned(), words.join(" ").into());
+    }
+    serde_json::Value::Object(object).to_string()
+}
+
+/// Splits off the first word; spaces inside quotes belong to it.
+fn split_word(text: &str) -> (&str, &str) {
+    let (mut quoted, mut escaped) = (false, false);
+    for (at, c) in text.char_indices() {
+        match c {
+            ' ' if !quoted => return text.split_at(at),
+            '"' if !escaped => quoted = !quoted,
+            _ => {}
+        }
+        escaped = c == '\\' && !escaped;
+    }
+    (text, "")
+}
+
+fn is_key(key: &str) -> bool {
+    !key.is_empty() && key.bytes().all(|b| b.is_ascii_lowercase() || b == b'_')
+}
+
+fn value_of(key: &str, text: &str) -> serde_json::Value {
+    let is_number = key.ends_with("_ms") || NUMBERS.contains(&key);
+    match serde_json::from_str(text) {
+        Ok(value @ serde_json::Value::Number(_)) if is_number => value,
+        Ok(value @ serde_json::Value::String(_)) => value,
+        _ => text.trim_matches('"').into(),
+    }
+}
+
 fn level_name(level: Level) -> &'static str {
     match level {
         Level::Error => "error",
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -86,6 +86,10 @@
     revision: Gauge<u64>,
     homes: Gauge<u64>,
     claims: Counter<u64>,
+    store_calls: Counter<u64>,
+    knowledge_age: Gauge<f64>,
+    budget_spent: Gauge<u64>,
+    log_lines_left_out: Counter<u64>,
 }
 
 /// The instance's metrics; clones share them.
@@ -164,7 +168,7 @@
             ),
             engine_load: gauge(
                 "cartvane_engine_load",
-                "Permits in force, by backend server, at its home",
+                "Requests in flight by backend server: permits at its home, own requests on a platform",
             ),
             load_bound: gauge(
                 "cartvane_load_bound",
@@ -174,6 +178,23 @@
             revision: gauge("cartvane_revision", "Revision in force"),
             homes: gauge("cartvane_homes", "Shards whose home this instance is"),
             claims: counter("cartvane_claims", "Claims of idempotency keys, by verdict"),
+            store_calls: counter(
+                "cartvane_store_calls",
+                "Calls to the platform's store, by kind and result",
+            ),
+            knowledge_age: meter
+                .f64_gauge("cartvane_knowledge_age")
+                .with_unit("s")
+                .with_description("Time since what is believed was known to be current, by subject")
+                .build(),
+            budget_spent: gauge(
+                "cartvane_retry_budget_spent",
+                "Repeats in the retry window, by service, at this instance",
+            ),
+            log_lines_left_out: counter(
+                "cartvane_log_lines_left_out",
+                "Log lines left out since there were too many",
+            ),
         };
         Ok(Metrics { registry, _provider: provider, i: Arc::new(i) })
     }
@@ -276,4 +297,29 @@
     pub fn claim(&self, verdict: &'static str) {
         self.i.claims.add(1, &[kv("verdict", verdict)]);
     }
+
+    /// Notes a call to the platform's store.
+    pub fn store_call(&self, kind: &'static str, result: &'static str) {
+        self.i.store_calls.add(1, &[kv("kind", kind), kv("result", result)]);
+    }
+
+    /// Shows how old what is believed is.
+    pub fn knowledge_age(&self, subject: &'static str, age: Duration) {
+        self.i.knowledge_age.record(age.as_secs_f64(), &[kv("subject", subject)]);
+    }
+
+    /// Shows the repeats spent in the retry window.
+    pub fn budget_spent(&self, service: &impl fmt::Display, repeats: usize) {
+        self.i.budget_spent.record(repeats as u64, &[kv("service", service)]);
+    }
+
+    /// Notes log lines that were left out.
+    pub fn log_lines_left_out(&self, count: u64) {
+        self.i.log_lines_left_out.add(count, &[]);
+    }
+
+    /// Shows the requests in flight at a backend server.
+    pub fn in_flight_at(&self, server: &impl fmt::Display, count: u32) {
+        self.i.engine_load.record(u64::from(count), &[kv("backend_server", server)]);
+    }
 }
--- a/src/routing/picker.rs
+++ b/src/routing/picker.rs
@@ -175,7 +175,8 @@
         let mean = shares.sum::<f64>() / usable.len().max(1) as f64;
         let works = |t: &&&Tracked| {
             let (share, enough) = t.health.failure_share(now);
-            !t.health.is_paused(now) && !(enough && share > mean + FAILURES_BEYOND_MEAN)
+            let fails_more = enough && share > mean + FAILURES_BEYOND_MEAN;
+            !t.health.is_paused(now) && !fails_more
         };
         usable.iter().filter(works).copied().collect()
     }
--- a/tests/suite/files.rs
+++ b/tests/suite/files.rs
@@ -231,3 +231,19 @@
     assert_eq!(member("message"), message);
     assert_eq!((member("id"), member("backend_server")), ("7-1".to_owned(), "app-1".to_owned()));
 }
+
+#[test]
+fn lines_of_events_are_objects_whatever_their_values_hold() {
+    let line = |message: &str| -> serde_json::Value {
+        let line = cartvane::logging::event_line("t", "i", log::Level::Info, message);
+        serde_json::from_str(&line).expect("a line is a JSON object")
+    };
+    let told = line(
+        "event=refused status=404 reason=\"no route \\\"x y\\\" here\" target=\"/a b=c\" rest",
+    );
+    assert_eq!(told["status"], 404);
+    assert_eq!(told["reason"], "no route \"x y\" here");
+    assert_eq!(told["target"], "/a b=c");
+    assert_eq!(told["message"], "rest");
+    assert_eq!(line("event=x request=12e5 empty= odd=\"unended")["request"], "12e5");
+}
--- a/tests/suite/gateway.rs
+++ b/tests/suite/gateway.rs
@@ -32,7 +32,12 @@
     GatewaySettings {
         node: node.parse().expect("a name"),
         zone: "north".parse().expect("a zone"),
-        addresses: Addresses { callers: port(0), readiness: port(0), peers: port(0) },
+        addresses: Addresses {
+            callers: port(0),
+            readiness: port(0),
+            peers: port(0),
+            metrics: port(0),
+        },
         seeds,
         source: RosterSource { address: store, heartbeat: Duration::from_millis(1200) },
         cores: 1.0,
@@ -514,6 +519,74 @@
     assert_eq!(world.runs("r1"), 1);
 }
 
+/// Whatever a request's kind, what may end with its caller does, before its first byte and after.
+#[test]
+fn a_caller_that_leaves_ends_its_stream() {
+    let world = start(1);
+    for fault in
+        [Fault::StallHead(Duration::from_secs(3)), Fault::SilentAfter(2, Duration::from_secs(3))]
+    {
+        world.fault(fault);
+        let target = if matches!(fault, Fault::StallHead(_)) { "/idem/" } else { "/stream/" };
+        let mut conn =
+            Conn::connect(world.instance.callers(), Duration::from_secs(1), &Clock::system())
+                .expect("a connection");
+        conn.send(&call(target, "r1").bytes(), Duration::from_secs(1)).expect("sent");
+        let in_flight = || {
+            let picker = world.instance.gateway().picker.lock().expect("the picker");
+            picker.in_flight().map(|(_, own)| own).sum::<u32>()
+        };
+        eventually("it is under way", || in_flight() == 1);
+        conn.cut();
+        eventually("it has ended", || in_flight() == 0);
+    }
+}
+
+/// A request that may run once is carried through when its caller only closes its sending side.
+#[test]
+fn a_caller_that_half_closes_still_gets_its_answer() {
+    use std::io::{Read, Write};
+    let world = start(1);
+    world.fault(Fault::Late(Duration::from_millis(200)));
+    let mut stream = std::net::TcpStream::connect(world.instance.callers()).expect("connected");
+    stream.write_all(&call("/once/", "r1").bytes()).expect("sent");
+    stream.shutdown(std::net::Shutdown::Write).expect("half closed");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
+#[test]
+fn pipelined_requests_are_answered_in_order() {
+    use std::io::{Read, Write};
+    let world = start(1);
+    let mut stream = std::net::TcpStream::connect(world.instance.callers()).expect("connected");
+    let last = call("/once/", "r3").with("connection", "close").bytes();
+    let all = [call("/once/", "r1").bytes(), call("/idem/", "r2").bytes(), last].concat();
+    stream.write_all(&all).expect("sent");
+    let mut answers = String::new();
+    stream.read_to_string(&mut answers).expect("answers");
+    let ids: Vec<&str> =
+        answers.lines().filter_map(|line| line.strip_prefix("x-request-id: ")).collect();
+    assert_eq!(ids, ["r1", "r2", "r3"]);
+}
+
+#[test]
+fn metrics_tell_of_requests_and_of_what_is_believed() {
+    let world = start(1);
+    (0..3).for_each(|i| assert_eq!(world.send(&call("/idem/", &format!("r{i}"))).status, 200));
+    let get = Call { method: "GET".into(), ..call("/metrics", "m") };
+    let text = get.send(world.instance.metrics().expect("metrics")).text();
+    for name in [
+        "cartvane_requests_total{outcome=\"run\",service=\"app\",status=\"200\"} 3",
+        "cartvane_knowledge_age_seconds{subject=\"servers\"}",
+        "cartvane_store_calls_total{kind=\"rows\",result=\"done\"}",
+        "cartvane_retry_budget_spent{service=\"app\"} 0",
+    ] {
+        assert!(text.contains(name), "{name} is not in {text}");
+    }
+}
+
 #[test]
 fn kept_connections_serve_request_after_request() {
     let world = start(1);
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -11,6 +11,7 @@
 mod machines;
 mod orders;
 mod platform;
+mod process;
 mod routing;
 mod sessions;
 mod support;
--- /dev/null
+++ b/tests/suite/process.rs
@@ -0,0 +1,172 @@
+//! `cartvane gateway` as a process: settings, signals, log lines.
+
+use std::{
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    process::{Child, Command, Stdio},
+    sync::{Arc, Mutex},
+    thread,
+    time::Duration,
+};
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use standins::{caller::Call, fault::Fault, listed::Listed, store::StoreStandIn};
+
+use crate::support::{BINARY, eventually};
+
+const KEY: &str = "key-of-crew";
+
+struct Process {
+    child: Child,
+    lines: Arc<Mutex<Vec<Value>>>,
+}
+
+fn boot(store: SocketAddr) -> Value {
+    json!({
+        "node_name": "one", "zone": "north",
+        "listen": {
+            "frontend": "127.0.0.1:0", "readiness": "127.0.0.1:0", "control": "127.0.0.1:0"
+        },
+        "limits": {"max_fds": 1000},
+        "bounds": {
+            "drain_ms": 400, "grace_s": 6, "config_apply_ms": 800, "retry_budget_ratio": 0.2,
+            "retry_window_s": 10, "budget_slack": 50
+        },
+        "platform": {"address": store.to_string()}
+    })
+}
+
+fn intent() -> Value {
+    json!({
+        "version": 3,
+        "routes": [{
+            "name": "once", "host": "cartvane", "path_prefix": "/once/", "type": "non_idempotent",
+            "timeout_ms": 5000, "service": "app", "max_attempts": 1
+        }],
+        "services": [{"name": "app", "max_connections": 100}],
+        "tenants": [{"name": "crew", "api_keys": [KEY]}]
+    })
+}
+
+impl Process {
+    fn start(path: &std::path::Path) -> Process {
+        let mut child = Command::new(BINARY)
+            .arg("gateway")
+            .env("CARTVANE_BOOT", path)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the process starts");
+        let out = BufReader::new(child.stdout.take().expect("its output"));
+        let lines: Arc<Mutex<Vec<Value>>> = Arc::default();
+        let read = Arc::clone(&lines);
+        thread::spawn(move || {
+            for line in out.lines().map_while(Result::ok) {
+                let value = serde_json::from_str(&line).expect("a line is a JSON object");
+                read.lock().expect("the lines").push(value);
+            }
+        });
+        Process { child, lines }
+    }
+
+    fn event(&self, name: &str) -> Option<Value> {
+        let lines = self.lines.lock().expect("the lines");
+        lines.iter().find(|line| line["event"] == name).cloned()
+    }
+
+    fn wait_for(&self, name: &str) -> Value {
+        eventually(name, || self.event(name).is_some());
+        self.event(name).expect("it came")
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw).expect("a pid");
+        kill_process(pid, signal).expect("the process takes signals");
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn file(name: &str, text: &str) -> std::path::PathBuf {
+    let path = std::env::temp_dir().join(format!("cartvane-{}-{name}.json", std::process::id()));
+    std::fs::write(&path, text).expect("the file is written");
+    path
+}
+
+#[test]
+fn signals_drain_and_reload_and_nothing_else_ends_a_process() {
+    let store = StoreStandIn::spawn().expect("a store");
+    let server = Listed::spawn("s0").expect("a server");
+    store.put("servers", "s0", &server.entry("app", "ready"));
+    store.put("op", "config", &intent());
+    let path = file("signals", &boot(store.address()).to_string());
+    let mut process = Process::start(&path);
+    let started = process.wait_for("started");
+    process.wait_for("intent_in_force");
+    let callers: SocketAddr =
+        started["callers"].as_str().and_then(|a| a.parse().ok()).expect("an address");
+    let call = |id: &str| {
+        Call::post("/once/", KEY, "body").with("x-request-id", id).with("x-deadline-ms", 4000)
+    };
+    process.signal(Signal::HUP);
+    process.wait_for("reloaded");
+    std::fs::write(&path, "{\"node_name\": \"one\"}").expect("the file is written");
+    process.signal(Signal::HUP);
+    let refused = process.wait_for("reload_refused");
+    assert!(refused["reason"].as_str().is_some_and(|r| r.contains("zone")), "{refused}");
+    assert_eq!(call("r1").send(callers).status, 200);
+    server.faults.set_standing(Some(Fault::Late(Duration::from_millis(800))));
+    let under_way = thread::spawn(move || {
+        Call::post("/once/", KEY, "body").with("x-request-id", "r2").send(callers)
+    });
+    eventually("it is under way", || server.runs("r2") == 1);
+    process.signal(Signal::TERM);
+    process.wait_for("draining");
+    process.signal(Signal::TERM);
+    process.signal(Signal::HUP);
+    let answer = under_way.join().expect("an answer");
+    assert_eq!((answer.status, answer.header("connection")), (200, "close"));
+    assert!(process.child.wait().expect("it ends").success());
+    process.wait_for("stopped");
+    let line = {
+        let lines = process.lines.lock().expect("the lines");
+        lines.iter().find(|line| line["request"] == "r2").cloned().expect("a line of the request")
+    };
+    for (name, value) in
+        [("status", json!(200)), ("outcome", json!("run")), ("server", json!("s0"))]
+    {
+        assert_eq!(line[name], value, "{line}");
+    }
+    assert!(line["took_ms"].is_number() && line["version"] == 3, "{line}");
+    std::fs::remove_file(path).expect("the file is removed");
+}
+
+#[test]
+fn bad_settings_end_a_process_with_a_line_that_names_the_fault() {
+    let cases = [("", "line 1"), ("[", "line 1"), ("{}", "node_name"), ("\u{feff}{}", "line 1")];
+    for (number, (text, told)) in cases.into_iter().enumerate() {
+        let path = file(&format!("bad{number}"), text);
+        let output = Command::new(BINARY)
+            .arg("gateway")
+            .env("CARTVANE_BOOT", &path)
+            .output()
+            .expect("the process runs");
+        assert_eq!(output.status.code(), Some(1), "{text:?}");
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(said.contains(told), "{said:?} does not tell of {told:?}");
+        std::fs::remove_file(path).expect("the file is removed");
+    }
+    let output = Command::new(BINARY)
+        .arg("gateway")
+        .env("CARTVANE_BOOT", "/nowhere/at/all.json")
+        .output()
+        .expect("the process runs");
+    assert_eq!(output.status.code(), Some(1));
+}
