feat(soak): a fault soak of real processes under drawn faults

Runs instances as processes behind loopback proxies (delayed, cut one way, silent, reset), with signals (end, kill, freeze, reload), a store that misbehaves, servers that leave, crash or answer wrongly, and changes of intent, all drawn from one seed and overlapping; checks whole and own answers, at most one run, true refusals, changes in force and never back, nothing new at a leaving server, and recovery. Not checked: the load bound; clocks, as only logs use the time of day.

--- /dev/null
+++ b/soak/src/callers.rs
@@ -0,0 +1,125 @@
+//! Callers: each sends one request after the other on connections that it keeps until they end.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use cartvane::{clock::Clock, link::http1::Conn, utils::sync::lock};
+use fastrand::Rng;
+use standins::{
+    caller::{Answer, Call},
+    listed::{events, expected},
+};
+
+use crate::{
+    checks::Checks,
+    fleet::{Fleet, KEY},
+};
+
+/// Longest wait for an answer: over the routes' timeout and a frozen instance's pause.
+const ANSWER_TIME: Duration = Duration::from_secs(8);
+
+/// Longest pause between two requests of a caller.
+const PAUSE_MAX_MS: u64 = 30;
+
+/// Running callers.
+pub(crate) struct Callers {
+    stop: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Callers {
+    /// Starts `count` callers whose choices follow from `seed`.
+    pub(crate) fn spawn(
+        count: usize,
+        seed: u64,
+        fleet: &Arc<Fleet>,
+        checks: &Arc<Checks>,
+    ) -> Callers {
+        let stop = Arc::new(AtomicBool::new(false));
+        let start = |number: usize| {
+            let (fleet, checks, stop) = (Arc::clone(fleet), Arc::clone(checks), Arc::clone(&stop));
+            let rng = Rng::with_seed(seed.wrapping_mul(1000) + number as u64);
+            thread::spawn(move || call_until(&stop, number, rng, &fleet, &checks))
+        };
+        let threads = (0..count).map(start).collect();
+        Callers { stop, threads }
+    }
+
+    /// Ends the callers after their last answers.
+    pub(crate) fn finish(self) {
+        self.stop.store(true, Ordering::SeqCst);
+        for thread in self.threads {
+            if thread.join().is_err() {
+                eprintln!("soak: a caller panicked");
+            }
+        }
+    }
+}
+
+fn call_until(stop: &AtomicBool, number: usize, mut rng: Rng, fleet: &Fleet, checks: &Checks) {
+    let mut sent = 0;
+    while !stop.load(Ordering::SeqCst) {
+        let instance = rng.usize(..fleet.instances.len());
+        let address = lock(&fleet.instances[instance]).callers;
+        let conn = Conn::connect(address, Duration::from_secs(1), &Clock::system());
+        let Ok(mut conn) = conn else {
+            thread::sleep(Duration::from_millis(rng.u64(..PAUSE_MAX_MS)));
+            continue;
+        };
+        // Kept connections are used until they end, whatever happens to the instance.
+        for _ in 0..rng.u32(1..20) {
+            sent += 1;
+            let id = format!("c{number}-{sent}");
+            if stop.load(Ordering::SeqCst) || !one(&mut conn, &id, &mut rng, checks) {
+                break;
+            }
+            thread::sleep(Duration::from_millis(rng.u64(..PAUSE_MAX_MS)));
+        }
+    }
+}
+
+/// Sends one request and checks its answer; returns whether the connection goes on.
+fn one(conn: &mut Conn, id: &str, rng: &mut Rng, checks: &Checks) -> bool {
+    let kinds = ["idem", "once", "stream", "stream-resumable"];
+    let kind = kinds[rng.usize(..kinds.len())];
+    let target = format!("/{kind}/{id}");
+    let body = "b".repeat(rng.usize(..3000));
+    let call = Call { timeout: ANSWER_TIME, ..Call::post(&target, KEY, body.clone()) }
+        .with("x-request-id", id)
+        .with("x-deadline-ms", 4000);
+    let answer = call.send_on(conn);
+    check(kind, id, &target, body.as_bytes(), &answer, checks);
+    checks.count(answer.status == 200 && answer.whole);
+    if matches!(kind, "once" | "stream") {
+        checks.told_once(id, answer.status);
+    }
+    answer.whole && answer.header("connection") != "close"
+}
+
+fn check(kind: &str, id: &str, target: &str, body: &[u8], answer: &Answer, checks: &Checks) {
+    if answer.status != 200 {
+        if matches!(answer.status, 400 | 401 | 404 | 413 | 431) {
+            let seen = format!("status {}", answer.status);
+            checks.broken("what is allowed is not denied", id, seen);
+        }
+        return;
+    }
+    if answer.header("x-request-id") != id || answer.header("x-response-seal").is_empty() {
+        let seen = format!("id {:?}", answer.header("x-request-id"));
+        checks.broken("an answer is the request's own and signed", id, seen);
+    }
+    let whole = if kind.starts_with("stream") { events(1) } else { expected(target, body) };
+    let text = answer.text();
+    if answer.whole && text != whole {
+        checks.broken("an answer that looks whole is", id, format!("{text:?}"));
+    }
+    if !answer.whole && !whole.starts_with(&text) {
+        checks.broken("events come in order and once", id, format!("{text:?}"));
+    }
+}
--- /dev/null
+++ b/soak/src/main.rs
@@ -0,0 +1,55 @@
+//! The fault soak: real instances as separate processes, faults from outside them, and the promises
+//! checked while they run, from what callers and backend servers see.
+
+mod callers;
+mod checks;
+mod fleet;
+mod options;
+mod plan;
+mod proxy;
+mod run;
+
+use std::{
+    process::ExitCode,
+    sync::{Arc, atomic::AtomicBool},
+};
+
+use crate::options::Options;
+
+fn main() -> ExitCode {
+    let options = match Options::parse(std::env::args_os().skip(1).collect()) {
+        Ok(options) => options,
+        Err(fault) => {
+            eprintln!("soak: {fault}\n\n{}", options::USAGE);
+            return ExitCode::from(2);
+        }
+    };
+    let interrupted = Arc::new(AtomicBool::new(false));
+    for signal in [signal_hook::consts::SIGINT, signal_hook::consts::SIGTERM] {
+        if let Err(fault) = signal_hook::flag::register(signal, Arc::clone(&interrupted)) {
+            eprintln!("soak: cannot watch signals: {fault}");
+            return ExitCode::from(2);
+        }
+    }
+    let mut failed = Vec::new();
+    for seed in options.seeds.clone() {
+        match run::run(seed, &options, &interrupted) {
+            Ok(report) => {
+                println!("seed {seed}: {report}");
+                if !report.broken.is_empty() {
+                    failed.push(seed);
+                }
+            }
+            Err(fault) => {
+                println!("seed {seed}: not run: {fault:#}");
+                failed.push(seed);
+            }
+        }
+        if interrupted.load(std::sync::atomic::Ordering::SeqCst) {
+            println!("interrupted after seed {seed}");
+            return ExitCode::from(2);
+        }
+    }
+    println!("{} seeds failed: {failed:?}", failed.len());
+    if failed.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
--- /dev/null
+++ b/soak/src/plan.rs
@@ -0,0 +1,109 @@
+//! What happens in a run, drawn from its seed.
+
+use std::time::Duration;
+
+use fastrand::Rng;
+use standins::store::StoreMode;
+
+use crate::proxy::Link;
+
+/// Shortest and longest pause between two faults; faults last longer than that and overlap.
+const PAUSE_MS: std::ops::Range<u64> = 100..900;
+
+/// Length of a fault that ends.
+const LENGTH_MS: std::ops::Range<u64> = 200..3500;
+
+/// Longest fault that ends; a process may stand still for as long.
+pub(crate) const LENGTH_MAX: Duration = Duration::from_millis(LENGTH_MS.end);
+
+/// Something that happens to the fleet from outside.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum Event {
+    /// An instance is told to end, and starts again once it has.
+    Terminate(usize),
+    /// An instance is killed and starts again after a while.
+    Kill(usize, Duration),
+    /// An instance stands still for a while.
+    Freeze(usize, Duration),
+    /// An instance is told to read its settings again.
+    Reload(usize),
+    /// Every instance is killed and starts again.
+    KillAll,
+    /// The store behaves otherwise for a while.
+    Store(StoreMode, Duration),
+    /// An instance's link to the store does.
+    StoreLink(usize, Link, Duration),
+    /// The store forgets its history.
+    ForgetHistory,
+    /// A backend server's link behaves otherwise for a while.
+    ServerLink(usize, Link, Duration),
+    /// A backend server leaves, and another takes its address.
+    Replace(usize),
+    /// A backend server is gone at once, and another takes its address.
+    Crash(usize),
+    /// The next requests at a backend server go wrong.
+    ServerFaults(usize),
+    /// The operator's intent changes, this many times in a row.
+    Change(u32),
+}
+
+/// Draws the events of a run, with their times.
+pub(crate) fn draw(
+    rng: &mut Rng,
+    length: Duration,
+    instances: usize,
+    servers: usize,
+) -> Vec<(Duration, Event)> {
+    let mut events = Vec::new();
+    let mut at = Duration::ZERO;
+    loop {
+        at += Duration::from_millis(rng.u64(PAUSE_MS));
+        if at >= length {
+            return events;
+        }
+        events.push((at, event(rng, instances, servers)));
+    }
+}
+
+fn event(rng: &mut Rng, instances: usize, servers: usize) -> Event {
+    let instance = rng.usize(..instances);
+    let server = rng.usize(..servers);
+    let time = Duration::from_millis(rng.u64(LENGTH_MS));
+    match rng.u32(..23) {
+        0..=2 => Event::Terminate(instance),
+        3 | 4 => Event::Kill(instance, time.min(Duration::from_millis(1500))),
+        5 | 6 => Event::Freeze(instance, time),
+        7 => Event::Reload(instance),
+        8 => Event::KillAll,
+        9 | 10 => Event::Store(store_mode(rng), time),
+        11 | 12 => Event::StoreLink(instance, link(rng), time),
+        13 => Event::ForgetHistory,
+        14 | 15 => Event::ServerLink(server, link(rng), time),
+        16 => Event::Replace(server),
+        17 => Event::Crash(server),
+        18 | 19 => Event::ServerFaults(server),
+        _ => Event::Change(rng.u32(1..4)),
+    }
+}
+
+fn store_mode(rng: &mut Rng) -> StoreMode {
+    let modes = [
+        StoreMode::Busy,
+        StoreMode::TooMany,
+        StoreMode::Reset,
+        StoreMode::Silent,
+        StoreMode::LosesReplies,
+        StoreMode::Garbage,
+        StoreMode::Slow(150),
+    ];
+    modes[rng.usize(..modes.len())]
+}
+
+fn link(rng: &mut Rng) -> Link {
+    match rng.u32(..4) {
+        0 => Link::Delayed(Duration::from_millis(rng.u64(5..80))),
+        1 => Link::OneWay,
+        2 => Link::Silent,
+        _ => Link::Reset,
+    }
+}
--- /dev/null
+++ b/soak/src/run.rs
@@ -0,0 +1,312 @@
+//! One run: a fleet, callers, the drawn events, and the checks at the end.
+
+use std::{
+    fmt,
+    path::Path,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
+};
+
+use cartvane::utils::sync::lock;
+use fastrand::Rng;
+use rustix::process::Signal;
+use standins::{caller::Call, fault::Fault, store::StoreMode};
+
+use crate::{
+    callers::Callers,
+    checks::{Broken, Checks},
+    fleet::{Fleet, GRACE, IN_FORCE, KEY, LEAVING, send},
+    options::Options,
+    plan::{self, Event},
+    proxy::Link,
+};
+
+/// Backend servers of a run.
+const SERVERS: usize = 5;
+
+/// Callers for each instance.
+const CALLERS: usize = 4;
+
+/// Time without disturbance from which an instance's bounds hold.
+const CALM: Duration = Duration::from_millis(3000);
+
+/// Time in which all instances serve again when every fault is over.
+const RECOVERY: Duration = Duration::from_secs(8);
+
+/// Time in which a started process has surely run its first lines.
+const START: Duration = Duration::from_millis(500);
+
+/// Room for a busy machine, on top of each bound.
+const ROOM: Duration = Duration::from_millis(1500);
+
+/// What came of a run.
+pub(crate) struct Report {
+    /// Broken promises.
+    pub(crate) broken: Vec<Broken>,
+    requests: u64,
+    served: u64,
+    events: usize,
+    logs: String,
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} events, {} of {} requests served", self.events, self.served, self.requests)?;
+        for broken in &self.broken {
+            write!(f, "\n  BROKEN {broken}")?;
+        }
+        if !self.broken.is_empty() {
+            write!(f, "\n  logs: {}", self.logs)?;
+        }
+        Ok(())
+    }
+}
+
+/// Runs one seed.
+pub(crate) fn run(
+    seed: u64,
+    options: &Options,
+    interrupted: &AtomicBool,
+) -> anyhow::Result<Report> {
+    let dir = Path::new("target/soak").join(seed.to_string());
+    if dir.exists() {
+        std::fs::remove_dir_all(&dir)?;
+    }
+    let mut rng = Rng::with_seed(seed);
+    let events = plan::draw(&mut rng, options.faults, options.instances, SERVERS);
+    let fleet = Fleet::start(seed, options.instances, SERVERS, &dir)?;
+    let checks = Arc::new(Checks::new());
+    wait_all_serve(&fleet, &checks, "a fleet that starts serves");
+    let callers = Callers::spawn(options.instances * CALLERS, seed, &fleet, &checks);
+    let began = Instant::now();
+    let mut under_way = Vec::new();
+    for (at, event) in &events {
+        while began.elapsed() < *at && !interrupted.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(5));
+        }
+        if interrupted.load(Ordering::SeqCst) {
+            break;
+        }
+        if options.verbose {
+            println!("  {:6} ms {event:?}", began.elapsed().as_millis());
+        }
+        under_way.push(happen(event.clone(), &fleet, &checks, rng.fork()));
+    }
+    for event in under_way {
+        if event.join().is_err() {
+            checks.broken("the soak itself works", "event", "a thread panicked");
+        }
+    }
+    wait_all_serve(&fleet, &checks, "everything serves again when the faults are over");
+    check_last_version(&fleet, &checks);
+    callers.finish();
+    // Requests that were given up on end at their servers within their deadlines.
+    thread::sleep(Duration::from_millis(500));
+    checks.check_runs(&lock(&fleet.servers));
+    let (requests, served) = checks.counts();
+    let logs = dir.display().to_string();
+    Ok(Report { broken: checks.take(), requests, served, events: events.len(), logs })
+}
+
+/// Lets an event happen in a thread of its own, so that events overlap.
+fn happen(event: Event, fleet: &Arc<Fleet>, checks: &Arc<Checks>, rng: Rng) -> JoinHandle<()> {
+    let (fleet, checks) = (Arc::clone(fleet), Arc::clone(checks));
+    thread::spawn(move || act(event, &fleet, &checks, rng))
+}
+
+fn act(event: Event, fleet: &Fleet, checks: &Checks, mut rng: Rng) {
+    match event {
+        Event::Terminate(number) => terminate(fleet, checks, number),
+        Event::Kill(number, time) => {
+            lock(&fleet.instances[number]).kill();
+            thread::sleep(time);
+            restart(fleet, checks, number);
+        }
+        Event::Freeze(number, time) => {
+            // Not under the instance's lock: it may be told to end while it stands still.
+            send(&fleet.pids[number], Signal::STOP);
+            thread::sleep(time);
+            send(&fleet.pids[number], Signal::CONT);
+            lock(&fleet.instances[number]).disturbed = Instant::now();
+        }
+        Event::Reload(number) => reload(fleet, number),
+        Event::KillAll => {
+            fleet.instances.iter().for_each(|instance| lock(instance).kill());
+            (0..fleet.instances.len()).for_each(|number| restart(fleet, checks, number));
+        }
+        Event::Store(mode, time) => {
+            fleet.disturb_store();
+            fleet.store.set_mode(mode);
+            thread::sleep(time);
+            fleet.store.set_mode(StoreMode::Up);
+            fleet.disturb_store();
+        }
+        Event::StoreLink(number, link, time) => {
+            lock(&fleet.instances[number]).store_link.set(link);
+            lock(&fleet.instances[number]).disturbed = Instant::now();
+            thread::sleep(time);
+            lock(&fleet.instances[number]).store_link.set(Link::Open);
+            lock(&fleet.instances[number]).disturbed = Instant::now();
+        }
+        Event::ForgetHistory => {
+            fleet.disturb_store();
+            fleet.store.forget_history();
+        }
+        Event::ServerLink(place, link, time) => {
+            lock(&fleet.places[place]).link.set(link);
+            thread::sleep(time);
+            lock(&fleet.places[place]).link.set(Link::Open);
+        }
+        Event::Replace(place) => leave(fleet, checks, place),
+        Event::Crash(place) => replace(fleet, checks, place),
+        Event::ServerFaults(place) => {
+            let faults = [
+                Fault::RefuseNotRun,
+                Fault::CloseAfterRun,
+                Fault::CutBody,
+                Fault::Garbage,
+                Fault::ServerError,
+                Fault::Duplicate,
+                Fault::ForeignFirst,
+                Fault::BreakAfter(3),
+                Fault::SilentAfter(2, Duration::from_millis(700)),
+                Fault::Late(Duration::from_millis(400)),
+            ];
+            let drawn: Vec<Fault> = (0..6).map(|_| faults[rng.usize(..faults.len())]).collect();
+            fleet.faults(place, &drawn);
+        }
+        Event::Change(times) => change(fleet, checks, times),
+    }
+}
+
+/// Tells an instance to read its settings again, unless it has only just been started: until a
+/// program runs its first lines, the system's own answer to the signal is to end it.
+fn reload(fleet: &Fleet, number: usize) {
+    let mut instance = lock(&fleet.instances[number]);
+    if instance.disturbed.elapsed() > START {
+        instance.signal(Signal::HUP);
+    }
+}
+
+fn terminate(fleet: &Fleet, checks: &Checks, number: usize) {
+    // The lock is held while the process ends: nothing else is done to it, but for what others
+    // have begun before.
+    let mut instance = lock(&fleet.instances[number]);
+    instance.signal(Signal::TERM);
+    if !instance.wait(GRACE + plan::LENGTH_MAX + ROOM) {
+        checks.broken("an instance ends within the grace time", &format!("edge-{number}"), "runs");
+        instance.kill();
+    }
+    if let Err(fault) = instance.start() {
+        checks.broken("the soak itself works", "start", fault.to_string());
+    }
+}
+
+fn restart(fleet: &Fleet, checks: &Checks, number: usize) {
+    let mut instance = lock(&fleet.instances[number]);
+    instance.kill();
+    if let Err(fault) = instance.start() {
+        checks.broken("the soak itself works", "start", fault.to_string());
+    }
+}
+
+fn replace(fleet: &Fleet, checks: &Checks, place: usize) {
+    if let Err(fault) = fleet.replace(place) {
+        checks.broken("the soak itself works", "replace", fault.to_string());
+    }
+}
+
+/// A server says that it leaves; once that must be known, nothing more may arrive there.
+fn leave(fleet: &Fleet, checks: &Checks, place: usize) {
+    let said = Instant::now();
+    fleet.list(place, "draining");
+    thread::sleep(LEAVING + ROOM);
+    let (id, before) = fleet.arrivals(place);
+    thread::sleep(Duration::from_millis(700));
+    let (still, after) = fleet.arrivals(place);
+    if id == still && after > before && all_calm(fleet, said) {
+        checks.broken("a leaving server gets nothing new", &id, format!("{} more", after - before));
+    }
+    replace(fleet, checks, place);
+}
+
+/// The intent changes; once that must be in force, calm instances serve by it and not by the one
+/// before.
+fn change(fleet: &Fleet, checks: &Checks, times: u32) {
+    let said = Instant::now();
+    let mut version = 0;
+    for _ in 0..times {
+        version = fleet.change();
+        thread::sleep(Duration::from_millis(60));
+    }
+    thread::sleep(IN_FORCE + ROOM);
+    for number in 0..fleet.instances.len() {
+        let new = probe(fleet, number, version);
+        let old = probe(fleet, number, version - 1);
+        if *lock(&fleet.version) != version || !is_calm(fleet, number, said) {
+            continue;
+        }
+        if new == 404 || old == 200 {
+            let seen = format!("version {version}: new {new}, old {old}");
+            checks.broken("a change is in force in time", &format!("edge-{number}"), seen);
+        }
+    }
+}
+
+fn probe(fleet: &Fleet, number: usize, version: u64) -> u16 {
+    let Ok(instance) = fleet.instances[number].try_lock() else { return 0 };
+    let address = instance.callers;
+    drop(instance);
+    let call = Call {
+        timeout: Duration::from_secs(3),
+        ..Call::post(&format!("/v{version}/"), KEY, "probe")
+    };
+    call.with("x-request-id", format!("probe-{number}-{version}")).send(address).status
+}
+
+/// Returns whether nothing has been done to the store and an instance from a little before `since`.
+fn is_calm(fleet: &Fleet, number: usize, since: Instant) -> bool {
+    let Ok(instance) = fleet.instances[number].try_lock() else { return false };
+    let calm = |at: Instant| at + CALM < since;
+    calm(instance.disturbed) && calm(*lock(&fleet.store_disturbed))
+}
+
+fn all_calm(fleet: &Fleet, since: Instant) -> bool {
+    (0..fleet.instances.len()).all(|number| is_calm(fleet, number, since))
+}
+
+/// Waits until every instance serves requests of its own.
+fn wait_all_serve(fleet: &Fleet, checks: &Checks, promise: &'static str) {
+    let until = Instant::now() + RECOVERY + ROOM;
+    for (number, instance) in fleet.instances.iter().enumerate() {
+        let address = lock(instance).callers;
+        let mut status = 0;
+        while status != 200 {
+            let call =
+                Call { timeout: Duration::from_secs(2), ..Call::post("/idem/", KEY, "probe") };
+            status = call.with("x-request-id", "probe").send(address).status;
+            if Instant::now() >= until {
+                let seen = format!("status {status}, ended {}", lock(instance).has_ended());
+                checks.broken(promise, &format!("edge-{number}"), seen);
+                return;
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+}
+
+fn check_last_version(fleet: &Fleet, checks: &Checks) {
+    thread::sleep(IN_FORCE);
+    let version = *lock(&fleet.version);
+    for number in 0..fleet.instances.len() {
+        let (new, old) = (probe(fleet, number, version), probe(fleet, number, version - 1));
+        if new == 404 || old == 200 {
+            let seen = format!("version {version}: new {new}, old {old}");
+            checks.broken("the last change stays in force", &format!("edge-{number}"), seen);
+        }
+    }
+}
