perf(link): read buffers are initialised once and given back when idle

Cause: a profile of 300 streams (callgrind): 46 % of all instructions zeroed 16 KiB before each read. Change: the buffer stays initialised, starts at 4 KiB, doubles as needed, and is given back above 16 KiB.

--- a/src/link/http1/conn.rs
+++ b/src/link/http1/conn.rs
@@ -14,8 +14,17 @@
 
 use crate::clock::Clock;
 
-/// Bytes read from the socket at once.
-const READ_SIZE: usize = 16 << 10;
+/// Room for the first read of a connection: most heads and events fit.
+const ROOM_FIRST: usize = 4 << 10;
+
+/// Least room for a read; the buffer is doubled when there is less.
+const ROOM_MIN: usize = 1 << 10;
+
+/// Most bytes read from the socket at once.
+const ROOM_MAX: usize = 64 << 10;
+
+/// Size of an empty buffer above which it is given back, since idle connections are many.
+const KEPT_MAX: usize = 16 << 10;
 
 /// Longest single wait for a read before the caller's condition is looked at again.
 const LOOK_PERIOD: Duration = Duration::from_millis(50);
@@ -51,8 +60,10 @@
 pub struct Conn {
     stream: TcpStream,
     clock: Clock,
+    /// Initialised throughout; what has been read and not taken lies from `start` to `end`.
     buf: Vec<u8>,
     start: usize,
+    end: usize,
     /// Write timeout that the socket has, so that it is set only when it changes.
     write_timeout: Option<Duration>,
 }
@@ -65,7 +76,7 @@
     /// The stream's options cannot be set.
     pub fn new(stream: TcpStream, clock: Clock) -> io::Result<Conn> {
         stream.set_nodelay(true)?;
-        Ok(Conn { stream, clock, buf: Vec::new(), start: 0, write_timeout: None })
+        Ok(Conn { stream, clock, buf: Vec::new(), start: 0, end: 0, write_timeout: None })
     }
 
     /// Connects to `address` within `timeout`.
@@ -80,15 +91,17 @@
 
     /// Returns the bytes read and not yet taken.
     pub fn buffered(&self) -> &[u8] {
-        &self.buf[self.start..]
+        &self.buf[self.start..self.end]
     }
 
     /// Takes `count` buffered bytes away.
     pub fn consume(&mut self, count: usize) {
         self.start += count;
-        if self.start >= self.buf.len() {
-            self.buf.clear();
-            self.start = 0;
+        if self.start >= self.end {
+            (self.start, self.end) = (0, 0);
+            if self.buf.len() > KEPT_MAX {
+                self.buf = Vec::new();
+            }
         }
     }
 
@@ -135,14 +148,17 @@
 
     fn read_once(&mut self) -> io::Result<usize> {
         if self.start > 0 {
-            self.buf.drain(..self.start);
+            self.buf.copy_within(self.start..self.end, 0);
+            self.end -= self.start;
             self.start = 0;
         }
-        let filled = self.buf.len();
-        self.buf.resize(filled + READ_SIZE, 0);
-        let read = self.stream.read(&mut self.buf[filled..]);
-        self.buf.truncate(filled + *read.as_ref().unwrap_or(&0));
-        read
+        if self.buf.len() - self.end < ROOM_MIN {
+            let room = self.buf.len().clamp(ROOM_FIRST, ROOM_MAX);
+            self.buf.resize(self.end + room, 0);
+        }
+        let read = self.stream.read(&mut self.buf[self.end..])?;
+        self.end += read;
+        Ok(read)
     }
 
     /// Reads more bytes into the buffer, waiting until `until` without looking up in between.
