fix(gateway): kept connections that are too old are closed

Cause: the newest kept connection is taken first, so older ones at a server stayed open, closed by the server long ago. Change: they are dropped whenever one is kept.

--- a/src/gateway/server_conns.rs
+++ b/src/gateway/server_conns.rs
@@ -98,10 +98,13 @@
         let usable_for = kept_for.map_or(IDLE_UNSAID, |time| time.mul_f64(IDLE_SHARE));
         // Half of an instance's part stays free for requests in flight.
         let part = most as usize / (2 * self.instances.load(Ordering::Relaxed));
+        let now = self.clock.now();
         let mut idle = lock(&self.idle);
         let conns = idle.entry(address).or_default();
+        // The last one kept is the first one taken, so the oldest may never be looked at again.
+        conns.retain(|kept| now.saturating_duration_since(kept.since) < kept.usable_for);
         if conns.len() < part.clamp(1, IDLE_MAX) {
-            conns.push(Idle { conn, since: self.clock.now(), usable_for });
+            conns.push(Idle { conn, since: now, usable_for });
         }
     }
 
