--- a/src/routing/picker.rs
+++ b/src/routing/picker.rs
@@ -104,7 +104,7 @@
         let pool = if healthy.is_empty() { usable } else { healthy };
         let usual = usual_load(&pool);
         match wanted.affinity {
-            Some(key) => self.by_affinity(now, key, &pool, usual),
+            Some(key) => self.by_affinity(now, key, wanted, &pool, usual),
             None => self.by_load(now, &pool),
         }
     }
@@ -181,7 +181,14 @@
         usable.iter().filter(works).copied().collect()
     }
 
-    fn by_affinity(&self, now: Instant, key: u64, pool: &[&Tracked], usual: f64) -> Option<Picked> {
+    fn by_affinity(
+        &self,
+        now: Instant,
+        key: u64,
+        wanted: &Wanted<'_>,
+        pool: &[&Tracked],
+        usual: f64,
+    ) -> Option<Picked> {
         let loads: Vec<f64> = pool.iter().map(|t| t.load.estimate(now, usual)).collect();
         let mean = loads.iter().sum::<f64>() / loads.len().max(1) as f64;
         let bound = (1.0 + (self.load_bound - 1.0) * BOUND_SHARE) * mean + BOUND_SLACK;
@@ -190,16 +197,24 @@
         let least = || rank.iter().enumerate().min_by(|a, b| loads[*a.1].total_cmp(&loads[*b.1]));
         let (place, &i) = rank.iter().enumerate().find(under).or_else(least)?;
         let server = Arc::clone(&pool[i].server);
-        let holder = self.holder(now, key, &server);
+        let holder = self.holder(now, key, wanted, &server);
         Some(Picked { server, rank: place, load: loads[i], bound, holder })
     }
 
     /// Returns the server that keeps the prompt `key` if `picked` does not: the best of the key's
     /// rank beside it, leaving ones included. That is the server before a newer one took its place,
     /// before it began to leave, or from which the request spilled.
-    fn holder(&self, now: Instant, key: u64, picked: &BackendServer) -> Option<Arc<BackendServer>> {
+    fn holder(
+        &self,
+        now: Instant,
+        key: u64,
+        wanted: &Wanted<'_>,
+        picked: &BackendServer,
+    ) -> Option<Arc<BackendServer>> {
+        // A server at which this request has failed may be gone, and would be waited for.
         let reachable = |t: &&Tracked| {
             t.server.service == picked.service
+                && !wanted.tried.contains(&t.server.id)
                 && t.server.id != picked.id
                 && !t.health.is_paused(now)
         };
--- a/tests/suite/routing.rs
+++ b/tests/suite/routing.rs
@@ -412,3 +412,28 @@
         assert!(was == is || is == Some(new.clone()));
     }
 }
+
+/// The prompt's memory is fetched from where it was before, never from where the request has failed.
+#[test]
+fn the_holder_of_a_prompt_is_the_next_in_rank_leaving_ones_included() {
+    let now = Instant::now();
+    let mut servers = fleet(6);
+    let service = "llm".parse().expect("a name");
+    let pick = |picker: &Picker, tried: &[ServerId]| {
+        let wanted = Wanted { service: &service, affinity: Some(42), tried };
+        let picked = picker.pick(now, &wanted).expect("a server");
+        (picked.server.id.clone(), picked.holder.expect("a holder").id.clone())
+    };
+    let (home, second) = pick(&picker(&servers), &[]);
+    let at = servers.iter().position(|s| s.id == home).expect("the home");
+    servers[at].leaving = true;
+    assert_eq!(pick(&picker(&servers), &[]), (second.clone(), home.clone()));
+    servers[at].leaving = false;
+    let (third, holder) = pick(&picker(&servers), std::slice::from_ref(&home));
+    assert_eq!(third, second);
+    assert_ne!(holder, home, "the request has failed there");
+    let mut unreached = picker(&servers);
+    unreached.unreachable(now, &second);
+    assert_eq!(pick(&unreached, &[]).0, home);
+    assert_ne!(pick(&unreached, &[]).1, second);
+}
