fix(cli): a file that is not UTF-8 is refused with its place

Cause: cartvane check ended with exit 3 (unreachable) on random bytes. Now exit 1 with line and column; a table of eight bad files holds the rest: nested brackets, numbers out of range, a byte-order mark, a team twice.

--- a/src/cli/options.rs
+++ b/src/cli/options.rs
@@ -74,10 +74,18 @@
 
 /// Reads a file named on the command line.
 pub(super) fn read_file(path: &str) -> Result<String, CommandFault> {
-    fs::read_to_string(path).map_err(|e| {
+    let bytes = fs::read(path).map_err(|e| {
         CommandFault::Unreachable(format!(
             "cannot read {path}: {e}; correct the path or its rights"
         ))
+    })?;
+    String::from_utf8(bytes).map_err(|e| {
+        let good = &e.as_bytes()[..e.utf8_error().valid_up_to()];
+        let line = good.iter().filter(|&&b| b == b'\n').count() + 1;
+        let column = good.iter().rev().take_while(|&&b| b != b'\n').count() + 1;
+        CommandFault::Refused(format!(
+            "1 faults\n{path}:{line}:{column}: not UTF-8; save the file as text in UTF-8"
+        ))
     })
 }
 
--- a/tests/suite/files.rs
+++ b/tests/suite/files.rs
@@ -247,3 +247,42 @@
     assert_eq!(told["message"], "rest");
     assert_eq!(line("event=x request=12e5 empty= odd=\"unended")["request"], "12e5");
 }
+
+/// Whatever is in a file, it is refused with a line that names the place, and never by a crash.
+#[test]
+fn any_bad_file_is_refused_with_its_place() {
+    let hanbit = example("hanbit.toml");
+    let team = hanbit.find("[[team]]").expect("a team");
+    let twice = "[[team]]\nid = \"drivers\"\nkeys = []\nweight = 1\n";
+    let cases: [(&str, Vec<u8>, &str); 8] = [
+        ("random bytes", vec![0x61, 0x0a, 0x62, 0xff, 0xfe, 0x00], ":2:2: not UTF-8"),
+        ("nested brackets", "[".repeat(20_000).into_bytes(), ":1:"),
+        ("nested values", format!("a = {}", "[".repeat(20_000)).into_bytes(), ":1:"),
+        (
+            "a number out of range",
+            hanbit.replacen("weight = 8", "weight = 99999999999999999999", 1).into_bytes(),
+            "weight",
+        ),
+        ("a mark before a table", [b"\xef\xbb\xbf[teams.a]\n".to_vec()].concat(), ":1:"),
+        (
+            "a team twice",
+            [hanbit[..team].as_bytes(), twice.as_bytes(), hanbit[team..].as_bytes()].concat(),
+            "drivers",
+        ),
+        ("nothing", Vec::new(), ":1:1: key_salt"),
+        ("no end of a text", b"key_salt = \"abc".to_vec(), ":1:"),
+    ];
+    for (what, bytes, told) in cases {
+        let path = std::env::temp_dir().join(format!("cartvane-bad-{}.toml", std::process::id()));
+        fs::write(&path, bytes).expect("the file is written");
+        let output = std::process::Command::new(crate::support::BINARY)
+            .arg("check")
+            .arg(&path)
+            .output()
+            .expect("the command runs");
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!(output.status.code(), Some(1), "{what}: {said}");
+        assert!(said.contains(told), "{what}: {said:?} does not tell of {told:?}");
+        fs::remove_file(&path).expect("the file is removed");
+    }
+}
