--- a/src/instance/entry.rs
+++ b/src/instance/entry.rs
@@ -8,7 +8,7 @@
     contract::outcome::{Outcome, Refusal},
     instance::{
         forward::{self, Ended},
-        request::{Request, bearer, split_target},
+        request::{Request, split_target},
         shared::{Shared, UsageGuard},
         snapshot::{ServiceView, Snapshot},
     },
@@ -252,7 +252,7 @@
             "CONNECT and TRACE are not passed on",
         )));
     }
-    let team = bearer(&head).and_then(|key| snapshot.team_of_key(key)).cloned();
+    let team = head.bearer().and_then(|key| snapshot.team_of_key(key)).cloned();
     let Some(team) = team else {
         return Err(not_taken(Refusal::not_run(
             401,
--- a/src/instance/request.rs
+++ b/src/instance/request.rs
@@ -70,13 +70,6 @@
     (&path[..end], &path[end..])
 }
 
-/// Returns the key that a caller shows.
-pub fn bearer(head: &RequestHead) -> Option<&str> {
-    let value = head.header("authorization")?;
-    let (scheme, key) = value.split_once(' ')?;
-    scheme.eq_ignore_ascii_case("bearer").then(|| key.trim())
-}
-
 impl Request {
     /// Understands a request whose body has been read.
     ///
--- a/src/link/http1/head.rs
+++ b/src/link/http1/head.rs
@@ -136,6 +136,12 @@
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.get(name)?.to_str().ok()
     }
+
+    /// Returns the key that a caller shows as a bearer token (RFC 6750).
+    pub fn bearer(&self) -> Option<&str> {
+        let (scheme, key) = self.header("authorization")?.split_once(' ')?;
+        scheme.eq_ignore_ascii_case("bearer").then(|| key.trim())
+    }
 }
 
 impl ResponseHead {
--- a/src/names.rs
+++ b/src/names.rs
@@ -61,30 +61,26 @@
     }
 }
 
-macro_rules! id {
-    ($(#[$doc:meta])* $name:ident) => {
+/// Makes a newtype of a text that `$check` lets pass.
+macro_rules! text_newtype {
+    ($(#[$doc:meta])* $name:ident, $check:ident) => {
         $(#[$doc])*
         #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
         #[serde(try_from = "String", into = "String")]
         pub struct $name(Arc<str>);
 
         impl $name {
-            /// Returns the id as text.
+            /// Returns the text.
             pub fn as_str(&self) -> &str {
                 &self.0
             }
-
-            /// Returns the tag that stands for the id in messages.
-            pub fn tag(&self) -> Tag {
-                Tag::of(&self.0)
-            }
         }
 
         impl FromStr for $name {
             type Err = IdError;
 
             fn from_str(text: &str) -> Result<Self, IdError> {
-                check_id(text)?;
+                $check(text)?;
                 Ok(Self(Arc::from(text)))
             }
         }
@@ -111,6 +107,35 @@
     };
 }
 
+/// Makes an id: a short text of few characters, with a tag.
+macro_rules! id {
+    ($(#[$doc:meta])* $name:ident) => {
+        text_newtype!($(#[$doc])* $name, check_id);
+
+        impl $name {
+            /// Returns the tag that stands for the id in messages.
+            pub fn tag(&self) -> Tag {
+                Tag::of(&self.0)
+            }
+        }
+    };
+}
+
+/// Makes a label: any text of a bounded length, as a platform gives it.
+macro_rules! label {
+    ($(#[$doc:meta])* $name:ident) => {
+        text_newtype!($(#[$doc])* $name, check_label);
+    };
+}
+
+fn check_label(text: &str) -> Result<(), IdError> {
+    match text.len() {
+        0 => Err(IdError::Empty),
+        1..=LABEL_MAX => Ok(()),
+        long => Err(IdError::Long(long)),
+    }
+}
+
 id!(
     /// One running router process's name, from its settings.
     InstanceId
@@ -140,54 +165,6 @@
     ModelId
 );
 
-macro_rules! label {
-    ($(#[$doc:meta])* $name:ident) => {
-        $(#[$doc])*
-        #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-        #[serde(try_from = "String", into = "String")]
-        pub struct $name(Arc<str>);
-
-        impl $name {
-            /// Returns the label as text.
-            pub fn as_str(&self) -> &str {
-                &self.0
-            }
-        }
-
-        impl FromStr for $name {
-            type Err = IdError;
-
-            fn from_str(text: &str) -> Result<Self, IdError> {
-                match text.len() {
-                    0 => Err(IdError::Empty),
-                    1..=LABEL_MAX => Ok(Self(Arc::from(text))),
-                    long => Err(IdError::Long(long)),
-                }
-            }
-        }
-
-        impl TryFrom<String> for $name {
-            type Error = IdError;
-
-            fn try_from(text: String) -> Result<Self, IdError> {
-                text.parse()
-            }
-        }
-
-        impl From<$name> for String {
-            fn from(label: $name) -> String {
-                label.0.to_string()
-            }
-        }
-
-        impl fmt::Display for $name {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                f.pad(&self.0)
-            }
-        }
-    };
-}
-
 /// Longest label taken from a platform, in bytes; its store limits keys to as much.
 pub const LABEL_MAX: usize = 200;
 
