perf(peers): the exchange scales to hundreds of instances and thousands of servers

Change: 2.5 ms an instance, at most 0.9 s; lists read at 0.35 of the bound; sums are made at most each 50 ms and told as totals; of services with over 64 servers only those that stand out from the mean are told; hashes of the instances' list are kept.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -27,7 +27,7 @@
     },
     metrics::{Metrics, Purpose},
     names::NodeName,
-    routing::{Aggregate, Candidates, Count, InstanceInfo, ListNews, ListVersion},
+    routing::{Aggregate, Candidates, Count, InstanceInfo, ListNews, ListVersion, ServiceLoad},
     utils::sync::lock,
 };
 
@@ -40,12 +40,16 @@
 /// Least pause between two exchanges: several within the time that a stream takes.
 const PERIOD_MIN: Duration = Duration::from_millis(250);
 
-/// Time that the instance asked has for each exchange: with that, it spends a few hundredths of
-/// its processor on a fleet of any size.
-const PERIOD_PER_INSTANCE: Duration = Duration::from_millis(6);
+/// Time that the instance asked has for each exchange: four hundred a second, a few hundredths of a
+/// processor.
+const PERIOD_PER_INSTANCE: Duration = Duration::from_micros(2500);
 
-/// Longest pause between two exchanges: counts that are older are of no use.
-const PERIOD_MAX: Duration = Duration::from_millis(1500);
+/// Longest pause between two exchanges: with it and the pause between two reads of the servers'
+/// list, news are younger than the age at which an instance reads for itself.
+const PERIOD_MAX: Duration = Duration::from_millis(900);
+
+/// Age up to which a sum of all counts is told again: a small part of the exchange's pause.
+const SUMMARY_AGE: Duration = Duration::from_millis(50);
 
 /// Longest exchange that may carry a large intent: half a megabyte over the slowest link planned for.
 const LARGE_EXCHANGE_TIME: Duration = Duration::from_millis(1000);
@@ -92,8 +96,8 @@
 /// What it is told. Instances share no clock, so times are told as ages.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct News {
-    /// The other instances' requests in flight, by server.
-    pub counts: Vec<Count>,
+    /// What all instances have in flight.
+    pub loads: Vec<ServiceLoad>,
     /// Version of the intent that the other has in force.
     pub version: u64,
     /// The operator's intent, if it is newer, and small or wanted.
@@ -114,6 +118,7 @@
     large_links: PeerLinks,
     candidates: Mutex<Candidates>,
     aggregate: Mutex<Aggregate>,
+    summary: Mutex<Option<(Instant, Arc<Vec<ServiceLoad>>)>>,
     last_round: Mutex<Option<Instant>>,
 }
 
@@ -131,6 +136,7 @@
             large_links: links(LARGE_EXCHANGE_TIME),
             candidates: Mutex::new(Candidates::new(own)),
             aggregate: Mutex::default(),
+            summary: Mutex::default(),
             last_round: Mutex::default(),
         }
     }
@@ -192,9 +198,10 @@
         let now = gateway.clock.now();
         let first = lock(&peers.candidates).first(now).cloned();
         let Some(first) = first else {
-            let own = gateway.settings.node.clone();
-            let others = lock(&peers.aggregate).others(now, &own);
-            lock(&gateway.picker).set_others(now, &others);
+            let loads = summary(gateway, now);
+            let mut picker = lock(&gateway.picker);
+            let own = picker.own_counts();
+            picker.set_fleet_loads(now, &loads, &own);
             return;
         };
         match ask(gateway, first.address, false) {
@@ -236,9 +243,10 @@
         let candidates = lock(&peers.candidates);
         (candidates.own().clone(), candidates.version())
     };
+    let counts = lock(&gateway.picker).own_counts();
     let report = Report {
         from,
-        counts: lock(&gateway.picker).own_counts(),
+        counts: counts.clone(),
         version: gateway.knowledge.version(),
         wants_intent,
         list,
@@ -247,13 +255,14 @@
     let links = if wants_intent { &peers.large_links } else { &peers.links };
     let news: News =
         links.call(Purpose::Loads, address, EXCHANGE_PATH, &report).map_err(|e| e.to_string())?;
+    let told = gateway.clock.now();
+    lock(&gateway.picker).set_fleet_loads(told, &news.loads, &counts);
     take(gateway, news, list, asked);
     Ok(())
 }
 
 fn take(gateway: &Gateway, news: News, list: Option<ListVersion>, asked: Instant) {
     let then = |age: Option<u64>| asked.checked_sub(Duration::from_millis(age?));
-    lock(&gateway.picker).set_others(gateway.clock.now(), &news.counts);
     if let Some(as_of) = then(news.intent_age_ms) {
         match news.intent {
             Some(raw) => intent_reader::take_raw(gateway, &raw, as_of, "peer"),
@@ -285,22 +294,14 @@
     let (version, raw) = (knowledge.version(), knowledge.raw_intent());
     let passed_on =
         version > report.version && (report.wants_intent || raw.len() <= INTENT_PASSED_ON);
-    let node = report.from.node.clone();
     let instances = {
         let mut candidates = lock(&gateway.peers.candidates);
-        candidates.add(report.from);
+        candidates.add(report.from.clone());
         (candidates.version() != report.instances).then(|| candidates.all().to_vec())
     };
-    let counts = {
-        let own = gateway.settings.node.clone();
-        let own_counts = lock(&gateway.picker).own_counts();
-        let mut aggregate = lock(&gateway.peers.aggregate);
-        aggregate.take(now, own, own_counts);
-        aggregate.take(now, node.clone(), report.counts);
-        aggregate.others(now, &node)
-    };
+    lock(&gateway.peers.aggregate).take(now, report.from.node.clone(), report.counts);
     News {
-        counts,
+        loads: summary(gateway, now).to_vec(),
         version,
         intent: passed_on.then(|| serde_bytes::ByteBuf::from(raw.to_vec())),
         intent_age_ms: gateway.intent_known_age(now).map(millis),
@@ -310,6 +311,24 @@
     }
 }
 
+/// Returns what all instances have in flight; summed anew only now and then, whoever asks.
+fn summary(gateway: &Gateway, now: Instant) -> Arc<Vec<ServiceLoad>> {
+    let mut kept = lock(&gateway.peers.summary);
+    if let Some((at, loads)) = &*kept
+        && now.saturating_duration_since(*at) < SUMMARY_AGE
+    {
+        return Arc::clone(loads);
+    }
+    let own_counts = lock(&gateway.picker).own_counts();
+    let mut aggregate = lock(&gateway.peers.aggregate);
+    aggregate.take(now, gateway.settings.node.clone(), own_counts);
+    let loads = gateway.knowledge.with_servers(|roster| {
+        Arc::new(aggregate.summary(now, roster.servers().map(|server| &**server)))
+    });
+    *kept = Some((now, Arc::clone(&loads)));
+    loads
+}
+
 /// Serves a connection of another instance until it ends.
 pub fn serve(gateway: &Gateway, conn: Conn) {
     let service = PeerService {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -8,8 +8,8 @@
 };
 
 /// Part of the time in which a leaving server must be acted on that passes between two reads of
-/// the servers' list; the rest is for the read itself, which may be slow.
-const ROSTER_PACE: f64 = 0.5;
+/// the servers' list; the rest is for the read itself, which may be slow, and for passing it on.
+const ROSTER_PACE: f64 = 0.35;
 
 /// Part of an operator's bound at which an instance no longer waits for news from others and reads
 /// the store itself; the rest is for that read.
--- a/src/routing/aggregate.rs
+++ b/src/routing/aggregate.rs
@@ -1,10 +1,15 @@
 //! In-flight counts of all instances, collected at one of them.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
 
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
-use crate::names::{NodeName, Tag};
+use super::BackendServer;
+use crate::names::{NodeName, ServiceName, Tag};
 
 /// Age at which an instance's counts are dropped: it stopped reporting, and its requests end
 /// within a second or two.
@@ -13,6 +18,38 @@
 /// Requests in flight at one backend server.
 pub type Count = (Tag, u32);
 
+/// Servers of a service up to which all are listed.
+const LISTED_ALL: usize = 64;
+
+/// Times the mean, and requests beyond that, from which a server's load stands out: under any
+/// bound at which prompts spill.
+const STANDS_OUT: (f32, f32) = (1.2, 1.0);
+
+/// Requests in flight at a service's servers.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ServiceLoad {
+    /// The service.
+    pub service: ServiceName,
+    /// Mean of its servers.
+    pub mean: f32,
+    /// Servers, by tag.
+    pub counts: Vec<Count>,
+    /// Whether every server is listed; else those that are not are near the mean.
+    pub whole: bool,
+}
+
+impl ServiceLoad {
+    fn new(service: &ServiceName, mut counts: Vec<Count>) -> ServiceLoad {
+        let sum: u32 = counts.iter().map(|(_, count)| count).sum();
+        let mean = sum as f32 / counts.len().max(1) as f32;
+        let whole = counts.len() <= LISTED_ALL;
+        if !whole {
+            counts.retain(|&(_, count)| count as f32 > mean * STANDS_OUT.0 + STANDS_OUT.1);
+        }
+        ServiceLoad { service: service.clone(), mean, counts, whole }
+    }
+}
+
 /// The newest counts of each instance.
 #[derive(Debug, Default)]
 pub struct Aggregate {
@@ -26,18 +63,31 @@
         self.reports.retain(|_, (at, _)| now.saturating_duration_since(*at) <= REPORT_LIFE);
     }
 
-    /// Returns the counts of all instances but `node`, summed by server.
-    pub fn others(&self, now: Instant, node: &NodeName) -> Vec<Count> {
-        let mut sums: IndexMap<Tag, u32> = IndexMap::new();
-        for (other, (at, counts)) in &self.reports {
-            if other == node || now.saturating_duration_since(*at) > REPORT_LIFE {
+    /// Sums the counts of all instances, by service.
+    ///
+    /// Of a service with many servers only those are listed whose load stands out: the others are
+    /// near the mean, and a list of thousands for each instance would fill the links.
+    pub fn summary<'a>(
+        &self,
+        now: Instant,
+        servers: impl Iterator<Item = &'a BackendServer>,
+    ) -> Vec<ServiceLoad> {
+        let mut sums: HashMap<Tag, u32> = HashMap::new();
+        for (at, counts) in self.reports.values() {
+            if now.saturating_duration_since(*at) > REPORT_LIFE {
                 continue;
             }
             for &(server, count) in counts {
                 *sums.entry(server).or_default() += count;
             }
         }
-        sums.into_iter().collect()
+        let mut services: IndexMap<&ServiceName, Vec<Count>> = IndexMap::new();
+        for server in servers {
+            let tag = server.tag();
+            let count = sums.get(&tag).copied().unwrap_or(0);
+            services.entry(&server.service).or_default().push((tag, count));
+        }
+        services.into_iter().map(|(service, counts)| ServiceLoad::new(service, counts)).collect()
     }
 
     /// Returns when the newest report of another instance than `node` came.
--- a/src/routing/candidates.rs
+++ b/src/routing/candidates.rs
@@ -37,13 +37,17 @@
 pub struct Candidates {
     own: InstanceInfo,
     ranked: Vec<InstanceInfo>,
+    version: u64,
     silent: IndexMap<NodeName, (Instant, Duration)>,
 }
 
 impl Candidates {
     /// Returns the candidates as an instance knows them that knows only itself.
     pub fn new(own: InstanceInfo) -> Candidates {
-        Candidates { ranked: vec![own.clone()], own, silent: IndexMap::new() }
+        let mut candidates =
+            Candidates { own, ranked: Vec::new(), version: 0, silent: IndexMap::new() };
+        candidates.set([]);
+        candidates
     }
 
     /// Sets the own address, once it is bound.
@@ -62,6 +66,9 @@
             let order = |i: &InstanceInfo| xxh3_64(i.node.as_str().as_bytes());
             b.cores.total_cmp(&a.cores).then_with(|| order(a).cmp(&order(b)))
         });
+        self.version = ranked
+            .iter()
+            .fold(0, |sum, i| sum ^ xxh3_64(format!("{}@{}", i.node, i.address).as_bytes()));
         self.ranked = ranked;
     }
 
@@ -110,8 +117,6 @@
 
     /// Returns a hash of the list, by which two instances see whether they know the same.
     pub fn version(&self) -> u64 {
-        self.ranked
-            .iter()
-            .fold(0, |sum, i| sum ^ xxh3_64(format!("{}@{}", i.node, i.address).as_bytes()))
+        self.version
     }
 }
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -25,7 +25,7 @@
 pub struct Load {
     own: u32,
     report: Option<(LoadReport, Instant, u32)>,
-    others: Option<(u32, Instant)>,
+    others: Option<(f64, Instant)>,
 }
 
 impl Load {
@@ -45,12 +45,12 @@
     }
 
     /// Takes the other instances' requests in flight.
-    pub fn set_others(&mut self, now: Instant, count: u32) {
+    pub fn set_others(&mut self, now: Instant, count: f64) {
         self.others = Some((count, now));
     }
 
     /// Returns the other instances' requests in flight, while that is known.
-    pub fn others(&self, now: Instant) -> Option<u32> {
+    pub fn others(&self, now: Instant) -> Option<f64> {
         let (count, at) = self.others?;
         (now.saturating_duration_since(at) < OTHERS_LIFE).then_some(count)
     }
@@ -74,7 +74,7 @@
     pub fn estimate(&self, now: Instant, usual: f64) -> f64 {
         let own = f64::from(self.own);
         if let Some(others) = self.others(now) {
-            return own + f64::from(others);
+            return own + others;
         }
         let Some((report, at, own_then)) = self.report else { return own.max(usual) };
         let then = f64::from(report.running + report.waiting);
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -14,7 +14,7 @@
 pub mod server_list;
 pub mod team;
 
-pub use aggregate::{Aggregate, Count};
+pub use aggregate::{Aggregate, Count, ServiceLoad};
 pub use budget::RetryBudget;
 pub use candidates::{Candidates, InstanceInfo};
 pub use events::EventSplitter;
--- a/src/routing/picker.rs
+++ b/src/routing/picker.rs
@@ -8,7 +8,7 @@
 
 use indexmap::IndexMap;
 
-use super::{BackendServer, Count, Health, Load, LoadReport};
+use super::{BackendServer, Count, Health, Load, LoadReport, ServiceLoad};
 use crate::{
     names::{ServerId, ServiceName, Tag, ZoneName},
     zone::rendezvous,
@@ -124,12 +124,18 @@
         self.with(id, |t| t.load.report(now, report));
     }
 
-    /// Takes the other instances' requests in flight; servers not named have none.
-    pub fn set_others(&mut self, now: Instant, counts: &[Count]) {
-        let counts: HashMap<Tag, u32> = counts.iter().copied().collect();
-        for tracked in self.servers.values_mut() {
-            let count = counts.get(&tracked.server.tag()).copied().unwrap_or(0);
-            tracked.load.set_others(now, count);
+    /// Takes what all instances have in flight, of which `own` is what this one told.
+    pub fn set_fleet_loads(&mut self, now: Instant, loads: &[ServiceLoad], own: &[Count]) {
+        let own: HashMap<Tag, u32> = own.iter().copied().collect();
+        for load in loads {
+            let counts: HashMap<Tag, u32> = load.counts.iter().copied().collect();
+            let unlisted = if load.whole { 0.0 } else { f64::from(load.mean) };
+            for tracked in self.servers.values_mut().filter(|t| t.server.service == load.service) {
+                let tag = tracked.server.tag();
+                let all = counts.get(&tag).map_or(unlisted, |&count| f64::from(count));
+                let own = own.get(&tag).map_or(0.0, |&count| f64::from(count));
+                tracked.load.set_others(now, (all - own).max(0.0));
+            }
         }
     }
 
@@ -227,14 +233,14 @@
     fn by_load(&self, now: Instant, pool: &[&Tracked]) -> Option<Picked> {
         let cost = |t: &Tracked| {
             let away = if t.server.zone == self.zone { 0.0 } else { OTHER_ZONE_LOAD };
-            f64::from(t.load.own() + t.load.others(now).unwrap_or(0)) + away
+            f64::from(t.load.own()) + t.load.others(now).unwrap_or(0.0) + away
         };
         // Servers that cost the same take turns by their ids, in an order of this zone's own.
         let order = |t: &Tracked| rendezvous::score(zone_key(&self.zone), t.server.tag(), 1.0);
         let least = pool.iter().min_by(|a, b| {
             cost(a).total_cmp(&cost(b)).then_with(|| order(b).total_cmp(&order(a)))
         })?;
-        let load = f64::from(least.load.own() + least.load.others(now).unwrap_or(0));
+        let load = f64::from(least.load.own()) + least.load.others(now).unwrap_or(0.0);
         let server = Arc::clone(&least.server);
         Some(Picked { server, rank: 0, load, bound: f64::INFINITY, holder: None })
     }
--- a/tests/suite/files.rs
+++ b/tests/suite/files.rs
@@ -266,7 +266,7 @@
         ("a mark before a table", [b"\xef\xbb\xbf[teams.a]\n".to_vec()].concat(), ":1:"),
         (
             "a team twice",
-            [hanbit[..team].as_bytes(), twice.as_bytes(), hanbit[team..].as_bytes()].concat(),
+            [&hanbit[..team], twice, &hanbit[team..]].concat().into_bytes(),
             "drivers",
         ),
         ("nothing", Vec::new(), ":1:1: key_salt"),
--- a/tests/suite/routing.rs
+++ b/tests/suite/routing.rs
@@ -9,8 +9,8 @@
 use cartvane::{
     names::ServerId,
     routing::{
-        BackendServer, EventSplitter, Health, Intent, IntentInForce, Load, LoadReport, Picker,
-        RetryBudget, Roster, Route, RouteKind, RouteTable, ServiceShare, Teams, Wanted,
+        Aggregate, BackendServer, EventSplitter, Health, Intent, IntentInForce, Load, LoadReport,
+        Picker, RetryBudget, Roster, Route, RouteKind, RouteTable, ServiceShare, Teams, Wanted,
         budget::BudgetTerms,
     },
 };
@@ -437,3 +437,46 @@
     assert_eq!(pick(&unreached, &[]).0, home);
     assert_ne!(pick(&unreached, &[]).1, second);
 }
+
+#[test]
+fn counts_of_all_instances_are_summed_and_those_of_silent_ones_forgotten() {
+    let now = Instant::now();
+    let servers = fleet(3);
+    let tag = |i: usize| servers[i].tag();
+    let mut aggregate = Aggregate::default();
+    aggregate.take(now, "a".parse().expect("a name"), vec![(tag(0), 4), (tag(1), 1)]);
+    aggregate.take(now + SECOND * 2, "b".parse().expect("a name"), vec![(tag(0), 2)]);
+    let total = |at: Instant| aggregate.summary(at, servers.iter()).remove(0);
+    let both = total(now + SECOND * 2);
+    assert!(both.whole);
+    assert_eq!(both.counts, [(tag(0), 6), (tag(1), 1), (tag(2), 0)]);
+    assert_eq!(total(now + SECOND * 4).counts[0], (tag(0), 2));
+    // What this instance told itself is not counted twice.
+    let mut picker = picker(&servers);
+    (0..4).for_each(|_| picker.begin(&servers[0].id));
+    let own = picker.own_counts();
+    picker.set_fleet_loads(now, &[both], &own);
+    let service = "llm".parse().expect("a name");
+    let tried = [servers[1].id.clone(), servers[2].id.clone()];
+    let wanted = Wanted { service: &service, affinity: None, tried: &tried };
+    let picked = picker.pick(now, &wanted).expect("a server");
+    assert!((picked.load - 6.0).abs() < 0.01, "{picked:?}");
+}
+
+#[test]
+fn of_many_servers_only_those_that_stand_out_are_told() {
+    let now = Instant::now();
+    let servers = fleet(500);
+    let counts = servers.iter().enumerate().map(|(i, s)| (s.tag(), if i == 7 { 20 } else { 2 }));
+    let mut aggregate = Aggregate::default();
+    aggregate.take(now, "a".parse().expect("a name"), counts.collect());
+    let load = aggregate.summary(now, servers.iter()).remove(0);
+    assert!(!load.whole);
+    assert_eq!(load.counts, [(servers[7].tag(), 20)]);
+    let mut picker = picker(&servers);
+    picker.set_fleet_loads(now, &[load], &[]);
+    // Prompts whose first server is the loaded one spill; the others' loads are about the mean.
+    for key in 0..2000 {
+        assert_ne!(pick(&picker, now, Some(key), &[]), Some(servers[7].id.clone()));
+    }
+}
