--- /dev/null
+++ b/tests/suite/knowledge.rs
@@ -0,0 +1,199 @@
+//! An instance on a platform: what it knows and where from, against stand-ins of the store, of
+//! other instances and of listed backend servers.
+
+use std::time::Duration;
+
+use cartvane::{clock::Clock, gateway::GatewayHandle, routing::Wanted};
+use serde_json::json;
+use standins::{
+    caller::Call,
+    fault::Fault,
+    listed::Listed,
+    store::{StoreMode, StoreStandIn},
+};
+
+use crate::{
+    support::eventually,
+    world::{call, intent, route, spawn, start},
+};
+
+#[test]
+fn a_change_of_intent_is_in_force_and_an_older_one_is_not() {
+    let world = start(1);
+    assert_eq!(world.send(&call("/added/", "a")).status, 404);
+    let mut next = intent(9);
+    next["routes"].as_array_mut().expect("routes").push(route("added", "idempotent", "app"));
+    world.store.put("op", "config", &next);
+    eventually("the route is served", || world.send(&call("/added/", "b")).status == 200);
+    world.store.put("op", "config", &intent(7));
+    std::thread::sleep(Duration::from_millis(700));
+    assert_eq!(world.send(&call("/added/", "c")).status, 200);
+    assert_eq!(world.instance.gateway().knowledge.version(), 9);
+}
+
+#[test]
+fn an_intent_that_cannot_be_read_leaves_the_one_before_in_force() {
+    let world = start(1);
+    world.store.put_raw("op", "config", b"\xff{not json".to_vec());
+    world.store.put("op", "config", &json!({"routes": []}));
+    let mut partly = intent(9);
+    let routes = partly["routes"].as_array_mut().expect("routes");
+    routes.push(json!({"name": "odd", "type": "telepathic"}));
+    routes.push(route("added", "idempotent", "app"));
+    std::thread::sleep(Duration::from_millis(300));
+    assert_eq!(world.send(&call("/idem/", "a")).status, 200);
+    world.store.put("op", "config", &partly);
+    eventually("the rest is in force", || world.send(&call("/added/", "b")).status == 200);
+}
+
+#[test]
+fn history_that_is_gone_is_read_anew() {
+    let world = start(1);
+    world.store.forget_history();
+    world.store.put("op", "config", &intent(9));
+    let version = || world.instance.gateway().knowledge.version();
+    eventually("the new version is in force", || version() == 9);
+}
+
+#[test]
+fn a_leaving_server_gets_nothing_new_and_a_gone_one_neither() {
+    let world = start(2);
+    let leaving = &world.servers[0];
+    world.store.put("servers", &leaving.id, &leaving.entry("app", "draining"));
+    std::thread::sleep(Duration::from_millis(500));
+    let before = leaving.arrivals().len();
+    (0..20).for_each(|i| assert_eq!(world.send(&call("/idem/", &format!("a{i}"))).status, 200));
+    assert_eq!(leaving.arrivals().len(), before);
+    world.store.put("servers", &leaving.id, &leaving.entry("app", "ready"));
+    world.store.remove("servers", &world.servers[1].id);
+    std::thread::sleep(Duration::from_millis(500));
+    let before = world.servers[1].arrivals().len();
+    (0..20).for_each(|i| assert_eq!(world.send(&call("/idem/", &format!("b{i}"))).status, 200));
+    assert_eq!(world.servers[1].arrivals().len(), before);
+}
+
+#[test]
+fn malformed_entries_are_passed_over() {
+    let world = start(1);
+    world.store.put_raw("servers", "no-json", b"{".to_vec());
+    world.store.put("servers", "no-address", &json!({"service": "app", "zone": "north"}));
+    world.store.put(
+        "servers",
+        "bad-address",
+        &json!({"service": "app", "zone": "n", "address": "x"}),
+    );
+    std::thread::sleep(Duration::from_millis(500));
+    (0..10).for_each(|i| assert_eq!(world.send(&call("/once/", &format!("a{i}"))).status, 200));
+}
+
+#[test]
+fn whatever_the_store_does_requests_are_served_and_its_return_is_noticed() {
+    let modes = [
+        StoreMode::Busy,
+        StoreMode::TooMany,
+        StoreMode::Reset,
+        StoreMode::Silent,
+        StoreMode::LosesReplies,
+        StoreMode::Garbage,
+        StoreMode::Slow(120),
+    ];
+    let world = start(1);
+    for (number, mode) in modes.into_iter().enumerate() {
+        world.store.set_mode(mode);
+        std::thread::sleep(Duration::from_millis(600));
+        assert_eq!(world.send(&call("/once/", &format!("{mode:?}"))).status, 200, "{mode:?}");
+        let version = 100 + number as u64;
+        world.store.put("op", "config", &intent(version));
+        world.store.set_mode(StoreMode::Up);
+        let known = || world.instance.gateway().knowledge.version();
+        eventually("the change made meanwhile is in force", || known() == version);
+    }
+}
+
+#[test]
+fn an_instance_that_starts_without_the_store_is_not_ready_and_refuses_truly() {
+    let store = StoreStandIn::spawn().expect("a store");
+    let server = Listed::spawn("s0").expect("a server");
+    store.put("servers", "s0", &server.entry("app", "ready"));
+    store.put("op", "config", &intent(5));
+    store.set_mode(StoreMode::Busy);
+    let instance = spawn("one", store.address(), Vec::new());
+    let ready =
+        || Call { method: "GET".into(), ..call("/v1/ready", "x") }.send(instance.readiness());
+    assert_eq!(ready().status, 503);
+    let answer = call("/idem/", "a").send(instance.callers());
+    assert_eq!(answer.status, 503);
+    assert!(!answer.header("retry-after").is_empty());
+    store.set_mode(StoreMode::Up);
+    eventually("ready", || ready().status == 200);
+    assert_eq!(call("/idem/", "b").send(instance.callers()).status, 200);
+    assert_eq!(server.runs("a"), 0);
+}
+
+#[test]
+fn a_denial_needs_fresh_knowledge() {
+    let world = start(1);
+    assert_eq!(world.send(&call("/nothing/", "a")).status, 404);
+    world.store.set_mode(StoreMode::Busy);
+    std::thread::sleep(Duration::from_millis(1500));
+    assert_eq!(world.send(&call("/nothing/", "b")).status, 503);
+    assert_eq!(world.send(&call("/idem/", "c")).status, 200, "what is known to be served is");
+}
+
+#[test]
+fn news_come_from_peers_when_the_store_turns_an_instance_away() {
+    let world = start(2);
+    let other_store = StoreStandIn::spawn().expect("a store");
+    other_store.set_mode(StoreMode::Busy);
+    let cut_off = spawn("two", other_store.address(), vec![world.instance.peers()]);
+    eventually("ready by its peer", || cut_off.gateway().is_ready());
+    let status = |target: &str, id: &str| call(target, id).send(cut_off.callers()).status;
+    assert_eq!(status("/idem/", "a"), 200);
+    let mut next = intent(9);
+    next["tenants"][0]["api_keys"] = json!(["another-key"]);
+    next["padding"] = "x".repeat(40_000).into();
+    world.store.put("op", "config", &next);
+    eventually("the key is gone", || status("/idem/", "b") == 401);
+    world.store.remove("servers", &world.servers[0].id);
+    eventually("the server is gone", || {
+        cut_off.gateway().knowledge.with_servers(|roster| roster.servers().count()) == 1
+    });
+}
+
+#[test]
+fn instances_count_each_others_requests() {
+    let world = start(3);
+    let two = spawn("two", world.store.address(), Vec::new());
+    eventually("they know of each other", || {
+        two.gateway().instances() == 2 && world.instance.gateway().instances() == 2
+    });
+    world.fault(Fault::Late(Duration::from_millis(1800)));
+    let busy: Vec<_> = (0..6)
+        .map(|i| {
+            let callers = world.instance.callers();
+            std::thread::spawn(move || call("/once/", &format!("r{i}")).send(callers))
+        })
+        .collect();
+    let service = "app".parse().expect("a name");
+    eventually("the other counts them", || {
+        let wanted = Wanted { service: &service, affinity: None, tried: &[] };
+        let now = Clock::system().now();
+        let picker = two.gateway().picker.lock().expect("the picker");
+        picker.pick(now, &wanted).expect("a server").load >= 2.0
+    });
+    busy.into_iter().for_each(|call| assert_eq!(call.join().expect("an answer").status, 200));
+}
+
+#[test]
+fn one_instance_reads_the_store_for_the_others() {
+    let world = start(1);
+    let others: Vec<GatewayHandle> =
+        (0..5).map(|i| spawn(&format!("n{i}"), world.store.address(), Vec::new())).collect();
+    let all = || others.iter().chain([&world.instance]);
+    let readers = || {
+        let now = Clock::system().now();
+        all().filter(|instance| instance.gateway().peers.is_reader(now)).count()
+    };
+    eventually("all are known to all", || all().all(|i| i.gateway().instances() == 6));
+    eventually("one reads", || readers() == 1);
+}
--- /dev/null
+++ b/tests/suite/world.rs
@@ -0,0 +1,129 @@
+//! A small world for tests of an instance on a platform: a store, listed backend servers, an instance.
+
+use std::{net::SocketAddr, time::Duration};
+
+use cartvane::{
+    clock::Clock,
+    gateway::{
+        GatewayHandle,
+        settings::{Addresses, Bounds, GatewaySettings, RosterSource},
+    },
+    routing::budget::BudgetTerms,
+};
+use serde_json::{Value, json};
+use standins::{
+    caller::{Answer, Call},
+    fault::Fault,
+    listed::Listed,
+    store::StoreStandIn,
+};
+
+use crate::support::eventually;
+
+pub(crate) const KEY: &str = "key-of-crew";
+
+pub(crate) fn port(number: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], number))
+}
+
+pub(crate) fn settings(node: &str, store: SocketAddr, seeds: Vec<SocketAddr>) -> GatewaySettings {
+    GatewaySettings {
+        node: node.parse().expect("a name"),
+        zone: "north".parse().expect("a zone"),
+        addresses: Addresses {
+            callers: port(0),
+            readiness: port(0),
+            peers: port(0),
+            metrics: port(0),
+        },
+        seeds,
+        source: RosterSource { address: store, heartbeat: Duration::from_millis(1200) },
+        cores: 1.0,
+        connections: 100,
+        bounds: Bounds {
+            leaving_acted_on: Duration::from_millis(400),
+            grace: Duration::from_secs(8),
+            intent_in_force: Duration::from_millis(800),
+            load: 2.0,
+            retries: BudgetTerms { ratio: 0.2, slack: 100.0, window: Duration::from_secs(10) },
+        },
+    }
+}
+
+pub(crate) fn route(name: &str, kind: &str, service: &str) -> Value {
+    json!({
+        "name": name, "host": "cartvane", "path_prefix": format!("/{name}/"), "type": kind,
+        "timeout_ms": 3000, "target_latency_ms": 300, "priority": 1, "service": service,
+        "max_attempts": 2, "public": false, "sticky_sessions": false, "stream_resume": false,
+        "gap_target_ms": 100
+    })
+}
+
+pub(crate) fn intent(version: u64) -> Value {
+    let mut resumable = route("stream-resumable", "streaming", "app");
+    resumable["stream_resume"] = true.into();
+    resumable["max_attempts"] = 3.into();
+    let mut public = route("public", "idempotent", "app");
+    public["public"] = true.into();
+    let mut short = route("short", "non_idempotent", "app");
+    short["timeout_ms"] = 200.into();
+    json!({
+        "version": version,
+        "routes": [
+            route("idem", "idempotent", "app"), route("once", "non_idempotent", "app"),
+            route("stream", "streaming", "app"), resumable, public, short
+        ],
+        "services": [{"name": "app", "health_path": "/health", "max_connections": 100}],
+        "limits": {
+            "max_header_bytes": 4096, "max_body_bytes": 1000, "header_timeout_ms": 1000,
+            "idle_timeout_ms": 5000
+        },
+        "tenants": [{"name": "crew", "api_keys": [KEY], "priority": 3}]
+    })
+}
+
+/// A store, some servers, and an instance that knows them.
+pub(crate) struct World {
+    pub(crate) store: StoreStandIn,
+    pub(crate) servers: Vec<Listed>,
+    pub(crate) instance: GatewayHandle,
+}
+
+pub(crate) fn start(servers: usize) -> World {
+    let store = StoreStandIn::spawn().expect("a store");
+    let servers: Vec<Listed> =
+        (0..servers).map(|i| Listed::spawn(&format!("s{i}")).expect("a server")).collect();
+    for server in &servers {
+        store.put("servers", &server.id, &server.entry("app", "ready"));
+    }
+    store.put("op", "config", &intent(5));
+    let instance = spawn("one", store.address(), Vec::new());
+    eventually("the instance is ready", || instance.gateway().is_ready());
+    World { store, servers, instance }
+}
+
+pub(crate) fn spawn(node: &str, store: SocketAddr, seeds: Vec<SocketAddr>) -> GatewayHandle {
+    GatewayHandle::spawn(settings(node, store, seeds), &Clock::system()).expect("an instance")
+}
+
+pub(crate) fn call(target: &str, id: &str) -> Call {
+    Call::post(target, KEY, "some body").with("x-request-id", id).with("x-deadline-ms", 2000)
+}
+
+impl World {
+    pub(crate) fn send(&self, call: &Call) -> Answer {
+        call.send(self.instance.callers())
+    }
+
+    pub(crate) fn runs(&self, id: &str) -> u32 {
+        self.servers.iter().map(|server| server.runs(id)).sum()
+    }
+
+    pub(crate) fn fault(&self, fault: Fault) {
+        self.servers.iter().for_each(|server| server.faults.set_standing(Some(fault)));
+    }
+
+    pub(crate) fn next_faults(&self, faults: &[Fault]) {
+        self.servers.iter().for_each(|server| server.faults.push(faults.iter().copied()));
+    }
+}
