--- a/src/routing/server_list.rs
+++ b/src/routing/server_list.rs
@@ -1,6 +1,9 @@
 //! Lists of backend servers as they are passed from instance to instance: only what changed.
 
-use std::{collections::VecDeque, sync::Arc};
+use std::{
+    collections::{HashMap, HashSet, VecDeque},
+    sync::Arc,
+};
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
@@ -82,9 +85,11 @@
         }
         let known = self.lists.iter().find(|(known, _)| Some(*known) == version);
         let Some((_, old)) = known else { return ListNews::Whole(list.to_vec()) };
-        let put = list.iter().filter(|server| !old.contains(server)).cloned().collect();
-        let listed = |id: &ServerId| list.iter().any(|server| server.id == *id);
-        let gone = old.iter().map(|s| s.id.clone()).filter(|id| !listed(id)).collect();
+        let before: HashMap<&ServerId, &BackendServer> = old.iter().map(|s| (&s.id, s)).collect();
+        let after: HashSet<&ServerId> = list.iter().map(|s| &s.id).collect();
+        let changed = |s: &&BackendServer| before.get(&s.id) != Some(s);
+        let put = list.iter().filter(changed).cloned().collect();
+        let gone = old.iter().map(|s| &s.id).filter(|id| !after.contains(id)).cloned().collect();
         ListNews::Changes { put, gone }
     }
 }
--- a/tests/suite/routing.rs
+++ b/tests/suite/routing.rs
@@ -9,9 +9,9 @@
 use cartvane::{
     names::ServerId,
     routing::{
-        Aggregate, BackendServer, EventSplitter, Health, Intent, IntentInForce, Load, LoadReport,
-        Picker, RetryBudget, Roster, Route, RouteKind, RouteTable, ServiceShare, Teams, Wanted,
-        budget::BudgetTerms,
+        Aggregate, BackendServer, EventSplitter, Health, Intent, IntentInForce, ListHistory,
+        ListNews, Load, LoadReport, Picker, RetryBudget, Roster, Route, RouteKind, RouteTable,
+        ServiceShare, Teams, Wanted, budget::BudgetTerms,
     },
 };
 use indexmap::IndexMap;
@@ -480,3 +480,37 @@
         assert_ne!(pick(&picker, now, Some(key), &[]), Some(servers[7].id.clone()));
     }
 }
+
+/// Whatever changes between two lists, what is told of it makes the one into the other.
+#[test]
+fn news_of_a_list_make_the_old_one_into_the_new_one() {
+    let config = Config { cases: 128, rng_seed: RngSeed::Fixed(3), ..Config::default() };
+    let entry = (0..30_u16, any::<bool>());
+    let list = proptest::collection::vec(entry, 0..25);
+    let make = |entries: Vec<(u16, bool)>| {
+        let servers: IndexMap<u16, BackendServer> = entries
+            .into_iter()
+            .map(|(i, leaving)| (i, BackendServer { leaving, ..server(&format!("s{i}"), i) }))
+            .collect();
+        servers.into_values().collect::<Vec<_>>()
+    };
+    TestRunner::new(config)
+        .run(&(list.clone(), list), |(old, new)| {
+            let (old, new) = (make(old), make(new));
+            let mut history = ListHistory::default();
+            history.push(old.clone());
+            let version = history.newest().map(|(version, _)| *version);
+            history.push(new.clone());
+            let sorted = |mut list: Vec<BackendServer>| {
+                list.sort_by(|a, b| a.id.cmp(&b.id));
+                list
+            };
+            let news = history.since(version);
+            prop_assert_eq!(sorted(news.apply(&old)), sorted(new.clone()));
+            let stranger = history.since(None);
+            prop_assert!(matches!(&stranger, ListNews::Whole(_)));
+            prop_assert_eq!(sorted(stranger.apply(&[])), sorted(new));
+            Ok(())
+        })
+        .expect("news make the list");
+}
