refactor(zone): what waits at a home in a type of its own

Change: the fair queue, the chats that wait for their engine and the mean holding time are WaitingLine (zone/waiting.rs); bound_of stands with the loads. No change of behaviour: the tests of the home are as before but for one import path. Ruled out: splitting Home's methods over two files, as a type and its methods stand together here.

--- a/src/zone/baseline.rs
+++ b/src/zone/baseline.rs
@@ -10,7 +10,7 @@
     names::Tag,
     zone::{
         engine::EngineSpec,
-        home::bound_of,
+        load_view::bound_of,
         rendezvous::{ChatKey, ranked},
     },
 };
--- a/src/zone/home.rs
+++ b/src/zone/home.rs
@@ -14,7 +14,6 @@
 
 use crate::{
     contract::{
-        fair_queue::FairQueue,
         permit::{Ask, Held, PermitId, RefuseReason, Release, ReleaseKind, Reply, TeamTerms},
         team_limits::TeamLimits,
     },
@@ -26,6 +25,7 @@
         load_view::LoadView,
         memory::ChatMemory,
         rendezvous::{ChatKey, score},
+        waiting::{Patient, Waiting, WaitingLine},
     },
 };
 
@@ -43,43 +43,22 @@
 /// Time added to a permit's life over the request's own deadline.
 const PERMIT_MARGIN: Duration = Duration::from_secs(2);
 
-/// Weight of the newest sample in the mean holding time.
-const HOLD_SMOOTHING: f64 = 0.05;
-
 /// Retry-After told with refusals that have no better estimate.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
-#[derive(Debug, Clone)]
-struct Waiting {
-    ask: Ask,
-    terms: TeamTerms,
-    until: Instant,
-}
-
-/// A returning chat that waits for the engine with its context.
-#[derive(Debug, Clone)]
-struct Patient {
-    waiting: Waiting,
-    engine: Tag,
-    /// When it goes elsewhere.
-    leaves: Instant,
-}
-
 /// The home of one shard.
 #[derive(Debug)]
 pub struct Home {
     terms: HomeTerms,
     engines: IndexMap<Tag, EngineSlot>,
     permits: PermitLedger,
-    queue: FairQueue<Waiting>,
-    patients: Vec<Patient>,
+    waiting: WaitingLine,
     memory: ChatMemory,
     hand_over: HandOver,
     teams: TeamLimits,
     elsewhere: HashMap<Tag, (ShardLoad, Instant)>,
     guarded_until: Option<Instant>,
     is_home: bool,
-    mean_hold: f64,
 }
 
 impl Home {
@@ -89,15 +68,13 @@
             terms,
             engines: engines.into_iter().map(|spec| (spec.tag, EngineSlot::new(spec))).collect(),
             permits: PermitLedger::default(),
-            queue: FairQueue::default(),
-            patients: Vec::new(),
+            waiting: WaitingLine::default(),
             memory: ChatMemory::new(terms.remembered),
             hand_over: HandOver::default(),
             teams: TeamLimits::default(),
             elsewhere: HashMap::new(),
             guarded_until: Some(now + WARM_UP),
             is_home: true,
-            mean_hold: 0.0,
         }
     }
 
@@ -171,7 +148,7 @@
 
     /// Returns the number of requests that wait.
     pub fn queued(&self) -> usize {
-        self.queue.len() + self.patients.len()
+        self.waiting.len()
     }
 
     /// Returns the number of permits in force.
@@ -207,10 +184,11 @@
         if let Some(engine) = self.worth_waiting_for(now, &ask, &terms) {
             actions.push(Action::Reply(ask.id, Reply::Queued));
             let (until, leaves) = (now + ask.left, now + self.terms.patience.min(ask.left / 4));
-            self.patients.push(Patient { waiting: Waiting { ask, terms, until }, engine, leaves });
+            let waiting = Waiting { ask, terms, until };
+            self.waiting.push_patient(Patient { waiting, engine, leaves });
             return;
         }
-        let first_in_line = terms.reserved || self.queue.is_empty();
+        let first_in_line = terms.reserved || self.waiting.queue().is_empty();
         let engine =
             if first_in_line { self.choose(now, ask.chat, ask.hint, &ask.avoid) } else { None };
         if let Some(engine) = engine {
@@ -225,7 +203,7 @@
     /// Returns the engine with the chat's context when it is full just now and a place on it is
     /// likely within the service's patience.
     fn worth_waiting_for(&self, now: Instant, ask: &Ask, terms: &TeamTerms) -> Option<Tag> {
-        if self.terms.patience.is_zero() || terms.reserved || !self.queue.is_empty() {
+        if self.terms.patience.is_zero() || terms.reserved || !self.waiting.queue().is_empty() {
             return None;
         }
         let known = [self.memory.get(ask.chat), ask.hint].into_iter().flatten();
@@ -234,16 +212,15 @@
         if !view.is_usable(engine) || ask.avoid.contains(&tag) || view.takes(engine) {
             return None;
         }
-        let ahead = self.patients.iter().filter(|p| p.engine == tag).count();
-        let wait = self.mean_hold * (ahead + 1) as f64 / f64::from(view.load(engine).max(1));
+        let ahead = self.waiting.patients_of(tag);
+        let wait = self.waiting.expected_wait(ahead + 1, view.load(engine));
         (wait < self.terms.patience.as_secs_f64()).then_some(tag)
     }
 
     /// Grants to patients whose engine has room; those whose patience is over go elsewhere.
     fn serve_patients(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let mut at = 0;
-        while at < self.patients.len() {
-            let Patient { engine, leaves, .. } = &self.patients[at];
+        while let Some(Patient { engine, leaves, .. }) = self.waiting.patient(at) {
             let slot = self.engines.get(engine);
             let view = self.view(now);
             let stays = slot.is_some_and(|slot| view.is_usable(slot)) && now < *leaves;
@@ -252,7 +229,7 @@
                 at += 1;
                 continue;
             }
-            let Waiting { ask, terms, until } = self.patients.remove(at).waiting;
+            let Waiting { ask, terms, until } = self.waiting.take_patient(at);
             let ask = Ask { left: until.saturating_duration_since(now), ..ask };
             let elsewhere = || self.choose(now, ask.chat, ask.hint, &ask.avoid);
             match granted.or_else(elsewhere) {
@@ -327,9 +304,9 @@
             actions.push(Action::Reply(ask.id, refused(RefuseReason::NoEngine, RETRY_AFTER)));
             return;
         }
-        let ahead = self.queue.ahead_of(ask.team, terms.weight, terms.reserved);
+        let ahead = self.waiting.queue().ahead_of(ask.team, terms.weight, terms.reserved);
         let wait = self.expected_wait(ahead + 1);
-        if !terms.reserved && self.queue.len() >= self.terms.queue {
+        if !terms.reserved && self.waiting.queue().len() >= self.terms.queue {
             actions.push(Action::Reply(
                 ask.id,
                 refused(RefuseReason::QueueFull, wait.max(RETRY_AFTER)),
@@ -347,7 +324,7 @@
             actions.push(Action::Reply(ask.id, Reply::Queued));
         }
         let until = now + ask.left;
-        self.queue.push(ask.team, terms.weight, terms.reserved, Waiting { ask, terms, until });
+        self.waiting.push(Waiting { ask, terms, until });
     }
 
     /// Returns how long the request at `place` in line is expected to wait, from the mean time
@@ -355,7 +332,7 @@
     fn expected_wait(&self, place: usize) -> Duration {
         let slots: u32 =
             self.engines.values().filter(|e| !e.is_leaving()).map(|e| e.spec.capacity).sum();
-        Duration::from_secs_f64(self.mean_hold * place as f64 / f64::from(slots.max(1)))
+        Duration::from_secs_f64(self.waiting.expected_wait(place, slots))
     }
 
     fn release(&mut self, now: Instant, entry: Tag, release: Release, actions: &mut Vec<Action>) {
@@ -363,10 +340,7 @@
         let id = PermitId { entry, number: release.number };
         match self.remove_permit(id) {
             Some(permit) => self.note_end(now, &permit, &release),
-            None => {
-                self.queue.extract(|w| w.ask.id == id);
-                self.patients.retain(|p| p.waiting.ask.id != id);
-            }
+            None => self.waiting.remove(id),
         }
         self.serve_queue(now, actions);
     }
@@ -384,24 +358,21 @@
             }
         }
         if release.kind == ReleaseKind::Done {
-            let held = now.duration_since(permit.granted).as_secs_f64();
-            let old = if self.mean_hold == 0.0 { held } else { self.mean_hold };
-            self.mean_hold = old + HOLD_SMOOTHING * (held - old);
+            self.waiting.note_hold(now.duration_since(permit.granted));
         }
     }
 
     /// Grants to waiting requests while engines have room.
     fn serve_queue(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.serve_patients(now, actions);
-        while let Some(waiting) = self.queue.pop() {
-            let Waiting { ask, terms, until } = &waiting;
+        while let Some(waiting) = self.waiting.pop() {
+            let Waiting { ask, until, .. } = &waiting;
             if *until <= now {
                 actions.push(Action::Reply(ask.id, refused(RefuseReason::Deadline, RETRY_AFTER)));
                 continue;
             }
             let Some(engine) = self.choose(now, ask.chat, ask.hint, &ask.avoid) else {
-                let (team, weight, reserved) = (ask.team, terms.weight, terms.reserved);
-                self.queue.push_front(team, weight, reserved, waiting);
+                self.waiting.push_front(waiting);
                 return;
             };
             let ask = Ask { left: until.duration_since(now), ..ask.clone() };
@@ -510,21 +481,14 @@
         }
         self.permits.forget_silent(now);
         self.teams.tick(now);
-        let late = self.queue.extract(|w| w.until <= now);
-        actions.extend(
-            late.iter()
-                .map(|w| Action::Reply(w.ask.id, refused(RefuseReason::Deadline, RETRY_AFTER))),
-        );
+        let late = self.waiting.take_late(now);
+        let refusal =
+            |w: &Waiting| Action::Reply(w.ask.id, refused(RefuseReason::Deadline, RETRY_AFTER));
+        actions.extend(late.iter().map(refusal));
         self.serve_queue(now, actions);
     }
 }
 
-/// Returns `ceil(bound x load / engines)`, at least one.
-pub fn bound_of(bound: f64, load: u32, engines: u32) -> u32 {
-    let mean = f64::from(load) / f64::from(engines.max(1));
-    ((bound * mean).ceil() as u32).max(1)
-}
-
 fn refused(reason: RefuseReason, retry_after: Duration) -> Reply {
     let retry_after_ms = u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX);
     Reply::Refused { reason, retry_after_ms }
--- a/src/zone/load_view.rs
+++ b/src/zone/load_view.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     names::Tag,
-    zone::{engine::EngineSlot, home::bound_of, home_event::ShardLoad},
+    zone::{engine::EngineSlot, home_event::ShardLoad},
 };
 
 /// What decides at one instant whether an engine may be granted a request.
@@ -60,3 +60,9 @@
         f64::from(self.load(engine) + 1) / engine.spec.weight.max(f64::MIN_POSITIVE)
     }
 }
+
+/// Returns `ceil(bound x load / engines)`, at least one.
+pub fn bound_of(bound: f64, load: u32, engines: u32) -> u32 {
+    let mean = f64::from(load) / f64::from(engines.max(1));
+    ((bound * mean).ceil() as u32).max(1)
+}
--- a/src/zone/mod.rs
+++ b/src/zone/mod.rs
@@ -12,3 +12,4 @@
 pub mod recency;
 pub mod rendezvous;
 pub mod shard;
+pub mod waiting;
--- a/tests/suite/home.rs
+++ b/tests/suite/home.rs
@@ -13,8 +13,8 @@
         engine::EngineSpec,
         home::{
             Action, ENTRY_CUT_SILENCE, ENTRY_SILENCE, Event, Home, HomeTerms, ShardLoad, WARM_UP,
-            bound_of,
         },
+        load_view::bound_of,
         rendezvous::ChatKey,
     },
 };
