refactor(link): links no longer need the metrics

Cause: link/peer.rs took the whole of Metrics to count bytes, so reading HTTP between instances hung on opentelemetry. Change: link/traffic.rs names what control traffic is for and hands byte counts to whoever listens; the metrics offer such a listener. Names and values of the counters are the same (tests of the metrics unchanged).

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -219,7 +219,7 @@
             knowledge: Knowledge::default(),
             picker: Mutex::new(Picker::new(settings.zone.clone(), settings.bounds.load)),
             conns: ServerConns::new(clock.clone()),
-            peers: Peers::new(&settings, clock, &metrics),
+            peers: Peers::new(&settings, clock, &metrics.traffic()),
             drain: Drain::open().context("cannot make a pipe")?,
             budgets: Mutex::default(),
             store_seen: Mutex::default(),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -24,8 +24,8 @@
     link::{
         http1::Conn,
         peer::{self, PeerLinks, PeerService},
+        traffic::{Purpose, Traffic},
     },
-    metrics::{Metrics, Purpose},
     names::NodeName,
     routing::{Aggregate, Candidates, Count, InstanceInfo, ListNews, ListVersion, ServiceLoad},
     utils::sync::lock,
@@ -114,6 +114,7 @@
 
 /// Other instances, and what they tell.
 pub struct Peers {
+    traffic: Traffic,
     links: PeerLinks,
     large_links: PeerLinks,
     candidates: Mutex<Candidates>,
@@ -124,14 +125,15 @@
 
 impl Peers {
     /// Returns the peers of an instance that knows none yet.
-    pub fn new(settings: &GatewaySettings, clock: &Clock, metrics: &Metrics) -> Peers {
+    pub fn new(settings: &GatewaySettings, clock: &Clock, traffic: &Traffic) -> Peers {
         let own = InstanceInfo {
             node: settings.node.clone(),
             address: settings.addresses.peers,
             cores: settings.cores,
         };
-        let links = |time| PeerLinks::new(clock.clone(), None, time, metrics.clone());
+        let links = |time| PeerLinks::new(clock.clone(), None, time, traffic.clone());
         Peers {
+            traffic: traffic.clone(),
             links: links(EXCHANGE_TIME),
             large_links: links(LARGE_EXCHANGE_TIME),
             candidates: Mutex::new(Candidates::new(own)),
@@ -334,7 +336,7 @@
     let service = PeerService {
         accepted: None,
         timeout: EXCHANGE_TIME,
-        metrics: &gateway.metrics,
+        traffic: &gateway.peers.traffic,
         answer: |path: &str, body: &[u8]| {
             if path != EXCHANGE_PATH {
                 return Err(404);
--- a/src/instance/config.rs
+++ b/src/instance/config.rs
@@ -9,8 +9,8 @@
     configs::fleet::chunks::{Digest, Manifest, decode, load},
     contract::revision::{HEAD_KEY, Head},
     instance::{gossip, shared::Shared, snapshot::Snapshot},
+    link::traffic::Purpose,
     link::wire::{FETCH, FetchReply, FetchRequest},
-    metrics::Purpose,
     platform::PlatformFault,
     utils::sync::lock,
 };
--- a/src/instance/explain.rs
+++ b/src/instance/explain.rs
@@ -4,8 +4,8 @@
 
 use crate::{
     instance::shared::Shared,
+    link::traffic::Purpose,
     link::{peer::PeerFault, wire::EXPLAIN},
-    metrics::Purpose,
     names::Tag,
     utils::sync::lock,
     zone::rendezvous::{ChatKey, ranked},
--- a/src/instance/gossip.rs
+++ b/src/instance/gossip.rs
@@ -4,11 +4,11 @@
 
 use crate::{
     instance::shared::Shared,
+    link::traffic::Purpose,
     link::wire::{
         FETCH, FetchReply, FetchRequest, HEARTBEAT, Heartbeat, LOADS, LoadsMessage, MEMORY, Memory,
         MemoryMessage,
     },
-    metrics::Purpose,
     names::Tag,
     platform::{Member, MemberKind, MemberState},
     utils::sync::lock,
--- a/src/instance/home_links.rs
+++ b/src/instance/home_links.rs
@@ -9,11 +9,11 @@
 use crate::{
     contract::permit::{PermitId, Reply},
     instance::shared::Shared,
+    link::traffic::Purpose,
     link::{
         peer::{StreamReceiver, StreamSender},
         wire::{EntryMessage, Hello, HomeMessage, NumberedReply, ReplyWire, ShardBatch, short},
     },
-    metrics::Purpose,
     names::Tag,
     utils::sync::lock,
     zone::home::Event,
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -57,8 +57,9 @@
         backend::BackendLinks,
         caller::Listener,
         peer::{self, PeerLinks, PeerService},
+        traffic::{Purpose, Traffic},
     },
-    metrics::{Metrics, Purpose},
+    metrics::Metrics,
     platform::{Platform, embedded::Embedded, http::HttpPlatform},
     utils::sync::lock,
     zone::homes::Candidate,
@@ -104,7 +105,7 @@
     /// An address cannot be listened on, or a thread cannot be started.
     pub fn spawn(settings: Settings, context: &Context) -> anyhow::Result<Instance> {
         let metrics = Metrics::new()?;
-        let platform = open_platform(&settings, &metrics);
+        let platform = open_platform(&settings, &metrics.traffic());
         let waker = Arc::new(Waker::default());
         let shared = build_shared(settings, context, metrics, platform, &waker);
         let limits = &shared.settings.limits;
@@ -273,17 +274,17 @@
     period.mul_f64(0.75 + 0.5 * fastrand::f64())
 }
 
-fn open_platform(settings: &Settings, metrics: &Metrics) -> Platform {
+fn open_platform(settings: &Settings, traffic: &Traffic) -> Platform {
     match settings.platform {
         PlatformSettings::Embedded => Embedded::new().platform(),
         PlatformSettings::Http { table, objects, members } => {
             let timeout = settings.timeouts.platform.0;
             let credential = settings.credentials.platform.clone();
-            let metrics = metrics.clone();
+            let traffic = traffic.clone();
             HttpPlatform { table, objects, members, timeout, credential }.connect(
                 move |sent, received| {
-                    metrics.control_sent(Purpose::Platform, sent);
-                    metrics.control_received(Purpose::Platform, received);
+                    traffic.sent(Purpose::Platform, sent);
+                    traffic.received(Purpose::Platform, received);
                 },
             )
         }
@@ -298,11 +299,12 @@
     waker: &Arc<Waker>,
 ) -> Arc<Shared> {
     let clock = context.clock.clone();
+    let traffic = metrics.traffic();
     let tag = settings.id.tag();
     let incarnation = u32::try_from(clock.wall_millis() / 1000).unwrap_or(u32::MAX);
     let credential = settings.credentials.peers[0].clone();
     let peers =
-        PeerLinks::new(clock.clone(), Some(credential), settings.timeouts.peer.0, metrics.clone());
+        PeerLinks::new(clock.clone(), Some(credential), settings.timeouts.peer.0, traffic.clone());
     let own = Candidate { id: settings.id.clone(), tag, zone: settings.zone.clone() };
     let waker = Arc::clone(waker);
     // The desk and the homes speak to each other through the instance, which holds both.
@@ -327,6 +329,7 @@
         settings,
         clock,
         metrics,
+        traffic,
         platform,
         peers,
         snapshot: ArcSwapOption::empty(),
@@ -384,7 +387,7 @@
         let service = PeerService {
             accepted: Some(&shared.settings.credentials.peers),
             timeout: shared.settings.timeouts.peer.0,
-            metrics: &shared.metrics,
+            traffic: &shared.traffic,
             answer: |path: &str, body: &[u8]| peers::answer(shared, path, body),
             stream: |sender, receiver| shared.home_links.serve(shared, sender, receiver),
             purpose: peers::purpose,
--- a/src/instance/peers.rs
+++ b/src/instance/peers.rs
@@ -3,11 +3,11 @@
 use crate::{
     configs::fleet::chunks::{decode, encode},
     instance::{explain, gossip, shared::Shared, status},
+    link::traffic::Purpose,
     link::wire::{
         DRAIN, EXPLAIN, FETCH, FetchReply, FetchRequest, HEARTBEAT, Heartbeat, LOADS, LoadsMessage,
         MEMORY, MemoryMessage, STATUS,
     },
-    metrics::Purpose,
     utils::sync::lock,
 };
 
--- a/src/instance/shared.rs
+++ b/src/instance/shared.rs
@@ -20,7 +20,7 @@
         claims::Claims, desk::Desk, home_links::HomeLinks, home_table::HomeTable,
         homes::HomeShards, objects::ObjectCache, orders::Orders, snapshot::Snapshot,
     },
-    link::{backend::BackendLinks, peer::PeerLinks, wire::Hello},
+    link::{backend::BackendLinks, peer::PeerLinks, traffic::Traffic, wire::Hello},
     metrics::Metrics,
     names::{ServiceId, Tag},
     platform::Platform,
@@ -45,6 +45,8 @@
     pub clock: Clock,
     /// Metrics.
     pub metrics: Metrics,
+    /// Counts control bytes into the metrics.
+    pub traffic: Traffic,
     /// The platform.
     pub platform: Platform,
     /// Links to other instances.
--- a/src/instance/status.rs
+++ b/src/instance/status.rs
@@ -4,8 +4,8 @@
 
 use crate::{
     instance::{homes::ShardStatus, orders::OrdersStatus, shared::Shared},
+    link::traffic::Purpose,
     link::wire::STATUS,
-    metrics::Purpose,
     names::{InstanceId, ZoneId},
     units::Revision,
     utils::sync::lock,
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -5,4 +5,5 @@
 pub mod caller;
 pub mod http1;
 pub mod peer;
+pub mod traffic;
 pub mod wire;
--- a/src/link/peer.rs
+++ b/src/link/peer.rs
@@ -18,10 +18,10 @@
 use crate::{
     clock::Clock,
     configs::fleet::chunks::{decode, encode},
-    link::http1::{
-        BodyFraming, BodyReader, ChunkWriter, Conn, HeadFault, RequestHead, ResponseHead,
+    link::{
+        http1::{BodyFraming, BodyReader, ChunkWriter, Conn, HeadFault, RequestHead, ResponseHead},
+        traffic::{Purpose, Traffic},
     },
-    metrics::{Metrics, Purpose},
     utils::{
         secret::{Secret, any_matches},
         sync::lock,
@@ -73,7 +73,7 @@
     clock: Clock,
     credential: Option<Secret>,
     timeout: Duration,
-    metrics: Metrics,
+    traffic: Traffic,
 }
 
 impl PeerLinks {
@@ -82,9 +82,9 @@
         clock: Clock,
         credential: Option<Secret>,
         timeout: Duration,
-        metrics: Metrics,
+        traffic: Traffic,
     ) -> PeerLinks {
-        PeerLinks { idle: Mutex::default(), clock, credential, timeout, metrics }
+        PeerLinks { idle: Mutex::default(), clock, credential, timeout, traffic }
     }
 
     /// Sends `message` and returns the peer's answer.
@@ -130,10 +130,10 @@
         );
         let broken = |e: std::io::Error| PeerFault::Broken(to, e.to_string());
         conn.send(head.as_bytes(), self.timeout).map_err(|(_, e)| broken(e))?;
-        self.metrics.control_sent(purpose, head.len());
-        let sender = StreamSender::new(&conn, purpose, &self.metrics).map_err(broken)?;
+        self.traffic.sent(purpose, head.len());
+        let sender = StreamSender::new(&conn, purpose, &self.traffic).map_err(broken)?;
         let receiver =
-            StreamReceiver { conn, reader: None, purpose, metrics: self.metrics.clone() };
+            StreamReceiver { conn, reader: None, purpose, traffic: self.traffic.clone() };
         Ok((sender, receiver))
     }
 
@@ -167,14 +167,14 @@
         let credential = if first { self.credential.as_ref() } else { None };
         let message = request_bytes(path, body, credential);
         let until = self.clock.now() + self.timeout;
-        self.metrics.control_sent(purpose, message.len());
+        self.traffic.sent(purpose, message.len());
         conn.send(&message, self.timeout).map_err(|(_, e)| broken(&e))?;
         let head =
             ResponseHead::read(&mut conn, HEAD_MAX, until, &mut || true).map_err(|e| broken(&e))?;
         let framing = head.framing(&http::Method::POST).map_err(|e| broken(&e))?;
         let mut reader = BodyReader::new(framing);
         let reply = reader.read_all(&mut conn, MESSAGE_MAX, until).map_err(|e| broken(&e))?;
-        self.metrics.control_received(purpose, reply_bytes(200, &reply).len());
+        self.traffic.received(purpose, reply_bytes(200, &reply).len());
         if head.status != http::StatusCode::OK {
             return Err(PeerFault::Refused(to, head.status.as_u16()));
         }
@@ -212,14 +212,14 @@
 pub struct StreamSender {
     stream: Mutex<TcpStream>,
     purpose: Purpose,
-    metrics: Metrics,
+    traffic: Traffic,
 }
 
 impl StreamSender {
-    fn new(conn: &Conn, purpose: Purpose, metrics: &Metrics) -> std::io::Result<StreamSender> {
+    fn new(conn: &Conn, purpose: Purpose, traffic: &Traffic) -> std::io::Result<StreamSender> {
         let stream = conn.handle()?;
         stream.set_write_timeout(Some(STREAM_SEND_TIME))?;
-        Ok(StreamSender { stream: Mutex::new(stream), purpose, metrics: metrics.clone() })
+        Ok(StreamSender { stream: Mutex::new(stream), purpose, traffic: traffic.clone() })
     }
 
     /// Sends a message; one that the peer does not take at once ends the stream.
@@ -231,7 +231,7 @@
         let mut stream = lock(&self.stream);
         let sent = stream.write_all(&bytes).is_ok();
         if sent {
-            self.metrics.control_sent(self.purpose, bytes.len());
+            self.traffic.sent(self.purpose, bytes.len());
         } else {
             cut(&stream);
         }
@@ -254,7 +254,7 @@
     conn: Conn,
     reader: Option<BodyReader>,
     purpose: Purpose,
-    metrics: Metrics,
+    traffic: Traffic,
 }
 
 impl StreamReceiver {
@@ -268,12 +268,12 @@
             if head.status != http::StatusCode::OK {
                 return None;
             }
-            self.metrics.control_received(self.purpose, STREAM_ANSWER.len());
+            self.traffic.received(self.purpose, STREAM_ANSWER.len());
             self.reader = Some(BodyReader::new(head.framing(&http::Method::POST).ok()?));
         }
         let chunk =
             self.reader.as_mut()?.next_chunk(&mut self.conn, MESSAGE_MAX, until, go_on).ok()??;
-        self.metrics.control_received(self.purpose, ChunkWriter::default().frame(&chunk).len());
+        self.traffic.received(self.purpose, ChunkWriter::default().frame(&chunk).len());
         decode(&chunk).ok()
     }
 }
@@ -284,8 +284,8 @@
     pub accepted: Option<&'s [Secret]>,
     /// Longest wait for a message or for the peer to take an answer.
     pub timeout: Duration,
-    /// Metrics.
-    pub metrics: &'s Metrics,
+    /// Is told the bytes.
+    pub traffic: &'s Traffic,
     /// Answers a call: path and message to the encoded answer, or a status.
     pub answer: A,
     /// Serves a stream until it ends.
@@ -315,12 +315,12 @@
         }
         let Ok(body) = read_message(&mut conn, &head, service.timeout) else { return };
         let purpose = (service.purpose)(&head.target);
-        service.metrics.control_received(purpose, request_bytes(&head.target, &body, None).len());
+        service.traffic.received(purpose, request_bytes(&head.target, &body, None).len());
         let reply = match (service.answer)(&head.target, &body) {
             Ok(reply) => reply_bytes(200, &reply),
             Err(status) => reply_bytes(status, &[]),
         };
-        service.metrics.control_sent(purpose, reply.len());
+        service.traffic.sent(purpose, reply.len());
         if conn.send(&reply, service.timeout).is_err() {
             return;
         }
@@ -335,10 +335,10 @@
     if conn.send(STREAM_ANSWER, service.timeout).is_err() {
         return;
     }
-    service.metrics.control_sent(purpose, STREAM_ANSWER.len());
-    let Ok(sender) = StreamSender::new(&conn, purpose, service.metrics) else { return };
+    service.traffic.sent(purpose, STREAM_ANSWER.len());
+    let Ok(sender) = StreamSender::new(&conn, purpose, service.traffic) else { return };
     let reader = Some(BodyReader::new(BodyFraming::Chunked));
-    let receiver = StreamReceiver { conn, reader, purpose, metrics: service.metrics.clone() };
+    let receiver = StreamReceiver { conn, reader, purpose, traffic: service.traffic.clone() };
     (service.stream)(sender, receiver);
 }
 
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     contract::outcome::{AttemptFault, Outcome},
+    link::traffic::{Direction, Traffic},
     names::{BackendId, ServiceId},
 };
 
@@ -18,55 +19,6 @@
 const LATENCY_BOUNDS: [f64; 14] =
     [0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0, 60.0];
 
-/// What control traffic is for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Purpose {
-    /// Asks for permits, releases, late grants.
-    Permits,
-    /// Heartbeats.
-    Heartbeat,
-    /// Loads among homes.
-    Loads,
-    /// Where chats went, told to replicas of homes' memory.
-    Memory,
-    /// Files in force, among instances.
-    Config,
-    /// Exchanges with the platform.
-    Platform,
-    /// Probes of backend servers.
-    Probe,
-    /// Operators' questions passed on.
-    Operators,
-}
-
-impl Purpose {
-    /// Every purpose.
-    pub const ALL: [Purpose; 8] = [
-        Purpose::Permits,
-        Purpose::Heartbeat,
-        Purpose::Loads,
-        Purpose::Memory,
-        Purpose::Config,
-        Purpose::Platform,
-        Purpose::Probe,
-        Purpose::Operators,
-    ];
-
-    /// Returns the purpose's name in metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            Purpose::Permits => "permits",
-            Purpose::Heartbeat => "heartbeat",
-            Purpose::Loads => "loads",
-            Purpose::Memory => "memory",
-            Purpose::Config => "config",
-            Purpose::Platform => "platform",
-            Purpose::Probe => "probe",
-            Purpose::Operators => "operators",
-        }
-    }
-}
-
 struct Instruments {
     requests: Counter<u64>,
     in_flight: UpDownCounter<i64>,
@@ -258,17 +210,16 @@
         self.i.decision.record(took.as_secs_f64(), &[]);
     }
 
-    /// Notes control bytes sent, as one message.
-    pub fn control_sent(&self, purpose: Purpose, bytes: usize) {
-        let labels = [kv("purpose", purpose.name()), kv("direction", "sent")];
-        self.i.control_bytes.add(bytes as u64, &labels);
-        self.i.control_messages.add(1, &[kv("purpose", purpose.name())]);
-    }
-
-    /// Notes control bytes received.
-    pub fn control_received(&self, purpose: Purpose, bytes: usize) {
-        let labels = [kv("purpose", purpose.name()), kv("direction", "received")];
-        self.i.control_bytes.add(bytes as u64, &labels);
+    /// Returns what counts control bytes into these metrics.
+    pub fn traffic(&self) -> Traffic {
+        let counted = Arc::clone(&self.i);
+        Traffic::new(move |purpose, direction, bytes| {
+            let labels = [kv("purpose", purpose.name()), kv("direction", direction.name())];
+            counted.control_bytes.add(bytes as u64, &labels);
+            if direction == Direction::Sent {
+                counted.control_messages.add(1, &[kv("purpose", purpose.name())]);
+            }
+        })
     }
 
     /// Shows an engine's load.
