refactor(instance): folders for the way of a request, of knowledge, homes and operators

Cause: src/instance/ held 27 files side by side; seven of them imported each other in a circle through Shared; forward.rs had 550 lines and mod.rs 453. Change: requests/, homes/, knowledge/, operators/; what is done in the background and how an instance is built stand in files of their own. The state of orders (order_state) and of streams (links) no longer knows Shared, so Shared holds state and the ways use Shared, one way round. The audit trail's rows have their file, so orders no longer need apply. forward.rs lost what it asks of engines, their reports and the replay of stored answers: 471 lines. Ruled out: taking the homes out.

--- a/src/cli/apply.rs
+++ b/src/cli/apply.rs
@@ -12,7 +12,7 @@
 };
 use crate::{
     context::Context,
-    instance::{apply::Applied, status::FleetStatus},
+    instance::{knowledge::apply::Applied, operators::status::FleetStatus},
     names::InstanceId,
     units::{Revision, Span},
 };
--- a/src/cli/drain.rs
+++ b/src/cli/drain.rs
@@ -1,7 +1,7 @@
 //! `cartvane drain`: takes an instance or a backend server out without cutting a request.
 
 use super::{Command, CommandResult, Options, operator::Operator, options::print_json};
-use crate::{context::Context, instance::operators::Drained};
+use crate::{context::Context, instance::operators::api::Drained};
 
 pub(super) const COMMAND: Command = Command {
     name: "drain",
--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -3,7 +3,7 @@
 use super::{
     Command, CommandFault, CommandResult, Options, operator::Operator, options::print_json,
 };
-use crate::{context::Context, instance::explain::Explanation};
+use crate::{context::Context, instance::operators::explain::Explanation};
 
 pub(super) const COMMAND: Command = Command {
     name: "explain",
--- a/src/cli/operator.rs
+++ b/src/cli/operator.rs
@@ -7,7 +7,7 @@
 use ureq::{Agent, Body};
 
 use super::{CommandFault, Options, options::read_file};
-use crate::{context::Context, instance::operators::Problem, platform::http::agent};
+use crate::{context::Context, instance::operators::api::Problem, platform::http::agent};
 
 /// Longest wait for an answer; an apply of a large file stores many objects.
 const TIMEOUT: Duration = Duration::from_secs(60);
--- a/src/cli/show.rs
+++ b/src/cli/show.rs
@@ -1,7 +1,7 @@
 //! `cartvane show`: the file in force, or an earlier one.
 
 use super::{Command, CommandResult, Options, operator::Operator, options::print_json};
-use crate::{context::Context, instance::operators::Shown, units::Revision};
+use crate::{context::Context, instance::operators::api::Shown, units::Revision};
 
 pub(super) const COMMAND: Command = Command {
     name: "show",
--- a/src/cli/status.rs
+++ b/src/cli/status.rs
@@ -4,7 +4,7 @@
 use crate::{
     context::Context,
     contract::orders::Progress,
-    instance::status::{FleetStatus, InstanceStatus, NamedShard},
+    instance::operators::status::{FleetStatus, InstanceStatus, NamedShard},
 };
 
 pub(super) const COMMAND: Command = Command {
--- /dev/null
+++ b/src/instance/background.rs
@@ -0,0 +1,162 @@
+//! What an instance does beside its callers' requests: a thread for each kind of work.
+
+use std::{
+    sync::Arc,
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use crate::{
+    instance::{
+        homes::{contexts, orders, probes},
+        knowledge::{
+            config::{self, Waker},
+            gossip,
+        },
+        operators::status,
+        shared::Shared,
+    },
+    utils::sync::lock,
+};
+
+/// Period of the work of homes and desks.
+pub(super) const TICK: Duration = Duration::from_millis(50);
+
+/// Period of the telling of homes' memory to its replicas.
+const MEMORY_PERIOD: Duration = Duration::from_millis(500);
+
+/// Pause between two looks at leases and rollouts.
+const ORDERS_PERIOD: Duration = Duration::from_millis(200);
+
+/// Pause between two rounds of moving contexts of leaving engines.
+const MOVE_PERIOD: Duration = Duration::from_millis(250);
+
+/// Pause between two looks for engines that are due for a probe.
+const PROBE_PERIOD: Duration = Duration::from_millis(250);
+
+/// Ticks between two rounds of slower work: loads, claims, metrics.
+const SLOW_TICKS: u64 = 5;
+
+/// The threads of one instance.
+struct Workers {
+    shared: Arc<Shared>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+/// Starts all work in the background; it ends when the instance does.
+///
+/// # Errors
+///
+/// A thread cannot be started.
+pub(super) fn start(
+    shared: &Arc<Shared>,
+    waker: &Arc<Waker>,
+) -> anyhow::Result<Vec<JoinHandle<()>>> {
+    let mut workers = Workers { shared: Arc::clone(shared), threads: Vec::new() };
+    let waker = Arc::clone(waker);
+    workers.start("config", move |shared| config_loop(shared, &waker))?;
+    let members = shared.settings.timeouts.members_poll.0;
+    workers.start("members", move |shared| {
+        gossip::poll_members(shared);
+        jittered(members)
+    })?;
+    let heartbeat = shared.settings.timeouts.heartbeat.0;
+    workers.start("heartbeat", move |shared| {
+        gossip::beat(shared);
+        jittered(heartbeat)
+    })?;
+    workers.start("memory", |shared| {
+        gossip::tell_memories(shared);
+        MEMORY_PERIOD
+    })?;
+    workers.start("orders", |shared| {
+        orders::step(shared);
+        ORDERS_PERIOD
+    })?;
+    workers.start("contexts", |shared| {
+        contexts::move_next(shared);
+        MOVE_PERIOD
+    })?;
+    workers.start("probes", |shared| {
+        probes::probe_due(shared);
+        PROBE_PERIOD
+    })?;
+    let mut ticks = 0_u64;
+    workers.start("tick", move |shared| {
+        ticks += 1;
+        tick(shared, ticks);
+        TICK
+    })?;
+    Ok(workers.threads)
+}
+
+impl Workers {
+    /// Runs `step` in a thread of its own, with the pause that it returns, until the instance ends.
+    fn start(
+        &mut self,
+        name: &str,
+        mut step: impl FnMut(&Arc<Shared>) -> Duration + Send + 'static,
+    ) -> anyhow::Result<()> {
+        let shared = Arc::clone(&self.shared);
+        let thread = thread::Builder::new().name(name.to_owned()).spawn(move || {
+            while !shared.drain.is_stopped() {
+                let pause = step(&shared);
+                thread::sleep(pause);
+            }
+        })?;
+        self.threads.push(thread);
+        Ok(())
+    }
+}
+
+fn jittered(period: Duration) -> Duration {
+    period.mul_f64(0.75 + 0.5 * fastrand::f64())
+}
+
+fn config_loop(shared: &Arc<Shared>, waker: &Waker) -> Duration {
+    if let Err(fault) = config::sync(shared) {
+        log::debug!("configuration: {fault}");
+    }
+    let ready = shared.snapshot.load().is_some();
+    let pause = if ready { jittered(shared.settings.timeouts.revision_poll.0) } else { TICK };
+    if waker.wait(pause)
+        && let Err(fault) = config::sync_from_peers(shared)
+    {
+        log::debug!("configuration from peers: {fault}");
+    }
+    Duration::ZERO
+}
+
+fn tick(shared: &Arc<Shared>, ticks: u64) {
+    if shared.drain.is_draining() {
+        // From now on the next in line is the home of every shard held here.
+        lock(&shared.membership).leave();
+    }
+    shared.desk.flush(|id| shared.home_of_id(id));
+    let Some(snapshot) = shared.snapshot.load_full() else { return };
+    shared.homes.tick(&snapshot, |shard| shared.home_of(shard) == shared.tag);
+    if !ticks.is_multiple_of(SLOW_TICKS) {
+        return;
+    }
+    shared.homes.take_on(&snapshot, |shard| shared.home_of(shard) == shared.tag);
+    shared.claims.tick();
+    gossip::tell_homes_who_leaves(shared);
+    gossip::tell_loads(shared);
+    show_homes(shared);
+}
+
+fn show_homes(shared: &Shared) {
+    let mut status = status::own(shared);
+    status.shards.retain(|shard| shard.is_home);
+    shared.metrics.homes(status.shards.len());
+    for shard in &status.shards {
+        if let Ok(service) = shard.service.parse() {
+            shared.metrics.shard(&service, shard.bound, shard.queued);
+        }
+        for engine in &shard.engines {
+            if let Ok(id) = engine.id.parse() {
+                shared.metrics.engine_load(&id, engine.permits);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/instance/build.rs
@@ -0,0 +1,140 @@
+//! Builds what the parts of an instance share.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, OnceLock, Weak, atomic::AtomicU64},
+};
+
+use arc_swap::ArcSwapOption;
+
+use crate::{
+    configs::settings::{Platform as PlatformSettings, Settings},
+    context::Context,
+    contract::{membership::Membership, revision::InForce},
+    instance::{
+        homes::{
+            links::HomeLinks, order_state::Orders, shards::HomeShards, streams, table::HomeTable,
+        },
+        knowledge::{config::Waker, objects::ObjectCache},
+        requests::{
+            claims::Claims,
+            desk::{Desk, DeskLinks},
+        },
+        shared::{DrainState, Shared, Usage},
+    },
+    link::{
+        backend::BackendLinks,
+        peer::PeerLinks,
+        traffic::{Purpose, Traffic},
+    },
+    metrics::Metrics,
+    platform::{Platform, embedded::Embedded, http::HttpPlatform},
+    zone::homes::Candidate,
+};
+
+/// Opens the platform that the settings name; `traffic` is told the bytes of every exchange.
+pub(super) fn open_platform(settings: &Settings, traffic: &Traffic) -> Platform {
+    match settings.platform {
+        PlatformSettings::Embedded => Embedded::new().platform(),
+        PlatformSettings::Http { table, objects, members } => {
+            let timeout = settings.timeouts.platform.0;
+            let credential = settings.credentials.platform.clone();
+            let traffic = traffic.clone();
+            HttpPlatform { table, objects, members, timeout, credential }.connect(
+                move |sent, received| {
+                    traffic.sent(Purpose::Platform, sent);
+                    traffic.received(Purpose::Platform, received);
+                },
+            )
+        }
+    }
+}
+
+/// Builds what the parts of an instance share; the desk and the homes are given to each other.
+pub(super) fn build_shared(
+    settings: Settings,
+    context: &Context,
+    metrics: Metrics,
+    platform: Platform,
+    waker: &Arc<Waker>,
+) -> Arc<Shared> {
+    let clock = context.clock.clone();
+    let traffic = metrics.traffic();
+    let tag = settings.id.tag();
+    let incarnation = u32::try_from(clock.wall_millis() / 1000).unwrap_or(u32::MAX);
+    let credential = settings.credentials.peers[0].clone();
+    let peers =
+        PeerLinks::new(clock.clone(), Some(credential), settings.timeouts.peer.0, traffic.clone());
+    let own = Candidate { id: settings.id.clone(), tag, zone: settings.zone.clone() };
+    let waker = Arc::clone(waker);
+    // The desk and the homes speak to each other through the instance, which holds both.
+    let this: Arc<OnceLock<Weak<Shared>>> = Arc::default();
+    let reply_time = settings.timeouts.peer.0;
+    let desk = Desk::new(tag, incarnation, reply_time, clock.clone(), desk_links(&this));
+    let late = Arc::clone(&this);
+    let remembered = settings.limits.remembered_chats as usize;
+    let homes = HomeShards::new(clock.clone(), remembered, move |id, reply| {
+        let Some(shared) = upgrade(&late) else { return };
+        if id.entry == tag {
+            shared.desk.take_own(id, reply);
+        } else {
+            shared.home_links.reply(shared.hello(), id, reply);
+        }
+    });
+    let shared = Arc::new(Shared {
+        tag,
+        incarnation,
+        backends: BackendLinks::new(clock.clone(), settings.timeouts.connect.0),
+        claims: Claims::new(platform.table.clone(), clock.clone()),
+        settings,
+        clock,
+        metrics,
+        traffic,
+        platform,
+        peers,
+        snapshot: ArcSwapOption::empty(),
+        in_force: Mutex::new(InForce::default()),
+        objects: ObjectCache::default(),
+        home_table: Mutex::new(HomeTable::default()),
+        membership: Mutex::new(Membership::new(own)),
+        desk,
+        homes,
+        home_links: HomeLinks::default(),
+        orders: Orders::default(),
+        installed: Mutex::new(None),
+        budgets: Mutex::new(HashMap::new()),
+        baselines: Mutex::new(HashMap::new()),
+        advertised: OnceLock::new(),
+        drain: DrainState::default(),
+        usage: Usage::default(),
+        request_counter: AtomicU64::new(1),
+        wake_sync: Arc::new(move || waker.wake()),
+    });
+    // Set once, here.
+    let _ = this.set(Arc::downgrade(&shared));
+    shared
+}
+
+fn upgrade(this: &OnceLock<Weak<Shared>>) -> Option<Arc<Shared>> {
+    this.get()?.upgrade()
+}
+
+fn desk_links(this: &Arc<OnceLock<Weak<Shared>>>) -> DeskLinks {
+    let (sends, cuts) = (Arc::clone(this), Arc::clone(this));
+    DeskLinks {
+        send: Box::new(move |home, batches| {
+            let Some(shared) = upgrade(&sends) else { return false };
+            if home != shared.tag {
+                return streams::send(&shared, home, batches);
+            }
+            let answer = streams::take_batches(&shared, &shared.hello(), batches);
+            shared.desk.take(home, answer);
+            true
+        }),
+        cut: Box::new(move |home| {
+            if let Some(shared) = upgrade(&cuts) {
+                shared.home_links.cut(home);
+            }
+        }),
+    }
+}
--- a/src/instance/contexts.rs
+++ b/src/instance/homes/contexts.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, thread};
 
 use crate::{
-    instance::{engines, shared::Shared, snapshot::Snapshot},
+    instance::{homes::engines, knowledge::snapshot::Snapshot, shared::Shared},
     names::Tag,
     zone::{hand_over::ContextMove, home::Event, rendezvous::ChatKey, shard::ShardId},
 };
--- a/src/instance/engines.rs
+++ b/src/instance/homes/engines.rs
@@ -8,8 +8,7 @@
 use crate::{
     contract::{orders::EngineOrder, outcome::AttemptFault},
     instance::shared::Shared,
-    link::backend::Attempt,
-    link::traffic::Purpose,
+    link::{backend::Attempt, traffic::Purpose},
     zone::rendezvous::ChatKey,
 };
 
--- a/src/instance/orders.rs
+++ b/src/instance/homes/orders.rs
@@ -1,14 +1,8 @@
 //! Orders to the engines of the shards whose home this is, each shard under a lease of its own.
 
-use std::{
-    collections::HashMap,
-    sync::Mutex,
-    thread,
-    time::{Duration, Instant},
-};
-
-use serde::{Deserialize, Serialize};
+use std::{thread, time::Duration};
 
+use super::order_state::ShardOrders;
 use crate::{
     audit::{AuditAction, AuditRow},
     configs::fleet::{
@@ -19,10 +13,13 @@
         lease::{Lease, LeaseRow, LeaseStep, ORDERS_PREFIX},
         orders::{DesiredState, EngineOrder, Progress, Rollout, RolloutTerms, Seen, desired},
     },
-    instance::{apply::append, engines, shared::Shared, snapshot::Snapshot},
+    instance::{
+        homes::engines,
+        knowledge::{audit_trail::append, snapshot::Snapshot},
+        shared::Shared,
+    },
     names::Tag,
     platform::{Expect, Operation, TransactReply, Write},
-    utils::sync::lock,
     zone::shard::{Shard, ShardId},
 };
 
@@ -47,77 +44,38 @@
 /// Engines looked at or ordered at once.
 const AT_ONCE: usize = 8;
 
-/// The orders of one shard.
-struct ShardOrders {
-    lease: Lease,
-    renewed: Option<Instant>,
-    /// When this instance first held the lease, in a row.
-    held_since: Option<Instant>,
-    looked: Option<Instant>,
-    rollout: Rollout,
-    /// When this instance was last the shard's home.
-    last_home: Instant,
-}
-
-/// The orders of one instance.
-#[derive(Default)]
-pub struct Orders {
-    shards: Mutex<HashMap<ShardId, ShardOrders>>,
-}
-
-/// A shard's rollout as operators see it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct OrdersStatus {
-    /// Fencing number under which orders are given; none: the lease is not held.
-    pub fencing: Option<u64>,
-    /// How far the rollout has come.
-    pub progress: Progress,
-}
-
-impl Orders {
-    /// Returns a shard's rollout, if this instance gives its orders.
-    pub fn status(&self, shard: ShardId, now: Instant) -> Option<OrdersStatus> {
-        let shards = lock(&self.shards);
-        let orders = shards.get(&shard)?;
-        Some(OrdersStatus {
-            fencing: orders.lease.fencing(now),
-            progress: orders.rollout.progress(),
-        })
-    }
-
-    /// Renews leases and gives the orders that are due.
-    pub fn step(&self, shared: &Shared) {
-        let Some(snapshot) = shared.snapshot.load_full() else { return };
-        let ordered = snapshot.services().filter(|view| !view.service.models.is_empty());
-        let mine: Vec<(&Service, &Shard)> = ordered
-            .flat_map(|view| view.shards.iter().map(|shard| (&view.service, shard)))
-            .filter(|(_, shard)| !shared.drain.is_draining() && shared.home_of(shard) == shared.tag)
-            .collect();
-        let now = shared.clock.now();
-        lock(&self.shards).retain(|_, orders| now.duration_since(orders.last_home) < LINGER);
-        for (service, shard) in mine {
-            self.step_shard(shared, &snapshot, service, shard);
-        }
+/// Renews leases and gives the orders that are due.
+pub fn step(shared: &Shared) {
+    let Some(snapshot) = shared.snapshot.load_full() else { return };
+    let ordered = snapshot.services().filter(|view| !view.service.models.is_empty());
+    let mine: Vec<(&Service, &Shard)> = ordered
+        .flat_map(|view| view.shards.iter().map(|shard| (&view.service, shard)))
+        .filter(|(_, shard)| !shared.drain.is_draining() && shared.home_of(shard) == shared.tag)
+        .collect();
+    let now = shared.clock.now();
+    shared.orders.forget_moved(now, LINGER);
+    for (service, shard) in mine {
+        step_shard(shared, &snapshot, service, shard);
     }
+}
 
-    fn step_shard(&self, shared: &Shared, snapshot: &Snapshot, service: &Service, shard: &Shard) {
-        let new = || ShardOrders {
-            lease: Lease::new(shared.settings.id.clone(), u64::from(shared.incarnation)),
-            renewed: None,
-            held_since: None,
-            looked: None,
-            rollout: Rollout::default(),
-            last_home: shared.clock.now(),
-        };
-        // Taken out while it is worked on: this runs in one thread, and others only look.
-        let mut orders = lock(&self.shards).remove(&shard.id).unwrap_or_else(new);
-        orders.last_home = shared.clock.now();
-        renew(shared, shard.id, &mut orders);
-        if may_order(shared, &orders) && is_due(shared, &orders) {
-            look_and_order(shared, snapshot, service, shard, &mut orders);
-        }
-        lock(&self.shards).insert(shard.id, orders);
+fn step_shard(shared: &Shared, snapshot: &Snapshot, service: &Service, shard: &Shard) {
+    let new = || ShardOrders {
+        lease: Lease::new(shared.settings.id.clone(), u64::from(shared.incarnation)),
+        renewed: None,
+        held_since: None,
+        looked: None,
+        rollout: Rollout::default(),
+        last_home: shared.clock.now(),
+    };
+    // Taken out while it is worked on: this runs in one thread, and others only look.
+    let mut orders = shared.orders.take(shard.id).unwrap_or_else(new);
+    orders.last_home = shared.clock.now();
+    renew(shared, shard.id, &mut orders);
+    if may_order(shared, &orders) && is_due(shared, &orders) {
+        look_and_order(shared, snapshot, service, shard, &mut orders);
     }
+    shared.orders.put(shard.id, orders);
 }
 
 /// A new holder waits out the longest order that the one before may still have under way.
--- a/src/instance/probes.rs
+++ b/src/instance/homes/probes.rs
@@ -4,7 +4,7 @@
 use std::thread;
 
 use crate::{
-    instance::{engines, shared::Shared},
+    instance::{homes::engines, shared::Shared},
     names::Tag,
     zone::{home::Event, shard::ShardId},
 };
--- a/src/instance/homes.rs
+++ b/src/instance/homes/shards.rs
@@ -9,7 +9,7 @@
 use crate::{
     clock::Clock,
     contract::permit::{Held, PermitId, Reply},
-    instance::snapshot::Snapshot,
+    instance::knowledge::snapshot::Snapshot,
     link::wire::{Announcement, Hello, Memory, NumberedReply, ReplyWire, ShardBatch, short},
     names::Tag,
     utils::sync::lock,
--- /dev/null
+++ b/src/instance/homes/streams.rs
@@ -0,0 +1,142 @@
+//! Streams between entries and homes: what an entry sends and reads, and what a home does.
+
+use std::{
+    sync::{Arc, Weak},
+    thread,
+};
+
+use super::links::{End, Slot};
+use crate::{
+    instance::shared::Shared,
+    link::{
+        peer::{StreamReceiver, StreamSender},
+        traffic::Purpose,
+        wire::{EntryMessage, Hello, HomeMessage, NumberedReply, ShardBatch},
+    },
+    names::Tag,
+    utils::sync::lock,
+    zone::home::Event,
+};
+
+/// Stack of the thread that reads a home's messages, in bytes: it goes no deeper than decoding one.
+const STACK: usize = 256 << 10;
+
+/// Hands an entry's batches to a home, opening the stream when there is none.
+///
+/// Returns false when the home is not reached.
+pub fn send(shared: &Arc<Shared>, home: Tag, batches: Vec<ShardBatch>) -> bool {
+    let Some(end) = open(shared, home) else { return false };
+    let message = EntryMessage { hello: end.news(shared.hello()), batches };
+    end.sender.send(&message)
+}
+
+/// Returns the stream to a home, opened where there is none; `None` when the home is not reached.
+fn open(shared: &Arc<Shared>, home: Tag) -> Option<Arc<End>> {
+    let slot = shared.home_links.slot(home);
+    let mut opened = lock(&slot);
+    if let Some(end) = &*opened {
+        return Some(Arc::clone(end));
+    }
+    let address = lock(&shared.membership).peer(home).map(|p| p.address)?;
+    let (sender, receiver) = match shared.peers.open_stream(Purpose::Permits, address) {
+        Ok(stream) => stream,
+        Err(fault) => {
+            log::debug!("stream to a home: {fault}");
+            return None;
+        }
+    };
+    let end = Arc::new(End::new(sender));
+    let (weak, slot_of, read_end) = (Arc::downgrade(shared), Arc::clone(&slot), Arc::clone(&end));
+    let spawned = thread::Builder::new()
+        .name("home-stream".to_owned())
+        .stack_size(STACK)
+        .spawn(move || read_home(&weak, home, receiver, &slot_of, &read_end));
+    if let Err(fault) = spawned {
+        log::warn!("no thread for the stream to a home: {fault}");
+        return None;
+    }
+    *opened = Some(Arc::clone(&end));
+    Some(end)
+}
+
+/// Serves an entry's stream until it ends.
+pub fn serve(shared: &Arc<Shared>, sender: StreamSender, mut receiver: StreamReceiver) {
+    let end = Arc::new(End::new(sender));
+    let mut entry: Option<Hello> = None;
+    while let Some(message) = receiver.next::<EntryMessage>(&mut || !shared.drain.is_stopped()) {
+        if let Some(hello) = message.hello {
+            shared.greeted(&hello);
+            shared.home_links.add_entry(hello.from, &end);
+            entry = Some(hello);
+        }
+        // The first message of a stream says who sends it.
+        let Some(hello) = entry else { break };
+        let mut answer = take_batches(shared, &hello, message.batches);
+        answer.hello = end.news(shared.hello());
+        let says = answer.hello.is_some()
+            || !answer.replies.is_empty()
+            || !answer.want_announcement.is_empty();
+        if says && !end.sender.send(&answer) {
+            break;
+        }
+    }
+    end.sender.cut();
+    let Some(hello) = entry else { return };
+    if shared.home_links.remove_entry(hello.from, &end) {
+        shared.homes.each(|_| vec![Event::EntryCut(hello.from)]);
+    }
+}
+
+/// Takes in an entry's batches for the shards held here.
+pub fn take_batches(shared: &Shared, hello: &Hello, batches: Vec<ShardBatch>) -> HomeMessage {
+    let mut message = HomeMessage::default();
+    let snapshot = shared.snapshot.load_full();
+    for batch in batches {
+        let shard = batch.shard;
+        let numbers: Vec<u32> = batch.asks.iter().map(|ask| ask.number).collect();
+        match snapshot.as_ref().and_then(|s| shared.homes.batch(hello, batch, s)) {
+            Some(answer) => {
+                message.replies.extend(answer.replies);
+                if answer.want_announcement {
+                    message.want_announcement.push(shard);
+                }
+            }
+            // The sender's file is newer and is being fetched.
+            None => message.replies.extend(numbers.into_iter().map(NumberedReply::no_engine)),
+        }
+    }
+    message
+}
+
+/// Reads a home's messages until the stream ends.
+fn read_home(
+    shared: &Weak<Shared>,
+    home: Tag,
+    mut receiver: StreamReceiver,
+    slot: &Slot,
+    end: &Arc<End>,
+) {
+    let mut alive = || shared.upgrade().is_some_and(|shared| !shared.drain.is_stopped());
+    while let Some(message) = receiver.next::<HomeMessage>(&mut alive) {
+        let Some(shared) = shared.upgrade() else { return };
+        if let Some(hello) = &message.hello {
+            shared.greeted(hello);
+        }
+        shared.desk.take(home, message);
+    }
+    end.sender.cut();
+    {
+        let mut opened = lock(slot);
+        if opened.as_ref().is_some_and(|known| Arc::ptr_eq(known, end)) {
+            *opened = None;
+        }
+    }
+    if let Some(shared) = shared.upgrade().filter(|shared| !shared.drain.is_stopped()) {
+        shared.desk.home_lost(home);
+        // A home whose process has ended refuses at once; permits then move without waiting for
+        // the next ask to find out.
+        if open(&shared, home).is_none() {
+            lock(&shared.membership).failed(shared.clock.now(), home);
+        }
+    }
+}
--- a/src/instance/home_table.rs
+++ b/src/instance/homes/table.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     contract::membership::Membership,
-    instance::snapshot::Snapshot,
+    instance::knowledge::snapshot::Snapshot,
     names::Tag,
     units::Revision,
     zone::{
--- a/src/instance/apply.rs
+++ b/src/instance/knowledge/apply.rs
@@ -15,7 +15,10 @@
     },
     contract::revision::{HEAD_KEY, Head},
     instance::{
-        config::{self, object_key},
+        knowledge::{
+            audit_trail,
+            config::{self, object_key},
+        },
         shared::Shared,
     },
     platform::{Expect, Operation, PlatformFault, Row, TransactReply, Write},
@@ -224,8 +227,8 @@
     let expect = current.row.as_ref().map_or(Expect::Absent, |row| Expect::Version(row.version));
     let operations = vec![
         Operation { key: HEAD_KEY.to_owned(), expect, write: Write::Put(encode(head)) },
-        Operation::create(audit_key(head.at, &head.apply), json(&audit)),
-        Operation::create(revision_key(head.revision), json(&revision)),
+        Operation::create(audit_key(head.at, &head.apply), audit_trail::json(&audit)),
+        Operation::create(revision_key(head.revision), audit_trail::json(&revision)),
     ];
     match shared.platform.table.transact(operations) {
         Ok(TransactReply::Committed) => Ok(true),
@@ -263,17 +266,5 @@
 fn note_refusal(shared: &Shared, by: &str, fault: &ApplyFault) {
     let at = shared.clock.wall_millis();
     let action = AuditAction::Refused { from: shared.revision(), reason: fault.to_string() };
-    append(shared, &AuditRow { at, by: by.to_owned(), action });
-}
-
-/// Adds a row to the audit trail; one that the store does not take is in the log only.
-pub fn append(shared: &Shared, row: &AuditRow) {
-    let key = audit_key(row.at, &shared.next_request_id());
-    if let Err(fault) = shared.platform.table.transact(vec![Operation::create(key, json(row))]) {
-        log::warn!("audit row not kept ({fault}): {row}");
-    }
-}
-
-fn json(value: &impl Serialize) -> Vec<u8> {
-    serde_json::to_vec(value).expect("the audit types can be encoded")
+    audit_trail::append(shared, &AuditRow { at, by: by.to_owned(), action });
 }
--- a/src/instance/config.rs
+++ b/src/instance/knowledge/config.rs
@@ -8,9 +8,14 @@
 use crate::{
     configs::fleet::chunks::{Digest, Manifest, decode, load},
     contract::revision::{HEAD_KEY, Head},
-    instance::{gossip, shared::Shared, snapshot::Snapshot},
-    link::traffic::Purpose,
-    link::wire::{FETCH, FetchReply, FetchRequest},
+    instance::{
+        knowledge::{gossip, snapshot::Snapshot},
+        shared::Shared,
+    },
+    link::{
+        traffic::Purpose,
+        wire::{FETCH, FetchReply, FetchRequest},
+    },
     platform::PlatformFault,
     utils::sync::lock,
 };
--- a/src/instance/gossip.rs
+++ b/src/instance/knowledge/gossip.rs
@@ -4,10 +4,12 @@
 
 use crate::{
     instance::shared::Shared,
-    link::traffic::Purpose,
-    link::wire::{
-        FETCH, FetchReply, FetchRequest, HEARTBEAT, Heartbeat, LOADS, LoadsMessage, MEMORY, Memory,
-        MemoryMessage,
+    link::{
+        traffic::Purpose,
+        wire::{
+            FETCH, FetchReply, FetchRequest, HEARTBEAT, Heartbeat, LOADS, LoadsMessage, MEMORY,
+            Memory, MemoryMessage,
+        },
     },
     names::Tag,
     platform::{Member, MemberKind, MemberState},
--- a/src/instance/peers.rs
+++ b/src/instance/knowledge/peers.rs
@@ -2,11 +2,17 @@
 
 use crate::{
     configs::fleet::chunks::{decode, encode},
-    instance::{explain, gossip, shared::Shared, status},
-    link::traffic::Purpose,
-    link::wire::{
-        DRAIN, EXPLAIN, FETCH, FetchReply, FetchRequest, HEARTBEAT, Heartbeat, LOADS, LoadsMessage,
-        MEMORY, MemoryMessage, STATUS,
+    instance::{
+        knowledge::gossip,
+        operators::{explain, status},
+        shared::Shared,
+    },
+    link::{
+        traffic::Purpose,
+        wire::{
+            DRAIN, EXPLAIN, FETCH, FetchReply, FetchRequest, HEARTBEAT, Heartbeat, LOADS,
+            LoadsMessage, MEMORY, MemoryMessage, STATUS,
+        },
     },
     utils::sync::lock,
 };
--- a/src/instance/operators.rs
+++ b/src/instance/operators/api.rs
@@ -10,14 +10,18 @@
     configs::fleet::{Fleet, chunks::Digest, diff::diff},
     contract::revision::HEAD_KEY,
     instance::{
-        apply::{ApplyFault, append, apply},
-        config::object_key,
-        explain::{self, ChatName},
+        knowledge::{
+            apply::{ApplyFault, apply},
+            audit_trail::append,
+            config::object_key,
+        },
+        operators::{
+            explain::{self, ChatName},
+            status,
+        },
         shared::Shared,
-        status,
     },
-    link::traffic::Purpose,
-    link::wire::DRAIN,
+    link::{traffic::Purpose, wire::DRAIN},
     names::InstanceId,
     platform::PlatformFault,
     units::Revision,
@@ -178,7 +182,10 @@
         Some(snapshot) => diff(&snapshot.fleet, &fleet),
         None => diff(&Fleet::default(), &fleet),
     };
-    Response::json(&crate::instance::apply::Applied { revision: shared.revision(), changes })
+    Response::json(&crate::instance::knowledge::apply::Applied {
+        revision: shared.revision(),
+        changes,
+    })
 }
 
 /// A revision's file as it was applied.
--- a/src/instance/explain.rs
+++ b/src/instance/operators/explain.rs
@@ -4,8 +4,7 @@
 
 use crate::{
     instance::shared::Shared,
-    link::traffic::Purpose,
-    link::{peer::PeerFault, wire::EXPLAIN},
+    link::{peer::PeerFault, traffic::Purpose, wire::EXPLAIN},
     names::Tag,
     utils::sync::lock,
     zone::rendezvous::{ChatKey, ranked},
--- a/src/instance/status.rs
+++ b/src/instance/operators/status.rs
@@ -3,9 +3,11 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    instance::{homes::ShardStatus, orders::OrdersStatus, shared::Shared},
-    link::traffic::Purpose,
-    link::wire::STATUS,
+    instance::{
+        homes::{order_state::OrdersStatus, shards::ShardStatus},
+        shared::Shared,
+    },
+    link::{traffic::Purpose, wire::STATUS},
     names::{InstanceId, ZoneId},
     units::Revision,
     utils::sync::lock,
--- a/src/instance/caller_watch.rs
+++ b/src/instance/requests/caller_watch.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crate::{
-    instance::{request::Request, shared::Shared},
+    instance::{requests::request::Request, shared::Shared},
     link::http1::{Conn, conn::ConnState},
 };
 
--- a/src/instance/entry.rs
+++ b/src/instance/requests/entry.rs
@@ -7,10 +7,12 @@
 use crate::{
     contract::outcome::{Outcome, Refusal},
     instance::{
-        forward::{self, Ended},
-        request::{Request, split_target},
+        knowledge::snapshot::{ServiceView, Snapshot},
+        requests::{
+            forward::{self, Ended},
+            request::{Request, split_target},
+        },
         shared::{Shared, UsageGuard},
-        snapshot::{ServiceView, Snapshot},
     },
     link::{
         answer::{AnswerNote, OwnHeaders, send_refusal},
--- a/src/instance/forward.rs
+++ b/src/instance/requests/forward.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, StatusCode};
 
 use crate::{
     configs::fleet::{BackendServer, ServiceKind, chunks::Digest},
@@ -16,17 +16,21 @@
         retry::{RetryBudget, backoff},
     },
     instance::{
-        answer_parts::{
-            LOAD_HEADER, OFFSET_HEADER, RESUMABLE_HEADER, STATE_HEADER, answer_headers,
-            error_event, is_event_stream, text_headers,
+        knowledge::snapshot::{ServiceView, Snapshot},
+        requests::{
+            answer_parts::{
+                RESUMABLE_HEADER, answer_headers, error_event, is_event_stream, text_headers,
+            },
+            caller_watch::CallerWatch,
+            claims::{Begun, HeldClaim},
+            engine_report::EngineReport,
+            engine_streams,
+            place::{self, NoPlace, Place},
+            replay,
+            request::{CHAT_HEADER, DEADLINE_HEADER, Request},
+            tokens,
         },
-        caller_watch::CallerWatch,
-        claims::{Begun, HeldClaim},
-        place::{self, NoPlace, Place},
-        request::{CHAT_HEADER, DEADLINE_HEADER, Request},
         shared::Shared,
-        snapshot::{ServiceView, Snapshot},
-        tokens,
     },
     link::{
         answer::{AnswerBody, AnswerNote, AnswerWriter, send_whole},
@@ -44,9 +48,6 @@
 /// Tries to resume a stream whose connection was lost.
 const RESUMES_MAX: u32 = 3;
 
-/// Most time for an engine to answer a resume or a cancel.
-const RESUME_TIME: Duration = Duration::from_secs(2);
-
 /// Time to come back after a refusal that has no better estimate.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -116,7 +117,9 @@
     if let Some(key) = &request.key {
         match job.claim(key) {
             Begun::Run(held) => job.claim = Some(held),
-            Begun::Replay(answer) => return job.replay(conn, &answer),
+            Begun::Replay(answer) => {
+                return replay::replay(shared, conn, request, &job.note, &answer);
+            }
             Begun::Refuse(refusal) => return Ended::Refused(refusal),
         }
     }
@@ -150,29 +153,6 @@
         begun
     }
 
-    fn replay(&self, conn: &mut Conn, answer: &StoredAnswer) -> Ended {
-        let mut headers = HeaderMap::new();
-        for (name, value) in &answer.headers {
-            if let (Ok(name), Ok(value)) =
-                (HeaderName::try_from(name), HeaderValue::try_from(value))
-            {
-                headers.append(name, value);
-            }
-        }
-        headers.insert("cartvane-replayed", HeaderValue::from_static("true"));
-        let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
-        let note = self.note.with_outcome(Outcome::Run);
-        let head_only = self.request.method == Method::HEAD;
-        let stall = self.shared.settings.timeouts.slow_reader.0;
-        let sent = send_whole(conn, stall, status, &headers, &note, &answer.body, head_only);
-        Ended::Answered {
-            status: answer.status,
-            outcome: Outcome::Run,
-            reusable: sent.is_ok(),
-            server: None,
-        }
-    }
-
     /// Gives back or closes a claim that no answer has closed.
     fn settle_claim(&mut self, ended: &Ended) {
         let Some(held) = self.claim.take() else { return };
@@ -278,7 +258,7 @@
         };
         self.shared.metrics.attempt(&service.id, fault);
         if fault == Some(AttemptFault::CallerGone) && report.resumable {
-            self.cancel(server, &id);
+            engine_streams::cancel(self.shared, server, &id);
         }
         let kind = match fault {
             None if report.leaving => ReleaseKind::Leaving,
@@ -416,7 +396,7 @@
                 }
                 Err(fault) => {
                     let resumed = (resumable && resumes < RESUMES_MAX)
-                        .then(|| self.resume(server, id, received));
+                        .then(|| engine_streams::resume(self.shared, server, id, received));
                     resumes += 1;
                     if let Some(Some(rest)) = resumed {
                         answer = rest;
@@ -435,49 +415,6 @@
         Tried::Answered(Answered { status: status.as_u16(), outcome: Outcome::Run, reusable: sent })
     }
 
-    /// Asks the engine for the rest of a stream from `offset`.
-    fn resume(&self, server: &BackendServer, id: &str, offset: u64) -> Option<Answer> {
-        let target = format!("/engine/streams/{id}?from={offset}");
-        let answer = self.engine_call(server, &Method::GET, &target, id)?;
-        let goes_on_at: Option<u64> = answer.head.header(OFFSET_HEADER)?.parse().ok();
-        if answer.head.status != StatusCode::OK || goes_on_at != Some(offset) {
-            return None;
-        }
-        log::info!("resumed id={} backend_server={} offset={offset}", self.request.id, server.id);
-        self.shared.metrics.resumed(&self.view.service.id);
-        Some(answer)
-    }
-
-    /// Tells the engine that nobody waits for the stream.
-    fn cancel(&self, server: &BackendServer, id: &str) {
-        let target = format!("/engine/streams/{id}");
-        if let Some(answer) = self.engine_call(server, &Method::DELETE, &target, id) {
-            self.shared.backends.finish(answer);
-        }
-    }
-
-    fn engine_call(
-        &self,
-        server: &BackendServer,
-        method: &Method,
-        target: &str,
-        id: &str,
-    ) -> Option<Answer> {
-        let until = self.shared.clock.now() + RESUME_TIME;
-        let headers = HeaderMap::new();
-        let attempt = Attempt {
-            address: server.address,
-            method,
-            target,
-            headers: &headers,
-            body: &[],
-            id,
-            fresh: true,
-            until,
-        };
-        self.shared.backends.send(&attempt, &mut || true).ok()
-    }
-
     /// Returns when the next byte of the answer must have come.
     fn stall_end(&self) -> Instant {
         let stall = self.shared.clock.now() + self.shared.settings.timeouts.stall.0;
@@ -516,22 +453,6 @@
     }
 }
 
-/// What an engine tells of itself with an answer.
-#[derive(Debug, Default)]
-struct EngineReport {
-    load: Option<u32>,
-    leaving: bool,
-    resumable: bool,
-}
-
-impl EngineReport {
-    fn read(&mut self, answer: &Answer) {
-        self.load = answer.head.header(LOAD_HEADER).and_then(|load| load.parse().ok());
-        self.leaving = answer.head.header(STATE_HEADER) == Some("leaving");
-        self.resumable = answer.head.header(RESUMABLE_HEADER).is_some();
-    }
-}
-
 fn doubt(refusal: Refusal, in_doubt: bool) -> Refusal {
     if in_doubt && refusal.outcome == Outcome::NotRun {
         let detail = format!("{}; an earlier attempt may have run it", refusal.detail);
--- a/src/instance/place.rs
+++ b/src/instance/requests/place.rs
@@ -9,11 +9,13 @@
         permit::{Ask, RefuseReason, ReleaseKind, Reply},
     },
     instance::{
-        desk::{AskEnd, Permit},
-        request::Request,
+        knowledge::snapshot::ServiceView,
+        requests::{
+            desk::{AskEnd, Permit},
+            request::Request,
+            tokens,
+        },
         shared::Shared,
-        snapshot::ServiceView,
-        tokens,
     },
     names::Tag,
     utils::sync::lock,
--- a/src/instance/shared.rs
+++ b/src/instance/shared.rs
@@ -17,8 +17,9 @@
     configs::settings::Settings,
     contract::{membership::Membership, retry::RetryBudget, revision::InForce},
     instance::{
-        claims::Claims, desk::Desk, home_links::HomeLinks, home_table::HomeTable,
-        homes::HomeShards, objects::ObjectCache, orders::Orders, snapshot::Snapshot,
+        homes::{links::HomeLinks, order_state::Orders, shards::HomeShards, table::HomeTable},
+        knowledge::{objects::ObjectCache, snapshot::Snapshot},
+        requests::{claims::Claims, desk::Desk},
     },
     link::{backend::BackendLinks, peer::PeerLinks, traffic::Traffic, wire::Hello},
     metrics::Metrics,
--- a/tests/suite/config.rs
+++ b/tests/suite/config.rs
@@ -10,8 +10,8 @@
     audit::{AuditAction, AuditRow},
     configs::fleet::chunks::Digest,
     instance::{
-        apply::Applied,
-        operators::{Problem, Shown},
+        knowledge::apply::Applied,
+        operators::api::{Problem, Shown},
     },
     platform::http::agent,
     units::{Rate, Revision},
--- a/tests/suite/files.rs
+++ b/tests/suite/files.rs
@@ -13,7 +13,7 @@
         settings::{Settings, reference, set},
     },
     context::Context,
-    instance::operators::mark_leaving,
+    instance::operators::api::mark_leaving,
     units::{Rate, Size, Span},
     zone::shard::{SHARD_ENGINES_MAX, shards_of},
 };
--- a/tests/suite/machines.rs
+++ b/tests/suite/machines.rs
@@ -17,7 +17,7 @@
         revision::{Head, InForce},
         token_bucket::TokenBucket,
     },
-    instance::{home_table::HomeTable, snapshot::Snapshot},
+    instance::{homes::table::HomeTable, knowledge::snapshot::Snapshot},
     names::{InstanceId, Tag},
     platform::{Member, MemberKind, MemberState},
     units::{Rate, Revision},
--- a/tests/suite/support.rs
+++ b/tests/suite/support.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use cartvane::instance::status::FleetStatus;
+use cartvane::instance::operators::status::FleetStatus;
 use standins::{
     caller::{Answer, Call},
     fleet::{Fleet, FleetSpec, team_key},
