fix(gateway): a caller that sends too much reads its refusal

Cause: a request refused with its body unread (413, 431, 400) ended with a close while bytes were still coming in; the kernel resets such a connection, and the answer on its way is destroyed. `cartvane router` read on for a moment, `cartvane gateway` did not. Change: that reading (link/caller.rs, one copy) serves both. Test first: bodies: a_caller_that_sends_too_much_reads_the_refusal failed with a reset, with a length and in chunks.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -13,7 +13,10 @@
 use crate::{
     adapter,
     contract::outcome::Outcome,
-    link::http1::{BodyReader, Conn, HeadFault, ReadFault, RequestHead, body::BodyFraming},
+    link::{
+        caller::linger,
+        http1::{BodyReader, Conn, HeadFault, ReadFault, RequestHead, body::BodyFraming},
+    },
     names::TeamName,
     routing::{Intent, Route},
     zone::rendezvous::ChatKey,
@@ -42,6 +45,7 @@
     // An instance that has just started knows enough within some hundredths of a second.
     gateway.knowledge.wait_complete(START_PATIENCE);
     while wait_for_request(gateway, &mut conn) && serve_one(gateway, &mut conn) {}
+    linger(&mut conn);
 }
 
 /// Waits for a request's first byte; `false` when the connection ends without one.
--- a/src/instance/requests/entry.rs
+++ b/src/instance/requests/entry.rs
@@ -1,6 +1,9 @@
 //! The callers' side of an instance: reads requests, has them answered, keeps connections.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use http::Method;
 
@@ -16,18 +19,13 @@
     },
     link::{
         answer::{AnswerNote, OwnHeaders, send_refusal},
-        http1::{
-            BodyFraming, BodyReader, Conn, HeadFault, ReadFault, RequestHead, conn::ConnState,
-        },
+        caller::linger,
+        http1::{BodyFraming, BodyReader, Conn, HeadFault, ReadFault, RequestHead},
     },
-    units::Span,
 };
 
-/// Bytes of a refused request's body that are read and dropped, so that the caller sees the answer.
-const DISCARD_MAX: usize = 256 << 10;
-
-/// Longest time spent on reading what is dropped.
-const DISCARD_TIME: Span = Span::millis(500);
+/// Longest wait for a refused connection's caller to take the answer.
+const REFUSAL_TIME: Duration = Duration::from_millis(500);
 
 /// Serves one caller's connection until it ends.
 pub fn serve(shared: &Arc<Shared>, mut conn: Conn) {
@@ -47,7 +45,7 @@
             }
         }
     }
-    linger(shared, &mut conn);
+    linger(&mut conn);
 }
 
 /// Answers a connection beyond the limit.
@@ -57,10 +55,10 @@
         "too many connections",
         "this instance has as many connections as it may; try again, or another instance",
     )
-    .retry_after(std::time::Duration::from_secs(1));
+    .retry_after(Duration::from_secs(1));
     let note = note(shared.next_request_id(), false);
     // Whether the caller still takes the answer changes nothing here.
-    let _ = send_refusal(&mut conn, DISCARD_TIME.0, &refusal, &note, false);
+    let _ = send_refusal(&mut conn, REFUSAL_TIME, &refusal, &note, false);
 }
 
 fn note(request_id: String, keep_alive: bool) -> AnswerNote {
@@ -81,20 +79,6 @@
     conn.fill(until, &mut || !idle_ends()).is_ok()
 }
 
-/// Reads what the caller is still sending for a moment, so that a close does not destroy the
-/// answer on its way.
-fn linger(shared: &Shared, conn: &mut Conn) {
-    if conn.state() != ConnState::Readable {
-        return;
-    }
-    let until = shared.clock.now() + DISCARD_TIME.0;
-    let mut dropped = 0;
-    while dropped < DISCARD_MAX && conn.fill(until, &mut || true).is_ok() {
-        dropped += conn.buffered().len();
-        conn.consume(conn.buffered().len());
-    }
-}
-
 fn refuse_head(shared: &Shared, conn: &mut Conn, fault: &HeadFault, id: String) {
     let refusal = match fault {
         HeadFault::Read(ReadFault::Timeout) => Refusal::not_run(
@@ -245,7 +229,7 @@
             "not ready",
             "this instance has no configuration yet; try another",
         );
-        return Err(not_taken(refusal.retry_after(std::time::Duration::from_secs(1))));
+        return Err(not_taken(refusal.retry_after(Duration::from_secs(1))));
     };
     if matches!(head.method, Method::CONNECT | Method::TRACE) {
         return Err(not_taken(Refusal::not_run(
@@ -272,7 +256,7 @@
     let Some(mut usage) = shared.usage.enter(shared.settings.limits.requests) else {
         let detail = "this instance has as many requests in flight as it may; try again, or another instance";
         let refusal = Refusal::not_run(503, "too many requests in flight", detail);
-        return Err(not_taken(refusal.retry_after(std::time::Duration::from_secs(1))));
+        return Err(not_taken(refusal.retry_after(Duration::from_secs(1))));
     };
     let body = read_body(shared, conn, &head, framing, &mut usage).map_err(NotTaken::unread)?;
     let after_body = if bodiless { now } else { shared.clock.now() };
@@ -307,7 +291,7 @@
         let detail =
             "this instance holds as many bytes of bodies as it may; try again, or another instance";
         return Err(Refusal::not_run(503, "no room for the body", detail)
-            .retry_after(std::time::Duration::from_secs(1)));
+            .retry_after(Duration::from_secs(1)));
     }
     if head.header("expect").is_some_and(|value| value.eq_ignore_ascii_case("100-continue")) {
         let stall = shared.settings.timeouts.slow_reader.0;
--- a/src/link/caller.rs
+++ b/src/link/caller.rs
@@ -11,7 +11,10 @@
     time::Duration,
 };
 
-use crate::{clock::Clock, link::http1::Conn};
+use crate::{
+    clock::Clock,
+    link::http1::{Conn, conn::ConnState},
+};
 
 /// Stack of a connection's thread; touched only as deep as it is used.
 const STACK: usize = 512 << 10;
@@ -19,6 +22,12 @@
 /// Pause after a failed accept, such as for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Bytes of a refused request's body that are read and dropped, so that the caller sees the answer.
+const DISCARD_MAX: usize = 256 << 10;
+
+/// Longest time spent on reading what is dropped: a few round trips.
+const DISCARD_TIME: Duration = Duration::from_millis(500);
+
 /// A running listener that serves each connection in a thread of its own.
 pub struct Listener {
     address: SocketAddr,
@@ -113,3 +122,17 @@
         }
     }
 }
+
+/// Reads and drops what the caller of an ended connection is still sending, for a moment: closing
+/// with unread bytes would reset the connection and destroy the answer on its way.
+pub fn linger(conn: &mut Conn) {
+    if conn.state() != ConnState::Readable {
+        return;
+    }
+    let until = conn.clock().now() + DISCARD_TIME;
+    let mut dropped = 0;
+    while dropped < DISCARD_MAX && conn.fill_beside(until, None).is_ok() {
+        dropped += conn.buffered().len();
+        conn.consume(conn.buffered().len());
+    }
+}
--- /dev/null
+++ b/tests/suite/bodies.rs
@@ -0,0 +1,100 @@
+//! Bodies that are too large for somebody, and answers that come before a body is in.
+
+use std::{
+    io::{Read, Write},
+    net::{TcpListener, TcpStream},
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use cartvane::{clock::Clock, link::http1::Conn};
+use serde_json::json;
+use standins::caller::Call;
+
+use crate::{
+    support::eventually,
+    world::{KEY, call, intent, start},
+};
+
+/// A body that no socket buffer holds, so that a caller is still sending it when it is refused.
+const LARGE: usize = 8 << 20;
+
+#[test]
+fn a_caller_that_sends_too_much_reads_the_refusal() {
+    let world = start(1);
+    for chunked in [false, true] {
+        let mut stream = TcpStream::connect(world.instance.callers()).expect("connected");
+        let framing = if chunked { "transfer-encoding: chunked" } else { "content-length: 200000" };
+        let head = format!(
+            "POST /idem/ HTTP/1.1\r\nhost: cartvane\r\nx-request-id: r\r\n\
+             authorization: Bearer {KEY}\r\n{framing}\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).expect("sent");
+        let body = if chunked { format!("{:x}\r\n", 200_000) } else { String::new() };
+        stream.write_all(format!("{body}{}", "x".repeat(200_000)).as_bytes()).expect("sent");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).expect("the answer is not destroyed");
+        assert!(answer.starts_with("HTTP/1.1 413"), "chunked {chunked}: {answer:?}");
+    }
+    assert_eq!(world.servers[0].total_runs(), 0);
+}
+
+/// A backend server that answers `status` as soon as it has a head, then reads on; returns all that
+/// arrived behind that head.
+fn answers_early(listener: TcpListener, status: u16) -> JoinHandle<Vec<u8>> {
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut seen = Vec::new();
+        let mut buf = [0; 4096];
+        let end = loop {
+            let count = stream.read(&mut buf).expect("a head");
+            seen.extend_from_slice(&buf[..count]);
+            if let Some(at) = seen.windows(4).position(|four| four == b"\r\n\r\n") {
+                break at + 4;
+            }
+        };
+        let answer = format!(
+            "HTTP/1.1 {status} Early\r\nx-request-id: r1\r\nx-response-seal: s\r\n\
+             content-length: 5\r\nkeep-alive: timeout=5\r\n\r\nearly"
+        );
+        stream.write_all(answer.as_bytes()).expect("answered");
+        let _ = stream.set_read_timeout(Some(Duration::from_millis(1500)));
+        let _ = stream.read_to_end(&mut seen);
+        seen.split_off(end)
+    })
+}
+
+#[test]
+fn an_answer_before_the_body_is_in_is_passed_on_and_its_connection_not_used_again() {
+    for status in [200, 413] {
+        let world = start(1);
+        let mut larger = intent(9);
+        larger["limits"]["max_body_bytes"] = (2 * LARGE).into();
+        world.store.put("op", "config", &larger);
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        world.store.remove("servers", &world.servers[0].id);
+        let entry = json!({"service": "app", "address": address.to_string(), "zone": "north"});
+        world.store.put("servers", "early", &entry);
+        let knowledge = || {
+            let gateway = world.instance.gateway();
+            let listed = |id: &str| {
+                gateway.knowledge.with_servers(|r| r.servers().any(|s| s.id.as_str() == id))
+            };
+            gateway.knowledge.version() == 9 && listed("early") && !listed("s0")
+        };
+        eventually("the server is known", knowledge);
+        let server = answers_early(listener, status);
+        let body: Vec<u8> = (0..LARGE).map(|at| (at % 251) as u8).collect();
+        let large = Call { body: body.clone(), ..call("/once/", "r1") };
+        let mut conn =
+            Conn::connect(world.instance.callers(), Duration::from_secs(1), &Clock::system())
+                .expect("a connection");
+        let answer = large.send_on(&mut conn);
+        assert_eq!((answer.status, answer.text().as_str()), (status, "early"));
+        // A request that follows must not be taken for the rest of that body.
+        let _ = call("/once/", "r2").send(world.instance.callers());
+        let arrived = server.join().expect("the server");
+        assert!(body.starts_with(&arrived), "{} bytes of something else", arrived.len());
+    }
+}
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -1,6 +1,7 @@
 //! All integration tests, as one crate.
 
 mod answers;
+mod bodies;
 mod callers;
 mod config;
 mod drain;
