test(soak): many requests with one prompt are held against the load bound

Change: at the end of each run, in calm, ten callers an instance send one prompt; the servers' requests under way are looked at every 5 ms. A promise is broken where a server has more than twice the mean and 3 at over a tenth of the looks.

--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -166,6 +166,13 @@
         (servers[at].id.clone(), arrivals.iter().map(id).collect())
     }
 
+    /// Returns the requests under way at the servers in use.
+    pub(crate) fn loads(&self) -> Vec<u32> {
+        let used: Vec<usize> = self.places.iter().map(|place| lock(place).server).collect();
+        let servers = lock(&self.servers);
+        used.into_iter().map(|at| servers[at].in_flight()).collect()
+    }
+
     /// Gives the next requests at a place these faults.
     pub(crate) fn faults(&self, place: usize, faults: &[Fault]) {
         let at = lock(&self.places[place]).server;
@@ -290,7 +297,7 @@
         json!({
             "name": name, "host": "cartvane", "path_prefix": format!("/{name}/"), "type": kind,
             "timeout_ms": 3000, "target_latency_ms": 300, "service": "app", "max_attempts": 2,
-            "stream_resume": resume, "gap_target_ms": 100
+            "stream_resume": resume, "gap_target_ms": 100, "sticky_sessions": true
         })
     };
     json!({
--- /dev/null
+++ b/soak/src/load.rs
@@ -0,0 +1,92 @@
+//! Many requests with one prompt at once, and the load that they bring to the backend servers.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use cartvane::utils::sync::lock;
+use standins::caller::Call;
+
+use crate::{
+    checks::Checks,
+    fleet::{Fleet, KEY},
+};
+
+/// Callers for each instance: together several times what one server may have.
+const CALLERS: usize = 10;
+
+/// Time before loads are looked at: instances have told each other their counts a few times.
+const WARM_UP: Duration = Duration::from_millis(1200);
+
+/// Time in which loads are looked at.
+const LENGTH: Duration = Duration::from_millis(1500);
+
+/// Pause between two looks.
+const PERIOD: Duration = Duration::from_millis(5);
+
+/// The bound as the settings have it: a multiple of the mean, and requests beyond that.
+const BOUND: (f64, f64) = (2.0, 3.0);
+
+/// Share of looks at which a server may be beyond the bound: requests on their way.
+const BEYOND_MAX: f64 = 0.1;
+
+/// Sends one prompt from everywhere and checks that no server gets more than its bound.
+pub(crate) fn check(fleet: &Arc<Fleet>, checks: &Checks) {
+    let stop = Arc::new(AtomicBool::new(false));
+    let callers: Vec<_> = (0..fleet.instances.len() * CALLERS)
+        .map(|number| {
+            let (fleet, stop) = (Arc::clone(fleet), Arc::clone(&stop));
+            thread::spawn(move || call_until(&stop, &fleet, number))
+        })
+        .collect();
+    thread::sleep(WARM_UP);
+    let looks = look(fleet);
+    stop.store(true, Ordering::SeqCst);
+    for caller in callers {
+        if caller.join().is_err() {
+            checks.broken("the soak itself works", "load", "a caller panicked");
+        }
+    }
+    let beyond = looks.iter().filter(|loads| is_beyond(loads, &looks)).count();
+    if beyond as f64 > BEYOND_MAX * looks.len() as f64 {
+        let most = looks.iter().max_by_key(|loads| loads.iter().max());
+        let seen = format!("{beyond} of {} looks; the worst: {most:?}", looks.len());
+        checks.broken("no server has more than its bound", "one prompt", seen);
+    }
+}
+
+fn call_until(stop: &AtomicBool, fleet: &Fleet, number: usize) {
+    let address = lock(&fleet.instances[number % fleet.instances.len()]).callers;
+    let mut sent = 0;
+    while !stop.load(Ordering::SeqCst) {
+        sent += 1;
+        // What comes back is checked by the other callers; here only the load counts.
+        let _ = Call { timeout: Duration::from_secs(4), ..Call::post("/stream/load", KEY, "load") }
+            .with("x-request-id", format!("load-{number}-{sent}"))
+            .with("x-prefix-hash", format!("ab12:900,{number:x}:50"))
+            .send(address);
+    }
+}
+
+/// Returns the loads of all servers in use, look by look.
+fn look(fleet: &Fleet) -> Vec<Vec<u32>> {
+    let until = Instant::now() + LENGTH;
+    let mut looks = Vec::new();
+    while Instant::now() < until {
+        looks.push(fleet.loads());
+        thread::sleep(PERIOD);
+    }
+    looks
+}
+
+/// Returns whether a server is beyond the bound; servers that never had a request do not count.
+fn is_beyond(loads: &[u32], looks: &[Vec<u32>]) -> bool {
+    let used = (0..loads.len()).filter(|&at| looks.iter().any(|loads| loads[at] > 0)).count();
+    let mean = f64::from(loads.iter().sum::<u32>()) / used.max(1) as f64;
+    loads.iter().any(|&load| f64::from(load) > BOUND.0 * mean + BOUND.1)
+}
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod checks;
 mod fleet;
+mod load;
 mod options;
 mod plan;
 mod proxy;
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -20,6 +20,7 @@
     callers::Callers,
     checks::{Broken, Checks},
     fleet::{Fleet, GRACE, IN_FORCE, KEY, LEAVING, send},
+    load,
     options::Options,
     plan::{self, Event},
     proxy::Link,
@@ -103,6 +104,7 @@
     }
     wait_all_serve(&fleet, &checks, "everything serves again when the faults are over");
     check_in_calm(&fleet, &checks, interrupted);
+    load::check(&fleet, &checks);
     callers.finish();
     // Requests that were given up on end at their servers within their deadlines.
     thread::sleep(Duration::from_millis(500));
--- a/standins/src/listed.rs
+++ b/standins/src/listed.rs
@@ -5,7 +5,10 @@
     collections::HashMap,
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
     thread,
     time::Duration,
 };
@@ -42,6 +45,23 @@
 pub struct Seen {
     runs: Mutex<HashMap<String, u32>>,
     requests: Mutex<Vec<Received>>,
+    in_flight: AtomicU32,
+}
+
+/// Counts a request under way for as long as it lives.
+struct UnderWay<'s>(&'s Seen);
+
+impl Seen {
+    fn begin(&self) -> UnderWay<'_> {
+        self.in_flight.fetch_add(1, Ordering::SeqCst);
+        UnderWay(self)
+    }
+}
+
+impl Drop for UnderWay<'_> {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::SeqCst);
+    }
 }
 
 impl Listed {
@@ -88,6 +108,11 @@
         lock(&self.seen.requests).clone()
     }
 
+    /// Returns how many requests are under way here.
+    pub fn in_flight(&self) -> u32 {
+        self.seen.in_flight.load(Ordering::SeqCst)
+    }
+
     /// Stops taking connections.
     pub fn stop(&mut self) {
         self.listener.stop();
@@ -114,6 +139,7 @@
 
 fn serve(own: &str, seen: &Seen, exchange: Exchange<'_>) -> Next {
     let Exchange { conn, received, fault } = exchange;
+    let _under_way = seen.begin();
     lock(&seen.requests).push(received.clone());
     let id = received.head.header("x-request-id").unwrap_or_default().to_owned();
     let expected_other =
