fix(routing): shares of a crowded server's room only after it was beyond its limit

Change: an instance keeps to its part only at a server that was seen beyond the operator's limit within 3 s, and for prompts whose own server was. Spilling elsewhere is as it was.

--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -9,11 +9,12 @@
 /// Age up to which the counts of all instances are believed: a few exchanges.
 const FLEET_LIFE: Duration = Duration::from_millis(2000);
 
-/// How long a server counts as crowded after it was at its bound: many exchanges, as all instances
+/// How long a server counts as crowded after it was beyond its limit: many exchanges, as all instances
 /// learn late that it has room again, and at the same time.
 const CROWDED_LIFE: Duration = Duration::from_millis(3000);
 
-/// Part of the load aimed at from which a crowded server stays so.
+/// Part of the load aimed at from which a crowded server stays so: what is sought goes on being sought,
+/// and one exchange may happen to count little.
 const CROWDED_STAYS: f64 = 0.7;
 
 /// What a backend server says of itself with an answer.
@@ -45,13 +46,22 @@
     pub instances: usize,
 }
 
+/// How much load a backend server should have, in requests.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Bounds {
+    /// Load at which prompts go elsewhere.
+    pub spill: f64,
+    /// Load beyond the operator's bound.
+    pub limit: f64,
+}
+
 /// A backend server's load as this instance sees it.
 #[derive(Debug, Clone, Default)]
 pub struct Load {
     own: u32,
     report: Option<(LoadReport, Instant, u32)>,
     fleet: Option<FleetCount>,
-    /// When the server was last seen at its bound.
+    /// When the server was last seen beyond its limit.
     crowded_at: Option<Instant>,
 }
 
@@ -71,17 +81,17 @@
         self.report = Some((report, now, self.own));
     }
 
-    /// Takes what all instances have in flight, of which `own` is what this one told; `bound` is the
-    /// most that there should be.
-    pub fn set_fleet(&mut self, now: Instant, all: f64, own: u32, bound: f64) {
+    /// Takes what all instances have in flight, of which `own` is what this one told.
+    pub fn set_fleet(&mut self, now: Instant, all: f64, own: u32, bounds: Bounds) {
         self.fleet = Some(FleetCount { all, own, at: now });
-        let still = self.is_crowded(now) && all >= CROWDED_STAYS * aim(bound);
-        if all >= bound || still {
+        let stays = self.is_crowded(now) && all >= CROWDED_STAYS * aim(bounds.spill);
+        if all >= bounds.limit || stays {
             self.crowded_at = Some(now);
         }
     }
 
-    fn is_crowded(&self, now: Instant) -> bool {
+    /// Returns whether the server was beyond its limit lately.
+    pub fn is_crowded(&self, now: Instant) -> bool {
         self.crowded_at.is_some_and(|at| now.saturating_duration_since(at) < CROWDED_LIFE)
     }
 
@@ -94,34 +104,28 @@
         self.fleet(now).map(|fleet| (fleet.all - f64::from(fleet.own)).max(0.0))
     }
 
-    /// Returns how many more requests this instance may send here; nothing where that is not above zero.
-    /// `usual` is as for [`Load::estimate`], `turn` in [0, 1) is this instance's own, `spills` whether
-    /// the prompt belongs elsewhere.
+    /// Returns by how many requests the server is under `bound`, as far as is known.
+    pub fn room(&self, now: Instant, bound: f64, usual: f64) -> f64 {
+        bound - self.estimate(now, usual)
+    }
+
+    /// Returns how many more requests this instance may send where all send at once: to a crowded server,
+    /// or with prompts that spill from one. Nothing may be sent where that is not above zero.
     ///
-    /// Where all instances may send at once, at a crowded server or with a prompt that spills, each keeps
-    /// to what it had at the last exchange and its part of the room that there was, or gives up its part
-    /// of the excess. If all went by the sum alone, they would leave a server together, find it empty
-    /// together, and come back together.
-    pub fn room(
-        &self,
-        now: Instant,
-        bound: f64,
-        usual: f64,
-        place: Place,
-        turn: f64,
-        spills: bool,
-    ) -> f64 {
-        let Some(fleet) = self.fleet(now).filter(|_| spills || self.is_crowded(now)) else {
-            return bound - self.estimate(now, usual);
-        };
+    /// An instance has what it had at the last exchange, and of the room that there was its part, or it
+    /// gives up in proportion to the excess (additive increase, multiplicative decrease). If all went by
+    /// the sum alone, they would leave a server together, find it empty together, and come back together.
+    /// `turn` in [0, 1) is another one at each instance, so that a part of a request is a whole one at
+    /// that part of them.
+    pub fn allotted(&self, now: Instant, bound: f64, place: Place, turn: f64) -> Option<f64> {
+        let fleet = self.fleet(now)?;
         let (aim, own) = (aim(bound), f64::from(fleet.own));
         let allotted = if fleet.all > aim {
             own * aim / fleet.all
         } else {
             own + (aim - fleet.all) / place.instances.max(1) as f64
         };
-        // A part of a request is a whole one at that part of the instances.
-        allotted - turn - f64::from(self.own)
+        Some(allotted - turn - f64::from(self.own))
     }
 
     /// Returns this instance's own requests in flight.
--- a/src/routing/picker.rs
+++ b/src/routing/picker.rs
@@ -8,7 +8,7 @@
 
 use indexmap::IndexMap;
 
-use super::{BackendServer, Count, Health, Load, LoadReport, Place, ServiceLoad};
+use super::{BackendServer, Count, Health, Load, LoadReport, Place, ServiceLoad, load::Bounds};
 use crate::{
     names::{ServerId, ServiceName, Tag, ZoneName},
     zone::rendezvous,
@@ -137,13 +137,13 @@
         let own: HashMap<Tag, u32> = own.iter().copied().collect();
         for load in loads {
             let counts: HashMap<Tag, u32> = load.counts.iter().copied().collect();
-            let bound = spill_bound(self.load_bound, f64::from(load.mean));
+            let bounds = self.bounds(f64::from(load.mean));
             let unlisted = if load.whole { 0.0 } else { f64::from(load.mean) };
             for tracked in self.servers.values_mut().filter(|t| t.server.service == load.service) {
                 let tag = tracked.server.tag();
                 let all = counts.get(&tag).map_or(unlisted, |&count| f64::from(count));
                 let own = own.get(&tag).copied().unwrap_or(0);
-                tracked.load.set_fleet(now, all.max(f64::from(own)), own, bound);
+                tracked.load.set_fleet(now, all.max(f64::from(own)), own, bounds);
             }
         }
     }
@@ -206,13 +206,16 @@
     ) -> Option<Picked> {
         let loads: Vec<f64> = pool.iter().map(|t| t.load.estimate(now, usual)).collect();
         let mean = loads.iter().sum::<f64>() / loads.len().max(1) as f64;
-        let bound = spill_bound(self.load_bound, mean);
+        let bound = self.bounds(mean).spill;
         let rank = rendezvous::ranked(key, pool.iter().map(|t| (t.server.tag(), 1.0)));
-        let room = |rank: usize, i: usize| {
-            let turn = self.turn(pool[i].server.tag());
-            pool[i].load.room(now, bound, usual, self.place, turn, rank > 0)
+        let home_crowded = rank.first().is_some_and(|&i| pool[i].load.is_crowded(now));
+        let room = |&i: &usize| {
+            let (load, turn) = (&pool[i].load, self.turn(pool[i].server.tag()));
+            let crowded = home_crowded || load.is_crowded(now);
+            let allotted = if crowded { load.allotted(now, bound, self.place, turn) } else { None };
+            allotted.unwrap_or_else(|| load.room(now, bound, usual))
         };
-        let rooms: Vec<f64> = rank.iter().enumerate().map(|(at, &i)| room(at, i)).collect();
+        let rooms: Vec<f64> = rank.iter().map(room).collect();
         let takes = |&(at, &i): &(usize, &usize)| rooms[at] > 0.0 && !is_full(now, pool[i]);
         let most = || rank.iter().enumerate().max_by(|a, b| rooms[a.0].total_cmp(&rooms[b.0]));
         let (place, &i) = rank.iter().enumerate().find(takes).or_else(most)?;
@@ -221,6 +224,12 @@
         Some(Picked { server, rank: place, load: loads[i], bound, holder })
     }
 
+    /// Returns how much load a server should have, where those of its service have `mean`.
+    fn bounds(&self, mean: f64) -> Bounds {
+        let spill = (1.0 + (self.load_bound - 1.0) * BOUND_SHARE) * mean + BOUND_SLACK;
+        Bounds { spill, limit: self.load_bound * mean + BOUND_SLACK }
+    }
+
     /// Returns this instance's turn at a server, in [0, 1): each instance has another one, and another
     /// at each server.
     fn turn(&self, server: Tag) -> f64 {
@@ -267,11 +276,6 @@
     }
 }
 
-/// Returns the load at which prompts spill, where the servers of a service have `mean`.
-fn spill_bound(load_bound: f64, mean: f64) -> f64 {
-    (1.0 + (load_bound - 1.0) * BOUND_SHARE) * mean + BOUND_SLACK
-}
-
 fn zone_key(zone: &ZoneName) -> u64 {
     xxhash_rust::xxh3::xxh3_64(zone.as_str().as_bytes())
 }
