--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -13,7 +13,7 @@
 /// learn late that it has room again, and at the same time.
 const CROWDED_LIFE: Duration = Duration::from_millis(3000);
 
-/// Part of the load aimed at from which a crowded server stays so: what is sought goes on being sought,
+/// Part of the load at which prompts spill from which a crowded server stays so: what is sought goes on being sought,
 /// and one exchange may happen to count little.
 const CROWDED_STAYS: f64 = 0.7;
 
@@ -84,8 +84,8 @@
     /// Takes what all instances have in flight, of which `own` is what this one told.
     pub fn set_fleet(&mut self, now: Instant, all: f64, own: u32, bounds: Bounds) {
         self.fleet = Some(FleetCount { all, own, at: now });
-        let stays = self.is_crowded(now) && all >= CROWDED_STAYS * aim(bounds.spill);
-        if all >= bounds.limit || stays {
+        let stays = self.is_crowded(now) && all >= CROWDED_STAYS * bounds.spill;
+        if all > bounds.limit || stays {
             self.crowded_at = Some(now);
         }
     }
