--- a/tests/suite/routing.rs
+++ b/tests/suite/routing.rs
@@ -2,16 +2,15 @@
 
 use std::{
     net::SocketAddr,
-    sync::Arc,
     time::{Duration, Instant},
 };
 
 use cartvane::{
     names::ServerId,
     routing::{
-        Aggregate, BackendServer, EventSplitter, Health, Intent, IntentInForce, ListHistory,
-        ListNews, Load, LoadReport, Picker, RetryBudget, Roster, Route, RouteKind, RouteTable,
-        ServiceShare, Teams, Wanted, budget::BudgetTerms,
+        BackendServer, EventSplitter, Health, Intent, IntentInForce, ListHistory, ListNews, Load,
+        LoadReport, RetryBudget, Roster, Route, RouteKind, RouteTable, ServiceShare, Teams,
+        budget::BudgetTerms,
     },
 };
 use indexmap::IndexMap;
@@ -22,7 +21,8 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
-fn server(id: &str, port: u16) -> BackendServer {
+/// Returns a backend server with an id and a port of its own.
+pub(crate) fn server(id: &str, port: u16) -> BackendServer {
     BackendServer {
         id: id.parse().expect("an id"),
         service: "llm".parse().expect("a name"),
@@ -306,180 +306,6 @@
     assert_eq!(load.own(), 0);
 }
 
-fn picker(servers: &[BackendServer]) -> Picker {
-    let list: Vec<Arc<BackendServer>> = servers.iter().cloned().map(Arc::new).collect();
-    let mut picker = Picker::new("north".parse().expect("a zone"), 2.0);
-    picker.set_servers(list.iter());
-    picker
-}
-
-fn fleet(count: u16) -> Vec<BackendServer> {
-    (0..count).map(|i| server(&format!("s{i}"), i)).collect()
-}
-
-fn pick(
-    picker: &Picker,
-    now: Instant,
-    affinity: Option<u64>,
-    tried: &[ServerId],
-) -> Option<ServerId> {
-    let service = "llm".parse().expect("a name");
-    let wanted = Wanted { service: &service, affinity, spread: 5, tried };
-    picker.pick(now, &wanted).map(|picked| picked.server.id.clone())
-}
-
-#[test]
-fn requests_with_one_prompt_stay_together_until_the_bound_and_then_spill_in_their_rank() {
-    let now = Instant::now();
-    let mut picker = picker(&fleet(10));
-    let home = pick(&picker, now, Some(42), &[]).expect("a server");
-    let mut spilled = Vec::new();
-    for _ in 0..60 {
-        let id = pick(&picker, now, Some(42), &[]).expect("a server");
-        if id != home && !spilled.contains(&id) {
-            spilled.push(id.clone());
-        }
-        picker.begin(&id);
-    }
-    let loads: Vec<u32> = picker.in_flight().map(|(_, own)| own).collect();
-    let mean = 6.0;
-    assert!(loads.iter().all(|&own| f64::from(own) <= 2.0 * mean + 3.0), "{loads:?}");
-    assert!(!spilled.is_empty());
-    let second = pick(&self::picker(&fleet(10)), now, Some(42), &[home]).expect("a server");
-    assert_eq!(spilled[0], second, "the first to spill to is the next in rank");
-}
-
-#[test]
-fn what_was_tried_is_leaving_or_unreachable_is_not_picked() {
-    let now = Instant::now();
-    let mut servers = fleet(3);
-    servers[0].leaving = true;
-    let mut picker = picker(&servers);
-    let (one, two) = (servers[1].id.clone(), servers[2].id.clone());
-    assert_eq!(pick(&picker, now, None, std::slice::from_ref(&one)), Some(two.clone()));
-    picker.unreachable(now, &two);
-    for key in 0..20 {
-        assert_eq!(pick(&picker, now, Some(key), &[]), Some(one.clone()));
-    }
-    picker.unreachable(now, &one);
-    assert!(pick(&picker, now, Some(1), &[]).is_some(), "the last servers are tried all the same");
-    assert_eq!(pick(&picker, now, None, &[one, two]), None);
-}
-
-#[test]
-fn a_server_that_fails_more_than_the_others_is_passed_over() {
-    let now = Instant::now();
-    let servers = fleet(4);
-    let mut picker = picker(&servers);
-    let bad = servers[0].id.clone();
-    for server in &servers {
-        (0..6).for_each(|_| picker.good(now, &server.id));
-    }
-    (0..6).for_each(|_| picker.bad(now, &bad));
-    assert!((0..50).all(|key| pick(&picker, now, Some(key), &[]) != Some(bad.clone())));
-    let later = now + SECOND * 10;
-    assert!((0..50).any(|key| pick(&picker, later, Some(key), &[]) == Some(bad.clone())));
-    // Where all fail alike, none is worse than the others.
-    for server in &servers {
-        (0..20).for_each(|_| picker.bad(later, &server.id));
-    }
-    assert!((0..50).any(|key| pick(&picker, later, Some(key), &[]) == Some(bad.clone())));
-}
-
-#[test]
-fn requests_without_a_prompt_go_to_the_least_loaded_own_zone_first() {
-    let now = Instant::now();
-    let mut servers = fleet(3);
-    servers[1].zone = "south".parse().expect("a zone");
-    servers[2].zone = "south".parse().expect("a zone");
-    let mut picker = picker(&servers);
-    let first = pick(&picker, now, None, &[]).expect("a server");
-    assert_eq!(first, servers[0].id);
-    picker.begin(&first);
-    let second = pick(&picker, now, None, &[]).expect("a server");
-    assert_ne!(second, first);
-}
-
-#[test]
-fn a_change_of_servers_moves_only_the_prompts_of_those_that_changed() {
-    let now = Instant::now();
-    let before = picker(&fleet(10));
-    let after = picker(&fleet(11));
-    let new: ServerId = "s10".parse().expect("an id");
-    for key in 0..500 {
-        let (was, is) = (pick(&before, now, Some(key), &[]), pick(&after, now, Some(key), &[]));
-        assert!(was == is || is == Some(new.clone()));
-    }
-}
-
-/// The prompt's memory is fetched from where it was before, never from where the request has failed.
-#[test]
-fn the_holder_of_a_prompt_is_the_next_in_rank_leaving_ones_included() {
-    let now = Instant::now();
-    let mut servers = fleet(6);
-    let service = "llm".parse().expect("a name");
-    let pick = |picker: &Picker, tried: &[ServerId]| {
-        let wanted = Wanted { service: &service, affinity: Some(42), spread: 5, tried };
-        let picked = picker.pick(now, &wanted).expect("a server");
-        (picked.server.id.clone(), picked.holder.expect("a holder").id.clone())
-    };
-    let (home, second) = pick(&picker(&servers), &[]);
-    let at = servers.iter().position(|s| s.id == home).expect("the home");
-    servers[at].leaving = true;
-    assert_eq!(pick(&picker(&servers), &[]), (second.clone(), home.clone()));
-    servers[at].leaving = false;
-    let (third, holder) = pick(&picker(&servers), std::slice::from_ref(&home));
-    assert_eq!(third, second);
-    assert_ne!(holder, home, "the request has failed there");
-    let mut unreached = picker(&servers);
-    unreached.unreachable(now, &second);
-    assert_eq!(pick(&unreached, &[]).0, home);
-    assert_ne!(pick(&unreached, &[]).1, second);
-}
-
-#[test]
-fn counts_of_all_instances_are_summed_and_those_of_silent_ones_forgotten() {
-    let now = Instant::now();
-    let servers = fleet(3);
-    let tag = |i: usize| servers[i].tag();
-    let mut aggregate = Aggregate::default();
-    aggregate.take(now, "a".parse().expect("a name"), vec![(tag(0), 4), (tag(1), 1)]);
-    aggregate.take(now + SECOND * 2, "b".parse().expect("a name"), vec![(tag(0), 2)]);
-    let total = |at: Instant| aggregate.summary(at, servers.iter()).remove(0);
-    let both = total(now + SECOND * 2);
-    assert!(both.whole);
-    assert_eq!(both.counts, [(tag(0), 6), (tag(1), 1), (tag(2), 0)]);
-    assert_eq!(total(now + SECOND * 4).counts[0], (tag(0), 2));
-    // What this instance told itself is not counted twice.
-    let mut picker = picker(&servers);
-    (0..4).for_each(|_| picker.begin(&servers[0].id));
-    let own = picker.own_counts();
-    picker.set_fleet_loads(now, &[both], &own);
-    let service = "llm".parse().expect("a name");
-    let tried = [servers[1].id.clone(), servers[2].id.clone()];
-    let wanted = Wanted { service: &service, affinity: None, spread: 5, tried: &tried };
-    let picked = picker.pick(now, &wanted).expect("a server");
-    assert!((picked.load - 6.0).abs() < 0.01, "{picked:?}");
-}
-
-#[test]
-fn of_many_servers_only_those_that_stand_out_are_told() {
-    let now = Instant::now();
-    let servers = fleet(500);
-    let counts = servers.iter().enumerate().map(|(i, s)| (s.tag(), if i == 7 { 20 } else { 2 }));
-    let mut aggregate = Aggregate::default();
-    aggregate.take(now, "a".parse().expect("a name"), counts.collect());
-    let load = aggregate.summary(now, servers.iter()).remove(0);
-    assert!(!load.whole);
-    assert_eq!(load.counts, [(servers[7].tag(), 20)]);
-    let mut picker = picker(&servers);
-    picker.set_fleet_loads(now, &[load], &[]);
-    // Prompts whose first server is the loaded one spill; the others' loads are about the mean.
-    for key in 0..2000 {
-        assert_ne!(pick(&picker, now, Some(key), &[]), Some(servers[7].id.clone()));
-    }
-}
-
 /// Whatever changes between two lists, what is told of it makes the one into the other.
 #[test]
 fn news_of_a_list_make_the_old_one_into_the_new_one() {
