feat(gateway): a server that becomes crowded is logged; the instances' table in a file of its own

Change: event=server_crowded with the load and the limit, once until it no longer is; gateway/instance_table.rs holds the instances' own rows.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,12 +1,14 @@
 //! A running instance on a platform that lists backend servers and keeps the operator's intent.
 //!
 //! `connection` reads a caller's request, `forward` finds it a backend server and answers it,
-//! `stream` passes events on; `intent_reader`, `roster_reader` and `peers` keep `knowledge` fresh.
+//! `stream` passes events on; `intent_reader`, `roster_reader` and `peers` keep `knowledge` fresh;
+//! `instance_table` tells instances of each other.
 
 pub mod connection;
 pub mod drain;
 pub mod exchange;
 pub mod forward;
+pub mod instance_table;
 pub mod intent_reader;
 pub mod knowledge;
 pub mod log_sink;
@@ -244,7 +246,7 @@
         background(&gateway, "intent", intent_reader::run)?;
         background(&gateway, "roster", roster_reader::run)?;
         background(&gateway, "peers", peers::run)?;
-        background(&gateway, "table", peers::keep_table)?;
+        background(&gateway, "table", instance_table::run)?;
         let callers = serve_callers(&gateway)?;
         log::warn!(
             "event=started node={} zone={} callers={}",
@@ -288,7 +290,7 @@
         let grace = self.gateway.settings.bounds.grace;
         self.gateway.drain.start(self.gateway.clock.now(), grace);
         log::warn!("event=draining under_way={}", self.gateway.drain.busy());
-        peers::leave(&self.gateway);
+        instance_table::leave(&self.gateway);
         let clean = self.gateway.drain.finish(&self.gateway.clock);
         log::warn!("event=stopped every_request_finished={clean}");
         clean
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -15,10 +15,6 @@
 
 use super::{Gateway, intent_reader, roster_reader, settings::GatewaySettings};
 use crate::{
-    adapter::{
-        calls::INSTANCE_TABLE,
-        store::{Change, StoreFault},
-    },
     clock::Clock,
     configs::fleet::chunks::{decode, encode},
     link::{
@@ -26,9 +22,9 @@
         peer::{self, PeerLinks, PeerService},
         traffic::{Purpose, Traffic},
     },
-    names::NodeName,
     routing::{
-        Aggregate, Candidates, Count, InstanceInfo, ListNews, ListVersion, Place, ServiceLoad,
+        Aggregate, Candidates, Count, Crowded, InstanceInfo, ListNews, ListVersion, Place,
+        ServiceLoad,
     },
     utils::sync::lock,
 };
@@ -69,15 +65,6 @@
 /// How long an instance that others turn to goes on to read the store for them.
 const READS_FOR_OTHERS: Duration = Duration::from_millis(3000);
 
-/// Pause between two reads of the instances' table by the one that the others turn to.
-const TABLE_PERIOD: Duration = Duration::from_secs(10);
-
-/// First pause, while instances that start together write their rows.
-const TABLE_FIRST: Duration = Duration::from_secs(3);
-
-/// Time without a sign of an instance after which its row is removed.
-const ROW_LEFT_BEHIND: Duration = Duration::from_secs(60);
-
 /// What an instance tells.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct Report {
@@ -119,8 +106,10 @@
     traffic: Traffic,
     links: PeerLinks,
     large_links: PeerLinks,
-    candidates: Mutex<Candidates>,
-    aggregate: Mutex<Aggregate>,
+    /// Instances known, in the order in which all turn to them.
+    pub(super) candidates: Mutex<Candidates>,
+    /// Requests in flight, as the instances told them to this one.
+    pub(super) aggregate: Mutex<Aggregate>,
     summary: Mutex<Option<(Instant, Arc<Vec<ServiceLoad>>)>>,
     last_round: Mutex<Option<Instant>>,
 }
@@ -207,10 +196,7 @@
         let now = gateway.clock.now();
         let first = lock(&peers.candidates).first(now).cloned();
         let Some(first) = first else {
-            let loads = summary(gateway, now);
-            let mut picker = lock(&gateway.picker);
-            let own = picker.own_counts();
-            picker.set_fleet_loads(now, &loads, &own);
+            take_loads(gateway, now, &summary(gateway, now), None);
             return;
         };
         match ask(gateway, first.address, false) {
@@ -265,11 +251,24 @@
     let news: News =
         links.call(Purpose::Loads, address, EXCHANGE_PATH, &report).map_err(|e| e.to_string())?;
     let told = gateway.clock.now();
-    lock(&gateway.picker).set_fleet_loads(told, &news.loads, &counts);
+    take_loads(gateway, told, &news.loads, Some(counts));
     take(gateway, news, list, asked);
     Ok(())
 }
 
+/// Takes what all instances have in flight; `told` is what this one had told of its own, where that is
+/// not what it has now.
+fn take_loads(gateway: &Gateway, now: Instant, loads: &[ServiceLoad], told: Option<Vec<Count>>) {
+    let crowded = {
+        let mut picker = lock(&gateway.picker);
+        let own = told.unwrap_or_else(|| picker.own_counts());
+        picker.set_fleet_loads(now, loads, &own)
+    };
+    for Crowded { server, load, limit } in crowded {
+        log::info!("event=server_crowded server={server} load={load:.1} limit={limit:.1}");
+    }
+}
+
 fn take(gateway: &Gateway, news: News, list: Option<ListVersion>, asked: Instant) {
     let then = |age: Option<u64>| asked.checked_sub(Duration::from_millis(age?));
     if let Some(as_of) = then(news.intent_age_ms) {
@@ -360,78 +359,3 @@
     };
     peer::serve(conn, &service);
 }
-
-/// Keeps the instances' table until the process ends: every instance writes its row once; the one
-/// that the others turn to reads the table now and then and removes rows left behind.
-pub fn keep_table(gateway: &Arc<Gateway>) {
-    while let Err(fault) = join(gateway) {
-        log::info!("event=instances_unread reason={:?}", fault.to_string());
-        thread::sleep(TABLE_FIRST);
-    }
-    let began = gateway.clock.now();
-    let mut pause = TABLE_FIRST;
-    loop {
-        thread::sleep(pause);
-        pause = TABLE_PERIOD;
-        let now = gateway.clock.now();
-        if gateway.drain.is_draining() || lock(&gateway.peers.candidates).first(now).is_some() {
-            continue;
-        }
-        if let Err(fault) = tidy(gateway, now.saturating_duration_since(began) > ROW_LEFT_BEHIND) {
-            log::info!("event=instances_unread reason={:?}", fault.to_string());
-        }
-    }
-}
-
-fn join(gateway: &Gateway) -> Result<(), StoreFault> {
-    let own = lock(&gateway.peers.candidates).own().clone();
-    let change = Change::Put { key: own.node.as_str(), value: &encode(&own) };
-    gateway.store.change(INSTANCE_TABLE, &[change])?;
-    read_table(gateway)
-}
-
-fn read_table(gateway: &Gateway) -> Result<(), StoreFault> {
-    let rows = gateway.store.rows(INSTANCE_TABLE)?;
-    let mut candidates = lock(&gateway.peers.candidates);
-    for row in rows.rows {
-        match decode::<InstanceInfo>(&row.value) {
-            Ok(instance) => candidates.add(instance),
-            Err(fault) => log::warn!("event=row_skipped key={} reason={fault:?}", row.key),
-        }
-    }
-    drop(candidates);
-    gateway.instances_changed();
-    Ok(())
-}
-
-fn tidy(gateway: &Gateway, remove: bool) -> Result<(), StoreFault> {
-    read_table(gateway)?;
-    if !remove {
-        return Ok(());
-    }
-    let now = gateway.clock.now();
-    let (stay, gone): (Vec<InstanceInfo>, Vec<InstanceInfo>) = {
-        let aggregate = lock(&gateway.peers.aggregate);
-        let candidates = lock(&gateway.peers.candidates);
-        let lives = |i: &InstanceInfo| i == candidates.own() || aggregate.hears(now, &i.node);
-        candidates.all().iter().cloned().partition(lives)
-    };
-    if gone.is_empty() {
-        return Ok(());
-    }
-    let changes: Vec<Change<'_>> =
-        gone.iter().map(|i| Change::Remove { key: i.node.as_str() }).collect();
-    gateway.store.change(INSTANCE_TABLE, &changes)?;
-    lock(&gateway.peers.candidates).set(stay);
-    Ok(())
-}
-
-/// Removes the instance's own row; best effort, since a row left behind is removed by another.
-pub fn leave(gateway: &Gateway) {
-    let node: &NodeName = &gateway.settings.node;
-    if let Err(fault) =
-        gateway.store.change(INSTANCE_TABLE, &[Change::Remove { key: node.as_str() }])
-    {
-        log::info!("event=own_row_left reason={:?}", fault.to_string());
-    }
-}
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -81,13 +81,16 @@
         self.report = Some((report, now, self.own));
     }
 
-    /// Takes what all instances have in flight, of which `own` is what this one told.
-    pub fn set_fleet(&mut self, now: Instant, all: f64, own: u32, bounds: Bounds) {
+    /// Takes what all instances have in flight, of which `own` is what this one told; returns whether the
+    /// server has become crowded.
+    pub fn set_fleet(&mut self, now: Instant, all: f64, own: u32, bounds: Bounds) -> bool {
+        let was_crowded = self.is_crowded(now);
         self.fleet = Some(FleetCount { all, own, at: now });
-        let stays = self.is_crowded(now) && all >= CROWDED_STAYS * bounds.spill;
+        let stays = was_crowded && all >= CROWDED_STAYS * bounds.spill;
         if all > bounds.limit || stays {
             self.crowded_at = Some(now);
         }
+        all > bounds.limit && !was_crowded
     }
 
     /// Returns whether the server was beyond its limit lately.
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -22,7 +22,7 @@
 pub use health::Health;
 pub use intent::{CallerLimits, Intent, IntentInForce, ServiceSpec};
 pub use load::{Load, LoadReport, Place};
-pub use picker::{Picked, Picker, Wanted};
+pub use picker::{Crowded, Picked, Picker, Wanted};
 pub use roster::{BackendServer, Roster};
 pub use route::{Route, RouteKind, RouteTable, ServiceShare};
 pub use server_list::{ListHistory, ListNews, ListVersion};
--- a/src/routing/picker.rs
+++ b/src/routing/picker.rs
@@ -64,6 +64,17 @@
     pub holder: Option<Arc<BackendServer>>,
 }
 
+/// A server that was seen beyond its limit.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Crowded {
+    /// The server.
+    pub server: ServerId,
+    /// Its load at the last exchange, in requests.
+    pub load: f64,
+    /// The limit, in requests.
+    pub limit: f64,
+}
+
 #[derive(Debug)]
 struct Tracked {
     server: Arc<BackendServer>,
@@ -142,8 +153,15 @@
         self.with(id, |t| t.load.report(now, report));
     }
 
-    /// Takes what all instances have in flight, of which `own` is what this one told.
-    pub fn set_fleet_loads(&mut self, now: Instant, loads: &[ServiceLoad], own: &[Count]) {
+    /// Takes what all instances have in flight, of which `own` is what this one told; returns the servers
+    /// that have become crowded.
+    pub fn set_fleet_loads(
+        &mut self,
+        now: Instant,
+        loads: &[ServiceLoad],
+        own: &[Count],
+    ) -> Vec<Crowded> {
+        let mut crowded = Vec::new();
         let own: HashMap<Tag, u32> = own.iter().copied().collect();
         for load in loads {
             let counts: HashMap<Tag, u32> = load.counts.iter().copied().collect();
@@ -153,9 +171,14 @@
                 let tag = tracked.server.tag();
                 let all = counts.get(&tag).map_or(unlisted, |&count| f64::from(count));
                 let own = own.get(&tag).copied().unwrap_or(0);
-                tracked.load.set_fleet(now, all.max(f64::from(own)), own, bounds);
+                let all = all.max(f64::from(own));
+                if tracked.load.set_fleet(now, all, own, bounds) {
+                    let server = tracked.server.id.clone();
+                    crowded.push(Crowded { server, load: all, limit: bounds.limit });
+                }
             }
         }
+        crowded
     }
 
     /// Returns this instance's requests in flight, by server, for the other instances.
--- a/tests/suite/picking.rs
+++ b/tests/suite/picking.rs
@@ -7,7 +7,7 @@
 
 use cartvane::{
     names::ServerId,
-    routing::{Aggregate, BackendServer, Picker, Wanted},
+    routing::{Aggregate, BackendServer, Picker, ServiceLoad, Wanted},
 };
 
 use crate::routing::server;
@@ -187,3 +187,25 @@
         assert_ne!(pick(&picker, now, Some(key), &[]), Some(servers[7].id.clone()));
     }
 }
+
+#[test]
+fn a_server_beyond_its_limit_is_told_once_and_again_after_it_was_not() {
+    let now = Instant::now();
+    let servers = fleet(4);
+    let mut picker = picker(&servers);
+    let loads = |load: u32| ServiceLoad {
+        service: "llm".parse().expect("a name"),
+        mean: load as f32 / 4.0,
+        counts: vec![(servers[0].tag(), load)],
+        whole: true,
+    };
+    let mut told = |at: Duration, load| {
+        let crowded = picker.set_fleet_loads(now + at, &[loads(load)], &[]);
+        crowded.into_iter().map(|c| c.server).collect::<Vec<_>>()
+    };
+    assert!(told(Duration::ZERO, 4).is_empty());
+    assert_eq!(told(SECOND, 40), [servers[0].id.clone()]);
+    assert!(told(SECOND * 2, 40).is_empty(), "it stays so");
+    assert!(told(SECOND * 3, 0).is_empty());
+    assert_eq!(told(SECOND * 9, 40), [servers[0].id.clone()]);
+}
