feat(gateway): bodies are bounded together; a head of a megabyte is refused in full

A refused caller's rest was read up to 256 kB, less than a body may have. Change: bodies together take a quarter of the machine's memory; what does not fit is refused as not run, with a time to come back. The count (utils/usage.rs) is the one that `cartvane router` has. A refused rest is read up to 4 MB, the largest body that the users allow. Tests: bodies: bodies_are_bounded_together..., a_head_without_end...; platform: the setting and its faults. Ruled out: taking room for chunked bodies by their largest possible size, which would refuse small ones.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -19,6 +19,7 @@
     },
     names::TeamName,
     routing::{Intent, Route},
+    utils::usage::UsageGuard,
     zone::rendezvous::ChatKey,
 };
 
@@ -34,6 +35,10 @@
 /// When to come back to an instance that does not know enough to answer.
 const RETRY_AFTER_UNKNOWING: Duration = Duration::from_millis(200);
 
+/// When to come back to an instance that holds as many bytes as it may: bodies are sent on within
+/// some hundredths of a second.
+const RETRY_AFTER_FULL: Duration = Duration::from_millis(200);
+
 /// When to come back to another instance than one that is leaving: at once.
 const RETRY_AFTER_LEAVING: Duration = Duration::from_millis(20);
 
@@ -81,9 +86,11 @@
         // The process is about to end and has not read the body; nothing has run.
         return false;
     };
+    // Only bytes are limited here: every connection has a thread, and their number has a limit.
+    let Some(mut usage) = gateway.usage.enter(u32::MAX) else { return false };
     gateway.metrics.request_began();
     let body_bytes = limits.map_or(usize::MAX, |limits| limits.body_bytes);
-    let outcome = match read_body(gateway, conn, &head, began, body_bytes) {
+    let outcome = match read_body(gateway, conn, &head, began, body_bytes, &mut usage) {
         Ok(body) => answer(gateway, conn, head, body, intent.as_deref(), began),
         Err(own) => {
             own.send(conn, false, false);
@@ -135,6 +142,7 @@
     head: &RequestHead,
     began: Instant,
     most: usize,
+    usage: &mut UsageGuard<'_>,
 ) -> Result<Vec<u8>, OwnAnswer> {
     let too_large = || {
         OwnAnswer::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is larger than allowed; send less")
@@ -152,14 +160,32 @@
     }
     let mut reader = BodyReader::new(framing);
     let idle = gateway.knowledge.idle_time().max(IDLE_TIME_FIRST);
-    match reader.read_all(conn, most, began + idle) {
-        Ok(body) => Ok(body),
-        Err(ReadFault::TooLarge) => Err(too_large()),
-        Err(ReadFault::Timeout) => {
-            Err(OwnAnswer::new(StatusCode::REQUEST_TIMEOUT, "the body did not come in time"))
+    let mut body = Vec::new();
+    loop {
+        let piece = match reader.next_by(conn, |conn| conn.fill_beside(began + idle, None)) {
+            Ok(Some(piece)) => piece,
+            Ok(None) => return Ok(body),
+            Err(ReadFault::TooLarge) => return Err(too_large()),
+            Err(fault) => return Err(cut_body(&fault)),
+        };
+        if body.len() + piece.len() > most {
+            return Err(too_large());
+        }
+        if !usage.reserve(piece.len() as u64, gateway.settings.body_bytes) {
+            return Err(OwnAnswer::not_run(
+                "this instance holds as many bytes of bodies as it may; try another one",
+                RETRY_AFTER_FULL,
+            ));
         }
-        Err(_) => Err(OwnAnswer::new(StatusCode::BAD_REQUEST, "the body was cut or is not framed")),
+        body.extend_from_slice(&piece);
+    }
+}
+
+fn cut_body(fault: &ReadFault) -> OwnAnswer {
+    if matches!(fault, ReadFault::Timeout) {
+        return OwnAnswer::new(StatusCode::REQUEST_TIMEOUT, "the body did not come in time");
     }
+    OwnAnswer::new(StatusCode::BAD_REQUEST, "the body was cut or is not framed")
 }
 
 fn answer(
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -42,7 +42,7 @@
     metrics::Metrics,
     names::{ServerId, ServiceName},
     routing::{CallKind, Picked, Picker, RetryBudget, StoreShare, Wanted},
-    utils::sync::lock,
+    utils::{sync::lock, usage::Usage},
 };
 
 /// Connections of other instances at once: all of a fleet of the planned size, twice.
@@ -74,6 +74,8 @@
     pub peers: Peers,
     /// State of leaving.
     pub drain: Drain,
+    /// Requests in flight and bytes of their bodies.
+    pub usage: Usage,
     budgets: Mutex<IndexMap<ServiceName, RetryBudget>>,
     store_share: Arc<Mutex<StoreShare>>,
     store_seen: Mutex<Option<Instant>>,
@@ -234,6 +236,7 @@
             conns: ServerConns::new(clock.clone()),
             peers: Peers::new(&settings, clock, &metrics.traffic()),
             drain: Drain::open().context("cannot make a pipe")?,
+            usage: Usage::default(),
             budgets: Mutex::default(),
             store_seen: Mutex::default(),
             store_lost: Mutex::default(),
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -32,6 +32,8 @@
     pub cores: f32,
     /// Most connections of callers at once.
     pub connections: usize,
+    /// Most bytes of bodies held at once.
+    pub body_bytes: u64,
     /// The operator's bounds.
     pub bounds: Bounds,
 }
--- a/src/instance/build.rs
+++ b/src/instance/build.rs
@@ -20,7 +20,7 @@
             claims::Claims,
             desk::{Desk, DeskLinks},
         },
-        shared::{DrainState, Shared, Usage},
+        shared::{DrainState, Shared},
     },
     link::{
         backend::BackendLinks,
@@ -29,6 +29,7 @@
     },
     metrics::Metrics,
     platform::{Platform, embedded::Embedded, http::HttpPlatform},
+    utils::usage::Usage,
     zone::homes::Candidate,
 };
 
--- a/src/instance/requests/entry.rs
+++ b/src/instance/requests/entry.rs
@@ -15,13 +15,14 @@
             forward::{self, Ended},
             request::{Request, split_target},
         },
-        shared::{Shared, UsageGuard},
+        shared::Shared,
     },
     link::{
         answer::{AnswerNote, OwnHeaders, send_refusal},
         caller::linger,
         http1::{BodyFraming, BodyReader, Conn, HeadFault, ReadFault, RequestHead},
     },
+    utils::usage::UsageGuard,
 };
 
 /// Longest wait for a refused connection's caller to take the answer.
--- a/src/link/caller.rs
+++ b/src/link/caller.rs
@@ -22,8 +22,9 @@
 /// Pause after a failed accept, such as for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Bytes of a refused request's body that are read and dropped, so that the caller sees the answer.
-const DISCARD_MAX: usize = 256 << 10;
+/// Bytes of a refused request that are read and dropped, so that the caller sees the answer: as many as
+/// the largest body that the users allow.
+const DISCARD_MAX: usize = 4 << 20;
 
 /// Longest time spent on reading what is dropped: a few round trips.
 const DISCARD_TIME: Duration = Duration::from_millis(500);
--- a/src/utils/mod.rs
+++ b/src/utils/mod.rs
@@ -3,3 +3,4 @@
 pub mod nearest;
 pub mod secret;
 pub mod sync;
+pub mod usage;
--- a/tests/suite/bodies.rs
+++ b/tests/suite/bodies.rs
@@ -7,13 +7,17 @@
     time::Duration,
 };
 
-use cartvane::{clock::Clock, link::http1::Conn};
+use cartvane::{
+    clock::Clock,
+    gateway::{GatewayHandle, settings::GatewaySettings},
+    link::http1::Conn,
+};
 use serde_json::json;
 use standins::caller::Call;
 
 use crate::{
     support::eventually,
-    world::{KEY, call, intent, start},
+    world::{KEY, call, intent, settings, start},
 };
 
 /// A body that no socket buffer holds, so that a caller is still sending it when it is refused.
@@ -39,6 +43,51 @@
     assert_eq!(world.servers[0].total_runs(), 0);
 }
 
+#[test]
+fn a_head_without_end_is_refused_and_the_refusal_read() {
+    let world = start(1);
+    let mut stream = TcpStream::connect(world.instance.callers()).expect("connected");
+    let head = format!("POST /idem/ HTTP/1.1\r\nhost: cartvane\r\nx-long: {}", "x".repeat(1 << 20));
+    stream.write_all(head.as_bytes()).expect("sent");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("the answer is not destroyed");
+    assert!(answer.starts_with("HTTP/1.1 431"), "{answer:?}");
+}
+
+#[test]
+fn bodies_are_bounded_together_and_their_room_is_given_back() {
+    let world = start(1);
+    let mut larger = intent(9);
+    larger["limits"]["max_body_bytes"] = 1_000_000.into();
+    world.store.put("op", "config", &larger);
+    let settings = GatewaySettings {
+        body_bytes: 100_000,
+        ..settings("small", world.store.address(), Vec::new())
+    };
+    let instance = GatewayHandle::spawn(settings, &Clock::system()).expect("an instance");
+    eventually("ready", || instance.gateway().is_ready());
+    let send = |id: &str, bytes: usize| {
+        Call { body: vec![b'x'; bytes], ..call("/idem/", id) }.send(instance.callers())
+    };
+    let refused = send("r1", 150_000);
+    assert_eq!(refused.status, 503);
+    assert!(!refused.header("retry-after").is_empty());
+    assert_eq!(world.runs("r1"), 0);
+    for number in 0..5 {
+        assert_eq!(send(&format!("s{number}"), 80_000).status, 200, "{number}");
+    }
+    let mut half = TcpStream::connect(instance.callers()).expect("connected");
+    let head = format!(
+        "POST /idem/ HTTP/1.1\r\nhost: cartvane\r\nx-request-id: h\r\n\
+         authorization: Bearer {KEY}\r\ncontent-length: 90000\r\n\r\n"
+    );
+    half.write_all(format!("{head}{}", "x".repeat(60_000)).as_bytes()).expect("sent");
+    eventually("the room is taken", || send("t", 80_000).status == 503);
+    assert_eq!(send("u", 1_000).status, 200, "what fits still goes");
+    drop(half);
+    eventually("the room is given back", || send("v", 80_000).status == 200);
+}
+
 /// A backend server that answers `status` as soon as it has a head, then reads on; returns all that
 /// arrived behind that head.
 fn answers_early(listener: TcpListener, status: u16) -> JoinHandle<Vec<u8>> {
--- a/tests/suite/platform.rs
+++ b/tests/suite/platform.rs
@@ -39,6 +39,7 @@
     assert_eq!(decoded.addresses.peers.port(), 3);
     assert_eq!(decoded.bounds.grace, Duration::from_secs(8));
     assert!((decoded.cores - 0.5).abs() < 1e-6);
+    assert_eq!(decoded.body_bytes, 65 << 20, "a quarter of 260 MB");
     assert_eq!(decoded.roster_period(), Duration::from_millis(700));
 }
 
@@ -65,6 +66,7 @@
         (with("/bounds/grace_s", json!(0)), "grace_s"),
         (with("/listen/frontend", json!("nowhere")), "line"),
         (with("/limits/max_fds", json!("many")), "line"),
+        (with("/limits/memory_mb", json!(-1)), "memory_mb"),
     ];
     for (boot, told) in cases {
         let fault = decode(&boot).expect_err(told);
