refactor(routing): names that mean one thing

Cause: routing had a Place and Bounds of its own beside the places and bounds of other parts. Now FleetPosition and LoadBounds.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -100,7 +100,7 @@
     /// Divides what all instances share by their number, after other instances became known.
     pub fn instances_changed(&self) {
         self.conns.set_instances(self.instances());
-        lock(&self.picker).set_place(self.peers.place());
+        lock(&self.picker).set_position(self.peers.position());
         lock(&self.store_share).set_instances(self.instances());
     }
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -23,7 +23,7 @@
         traffic::{Purpose, Traffic},
     },
     routing::{
-        Aggregate, Candidates, Count, Crowded, InstanceInfo, ListNews, ListVersion, Place,
+        Aggregate, Candidates, Count, Crowded, FleetPosition, InstanceInfo, ListNews, ListVersion,
         ServiceLoad,
     },
     utils::sync::lock,
@@ -145,8 +145,8 @@
     }
 
     /// Returns which of all known instances this one is.
-    pub fn place(&self) -> Place {
-        lock(&self.candidates).place()
+    pub fn position(&self) -> FleetPosition {
+        lock(&self.candidates).position()
     }
 
     /// Returns whether this instance reads the store at a pace: it has nobody to turn to, or others
--- a/src/routing/candidates.rs
+++ b/src/routing/candidates.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::Place;
+use super::FleetPosition;
 use crate::names::NodeName;
 
 /// First pause after an instance did not answer; doubled at each further time.
@@ -117,9 +117,9 @@
     }
 
     /// Returns which of all instances the own one is.
-    pub fn place(&self) -> Place {
+    pub fn position(&self) -> FleetPosition {
         let number = self.ranked.iter().position(|i| i.node == self.own.node).unwrap_or(0);
-        Place { number, instances: self.ranked.len() }
+        FleetPosition { number, instances: self.ranked.len() }
     }
 
     /// Returns a hash of the list, by which two instances see whether they know the same.
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -39,7 +39,7 @@
 
 /// This instance among all that send requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Place {
+pub struct FleetPosition {
     /// Its number, from 0, in an order that is the same everywhere.
     pub number: usize,
     /// All instances, this one included.
@@ -48,7 +48,7 @@
 
 /// How much load a backend server should have, in requests.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Bounds {
+pub struct LoadBounds {
     /// Load at which prompts go elsewhere.
     pub spill: f64,
     /// Load beyond the operator's bound.
@@ -83,7 +83,7 @@
 
     /// Takes what all instances have in flight, of which `own` is what this one told; returns whether the
     /// server has become crowded.
-    pub fn set_fleet(&mut self, now: Instant, all: f64, own: u32, bounds: Bounds) -> bool {
+    pub fn set_fleet(&mut self, now: Instant, all: f64, own: u32, bounds: LoadBounds) -> bool {
         let was_crowded = self.is_crowded(now);
         self.fleet = Some(FleetCount { all, own, at: now });
         let stays = was_crowded && all >= CROWDED_STAYS * bounds.spill;
@@ -120,13 +120,19 @@
     /// the sum alone, they would leave a server together, find it empty together, and come back together.
     /// `turn` in [0, 1) is another one at each instance, so that a part of a request is a whole one at
     /// that part of them.
-    pub fn allotted(&self, now: Instant, bound: f64, place: Place, turn: f64) -> Option<f64> {
+    pub fn allotted(
+        &self,
+        now: Instant,
+        bound: f64,
+        position: FleetPosition,
+        turn: f64,
+    ) -> Option<f64> {
         let fleet = self.fleet(now)?;
         let (aim, own) = (aim(bound), f64::from(fleet.own));
         let allotted = if fleet.all > aim {
             own * aim / fleet.all
         } else {
-            own + (aim - fleet.all) / place.instances.max(1) as f64
+            own + (aim - fleet.all) / position.instances.max(1) as f64
         };
         Some(allotted - turn - f64::from(self.own))
     }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -21,7 +21,7 @@
 pub use events::EventSplitter;
 pub use health::Health;
 pub use intent::{CallerLimits, Intent, IntentInForce, ServiceSpec};
-pub use load::{Load, LoadReport, Place};
+pub use load::{FleetPosition, Load, LoadReport};
 pub use picker::{Crowded, Picked, Picker, Wanted};
 pub use roster::{BackendServer, Roster};
 pub use route::{Route, RouteKind, RouteTable, ServiceShare};
--- a/src/routing/picker.rs
+++ b/src/routing/picker.rs
@@ -8,7 +8,9 @@
 
 use indexmap::IndexMap;
 
-use super::{BackendServer, Count, Health, Load, LoadReport, Place, ServiceLoad, load::Bounds};
+use super::{
+    BackendServer, Count, FleetPosition, Health, Load, LoadReport, ServiceLoad, load::LoadBounds,
+};
 use crate::{
     names::{ServerId, ServiceName, Tag, ZoneName},
     zone::rendezvous,
@@ -90,19 +92,19 @@
     /// The operator's bound on an engine's load, as a multiple of the mean.
     load_bound: f64,
     /// This instance among all.
-    place: Place,
+    position: FleetPosition,
 }
 
 impl Picker {
     /// Returns a picker for an instance in `zone`.
     pub fn new(zone: ZoneName, load_bound: f64) -> Picker {
-        let place = Place { number: 0, instances: 1 };
-        Picker { servers: IndexMap::new(), zone, load_bound, place }
+        let position = FleetPosition { number: 0, instances: 1 };
+        Picker { servers: IndexMap::new(), zone, load_bound, position }
     }
 
     /// Sets which of all instances this one is.
-    pub fn set_place(&mut self, place: Place) {
-        self.place = place;
+    pub fn set_position(&mut self, position: FleetPosition) {
+        self.position = position;
     }
 
     /// Takes the list of servers in force; what is known of those that stay is kept.
@@ -245,28 +247,29 @@
         let room = |&i: &usize| {
             let (load, turn) = (&pool[i].load, self.turn(pool[i].server.tag()));
             let crowded = home_crowded || load.is_crowded(now);
-            let allotted = if crowded { load.allotted(now, bound, self.place, turn) } else { None };
+            let allotted =
+                if crowded { load.allotted(now, bound, self.position, turn) } else { None };
             allotted.unwrap_or_else(|| load.room(now, bound, usual))
         };
         let rooms: Vec<f64> = rank.iter().map(room).collect();
         let takes = |&(at, &i): &(usize, &usize)| rooms[at] > 0.0 && !is_full(now, pool[i]);
         let most = || rank.iter().enumerate().max_by(|a, b| rooms[a.0].total_cmp(&rooms[b.0]));
-        let (place, &i) = rank.iter().enumerate().find(takes).or_else(most)?;
+        let (at, &i) = rank.iter().enumerate().find(takes).or_else(most)?;
         let server = Arc::clone(&pool[i].server);
         let holder = self.holder(now, key, wanted, &server);
-        Some(Picked { server, rank: place, load: loads[i], bound, holder })
+        Some(Picked { server, rank: at, load: loads[i], bound, holder })
     }
 
     /// Returns how much load a server should have, where those of its service have `mean`.
-    fn bounds(&self, mean: f64) -> Bounds {
+    fn bounds(&self, mean: f64) -> LoadBounds {
         let spill = (1.0 + (self.load_bound - 1.0) * BOUND_SHARE) * mean + BOUND_SLACK;
-        Bounds { spill, limit: self.load_bound * mean + BOUND_SLACK }
+        LoadBounds { spill, limit: self.load_bound * mean + BOUND_SLACK }
     }
 
     /// Returns this instance's turn at a server, in [0, 1): each instance has another one, and another
     /// at each server.
     fn turn(&self, server: Tag) -> f64 {
-        let Place { number, instances } = self.place;
+        let FleetPosition { number, instances } = self.position;
         ((number + server.0 as usize) % instances.max(1)) as f64 / instances.max(1) as f64
     }
 
--- a/tests/suite/herding.rs
+++ b/tests/suite/herding.rs
@@ -8,7 +8,7 @@
 
 use cartvane::{
     names::ServerId,
-    routing::{Aggregate, BackendServer, Picker, Place, Wanted},
+    routing::{Aggregate, BackendServer, FleetPosition, Picker, Wanted},
 };
 
 /// The operator's bound, and the requests beyond it that do not count.
@@ -76,7 +76,7 @@
         let picker = |number| {
             let mut picker = Picker::new("z".parse().expect("a zone"), BOUND.0);
             picker.set_servers(list.iter());
-            picker.set_place(Place { number, instances: case.instances });
+            picker.set_position(FleetPosition { number, instances: case.instances });
             picker
         };
         World {
