--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -87,10 +87,12 @@
         let was_crowded = self.is_crowded(now);
         self.fleet = Some(FleetCount { all, own, at: now });
         let stays = was_crowded && all >= CROWDED_STAYS * bounds.spill;
-        if all > bounds.limit || stays {
+        // Under that, chance alone may be at work.
+        let beyond = all > bounds.limit + bounds.limit.sqrt();
+        if beyond || stays {
             self.crowded_at = Some(now);
         }
-        all > bounds.limit && !was_crowded
+        beyond && !was_crowded
     }
 
     /// Returns whether the server was beyond its limit lately.
