--- a/tests/suite/bodies.rs
+++ b/tests/suite/bodies.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     support::eventually,
-    world::{KEY, call, intent, settings, start},
+    world::{KEY, call, intent, settings, spawn, start},
 };
 
 /// A body that no socket buffer holds, so that a caller is still sending it when it is refused.
@@ -43,6 +43,47 @@
     assert_eq!(world.servers[0].total_runs(), 0);
 }
 
+#[test]
+fn a_body_in_chunks_arrives_as_it_was_sent() {
+    let world = start(1);
+    let mut stream = TcpStream::connect(world.instance.callers()).expect("connected");
+    let request = format!(
+        "POST /idem/ HTTP/1.1\r\nhost: cartvane\r\nx-request-id: r1\r\nconnection: close\r\n\
+         authorization: Bearer {KEY}\r\ntransfer-encoding: chunked\r\n\r\n\
+         5\r\nfirst\r\n7;ext=1\r\n second\r\n0\r\ntrailer: x\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).expect("sent");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
+    let arrived = world.servers[0].arrivals().pop().expect("an arrival");
+    assert_eq!(arrived.body, b"first second");
+    assert_eq!(arrived.head.header("transfer-encoding"), None);
+    assert_eq!(arrived.head.header("content-length"), Some("12"));
+}
+
+#[test]
+fn a_head_that_does_not_come_and_an_idle_connection_end_by_the_operators_limits() {
+    let world = start(1);
+    let mut shorter = intent(9);
+    shorter["limits"]["header_timeout_ms"] = 200.into();
+    shorter["limits"]["idle_timeout_ms"] = 300.into();
+    world.store.put("op", "config", &shorter);
+    // An instance that never knew other limits: callers that know longer ones are not cut off.
+    let instance = spawn("two", world.store.address(), Vec::new());
+    eventually("ready", || {
+        instance.gateway().is_ready() && instance.gateway().knowledge.version() == 9
+    });
+    let mut slow = TcpStream::connect(instance.callers()).expect("connected");
+    slow.write_all(b"POST /idem/ HTTP/1.1\r\nhost: ").expect("sent");
+    let mut answer = String::new();
+    slow.read_to_string(&mut answer).expect("an answer");
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer:?}");
+    let mut idle = TcpStream::connect(instance.callers()).expect("connected");
+    idle.set_read_timeout(Some(Duration::from_secs(5))).expect("a timeout");
+    assert_eq!(idle.read(&mut [0]).expect("closed, not silent"), 0);
+}
+
 #[test]
 fn a_head_without_end_is_refused_and_the_refusal_read() {
     let world = start(1);
