fix(routing): a crowded server is seen by all instances, and not by chance

Change: beyond the limit, and beyond the load at which prompts spill plus its root: 19.8 there; 7.4 with a mean of 1.3 requests, where the limit itself (5.6) is passed by chance. The cases of herding hold.

--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -87,8 +87,8 @@
         let was_crowded = self.is_crowded(now);
         self.fleet = Some(FleetCount { all, own, at: now });
         let stays = was_crowded && all >= CROWDED_STAYS * bounds.spill;
-        // Under that, chance alone may be at work.
-        let beyond = all > bounds.limit + bounds.limit.sqrt();
+        // With few requests, chance alone goes beyond the limit.
+        let beyond = all > bounds.limit.max(bounds.spill + bounds.spill.sqrt());
         if beyond || stays {
             self.crowded_at = Some(now);
         }
