fix(peers): an instance divides by those that turned to it

Cause: found in reading the change: the instance that others turn to learns of them from what they tell, but divided its kept connections, its part of a crowded server's room and of the store's rates anew only after it had read the instances' table, every ten seconds, and never while the store was away. Change: it does so as soon as a new instance has told something.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -302,11 +302,16 @@
     let (version, raw) = (knowledge.version(), knowledge.raw_intent());
     let passed_on =
         version > report.version && (report.wants_intent || raw.len() <= INTENT_PASSED_ON);
-    let instances = {
+    let (instances, is_news) = {
         let mut candidates = lock(&gateway.peers.candidates);
+        let before = candidates.version();
         candidates.add(report.from.clone());
-        (candidates.version() != report.instances).then(|| candidates.all().to_vec())
+        let after = candidates.version();
+        ((after != report.instances).then(|| candidates.all().to_vec()), after != before)
     };
+    if is_news {
+        gateway.instances_changed();
+    }
     lock(&gateway.peers.aggregate).take(now, report.from.node.clone(), report.counts);
     News {
         loads: summary(gateway, now).to_vec(),
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -13,8 +13,8 @@
 /// learn late that it has room again, and at the same time.
 const CROWDED_LIFE: Duration = Duration::from_millis(3000);
 
-/// Part of the load at which prompts spill from which a crowded server stays so: what is sought goes on being sought,
-/// and one exchange may happen to count little.
+/// Part of the load at which prompts spill, from which a crowded server stays so: what is sought
+/// goes on being sought, and one exchange may happen to count little.
 const CROWDED_STAYS: f64 = 0.7;
 
 /// What a backend server says of itself with an answer.
--- a/src/routing/picker.rs
+++ b/src/routing/picker.rs
@@ -107,6 +107,11 @@
         self.position = position;
     }
 
+    /// Returns which of all instances this one is.
+    pub fn position(&self) -> FleetPosition {
+        self.position
+    }
+
     /// Takes the list of servers in force; what is known of those that stay is kept.
     pub fn set_servers<'a>(&mut self, list: impl Iterator<Item = &'a Arc<BackendServer>>) {
         let mut former = std::mem::take(&mut self.servers);
--- a/tests/suite/knowledge.rs
+++ b/tests/suite/knowledge.rs
@@ -160,6 +160,21 @@
     });
 }
 
+#[test]
+fn an_instance_divides_what_all_share_by_those_that_turned_to_it() {
+    let world = start(1);
+    let other_store = StoreStandIn::spawn().expect("a store");
+    other_store.set_mode(StoreMode::Busy);
+    let cut_off = spawn("two", other_store.address(), vec![world.instance.peers()]);
+    let position =
+        |instance: &GatewayHandle| instance.gateway().picker.lock().expect("the picker").position();
+    // The other has no row in the store: it is known by what it told only.
+    eventually("both know of two", || {
+        position(&world.instance).instances == 2 && position(&cut_off).instances == 2
+    });
+    assert_ne!(position(&world.instance).number, position(&cut_off).number);
+}
+
 #[test]
 fn instances_count_each_others_requests() {
     let world = start(3);
