fix(gateway): a request that crosses a close is not read

Change: the rest is read only after a refusal of the very request that it belongs to. Test first: bodies: a_request_that_crosses_a_close_is_not_read (the connection ended as if all had been read).

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -45,12 +45,34 @@
 /// Rank of requests whose route states none: between the most and the least urgent.
 const PRIORITY_DEFAULT: u8 = 5;
 
+/// What becomes of a connection after a request.
+enum After {
+    /// It may carry another request.
+    GoesOn,
+    /// It ends at once. A request that comes meanwhile is not read, so that its caller may send it
+    /// again, also where it may run only once.
+    Ends,
+    /// It ends after a refusal, while the rest of the refused request may still be coming in.
+    EndsUnread,
+}
+
+impl After {
+    fn of(keep: bool) -> After {
+        if keep { After::GoesOn } else { After::Ends }
+    }
+}
+
 /// Serves a connection until it ends.
 pub fn serve(gateway: &Gateway, mut conn: Conn) {
     // An instance that has just started knows enough within some hundredths of a second.
     gateway.knowledge.wait_complete(START_PATIENCE);
-    while wait_for_request(gateway, &mut conn) && serve_one(gateway, &mut conn) {}
-    linger(&mut conn);
+    while wait_for_request(gateway, &mut conn) {
+        match serve_one(gateway, &mut conn) {
+            After::GoesOn => {}
+            After::Ends => return,
+            After::EndsUnread => return linger(&mut conn),
+        }
+    }
 }
 
 /// Waits for a request's first byte; `false` when the connection ends without one.
@@ -70,8 +92,8 @@
     true
 }
 
-/// Serves one request; `false` when the connection must end.
-fn serve_one(gateway: &Gateway, conn: &mut Conn) -> bool {
+/// Serves one request.
+fn serve_one(gateway: &Gateway, conn: &mut Conn) -> After {
     let intent = gateway.knowledge.intent();
     let limits = intent.as_ref().map(|intent| &intent.limits);
     let head_bytes = limits.map_or(HEAD_BYTES_FIRST, |limits| limits.head_bytes);
@@ -79,23 +101,28 @@
     let until = gateway.clock.now() + head_time;
     let head = match RequestHead::read(conn, head_bytes, until) {
         Ok(head) => head,
-        Err(fault) => return refuse_head(gateway, conn, &fault),
+        Err(fault) => return refuse_head(conn, &fault),
     };
     let began = gateway.clock.now();
     let Some(_busy) = gateway.drain.enter() else {
         // The process is about to end and has not read the body; nothing has run.
-        return false;
+        return After::Ends;
     };
     // Only bytes are limited here: every connection has a thread, and their number has a limit.
-    let Some(mut usage) = gateway.usage.enter(u32::MAX) else { return false };
+    let Some(mut usage) = gateway.usage.enter(u32::MAX) else { return After::Ends };
     gateway.metrics.request_began();
     let body_bytes = limits.map_or(usize::MAX, |limits| limits.body_bytes);
-    let outcome = match read_body(gateway, conn, &head, began, body_bytes, &mut usage) {
-        Ok(body) => answer(gateway, conn, head, body, intent.as_deref(), began),
+    let (outcome, after) = match read_body(gateway, conn, &head, began, body_bytes, &mut usage) {
+        Ok(body) => {
+            let ended = answer(gateway, conn, head, body, intent.as_deref(), began);
+            let after = After::of(ended.done.is_some_and(|done| done.keep));
+            (ended, after)
+        }
         Err(own) => {
             own.send(conn, false, false);
             log::info!("event=refused status={} reason={:?}", own.status.as_u16(), own.reason);
-            Ended { done: Some(done_of(&own, false)), service: String::new() }
+            let ended = Ended { done: Some(done_of(&own, false)), service: String::new() };
+            (ended, After::EndsUnread)
         }
     };
     let took = gateway.clock.now().saturating_duration_since(began);
@@ -103,7 +130,7 @@
     let status = done.map_or(0, |done| done.status);
     let result = done.map_or(Outcome::Unknown, |done| done.outcome);
     gateway.metrics.request_ended(&outcome.service, status, result, took);
-    done.is_some_and(|done| done.keep)
+    after
 }
 
 struct Ended {
@@ -115,12 +142,12 @@
     Done { status: own.status.as_u16(), outcome: Outcome::NotRun, keep, reason: own.reason }
 }
 
-fn refuse_head(_gateway: &Gateway, conn: &mut Conn, fault: &HeadFault) -> bool {
+fn refuse_head(conn: &mut Conn, fault: &HeadFault) -> After {
     let own = match fault {
         HeadFault::Read(ReadFault::Timeout) => {
             OwnAnswer::new(StatusCode::REQUEST_TIMEOUT, "the head did not come in time")
         }
-        HeadFault::Read(_) => return false,
+        HeadFault::Read(_) => return After::Ends,
         HeadFault::TooLarge => OwnAnswer::new(
             StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             "the head is larger than allowed; send fewer or shorter headers",
@@ -133,7 +160,7 @@
     };
     log::info!("event=refused status={} reason={:?}", own.status.as_u16(), own.reason);
     own.send(conn, false, false);
-    false
+    After::EndsUnread
 }
 
 fn read_body(
--- a/tests/suite/bodies.rs
+++ b/tests/suite/bodies.rs
@@ -13,7 +13,7 @@
     link::http1::Conn,
 };
 use serde_json::json;
-use standins::caller::Call;
+use standins::{caller::Call, fault::Fault};
 
 use crate::{
     support::eventually,
@@ -84,6 +84,23 @@
     assert_eq!(idle.read(&mut [0]).expect("closed, not silent"), 0);
 }
 
+/// What is not read may be sent again, also where it may run only once; so a request that comes while
+/// its connection is about to close is left unread.
+#[test]
+fn a_request_that_crosses_a_close_is_not_read() {
+    let world = start(1);
+    world.fault(Fault::Late(Duration::from_millis(300)));
+    let mut stream = TcpStream::connect(world.instance.callers()).expect("connected");
+    stream.write_all(&call("/once/", "r1").with("connection", "close").bytes()).expect("sent");
+    eventually("the first is under way", || world.runs("r1") == 1);
+    stream.write_all(&call("/once/", "r2").bytes()).expect("sent");
+    let mut answer = Vec::new();
+    let end = stream.read_to_end(&mut answer).expect_err("unread bytes reset the connection");
+    assert_eq!(end.kind(), std::io::ErrorKind::ConnectionReset);
+    assert!(answer.starts_with(b"HTTP/1.1 200"));
+    assert_eq!(world.runs("r2"), 0);
+}
+
 #[test]
 fn a_head_without_end_is_refused_and_the_refusal_read() {
     let world = start(1);
