fix(orders): status shows orders while they are worked on

Change: what was shown before is shown until the orders are put back. Test: the one that failed; it cannot be made to fail at will from outside, which is why none is added.

--- a/src/instance/homes/order_state.rs
+++ b/src/instance/homes/order_state.rs
@@ -36,7 +36,14 @@
 /// The orders of one instance.
 #[derive(Default)]
 pub struct Orders {
-    shards: Mutex<HashMap<ShardId, ShardOrders>>,
+    shards: Mutex<Shards>,
+}
+
+#[derive(Default)]
+struct Shards {
+    resting: HashMap<ShardId, ShardOrders>,
+    /// What operators are shown of the shards that are being worked on: as it was before.
+    worked_on: HashMap<ShardId, OrdersStatus>,
 }
 
 /// A shard's rollout as operators see it.
@@ -52,25 +59,34 @@
     /// Returns a shard's rollout, if this instance gives its orders.
     pub fn status(&self, shard: ShardId, now: Instant) -> Option<OrdersStatus> {
         let shards = lock(&self.shards);
-        let orders = shards.get(&shard)?;
-        Some(OrdersStatus {
-            fencing: orders.lease.fencing(now),
-            progress: orders.rollout.progress(),
-        })
+        let resting = shards.resting.get(&shard).map(|orders| orders.status(now));
+        resting.or_else(|| shards.worked_on.get(&shard).copied())
     }
 
     /// Takes a shard's orders out while they are worked on: one thread works, others only look.
-    pub(super) fn take(&self, shard: ShardId) -> Option<ShardOrders> {
-        lock(&self.shards).remove(&shard)
+    pub(super) fn take(&self, shard: ShardId, now: Instant) -> Option<ShardOrders> {
+        let mut shards = lock(&self.shards);
+        let orders = shards.resting.remove(&shard)?;
+        shards.worked_on.insert(shard, orders.status(now));
+        Some(orders)
     }
 
     /// Puts a shard's orders back.
     pub(super) fn put(&self, shard: ShardId, orders: ShardOrders) {
-        lock(&self.shards).insert(shard, orders);
+        let mut shards = lock(&self.shards);
+        shards.worked_on.remove(&shard);
+        shards.resting.insert(shard, orders);
     }
 
     /// Forgets the shards that have had another home for `linger`; a home may move back.
     pub(super) fn forget_moved(&self, now: Instant, linger: Duration) {
-        lock(&self.shards).retain(|_, orders| now.duration_since(orders.last_home) < linger);
+        let mut shards = lock(&self.shards);
+        shards.resting.retain(|_, orders| now.duration_since(orders.last_home) < linger);
+    }
+}
+
+impl ShardOrders {
+    fn status(&self, now: Instant) -> OrdersStatus {
+        OrdersStatus { fencing: self.lease.fencing(now), progress: self.rollout.progress() }
     }
 }
--- a/src/instance/homes/orders.rs
+++ b/src/instance/homes/orders.rs
@@ -69,7 +69,7 @@
         last_home: shared.clock.now(),
     };
     // Taken out while it is worked on: this runs in one thread, and others only look.
-    let mut orders = shared.orders.take(shard.id).unwrap_or_else(new);
+    let mut orders = shared.orders.take(shard.id, shared.clock.now()).unwrap_or_else(new);
     orders.last_home = shared.clock.now();
     renew(shared, shard.id, &mut orders);
     if may_order(shared, &orders) && is_due(shared, &orders) {
