fix(link): a caller that goes on sending reads its refusal

Cause: after a refusal linger looked once whether unread bytes waited, and closed both directions where none had come yet. What came between the look and the close reset the connection and destroyed the answer; a caller that sent on later got a reset for its writing. Ruled out: a longer pause before the look (still one look). Change: the own direction is closed, then all that comes is read and dropped until the caller closes too, 2 s at most (from 0.5 s: a body of 4 MB over a slow link). cartvane router lingers only after an answer that closes, not at the end of an idle connection. Tests: bodies::a_caller_that_goes_on_sending_after_its_refusal_reads_it failed before (broken pipe), passes now. bodies::an_answer_before_the_body_is_in_... failed once beside a build: its server read on while it answered, so that the body could be whole before the answer was seen and the connection rightly used again; it now reads on only after the caller has its answer, and asserts what it did.

--- a/src/instance/requests/entry.rs
+++ b/src/instance/requests/entry.rs
@@ -37,16 +37,15 @@
         match RequestHead::read(&mut conn, shared.settings.limits.head.bytes(), until) {
             Ok(head) => {
                 if !serve_request(shared, &mut conn, head, id) {
-                    break;
+                    return linger(&mut conn);
                 }
             }
             Err(fault) => {
                 refuse_head(shared, &mut conn, &fault, id);
-                break;
+                return linger(&mut conn);
             }
         }
     }
-    linger(&mut conn);
 }
 
 /// Answers a connection beyond the limit.
--- a/src/link/caller.rs
+++ b/src/link/caller.rs
@@ -11,10 +11,7 @@
     time::Duration,
 };
 
-use crate::{
-    clock::Clock,
-    link::http1::{Conn, conn::ConnState},
-};
+use crate::{clock::Clock, link::http1::Conn};
 
 /// Stack of a connection's thread; touched only as deep as it is used.
 const STACK: usize = 512 << 10;
@@ -26,8 +23,9 @@
 /// the largest body that the users allow.
 const DISCARD_MAX: usize = 4 << 20;
 
-/// Longest time spent on reading what is dropped: a few round trips.
-const DISCARD_TIME: Duration = Duration::from_millis(500);
+/// Longest time spent on reading what is dropped: a large body over a slow link, and little enough for a
+/// connection that a caller leaves open.
+const DISCARD_TIME: Duration = Duration::from_secs(2);
 
 /// A running listener that serves each connection in a thread of its own.
 pub struct Listener {
@@ -124,12 +122,11 @@
     }
 }
 
-/// Reads and drops what the caller of an ended connection is still sending, for a moment: closing
-/// with unread bytes would reset the connection and destroy the answer on its way.
+/// Ends a connection after a refusal whose request may still be coming in: closes the own direction, then
+/// reads and drops the rest until the caller closes too, for a moment. Closing both directions with bytes
+/// unread, or still to come, would reset the connection and destroy the answer on its way.
 pub fn linger(conn: &mut Conn) {
-    if conn.state() != ConnState::Readable {
-        return;
-    }
+    conn.end_sending();
     let until = conn.clock().now() + DISCARD_TIME;
     let mut dropped = 0;
     while dropped < DISCARD_MAX && conn.fill_beside(until, None).is_ok() {
--- a/src/link/http1/conn.rs
+++ b/src/link/http1/conn.rs
@@ -313,6 +313,12 @@
         }
     }
 
+    /// Closes the own direction, so that the other side sees the end of what was sent and may send on.
+    pub fn end_sending(&self) {
+        // A connection that is already gone needs no closing.
+        let _ = self.stream.shutdown(Shutdown::Write);
+    }
+
     /// Closes both directions at once, so that the other side sees a cut.
     pub fn cut(&self) {
         // A connection that is already gone needs no cutting.
--- a/tests/suite/bodies.rs
+++ b/tests/suite/bodies.rs
@@ -3,6 +3,7 @@
 use std::{
     io::{Read, Write},
     net::{TcpListener, TcpStream},
+    sync::mpsc::{self, Receiver},
     thread::{self, JoinHandle},
     time::Duration,
 };
@@ -43,6 +44,28 @@
     assert_eq!(world.servers[0].total_runs(), 0);
 }
 
+/// The rest of the body comes only after the refusal is on its way, as from a caller behind a slow link.
+#[test]
+fn a_caller_that_goes_on_sending_after_its_refusal_reads_it() {
+    let world = start(1);
+    let mut stream = TcpStream::connect(world.instance.callers()).expect("connected");
+    let head = format!(
+        "POST /idem/ HTTP/1.1\r\nhost: cartvane\r\nx-request-id: r\r\n\
+         authorization: Bearer {KEY}\r\ncontent-length: 200000\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).expect("sent");
+    stream.peek(&mut [0]).expect("the refusal is there");
+    // Long enough for an instance that does not wait for the rest to have closed.
+    thread::sleep(Duration::from_millis(50));
+    for _ in 0..20 {
+        stream.write_all(&[b'x'; 10_000]).expect("still taken");
+        thread::sleep(Duration::from_millis(2));
+    }
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("the answer is not destroyed");
+    assert!(answer.starts_with("HTTP/1.1 413"), "{answer:?}");
+}
+
 #[test]
 fn a_body_in_chunks_arrives_as_it_was_sent() {
     let world = start(1);
@@ -146,9 +169,12 @@
     eventually("the room is given back", || send("v", 80_000).status == 200);
 }
 
-/// A backend server that answers `status` as soon as it has a head, then reads on; returns all that
-/// arrived behind that head.
-fn answers_early(listener: TcpListener, status: u16) -> JoinHandle<Vec<u8>> {
+/// A backend server that answers `status` as soon as it has a head, and reads on once `goes_on` says so;
+/// returns all that arrived behind that head.
+///
+/// If it read on at once, a body might be whole before its answer is seen, and the connection rightly be
+/// used again.
+fn answers_early(listener: TcpListener, status: u16, goes_on: Receiver<()>) -> JoinHandle<Vec<u8>> {
     thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("a connection");
         let mut seen = Vec::new();
@@ -165,6 +191,7 @@
              content-length: 5\r\nkeep-alive: timeout=5\r\n\r\nearly"
         );
         stream.write_all(answer.as_bytes()).expect("answered");
+        goes_on.recv().expect("told to go on");
         let _ = stream.set_read_timeout(Some(Duration::from_millis(1500)));
         let _ = stream.read_to_end(&mut seen);
         seen.split_off(end)
@@ -191,7 +218,8 @@
             gateway.knowledge.version() == 9 && listed("early") && !listed("s0")
         };
         eventually("the server is known", knowledge);
-        let server = answers_early(listener, status);
+        let (go_on, goes_on) = mpsc::channel();
+        let server = answers_early(listener, status, goes_on);
         let body: Vec<u8> = (0..LARGE).map(|at| (at % 251) as u8).collect();
         let large = Call { body: body.clone(), ..call("/once/", "r1") };
         let mut conn =
@@ -199,6 +227,7 @@
                 .expect("a connection");
         let answer = large.send_on(&mut conn);
         assert_eq!((answer.status, answer.text().as_str()), (status, "early"));
+        go_on.send(()).expect("the server waits");
         // A request that follows must not be taken for the rest of that body.
         let _ = call("/once/", "r2").send(world.instance.callers());
         let arrived = server.join().expect("the server");
