fix(gateway): a slow answer is waited for where the last repeat was taken meanwhile

Cause: whether a slow request could go to another server was asked once, when its wait began; at the end of its patience it was given up, whether or not a server or a repeat was still to be had. Test: gateway::a_slow_answer_is_waited_for_where_the_last_repeat_was_taken_meanwhile failed before (504), passes now.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -26,6 +26,14 @@
 /// Answers of other requests that are passed over on one connection.
 const FOREIGN_MAX: usize = 2;
 
+/// How long the head of an answer is awaited.
+pub struct HeadWait<'a> {
+    /// When the wait is over, or is looked at anew.
+    pub until: Instant,
+    /// Says until when to wait on; `None` gives the attempt up.
+    pub longer: &'a dyn Fn() -> Option<Instant>,
+}
+
 /// A backend server's answer whose body is still to be read.
 pub struct ServerAnswer {
     /// Head.
@@ -39,7 +47,7 @@
     request_whole: bool,
 }
 
-/// Sends a request on `conn` and reads the answer's head before `until`.
+/// Sends a request on `conn` and reads the answer's head, as long as `wait` says.
 ///
 /// With a `caller`, the attempt ends as soon as the caller closes its connection.
 ///
@@ -51,9 +59,10 @@
     address: SocketAddr,
     request: &Request,
     outgoing: &Outgoing<'_>,
-    until: Instant,
+    wait: &HeadWait<'_>,
     caller: Option<&Conn>,
 ) -> Result<ServerAnswer, AttemptFault> {
+    let until = wait.until;
     let bytes = request_bytes(request, outgoing);
     let sent = match conn.send_until_answered(&bytes, until, caller) {
         Ok(sent) => sent,
@@ -64,7 +73,7 @@
     };
     let request_whole = sent == bytes.len();
     for _ in 0..=FOREIGN_MAX {
-        let head = read_head(&mut conn, until, caller)?;
+        let head = read_head(&mut conn, wait, caller)?;
         let words = adapter::answers::decode(&head);
         let framing = head.framing(&request.method).map_err(|_| AttemptFault::Garbage)?;
         let mut body = BodyReader::new(framing);
@@ -122,20 +131,22 @@
 
 fn read_head(
     conn: &mut Conn,
-    until: Instant,
+    wait: &HeadWait<'_>,
     caller: Option<&Conn>,
 ) -> Result<ResponseHead, AttemptFault> {
+    let mut until = wait.until;
     loop {
         match ResponseHead::take_buffered(conn, HEAD_MAX) {
             Ok(Some(head)) => return Ok(head),
             Ok(None) => {}
             Err(_) => return Err(AttemptFault::Garbage),
         }
-        conn.fill_beside(until, caller).map_err(|fault| match fault {
-            ReadFault::Timeout => AttemptFault::HeadTimeout,
-            ReadFault::GivenUp => AttemptFault::CallerGone,
-            _ => AttemptFault::AfterSend,
-        })?;
+        match conn.fill_beside(until, caller) {
+            Ok(()) => {}
+            Err(ReadFault::Timeout) => until = (wait.longer)().ok_or(AttemptFault::HeadTimeout)?,
+            Err(ReadFault::GivenUp) => return Err(AttemptFault::CallerGone),
+            Err(_) => return Err(AttemptFault::AfterSend),
+        }
     }
 }
 
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -6,7 +6,7 @@
 
 use super::{
     Gateway,
-    exchange::{self, ServerAnswer},
+    exchange::{self, HeadWait, ServerAnswer},
     reply::{CALLER_STALL, OwnAnswer},
     request::{Outgoing, Request},
     stream,
@@ -284,8 +284,9 @@
         // A caller that leaves ends only what may run again or is a stream: ending anything else
         // leaves its outcome in doubt.
         let watched = if request.route.kind == RouteKind::AtMostOnce { None } else { caller };
-        let until = self.patience(now, &server.id);
-        let answer = exchange::send(conn, server.address, request, &outgoing, until, watched)?;
+        let longer = || self.longer_patience(&server.id);
+        let wait = HeadWait { until: self.patience(now, &server.id), longer: &longer };
+        let answer = exchange::send(conn, server.address, request, &outgoing, &wait, watched)?;
         self.take_words(picked, &answer)?;
         Ok(Opened { answer, picked: picked.clone(), flight })
     }
@@ -330,6 +331,18 @@
         self.request.until.min(now + patience)
     }
 
+    /// Returns until when a head is awaited further after the first patience is over; `None` where
+    /// another server is to be tried now, or no time is left.
+    ///
+    /// What was free elsewhere when the wait began, a server or a repeat, may have been taken since.
+    fn longer_patience(&self, server: &ServerId) -> Option<Instant> {
+        let now = self.gateway.clock.now();
+        if now >= self.request.until || self.could_go_elsewhere(now, server) {
+            return None;
+        }
+        Some(self.request.until.min(now + PATIENCE_MIN))
+    }
+
     /// Returns whether a request that `server` is slow with could be sent to another one: giving
     /// it up without that would only lose it.
     pub fn could_go_elsewhere(&self, now: Instant, server: &ServerId) -> bool {
--- a/tests/suite/gateway.rs
+++ b/tests/suite/gateway.rs
@@ -209,6 +209,22 @@
     assert_eq!(world.runs("r1"), 1);
 }
 
+/// What was free elsewhere when the wait began may be taken by the time that patience is over: a request
+/// that is given up then is only lost.
+#[test]
+fn a_slow_answer_is_waited_for_where_the_last_repeat_was_taken_meanwhile() {
+    let world = start(2);
+    world.fault(Fault::Late(Duration::from_millis(900)));
+    let callers = world.instance.callers();
+    let caller = std::thread::spawn(move || call("/idem/", "r1").send(callers));
+    eventually("it is under way", || world.runs("r1") == 1);
+    let gateway = world.instance.gateway();
+    let (now, service) = (gateway.clock.now(), "app".parse().expect("a name"));
+    while gateway.take_repeat(now, &service, 0.0) {}
+    assert_eq!(caller.join().expect("an answer").status, 200);
+    assert_eq!(world.runs("r1"), 1);
+}
+
 /// Whatever a request's kind, what may end with its caller does, before its first byte and after.
 #[test]
 fn a_caller_that_leaves_ends_its_stream() {
