feat(routing): beyond capacity a share is admitted that keeps all places taken

Cause: congestion collapse. Tried and ruled out: refusing by the wait at the emptiest server, and a share corrected by the mean wait: both swing, as other instances' counts are a quarter of a second old and requests take longer than that. Refusing the least urgent first: saves few places, and at ten times the load serves a quarter of the callers only. Change: servers' places come with the list of servers; what a request holds one for is learnt from answers. An instance admits a share of its requests that falls from 0.85 to 1.05 of its part of the places, which moves with what it had at the last exchange; a little more of the urgent. Refused callers are told to come back while they can still be in time, or, where few are admitted, about as long as the overload has lasted. Where few places are free each instance keeps to its part of a server's. Requests that have run somewhere are not refused. Metric cartvane_refusals, event=overload. Tests: tests/suite/overload.rs; several instances and servers on a made-up clock, waits, places, ranks, return to normal.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -229,7 +229,7 @@
     let id = adapter::headers::request_id(&head).unwrap_or_default().to_owned();
     match admit(gateway, head, body, intent, began) {
         Ok(request) => {
-            gateway.note_request(began, &request.service);
+            gateway.note_request(began, &request);
             let (done, decided) = Forwarding::new(gateway, &request).run(conn);
             log_end(gateway, &request, &done, decided.as_ref());
             Ended { done: Some(done), service: request.service.to_string() }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -19,7 +19,7 @@
         http1::Conn,
     },
     names::ServerId,
-    routing::{Picked, RouteKind, Wanted},
+    routing::{AnswerTimes, Picked, RouteKind, Unpicked, Wanted},
     utils::sync::lock,
 };
 
@@ -76,6 +76,10 @@
     pub picked: Picked,
     /// Counts the request at the server until it ends.
     pub flight: Flight<'g>,
+    /// When the request was sent.
+    pub sent: Instant,
+    /// When the answer's head came.
+    pub head: Instant,
 }
 
 /// Counts a request at a server for as long as it lives.
@@ -114,6 +118,8 @@
     granted: bool,
     last_fault: Option<AttemptFault>,
     last_failure: Option<WholeAnswer>,
+    /// When its caller should come back, where it was refused for want of room.
+    refused: Option<Duration>,
     decided: Option<Decided>,
 }
 
@@ -129,6 +135,7 @@
             granted: false,
             last_fault: None,
             last_failure: None,
+            refused: None,
             decided: None,
         }
     }
@@ -170,8 +177,15 @@
                 affinity: self.request.affinity(),
                 spread: self.request.spread(),
                 tried: &self.tried,
+                admission: (self.runs == 0).then_some(self.request.priority),
+            };
+            let (picked, flight) = match self.gateway.pick(now, &wanted) {
+                Ok(picked) => picked,
+                Err(why) => {
+                    self.note_unpicked(now, why, wanted.draw());
+                    return None;
+                }
             };
-            let (picked, flight) = self.gateway.pick(now, &wanted)?;
             if !self.budget_allows(now, &picked) {
                 return None;
             }
@@ -183,6 +197,30 @@
         None
     }
 
+    fn note_unpicked(&mut self, now: Instant, why: Unpicked, draw: f64) {
+        let Unpicked::Overload { admitted, wait } = why else { return };
+        let request = self.request;
+        // Callers heed a third of the time that they have left, at most.
+        let most = request.until.saturating_duration_since(now) / 3;
+        let target = request.route.target_latency;
+        let after = {
+            let mut picker = lock(&self.gateway.picker);
+            let overload = picker.overload(&request.service);
+            overload.refuse(now, admitted, draw, target, most)
+        };
+        self.refused = Some(after);
+        self.gateway.metrics.refusal(&request.service, "overload");
+        log::info!(
+            "event=overload request={} service={} priority={} admitted={admitted:.2} wait_ms={} \
+             retry_after_ms={}",
+            request.asked.id,
+            request.service,
+            request.priority,
+            wait.as_millis(),
+            after.as_millis()
+        );
+    }
+
     /// Notes that a request that reached a server failed there.
     pub fn note_fault(&mut self, picked: &Picked, fault: AttemptFault) {
         let now = self.gateway.clock.now();
@@ -287,8 +325,9 @@
         let longer = || self.longer_patience(&server.id);
         let wait = HeadWait { until: self.patience(now, &server.id), longer: &longer };
         let answer = exchange::send(conn, server.address, request, &outgoing, &wait, watched)?;
+        let head = gateway.clock.now();
         self.take_words(picked, &answer)?;
-        Ok(Opened { answer, picked: picked.clone(), flight })
+        Ok(Opened { answer, picked: picked.clone(), flight, sent: now, head })
     }
 
     /// Acts on what a head says beside the answer.
@@ -358,13 +397,15 @@
             affinity: None,
             spread: self.request.spread(),
             tried: &tried,
+            admission: Some(self.request.priority),
         };
-        let other = lock(&self.gateway.picker).pick(now, &wanted).is_some();
+        let other = lock(&self.gateway.picker).pick(now, &wanted).is_ok();
         other && self.gateway.has_repeat(now, &self.request.service, SLOWNESS_RESERVE)
     }
 
     fn pass_whole(&mut self, conn: &mut Conn, opened: Opened<'a>) -> Option<Done> {
-        let Opened { mut answer, picked, flight } = opened;
+        let times = (opened.sent, opened.head);
+        let Opened { mut answer, picked, flight, .. } = opened;
         let caller =
             if self.request.route.kind == RouteKind::AtMostOnce { None } else { Some(&*conn) };
         let body = match answer.whole(self.request.until, caller) {
@@ -396,11 +437,24 @@
             self.last_failure = Some(whole);
             return self.end_unless_again(conn);
         }
-        lock(&self.gateway.picker).good(self.gateway.clock.now(), &picked.server.id);
-        self.gateway.metrics.attempt(&self.request.service, None);
+        self.note_good(&picked, times.0, times.1);
         Some(self.send_whole(conn, &whole, "answered"))
     }
 
+    /// Notes a good answer to a request sent at `sent`, whose head came at `head` and whose end now.
+    pub fn note_good(&self, picked: &Picked, sent: Instant, head: Instant) {
+        let now = self.gateway.clock.now();
+        let times = AnswerTimes {
+            head: head.saturating_duration_since(sent),
+            rest: now.saturating_duration_since(head),
+        };
+        let mut picker = lock(&self.gateway.picker);
+        picker.good(now, &picked.server.id);
+        picker.overload(&self.request.service).note_answer(times, !picked.wait.is_zero());
+        drop(picker);
+        self.gateway.metrics.attempt(&self.request.service, None);
+    }
+
     fn end_unless_again(&mut self, conn: &mut Conn) -> Option<Done> {
         if self.may_try_again() { None } else { Some(self.give_up(conn)) }
     }
@@ -451,6 +505,12 @@
 
     fn own_answer(&self) -> OwnAnswer {
         if self.runs == 0 {
+            if let Some(after) = self.refused {
+                return OwnAnswer::not_run(
+                    "more requests come than can be served in time; this one has not run",
+                    after,
+                );
+            }
             let left = self.request.until.saturating_duration_since(self.gateway.clock.now());
             return OwnAnswer::not_run(
                 "no backend server took the request; it has not run",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -32,8 +32,8 @@
 use indexmap::IndexMap;
 
 use self::{
-    drain::Drain, forward::Flight, knowledge::Knowledge, peers::Peers, server_conns::ServerConns,
-    settings::GatewaySettings,
+    drain::Drain, forward::Flight, knowledge::Knowledge, peers::Peers, request::Request,
+    server_conns::ServerConns, settings::GatewaySettings,
 };
 use crate::{
     adapter::store::{Store, StoreFault},
@@ -41,7 +41,7 @@
     link::caller::Listener,
     metrics::Metrics,
     names::{ServerId, ServiceName},
-    routing::{CallKind, Picked, Picker, RetryBudget, StoreShare, Wanted},
+    routing::{CallKind, Picked, Picker, RetryBudget, StoreShare, Unpicked, Wanted},
     utils::{sync::lock, usage::Usage},
 };
 
@@ -104,21 +104,31 @@
         lock(&self.store_share).set_instances(self.instances());
     }
 
-    /// Notes a caller's request for the retry budget.
-    pub fn note_request(&self, now: Instant, service: &ServiceName) {
-        let mut budgets = lock(&self.budgets);
+    /// Notes a caller's request, for the retry budget and for what is learnt of its service.
+    pub fn note_request(&self, now: Instant, request: &Request) {
+        let service = &request.service;
         let terms = &self.settings.bounds.retries;
-        budgets.entry(service.clone()).or_default().request(now, terms);
+        lock(&self.budgets).entry(service.clone()).or_default().request(now, terms);
+        let target = request.route.target_latency;
+        lock(&self.picker).note_request(now, service, request.priority, target);
     }
 
     /// Picks a server and counts the request there at once, so that requests that come together see
     /// each other.
-    pub fn pick(&self, now: Instant, wanted: &Wanted<'_>) -> Option<(Picked, Flight<'_>)> {
+    ///
+    /// # Errors
+    ///
+    /// No server of the service may be used, or all have too long a queue.
+    pub fn pick(
+        &self,
+        now: Instant,
+        wanted: &Wanted<'_>,
+    ) -> Result<(Picked, Flight<'_>), Unpicked> {
         let mut picker = lock(&self.picker);
         let picked = picker.pick(now, wanted)?;
         let server = picked.server.id.clone();
         picker.begin(&server);
-        Some((picked, Flight { gateway: self, server }))
+        Ok((picked, Flight { gateway: self, server }))
     }
 
     /// Returns whether the budget of `service` has a repeat.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -18,7 +18,6 @@
         http1::Conn,
     },
     routing::{EventSplitter, RouteKind},
-    utils::sync::lock,
 };
 
 /// Times the route's longest pause after which a stream that may be resumed is taken to another
@@ -76,9 +75,8 @@
                 }
             }
             Brought::End => {
-                let now = forwarding.gateway.clock.now();
-                lock(&forwarding.gateway.picker).good(now, &source.opened.picked.server.id);
-                forwarding.gateway.metrics.attempt(&request.service, None);
+                let Opened { picked, sent, head, .. } = &source.opened;
+                forwarding.note_good(picked, *sent, *head);
                 forwarding.keep_connection(source.opened.answer);
                 let sent = writer.end().is_ok();
                 return ended(sent && keep, "answered");
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -42,6 +42,7 @@
     knowledge_age: Gauge<f64>,
     budget_spent: Gauge<u64>,
     log_lines_left_out: Counter<u64>,
+    refusals: Counter<u64>,
 }
 
 /// The instance's metrics; clones share them.
@@ -147,6 +148,10 @@
                 "cartvane_log_lines_left_out",
                 "Log lines left out since there were too many",
             ),
+            refusals: counter(
+                "cartvane_refusals",
+                "Requests refused without being sent, by service and reason",
+            ),
         };
         Ok(Metrics { registry, _provider: provider, i: Arc::new(i) })
     }
@@ -264,6 +269,11 @@
         self.i.budget_spent.record(repeats as u64, &[kv("service", service)]);
     }
 
+    /// Notes a request that was refused without being sent.
+    pub fn refusal(&self, service: &impl fmt::Display, reason: &'static str) {
+        self.i.refusals.add(1, &[kv("service", service), kv("reason", reason)]);
+    }
+
     /// Notes log lines that were left out.
     pub fn log_lines_left_out(&self, count: u64) {
         self.i.log_lines_left_out.add(count, &[]);
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -6,8 +6,11 @@
 /// Age at which a report counts for half: a few requests' worth of time at the users' rates.
 const HALF_LIFE: Duration = Duration::from_millis(1500);
 
+/// Age up to which a report's queue is believed: it may be gone after an answer's time or two.
+const QUEUE_LIFE: Duration = Duration::from_millis(300);
+
 /// Age up to which the counts of all instances are believed: a few exchanges.
-const FLEET_LIFE: Duration = Duration::from_millis(2000);
+pub(super) const FLEET_LIFE: Duration = Duration::from_millis(2000);
 
 /// How long a server counts as crowded after it was beyond its limit: many exchanges, as all instances
 /// learn late that it has room again, and at the same time.
@@ -114,8 +117,9 @@
         bound - self.estimate(now, usual)
     }
 
-    /// Returns how many more requests this instance may send where all send at once: to a crowded server,
-    /// or with prompts that spill from one. Nothing may be sent where that is not above zero.
+    /// Returns how many more requests this instance may send where all send at once, so that they have
+    /// `aim` there together: to a crowded server, with prompts that spill from one, or where few places
+    /// are free. Nothing may be sent where that is not above zero.
     ///
     /// An instance has what it had at the last exchange, and of the room that there was its part, or it
     /// gives up in proportion to the excess (additive increase, multiplicative decrease). If all went by
@@ -125,12 +129,12 @@
     pub fn allotted(
         &self,
         now: Instant,
-        bound: f64,
+        aim: f64,
         position: FleetPosition,
         turn: f64,
     ) -> Option<f64> {
         let fleet = self.fleet(now)?;
-        let (aim, own) = (aim(bound), f64::from(fleet.own));
+        let own = f64::from(fleet.own);
         let allotted = if fleet.all > aim {
             own * aim / fleet.all
         } else {
@@ -154,6 +158,15 @@
         }
     }
 
+    /// Estimates how many requests wait for a place at a server that runs `slots` at once, where all have
+    /// `load` in flight there. A server may have them wait for want of memory too, which only it knows.
+    pub fn queued(&self, now: Instant, load: f64, slots: u32) -> f64 {
+        let counted = (load - f64::from(slots)).max(0.0);
+        let reported =
+            self.report.filter(|(_, at, _)| now.saturating_duration_since(*at) < QUEUE_LIFE);
+        reported.map_or(counted, |(report, _, _)| counted.max(f64::from(report.waiting)))
+    }
+
     /// Estimates requests in flight from all instances; an old report gives way to `usual`.
     pub fn estimate(&self, now: Instant, usual: f64) -> f64 {
         let own = f64::from(self.own);
@@ -177,6 +190,6 @@
 
 /// Returns the load that instances aim at together, so that it stays under `bound`: the counts that they
 /// know are of different moments, and their sum strays by about its root.
-fn aim(bound: f64) -> f64 {
+pub(super) fn aim(bound: f64) -> f64 {
     bound - bound.sqrt()
 }
--- a/src/routing/picker.rs
+++ b/src/routing/picker.rs
@@ -4,12 +4,18 @@
 //! stays under a bound; beyond that they go to the next in their own rank. Other requests go to
 //! the least loaded server, those of the own availability zone first.
 
-use std::{collections::HashMap, sync::Arc, time::Instant};
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use indexmap::IndexMap;
 
 use super::{
-    BackendServer, Count, FleetPosition, Health, Load, LoadReport, ServiceLoad, load::LoadBounds,
+    BackendServer, Count, FleetPosition, Health, Load, LoadReport, Overload, ServiceLoad,
+    load::{LoadBounds, aim},
+    overload::FleetTotal,
 };
 use crate::{
     names::{ServerId, ServiceName, Tag, ZoneName},
@@ -49,6 +55,30 @@
     pub spread: u64,
     /// Servers that must not be used again.
     pub tried: &'a [ServerId],
+    /// Rank of a request that may be refused beyond capacity; `None` for one that has gone out already.
+    pub admission: Option<u8>,
+}
+
+impl Wanted<'_> {
+    /// Returns a number in [0, 1) that is another one for each request.
+    pub fn draw(&self) -> f64 {
+        // 53 bits make a float in [0, 1).
+        (self.spread >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
+
+/// Why no server was picked.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Unpicked {
+    /// None may be used.
+    NoServer,
+    /// More requests come than can be served in time, and this one is not among those admitted.
+    Overload {
+        /// Share of the requests of its rank that is admitted.
+        admitted: f64,
+        /// How long it would have waited for a place.
+        wait: Duration,
+    },
 }
 
 /// A server that was picked, with what decided it.
@@ -62,6 +92,8 @@
     pub load: f64,
     /// The bound that it was held against, in requests.
     pub bound: f64,
+    /// How long the request is expected to wait for a place there.
+    pub wait: Duration,
     /// Server that most likely keeps the shared prompt, if this one does not.
     pub holder: Option<Arc<BackendServer>>,
 }
@@ -93,13 +125,14 @@
     load_bound: f64,
     /// This instance among all.
     position: FleetPosition,
+    overload: IndexMap<ServiceName, Overload>,
 }
 
 impl Picker {
     /// Returns a picker for an instance in `zone`.
     pub fn new(zone: ZoneName, load_bound: f64) -> Picker {
         let position = FleetPosition { number: 0, instances: 1 };
-        Picker { servers: IndexMap::new(), zone, load_bound, position }
+        Picker { servers: IndexMap::new(), zone, load_bound, position, overload: IndexMap::new() }
     }
 
     /// Sets which of all instances this one is.
@@ -128,8 +161,28 @@
         }
     }
 
-    /// Picks a server, or `None` where no server of the service may be used.
-    pub fn pick(&self, now: Instant, wanted: &Wanted<'_>) -> Option<Picked> {
+    /// Notes a caller's request to a service, with its rank and target latency.
+    pub fn note_request(
+        &mut self,
+        now: Instant,
+        service: &ServiceName,
+        priority: u8,
+        target: Duration,
+    ) {
+        self.overload(service).note_request(now, priority, target);
+    }
+
+    /// Returns what is learnt of a service's load, to learn more.
+    pub fn overload(&mut self, service: &ServiceName) -> &mut Overload {
+        self.overload.entry(service.clone()).or_default()
+    }
+
+    /// Picks a server.
+    ///
+    /// # Errors
+    ///
+    /// No server of the service may be used, or all have too long a queue.
+    pub fn pick(&self, now: Instant, wanted: &Wanted<'_>) -> Result<Picked, Unpicked> {
         let usable: Vec<&Tracked> = self
             .servers
             .values()
@@ -139,10 +192,64 @@
         let healthy = self.healthy(now, &usable);
         let pool = if healthy.is_empty() { usable } else { healthy };
         let usual = usual_load(&pool);
-        match wanted.affinity {
+        let picked = match wanted.affinity {
             Some(key) => self.by_affinity(now, key, wanted, &pool, usual),
-            None => self.by_load(now, wanted.spread, &pool),
+            None => self.by_load(now, wanted, &pool),
+        };
+        let picked = picked.ok_or(Unpicked::NoServer)?;
+        let (Some(overload), Some(priority)) =
+            (self.overload.get(wanted.service), wanted.admission)
+        else {
+            return Ok(picked);
+        };
+        let admitted = match self.places(wanted.service) {
+            Some((own, places)) => {
+                overload.admitted(now, priority, own, places, self.position.instances)
+            }
+            None => 1.0,
+        };
+        if wanted.draw() >= admitted || picked.wait > overload.admissible_wait(now) {
+            return Err(Unpicked::Overload { admitted, wait: picked.wait });
+        }
+        Ok(picked)
+    }
+
+    /// Returns how many requests the servers of a service run at once; 0 where some do not say.
+    fn places_of(&self, service: &ServiceName) -> f64 {
+        self.places(service).map_or(0.0, |(_, places)| places)
+    }
+
+    /// Returns this instance's requests in flight at the servers of a service, and how many these run at
+    /// once; `None` where some do not say.
+    fn places(&self, service: &ServiceName) -> Option<(f64, f64)> {
+        let (mut own, mut places) = (0.0, 0.0);
+        for tracked in self.servers.values().filter(|t| t.server.service == *service) {
+            if tracked.server.leaving {
+                continue;
+            }
+            own += f64::from(tracked.load.own());
+            places += f64::from(tracked.server.slots?);
         }
+        Some((own, places))
+    }
+
+    /// Returns whether this instance has a part of the free places of a server, where few are free: if all
+    /// saw the same free place, all would take it.
+    fn has_own_place(&self, now: Instant, tracked: &Tracked) -> bool {
+        let Some(slots) = tracked.server.slots else { return true };
+        let turn = self.turn(tracked.server.tag());
+        let allotted = tracked.load.allotted(now, f64::from(slots), self.position, turn);
+        allotted.is_none_or(|more| more > 0.0)
+    }
+
+    /// Returns how long a request waits for a place at a server with `load` in flight.
+    fn wait(&self, now: Instant, tracked: &Tracked, load: f64) -> Duration {
+        let (Some(overload), Some(slots)) =
+            (self.overload.get(&tracked.server.service), tracked.server.slots)
+        else {
+            return Duration::ZERO;
+        };
+        overload.wait(tracked.load.queued(now, load, slots), slots)
     }
 
     /// Notes that a request goes to `id`.
@@ -174,16 +281,20 @@
             let counts: HashMap<Tag, u32> = load.counts.iter().copied().collect();
             let bounds = self.bounds(f64::from(load.mean));
             let unlisted = if load.whole { 0.0 } else { f64::from(load.mean) };
+            let mut total = FleetTotal { all: 0.0, own: 0.0, at: now };
             for tracked in self.servers.values_mut().filter(|t| t.server.service == load.service) {
                 let tag = tracked.server.tag();
                 let all = counts.get(&tag).map_or(unlisted, |&count| f64::from(count));
                 let own = own.get(&tag).copied().unwrap_or(0);
                 let all = all.max(f64::from(own));
+                total.all += all;
+                total.own += f64::from(own);
                 if tracked.load.set_fleet(now, all, own, bounds) {
                     let server = tracked.server.id.clone();
                     crowded.push(Crowded { server, load: all, limit: bounds.limit });
                 }
             }
+            self.overload.entry(load.service.clone()).or_default().set_fleet(total);
         }
         crowded
     }
@@ -253,16 +364,28 @@
             let (load, turn) = (&pool[i].load, self.turn(pool[i].server.tag()));
             let crowded = home_crowded || load.is_crowded(now);
             let allotted =
-                if crowded { load.allotted(now, bound, self.position, turn) } else { None };
+                if crowded { load.allotted(now, aim(bound), self.position, turn) } else { None };
             allotted.unwrap_or_else(|| load.room(now, bound, usual))
         };
         let rooms: Vec<f64> = rank.iter().map(room).collect();
-        let takes = |&(at, &i): &(usize, &usize)| rooms[at] > 0.0 && !is_full(now, pool[i]);
-        let most = || rank.iter().enumerate().max_by(|a, b| rooms[a.0].total_cmp(&rooms[b.0]));
-        let (at, &i) = rank.iter().enumerate().find(takes).or_else(most)?;
+        let waits: Vec<Duration> =
+            rank.iter().map(|&i| self.wait(now, pool[i], loads[i])).collect();
+        let overload = self.overload.get(wanted.service);
+        let admissible = overload.map_or(Duration::ZERO, |o| o.admissible_wait(now));
+        let ranked = || rank.iter().enumerate();
+        let filled = overload.is_some_and(|o| o.is_filled(now, self.places_of(wanted.service)));
+        let free = |&(at, &i): &(usize, &usize)| {
+            let own_place = !filled || self.has_own_place(now, pool[i]);
+            rooms[at] > 0.0 && waits[at].is_zero() && own_place && !is_full(now, pool[i])
+        };
+        let soon = |&(at, _): &(usize, &usize)| rooms[at] > 0.0 && waits[at] <= admissible;
+        let least = || ranked().min_by_key(|&(at, _)| waits[at]);
+        let most = || ranked().max_by(|a, b| rooms[a.0].total_cmp(&rooms[b.0]));
+        let any = || if waits.iter().any(|wait| !wait.is_zero()) { least() } else { most() };
+        let (at, &i) = ranked().find(free).or_else(|| ranked().find(soon)).or_else(any)?;
         let server = Arc::clone(&pool[i].server);
         let holder = self.holder(now, key, wanted, &server);
-        Some(Picked { server, rank: at, load: loads[i], bound, holder })
+        Some(Picked { server, rank: at, load: loads[i], bound, wait: waits[at], holder })
     }
 
     /// Returns how much load a server should have, where those of its service have `mean`.
@@ -304,7 +427,7 @@
     /// Picks one of the servers that may be the least loaded. What the others have there is of another
     /// moment and strays by about its root; if all instances went to the least by that, they would
     /// go there together.
-    fn by_load(&self, now: Instant, spread: u64, pool: &[&Tracked]) -> Option<Picked> {
+    fn by_load(&self, now: Instant, wanted: &Wanted<'_>, pool: &[&Tracked]) -> Option<Picked> {
         let others: Vec<f64> = pool.iter().map(|t| t.load.others(now).unwrap_or(0.0)).collect();
         let strays =
             SPREAD_TIMES * (2.0 * others.iter().sum::<f64>() / others.len().max(1) as f64).sqrt();
@@ -318,18 +441,20 @@
             let weight = if server.zone == self.zone { 1.0 } else { OTHER_ZONE_WEIGHT };
             // Of its own requests an instance knows for sure.
             let own = f64::from(pool[at].load.own());
-            rendezvous::score(spread, server.tag(), weight / (1.0 + own))
+            rendezvous::score(wanted.spread, server.tag(), weight / (1.0 + own))
         };
         let near = (0..pool.len()).filter(|&at| cost(at) <= least + strays);
         let at = near.max_by(|a, b| score(a).total_cmp(&score(b)))?;
         let load = f64::from(pool[at].load.own()) + others[at];
         let server = Arc::clone(&pool[at].server);
-        Some(Picked { server, rank: 0, load, bound: f64::INFINITY, holder: None })
+        let wait = self.wait(now, pool[at], load);
+        Some(Picked { server, rank: 0, load, bound: f64::INFINITY, wait, holder: None })
     }
 }
 
+/// Returns whether requests wait at a server that does not say how many it runs at once.
 fn is_full(now: Instant, tracked: &Tracked) -> bool {
-    tracked.load.waiting(now) > 0
+    tracked.server.slots.is_none() && tracked.load.waiting(now) > 0
 }
 
 /// Returns the mean of the last reports, in requests.
--- a/src/routing/roster.rs
+++ b/src/routing/roster.rs
@@ -35,6 +35,8 @@
     pub zone: ZoneName,
     /// Whether it takes no new requests.
     pub leaving: bool,
+    /// Requests that it runs at once, if it says so.
+    pub slots: Option<u32>,
 }
 
 impl BackendServer {
--- a/tests/suite/herding.rs
+++ b/tests/suite/herding.rs
@@ -66,6 +66,7 @@
         address: ([10, 0, 0, 1], number as u16 + 1).into(),
         zone: "z".parse().expect("a zone"),
         leaving: false,
+        slots: None,
     }
 }
 
@@ -106,7 +107,13 @@
             if same { 7 } else { 1000 + caller as u64 }
         });
         let service = "llm".parse().expect("a name");
-        let wanted = Wanted { service: &service, affinity, spread: self.spread, tried: &[] };
+        let wanted = Wanted {
+            service: &service,
+            affinity,
+            spread: self.spread,
+            tried: &[],
+            admission: None,
+        };
         let picked = self.pickers[instance].pick(now, &wanted).expect("a server");
         let at = self.servers.iter().position(|s| s.id == picked.server.id).expect("listed");
         self.pickers[instance].begin(&id(at));
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -14,6 +14,7 @@
 mod knowledge;
 mod machines;
 mod orders;
+mod overload;
 mod picking;
 mod platform;
 mod process;
--- a/tests/suite/picking.rs
+++ b/tests/suite/picking.rs
@@ -32,8 +32,8 @@
     tried: &[ServerId],
 ) -> Option<ServerId> {
     let service = "llm".parse().expect("a name");
-    let wanted = Wanted { service: &service, affinity, spread: 5, tried };
-    picker.pick(now, &wanted).map(|picked| picked.server.id.clone())
+    let wanted = Wanted { service: &service, affinity, spread: 5, tried, admission: None };
+    picker.pick(now, &wanted).ok().map(|picked| picked.server.id.clone())
 }
 
 #[test]
@@ -127,7 +127,8 @@
     let mut servers = fleet(6);
     let service = "llm".parse().expect("a name");
     let pick = |picker: &Picker, tried: &[ServerId]| {
-        let wanted = Wanted { service: &service, affinity: Some(42), spread: 5, tried };
+        let wanted =
+            Wanted { service: &service, affinity: Some(42), spread: 5, tried, admission: None };
         let picked = picker.pick(now, &wanted).expect("a server");
         (picked.server.id.clone(), picked.holder.expect("a holder").id.clone())
     };
@@ -165,7 +166,8 @@
     picker.set_fleet_loads(now, &[both], &own);
     let service = "llm".parse().expect("a name");
     let tried = [servers[1].id.clone(), servers[2].id.clone()];
-    let wanted = Wanted { service: &service, affinity: None, spread: 5, tried: &tried };
+    let wanted =
+        Wanted { service: &service, affinity: None, spread: 5, tried: &tried, admission: None };
     let picked = picker.pick(now, &wanted).expect("a server");
     assert!((picked.load - 6.0).abs() < 0.01, "{picked:?}");
 }
--- a/tests/suite/routing.rs
+++ b/tests/suite/routing.rs
@@ -29,6 +29,7 @@
         address: SocketAddr::from(([10, 0, 0, 1], port)),
         zone: "north".parse().expect("a zone"),
         leaving: false,
+        slots: None,
     }
 }
 
