feat(routing): silence speaks against a server early, and instances tell each other

Cause: a server that goes dark or leaves requests without an answer was known only by requests that waited to the end of their time (12 s) or to twice their target; each instance paid for itself. Change: a request without a byte for longer than nearly all answers' heads take (mean and six mean deviations, learnt from unqueued answers, 250 ms at least) counts against its server; from two on without an answer between them the server is paused, and after the pause one request at a time tries it. What is answered after all is taken back; a wait that ended late (this instance stood still) does not count. Instances tell which servers they found silent, unless that is most of a service; two witnesses are believed by an instance that has not heard from the server within half a second.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -9,6 +9,7 @@
     exchange::{self, HeadWait, ServerAnswer},
     reply::{CALLER_STALL, OwnAnswer},
     request::{Outgoing, Request},
+    silence::Silence,
     stream,
 };
 use crate::{
@@ -322,9 +323,19 @@
         // A caller that leaves ends only what may run again or is a stream: ending anything else
         // leaves its outcome in doubt.
         let watched = if request.route.kind == RouteKind::AtMostOnce { None } else { caller };
-        let longer = || self.longer_patience(&server.id);
-        let wait = HeadWait { until: self.patience(now, &server.id), longer: &longer };
+        let silence = lock(&gateway.picker).overload(&request.service).silence(picked.wait);
+        let silence = Silence::new(gateway, &server.id, silence.map(|time| now + time));
+        let patience = self.patience(now, &server.id);
+        let longer = || {
+            silence.look();
+            if gateway.clock.now() < patience {
+                return Some(silence.until(patience));
+            }
+            self.longer_patience(&server.id)
+        };
+        let wait = HeadWait { until: silence.until(patience), longer: &longer };
         let answer = exchange::send(conn, server.address, request, &outgoing, &wait, watched)?;
+        silence.ended();
         let head = gateway.clock.now();
         self.take_words(picked, &answer)?;
         Ok(Opened { answer, picked: picked.clone(), flight, sent: now, head })
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 pub mod roster_reader;
 pub mod server_conns;
 pub mod settings;
+pub mod silence;
 pub mod stream;
 
 use std::{
@@ -127,7 +128,7 @@
         let mut picker = lock(&self.picker);
         let picked = picker.pick(now, wanted)?;
         let server = picked.server.id.clone();
-        picker.begin(&server);
+        picker.begin(now, &server);
         Ok((picked, Flight { gateway: self, server }))
     }
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -22,6 +22,7 @@
         peer::{self, PeerLinks, PeerService},
         traffic::{Purpose, Traffic},
     },
+    names::Tag,
     routing::{
         Aggregate, Candidates, Count, Crowded, FleetPosition, InstanceInfo, ListNews, ListVersion,
         ServiceLoad,
@@ -72,6 +73,8 @@
     pub from: InstanceInfo,
     /// Its requests in flight, by server.
     pub counts: Vec<Count>,
+    /// Servers that it finds silent.
+    pub silent: Vec<Tag>,
     /// Version of the intent that it has in force.
     pub version: u64,
     /// Whether it wants a newer intent however large, since it cannot read the store.
@@ -87,6 +90,8 @@
 pub struct News {
     /// What all instances have in flight.
     pub loads: Vec<ServiceLoad>,
+    /// Servers that several instances find silent.
+    pub silent: Vec<Tag>,
     /// Version of the intent that the other has in force.
     pub version: u64,
     /// The operator's intent, if it is newer, and small or wanted.
@@ -197,6 +202,8 @@
         let first = lock(&peers.candidates).first(now).cloned();
         let Some(first) = first else {
             take_loads(gateway, now, &summary(gateway, now), None);
+            let silent = all_silent(gateway, now);
+            lock(&gateway.picker).told_silent(now, &silent);
             return;
         };
         match ask(gateway, first.address, false) {
@@ -238,10 +245,14 @@
         let candidates = lock(&peers.candidates);
         (candidates.own().clone(), candidates.version())
     };
-    let counts = lock(&gateway.picker).own_counts();
+    let (counts, silent) = {
+        let picker = lock(&gateway.picker);
+        (picker.own_counts(), picker.own_silent(asked))
+    };
     let report = Report {
         from,
         counts: counts.clone(),
+        silent,
         version: gateway.knowledge.version(),
         wants_intent,
         list,
@@ -252,6 +263,7 @@
         links.call(Purpose::Loads, address, EXCHANGE_PATH, &report).map_err(|e| e.to_string())?;
     let told = gateway.clock.now();
     take_loads(gateway, told, &news.loads, Some(counts));
+    lock(&gateway.picker).told_silent(told, &news.silent);
     take(gateway, news, list, asked);
     Ok(())
 }
@@ -312,9 +324,14 @@
     if is_news {
         gateway.instances_changed();
     }
-    lock(&gateway.peers.aggregate).take(now, report.from.node.clone(), report.counts);
+    {
+        let mut aggregate = lock(&gateway.peers.aggregate);
+        aggregate.take(now, report.from.node.clone(), report.counts);
+        aggregate.take_silent(now, report.from.node.clone(), report.silent);
+    }
     News {
         loads: summary(gateway, now).to_vec(),
+        silent: all_silent(gateway, now),
         version,
         intent: passed_on.then(|| serde_bytes::ByteBuf::from(raw.to_vec())),
         intent_age_ms: gateway.intent_known_age(now).map(millis),
@@ -342,6 +359,14 @@
     loads
 }
 
+/// Returns the servers that several instances find silent, this one among them.
+fn all_silent(gateway: &Gateway, now: Instant) -> Vec<Tag> {
+    let own = lock(&gateway.picker).own_silent(now);
+    let mut aggregate = lock(&gateway.peers.aggregate);
+    aggregate.take_silent(now, gateway.settings.node.clone(), own);
+    aggregate.silent()
+}
+
 /// Serves a connection of another instance until it ends.
 pub fn serve(gateway: &Gateway, conn: Conn) {
     let service = PeerService {
--- a/src/link/http1/conn.rs
+++ b/src/link/http1/conn.rs
@@ -9,7 +9,7 @@
 
 use rustix::{
     event::{PollFd, PollFlags, Timespec, poll},
-    net::{SendFlags, sockopt},
+    net::{RecvFlags, SendFlags, sockopt},
 };
 
 use crate::clock::Clock;
@@ -297,18 +297,11 @@
 
     /// Looks, without waiting, whether the other side has closed or broken the connection.
     pub fn state(&self) -> ConnState {
-        if self.stream.set_nonblocking(true).is_err() {
-            return ConnState::Broken;
-        }
-        let mut byte = [0];
-        let peeked = self.stream.peek(&mut byte);
-        if self.stream.set_nonblocking(false).is_err() {
-            return ConnState::Broken;
-        }
-        match peeked {
-            Ok(0) => ConnState::HalfClosed,
+        let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
+        match rustix::net::recv(&self.stream, &mut [0; 1], flags) {
+            Ok((_, 0)) => ConnState::HalfClosed,
             Ok(_) => ConnState::Readable,
-            Err(e) if is_wait(&e) => ConnState::Open,
+            Err(rustix::io::Errno::AGAIN | rustix::io::Errno::INTR) => ConnState::Open,
             Err(_) => ConnState::Broken,
         }
     }
--- a/src/routing/aggregate.rs
+++ b/src/routing/aggregate.rs
@@ -50,10 +50,14 @@
     }
 }
 
+/// Instances that must have found a server silent for the others to believe it, or all if there are fewer.
+const WITNESSES: usize = 2;
+
 /// The newest counts of each instance.
 #[derive(Debug, Default)]
 pub struct Aggregate {
     reports: IndexMap<NodeName, (Instant, Vec<Count>)>,
+    silent: IndexMap<NodeName, (Instant, Vec<Tag>)>,
 }
 
 impl Aggregate {
@@ -63,6 +67,25 @@
         self.reports.retain(|_, (at, _)| now.saturating_duration_since(*at) <= REPORT_LIFE);
     }
 
+    /// Takes the servers that an instance finds silent.
+    pub fn take_silent(&mut self, now: Instant, node: NodeName, silent: Vec<Tag>) {
+        self.silent.insert(node, (now, silent));
+        self.silent.retain(|_, (at, _)| now.saturating_duration_since(*at) <= REPORT_LIFE);
+    }
+
+    /// Returns the servers that several instances find silent.
+    pub fn silent(&self) -> Vec<Tag> {
+        let mut witnesses: HashMap<Tag, usize> = HashMap::new();
+        for server in self.silent.values().flat_map(|(_, silent)| silent) {
+            *witnesses.entry(*server).or_default() += 1;
+        }
+        let enough = WITNESSES.min(self.silent.len());
+        let mut silent: Vec<Tag> =
+            witnesses.into_iter().filter(|(_, count)| *count >= enough).map(|(t, _)| t).collect();
+        silent.sort_unstable_by_key(|tag| tag.0);
+        silent
+    }
+
     /// Sums the counts of all instances, by service.
     ///
     /// Of a service with many servers only those are listed whose load stands out: the others are
--- a/src/routing/overload.rs
+++ b/src/routing/overload.rs
@@ -58,14 +58,23 @@
 /// Least time after which those come back.
 const LATER_MIN: Duration = Duration::from_millis(200);
 
-/// A mean that forgets, in seconds.
+/// Least time without a byte that speaks against a server: several round trips within a region, and a
+/// pause of its own of some tenths of a second.
+const SILENCE_MIN: Duration = Duration::from_millis(250);
+
+/// Times the mean deviation beyond the mean that nearly all answers' heads come within.
+const DEVIATIONS: f64 = 6.0;
+
+/// A mean that forgets, with the mean deviation from it, in seconds.
 #[derive(Debug, Clone, Copy, Default)]
-struct Mean(Option<f64>);
+struct Mean(Option<f64>, f64);
 
 impl Mean {
     fn note(&mut self, value: Duration) {
         let value = value.as_secs_f64();
-        self.0 = Some(self.0.map_or(value, |mean| mean + (value - mean) * MEAN_WEIGHT));
+        let mean = self.0.unwrap_or(value);
+        self.1 += ((value - mean).abs() - self.1) * MEAN_WEIGHT;
+        self.0 = Some(mean + (value - mean) * MEAN_WEIGHT);
     }
 }
 
@@ -136,6 +145,18 @@
         Some(Duration::from_secs_f64(self.head.0? + self.rest.0?))
     }
 
+    /// Returns after which time without a head a request speaks against its server, where it was expected
+    /// to wait for a place for `wait`; `None` while too little is known.
+    pub fn silence(&self, wait: Duration) -> Option<Duration> {
+        let Mean(Some(mean), deviation) = self.head else { return None };
+        if self.answers < ANSWERS_MIN {
+            return None;
+        }
+        let nearly_all = Duration::from_secs_f64(mean + DEVIATIONS * deviation);
+        // The queue may be a few requests longer than is known.
+        Some(nearly_all.max(SILENCE_MIN) + wait * 2)
+    }
+
     /// Returns how long a request waits behind `queued` others at a server that runs `slots` at once.
     pub fn wait(&self, queued: f64, slots: u32) -> Duration {
         let Some(place_time) = self.place_time() else { return Duration::ZERO };
--- a/src/routing/picker.rs
+++ b/src/routing/picker.rs
@@ -253,8 +253,11 @@
     }
 
     /// Notes that a request goes to `id`.
-    pub fn begin(&mut self, id: &ServerId) {
-        self.with(id, |t| t.load.begin());
+    pub fn begin(&mut self, now: Instant, id: &ServerId) {
+        self.with(id, |t| {
+            t.load.begin();
+            t.health.begin(now);
+        });
     }
 
     /// Notes that a request at `id` ended.
@@ -315,7 +318,43 @@
         self.with(id, |t| t.health.bad(now));
     }
 
-    /// Notes that a server could not be reached or went silent.
+    /// Notes a request at `id` that has waited for a byte for longer than nearly all do; returns whether
+    /// the server has come to count as silent.
+    pub fn silent(&mut self, now: Instant, id: &ServerId) -> bool {
+        self.servers.get_mut(id).is_some_and(|t| t.health.silent(now))
+    }
+
+    /// Notes that a request that counted as waiting in vain at `id` was answered after all.
+    pub fn spoke(&mut self, now: Instant, id: &ServerId) {
+        self.with(id, |t| t.health.spoke(now));
+    }
+
+    /// Returns the servers that nothing is sent to since they are silent or cannot be reached, for the
+    /// other instances; none where that is most of a service, as then it is rather this instance that is
+    /// cut off.
+    pub fn own_silent(&self, now: Instant) -> Vec<Tag> {
+        let mut services: IndexMap<&ServiceName, (usize, Vec<Tag>)> = IndexMap::new();
+        for tracked in self.servers.values() {
+            let (count, paused) = services.entry(&tracked.server.service).or_default();
+            *count += 1;
+            if tracked.health.is_found_silent(now) {
+                paused.push(tracked.server.tag());
+            }
+        }
+        let few = |(count, paused): &(usize, Vec<Tag>)| paused.len() * 2 <= *count;
+        services.into_values().filter(few).flat_map(|(_, paused)| paused).collect()
+    }
+
+    /// Takes the word of other instances that servers are silent.
+    pub fn told_silent(&mut self, now: Instant, silent: &[Tag]) {
+        for tracked in self.servers.values_mut() {
+            if silent.contains(&tracked.server.tag()) {
+                tracked.health.told_silent(now);
+            }
+        }
+    }
+
+    /// Notes that a server could not be reached.
     pub fn unreachable(&mut self, now: Instant, id: &ServerId) {
         self.with(id, |t| t.health.unreachable(now));
     }
--- a/tests/suite/herding.rs
+++ b/tests/suite/herding.rs
@@ -116,7 +116,7 @@
         };
         let picked = self.pickers[instance].pick(now, &wanted).expect("a server");
         let at = self.servers.iter().position(|s| s.id == picked.server.id).expect("listed");
-        self.pickers[instance].begin(&id(at));
+        self.pickers[instance].begin(now, &id(at));
         self.loads[at] += 1;
         self.at[caller] = Some(at);
         if judged {
--- a/tests/suite/overload.rs
+++ b/tests/suite/overload.rs
@@ -206,7 +206,7 @@
             Ok(picked) => {
                 let at = self.servers.iter().position(|s| s.id == picked.server.id);
                 let at = at.expect("listed");
-                picker.begin(&picked.server.id);
+                picker.begin(now, &picked.server.id);
                 self.waiting[at].push_back((now, instance));
                 self.run_next(at);
             }
--- a/tests/suite/picking.rs
+++ b/tests/suite/picking.rs
@@ -47,7 +47,7 @@
         if id != home && !spilled.contains(&id) {
             spilled.push(id.clone());
         }
-        picker.begin(&id);
+        picker.begin(now, &id);
     }
     let loads: Vec<u32> = picker.in_flight().map(|(_, own)| own).collect();
     let mean = 6.0;
@@ -103,7 +103,7 @@
     let mut picker = picker(&servers);
     let first = pick(&picker, now, None, &[]).expect("a server");
     assert_eq!(first, servers[0].id);
-    picker.begin(&first);
+    picker.begin(now, &first);
     let second = pick(&picker, now, None, &[]).expect("a server");
     assert_ne!(second, first);
 }
@@ -161,7 +161,7 @@
     assert_eq!(total(now + SECOND * 4).counts[0], (tag(0), 2));
     // What this instance told itself is not counted twice.
     let mut picker = picker(&servers);
-    (0..4).for_each(|_| picker.begin(&servers[0].id));
+    (0..4).for_each(|_| picker.begin(now, &servers[0].id));
     let own = picker.own_counts();
     picker.set_fleet_loads(now, &[both], &own);
     let service = "llm".parse().expect("a name");
