--- a/tests/suite/bodies.rs
+++ b/tests/suite/bodies.rs
@@ -154,9 +154,13 @@
     assert_eq!(refused.status, 503);
     assert!(!refused.header("retry-after").is_empty());
     assert_eq!(world.runs("r1"), 0);
+    // A caller may have its answer a moment before its room is given back.
+    let idle = || instance.gateway().usage.requests() == 0;
     for number in 0..5 {
+        eventually("nothing is under way", idle);
         assert_eq!(send(&format!("s{number}"), 80_000).status, 200, "{number}");
     }
+    eventually("nothing is under way", idle);
     let mut half = TcpStream::connect(instance.callers()).expect("connected");
     let head = format!(
         "POST /idem/ HTTP/1.1\r\nhost: cartvane\r\nx-request-id: h\r\n\
--- a/tests/suite/gateway.rs
+++ b/tests/suite/gateway.rs
@@ -225,6 +225,35 @@
     assert_eq!(world.runs("r1"), 1);
 }
 
+/// What waits at a server in vain speaks against it long before its own time is over, also where it may run
+/// only once.
+#[test]
+fn a_silent_server_is_passed_over_before_its_requests_have_failed() {
+    let world = start(2);
+    for number in 0..20 {
+        assert_eq!(world.send(&call("/once/", &format!("w{number}"))).status, 200);
+    }
+    world.servers[0].faults.set_standing(Some(Fault::StallHead(Duration::from_secs(3))));
+    let callers = world.instance.callers();
+    let waiting: Vec<_> = (0..12)
+        .map(|i| std::thread::spawn(move || call("/once/", &format!("s{i}")).send(callers).status))
+        .collect();
+    let silent = world.servers[0].id.parse().expect("an id");
+    let gateway = world.instance.gateway();
+    eventually("it is passed over", || {
+        let now = gateway.clock.now();
+        let picker = gateway.picker.lock().expect("the picker");
+        let servers = gateway.knowledge.with_servers(|r| {
+            r.servers().find(|server| server.id == silent).map(|server| server.tag())
+        });
+        servers.is_some_and(|tag| picker.own_silent(now).contains(&tag))
+    });
+    assert!(waiting.iter().any(|caller| !caller.is_finished()), "none of those has failed yet");
+    let answers: Vec<u16> =
+        waiting.into_iter().map(|caller| caller.join().expect("an answer")).collect();
+    assert!(answers.contains(&200), "the other server answers");
+}
+
 /// Whatever a request's kind, what may end with its caller does, before its first byte and after.
 #[test]
 fn a_caller_that_leaves_ends_its_stream() {
--- a/tests/suite/picking.rs
+++ b/tests/suite/picking.rs
@@ -211,3 +211,88 @@
     assert!(told(SECOND * 3, 0).is_empty());
     assert_eq!(told(SECOND * 9, 40), [servers[0].id.clone()]);
 }
+
+/// Two requests that wait in vain pause a server, before any of them has failed.
+#[test]
+fn a_silent_server_is_paused_and_then_tried_by_one_request() {
+    let now = Instant::now();
+    let servers = fleet(3);
+    let mut picker = picker(&servers);
+    let silent = servers[0].id.clone();
+    let used = |picker: &Picker, at| {
+        (0..60).any(|key| pick(picker, at, Some(key), &[]) == Some(silent.clone()))
+    };
+    assert!(!picker.silent(now, &silent), "one may be a long prompt");
+    assert!(used(&picker, now));
+    assert!(picker.silent(now, &silent));
+    assert!(!used(&picker, now));
+    let later = now + SECOND;
+    assert!(used(&picker, later));
+    picker.begin(later, &silent);
+    assert!(!used(&picker, later), "one request at a time tries it");
+    picker.good(later, &silent);
+    assert!(used(&picker, later));
+}
+
+#[test]
+fn a_request_that_is_answered_after_all_speaks_for_its_server() {
+    let now = Instant::now();
+    let servers = fleet(3);
+    let mut picker = picker(&servers);
+    let slow = servers[0].id.clone();
+    for _ in 0..10 {
+        picker.silent(now, &slow);
+        picker.spoke(now, &slow);
+    }
+    assert!((0..60).any(|key| pick(&picker, now, Some(key), &[]) == Some(slow.clone())));
+}
+
+#[test]
+fn others_word_of_a_silent_server_holds_for_a_moment_and_not_against_what_was_heard() {
+    let now = Instant::now();
+    let servers = fleet(4);
+    let (silent, heard) = (&servers[0], &servers[1]);
+    let mut picker = picker(&servers);
+    picker.good(now, &heard.id);
+    picker.told_silent(now, &[silent.tag(), heard.tag()]);
+    let used = |picker: &Picker, at, server: &BackendServer| {
+        (0..60).any(|key| pick(picker, at, Some(key), &[]) == Some(server.id.clone()))
+    };
+    assert!(!used(&picker, now, silent));
+    assert!(used(&picker, now, heard));
+    assert!(picker.own_silent(now).is_empty(), "only what it found itself is told on");
+    assert!(used(&picker, now + SECOND, silent));
+}
+
+#[test]
+fn an_instance_that_hears_nobody_tells_nothing() {
+    let now = Instant::now();
+    let servers = fleet(4);
+    let mut picker = picker(&servers);
+    for server in &servers[..2] {
+        picker.unreachable(now, &server.id);
+    }
+    assert_eq!(picker.own_silent(now), [servers[0].tag(), servers[1].tag()]);
+    picker.unreachable(now, &servers[2].id);
+    assert!(picker.own_silent(now).is_empty(), "rather this instance is cut off");
+}
+
+#[test]
+fn two_instances_must_find_a_server_silent_for_the_others_to_believe_it() {
+    let now = Instant::now();
+    let servers = fleet(3);
+    let tags = |of: &[usize]| {
+        let mut tags: Vec<_> = of.iter().map(|&i| servers[i].tag()).collect();
+        tags.sort_unstable_by_key(|tag| tag.0);
+        tags
+    };
+    let mut aggregate = Aggregate::default();
+    let mut tell = |at: Instant, node: &str, silent: &[usize]| {
+        aggregate.take_silent(at, node.parse().expect("a name"), tags(silent));
+        aggregate.silent()
+    };
+    assert_eq!(tell(now, "a", &[0, 1]), tags(&[0, 1]), "there is no other");
+    assert!(tell(now, "b", &[]).is_empty());
+    assert_eq!(tell(now, "c", &[1, 2]), tags(&[1]));
+    assert_eq!(tell(now + SECOND * 4, "c", &[2]), tags(&[2]), "what others said is forgotten");
+}
