--- a/src/gateway/server_conns.rs
+++ b/src/gateway/server_conns.rs
@@ -30,9 +30,10 @@
 /// Part of the server's own idle time during which a kept connection is used.
 const IDLE_SHARE: f64 = 0.7;
 
-/// Longest idle time of a connection that carries a request which may run only once: a connection
-/// that was in use a moment ago is not being closed for idleness.
-const IDLE_ONCE: Duration = Duration::from_millis(300);
+/// Longest idle time of a connection that carries a request which may run only once: well under the least
+/// time after which servers close idle connections, and as long as most pauses between two such requests
+/// (0.3 s took a new connection for every second request, and brought nothing).
+const IDLE_ONCE: Duration = Duration::from_millis(1500);
 
 /// Most idle connections kept for each server, whatever the server allows.
 const IDLE_MAX: usize = 16;
