--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -6,7 +6,8 @@
 
 use super::{
     Gateway,
-    forward::{Decided, Done, Forwarding},
+    flight::{Decided, Done},
+    forward::Forwarding,
     reply::OwnAnswer,
     request::{Asked, Request},
 };
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -7,6 +7,7 @@
 use super::{
     Gateway,
     exchange::{self, HeadWait, ServerAnswer},
+    flight::{Decided, Done, Flight, Opened},
     reply::{CALLER_STALL, OwnAnswer},
     request::{Outgoing, Request},
     silence::Silence,
@@ -41,62 +42,6 @@
 /// Part of the retry budget that repeats for slowness leave to repeats for failures.
 const SLOWNESS_RESERVE: f64 = 0.5;
 
-/// How a request ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Done {
-    /// Status that the caller got; 0 where it left before any.
-    pub status: u16,
-    /// Whether the request ran.
-    pub outcome: Outcome,
-    /// Whether the connection may serve another request.
-    pub keep: bool,
-    /// What decided the end.
-    pub reason: &'static str,
-}
-
-/// What decided where a request went, for its log line.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Decided {
-    /// Last server that it was sent to.
-    pub server: ServerId,
-    /// The server's place in the request's rank.
-    pub rank: usize,
-    /// Its load as believed, in requests.
-    pub load: f64,
-    /// The bound that the load was held against.
-    pub bound: f64,
-    /// Times that the request may have arrived somewhere.
-    pub arrivals: u32,
-}
-
-/// An answer whose head has come from the server that was picked for it.
-pub struct Opened<'g> {
-    /// The answer.
-    pub answer: ServerAnswer,
-    /// The server.
-    pub picked: Picked,
-    /// Counts the request at the server until it ends.
-    pub flight: Flight<'g>,
-    /// When the request was sent.
-    pub sent: Instant,
-    /// When the answer's head came.
-    pub head: Instant,
-}
-
-/// Counts a request at a server for as long as it lives.
-pub struct Flight<'g> {
-    /// The instance.
-    pub gateway: &'g Gateway,
-    /// The server.
-    pub server: ServerId,
-}
-
-impl Drop for Flight<'_> {
-    fn drop(&mut self) {
-        lock(&self.gateway.picker).end(&self.server);
-    }
-}
-
 /// A whole answer of a server.
 struct WholeAnswer {
     status: StatusCode,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 pub mod connection;
 pub mod drain;
 pub mod exchange;
+pub mod flight;
 pub mod forward;
 pub mod instance_table;
 pub mod intent_reader;
@@ -33,7 +34,7 @@
 use indexmap::IndexMap;
 
 use self::{
-    drain::Drain, forward::Flight, knowledge::Knowledge, peers::Peers, request::Request,
+    drain::Drain, flight::Flight, knowledge::Knowledge, peers::Peers, request::Request,
     server_conns::ServerConns, settings::GatewaySettings,
 };
 use crate::{
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -7,7 +7,8 @@
 
 use super::{
     exchange::ServerAnswer,
-    forward::{Done, Forwarding, Opened},
+    flight::{Done, Opened},
+    forward::Forwarding,
     reply::CALLER_STALL,
 };
 use crate::{
--- /dev/null
+++ b/src/routing/pick.rs
@@ -0,0 +1,71 @@
+//! What is asked of the picker, and what it says.
+
+use std::{sync::Arc, time::Duration};
+
+use super::BackendServer;
+use crate::names::{ServerId, ServiceName};
+
+/// What the caller's request wants.
+#[derive(Debug)]
+pub struct Wanted<'a> {
+    /// Service.
+    pub service: &'a ServiceName,
+    /// Hash of the shared prompt, if the request has one.
+    pub affinity: Option<u64>,
+    /// Hash by which requests without a shared prompt are spread among servers that are as good.
+    pub spread: u64,
+    /// Servers that must not be used again.
+    pub tried: &'a [ServerId],
+    /// Rank of a request that may be refused beyond capacity; `None` for one that has gone out already.
+    pub admission: Option<u8>,
+}
+
+impl Wanted<'_> {
+    /// Returns a number in [0, 1) that is another one for each request.
+    pub fn draw(&self) -> f64 {
+        // 53 bits make a float in [0, 1).
+        (self.spread >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
+
+/// Why no server was picked.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Unpicked {
+    /// None may be used.
+    NoServer,
+    /// More requests come than can be served in time, and this one is not among those admitted.
+    Overload {
+        /// Share of the requests of its rank that is admitted.
+        admitted: f64,
+        /// How long it would have waited for a place.
+        wait: Duration,
+    },
+}
+
+/// A server that was picked, with what decided it.
+#[derive(Debug, Clone)]
+pub struct Picked {
+    /// The server.
+    pub server: Arc<BackendServer>,
+    /// Its place in the request's rank, from 0; servers passed over count.
+    pub rank: usize,
+    /// Its estimated load, in requests.
+    pub load: f64,
+    /// The bound that it was held against, in requests.
+    pub bound: f64,
+    /// How long the request is expected to wait for a place there.
+    pub wait: Duration,
+    /// Server that most likely keeps the shared prompt, if this one does not.
+    pub holder: Option<Arc<BackendServer>>,
+}
+
+/// A server that was seen beyond its limit.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Crowded {
+    /// The server.
+    pub server: ServerId,
+    /// Its load at the last exchange, in requests.
+    pub load: f64,
+    /// The limit, in requests.
+    pub limit: f64,
+}
