fix(routing): only so many silent servers are told

Cause: reading the change: with half of 4,000 servers silent each instance would send 2,000 tags every 0.9 s, 11 KB a second of the 12 KB planned, and the one that collects them 360 times that. Change: 64 at most. A lost zone is known from the list of servers within some heartbeats. Test: picking::only_so_many_silent_servers_are_told, which failed before (150).

--- a/src/routing/picker.rs
+++ b/src/routing/picker.rs
@@ -31,6 +31,10 @@
 /// requests of other instances that are on their way.
 const BOUND_SHARE: f64 = 0.6;
 
+/// Most silent servers that an instance tells of: a rack's, several times. If a whole zone is lost, the list
+/// of servers says so within some heartbeats, and thousands of tags from each instance would fill the links.
+const SILENT_TOLD: usize = 64;
+
 /// How much worse than the service's mean a server's share of failures may be.
 const FAILURES_BEYOND_MEAN: f64 = 0.2;
 
@@ -278,7 +282,8 @@
             }
         }
         let few = |(count, paused): &(usize, Vec<Tag>)| paused.len() * 2 <= *count;
-        services.into_values().filter(few).flat_map(|(_, paused)| paused).collect()
+        let told = services.into_values().filter(few).flat_map(|(_, paused)| paused);
+        told.take(SILENT_TOLD).collect()
     }
 
     /// Takes the word of other instances that servers are silent.
--- a/tests/suite/picking.rs
+++ b/tests/suite/picking.rs
@@ -277,6 +277,15 @@
     assert!(picker.own_silent(now).is_empty(), "rather this instance is cut off");
 }
 
+#[test]
+fn only_so_many_silent_servers_are_told() {
+    let now = Instant::now();
+    let servers = fleet(400);
+    let mut picker = picker(&servers);
+    servers[..150].iter().for_each(|server| picker.unreachable(now, &server.id));
+    assert_eq!(picker.own_silent(now).len(), 64);
+}
+
 #[test]
 fn two_instances_must_find_a_server_silent_for_the_others_to_believe_it() {
     let now = Instant::now();
