fix(routing): queues by old counts count for nothing, and half of a service stays in use

Whether a request would wait at a server was judged by counts however old, where requests take less than the time between two exchanges: all instances left a server together and flooded the next. Change: without current counts no wait is assumed, as before there were waits at all.

--- a/src/routing/overload.rs
+++ b/src/routing/overload.rs
@@ -175,6 +175,11 @@
         self.fleet.filter(|f| now.saturating_duration_since(f.at) < life)
     }
 
+    /// Returns whether the other instances' requests are known as they are now.
+    pub fn is_current(&self, now: Instant) -> bool {
+        self.fleet(now).is_some()
+    }
+
     /// Returns whether few of a service's `places` were free at the last exchange.
     pub fn is_filled(&self, now: Instant, places: f64) -> bool {
         places > 0.0 && self.fleet(now).is_some_and(|fleet| fleet.all >= FILLED * places)
--- a/src/routing/picker.rs
+++ b/src/routing/picker.rs
@@ -189,6 +189,10 @@
         else {
             return Duration::ZERO;
         };
+        // By counts that are older than a request takes, all would leave a server and flood another.
+        if !overload.is_current(now) {
+            return Duration::ZERO;
+        }
         overload.wait(tracked.load.queued(now, load, slots), slots)
     }
 
@@ -261,7 +265,22 @@
     /// Notes a request at `id` that has waited for a byte for longer than nearly all do; returns whether
     /// the server has come to count as silent.
     pub fn silent(&mut self, now: Instant, id: &ServerId) -> bool {
-        self.servers.get_mut(id).is_some_and(|t| t.health.silent(now))
+        let Some(service) = self.servers.get(id).map(|t| t.server.service.clone()) else {
+            return false;
+        };
+        if self.may_pause(now, &service) {
+            return self.servers.get_mut(id).is_some_and(|t| t.health.silent(now));
+        }
+        self.bad(now, id);
+        false
+    }
+
+    /// Returns whether one more server of a service may be paused for its silence: where most are silent,
+    /// the whole service is slow, and the few that are left would get all requests.
+    fn may_pause(&self, now: Instant, service: &ServiceName) -> bool {
+        let servers = || self.servers.values().filter(|t| t.server.service == *service);
+        let paused = servers().filter(|t| t.health.is_paused(now)).count();
+        (paused + 1) * 2 <= servers().count()
     }
 
     /// Notes that a request that counted as waiting in vain at `id` was answered after all.
@@ -288,9 +307,14 @@
 
     /// Takes the word of other instances that servers are silent.
     pub fn told_silent(&mut self, now: Instant, silent: &[Tag]) {
-        for tracked in self.servers.values_mut() {
-            if silent.contains(&tracked.server.tag()) {
-                tracked.health.told_silent(now);
+        let told = |t: &&Tracked| silent.contains(&t.server.tag());
+        let ids: Vec<ServerId> =
+            self.servers.values().filter(told).map(|t| t.server.id.clone()).collect();
+        for id in ids {
+            let Some(tracked) = self.servers.get(&id) else { continue };
+            let known = tracked.health.is_paused(now);
+            if known || self.may_pause(now, &tracked.server.service) {
+                self.with(&id, |t| t.health.told_silent(now));
             }
         }
     }
@@ -359,10 +383,8 @@
             rooms[at] > 0.0 && waits[at].is_zero() && own_place && !is_full(now, pool[i])
         };
         let soon = |&(at, _): &(usize, &usize)| rooms[at] > 0.0 && waits[at] <= admissible;
-        let least = || ranked().min_by_key(|&(at, _)| waits[at]);
         let most = || ranked().max_by(|a, b| rooms[a.0].total_cmp(&rooms[b.0]));
-        let any = || if waits.iter().any(|wait| !wait.is_zero()) { least() } else { most() };
-        let (at, &i) = ranked().find(free).or_else(|| ranked().find(soon)).or_else(any)?;
+        let (at, &i) = ranked().find(free).or_else(|| ranked().find(soon)).or_else(most)?;
         let server = Arc::clone(&pool[i].server);
         let holder = self.holder(now, key, wanted, &server);
         Some(Picked { server, rank: at, load: loads[i], bound, wait: waits[at], holder })
--- a/tests/suite/picking.rs
+++ b/tests/suite/picking.rs
@@ -277,6 +277,22 @@
     assert!(picker.own_silent(now).is_empty(), "rather this instance is cut off");
 }
 
+/// Where a whole service is slow, the few servers that are left would get all requests.
+#[test]
+fn at_most_half_of_a_service_is_paused_for_its_silence() {
+    let now = Instant::now();
+    let servers = fleet(5);
+    let mut picker = picker(&servers);
+    for server in &servers {
+        (0..3).for_each(|_| _ = picker.silent(now, &server.id));
+    }
+    let tags: Vec<_> = servers.iter().map(BackendServer::tag).collect();
+    picker.told_silent(now, &tags);
+    let used: std::collections::HashSet<_> =
+        (0..200).filter_map(|key| pick(&picker, now, Some(key), &[])).collect();
+    assert_eq!(used.len(), 3);
+}
+
 #[test]
 fn only_so_many_silent_servers_are_told() {
     let now = Instant::now();
