--- a/src/gateway/intent_reader.rs
+++ b/src/gateway/intent_reader.rs
@@ -103,13 +103,19 @@
 
 /// Decodes an intent that was the newest at `as_of` and puts it in force if it is newer.
 pub fn take_raw(gateway: &Gateway, raw: &[u8], as_of: Instant, source: &str) {
+    let began = gateway.clock.now();
     match intent::decode(raw) {
         Ok(decoded) => {
             let (version, routes) = (decoded.version, decoded.routes.len());
             if gateway.knowledge.offer_intent(decoded, raw.to_vec(), as_of) {
                 gateway.metrics.revision(version);
+                let now = gateway.clock.now();
                 log::warn!(
-                    "event=intent_in_force version={version} routes={routes} source={source}"
+                    "event=intent_in_force version={version} routes={routes} source={source} \
+                     bytes={} read_ms={} decode_ms={}",
+                    raw.len(),
+                    began.saturating_duration_since(as_of).as_millis(),
+                    now.saturating_duration_since(began).as_millis(),
                 );
             }
         }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -156,9 +156,12 @@
         Ok(Metrics { registry, _provider: provider, i: Arc::new(i) })
     }
 
-    /// Returns all metrics in the Prometheus text format.
+    /// Returns all metrics in the Prometheus text format, those with few rows first: of a text that its
+    /// collector cuts, what is lost then is loads by backend server, not the instance's own state.
     pub fn text(&self) -> String {
-        TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
+        let mut families = self.registry.gather();
+        families.sort_by_key(|family| family.get_metric().len());
+        TextEncoder::new().encode_to_string(&families).unwrap_or_default()
     }
 
     /// Notes that a request began.
