test(gateway): a large configuration over a slow link, and the age of one that cannot be read

Cause: a call to the store ends 0.9 s after it began, whatever has come, and the next begins with the first byte; and the age of the intent is that of any reply of the store. Ruled out: one instance alone shows nothing, since its waiting call may take 8.9 s; those that read for themselves do.

--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -10,7 +10,10 @@
 };
 
 use base64::{Engine as _, prelude::BASE64_STANDARD};
-use cartvane::{link::caller::Listener, utils::sync::lock};
+use cartvane::{
+    link::{caller::Listener, http1::Conn},
+    utils::sync::lock,
+};
 use serde_json::{Value, json};
 
 use crate::{
@@ -40,6 +43,9 @@
     Slow(u64),
 }
 
+/// Bytes that leave a slow link at once.
+const PIECE: usize = 8 << 10;
+
 /// How long a silent store keeps a connection open.
 const SILENCE: Duration = Duration::from_secs(2);
 
@@ -55,6 +61,10 @@
     version: u64,
     forgotten: u64,
     mode: StoreMode,
+    /// How it behaves towards reads of single tables.
+    table_modes: BTreeMap<String, StoreMode>,
+    /// Bytes a second of each connection; 0: as fast as it goes.
+    bytes_per_second: usize,
     /// Most rows of one reply; 0: all.
     page: usize,
     calls: BTreeMap<String, usize>,
@@ -120,6 +130,18 @@
         lock(&self.shared.state).mode = mode;
     }
 
+    /// Changes how the store behaves towards reads of one table; other calls go by [`set_mode`].
+    ///
+    /// [`set_mode`]: StoreStandIn::set_mode
+    pub fn set_table_mode(&self, table: &str, mode: StoreMode) {
+        lock(&self.shared.state).table_modes.insert(table.to_owned(), mode);
+    }
+
+    /// Sets how fast replies leave on each connection, in bytes a second; 0: as fast as it goes.
+    pub fn set_link(&self, bytes_per_second: usize) {
+        lock(&self.shared.state).bytes_per_second = bytes_per_second;
+    }
+
     /// Sets how many rows one reply holds at most; 0: all.
     pub fn set_page(&self, rows: usize) {
         lock(&self.shared.state).page = rows;
@@ -181,7 +203,8 @@
     let mode = {
         let mut state = lock(&shared.state);
         *state.calls.entry(received.path().to_owned()).or_default() += 1;
-        state.mode
+        let table = received.param("table").unwrap_or_default();
+        state.table_modes.get(table).copied().unwrap_or(state.mode)
     };
     match mode {
         StoreMode::Busy => return send(conn, &Reply::new(503, "").bytes(), Next::KeepAlive),
@@ -199,7 +222,22 @@
     if mode == StoreMode::LosesReplies {
         return Next::Close;
     }
-    send(conn, &reply.bytes(), Next::KeepAlive)
+    let bytes_per_second = lock(&shared.state).bytes_per_second;
+    if bytes_per_second == 0 {
+        return send(conn, &reply.bytes(), Next::KeepAlive);
+    }
+    send_paced(conn, &reply.bytes(), bytes_per_second)
+}
+
+/// Sends `bytes` over a link that takes so many a second.
+fn send_paced(conn: &mut Conn, bytes: &[u8], bytes_per_second: usize) -> Next {
+    for piece in bytes.chunks(PIECE) {
+        thread::sleep(Duration::from_secs_f64(piece.len() as f64 / bytes_per_second as f64));
+        if send(conn, piece, Next::KeepAlive) == Next::Close {
+            return Next::Close;
+        }
+    }
+    Next::KeepAlive
 }
 
 fn answer(shared: &Shared, began: Instant, received: &Received) -> Reply {
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -12,6 +12,7 @@
 mod home;
 mod home_drawn;
 mod knowledge;
+mod large_intent;
 mod machines;
 mod orders;
 mod overload;
