fix(gateway): the age of the intent is its own, and one place decides when it is read

Cause: the age of the intent was the younger of two: when it was known to be the newest, and when any call to the store was answered. The list of servers is read once a second, so instances whose reads of the intent failed said ages of 0.2 to 1.1 s of a version that was 7 s out of date, and denied routes by it. Besides, three threads read the intent, two of them at the same time over one link, one of them the exchange between instances. Change: routing/intent_watch.rs holds when the intent was the newest, in which version of the store, and says what is next: wait, follow changes, read whole, ask others. The reading instance's waits are 0.2 to 2 s instead of 8 s, which also ends waits on connections that went silent; the others look for themselves one after the other between 0.5 and 0.7 of the bound, by changes since the version that the news named. Out of date for longer than the bound: said, and not ready. Ruled out: proof by TCP keep-alive that a waiting call still stands: it is 2 s late, as much as the smallest bound. The whole configuration still goes to each instance.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -244,7 +244,7 @@
                 own.status.as_u16(),
                 own.reason,
                 gateway.knowledge.version(),
-                gateway.intent_known_age(began).map_or(-1, |age| age.as_millis() as i64)
+                gateway.knowledge.intent_age(began).map_or(-1, |age| age.as_millis() as i64)
             );
             Ended { done: Some(done_of(&own, keep)), service: String::new() }
         }
@@ -278,7 +278,7 @@
         now.saturating_duration_since(request.began).as_millis(),
         request.route.target_latency.as_millis(),
         request.version,
-        millis(gateway.intent_known_age(now)),
+        millis(gateway.knowledge.intent_age(now)),
         millis(gateway.knowledge.servers_age(now)),
     );
 }
--- a/src/gateway/knowledge.rs
+++ b/src/gateway/knowledge.rs
@@ -10,20 +10,21 @@
 
 use crate::{
     routing::{
-        BackendServer, Intent, IntentInForce, ListHistory, ListNews, ListVersion, Roster,
-        roster::RosterChange,
+        BackendServer, Confirmed, Intent, IntentInForce, IntentWatch, ListHistory, ListNews,
+        ListVersion, Roster, roster::RosterChange,
     },
     utils::sync::lock,
 };
 
 /// An instance's beliefs.
-#[derive(Default)]
 pub struct Knowledge {
     current: ArcSwapOption<Intent>,
     in_force: Mutex<IntentInForce>,
     roster: Mutex<Roster>,
-    /// Latest moment at which the intent in force was known to be the newest.
-    confirmed: Mutex<Option<Instant>>,
+    /// How sure it is that the intent in force is the newest.
+    watch: Mutex<IntentWatch>,
+    /// Is told when the watch has something new to do.
+    watch_told: Condvar,
     /// The intent as it came, for other instances.
     raw_intent: Mutex<Arc<Vec<u8>>>,
     /// Lists of servers, for other instances.
@@ -34,6 +35,22 @@
 }
 
 impl Knowledge {
+    /// Returns the beliefs of an instance that knows nothing; changes of the intent are to be in force
+    /// within `bound`.
+    pub fn new(bound: Duration) -> Knowledge {
+        Knowledge {
+            current: ArcSwapOption::empty(),
+            in_force: Mutex::default(),
+            roster: Mutex::default(),
+            watch: Mutex::new(IntentWatch::new(bound)),
+            watch_told: Condvar::new(),
+            raw_intent: Mutex::default(),
+            lists: Mutex::default(),
+            complete: Mutex::default(),
+            became_complete: Condvar::new(),
+        }
+    }
+
     /// Returns whether there is an intent and a list of servers; waits up to `patience` for that.
     pub fn wait_complete(&self, patience: Duration) -> bool {
         let complete = lock(&self.complete);
@@ -67,32 +84,51 @@
         lock(&self.in_force).idle_time()
     }
 
-    /// Takes an intent that was the newest at `as_of`; returns whether it is now in force.
-    pub fn offer_intent(&self, intent: Intent, raw: Vec<u8>, as_of: Instant) -> bool {
+    /// Takes an intent that was the newest; returns whether it is now in force.
+    pub fn offer_intent(&self, intent: Intent, raw: Vec<u8>, confirmed: Confirmed) -> bool {
         let mut in_force = lock(&self.in_force);
         let version = intent.version;
         let newer = in_force.offer(intent);
         if newer {
             self.current.store(in_force.current().cloned());
             *lock(&self.raw_intent) = Arc::new(raw);
-        }
-        if version >= in_force.version() {
-            self.confirm(as_of);
+            lock(&self.watch).in_force(version);
         }
         drop(in_force);
+        self.confirm(version, confirmed);
         self.note_progress();
         newer
     }
 
-    /// Notes that the intent in force was the newest at `as_of`.
-    pub fn confirm(&self, as_of: Instant) {
-        let mut confirmed = lock(&self.confirmed);
-        *confirmed = Some(confirmed.map_or(as_of, |known| known.max(as_of)));
+    /// Notes that `version` was the newest, which says something of an intent in force that is no older.
+    pub fn confirm(&self, version: u64, confirmed: Confirmed) {
+        if version >= self.version() {
+            lock(&self.watch).confirm(confirmed);
+        }
+    }
+
+    /// Notes that there is `version` of the intent.
+    pub fn told_of(&self, now: Instant, version: u64) {
+        if lock(&self.watch).told(now, version) {
+            self.watch_told.notify_all();
+        }
+    }
+
+    /// Runs `f` with the watch.
+    pub fn with_watch<T>(&self, f: impl FnOnce(&mut IntentWatch) -> T) -> T {
+        f(&mut lock(&self.watch))
+    }
+
+    /// Waits until a newer intent is told of, `longest` at most.
+    pub fn wait_told(&self, longest: Duration) {
+        let watch = lock(&self.watch);
+        // Whatever ended the wait, the watch says what is next.
+        drop(self.watch_told.wait_timeout_while(watch, longest, |watch| !watch.is_behind()));
     }
 
     /// Returns how long ago the intent in force was known to be the newest.
     pub fn intent_age(&self, now: Instant) -> Option<Duration> {
-        lock(&self.confirmed).map(|at| now.saturating_duration_since(at))
+        lock(&self.watch).age(now)
     }
 
     /// Takes a list of backend servers that was current at `as_of`.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,7 +27,7 @@
     net::SocketAddr,
     sync::{Arc, Mutex},
     thread,
-    time::{Duration, Instant},
+    time::Instant,
 };
 
 use anyhow::Context as _;
@@ -80,7 +80,6 @@
     pub usage: Usage,
     budgets: Mutex<IndexMap<ServiceName, RetryBudget>>,
     store_share: Arc<Mutex<StoreShare>>,
-    store_seen: Mutex<Option<Instant>>,
     store_lost: Mutex<bool>,
 }
 
@@ -171,9 +170,8 @@
         self.servers_changed();
     }
 
-    /// Notes that the store answered a call made at `at`.
-    pub fn store_answered(&self, at: Instant) {
-        *lock(&self.store_seen) = Some(at);
+    /// Notes that the store answered.
+    pub fn store_answered(&self) {
         *lock(&self.store_lost) = false;
     }
 
@@ -186,27 +184,21 @@
         }
     }
 
-    /// Returns how long ago the intent in force was surely the newest but for the time that a
-    /// change takes to arrive: while the store answers, news of changes do too.
-    pub fn intent_known_age(&self, now: Instant) -> Option<Duration> {
-        let confirmed = self.knowledge.intent_age(now)?;
-        let seen = lock(&self.store_seen).map(|at| now.saturating_duration_since(at));
-        Some(seen.map_or(confirmed, |seen| seen.min(confirmed)))
-    }
-
     /// Returns whether the intent in force is recent enough to deny a request by it.
     pub fn intent_is_fresh(&self, now: Instant) -> bool {
         let bound = self.settings.bounds.intent_in_force.max(self.settings.roster_period() * 2);
-        self.intent_known_age(now).is_some_and(|age| age <= bound)
+        self.knowledge.intent_age(now).is_some_and(|age| age <= bound)
     }
 
     /// Brings the metrics that are looked up, not counted, up to date.
     fn show_gauges(&self) {
         let now = self.clock.now();
         self.metrics.revision(self.knowledge.version());
-        for (subject, age) in
-            [("intent", self.intent_known_age(now)), ("servers", self.knowledge.servers_age(now))]
-        {
+        self.metrics.revision_newest(self.knowledge.with_watch(|watch| watch.newest()));
+        for (subject, age) in [
+            ("intent", self.knowledge.intent_age(now)),
+            ("servers", self.knowledge.servers_age(now)),
+        ] {
             if let Some(age) = age {
                 self.metrics.knowledge_age(subject, age);
             }
@@ -224,7 +216,15 @@
     /// Returns whether callers should be sent here.
     pub fn is_ready(&self) -> bool {
         let served = self.knowledge.with_servers(|roster| roster.servers().next().is_some());
-        !self.drain.is_draining() && served && self.knowledge.intent().is_some()
+        let knows = served && self.knowledge.intent().is_some();
+        knows && !self.drain.is_draining() && !self.is_out_of_date(self.clock.now())
+    }
+
+    /// Returns whether a newer intent has been known to exist for longer than changes may take: new callers
+    /// are better off with another instance.
+    fn is_out_of_date(&self, now: Instant) -> bool {
+        let behind = self.knowledge.with_watch(|watch| watch.behind_for(now));
+        behind.is_some_and(|behind| behind > self.settings.bounds.intent_in_force)
     }
 }
 
@@ -243,14 +243,13 @@
             metrics: metrics.clone(),
             store: open_store(&settings, clock, metrics.clone(), &store_share),
             store_share,
-            knowledge: Knowledge::default(),
+            knowledge: Knowledge::new(settings.bounds.intent_in_force),
             picker: Mutex::new(Picker::new(settings.zone.clone(), settings.bounds.load)),
             conns: ServerConns::new(clock.clone()),
             peers: Peers::new(&settings, clock, &metrics.traffic()),
             drain: Drain::open().context("cannot make a pipe")?,
             usage: Usage::default(),
             budgets: Mutex::default(),
-            store_seen: Mutex::default(),
             store_lost: Mutex::default(),
             settings,
         });
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -24,8 +24,8 @@
     },
     names::Tag,
     routing::{
-        Aggregate, Candidates, Count, Crowded, FleetPosition, InstanceInfo, ListNews, ListVersion,
-        ServiceLoad,
+        Aggregate, Candidates, Confirmed, Count, Crowded, FleetPosition, InstanceInfo, ListNews,
+        ListVersion, ServiceLoad, StoreVersion, WatchRole,
     },
     utils::sync::lock,
 };
@@ -96,8 +96,8 @@
     pub version: u64,
     /// The operator's intent, if it is newer, and small or wanted.
     pub intent: Option<serde_bytes::ByteBuf>,
-    /// Milliseconds since the intent was known to be the newest.
-    pub intent_age_ms: Option<u64>,
+    /// When the other's version was known to be the newest.
+    pub confirmed: Option<ConfirmedAgo>,
     /// What is new in the list of servers.
     pub list: ListNews,
     /// Milliseconds since the list was current.
@@ -106,6 +106,15 @@
     pub instances: Option<Vec<InstanceInfo>>,
 }
 
+/// That a version of the intent was the newest in the store.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct ConfirmedAgo {
+    /// Milliseconds since then.
+    pub age_ms: u64,
+    /// Version of the store at that moment.
+    pub store: StoreVersion,
+}
+
 /// Other instances, and what they tell.
 pub struct Peers {
     traffic: Traffic,
@@ -165,6 +174,15 @@
         heard.is_some_and(|at| now.saturating_duration_since(at) < READS_FOR_OTHERS)
     }
 
+    /// Returns what this instance is to the others in the watch over the intent.
+    pub fn watch_role(&self, now: Instant) -> WatchRole {
+        WatchRole {
+            reader: self.is_reader(now),
+            position: self.position(),
+            exchange_period: self.period(),
+        }
+    }
+
     fn period(&self) -> Duration {
         let instances = u32::try_from(self.instances()).unwrap_or(u32::MAX);
         PERIOD_PER_INSTANCE.saturating_mul(instances).clamp(PERIOD_MIN, PERIOD_MAX)
@@ -282,24 +300,25 @@
 }
 
 fn take(gateway: &Gateway, news: News, list: Option<ListVersion>, asked: Instant) {
-    let then = |age: Option<u64>| asked.checked_sub(Duration::from_millis(age?));
-    if let Some(as_of) = then(news.intent_age_ms) {
+    let then = |age_ms: u64| asked.checked_sub(Duration::from_millis(age_ms));
+    if let Some(ConfirmedAgo { age_ms, store }) = news.confirmed
+        && let Some(at) = then(age_ms)
+    {
+        let confirmed = Confirmed { at, store };
         match news.intent {
-            Some(raw) => intent_reader::take_raw(gateway, &raw, as_of, "peer"),
+            Some(raw) => intent_reader::take_raw(gateway, &raw, confirmed, "peer"),
             None if news.version == gateway.knowledge.version() => {
-                gateway.knowledge.confirm(as_of);
+                gateway.knowledge.confirm(news.version, confirmed);
             }
             None => {}
         }
     }
-    if let Some(as_of) = then(news.list_age_ms)
+    gateway.knowledge.told_of(gateway.clock.now(), news.version);
+    if let Some(as_of) = news.list_age_ms.and_then(then)
         && let Some(servers) = gateway.knowledge.apply_list_news(list, news.list)
     {
         roster_reader::take(gateway, servers, as_of, "peer");
     }
-    if news.version > gateway.knowledge.version() {
-        intent_reader::read_logged(gateway);
-    }
     if let Some(instances) = news.instances {
         lock(&gateway.peers.candidates).set(instances);
         gateway.instances_changed();
@@ -311,6 +330,7 @@
     let now = gateway.clock.now();
     let knowledge = &gateway.knowledge;
     let millis = |age: Duration| u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+    knowledge.told_of(now, report.version);
     let (version, raw) = (knowledge.version(), knowledge.raw_intent());
     let passed_on =
         version > report.version && (report.wants_intent || raw.len() <= INTENT_PASSED_ON);
@@ -334,7 +354,10 @@
         silent: all_silent(gateway, now),
         version,
         intent: passed_on.then(|| serde_bytes::ByteBuf::from(raw.to_vec())),
-        intent_age_ms: gateway.intent_known_age(now).map(millis),
+        confirmed: knowledge.with_watch(|watch| watch.confirmed()).map(|confirmed| ConfirmedAgo {
+            age_ms: millis(now.saturating_duration_since(confirmed.at)),
+            store: confirmed.store,
+        }),
         list: knowledge.list_news(report.list),
         list_age_ms: knowledge.servers_age(now).map(millis),
         instances,
--- a/src/gateway/roster_reader.rs
+++ b/src/gateway/roster_reader.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use super::{Gateway, intent_reader, peers};
+use super::{Gateway, peers};
 use crate::{
     adapter::{calls::SERVER_TABLE, servers, store::StoreFault},
     routing::{BackendServer, roster::RosterChange},
@@ -30,8 +30,6 @@
                 if lost {
                     lost = false;
                     log::warn!("event=store_back");
-                    // The call that waits for changes may hang on a connection that died.
-                    intent_reader::read_logged(gateway);
                 }
                 let took = gateway.clock.now().saturating_duration_since(began);
                 let period = gateway.settings.roster_period();
@@ -65,7 +63,7 @@
 pub fn read(gateway: &Gateway) -> Result<(), StoreFault> {
     let as_of = gateway.clock.now();
     let rows = gateway.store.rows(SERVER_TABLE)?;
-    gateway.store_answered(as_of);
+    gateway.store_answered();
     take(gateway, servers::decode_all(&rows.rows), as_of, "store");
     Ok(())
 }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -81,11 +81,6 @@
         self.bounds.leaving_acted_on.mul_f64(NEWS_AGE)
     }
 
-    /// Returns the age of the intent in force at which an instance reads it itself.
-    pub fn intent_age_max(&self) -> Duration {
-        self.bounds.intent_in_force.mul_f64(NEWS_AGE)
-    }
-
     /// Returns the pause between two reads of the servers' list.
     pub fn roster_period(&self) -> Duration {
         self.bounds.leaving_acted_on.mul_f64(ROSTER_PACE)
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -36,6 +36,7 @@
     load_bound: Gauge<u64>,
     queued: Gauge<u64>,
     revision: Gauge<u64>,
+    revision_newest: Gauge<u64>,
     homes: Gauge<u64>,
     claims: Counter<u64>,
     store_calls: Counter<u64>,
@@ -129,6 +130,10 @@
             ),
             queued: gauge("cartvane_queued", "Requests waiting, by service, at its home"),
             revision: gauge("cartvane_revision", "Revision in force"),
+            revision_newest: gauge(
+                "cartvane_revision_newest",
+                "Newest revision known to exist; above the one in force while that is out of date",
+            ),
             homes: gauge("cartvane_homes", "Shards whose home this instance is"),
             claims: counter("cartvane_claims", "Claims of idempotency keys, by verdict"),
             store_calls: counter(
@@ -247,6 +252,11 @@
         self.i.revision.record(revision, &[]);
     }
 
+    /// Shows the newest revision that is known to exist.
+    pub fn revision_newest(&self, revision: u64) {
+        self.i.revision_newest.record(revision, &[]);
+    }
+
     /// Shows the number of shards whose home this is.
     pub fn homes(&self, count: usize) {
         self.i.homes.record(count as u64, &[]);
--- /dev/null
+++ b/src/routing/intent_watch.rs
@@ -0,0 +1,241 @@
+//! How sure an instance is that its intent is the newest, and what it does next to be surer.
+//!
+//! What is known is a moment at which the intent in force was the newest in the store, whoever looked: this
+//! instance or one that tells it. Replies about other tables say nothing of the intent.
+
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use super::FleetPosition;
+
+/// Parts of the operator's bound after which the first and the last instance of the fleet read the store
+/// themselves if no other tells them anything newer. One after the other, so that the first can tell the
+/// rest; the last still has the time of a read within the bound.
+const READ_AGE: (f64, f64) = (0.5, 0.7);
+
+/// Times the pause between two exchanges that news may take from the instance that reads: the pause is drawn
+/// up to a tenth longer.
+const EXCHANGES: f64 = 1.1;
+
+/// Time for the calls themselves, in which nobody is surer: many round trips.
+const CALLS: Duration = Duration::from_millis(100);
+
+/// Shortest and longest wait of one call for changes. A wait ends before others need to read for themselves;
+/// a longer one would find a connection that went silent too late.
+const WAIT: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(2));
+
+/// Least pause between two calls to the store: a storm of changes costs a few calls a second.
+const PACE: Duration = Duration::from_millis(200);
+
+/// Pause after a failed call and a question to other instances.
+const PAUSE_FAILED: Duration = Duration::from_millis(400);
+
+/// The store's one counter, which grows with each change of any table.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct StoreVersion(pub u64);
+
+/// That the intent in force was the newest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Confirmed {
+    /// At this moment.
+    pub at: Instant,
+    /// In the store of this version.
+    pub store: StoreVersion,
+}
+
+/// What an instance is to the others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WatchRole {
+    /// Whether others turn to it for news.
+    pub reader: bool,
+    /// Its place among all instances.
+    pub position: FleetPosition,
+    /// Pause between two exchanges.
+    pub exchange_period: Duration,
+}
+
+/// What to do next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WatchStep {
+    /// Nothing for so long.
+    Pause(Duration),
+    /// Nothing for so long, unless a newer version is told of.
+    Wait(Duration),
+    /// Read the intent whole.
+    Read,
+    /// Ask the store what has changed since; wait so long for it.
+    Follow {
+        /// Version of the store up to which everything is known.
+        after: StoreVersion,
+        /// Longest wait for a change.
+        wait: Duration,
+    },
+    /// Ask another instance.
+    Ask,
+}
+
+/// A newer version than the one in force is known to exist.
+#[derive(Debug, Clone, Copy)]
+struct Behind {
+    newest: u64,
+    since: Instant,
+    told: bool,
+}
+
+/// What is known of the intent in force.
+#[derive(Debug)]
+pub struct IntentWatch {
+    bound: Duration,
+    version: u64,
+    confirmed: Option<Confirmed>,
+    history_gone: bool,
+    behind: Option<Behind>,
+    ask_next: bool,
+    not_before: Option<Instant>,
+}
+
+impl IntentWatch {
+    /// Returns the watch of an instance that knows nothing; changes are to be in force within `bound`.
+    pub fn new(bound: Duration) -> IntentWatch {
+        IntentWatch {
+            bound,
+            version: 0,
+            confirmed: None,
+            history_gone: false,
+            behind: None,
+            ask_next: false,
+            not_before: None,
+        }
+    }
+
+    /// Returns what is to be done next.
+    pub fn next(&self, now: Instant, role: &WatchRole) -> WatchStep {
+        let pause = self.not_before.map(|at| at.saturating_duration_since(now));
+        if let Some(pause) = pause.filter(|pause| !pause.is_zero()) {
+            return WatchStep::Pause(pause);
+        }
+        if self.ask_next {
+            return WatchStep::Ask;
+        }
+        let (Some(age), false) = (self.age(now), self.history_gone) else {
+            return WatchStep::Read;
+        };
+        let own = self.read_age(role.position);
+        let due = self.behind.is_some() || role.reader || age >= own;
+        if !due {
+            return WatchStep::Wait(own.saturating_sub(age));
+        }
+        let after = self.confirmed.map_or(StoreVersion::default(), |confirmed| confirmed.store);
+        let waits = role.reader && self.behind.is_none();
+        let wait = if waits { self.wait(role).saturating_sub(age) } else { Duration::ZERO };
+        WatchStep::Follow { after, wait }
+    }
+
+    /// Notes the version in force.
+    pub fn in_force(&mut self, version: u64) {
+        self.version = self.version.max(version);
+        if self.behind.is_some_and(|behind| behind.newest <= self.version) {
+            self.behind = None;
+        }
+    }
+
+    /// Notes that the intent in force was the newest.
+    pub fn confirm(&mut self, confirmed: Confirmed) {
+        let known = self.confirmed.get_or_insert(confirmed);
+        known.at = known.at.max(confirmed.at);
+        known.store = known.store.max(confirmed.store);
+    }
+
+    /// Notes that all of the store up to `store` was seen, whether it was understood or not.
+    pub fn seen(&mut self, store: StoreVersion) {
+        if let Some(known) = &mut self.confirmed {
+            known.store = known.store.max(store);
+        }
+    }
+
+    /// Notes that there is `version`; returns whether that is news.
+    pub fn told(&mut self, now: Instant, version: u64) -> bool {
+        if version <= self.version {
+            return false;
+        }
+        let since = self.behind.map_or(now, |behind| behind.since);
+        if self.behind.is_some_and(|behind| behind.newest >= version) {
+            return false;
+        }
+        self.behind = Some(Behind { newest: version, since, told: false });
+        true
+    }
+
+    /// Notes that the store was read.
+    pub fn store_read(&mut self, now: Instant) {
+        self.history_gone = false;
+        self.not_before = Some(now + PACE);
+    }
+
+    /// Notes that the store could not be read: others are asked next.
+    pub fn store_failed(&mut self) {
+        self.ask_next = true;
+    }
+
+    /// Notes that the store no longer tells what has changed: it is read whole.
+    pub fn history_gone(&mut self) {
+        self.history_gone = true;
+    }
+
+    /// Notes that others were asked.
+    pub fn asked(&mut self, now: Instant) {
+        self.ask_next = false;
+        self.not_before = Some(now + PAUSE_FAILED);
+    }
+
+    /// Returns when the intent in force was last known to be the newest.
+    pub fn confirmed(&self) -> Option<Confirmed> {
+        self.confirmed
+    }
+
+    /// Returns how long ago the intent in force was known to be the newest.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        self.confirmed.map(|confirmed| now.saturating_duration_since(confirmed.at))
+    }
+
+    /// Returns the newest version that is known to exist.
+    pub fn newest(&self) -> u64 {
+        self.behind.map_or(self.version, |behind| behind.newest)
+    }
+
+    /// Returns whether a newer version than the one in force is known to exist.
+    pub fn is_behind(&self) -> bool {
+        self.behind.is_some()
+    }
+
+    /// Returns for how long a newer version has been known to exist without being in force.
+    pub fn behind_for(&self, now: Instant) -> Option<Duration> {
+        self.behind.map(|behind| now.saturating_duration_since(behind.since))
+    }
+
+    /// Returns how long the instance has been behind, once for each newer version, when that is longer than
+    /// half of the operator's bound.
+    pub fn take_overdue(&mut self, now: Instant) -> Option<Duration> {
+        let late = self.bound / 2;
+        let behind = self.behind.as_mut().filter(|behind| !behind.told)?;
+        let since = now.saturating_duration_since(behind.since);
+        behind.told = since >= late;
+        behind.told.then_some(since)
+    }
+
+    /// Returns the age at which an instance reads the store itself.
+    fn read_age(&self, position: FleetPosition) -> Duration {
+        let (first, last) = READ_AGE;
+        let place = position.number as f64 / position.instances.max(1) as f64;
+        self.bound.mul_f64(first + (last - first) * place)
+    }
+
+    /// Returns how long the instance that reads for the others waits for changes, so that what it tells is
+    /// never as old as what makes them read for themselves.
+    fn wait(&self, role: &WatchRole) -> Duration {
+        let spent = PACE + CALLS + role.exchange_period.mul_f64(EXCHANGES);
+        self.bound.mul_f64(READ_AGE.0).saturating_sub(spent).clamp(WAIT.0, WAIT.1)
+    }
+}
--- /dev/null
+++ b/tests/suite/intent_watch.rs
@@ -0,0 +1,149 @@
+//! How sure an instance is of its intent, and what it does next, on a made-up clock.
+
+use std::time::{Duration, Instant};
+
+use cartvane::routing::{
+    Confirmed, FleetPosition, IntentWatch, StoreVersion, WatchRole, WatchStep,
+};
+
+const BOUND: Duration = Duration::from_secs(2);
+
+const NOTHING: Duration = Duration::ZERO;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn role(reader: bool, number: usize, instances: usize) -> WatchRole {
+    let exchange_period = ms(250).max(Duration::from_micros(2500) * instances as u32).min(ms(900));
+    WatchRole { reader, position: FleetPosition { number, instances }, exchange_period }
+}
+
+fn confirmed(at: Instant) -> Confirmed {
+    Confirmed { at, store: StoreVersion(70) }
+}
+
+/// Returns a watch over version 5, which was the newest at `at`.
+fn sure(at: Instant) -> IntentWatch {
+    let mut watch = IntentWatch::new(BOUND);
+    watch.in_force(5);
+    watch.confirm(confirmed(at));
+    watch
+}
+
+fn look(wait: Duration) -> WatchStep {
+    WatchStep::Follow { after: StoreVersion(70), wait }
+}
+
+#[test]
+fn an_instance_that_knows_nothing_reads_the_intent_whole() {
+    let now = Instant::now();
+    let mut watch = IntentWatch::new(BOUND);
+    assert_eq!(watch.next(now, &role(false, 3, 8)), WatchStep::Read);
+    watch.in_force(5);
+    watch.confirm(confirmed(now));
+    watch.history_gone();
+    assert_eq!(watch.next(now, &role(true, 0, 8)), WatchStep::Read);
+    watch.store_read(now);
+    assert!(matches!(watch.next(now, &role(true, 0, 8)), WatchStep::Pause(_)));
+    assert!(matches!(watch.next(now + ms(200), &role(true, 0, 8)), WatchStep::Follow { .. }));
+}
+
+#[test]
+fn the_instances_look_for_themselves_one_after_the_other_and_within_the_bound() {
+    let now = Instant::now();
+    let watch = sure(now);
+    let mut last = NOTHING;
+    for number in 1..62 {
+        let WatchStep::Wait(own) = watch.next(now, &role(false, number, 62)) else {
+            panic!("{number}: others are heard")
+        };
+        assert!(own > last, "{number}");
+        assert!(own < BOUND.mul_f64(0.75), "{number}: time is left for the read");
+        assert_eq!(watch.next(now + own, &role(false, number, 62)), look(NOTHING));
+        last = own;
+    }
+}
+
+#[test]
+fn what_the_reading_instance_tells_is_young_enough_for_all_others() {
+    for (bound, instances) in
+        [(2000, 8), (3000, 8), (3000, 62), (3000, 87), (3000, 302), (13_000, 360)]
+    {
+        let now = Instant::now();
+        let mut watch = IntentWatch::new(ms(bound));
+        watch.in_force(5);
+        watch.confirm(confirmed(now));
+        let reading = role(true, 0, instances);
+        let WatchStep::Follow { wait, .. } = watch.next(now, &reading) else { panic!("it reads") };
+        assert!(!wait.is_zero());
+        // The wait, the pause after it, and an exchange that comes as late as it may.
+        let told = wait + ms(200) + reading.exchange_period.mul_f64(1.1);
+        let WatchStep::Wait(own) = watch.next(now, &role(false, 1, instances)) else {
+            panic!("others are heard")
+        };
+        assert!(told < own, "{bound} ms, {instances}: {told:?} old when told, {own:?} allowed");
+    }
+}
+
+#[test]
+fn the_waits_of_a_reading_instance_end_by_the_clock_not_by_the_changes() {
+    let now = Instant::now();
+    let watch = sure(now);
+    let reading = role(true, 0, 8);
+    let WatchStep::Follow { wait, .. } = watch.next(now, &reading) else { panic!("it reads") };
+    assert_eq!(watch.next(now + wait / 2, &reading), look(wait - wait / 2));
+    assert_eq!(watch.next(now + wait * 2, &reading), look(NOTHING));
+}
+
+#[test]
+fn an_instance_that_is_told_of_a_newer_version_looks_at_once() {
+    let now = Instant::now();
+    let mut watch = sure(now);
+    assert!(!watch.told(now, 5));
+    assert!(watch.told(now, 7));
+    assert!(!watch.told(now, 6));
+    assert_eq!(watch.next(now, &role(false, 7, 8)), look(NOTHING));
+    assert_eq!(watch.next(now, &role(true, 0, 8)), look(NOTHING), "it does not wait for changes");
+    watch.in_force(6);
+    assert_eq!((watch.newest(), watch.is_behind()), (7, true));
+    watch.in_force(7);
+    assert!(!watch.is_behind());
+}
+
+#[test]
+fn after_a_failed_read_others_are_asked_then_the_store_again() {
+    let now = Instant::now();
+    let mut watch = sure(now);
+    let reading = role(true, 0, 8);
+    watch.store_failed();
+    assert_eq!(watch.next(now, &reading), WatchStep::Ask);
+    watch.asked(now);
+    let WatchStep::Pause(pause) = watch.next(now, &reading) else { panic!("it pauses") };
+    assert!(matches!(watch.next(now + pause, &reading), WatchStep::Follow { .. }));
+}
+
+#[test]
+fn an_instance_that_stays_behind_says_so_once_for_each_version() {
+    let now = Instant::now();
+    let mut watch = sure(now);
+    watch.told(now, 7);
+    assert_eq!(watch.take_overdue(now + ms(900)), None);
+    assert_eq!(watch.take_overdue(now + ms(1100)), Some(ms(1100)));
+    assert_eq!(watch.take_overdue(now + ms(1500)), None);
+    watch.told(now + ms(1600), 9);
+    assert_eq!(watch.take_overdue(now + ms(1700)), Some(ms(1700)), "behind since the first");
+    assert_eq!(watch.behind_for(now + ms(1700)), Some(ms(1700)));
+}
+
+#[test]
+fn knowledge_never_grows_older() {
+    let now = Instant::now();
+    let mut watch = sure(now);
+    watch.confirm(Confirmed { at: now - ms(500), store: StoreVersion(60) });
+    assert_eq!(watch.age(now), Some(NOTHING));
+    assert_eq!(watch.next(now + BOUND, &role(false, 1, 8)), look(NOTHING));
+    watch.seen(StoreVersion(90));
+    let step = watch.next(now + BOUND, &role(false, 1, 8));
+    assert_eq!(step, WatchStep::Follow { after: StoreVersion(90), wait: NOTHING });
+}
