--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -68,6 +68,8 @@
     /// Most rows of one reply; 0: all.
     page: usize,
     calls: BTreeMap<String, usize>,
+    /// Bytes of rows sent, by table.
+    row_bytes: BTreeMap<String, usize>,
 }
 
 #[derive(Debug, Default)]
@@ -160,6 +162,11 @@
         lock(&self.shared.state).calls.get(path).copied().unwrap_or(0)
     }
 
+    /// Returns the bytes of a table's rows that were sent, to whomever.
+    pub fn row_bytes(&self, table: &str) -> usize {
+        lock(&self.shared.state).row_bytes.get(table).copied().unwrap_or(0)
+    }
+
     fn write(&self, table: &str, key: &str, value: Option<Vec<u8>>) {
         let mut state = lock(&self.shared.state);
         state.write(table, key, value);
@@ -222,7 +229,12 @@
     if mode == StoreMode::LosesReplies {
         return Next::Close;
     }
-    let bytes_per_second = lock(&shared.state).bytes_per_second;
+    let bytes_per_second = {
+        let mut state = lock(&shared.state);
+        let table = received.param("table").unwrap_or_default().to_owned();
+        *state.row_bytes.entry(table).or_default() += reply.body.len();
+        state.bytes_per_second
+    };
     if bytes_per_second == 0 {
         return send(conn, &reply.bytes(), Next::KeepAlive);
     }
--- a/tests/suite/large_intent.rs
+++ b/tests/suite/large_intent.rs
@@ -1,6 +1,8 @@
 //! Large configurations, slow links, and what an instance says of a configuration that it cannot read.
 
-use cartvane::gateway::GatewayHandle;
+use std::time::Duration;
+
+use cartvane::{clock::Clock, gateway::GatewayHandle};
 use serde_json::Value;
 use standins::{
     listed::Listed,
@@ -9,7 +11,7 @@
 
 use crate::{
     support::eventually,
-    world::{call, intent, route, spawn, start},
+    world::{call, intent, route, settings, spawn, start},
 };
 
 /// Bytes a second of a slow link to the store: the configuration of [`grown`] takes 1.4 s over it.
@@ -58,6 +60,34 @@
     assert_eq!(call("/more-2799/", "a").send(instance.callers()).status, 200);
 }
 
+// At 62 instances each change of a configuration of 1.18 MB took as many copies of it, 73 MB in all, and callers
+// waited behind them on links of 10 Mbit/s: requests in time fell from 0.97 to 0.70 while they were read. One
+// instance reads the row, and what has changed goes from instance to instance.
+#[test]
+fn a_large_intent_is_read_from_the_store_once_for_all_instances() {
+    let world = start(1);
+    let slack = |node: &str| {
+        let mut settings = settings(node, world.store.address(), Vec::new());
+        // Time enough that none looks for itself, however busy the machine that runs the test.
+        settings.bounds.intent_in_force = Duration::from_secs(30);
+        GatewayHandle::spawn(settings, &Clock::system()).expect("an instance")
+    };
+    let all: Vec<GatewayHandle> = (0..7).map(|i| slack(&format!("n{i}"))).collect();
+    eventually("all are known to all", || all.iter().all(|i| i.gateway().instances() == 8));
+    let now = || Clock::system().now();
+    eventually("one reads", || {
+        all.iter().filter(|i| i.gateway().peers.is_reader(now())).count() <= 1
+    });
+    let large = grown(9, 2800);
+    let (before, row) = (world.store.row_bytes("op"), large.to_string().len() * 4 / 3);
+    world.store.put("op", "config", &large);
+    let served = |i: &GatewayHandle| call("/more-2799/", "a").send(i.callers()).status == 200;
+    eventually("all serve the route added last", || all.iter().all(served));
+    let copies = (world.store.row_bytes("op") - before) as f64 / row as f64;
+    // The instance of the world has a bound of its own, and may look for itself.
+    assert!(copies < 3.0, "{copies:.1} copies");
+}
+
 // An instance that could not read the configuration answered 404 for routes that had been added seven seconds
 // before, since it held its own version to be the newest: the age that it told was the age of its last reply
 // from the store, whatever had been asked, and the list of backend servers was still read once a second.
