--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod bodies;
+mod budget_drawn;
 mod callers;
 mod config;
 mod drain;
