fix(routing): the retry budget of the fleet holds while instances restart and take others' callers over

Cause: each instance keeps its own part of the budget, and a restarted one has forgotten what it spent. All instances spend their parts within two seconds when all requests fail, are killed, and spend them again; what they may spend besides was divided by the three seeds that one knows at its start. Callers that move to other instances count twice in the same way. Ruled out: half of the budget for all, always: safe, but fewer repeats where nobody restarts; sums in the exchange, which are forgotten when all are killed. Change: requests count in full as far as the window before had as many, else for a fifth; no slack in the first window after a restart. The settings tell the first start of the whole system.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -79,6 +79,8 @@
     pub drain: Drain,
     /// Requests in flight and bytes of their bodies.
     pub usage: Usage,
+    /// When this process started, if the instance may have run before.
+    restarted: Option<Instant>,
     budgets: Mutex<IndexMap<ServiceName, RetryBudget>>,
     store_share: Arc<Mutex<StoreShare>>,
     store_lost: Mutex<bool>,
@@ -110,7 +112,9 @@
     pub fn note_request(&self, now: Instant, request: &Request) {
         let service = &request.service;
         let terms = &self.settings.bounds.retries;
-        lock(&self.budgets).entry(service.clone()).or_default().request(now, terms);
+        let mut budgets = lock(&self.budgets);
+        self.budget_of(&mut budgets, service).request(now, terms);
+        drop(budgets);
         let target = request.route.target_latency;
         lock(&self.picker).note_request(now, service, request.priority, target);
     }
@@ -138,7 +142,7 @@
         let instances = self.instances();
         let terms = &self.settings.bounds.retries;
         let mut budgets = lock(&self.budgets);
-        budgets.entry(service.clone()).or_default().has(now, terms, instances, reserve)
+        self.budget_of(&mut budgets, service).has(now, terms, instances, reserve)
     }
 
     /// Takes one repeat from the budget of `service`.
@@ -146,7 +150,15 @@
         let instances = self.instances();
         let mut budgets = lock(&self.budgets);
         let terms = &self.settings.bounds.retries;
-        budgets.entry(service.clone()).or_default().take(now, terms, instances, reserve)
+        self.budget_of(&mut budgets, service).take(now, terms, instances, reserve)
+    }
+
+    fn budget_of<'b>(
+        &self,
+        budgets: &'b mut IndexMap<ServiceName, RetryBudget>,
+        service: &ServiceName,
+    ) -> &'b mut RetryBudget {
+        budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(self.restarted))
     }
 
     /// Returns how many connections a server of `service` takes from all instances.
@@ -250,6 +262,7 @@
             peers: Peers::new(&settings, clock, &metrics.traffic()),
             drain: Drain::open().context("cannot make a pipe")?,
             usage: Usage::default(),
+            restarted: (!settings.first_start).then(|| clock.now()),
             budgets: Mutex::default(),
             store_lost: Mutex::default(),
             settings,
@@ -264,10 +277,11 @@
         background(&gateway, "table", instance_table::run)?;
         let callers = serve_callers(&gateway)?;
         log::warn!(
-            "event=started node={} zone={} callers={}",
+            "event=started node={} zone={} callers={} first_start={}",
             gateway.settings.node,
             gateway.settings.zone,
-            callers.address()
+            callers.address(),
+            gateway.settings.first_start
         );
         Ok(GatewayHandle { gateway, callers, peers, readiness, metrics })
     }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -22,6 +22,8 @@
     pub node: NodeName,
     /// The instance's availability zone.
     pub zone: ZoneName,
+    /// Whether all instances start for the first time, so that none can have run before.
+    pub first_start: bool,
     /// Where it listens.
     pub addresses: Addresses,
     /// Peers' addresses of some other instances; may be out of date.
--- a/tests/suite/budget_drawn.rs
+++ b/tests/suite/budget_drawn.rs
@@ -63,7 +63,12 @@
 fn play(day: &Day) -> (Vec<usize>, Vec<usize>) {
     let start = Instant::now();
     let mut fleet: Vec<Instance> = (0..INSTANCES)
-        .map(|_| Instance { budget: started(start), away_until: 0, knows_from: 0, due: 0.0 })
+        .map(|_| Instance {
+            budget: RetryBudget::new(None),
+            away_until: 0,
+            knows_from: 0,
+            due: 0.0,
+        })
         .collect();
     let (mut requests, mut repeats) = (vec![0; STEPS], vec![0; STEPS]);
     let mut waiting = vec![vec![0; INSTANCES]; STEPS + day.late + 1];
@@ -71,7 +76,7 @@
         let now = start + STEP * step as u32;
         for &(_, number, away, unknowing) in day.restarts.iter().filter(|r| r.0 == step) {
             fleet[number] = Instance {
-                budget: started(now + STEP * away as u32),
+                budget: RetryBudget::new(Some(now + STEP * away as u32)),
                 away_until: step + away,
                 knows_from: step + away + unknowing,
                 due: 0.0,
@@ -103,10 +108,6 @@
     (requests, repeats)
 }
 
-fn started(_now: Instant) -> RetryBudget {
-    RetryBudget::default()
-}
-
 /// Returns the most repeats of any window beyond what the operator allows for it: by the requests of that
 /// window, the one before, or the one half a window before, whichever has most.
 fn most_beyond(requests: &[usize], repeats: &[usize]) -> f64 {
--- a/tests/suite/routing.rs
+++ b/tests/suite/routing.rs
@@ -193,7 +193,7 @@
         .run(&strategy, |events| {
             let start = Instant::now();
             let mut now = start;
-            let mut budgets: Vec<RetryBudget> = (0..8).map(|_| RetryBudget::default()).collect();
+            let mut budgets: Vec<RetryBudget> = (0..8).map(|_| RetryBudget::new(None)).collect();
             let (mut requests, mut repeats) = (Vec::new(), Vec::new());
             for (instance, gap, tries) in events {
                 now += Duration::from_millis(gap);
@@ -216,7 +216,7 @@
 #[test]
 fn repeats_for_slowness_leave_some_for_failures() {
     let now = Instant::now();
-    let mut budget = RetryBudget::default();
+    let mut budget = RetryBudget::new(None);
     (0..100).for_each(|_| budget.request(now, &TERMS));
     let spent = |budget: &mut RetryBudget, reserve| {
         (0..1000).filter(|_| budget.take(now, &TERMS, 8, reserve)).count()
--- a/tests/suite/world.rs
+++ b/tests/suite/world.rs
@@ -31,6 +31,7 @@
     GatewaySettings {
         node: node.parse().expect("a name"),
         zone: "north".parse().expect("a zone"),
+        first_start: true,
         addresses: Addresses {
             callers: port(0),
             readiness: port(0),
