test(gateway): an instance that is asked out of turn does not read the store for others

Cause: an instance holds it that others turn to it as soon as any tells it its counts, also one that only asks for a change.

--- a/tests/suite/knowledge.rs
+++ b/tests/suite/knowledge.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     support::eventually,
-    world::{call, intent, route, spawn, start},
+    world::{call, intent, route, settings, spawn, start},
 };
 
 #[test]
@@ -160,6 +160,29 @@
     });
 }
 
+// After each large change of a fleet of 302 instances dozens of them read the store for others, though nobody had
+// turned to them: they had been asked once, by instances that looked for the change. 7,065 calls to the store were
+// made on a day with four changes, where a calm one takes 2,577.
+#[test]
+fn an_instance_that_is_asked_out_of_turn_does_not_read_for_others() {
+    let world = start(1);
+    let other = spawn("two", world.store.address(), Vec::new());
+    let both = [&world.instance, &other];
+    eventually("they know of each other", || both.iter().all(|i| i.gateway().instances() == 2));
+    let away = StoreStandIn::spawn().expect("a store");
+    away.set_mode(StoreMode::Busy);
+    let seeds = both.iter().map(|instance| instance.peers()).collect();
+    let mut weakest = settings("three", away.address(), seeds);
+    weakest.cores = 0.1;
+    let asking = GatewayHandle::spawn(weakest, &Clock::system()).expect("an instance");
+    eventually("the third is ready by the others", || asking.gateway().is_ready());
+    let reads = |instance: &GatewayHandle| {
+        let gateway = instance.gateway();
+        gateway.peers.is_reader(Clock::system().now())
+    };
+    eventually("one reads", || both.iter().filter(|instance| reads(instance)).count() == 1);
+}
+
 #[test]
 fn an_instance_divides_what_all_share_by_those_that_turned_to_it() {
     let world = start(1);
