fix(gateway): an instance that is asked out of turn does not read the store for others

Besides, what such an instance says of loads and of silent servers is only what it knows itself, and was taken for the sums of all. Change: a report says whether its sender turns to the other or asks it once; only the former is counted, and only the reply to it is taken for the sums of all.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -80,6 +80,8 @@
     pub version: u64,
     /// Whether it wants a newer intent however large.
     pub wants_intent: bool,
+    /// Whether it turns to the other for news, and does not only ask it once.
+    pub in_turn: bool,
     /// Its newest list of servers.
     pub list: Option<ListVersion>,
     /// Hash of the instances that it knows.
@@ -233,7 +235,7 @@
             lock(&gateway.picker).told_silent(now, &silent);
             return;
         };
-        match ask(gateway, first.address, false) {
+        match ask(gateway, first.address, true) {
             Ok(()) => {
                 lock(&peers.candidates).note_heard(&first.node);
                 return;
@@ -257,14 +259,14 @@
         *last = Some(now);
     }
     for address in gateway.peers.draw(&gateway.settings.seeds, ASKED) {
-        if let Err(fault) = ask(gateway, address, true) {
+        if let Err(fault) = ask(gateway, address, false) {
             log::info!("event=peer_silent peer={address} reason={fault:?}");
         }
     }
 }
 
-/// Makes one exchange; `wants_intent` is said where the store cannot be read.
-fn ask(gateway: &Gateway, address: SocketAddr, wants_intent: bool) -> Result<(), String> {
+/// Makes one exchange: with the instance that this one turns to, or `in_turn` false with any.
+fn ask(gateway: &Gateway, address: SocketAddr, in_turn: bool) -> Result<(), String> {
     let peers = &gateway.peers;
     let asked = gateway.clock.now();
     let (list, version) = (gateway.knowledge.list_version(), gateway.knowledge.version());
@@ -281,8 +283,9 @@
         counts: counts.clone(),
         silent,
         version,
-        // An instance that starts takes what it can get.
-        wants_intent: wants_intent || version == 0,
+        // An instance that starts takes what it can get, and so does one that asks.
+        wants_intent: !in_turn || version == 0,
+        in_turn,
         list,
         instances,
     };
@@ -291,8 +294,11 @@
         .call(Purpose::Loads, address, EXCHANGE_PATH, &report)
         .map_err(|e| e.to_string())?;
     let told = gateway.clock.now();
-    take_loads(gateway, told, &news.loads, Some(counts));
-    lock(&gateway.picker).told_silent(told, &news.silent);
+    if in_turn {
+        // Others than the one that all turn to know only a part.
+        take_loads(gateway, told, &news.loads, Some(counts));
+        lock(&gateway.picker).told_silent(told, &news.silent);
+    }
     take(gateway, news, list, asked);
     Ok(())
 }
@@ -351,7 +357,7 @@
     if is_news {
         gateway.instances_changed();
     }
-    {
+    if report.in_turn {
         let mut aggregate = lock(&gateway.peers.aggregate);
         aggregate.take(now, report.from.node.clone(), report.counts);
         aggregate.take_silent(now, report.from.node.clone(), report.silent);
