test(soak): configurations that grow, over links of limited speed

Change: in one of two runs the intent grows by 700 routes up to three times, and the store sends 0.8 or 2 MB a second on each connection in two of three. Drawn apart, so that the other events of a seed stay what they were.

--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -68,6 +68,8 @@
     pub(crate) servers: Mutex<Vec<Listed>>,
     /// Version of the intent.
     pub(crate) version: Mutex<u64>,
+    /// Routes of the intent that nobody asks for.
+    idle_routes: Mutex<usize>,
     /// Last moment at which something was done to the store.
     pub(crate) store_disturbed: Mutex<Instant>,
 }
@@ -121,6 +123,7 @@
             places,
             servers: Mutex::new(all),
             version: Mutex::new(10),
+            idle_routes: Mutex::default(),
             store_disturbed: Mutex::new(Instant::now()),
         };
         for place in 0..servers {
@@ -186,9 +189,14 @@
         *lock(&self.version)
     }
 
+    /// Makes the versions from the next one on larger.
+    pub(crate) fn grow(&self, routes: usize) {
+        *lock(&self.idle_routes) += routes;
+    }
+
     fn write_intent(&self) {
-        let version = *lock(&self.version);
-        self.store.put("op", "config", &intent(version));
+        let (version, idle_routes) = (*lock(&self.version), *lock(&self.idle_routes));
+        self.store.put("op", "config", &intent(version, idle_routes));
     }
 
     /// Notes that something was done to the store.
@@ -291,8 +299,9 @@
     })
 }
 
-/// Returns the intent of a version: beside the lasting routes one that only this version has.
-fn intent(version: u64) -> Value {
+/// Returns the intent of a version: beside the lasting routes one that only this version has, and some that
+/// nobody asks for.
+fn intent(version: u64, idle_routes: usize) -> Value {
     let route = |name: &str, kind: &str, resume: bool| {
         json!({
             "name": name, "host": "cartvane", "path_prefix": format!("/{name}/"), "type": kind,
@@ -300,13 +309,17 @@
             "stream_resume": resume, "gap_target_ms": 100, "sticky_sessions": true
         })
     };
+    let mut routes = vec![
+        route("idem", "idempotent", false),
+        route("once", "non_idempotent", false),
+        route("stream", "streaming", false),
+        route("stream-resumable", "streaming", true),
+        route(&format!("v{version}"), "idempotent", false),
+    ];
+    routes.extend((0..idle_routes).map(|i| route(&format!("idle-{i}"), "idempotent", false)));
     json!({
         "version": version,
-        "routes": [
-            route("idem", "idempotent", false), route("once", "non_idempotent", false),
-            route("stream", "streaming", false), route("stream-resumable", "streaming", true),
-            route(&format!("v{version}"), "idempotent", false)
-        ],
+        "routes": routes,
         "services": [{"name": "app", "max_connections": 200}],
         "tenants": [{"name": "crew", "api_keys": [KEY]}]
     })
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -17,6 +17,12 @@
 /// Length of a fault that ends.
 const LENGTH_MS: std::ops::Range<u64> = 200..3500;
 
+/// Routes of one step of growth.
+const GROWTH: usize = 700;
+
+/// Tells what is drawn for growth from what else a seed draws.
+const GROWTH_SEED: u64 = 0x6772_6f77;
+
 /// Longest fault that ends; a process may stand still for as long.
 pub(crate) const LENGTH_MAX: Duration = Duration::from_millis(LENGTH_MS.end);
 
@@ -49,6 +55,17 @@
     ServerFaults(usize),
     /// The operator's intent changes, this many times in a row.
     Change(u32),
+    /// The operator's intent changes and grows by this many routes.
+    Grow(usize),
+}
+
+/// How large a run's intent becomes, and how fast the store sends it.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct Growth {
+    /// Changes that make it larger, with their times.
+    pub(crate) events: Vec<(Duration, Event)>,
+    /// Bytes a second on each connection to the store; 0: as fast as it goes.
+    pub(crate) store_link: usize,
 }
 
 /// Draws the events of a run, with their times.
@@ -70,6 +87,21 @@
     }
 }
 
+/// Draws how the intent of a run grows: in one of two, by up to three steps. With the slowest link the largest
+/// intent, 2,100 routes of 0.3 KB, takes 1 s: more than a call to the store may be silent.
+///
+/// Drawn apart, so that the other events of a seed stay what they were before there was growth.
+pub(crate) fn draw_growth(seed: u64, length: Duration) -> Growth {
+    let mut rng = Rng::with_seed(seed ^ GROWTH_SEED);
+    let steps = if rng.bool() { rng.u32(1..=3) } else { 0 };
+    let span = u64::try_from(length.as_millis()).unwrap_or(u64::MAX).max(1);
+    let mut at: Vec<u64> = (0..steps).map(|_| rng.u64(..span)).collect();
+    at.sort_unstable();
+    let grow = |at| (Duration::from_millis(at), Event::Grow(GROWTH));
+    let store_link = [0, 2_000_000, 800_000][rng.usize(..3)];
+    Growth { events: at.into_iter().map(grow).collect(), store_link }
+}
+
 fn event(rng: &mut Rng, instances: usize, servers: usize) -> Event {
     let instance = rng.usize(..instances);
     let server = rng.usize(..servers);
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -79,14 +79,21 @@
     }
     let mut rng = Rng::with_seed(seed);
     let events = plan::draw(&mut rng, options.faults, options.instances, SERVERS);
+    let growth = plan::draw_growth(seed, options.faults);
+    let mut events: Vec<(Duration, Event, Rng)> =
+        events.into_iter().map(|(at, event)| (at, event, rng.fork())).collect();
+    events.extend(growth.events.into_iter().map(|(at, event)| (at, event, rng.fork())));
+    events.sort_by_key(|(at, ..)| *at);
     let fleet = Fleet::start(seed, options.instances, SERVERS, &dir)?;
+    fleet.store.set_link(growth.store_link);
     let checks = Arc::new(Checks::new());
     wait_all_serve(&fleet, &checks, "a fleet that starts serves");
     let callers = Callers::spawn(options.instances * CALLERS, seed, &fleet, &checks);
     let began = Instant::now();
     let mut under_way = Vec::new();
-    for (at, event) in &events {
-        while began.elapsed() < *at && !interrupted.load(Ordering::SeqCst) {
+    let count = events.len();
+    for (at, event, rng) in events {
+        while began.elapsed() < at && !interrupted.load(Ordering::SeqCst) {
             thread::sleep(Duration::from_millis(5));
         }
         if interrupted.load(Ordering::SeqCst) {
@@ -95,7 +102,7 @@
         if options.verbose {
             println!("  {:6} ms {event:?}", began.elapsed().as_millis());
         }
-        under_way.push(happen(event.clone(), &fleet, &checks, rng.fork()));
+        under_way.push(happen(event, &fleet, &checks, rng));
     }
     for event in under_way {
         if event.join().is_err() {
@@ -111,7 +118,7 @@
     checks.check_runs(&lock(&fleet.servers));
     let (requests, served) = checks.counts();
     let logs = dir.display().to_string();
-    Ok(Report { broken: checks.take(), requests, served, events: events.len(), logs })
+    Ok(Report { broken: checks.take(), requests, served, events: count, logs })
 }
 
 /// Lets an event happen in a thread of its own, so that events overlap.
@@ -182,6 +189,10 @@
             fleet.faults(place, &drawn);
         }
         Event::Change(times) => change(fleet, checks, times),
+        Event::Grow(routes) => {
+            fleet.grow(routes);
+            change(fleet, checks, 1);
+        }
     }
 }
 
