refactor(link): one way to make a call on a kept connection

Cause: the store's client and the links between instances each took a kept connection, tried, connected and kept. Where a call on one connection to an address fails, the others kept are now dropped for instances too, as for the store.

--- a/src/link/kept.rs
+++ b/src/link/kept.rs
@@ -1,13 +1,43 @@
-//! Kept connections to services that answer one call at a time on each.
+//! Calls on kept connections, one at a time on each.
 
 use std::{collections::HashMap, io, net::SocketAddr, sync::Mutex, time::Duration};
 
-use super::http1::{Conn, conn::ConnState};
+use http::Method;
+
+use super::{
+    call::{CallFault, CallReply, CallTime, call},
+    http1::{Conn, conn::ConnState},
+};
 use crate::{clock::Clock, utils::sync::lock};
 
 /// Idle connections kept for each address.
 const IDLE_MAX: usize = 4;
 
+/// What is sent, and how.
+pub struct Call<'c> {
+    /// Method.
+    pub method: Method,
+    /// Returns the whole request, given whether it is the first on its connection.
+    pub message: &'c dyn Fn(bool) -> Vec<u8>,
+    /// How long it may take.
+    pub time: CallTime,
+    /// Largest body of a reply, in bytes.
+    pub most: usize,
+    /// Says whether a call that failed so on a kept connection is made once more, on a new one.
+    pub again: fn(&CallFault) -> bool,
+}
+
+/// Why a call was not made or brought nothing.
+#[derive(Debug, thiserror::Error)]
+pub enum KeptFault {
+    /// There is no connection; nothing was sent.
+    #[error("no connection: {0}")]
+    Unconnected(#[from] io::Error),
+    /// The call was sent, or a part of it.
+    #[error(transparent)]
+    Call(#[from] CallFault),
+}
+
 /// Idle connections by address.
 pub struct KeptConns {
     idle: Mutex<HashMap<SocketAddr, Vec<Conn>>>,
@@ -21,14 +51,20 @@
         KeptConns { idle: Mutex::default(), clock, connect_time }
     }
 
-    /// Takes a kept connection that the other side has not closed.
-    pub fn take(&self, to: SocketAddr) -> Option<Conn> {
-        loop {
-            let conn = lock(&self.idle).get_mut(&to)?.pop()?;
-            if conn.state() == ConnState::Open {
-                return Some(conn);
+    /// Makes a call on a kept connection that the other side has not closed, or on a new one.
+    ///
+    /// # Errors
+    ///
+    /// See [`KeptFault`].
+    pub fn call(&self, to: SocketAddr, asked: &Call<'_>) -> Result<CallReply, KeptFault> {
+        if let Some(conn) = self.take(to) {
+            match self.call_on(conn, to, asked, false) {
+                Err(fault) if (asked.again)(&fault) => {}
+                result => return Ok(result?),
             }
         }
+        let conn = self.connect(to)?;
+        Ok(self.call_on(conn, to, asked, true)?)
     }
 
     /// Makes a new connection.
@@ -40,8 +76,34 @@
         Conn::connect(to, self.connect_time, &self.clock)
     }
 
-    /// Keeps a connection whose reply was read to its end.
-    pub fn put(&self, to: SocketAddr, mut conn: Conn) {
+    fn call_on(
+        &self,
+        mut conn: Conn,
+        to: SocketAddr,
+        asked: &Call<'_>,
+        first: bool,
+    ) -> Result<CallReply, CallFault> {
+        let message = (asked.message)(first);
+        let result = call(&mut conn, &asked.method, &message, &asked.time, asked.most);
+        match &result {
+            Ok(reply) if reply.keep_alive => self.put(to, conn),
+            Ok(_) => {}
+            // Where one connection went silent, the others may have too.
+            Err(_) => drop(lock(&self.idle).remove(&to)),
+        }
+        result
+    }
+
+    fn take(&self, to: SocketAddr) -> Option<Conn> {
+        loop {
+            let conn = lock(&self.idle).get_mut(&to)?.pop()?;
+            if conn.state() == ConnState::Open {
+                return Some(conn);
+            }
+        }
+    }
+
+    fn put(&self, to: SocketAddr, mut conn: Conn) {
         conn.give_back_buffer();
         let mut idle = lock(&self.idle);
         let conns = idle.entry(to).or_default();
@@ -49,9 +111,4 @@
             conns.push(conn);
         }
     }
-
-    /// Drops the kept connections to an address: where one went silent, the others may have too.
-    pub fn forget(&self, to: SocketAddr) {
-        lock(&self.idle).remove(&to);
-    }
 }
--- a/src/link/peer.rs
+++ b/src/link/peer.rs
@@ -19,9 +19,9 @@
     clock::Clock,
     configs::fleet::chunks::{decode, encode},
     link::{
-        call::{CallTime, WHOLE_MESSAGE, call},
+        call::{CallTime, WHOLE_MESSAGE},
         http1::{BodyFraming, BodyReader, ChunkWriter, Conn, HeadFault, RequestHead, ResponseHead},
-        kept::KeptConns,
+        kept::{Call, KeptConns, KeptFault},
         traffic::{Purpose, Traffic},
     },
     utils::{
@@ -104,14 +104,28 @@
         message: &impl Serialize,
     ) -> Result<T, PeerFault> {
         let body = encode(message);
-        if let Some(conn) = self.conns.take(to)
-            && let Ok(reply) = self.exchange(purpose, conn, to, path, &body, false)
-        {
-            return reply_of(to, &reply);
+        let message = |first: bool| {
+            let credential = if first { self.credential.as_ref() } else { None };
+            let message = request_bytes(path, &body, credential);
+            self.traffic.sent(purpose, message.len());
+            message
+        };
+        let asked = Call {
+            method: Method::POST,
+            message: &message,
+            time: self.time,
+            most: MESSAGE_MAX,
+            again: |_| true,
+        };
+        let reply = self.conns.call(to, &asked).map_err(|fault| match fault {
+            KeptFault::Unconnected(e) => PeerFault::Unreachable(to, e.to_string()),
+            KeptFault::Call(e) => PeerFault::Broken(to, e.to_string()),
+        })?;
+        self.traffic.received(purpose, reply_bytes(200, &reply.body).len());
+        if reply.status != StatusCode::OK {
+            return Err(PeerFault::Refused(to, reply.status.as_u16()));
         }
-        let conn = self.connect(to)?;
-        let reply = self.exchange(purpose, conn, to, path, &body, true)?;
-        reply_of(to, &reply)
+        decode(&reply.body).map_err(|e| PeerFault::Broken(to, e.to_string()))
     }
 
     /// Opens a stream to a peer.
@@ -124,7 +138,8 @@
         purpose: Purpose,
         to: SocketAddr,
     ) -> Result<(StreamSender, StreamReceiver), PeerFault> {
-        let mut conn = self.connect(to)?;
+        let conn = self.conns.connect(to);
+        let mut conn = conn.map_err(|e| PeerFault::Unreachable(to, e.to_string()))?;
         let head = format!(
             "POST {STREAM_PATH} HTTP/1.1\r\nhost:\r\n{}transfer-encoding:chunked\r\n\r\n",
             self.credential.as_ref().map_or_else(String::new, credential_line)
@@ -137,38 +152,6 @@
             StreamReceiver { conn, reader: None, purpose, traffic: self.traffic.clone() };
         Ok((sender, receiver))
     }
-
-    fn connect(&self, to: SocketAddr) -> Result<Conn, PeerFault> {
-        self.conns.connect(to).map_err(|e| PeerFault::Unreachable(to, e.to_string()))
-    }
-
-    fn exchange(
-        &self,
-        purpose: Purpose,
-        mut conn: Conn,
-        to: SocketAddr,
-        path: &str,
-        body: &[u8],
-        first: bool,
-    ) -> Result<Vec<u8>, PeerFault> {
-        let credential = if first { self.credential.as_ref() } else { None };
-        let message = request_bytes(path, body, credential);
-        self.traffic.sent(purpose, message.len());
-        let reply = call(&mut conn, &Method::POST, &message, &self.time, MESSAGE_MAX)
-            .map_err(|e| PeerFault::Broken(to, e.to_string()))?;
-        self.traffic.received(purpose, reply_bytes(200, &reply.body).len());
-        if reply.status != StatusCode::OK {
-            return Err(PeerFault::Refused(to, reply.status.as_u16()));
-        }
-        if reply.keep_alive {
-            self.conns.put(to, conn);
-        }
-        Ok(reply.body)
-    }
-}
-
-fn reply_of<T: DeserializeOwned>(to: SocketAddr, reply: &[u8]) -> Result<T, PeerFault> {
-    decode(reply).map_err(|e| PeerFault::Broken(to, e.to_string()))
 }
 
 fn request_bytes(path: &str, body: &[u8], credential: Option<&Secret>) -> Vec<u8> {
