feat(routing): a server that starts again is another one, and an entry that is not whole names none

Cause: all that is known of a server was kept by its id, on the word that a restart has another one. It may have the same, and says when it started. Entries were let through with any state, zone and slots.

Change: `Incarnation` is the id with the time of the start and the key of every map; rendezvous ranks go by the id alone, so prompts come back to a server that starts again. A change from leaving to ready is told. Entries need all the fields that servers write, of their types; what is skipped is told once, in a bounded number of lines.

Ruled out: a part of the id's text for the start (it would change ranks, and what is sent as the expected server).

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,6 +1,6 @@
 //! One attempt at one backend server: sent once, and every failure says what is known of it.
 
-use std::{net::SocketAddr, time::Instant};
+use std::time::Instant;
 
 use http::Method;
 
@@ -40,8 +40,6 @@
     pub head: ResponseHead,
     /// What the head says beside the answer.
     pub words: ServerWords,
-    /// Address of the server.
-    pub address: SocketAddr,
     conn: Conn,
     body: BodyReader,
     request_whole: bool,
@@ -56,7 +54,6 @@
 /// The fault says whether the request can have run.
 pub fn send(
     mut conn: Conn,
-    address: SocketAddr,
     request: &Request,
     outgoing: &Outgoing<'_>,
     wait: &HeadWait<'_>,
@@ -79,7 +76,7 @@
         let mut body = BodyReader::new(framing);
         let own = words.request_id.as_deref().is_none_or(|id| id == request.asked.id);
         if own {
-            return Ok(ServerAnswer { head, words, address, conn, body, request_whole });
+            return Ok(ServerAnswer { head, words, conn, body, request_whole });
         }
         // A second answer to an earlier request; this request's own comes behind it.
         log::warn!("event=foreign_answer request={} server={}", request.asked.id, outgoing.server);
--- a/src/gateway/flight.rs
+++ b/src/gateway/flight.rs
@@ -3,7 +3,11 @@
 use std::time::{Duration, Instant};
 
 use super::{Gateway, exchange::ServerAnswer};
-use crate::{contract::outcome::Outcome, names::ServerId, routing::Picked, utils::sync::lock};
+use crate::{
+    contract::outcome::Outcome,
+    routing::{Incarnation, Picked},
+    utils::sync::lock,
+};
 
 /// How a request ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -22,7 +26,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct Decided {
     /// Last server that it was sent to.
-    pub server: ServerId,
+    pub server: Incarnation,
     /// The server's place in the request's rank.
     pub rank: usize,
     /// Its load as believed, in requests.
@@ -54,7 +58,7 @@
     /// The instance.
     pub gateway: &'g Gateway,
     /// The server.
-    pub server: ServerId,
+    pub server: Incarnation,
 }
 
 impl Drop for Flight<'_> {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -20,8 +20,7 @@
         answer::{AnswerNote, send_whole},
         http1::Conn,
     },
-    names::ServerId,
-    routing::{AnswerTimes, Picked, RouteKind, Unpicked, Wanted},
+    routing::{AnswerTimes, Incarnation, Picked, RouteKind, Unpicked, Wanted},
     utils::sync::lock,
 };
 
@@ -55,7 +54,7 @@
     pub gateway: &'a Gateway,
     /// The request.
     pub request: &'a Request,
-    tried: Vec<ServerId>,
+    tried: Vec<Incarnation>,
     /// Servers that may have run it.
     runs: u32,
     /// Times that it may have arrived somewhere.
@@ -239,7 +238,7 @@
         let (gateway, request) = (self.gateway, self.request);
         let server = &picked.server;
         let once = !request.route.kind.may_run_again();
-        let kept = gateway.conns.take(server.address, once);
+        let kept = gateway.conns.take(&server.id, once);
         let conn = match kept {
             Some(conn) => conn,
             None => gateway
@@ -250,7 +249,7 @@
         let now = gateway.clock.now();
         let outgoing = Outgoing {
             left: request.until.saturating_duration_since(now),
-            server: &server.id,
+            server: &server.id.server,
             team: request.team.as_ref(),
             priority: request.priority,
             last_event,
@@ -280,7 +279,7 @@
             self.longer_patience(&server.id)
         };
         let wait = HeadWait { until: silence.until(patience), longer: &longer };
-        let answer = exchange::send(conn, server.address, request, &outgoing, &wait, watched)?;
+        let answer = exchange::send(conn, request, &outgoing, &wait, watched)?;
         silence.ended();
         let head = gateway.clock.now();
         self.take_words(picked, &answer)?;
@@ -315,7 +314,7 @@
     }
 
     /// Returns until when a head is awaited before another server is tried.
-    fn patience(&self, now: Instant, server: &ServerId) -> Instant {
+    fn patience(&self, now: Instant, server: &Incarnation) -> Instant {
         let route = &self.request.route;
         if !self.could_go_elsewhere(now, server) {
             return self.request.until;
@@ -331,7 +330,7 @@
     /// another server is to be tried now, or no time is left.
     ///
     /// What was free elsewhere when the wait began, a server or a repeat, may have been taken since.
-    fn longer_patience(&self, server: &ServerId) -> Option<Instant> {
+    fn longer_patience(&self, server: &Incarnation) -> Option<Instant> {
         let now = self.gateway.clock.now();
         if now >= self.request.until || self.could_go_elsewhere(now, server) {
             return None;
@@ -341,7 +340,7 @@
 
     /// Returns whether a request that `server` is slow with could be sent to another one: giving
     /// it up without that would only lose it.
-    pub fn could_go_elsewhere(&self, now: Instant, server: &ServerId) -> bool {
+    pub fn could_go_elsewhere(&self, now: Instant, server: &Incarnation) -> bool {
         let route = &self.request.route;
         let runs_left = route.kind.may_run_again() && self.runs + 1 < route.max_attempts;
         if !runs_left || self.tried.len() + 1 >= CONNECTS_MAX {
@@ -379,7 +378,7 @@
             headers: adapter::answers::passed_on(&answer.head),
             body,
         };
-        self.keep_connection(answer);
+        self.keep_connection(&picked.server.id, answer);
         if whole.status.is_server_error() {
             lock(&self.gateway.picker).bad(self.gateway.clock.now(), &picked.server.id);
             self.tried.push(picked.server.id.clone());
@@ -417,11 +416,11 @@
     }
 
     /// Keeps the connection of an answer that was read to its end.
-    pub fn keep_connection(&self, answer: ServerAnswer) {
-        let (address, kept_for) = (answer.address, answer.words.kept_for);
+    pub fn keep_connection(&self, server: &Incarnation, answer: ServerAnswer) {
+        let kept_for = answer.words.kept_for;
         let Some(conn) = answer.into_reusable() else { return };
         let most = self.gateway.connections_of(&self.request.service);
-        self.gateway.conns.keep(address, conn, kept_for, most);
+        self.gateway.conns.keep(server, conn, kept_for, most);
     }
 
     /// Notes that the caller gets the first bytes of a server's answer now.
--- a/src/gateway/knowledge.rs
+++ b/src/gateway/knowledge.rs
@@ -10,8 +10,8 @@
 
 use crate::{
     routing::{
-        BackendServer, ChangeFault, Confirmed, Intent, IntentChange, IntentHistory, IntentInForce,
-        IntentWatch, ListHistory, ListNews, ListVersion, PackedChange, Roster,
+        BackendServer, ChangeFault, Confirmed, Incarnation, Intent, IntentChange, IntentHistory,
+        IntentInForce, IntentWatch, ListHistory, ListNews, ListVersion, PackedChange, Roster,
         roster::RosterChange,
     },
     utils::sync::lock,
@@ -193,13 +193,19 @@
         change
     }
 
+    /// Notes that the entries of servers have been overwritten by something that is not understood.
+    pub fn overwritten<'k>(&self, keys: impl Iterator<Item = &'k str>) {
+        let mut roster = lock(&self.roster);
+        keys.for_each(|key| roster.overwritten(key));
+    }
+
     /// Runs `f` with the servers in force.
     pub fn with_servers<T>(&self, f: impl FnOnce(&Roster) -> T) -> T {
         f(&lock(&self.roster))
     }
 
     /// Forgets a server whose address answered as another one.
-    pub fn forget_server(&self, id: &crate::names::ServerId) {
+    pub fn forget_server(&self, id: &Incarnation) {
         lock(&self.roster).forget(id);
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 pub mod server_conns;
 pub mod settings;
 pub mod silence;
+pub mod skipped_log;
 pub mod spread;
 pub mod stream;
 
@@ -43,8 +44,8 @@
     clock::Clock,
     link::caller::Listener,
     metrics::Metrics,
-    names::{ServerId, ServiceName},
-    routing::{CallKind, Picked, Picker, RetryBudget, StoreShare, Unpicked, Wanted},
+    names::ServiceName,
+    routing::{CallKind, Incarnation, Picked, Picker, RetryBudget, StoreShare, Unpicked, Wanted},
     utils::{sync::lock, usage::Usage},
 };
 
@@ -170,15 +171,15 @@
 
     /// Takes over a changed list of servers.
     pub fn servers_changed(&self) {
-        let known: HashSet<SocketAddr> = self.knowledge.with_servers(|roster| {
+        let known: HashSet<Incarnation> = self.knowledge.with_servers(|roster| {
             lock(&self.picker).set_servers(roster.servers());
-            roster.servers().map(|server| server.address).collect()
+            roster.servers().map(|server| server.id.clone()).collect()
         });
-        self.conns.retain(|address| known.contains(address));
+        self.conns.retain(|server| known.contains(server));
     }
 
     /// Forgets a server whose address answered as another one.
-    pub fn forget_server(&self, id: &ServerId) {
+    pub fn forget_server(&self, id: &Incarnation) {
         self.knowledge.forget_server(id);
         self.servers_changed();
     }
--- a/src/gateway/roster_reader.rs
+++ b/src/gateway/roster_reader.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use super::{Gateway, peers};
+use super::{Gateway, peers, skipped_log::SkippedLog};
 use crate::{
     adapter::{calls::SERVER_TABLE, servers, store::StoreFault},
     routing::{BackendServer, roster::RosterChange},
@@ -19,13 +19,14 @@
 /// instance, and only when their news stop where it relies on others.
 pub fn run(gateway: &Arc<Gateway>) {
     let mut lost = false;
+    let mut skipped = SkippedLog::default();
     loop {
         let began = gateway.clock.now();
         if let Some(pause) = pause_for_news(gateway, began) {
             thread::sleep(pause);
             continue;
         }
-        match read(gateway) {
+        match read(gateway, &mut skipped) {
             Ok(()) => {
                 if lost {
                     lost = false;
@@ -60,11 +61,14 @@
 /// # Errors
 ///
 /// The store cannot be read.
-pub fn read(gateway: &Gateway) -> Result<(), StoreFault> {
+fn read(gateway: &Gateway, skipped: &mut SkippedLog) -> Result<(), StoreFault> {
     let as_of = gateway.clock.now();
     let rows = gateway.store.rows(SERVER_TABLE)?;
     gateway.store_answered();
-    take(gateway, servers::decode_all(&rows.rows), as_of, "store");
+    let entries = servers::decode_all(&rows.rows);
+    skipped.tell(&entries.skipped);
+    gateway.knowledge.overwritten(entries.skipped.iter().map(|entry| entry.key.as_str()));
+    take(gateway, entries.servers, as_of, "store");
     Ok(())
 }
 
@@ -81,6 +85,7 @@
     for (what, ids) in [
         ("server_added", &change.added),
         ("server_leaving", &change.leaving),
+        ("server_changed", &change.changed),
         ("server_gone", &change.gone),
     ] {
         for id in ids {
--- a/src/gateway/server_conns.rs
+++ b/src/gateway/server_conns.rs
@@ -13,6 +13,7 @@
 use crate::{
     clock::Clock,
     link::http1::{Conn, conn::ConnState},
+    routing::Incarnation,
     utils::sync::lock,
 };
 
@@ -44,9 +45,9 @@
     usable_for: Duration,
 }
 
-/// Idle connections by address.
+/// Idle connections by server: one that starts again has none of those that it had.
 pub struct ServerConns {
-    idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
+    idle: Mutex<HashMap<Incarnation, Vec<Idle>>>,
     clock: Clock,
     instances: AtomicUsize,
 }
@@ -63,15 +64,15 @@
     }
 
     /// Returns a kept connection, if one is sure enough for the request.
-    pub fn take(&self, address: SocketAddr, once: bool) -> Option<Conn> {
+    pub fn take(&self, server: &Incarnation, once: bool) -> Option<Conn> {
         let now = self.clock.now();
         loop {
-            let kept = lock(&self.idle).get_mut(&address)?.pop()?;
+            let kept = lock(&self.idle).get_mut(server)?.pop()?;
             let age = now.saturating_duration_since(kept.since);
             let most = if once { kept.usable_for.min(IDLE_ONCE) } else { kept.usable_for };
             if age >= most {
                 // The others are older still.
-                lock(&self.idle).remove(&address);
+                lock(&self.idle).remove(server);
                 return None;
             }
             if kept.conn.state() == ConnState::Open {
@@ -95,14 +96,20 @@
     /// Keeps a connection whose answer was read to its end.
     ///
     /// `most` is how many connections the server takes from all instances.
-    pub fn keep(&self, address: SocketAddr, mut conn: Conn, kept_for: Option<Duration>, most: u32) {
+    pub fn keep(
+        &self,
+        server: &Incarnation,
+        mut conn: Conn,
+        kept_for: Option<Duration>,
+        most: u32,
+    ) {
         conn.give_back_buffer();
         let usable_for = kept_for.map_or(IDLE_UNSAID, |time| time.mul_f64(IDLE_SHARE));
         // Half of an instance's part stays free for requests in flight.
         let part = most as usize / (2 * self.instances.load(Ordering::Relaxed));
         let now = self.clock.now();
         let mut idle = lock(&self.idle);
-        let conns = idle.entry(address).or_default();
+        let conns = idle.entry(server.clone()).or_default();
         // The last one kept is the first one taken, so the oldest may never be looked at again.
         conns.retain(|kept| now.saturating_duration_since(kept.since) < kept.usable_for);
         if conns.len() < part.clamp(1, IDLE_MAX) {
@@ -110,8 +117,8 @@
         }
     }
 
-    /// Drops the connections to addresses that `known` does not name.
-    pub fn retain(&self, known: impl Fn(&SocketAddr) -> bool) {
-        lock(&self.idle).retain(|address, _| known(address));
+    /// Drops the connections to servers that `known` does not name.
+    pub fn retain(&self, known: impl Fn(&Incarnation) -> bool) {
+        lock(&self.idle).retain(|server, _| known(server));
     }
 }
--- a/src/gateway/silence.rs
+++ b/src/gateway/silence.rs
@@ -7,7 +7,7 @@
 };
 
 use super::Gateway;
-use crate::{names::ServerId, utils::sync::lock};
+use crate::{routing::Incarnation, utils::sync::lock};
 
 /// How late a wait may end for its silence to count: later, this instance itself stood still or is short of
 /// processor time, and the answer may be there.
@@ -16,7 +16,7 @@
 /// A wait for a server's next bytes.
 pub struct Silence<'g> {
     gateway: &'g Gateway,
-    server: &'g ServerId,
+    server: &'g Incarnation,
     /// When the silence speaks against the server.
     from: Option<Instant>,
     looked: Cell<bool>,
@@ -25,7 +25,11 @@
 
 impl<'g> Silence<'g> {
     /// Returns a wait that speaks against `server` from `from` on; `None` where no wait does.
-    pub fn new(gateway: &'g Gateway, server: &'g ServerId, from: Option<Instant>) -> Silence<'g> {
+    pub fn new(
+        gateway: &'g Gateway,
+        server: &'g Incarnation,
+        from: Option<Instant>,
+    ) -> Silence<'g> {
         Silence { gateway, server, from, looked: Cell::new(false), counted: Cell::new(false) }
     }
 
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -77,7 +77,8 @@
             Brought::End => {
                 let Opened { picked, sent, head, .. } = &source.opened;
                 forwarding.note_good(picked, *sent, *head);
-                forwarding.keep_connection(source.opened.answer);
+                let Opened { answer, picked, .. } = source.opened;
+                forwarding.keep_connection(&picked.server.id, answer);
                 let sent = writer.end().is_ok();
                 return ended(sent && keep, "answered");
             }
--- a/src/names.rs
+++ b/src/names.rs
@@ -173,7 +173,7 @@
     ServiceName
 );
 label!(
-    /// One incarnation of a backend server: a restart has another id.
+    /// A backend server; after a restart it may have the id that it had.
     ServerId
 );
 label!(
--- a/src/routing/pick.rs
+++ b/src/routing/pick.rs
@@ -2,8 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::BackendServer;
-use crate::names::{ServerId, ServiceName};
+use super::{BackendServer, Incarnation};
+use crate::names::ServiceName;
 
 /// What the caller's request wants.
 #[derive(Debug)]
@@ -15,7 +15,7 @@
     /// Hash by which requests without a shared prompt are spread among servers that are as good.
     pub spread: u64,
     /// Servers that must not be used again.
-    pub tried: &'a [ServerId],
+    pub tried: &'a [Incarnation],
     /// Rank of a request that may be refused beyond capacity; `None` for one that has gone out already.
     pub admission: Option<u8>,
 }
@@ -63,7 +63,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct Crowded {
     /// The server.
-    pub server: ServerId,
+    pub server: Incarnation,
     /// Its load at the last exchange, in requests.
     pub load: f64,
     /// The limit, in requests.
--- a/src/routing/picker.rs
+++ b/src/routing/picker.rs
@@ -13,13 +13,13 @@
 use indexmap::IndexMap;
 
 use super::{
-    BackendServer, Count, Crowded, FleetPosition, Health, Load, LoadReport, Overload, Picked,
-    ServiceLoad, Unpicked, Wanted,
+    BackendServer, Count, Crowded, FleetPosition, Health, Incarnation, Load, LoadReport, Overload,
+    Picked, ServiceLoad, Unpicked, Wanted,
     load::{LoadBounds, aim},
     overload::FleetTotal,
 };
 use crate::{
-    names::{ServerId, ServiceName, Tag, ZoneName},
+    names::{ServiceName, Tag, ZoneName},
     zone::rendezvous,
 };
 
@@ -59,7 +59,7 @@
 /// Loads and health of all backend servers, as this instance sees them.
 #[derive(Debug)]
 pub struct Picker {
-    servers: IndexMap<ServerId, Tracked>,
+    servers: IndexMap<Incarnation, Tracked>,
     zone: ZoneName,
     /// The operator's bound on an engine's load, as a multiple of the mean.
     load_bound: f64,
@@ -85,7 +85,8 @@
         self.position
     }
 
-    /// Takes the list of servers in force; what is known of those that stay is kept.
+    /// Takes the list of servers in force; what is known of those that stay is kept, and nothing of those that
+    /// started again.
     pub fn set_servers<'a>(&mut self, list: impl Iterator<Item = &'a Arc<BackendServer>>) {
         let mut former = std::mem::take(&mut self.servers);
         for server in list {
@@ -177,7 +178,7 @@
     /// saw the same free place, all would take it.
     fn has_own_place(&self, now: Instant, tracked: &Tracked) -> bool {
         let Some(slots) = tracked.server.slots else { return true };
-        let turn = self.turn(tracked.server.tag());
+        let turn = self.turn(tracked.server.place());
         let allotted = tracked.load.allotted(now, f64::from(slots), self.position, turn);
         allotted.is_none_or(|more| more > 0.0)
     }
@@ -197,7 +198,7 @@
     }
 
     /// Notes that a request goes to `id`.
-    pub fn begin(&mut self, now: Instant, id: &ServerId) {
+    pub fn begin(&mut self, now: Instant, id: &Incarnation) {
         self.with(id, |t| {
             t.load.begin();
             t.health.begin(now);
@@ -205,12 +206,12 @@
     }
 
     /// Notes that a request at `id` ended.
-    pub fn end(&mut self, id: &ServerId) {
+    pub fn end(&mut self, id: &Incarnation) {
         self.with(id, |t| t.load.end());
     }
 
     /// Takes what a server says of its load.
-    pub fn report(&mut self, now: Instant, id: &ServerId, report: LoadReport) {
+    pub fn report(&mut self, now: Instant, id: &Incarnation, report: LoadReport) {
         self.with(id, |t| t.load.report(now, report));
     }
 
@@ -253,18 +254,18 @@
     }
 
     /// Notes a good answer.
-    pub fn good(&mut self, now: Instant, id: &ServerId) {
+    pub fn good(&mut self, now: Instant, id: &Incarnation) {
         self.with(id, |t| t.health.good(now));
     }
 
     /// Notes a failed answer.
-    pub fn bad(&mut self, now: Instant, id: &ServerId) {
+    pub fn bad(&mut self, now: Instant, id: &Incarnation) {
         self.with(id, |t| t.health.bad(now));
     }
 
     /// Notes a request at `id` that has waited for a byte for longer than nearly all do; returns whether
     /// the server has come to count as silent.
-    pub fn silent(&mut self, now: Instant, id: &ServerId) -> bool {
+    pub fn silent(&mut self, now: Instant, id: &Incarnation) -> bool {
         let Some(service) = self.servers.get(id).map(|t| t.server.service.clone()) else {
             return false;
         };
@@ -284,7 +285,7 @@
     }
 
     /// Notes that a request that counted as waiting in vain at `id` was answered after all.
-    pub fn spoke(&mut self, now: Instant, id: &ServerId) {
+    pub fn spoke(&mut self, now: Instant, id: &Incarnation) {
         self.with(id, |t| t.health.spoke(now));
     }
 
@@ -308,7 +309,7 @@
     /// Takes the word of other instances that servers are silent.
     pub fn told_silent(&mut self, now: Instant, silent: &[Tag]) {
         let told = |t: &&Tracked| silent.contains(&t.server.tag());
-        let ids: Vec<ServerId> =
+        let ids: Vec<Incarnation> =
             self.servers.values().filter(told).map(|t| t.server.id.clone()).collect();
         for id in ids {
             let Some(tracked) = self.servers.get(&id) else { continue };
@@ -320,12 +321,12 @@
     }
 
     /// Notes that a server could not be reached.
-    pub fn unreachable(&mut self, now: Instant, id: &ServerId) {
+    pub fn unreachable(&mut self, now: Instant, id: &Incarnation) {
         self.with(id, |t| t.health.unreachable(now));
     }
 
     /// Returns this instance's requests in flight, by server.
-    pub fn in_flight(&self) -> impl Iterator<Item = (&ServerId, u32)> {
+    pub fn in_flight(&self) -> impl Iterator<Item = (&Incarnation, u32)> {
         self.servers.iter().map(|(id, t)| (id, t.load.own()))
     }
 
@@ -334,7 +335,7 @@
         self.servers.values().any(|t| t.server.service == *service && !t.server.leaving)
     }
 
-    fn with(&mut self, id: &ServerId, change: impl FnOnce(&mut Tracked)) {
+    fn with(&mut self, id: &Incarnation, change: impl FnOnce(&mut Tracked)) {
         if let Some(tracked) = self.servers.get_mut(id) {
             change(tracked);
         }
@@ -362,10 +363,10 @@
         let loads: Vec<f64> = pool.iter().map(|t| t.load.estimate(now, usual)).collect();
         let mean = loads.iter().sum::<f64>() / loads.len().max(1) as f64;
         let bound = self.bounds(mean).spill;
-        let rank = rendezvous::ranked(key, pool.iter().map(|t| (t.server.tag(), 1.0)));
+        let rank = rendezvous::ranked(key, pool.iter().map(|t| (t.server.place(), 1.0)));
         let home_crowded = rank.first().is_some_and(|&i| pool[i].load.is_crowded(now));
         let room = |&i: &usize| {
-            let (load, turn) = (&pool[i].load, self.turn(pool[i].server.tag()));
+            let (load, turn) = (&pool[i].load, self.turn(pool[i].server.place()));
             let crowded = home_crowded || load.is_crowded(now);
             let allotted =
                 if crowded { load.allotted(now, aim(bound), self.position, turn) } else { None };
@@ -420,7 +421,7 @@
                 && t.server.id != picked.id
                 && !t.health.is_paused(now)
         };
-        let score = |t: &Tracked| rendezvous::score(key, t.server.tag(), 1.0);
+        let score = |t: &Tracked| rendezvous::score(key, t.server.place(), 1.0);
         let best =
             self.servers.values().filter(reachable).max_by(|a, b| score(a).total_cmp(&score(b)));
         best.map(|t| Arc::clone(&t.server))
@@ -443,7 +444,7 @@
             let weight = if server.zone == self.zone { 1.0 } else { OTHER_ZONE_WEIGHT };
             // Of its own requests an instance knows for sure.
             let own = f64::from(pool[at].load.own());
-            rendezvous::score(wanted.spread, server.tag(), weight / (1.0 + own))
+            rendezvous::score(wanted.spread, server.place(), weight / (1.0 + own))
         };
         let near = (0..pool.len()).filter(|&at| cost(at) <= least + strays);
         let at = near.max_by(|a, b| score(a).total_cmp(&score(b)))?;
--- a/src/routing/roster.rs
+++ b/src/routing/roster.rs
@@ -1,6 +1,7 @@
 //! Backend servers as the platform lists them.
 
 use std::{
+    collections::HashMap,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -8,8 +9,8 @@
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
 
+use super::Incarnation;
 use crate::names::{ServerId, ServiceName, Tag, ZoneName};
 
 /// How long entries missing from the first lists after an outage are still believed: entries that
@@ -25,8 +26,8 @@
 /// One incarnation of a backend server.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BackendServer {
-    /// Id of the incarnation.
-    pub id: ServerId,
+    /// Which server, and which start of it.
+    pub id: Incarnation,
     /// Service that it serves.
     pub service: ServiceName,
     /// Where it listens.
@@ -40,16 +41,21 @@
 }
 
 impl BackendServer {
-    /// Returns the tag that stands for the server in rendezvous hashing.
+    /// Returns the tag that stands for the incarnation in messages between instances.
     pub fn tag(&self) -> Tag {
-        Tag(xxh3_64(self.id.as_str().as_bytes()) as u32)
+        self.id.tag()
+    }
+
+    /// Returns the tag that stands for the server in rendezvous hashing, whenever it started.
+    pub fn place(&self) -> Tag {
+        self.id.place()
     }
 }
 
 /// The list in force, with how sure it is.
 #[derive(Debug, Default)]
 pub struct Roster {
-    servers: IndexMap<ServerId, Arc<BackendServer>>,
+    servers: IndexMap<Incarnation, Arc<BackendServer>>,
     /// When the list in force was current at its source.
     as_of: Option<Instant>,
     /// Until when missing entries are kept.
@@ -60,11 +66,13 @@
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct RosterChange {
     /// Servers that came.
-    pub added: Vec<ServerId>,
+    pub added: Vec<Incarnation>,
     /// Servers that began to leave.
-    pub leaving: Vec<ServerId>,
+    pub leaving: Vec<Incarnation>,
+    /// Servers that say something else of themselves: another address, that they no longer leave.
+    pub changed: Vec<Incarnation>,
     /// Servers that are gone.
-    pub gone: Vec<ServerId>,
+    pub gone: Vec<Incarnation>,
 }
 
 impl Roster {
@@ -84,14 +92,23 @@
         self.as_of = Some(as_of);
         let keeps = self.keep_missing_until.is_some_and(|until| now < until);
         let mut change = RosterChange::default();
-        let mut servers: IndexMap<ServerId, Arc<BackendServer>> = IndexMap::new();
+        let mut servers: IndexMap<Incarnation, Arc<BackendServer>> = IndexMap::new();
+        let starts: HashMap<&ServerId, &Arc<BackendServer>> =
+            self.servers.values().map(|known| (&known.id.server, known)).collect();
         for server in list {
+            let started = starts.get(&server.id.server);
+            if let Some(&later) = started.filter(|known| server.id.is_before(&known.id)) {
+                // What an earlier start wrote of itself came late.
+                servers.insert(later.id.clone(), Arc::clone(later));
+                continue;
+            }
             let known = self.servers.get(&server.id);
             match known {
                 None => change.added.push(server.id.clone()),
                 Some(known) if !known.leaving && server.leaving => {
                     change.leaving.push(server.id.clone());
                 }
+                Some(known) if **known != server => change.changed.push(server.id.clone()),
                 Some(_) => {}
             }
             let shared = match known {
@@ -104,8 +121,11 @@
             if servers.contains_key(id) {
                 continue;
             }
-            // An address in use by a listed server cannot still be the missing one's.
-            let replaced = servers.values().any(|listed| listed.address == server.address);
+            // A server that started again is not what it was, and an address in use by a listed server cannot
+            // still be the missing one's.
+            let replaced = servers.values().any(|listed| {
+                listed.address == server.address || listed.id.server == server.id.server
+            });
             if keeps && !server.leaving && !replaced {
                 servers.insert(id.clone(), Arc::clone(server));
             } else {
@@ -116,8 +136,17 @@
         change
     }
 
+    /// Notes that the entry of a server has been overwritten by something that is not understood: the server is
+    /// missing from the next list, and is not kept.
+    pub fn overwritten(&mut self, key: &str) {
+        let known = self.servers.values_mut().find(|known| known.id.server.as_str() == key);
+        if let Some(server) = known {
+            Arc::make_mut(server).leaving = true;
+        }
+    }
+
     /// Forgets one server until a list shows another entry with its address or id again.
-    pub fn forget(&mut self, id: &ServerId) {
+    pub fn forget(&mut self, id: &Incarnation) {
         self.servers.shift_remove(id);
     }
 
--- a/src/routing/server_list.rs
+++ b/src/routing/server_list.rs
@@ -8,8 +8,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::BackendServer;
-use crate::names::ServerId;
+use super::{BackendServer, Incarnation};
 
 /// Lists remembered; an instance that is further behind gets the whole list. Lists change about
 /// once a second at the most, and instances ask several times as often.
@@ -33,7 +32,7 @@
         /// Entries that are new or changed.
         put: Vec<BackendServer>,
         /// Entries that are gone.
-        gone: Vec<ServerId>,
+        gone: Vec<Incarnation>,
     },
     /// The whole list.
     Whole(Vec<BackendServer>),
@@ -83,8 +82,9 @@
         }
         let known = self.lists.iter().find(|(known, _)| Some(*known) == version);
         let Some((_, old)) = known else { return ListNews::Whole(list.to_vec()) };
-        let before: HashMap<&ServerId, &BackendServer> = old.iter().map(|s| (&s.id, s)).collect();
-        let after: HashSet<&ServerId> = list.iter().map(|s| &s.id).collect();
+        let before: HashMap<&Incarnation, &BackendServer> =
+            old.iter().map(|s| (&s.id, s)).collect();
+        let after: HashSet<&Incarnation> = list.iter().map(|s| &s.id).collect();
         let changed = |s: &&BackendServer| before.get(&s.id) != Some(s);
         let put = list.iter().filter(changed).cloned().collect();
         let gone = old.iter().map(|s| &s.id).filter(|id| !after.contains(id)).cloned().collect();
--- a/tests/suite/bodies.rs
+++ b/tests/suite/bodies.rs
@@ -13,7 +13,6 @@
     gateway::{GatewayHandle, settings::GatewaySettings},
     link::http1::Conn,
 };
-use serde_json::json;
 use standins::{caller::Call, fault::Fault};
 
 use crate::{
@@ -212,12 +211,13 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
         world.store.remove("servers", &world.servers[0].id);
-        let entry = json!({"service": "app", "address": address.to_string(), "zone": "north"});
+        let mut entry = world.servers[0].entry("app", "ready");
+        entry["address"] = address.to_string().into();
         world.store.put("servers", "early", &entry);
         let knowledge = || {
             let gateway = world.instance.gateway();
             let listed = |id: &str| {
-                gateway.knowledge.with_servers(|r| r.servers().any(|s| s.id.as_str() == id))
+                gateway.knowledge.with_servers(|r| r.servers().any(|s| s.id.server.as_str() == id))
             };
             gateway.knowledge.version() == 9 && listed("early") && !listed("s0")
         };
--- a/tests/suite/herding.rs
+++ b/tests/suite/herding.rs
@@ -6,10 +6,7 @@
     time::{Duration, Instant},
 };
 
-use cartvane::{
-    names::ServerId,
-    routing::{Aggregate, BackendServer, FleetPosition, Picker, Wanted},
-};
+use cartvane::routing::{Aggregate, BackendServer, FleetPosition, Incarnation, Picker, Wanted};
 
 /// The operator's bound, and the requests beyond it that do not count.
 const BOUND: (f64, f64) = (2.0, 3.0);
@@ -97,7 +94,7 @@
     fn call(&mut self, now: Instant, caller: usize, judged: bool) {
         let instance = caller % self.case.instances;
         self.spread = self.spread.wrapping_mul(6364136223846793005).wrapping_add(1);
-        let id = |at: usize| -> ServerId { self.servers[at].id.clone() };
+        let id = |at: usize| -> Incarnation { self.servers[at].id.clone() };
         if let Some(at) = self.at[caller].take() {
             self.loads[at] -= 1;
             self.pickers[instance].end(&id(at));
--- a/tests/suite/incarnations.rs
+++ b/tests/suite/incarnations.rs
@@ -1,12 +1,28 @@
 //! A backend server that starts again under the id that it had: what was known of it belongs to the incarnation
 //! before.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
+use cartvane::{
+    adapter::{servers, store::StoreRow},
+    gateway::skipped_log::SkippedLog,
+    routing::{
+        Aggregate, BackendServer, ListHistory, ListNews, ListVersion, Picker, Roster, Wanted,
+    },
+};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed, TestRunner},
+};
 use serde_json::{Value, json};
 use standins::{fault::Fault, listed::Listed};
 
 use crate::{
+    routing::server,
     support::eventually,
     world::{World, call, start},
 };
@@ -113,3 +129,203 @@
     eventually("the server is not used", || servers_in_use(&world) == 0);
     assert_eq!(under_way.join().expect("an answer").status, 200);
 }
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn picker(list: &[BackendServer]) -> Picker {
+    let mut picker = Picker::new("north".parse().expect("a zone"), 2.0);
+    picker.set_servers(list.iter().cloned().map(Arc::new).collect::<Vec<_>>().iter());
+    picker
+}
+
+fn set(picker: &mut Picker, list: &[BackendServer]) {
+    picker.set_servers(list.iter().cloned().map(Arc::new).collect::<Vec<_>>().iter());
+}
+
+// Requests under way at the incarnation before counted against the next one, which has none of them, and its
+// failures paused the next one for up to four seconds.
+#[test]
+fn what_is_known_of_an_incarnation_says_nothing_of_the_next() {
+    let now = Instant::now();
+    let (before, after) = (server("a@1000", 1), server("a@2000", 1));
+    let mut picker = picker(&[before.clone(), server("b@1000", 2)]);
+    (0..3).for_each(|_| picker.begin(now, &before.id));
+    (0..3).for_each(|_| picker.unreachable(now, &before.id));
+    assert_eq!(picker.own_counts().len(), 1);
+    assert_eq!(picker.own_silent(now).len(), 1);
+    set(&mut picker, &[after.clone(), server("b@1000", 2)]);
+    assert!(picker.own_counts().is_empty() && picker.own_silent(now).is_empty());
+    picker.begin(now, &after.id);
+    (0..3).for_each(|_| picker.end(&before.id));
+    let counts: Vec<u32> = picker.own_counts().iter().map(|(_, count)| *count).collect();
+    assert_eq!(counts, [1], "what ends at the one before is not the other's");
+    picker.bad(now, &before.id);
+    picker.told_silent(now, &[before.tag()]);
+    let service = "llm".parse().expect("a name");
+    let tried = [server("b@1000", 2).id];
+    let wanted =
+        Wanted { service: &service, affinity: None, spread: 5, tried: &tried, admission: None };
+    assert_eq!(picker.pick(now, &wanted).expect("a server").server.id, after.id);
+}
+
+#[test]
+fn a_server_that_starts_again_keeps_its_prompts() {
+    let now = Instant::now();
+    let fleet = |born: u64| -> Vec<BackendServer> {
+        (0..20).map(|i| server(&format!("s{i}@{}", if i == 7 { born } else { 5 }), i)).collect()
+    };
+    let service = "llm".parse().expect("a name");
+    let homes = |picker: &Picker| -> Vec<String> {
+        let home = |key: u64| {
+            let wanted = Wanted {
+                service: &service,
+                affinity: Some(key),
+                spread: 5,
+                tried: &[],
+                admission: None,
+            };
+            picker.pick(now, &wanted).expect("a server").server.id.server.to_string()
+        };
+        (0..200).map(home).collect()
+    };
+    assert_eq!(homes(&picker(&fleet(5))), homes(&picker(&fleet(6))));
+}
+
+// Counts that instances tell are of one incarnation: an instance that has not heard of the next one yet tells of
+// requests that ended with the one before.
+#[test]
+fn others_counts_are_of_one_incarnation() {
+    let now = Instant::now();
+    let (before, after) = (server("a@1000", 1), server("a@2000", 1));
+    let mut aggregate = Aggregate::default();
+    aggregate.take(now, "late".parse().expect("a name"), vec![(before.tag(), 9)]);
+    aggregate.take(now, "new".parse().expect("a name"), vec![(after.tag(), 2)]);
+    let loads = aggregate.summary(now, [&after].into_iter());
+    assert_eq!(loads[0].counts, [(after.tag(), 2)]);
+}
+
+#[test]
+fn an_earlier_start_that_is_told_late_replaces_nothing() {
+    let now = Instant::now();
+    let mut roster = Roster::default();
+    let listed = |roster: &Roster| roster.servers().map(|s| s.id.to_string()).collect::<Vec<_>>();
+    roster.observe(now, now, [server("a@1000", 1)]);
+    let change = roster.observe(now + SECOND, now + SECOND, [server("a@2000", 2)]);
+    assert_eq!((change.added.len(), change.gone.len()), (1, 1));
+    let change = roster.observe(now + SECOND * 2, now + SECOND * 2, [server("a@1000", 1)]);
+    assert_eq!(listed(&roster), ["a@2000"]);
+    assert!(change.added.is_empty() && change.gone.is_empty());
+    // The clock of a server may be anywhere.
+    for born in ["a@3", "b@0", "b@18446744073709551615"] {
+        roster.observe(now + SECOND * 3, now + SECOND * 3, [server(born, 3)]);
+    }
+    let after = now + SECOND * 20;
+    roster.observe(after, after, [server("b@1", 3)]);
+    assert!(!listed(&roster).is_empty());
+}
+
+#[test]
+fn a_server_whose_entry_is_overwritten_is_not_kept_after_an_outage() {
+    let now = Instant::now();
+    let mut roster = Roster::default();
+    roster.observe(now, now, [server("a", 1), server("b", 2), server("c", 3)]);
+    let later = now + SECOND * 5;
+    roster.overwritten("b");
+    let change = roster.observe(later, later, [server("a", 1)]);
+    let left: Vec<_> = roster.servers().map(|s| s.id.to_string()).collect();
+    assert_eq!(left, ["a", "c"], "what is only missing may come back");
+    assert_eq!(change.gone, [server("b", 2).id]);
+}
+
+#[test]
+fn lists_of_different_starts_are_different_lists() {
+    let (before, after) = (vec![server("a@1000", 1)], vec![server("a@2000", 1)]);
+    assert_ne!(ListVersion::of(&before), ListVersion::of(&after));
+    let mut history = ListHistory::default();
+    history.push(before.clone());
+    history.push(after.clone());
+    let news = history.since(Some(ListVersion::of(&before)));
+    assert!(matches!(news, ListNews::Changes { .. }));
+    assert_eq!(news.apply(&before), after);
+}
+
+#[test]
+fn each_entry_that_is_skipped_is_told_once() {
+    let row = |key: &str, version| StoreRow {
+        key: key.to_owned(),
+        value: b"{".repeat(100_000),
+        version,
+        removed: false,
+    };
+    let skipped = |rows: &[StoreRow]| servers::decode_all(rows).skipped;
+    let mut log = SkippedLog::default();
+    let first = skipped(&[row("a", 1), row("b", 2)]);
+    assert!(first.iter().all(|entry| entry.reason.len() < 1000));
+    assert_eq!(log.news(&first).len(), 2);
+    assert_eq!(log.news(&first).len(), 0);
+    assert_eq!(log.news(&skipped(&[row("a", 1), row("b", 3)])).len(), 1);
+}
+
+fn odd_value() -> impl Strategy<Value = Value> {
+    let leaf = prop_oneof![
+        Just(Value::Null),
+        any::<bool>().prop_map(Value::from),
+        any::<i64>().prop_map(Value::from),
+        any::<f64>().prop_map(Value::from),
+        ".{0,40}".prop_map(Value::from),
+        Just(json!("x".repeat(10_000))),
+    ];
+    leaf.prop_recursive(60, 200, 3, |inner| {
+        prop_oneof![
+            prop::collection::vec(inner.clone(), 0..3).prop_map(Value::from),
+            prop::collection::hash_map("[a-z]{1,4}", inner, 0..3)
+                .prop_map(|map| Value::Object(map.into_iter().collect())),
+        ]
+    })
+}
+
+fn odd_row() -> impl Strategy<Value = StoreRow> {
+    let whole = json!({
+        "service": "llm", "address": "10.0.0.1:80", "zone": "z", "state": "ready",
+        "version": "v1", "slots": 8, "cold_remaining_ms": 0, "seq": 4, "born": 1000
+    });
+    let fields: Vec<String> = whole.as_object().expect("an object").keys().cloned().collect();
+    let spoiled = (prop::sample::select(fields), odd_value()).prop_map(move |(field, value)| {
+        let mut entry = whole.clone();
+        entry[field] = value;
+        entry.to_string().into_bytes()
+    });
+    let value = prop_oneof![prop::collection::vec(any::<u8>(), 0..200), spoiled];
+    (".{0,20}", value).prop_map(|(key, value)| StoreRow { key, value, version: 1, removed: false })
+}
+
+#[test]
+fn whatever_one_entry_holds_the_others_are_read() {
+    let config = Config {
+        cases: 500,
+        rng_seed: RngSeed::Fixed(29),
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let good = |key: &str| StoreRow {
+        key: key.to_owned(),
+        value: json!({
+            "service": "llm", "address": "10.0.0.7:80", "zone": "z", "state": "ready",
+            "version": "v1", "slots": 8, "cold_remaining_ms": 0, "seq": 4
+        })
+        .to_string()
+        .into_bytes(),
+        version: 1,
+        removed: false,
+    };
+    let held = TestRunner::new(config).run(&prop::collection::vec(odd_row(), 0..6), |odd| {
+        let rows: Vec<StoreRow> =
+            [good("first")].into_iter().chain(odd.clone()).chain([good("last")]).collect();
+        let entries = servers::decode_all(&rows);
+        let ids: Vec<String> = entries.servers.iter().map(|s| s.id.server.to_string()).collect();
+        prop_assert!(ids.contains(&"first".to_owned()) && ids.contains(&"last".to_owned()));
+        prop_assert_eq!(entries.servers.len() + entries.skipped.len(), odd.len() + 2);
+        Ok(())
+    });
+    held.expect("one entry hides no other");
+}
--- a/tests/suite/picking.rs
+++ b/tests/suite/picking.rs
@@ -5,10 +5,7 @@
     time::{Duration, Instant},
 };
 
-use cartvane::{
-    names::ServerId,
-    routing::{Aggregate, BackendServer, Picker, ServiceLoad, Wanted},
-};
+use cartvane::routing::{Aggregate, BackendServer, Incarnation, Picker, ServiceLoad, Wanted};
 
 use crate::routing::server;
 
@@ -29,8 +26,8 @@
     picker: &Picker,
     now: Instant,
     affinity: Option<u64>,
-    tried: &[ServerId],
-) -> Option<ServerId> {
+    tried: &[Incarnation],
+) -> Option<Incarnation> {
     let service = "llm".parse().expect("a name");
     let wanted = Wanted { service: &service, affinity, spread: 5, tried, admission: None };
     picker.pick(now, &wanted).ok().map(|picked| picked.server.id.clone())
@@ -113,7 +110,7 @@
     let now = Instant::now();
     let before = picker(&fleet(10));
     let after = picker(&fleet(11));
-    let new: ServerId = "s10".parse().expect("an id");
+    let new: Incarnation = "s10".parse().expect("an id");
     for key in 0..500 {
         let (was, is) = (pick(&before, now, Some(key), &[]), pick(&after, now, Some(key), &[]));
         assert!(was == is || is == Some(new.clone()));
@@ -126,7 +123,7 @@
     let now = Instant::now();
     let mut servers = fleet(6);
     let service = "llm".parse().expect("a name");
-    let pick = |picker: &Picker, tried: &[ServerId]| {
+    let pick = |picker: &Picker, tried: &[Incarnation]| {
         let wanted =
             Wanted { service: &service, affinity: Some(42), spread: 5, tried, admission: None };
         let picked = picker.pick(now, &wanted).expect("a server");
--- a/tests/suite/platform.rs
+++ b/tests/suite/platform.rs
@@ -131,17 +131,26 @@
         version: 1,
         removed: false,
     };
-    let good =
-        json!({"service": "llm", "address": "10.0.0.1:80", "zone": "z", "state": "draining"});
+    let good = json!({
+        "service": "llm", "address": "10.0.0.1:80", "zone": "z", "state": "draining",
+        "version": "v1", "slots": 8, "cold_remaining_ms": 0, "seq": 4, "later": {"of": ["now"]}
+    });
+    let mut born = good.clone();
+    born["born"] = 1_764_720_000_000_u64.into();
     let rows = [
         row("a", good.clone()),
         row("", good.clone()),
         row("b", json!({"service": "llm"})),
         StoreRow { removed: true, ..row("c", good) },
+        row("d", born),
     ];
-    let list = servers::decode_all(&rows);
-    assert_eq!(list.len(), 1);
+    let entries = servers::decode_all(&rows);
+    let list = &entries.servers;
+    assert_eq!(list.len(), 2);
     assert!(list[0].leaving);
+    assert_eq!(list[1].id.to_string(), "d@1764720000000");
+    let skipped: Vec<&str> = entries.skipped.iter().map(|entry| entry.key.as_str()).collect();
+    assert_eq!(skipped, ["", "b"]);
 }
 
 #[test]
--- a/tests/suite/routing.rs
+++ b/tests/suite/routing.rs
@@ -5,13 +5,10 @@
     time::{Duration, Instant},
 };
 
-use cartvane::{
-    names::ServerId,
-    routing::{
-        BackendServer, EventSplitter, Health, Intent, IntentInForce, ListHistory, ListNews, Load,
-        LoadReport, RetryBudget, Roster, Route, RouteKind, RouteTable, ServiceShare, Teams,
-        budget::BudgetTerms,
-    },
+use cartvane::routing::{
+    BackendServer, EventSplitter, Health, Incarnation, Intent, IntentInForce, ListHistory,
+    ListNews, Load, LoadReport, RetryBudget, Roster, Route, RouteKind, RouteTable, ServiceShare,
+    Teams, budget::BudgetTerms,
 };
 use indexmap::IndexMap;
 use proptest::{
@@ -34,7 +31,7 @@
 }
 
 fn ids(roster: &Roster) -> Vec<&str> {
-    roster.servers().map(|s| s.id.as_str()).collect()
+    roster.servers().map(|s| s.id.server.as_str()).collect()
 }
 
 #[test]
@@ -44,7 +41,7 @@
     roster.observe(now, now, [server("a", 1), server("b", 2)]);
     let change = roster.observe(now + SECOND, now + SECOND, [server("a", 1)]);
     assert_eq!(ids(&roster), ["a"]);
-    assert_eq!(change.gone, ["b".parse::<ServerId>().expect("an id")]);
+    assert_eq!(change.gone, ["b".parse::<Incarnation>().expect("an id")]);
 }
 
 /// hunt-b2a0-11: an instance that alone was turned away kept an entry that had truly gone.
