test(gateway): idle connections hold no thread

Fails as the code stands: 'not in time: idle connections hold no thread' with 300 idle connections at one process, which has a thread for each.

--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -12,6 +12,7 @@
 mod herding;
 mod home;
 mod home_drawn;
+mod idle_callers;
 mod incarnations;
 mod intent_changes;
 mod intent_watch;
--- a/tests/suite/process.rs
+++ b/tests/suite/process.rs
@@ -15,14 +15,14 @@
 
 use crate::support::{BINARY, eventually};
 
-const KEY: &str = "key-of-crew";
+pub(crate) const KEY: &str = "key-of-crew";
 
-struct Process {
-    child: Child,
+pub(crate) struct Process {
+    pub(crate) child: Child,
     lines: Arc<Mutex<Vec<Value>>>,
 }
 
-fn boot(store: SocketAddr) -> Value {
+pub(crate) fn boot(store: SocketAddr) -> Value {
     json!({
         "node_name": "one", "zone": "north",
         "listen": {
@@ -37,7 +37,7 @@
     })
 }
 
-fn intent() -> Value {
+pub(crate) fn intent() -> Value {
     json!({
         "version": 3,
         "routes": [{
@@ -50,7 +50,7 @@
 }
 
 impl Process {
-    fn start(path: &std::path::Path) -> Process {
+    pub(crate) fn start(path: &std::path::Path) -> Process {
         let mut child = Command::new(BINARY)
             .arg("gateway")
             .env("CARTVANE_BOOT", path)
@@ -75,7 +75,7 @@
         lines.iter().find(|line| line["event"] == name).cloned()
     }
 
-    fn wait_for(&self, name: &str) -> Value {
+    pub(crate) fn wait_for(&self, name: &str) -> Value {
         eventually(name, || self.event(name).is_some());
         self.event(name).expect("it came")
     }
@@ -94,7 +94,7 @@
     }
 }
 
-fn file(name: &str, text: &str) -> std::path::PathBuf {
+pub(crate) fn file(name: &str, text: &str) -> std::path::PathBuf {
     let path = std::env::temp_dir().join(format!("cartvane-{}-{name}.json", std::process::id()));
     std::fs::write(&path, text).expect("the file is written");
     path
