perf(link): idle connections are watched by one thread

Cause: a thread for each connection, idle or not, and seven threads of the library's server for each of readiness and metrics: 45 threads an instance.

Change: a connection on which nothing comes for 20 ms is left to one thread that watches them all (epoll, one event each) and gives it a thread of its own again when something has come. It ends by the same limits as before, and when the instance leaves. Readiness and metrics are answered by the same listener.

Weighed: the crate `polling` (a second pair of descriptors and an unsafe call for what `rustix`, in the tree, does safely); waiting in the thread for longer (connections are used every four seconds at this size, so it keeps nothing).

Before: 300 idle connections, 300 threads more (the test's time runs out). After: 12 at the most, and each connection is served when it asks, beside 40 that send half a head.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -15,7 +15,7 @@
     adapter,
     contract::outcome::Outcome,
     link::{
-        caller::linger,
+        caller::{Served, linger},
         http1::{BodyReader, Conn, HeadFault, ReadFault, RequestHead, body::BodyFraming},
     },
     names::TeamName,
@@ -33,6 +33,10 @@
 /// connection that is not read for a second.
 const START_PATIENCE: Duration = Duration::from_millis(300);
 
+/// How long a thread waits for a connection's next request before the connection is left to the watch over idle
+/// ones: a new connection's first request comes right behind it.
+const BUSY: Duration = Duration::from_millis(20);
+
 /// When to come back to an instance that does not know enough to answer.
 const RETRY_AFTER_UNKNOWING: Duration = Duration::from_millis(200);
 
@@ -63,35 +67,32 @@
     }
 }
 
-/// Serves a connection until it ends.
-pub fn serve(gateway: &Gateway, mut conn: Conn) {
+/// Serves a connection as long as one request closely follows the other.
+pub fn serve(gateway: &Gateway, mut conn: Conn) -> Served {
     // An instance that has just started knows enough within some hundredths of a second.
     gateway.knowledge.wait_complete(START_PATIENCE);
-    while wait_for_request(gateway, &mut conn) {
+    loop {
+        conn.give_back_buffer();
+        match conn.first_byte(gateway.clock.now() + BUSY) {
+            Ok(true) => {}
+            Ok(false) => return Served::Waits(conn),
+            Err(_) => return Served::Ended,
+        }
         match serve_one(gateway, &mut conn) {
             After::GoesOn => {}
-            After::Ends => return,
-            After::EndsUnread => return linger(&mut conn),
+            After::Ends => return Served::Ended,
+            After::EndsUnread => {
+                linger(&mut conn);
+                return Served::Ended;
+            }
         }
     }
 }
 
-/// Waits for a request's first byte; `false` when the connection ends without one.
-fn wait_for_request(gateway: &Gateway, conn: &mut Conn) -> bool {
-    let since = gateway.clock.now();
-    conn.give_back_buffer();
-    while conn.buffered().is_empty() {
-        let idle_time = gateway.knowledge.idle_time();
-        let idle_time = if idle_time.is_zero() { IDLE_TIME_FIRST } else { idle_time };
-        let until = since + idle_time;
-        match conn.fill_until_end(until, gateway.drain.idle_end()) {
-            Ok(()) => {}
-            // The limit may have grown meanwhile.
-            Err(ReadFault::Timeout) if gateway.knowledge.idle_time() > idle_time => {}
-            Err(_) => return false,
-        }
-    }
-    true
+/// Returns until when a caller's connection may wait for its next request that has been idle since then.
+pub fn idle_until(gateway: &Gateway, since: Instant) -> Instant {
+    let idle_time = gateway.knowledge.idle_time();
+    since + if idle_time.is_zero() { IDLE_TIME_FIRST } else { idle_time }
 }
 
 /// Serves one request.
@@ -110,7 +111,7 @@
         // The process is about to end and has not read the body; nothing has run.
         return After::Ends;
     };
-    // Only bytes are limited here: every connection has a thread, and their number has a limit.
+    // Only bytes are limited here: connections have a limit of their own.
     let Some(mut usage) = gateway.usage.enter(u32::MAX) else { return After::Ends };
     gateway.metrics.request_began();
     let body_bytes = limits.map_or(usize::MAX, |limits| limits.body_bytes);
--- a/src/gateway/drain.rs
+++ b/src/gateway/drain.rs
@@ -106,8 +106,12 @@
     }
 
     /// Returns what becomes readable when idle connections are to close.
-    pub fn idle_end(&self) -> &PipeReader {
-        &self.idle_end
+    ///
+    /// # Errors
+    ///
+    /// It cannot be duplicated.
+    pub fn idle_end(&self) -> io::Result<PipeReader> {
+        self.idle_end.try_clone()
     }
 
     /// Returns the number of requests under way.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -29,10 +29,11 @@
     net::SocketAddr,
     sync::{Arc, Mutex},
     thread,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use anyhow::Context as _;
+use http::StatusCode;
 use indexmap::IndexMap;
 
 use self::{
@@ -42,7 +43,13 @@
 use crate::{
     adapter::store::{Store, StoreFault},
     clock::Clock,
-    link::caller::Listener,
+    link::{
+        caller::{IdleRules, Listener, Served},
+        http1::Conn,
+        idle::IdleConns,
+        peer,
+        small::{self, SmallAnswer},
+    },
     metrics::Metrics,
     names::ServiceName,
     routing::{CallKind, Incarnation, Picked, Picker, RetryBudget, StoreShare, Unpicked, Wanted},
@@ -52,8 +59,12 @@
 /// Connections of other instances at once: all of a fleet of the planned size, twice.
 const PEER_CONNECTIONS: usize = 800;
 
-/// Threads that answer readiness checks.
-const SMALL_POOL: usize = 2;
+/// Connections of those who look at readiness or metrics, at once, for each: the platform's and an operator's,
+/// with room for what they leave open.
+const SMALL_CONNECTIONS: usize = 32;
+
+/// How long such a connection may be idle: a look each five seconds, twice.
+const SMALL_IDLE: Duration = Duration::from_secs(10);
 
 /// Connections to a server of a service that no intent describes.
 const CONNECTIONS_UNKNOWN: u32 = 16;
@@ -92,8 +103,8 @@
     gateway: Arc<Gateway>,
     callers: Listener,
     peers: Listener,
-    readiness: SocketAddr,
-    metrics: Option<SocketAddr>,
+    readiness: Listener,
+    metrics: Option<Listener>,
 }
 
 impl Gateway {
@@ -268,15 +279,17 @@
             store_lost: Mutex::default(),
             settings,
         });
-        let readiness = serve_readiness(&gateway)?;
-        let metrics = serve_metrics(&gateway);
-        let peers = serve_peers(&gateway)?;
+        let closing = gateway.drain.idle_end().context("cannot make a pipe")?;
+        let idle = IdleConns::spawn(clock.clone(), closing).context("cannot watch connections")?;
+        let readiness = serve_readiness(&gateway, &idle)?;
+        let metrics = serve_metrics(&gateway, &idle);
+        let peers = serve_peers(&gateway, &idle)?;
         gateway.peers.advertise(peers.address());
         background(&gateway, "intent", intent_reader::run)?;
         background(&gateway, "roster", roster_reader::run)?;
         background(&gateway, "peers", peers::run)?;
         background(&gateway, "table", instance_table::run)?;
-        let callers = serve_callers(&gateway)?;
+        let callers = serve_callers(&gateway, &idle)?;
         log::warn!(
             "event=started node={} zone={} callers={} first_start={}",
             gateway.settings.node,
@@ -304,12 +317,12 @@
 
     /// Returns the address of readiness checks.
     pub fn readiness(&self) -> SocketAddr {
-        self.readiness
+        self.readiness.address()
     }
 
     /// Returns the address of the metrics, if they are served.
     pub fn metrics(&self) -> Option<SocketAddr> {
-        self.metrics
+        self.metrics.as_ref().map(Listener::address)
     }
 
     /// Leaves: not ready at once, no request cut; returns whether every request finished.
@@ -355,52 +368,63 @@
     Ok(())
 }
 
-fn serve_readiness(gateway: &Arc<Gateway>) -> anyhow::Result<SocketAddr> {
+fn serve_readiness(gateway: &Arc<Gateway>, idle: &IdleConns) -> anyhow::Result<Listener> {
     let address = gateway.settings.addresses.readiness;
     let serving = Arc::clone(gateway);
-    serve_small(address, "readiness", move |_| {
-        let status = if serving.is_ready() { 200 } else { 503 };
-        rouille::Response::text("").with_status_code(status)
+    serve_small(gateway, idle, address, "readiness", move || {
+        let ready = serving.is_ready();
+        let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        SmallAnswer { status, text: String::new() }
     })
 }
 
 /// Serves the metrics at any path; an address that is taken costs the metrics, not the instance.
-fn serve_metrics(gateway: &Arc<Gateway>) -> Option<SocketAddr> {
+fn serve_metrics(gateway: &Arc<Gateway>, idle: &IdleConns) -> Option<Listener> {
     let serving = Arc::clone(gateway);
-    let served = serve_small(gateway.settings.addresses.metrics, "metrics", move |_| {
+    let address = gateway.settings.addresses.metrics;
+    let served = serve_small(gateway, idle, address, "metrics", move || {
         serving.show_gauges();
-        rouille::Response::text(serving.metrics.text())
+        SmallAnswer { status: StatusCode::OK, text: serving.metrics.text() }
     });
     served.inspect_err(|fault| log::error!("event=no_metrics reason=\"{fault:#}\"")).ok()
 }
 
-fn serve_peers(gateway: &Arc<Gateway>) -> anyhow::Result<Listener> {
-    let listen = gateway.settings.addresses.peers;
-    let serving = Arc::clone(gateway);
-    let serve = move |conn| peers::serve(&serving, conn);
-    Listener::bind(listen, gateway.clock.clone(), PEER_CONNECTIONS, serve, drop)
-        .with_context(|| format!("cannot listen for other instances on {listen}"))
-}
-
 fn serve_small(
+    gateway: &Gateway,
+    idle: &IdleConns,
     address: SocketAddr,
     what: &str,
-    answer: impl Fn(&rouille::Request) -> rouille::Response + Send + Sync + 'static,
-) -> anyhow::Result<SocketAddr> {
-    let server = rouille::Server::new(address, answer)
-        .map_err(|e| anyhow::anyhow!("{e}"))
-        .with_context(|| format!("cannot listen for {what} on {address}"))?
-        .pool_size(SMALL_POOL);
-    let bound = server.server_addr();
-    thread::Builder::new().name(what.to_owned()).spawn(move || server.run())?;
-    Ok(bound)
+    answer: impl Fn() -> SmallAnswer + Send + Sync + 'static,
+) -> anyhow::Result<Listener> {
+    let rules = idle_rules(idle, |since| since + SMALL_IDLE, false);
+    let serve = move |conn: Conn| small::serve(conn, &answer);
+    Listener::bind_idling(address, gateway.clock.clone(), SMALL_CONNECTIONS, rules, serve)
+        .with_context(|| format!("cannot listen for {what} on {address}"))
+}
+
+fn serve_peers(gateway: &Arc<Gateway>, idle: &IdleConns) -> anyhow::Result<Listener> {
+    let listen = gateway.settings.addresses.peers;
+    let rules = idle_rules(idle, |since| since + peer::IDLE_TIME, false);
+    let serving = Arc::clone(gateway);
+    let serve = move |conn: Conn| peers::serve(&serving, conn);
+    Listener::bind_idling(listen, gateway.clock.clone(), PEER_CONNECTIONS, rules, serve)
+        .with_context(|| format!("cannot listen for other instances on {listen}"))
 }
 
-fn serve_callers(gateway: &Arc<Gateway>) -> anyhow::Result<Listener> {
+fn serve_callers(gateway: &Arc<Gateway>, idle: &IdleConns) -> anyhow::Result<Listener> {
     let listen = gateway.settings.addresses.callers;
     let most = gateway.settings.connections;
-    let serving = Arc::clone(gateway);
-    let serve = move |conn| connection::serve(&serving, conn);
-    Listener::bind(listen, gateway.clock.clone(), most, serve, drop)
+    let (waiting, serving) = (Arc::clone(gateway), Arc::clone(gateway));
+    let rules = idle_rules(idle, move |since| connection::idle_until(&waiting, since), true);
+    let serve = move |conn: Conn| -> Served { connection::serve(&serving, conn) };
+    Listener::bind_idling(listen, gateway.clock.clone(), most, rules, serve)
         .with_context(|| format!("cannot listen for callers on {listen}"))
 }
+
+fn idle_rules(
+    watch: &IdleConns,
+    until: impl Fn(Instant) -> Instant + Send + Sync + 'static,
+    is_callers: bool,
+) -> IdleRules {
+    IdleRules { watch: watch.clone(), until: Arc::new(until), is_callers }
+}
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -22,6 +22,7 @@
     clock::Clock,
     configs::fleet::chunks::{decode, encode},
     link::{
+        caller::Served,
         http1::Conn,
         peer::{self, PeerLinks, PeerService},
         traffic::{Purpose, Traffic},
@@ -64,6 +65,10 @@
 /// Least pause between two rounds of questions.
 const ROUND_PAUSE: Duration = Duration::from_millis(300);
 
+/// How long a thread waits for the next message before the connection is left to the watch over idle ones: a new
+/// connection's first message comes right behind it, and the next one an exchange's period later.
+const BUSY: Duration = Duration::from_millis(20);
+
 /// How long an instance that others turn to goes on to read the store for them.
 const READS_FOR_OTHERS: Duration = Duration::from_millis(3000);
 
@@ -403,8 +408,8 @@
     aggregate.silent()
 }
 
-/// Serves a connection of another instance until it ends.
-pub fn serve(gateway: &Arc<Gateway>, conn: Conn) {
+/// Serves a connection of another instance as long as one message closely follows the other.
+pub fn serve(gateway: &Arc<Gateway>, conn: Conn) -> Served {
     let service = PeerService {
         accepted: None,
         timeout: EXCHANGE_TIME,
@@ -429,5 +434,5 @@
         stream: |_, _| {},
         purpose: |path| if path == OFFER_PATH { Purpose::Config } else { Purpose::Loads },
     };
-    peer::serve(conn, &service);
+    peer::serve_while_busy(conn, &service, BUSY)
 }
--- a/src/link/caller.rs
+++ b/src/link/caller.rs
@@ -1,4 +1,4 @@
-//! The callers' listener: a thread a connection.
+//! Listeners: a thread for each connection on which something is asked, none for those that are idle.
 
 use std::{
     io,
@@ -8,10 +8,16 @@
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     thread::{self, JoinHandle},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
-use crate::{clock::Clock, link::http1::Conn};
+use crate::{
+    clock::Clock,
+    link::{
+        http1::Conn,
+        idle::{Idle, IdleConns},
+    },
+};
 
 /// Stack of a connection's thread; touched only as deep as it is used.
 const STACK: usize = 512 << 10;
@@ -27,7 +33,26 @@
 /// connection that a caller leaves open.
 const DISCARD_TIME: Duration = Duration::from_secs(2);
 
-/// A running listener that serves each connection in a thread of its own.
+/// What has become of a connection.
+pub enum Served {
+    /// It has ended.
+    Ended,
+    /// It waits for its next request.
+    Waits(Conn),
+}
+
+/// How a listener's idle connections wait.
+#[derive(Clone)]
+pub struct IdleRules {
+    /// The watch over them.
+    pub watch: IdleConns,
+    /// Returns until when one may wait that has been idle since then.
+    pub until: Arc<dyn Fn(Instant) -> Instant + Send + Sync>,
+    /// Whether they end when callers' idle connections are to close.
+    pub is_callers: bool,
+}
+
+/// A running listener.
 pub struct Listener {
     address: SocketAddr,
     stopped: Arc<AtomicBool>,
@@ -44,8 +69,45 @@
     }
 }
 
+/// What serves a listener's connections.
+struct Service<S> {
+    serve: S,
+    idle: Option<IdleRules>,
+    clock: Clock,
+}
+
+impl<S: Fn(Conn) -> Served + Send + Sync + 'static> Service<S> {
+    /// Serves a connection in a thread of its own.
+    fn spawn(self: &Arc<Self>, conn: Conn, guard: OpenGuard) {
+        let service = Arc::clone(self);
+        let thread = thread::Builder::new().name("conn".to_owned()).stack_size(STACK);
+        let spawned = thread.spawn(move || {
+            if let Served::Waits(conn) = (service.serve)(conn) {
+                service.wait(conn, guard);
+            }
+        });
+        if let Err(fault) = spawned {
+            // The connection is dropped, which its caller sees.
+            log::error!("event=connection_dropped reason={fault}");
+        }
+    }
+
+    fn wait(self: &Arc<Self>, conn: Conn, guard: OpenGuard) {
+        let Some(rules) = &self.idle else { return };
+        let service = Arc::clone(self);
+        rules.watch.wait(Idle {
+            conn,
+            since: self.clock.now(),
+            until: Arc::clone(&rules.until),
+            is_callers: rules.is_callers,
+            resume: Box::new(move |conn| service.spawn(conn, guard)),
+        });
+    }
+}
+
 impl Listener {
-    /// Listens on `address` and serves up to `most` connections at once.
+    /// Listens on `address` and serves up to `most` connections at once, each in a thread of its own until it
+    /// ends.
     ///
     /// `serve` is given each connection; `refuse` those beyond `most`.
     ///
@@ -58,13 +120,46 @@
         most: usize,
         serve: impl Fn(Conn) + Send + Sync + 'static,
         refuse: impl Fn(Conn) + Send + Sync + 'static,
+    ) -> io::Result<Listener> {
+        let until_ended = move |conn| {
+            serve(conn);
+            Served::Ended
+        };
+        Listener::bind_with(address, clock, most, None, until_ended, refuse)
+    }
+
+    /// Listens on `address` and serves up to `most` connections at once; those that wait for their next request
+    /// hold no thread.
+    ///
+    /// `serve` is given a connection that is new or on which something has come; `refuse` those beyond `most`.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be listened on.
+    pub fn bind_idling(
+        address: SocketAddr,
+        clock: Clock,
+        most: usize,
+        idle: IdleRules,
+        serve: impl Fn(Conn) -> Served + Send + Sync + 'static,
+    ) -> io::Result<Listener> {
+        Listener::bind_with(address, clock, most, Some(idle), serve, drop)
+    }
+
+    fn bind_with(
+        address: SocketAddr,
+        clock: Clock,
+        most: usize,
+        idle: Option<IdleRules>,
+        serve: impl Fn(Conn) -> Served + Send + Sync + 'static,
+        refuse: impl Fn(Conn) + Send + Sync + 'static,
     ) -> io::Result<Listener> {
         let listener = TcpListener::bind(address)?;
         let address = listener.local_addr()?;
         let stopped = Arc::new(AtomicBool::new(false));
         let open = Arc::new(AtomicUsize::new(0));
         let (stop, count) = (Arc::clone(&stopped), Arc::clone(&open));
-        let serve = Arc::new(serve);
+        let service = Arc::new(Service { serve, idle, clock: clock.clone() });
         let thread = thread::Builder::new().name("accept".to_owned()).spawn(move || {
             while !stop.load(Ordering::SeqCst) {
                 let Ok((stream, _)) = listener.accept() else {
@@ -80,14 +175,7 @@
                     continue;
                 }
                 count.fetch_add(1, Ordering::SeqCst);
-                let (guard, serve) = (OpenGuard(Arc::clone(&count)), Arc::clone(&serve));
-                // A thread that cannot be made drops the connection, which the caller sees.
-                let _ = thread::Builder::new().name("conn".to_owned()).stack_size(STACK).spawn(
-                    move || {
-                        let _guard = guard;
-                        serve(conn);
-                    },
-                );
+                service.spawn(conn, OpenGuard(Arc::clone(&count)));
             }
         })?;
         Ok(Listener { address, stopped, open, thread: Some(thread) })
--- a/src/link/http1/conn.rs
+++ b/src/link/http1/conn.rs
@@ -3,7 +3,6 @@
 use std::{
     io::{self, Read, Write},
     net::{Shutdown, SocketAddr, TcpStream},
-    os::fd::AsFd,
     time::{Duration, Instant},
 };
 
@@ -180,13 +179,20 @@
         self.fill_watching(until, caller)
     }
 
-    /// Reads more bytes into the buffer, waiting until `until` or until `end` becomes readable.
+    /// Waits until `until` for the first byte of what comes next; returns whether it has come.
     ///
     /// # Errors
     ///
-    /// See [`ReadFault`]; an `end` that came first is `GivenUp`.
-    pub fn fill_until_end(&mut self, until: Instant, end: impl AsFd) -> Result<(), ReadFault> {
-        self.fill_watching(until, Some(PollFd::new(&end, PollFlags::IN)))
+    /// The connection is closed or has failed.
+    pub fn first_byte(&mut self, until: Instant) -> Result<bool, ReadFault> {
+        if !self.buffered().is_empty() {
+            return Ok(true);
+        }
+        match self.fill_watching(until, None) {
+            Ok(()) => Ok(true),
+            Err(ReadFault::Timeout) => Ok(false),
+            Err(fault) => Err(fault),
+        }
     }
 
     fn fill_watching(
@@ -334,6 +340,11 @@
         self.stream.try_clone()
     }
 
+    /// Returns the stream, to be watched.
+    pub fn stream(&self) -> &TcpStream {
+        &self.stream
+    }
+
     /// Returns the clock of the connection.
     pub fn clock(&self) -> &Clock {
         &self.clock
--- a/src/link/peer.rs
+++ b/src/link/peer.rs
@@ -20,6 +20,7 @@
     configs::fleet::chunks::{decode, encode},
     link::{
         call::{CallTime, WHOLE_MESSAGE},
+        caller::Served,
         http1::{BodyFraming, BodyReader, ChunkWriter, Conn, HeadFault, RequestHead, ResponseHead},
         kept::{Call, KeptConns, KeptFault},
         traffic::{Purpose, Traffic},
@@ -43,7 +44,7 @@
 const MESSAGE_MAX: usize = 16 << 20;
 
 /// Idle time after which a peer's connection is closed by its server.
-const IDLE_TIME: Duration = Duration::from_secs(300);
+pub const IDLE_TIME: Duration = Duration::from_secs(300);
 
 /// Longest wait for a peer to take a message of a stream; one that takes longer is cut.
 const STREAM_SEND_TIME: Duration = Duration::from_millis(250);
@@ -262,25 +263,52 @@
 }
 
 /// Serves one connection of a peer until it ends.
-pub fn serve<A, S>(mut conn: Conn, service: &PeerService<'_, A, S>)
+pub fn serve<A, S>(conn: Conn, service: &PeerService<'_, A, S>)
+where
+    A: Fn(&str, &[u8]) -> Result<Vec<u8>, u16>,
+    S: Fn(StreamSender, StreamReceiver),
+{
+    // One on which nothing comes for as long as it may be idle is closed.
+    drop(serve_for(conn, service, IDLE_TIME));
+}
+
+/// Serves a connection of a peer until nothing has come on it for `idle`; for services without credentials, as
+/// these are shown once a connection.
+pub fn serve_while_busy<A, S>(conn: Conn, service: &PeerService<'_, A, S>, idle: Duration) -> Served
+where
+    A: Fn(&str, &[u8]) -> Result<Vec<u8>, u16>,
+    S: Fn(StreamSender, StreamReceiver),
+{
+    serve_for(conn, service, idle)
+}
+
+fn serve_for<A, S>(mut conn: Conn, service: &PeerService<'_, A, S>, idle: Duration) -> Served
 where
     A: Fn(&str, &[u8]) -> Result<Vec<u8>, u16>,
     S: Fn(StreamSender, StreamReceiver),
 {
     let mut shown = service.accepted.is_none();
     loop {
+        match conn.first_byte(conn.clock().now() + idle) {
+            Ok(true) => {}
+            Ok(false) => return Served::Waits(conn),
+            Err(_) => return Served::Ended,
+        }
         let until = conn.clock().now() + IDLE_TIME;
-        let Ok(head) = RequestHead::read(&mut conn, HEAD_MAX, until) else { return };
+        let Ok(head) = RequestHead::read(&mut conn, HEAD_MAX, until) else { return Served::Ended };
         shown = shown || shows_credential(&head, service.accepted.unwrap_or_default());
         if !shown {
             // The other side learns why; that it may not get the message is no loss.
             let _ = conn.send(&reply_bytes(401, &[]), service.timeout);
-            return;
+            return Served::Ended;
         }
         if head.target == STREAM_PATH {
-            return serve_stream(conn, service);
+            serve_stream(conn, service);
+            return Served::Ended;
         }
-        let Ok(body) = read_message(&mut conn, &head, service.timeout) else { return };
+        let Ok(body) = read_message(&mut conn, &head, service.timeout) else {
+            return Served::Ended;
+        };
         let purpose = (service.purpose)(&head.target);
         service.traffic.received(purpose, request_bytes(&head.target, &body, None).len());
         let reply = match (service.answer)(&head.target, &body) {
@@ -289,8 +317,9 @@
         };
         service.traffic.sent(purpose, reply.len());
         if conn.send(&reply, service.timeout).is_err() {
-            return;
+            return Served::Ended;
         }
+        conn.give_back_buffer();
     }
 }
 
