refactor(routing): when the list of servers is read is a decision of its own

`routing/roster_watch.rs` holds what stood in the reader's loop: pace, age at which an instance reads for itself, and what follows a failure. It is the ground for a test of a whole fleet on a made-up clock.

--- a/src/gateway/roster_reader.rs
+++ b/src/gateway/roster_reader.rs
@@ -1,61 +1,45 @@
 //! Reads the list of backend servers, at a pace.
 
-use std::{
-    sync::Arc,
-    thread,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, thread, time::Instant};
 
 use super::{Gateway, peers, skipped_log::SkippedLog};
 use crate::{
     adapter::{calls::SERVER_TABLE, servers, store::StoreFault},
-    routing::{BackendServer, roster::RosterChange},
+    routing::{BackendServer, RosterRole, RosterStep, RosterWatch, roster::RosterChange},
 };
 
-/// Pause before the store is tried again when it cannot be read.
-const PAUSE_FAILED: Duration = Duration::from_millis(500);
-
-/// Keeps the list fresh until the process ends: reads it at a pace where others rely on this
-/// instance, and only when their news stop where it relies on others.
+/// Keeps the list fresh until the process ends: does what `routing::roster_watch` says is next.
 pub fn run(gateway: &Arc<Gateway>) {
-    let mut lost = false;
+    let mut watch = RosterWatch::new(gateway.settings.bounds.leaving_acted_on);
     let mut skipped = SkippedLog::default();
+    let mut lost = false;
     loop {
-        let began = gateway.clock.now();
-        if let Some(pause) = pause_for_news(gateway, began) {
-            thread::sleep(pause);
-            continue;
-        }
-        match read(gateway, &mut skipped) {
-            Ok(()) => {
-                if lost {
-                    lost = false;
-                    log::warn!("event=store_back");
-                }
-                let took = gateway.clock.now().saturating_duration_since(began);
-                let period = gateway.settings.roster_period();
-                thread::sleep(period.saturating_sub(took).max(period / 4));
-            }
-            Err(fault) => {
-                lost = true;
-                gateway.store_failed("servers", &fault);
+        let now = gateway.clock.now();
+        let role = RosterRole { reader: gateway.peers.is_reader(now) };
+        let as_of = gateway.knowledge.with_servers(|roster| roster.as_of());
+        match watch.next(now, &role, as_of) {
+            RosterStep::Wait(time) => thread::sleep(time),
+            RosterStep::Ask => {
                 peers::catch_up(gateway);
-                thread::sleep(PAUSE_FAILED);
+                watch.asked(gateway.clock.now());
             }
+            RosterStep::Read => match read(gateway, &mut skipped) {
+                Ok(()) => {
+                    watch.read(now);
+                    if std::mem::take(&mut lost) {
+                        log::warn!("event=store_back");
+                    }
+                }
+                Err(fault) => {
+                    lost = true;
+                    watch.failed();
+                    gateway.store_failed("servers", &fault);
+                }
+            },
         }
     }
 }
 
-/// Returns how long the news of others will do; `None` when the store must be read.
-fn pause_for_news(gateway: &Gateway, now: Instant) -> Option<Duration> {
-    if gateway.peers.is_reader(now) {
-        return None;
-    }
-    let left =
-        gateway.settings.roster_age_max().checked_sub(gateway.knowledge.servers_age(now)?)?;
-    (!left.is_zero()).then_some(left)
-}
-
 /// Reads the list once.
 ///
 /// # Errors
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -4,17 +4,9 @@
 
 use crate::{
     names::{NodeName, ZoneName},
-    routing::{StoreRates, budget::BudgetTerms},
+    routing::{StoreRates, budget::BudgetTerms, roster_watch},
 };
 
-/// Part of the time in which a leaving server must be acted on that passes between two reads of
-/// the servers' list; the rest is for the read itself, which may be slow, and for passing it on.
-const ROSTER_PACE: f64 = 0.35;
-
-/// Part of an operator's bound at which an instance no longer waits for news from others and reads
-/// the store itself; the rest is for that read.
-const NEWS_AGE: f64 = 0.75;
-
 /// Everything an instance needs to know to start.
 #[derive(Debug, Clone, PartialEq)]
 pub struct GatewaySettings {
@@ -78,13 +70,8 @@
 }
 
 impl GatewaySettings {
-    /// Returns the age of the servers' list at which an instance reads it itself.
-    pub fn roster_age_max(&self) -> Duration {
-        self.bounds.leaving_acted_on.mul_f64(NEWS_AGE)
-    }
-
     /// Returns the pause between two reads of the servers' list.
     pub fn roster_period(&self) -> Duration {
-        self.bounds.leaving_acted_on.mul_f64(ROSTER_PACE)
+        roster_watch::pause(self.bounds.leaving_acted_on)
     }
 }
