--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -25,6 +25,7 @@
 mod platform;
 mod process;
 mod report;
+mod roster_fleet;
 mod routing;
 mod sessions;
 mod store;
--- /dev/null
+++ b/tests/suite/roster_fleet.rs
@@ -0,0 +1,305 @@
+//! How old the list of backend servers becomes at the instances of a large fleet, on a made-up clock: the one that
+//! the others turn to is cut off, is killed, or stands still, and others join.
+
+use std::{
+    cmp::Reverse,
+    collections::BinaryHeap,
+    time::{Duration, Instant},
+};
+
+use cartvane::routing::{
+    Candidates, FleetPosition, InstanceInfo, RosterRole, RosterStep, RosterWatch,
+};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed, TestRunner},
+};
+
+/// The operator's bound on a large fleet.
+const BOUND: Duration = Duration::from_secs(4);
+
+/// Part of the bound that the list may be old at an instance that reaches the store and others: the rest is for a
+/// slow read and for requests on their way.
+const AGE_MAX: f64 = 0.65;
+
+const ZONES: usize = 6;
+
+/// Instances with more of a processor than the others.
+const STRONG: usize = 18;
+
+/// Pause between two exchanges of an instance at this size.
+const PERIOD: Duration = Duration::from_millis(740);
+
+/// What an exchange with an instance takes that is cut off: one on the kept connection, one on a new one.
+const UNANSWERED: Duration = Duration::from_millis(600);
+
+/// What a read of the store takes, and one that is not answered.
+const READ: Duration = Duration::from_millis(30);
+const UNREAD: Duration = Duration::from_millis(900);
+
+/// How long an instance that others turn to goes on to read for them.
+const READS_FOR_OTHERS: Duration = Duration::from_millis(3000);
+
+/// When ages are judged from: all know each other and somebody reads.
+const WARM_UP: Duration = Duration::from_secs(5);
+
+const LENGTH: Duration = Duration::from_secs(30);
+
+/// Instances that nobody reaches for a while, and that reach nothing.
+#[derive(Debug, Clone)]
+struct Cut {
+    from: Duration,
+    until: Duration,
+    who: Who,
+}
+
+#[derive(Debug, Clone)]
+enum Who {
+    Zone(usize),
+    /// The first ones in the order in which all turn to them.
+    First(usize),
+    Every(usize),
+}
+
+#[derive(Debug, Clone)]
+struct Case {
+    instances: usize,
+    cuts: Vec<Cut>,
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Next {
+    Exchange(usize),
+    Roster(usize),
+    Look,
+}
+
+struct Instance {
+    candidates: Candidates,
+    watch: RosterWatch,
+    as_of: Option<Instant>,
+    /// When another one last turned to it.
+    heard: Option<Instant>,
+}
+
+struct Fleet {
+    case: Case,
+    start: Instant,
+    infos: Vec<InstanceInfo>,
+    /// Instances in the order in which all turn to them.
+    order: Vec<usize>,
+    all: Vec<Instance>,
+    queue: BinaryHeap<Reverse<(Instant, Next)>>,
+    seed: u64,
+}
+
+fn info(number: usize) -> InstanceInfo {
+    InstanceInfo {
+        node: format!("edge-{number}").parse().expect("a name"),
+        address: ([10, 0, (number >> 8) as u8, number as u8], 80).into(),
+        zone: format!("z{}", number % ZONES).parse().expect("a zone"),
+        cores: if number < STRONG { 0.5 } else { 0.12 },
+    }
+}
+
+impl Fleet {
+    fn new(case: &Case) -> Fleet {
+        let start = Instant::now();
+        let infos: Vec<InstanceInfo> = (0..case.instances).map(info).collect();
+        let candidates = |own: &InstanceInfo| {
+            let mut candidates = Candidates::new(own.clone());
+            candidates.set(infos.iter().cloned());
+            candidates
+        };
+        let ranked = candidates(&infos[0]);
+        let number = |i: &InstanceInfo| infos.iter().position(|other| other.node == i.node);
+        let order = ranked.all().iter().filter_map(number).collect();
+        let instance = |own: &InstanceInfo| Instance {
+            candidates: candidates(own),
+            watch: RosterWatch::new(BOUND),
+            as_of: None,
+            heard: None,
+        };
+        let all = infos.iter().map(instance).collect();
+        let mut fleet = Fleet {
+            case: case.clone(),
+            start,
+            order,
+            all,
+            queue: BinaryHeap::new(),
+            seed: 7,
+            infos: infos.clone(),
+        };
+        for number in 0..case.instances {
+            let spread = PERIOD.mul_f64(number as f64 / case.instances as f64);
+            fleet.queue.push(Reverse((start + spread, Next::Exchange(number))));
+            fleet.queue.push(Reverse((start, Next::Roster(number))));
+        }
+        fleet.queue.push(Reverse((start + WARM_UP, Next::Look)));
+        fleet
+    }
+
+    fn draw(&mut self) -> f64 {
+        self.seed = self.seed.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        (self.seed >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    fn is_cut(&self, number: usize, now: Instant) -> bool {
+        let at = now - self.start;
+        self.case.cuts.iter().any(|cut| {
+            let hit = match cut.who {
+                Who::Zone(zone) => number % ZONES == zone,
+                Who::First(count) => self.order[..count.min(self.order.len())].contains(&number),
+                Who::Every(step) => number % step == 0,
+            };
+            hit && cut.from <= at && at < cut.until
+        })
+    }
+
+    /// Returns whether an instance has reached the store and others for as long as the operator asks.
+    fn is_in_touch(&self, number: usize, now: Instant) -> bool {
+        let before = |back: u64| now - Duration::from_millis(back * 100);
+        (0..=50).all(|back| !self.is_cut(number, before(back)))
+    }
+
+    fn tell(&mut self, from: usize, to: usize) {
+        let told = self.all[from].as_of;
+        let as_of = &mut self.all[to].as_of;
+        *as_of = (*as_of).max(told);
+    }
+
+    /// Exchanges as the instances do: with the first that answers, two at the most.
+    fn exchange(&mut self, number: usize, mut now: Instant) -> Instant {
+        for _ in 0..2 {
+            let first = self.all[number].candidates.first(now).cloned();
+            let Some(first) = first else { break };
+            let other = self.infos.iter().position(|i| i.node == first.node).expect("known");
+            if !self.is_cut(number, now) && !self.is_cut(other, now) {
+                self.all[other].heard = Some(now);
+                self.all[number].candidates.note_heard(&first.node);
+                self.tell(other, number);
+                break;
+            }
+            now += UNANSWERED;
+            self.all[number].candidates.note_silent(now, &first.node);
+        }
+        now + PERIOD.mul_f64(0.9 + 0.2 * self.draw())
+    }
+
+    fn roster(&mut self, number: usize, now: Instant) -> Instant {
+        let cut = self.is_cut(number, now);
+        let instance = &mut self.all[number];
+        let heard = instance.heard.is_some_and(|at| now - at < READS_FOR_OTHERS);
+        let role = RosterRole { reader: heard || instance.candidates.first(now).is_none() };
+        match instance.watch.next(now, &role, instance.as_of) {
+            RosterStep::Wait(time) => now + time,
+            RosterStep::Read if cut => {
+                instance.watch.failed();
+                now + UNREAD
+            }
+            RosterStep::Read => {
+                instance.as_of = Some(now);
+                instance.watch.read(now);
+                now + READ
+            }
+            RosterStep::Ask => {
+                for _ in 0..2 {
+                    let other = (self.draw() * self.case.instances as f64) as usize;
+                    if !cut && !self.is_cut(other, now) {
+                        self.tell(other, number);
+                    }
+                }
+                self.all[number].watch.asked(now);
+                now + READ
+            }
+        }
+    }
+
+    /// Plays a case; returns the greatest age of the list at an instance in touch, in parts of the bound, and how
+    /// often the store was read in a second.
+    fn play(case: &Case) -> (f64, f64) {
+        let mut fleet = Fleet::new(case);
+        let (mut oldest, mut reads) = (0.0_f64, 0_u32);
+        while let Some(Reverse((now, next))) = fleet.queue.pop() {
+            if now > fleet.start + LENGTH {
+                break;
+            }
+            match next {
+                Next::Exchange(number) => {
+                    let again = fleet.exchange(number, now);
+                    fleet.queue.push(Reverse((again, Next::Exchange(number))));
+                }
+                Next::Roster(number) => {
+                    let before = fleet.all[number].as_of;
+                    let again = fleet.roster(number, now);
+                    reads += u32::from(fleet.all[number].as_of > before);
+                    fleet.queue.push(Reverse((again, Next::Roster(number))));
+                }
+                Next::Look => {
+                    for (number, instance) in fleet.all.iter().enumerate() {
+                        if fleet.is_in_touch(number, now) {
+                            let age = instance.as_of.map_or(LENGTH, |as_of| now - as_of);
+                            oldest = oldest.max(age.as_secs_f64() / BOUND.as_secs_f64());
+                        }
+                    }
+                    let again = now + Duration::from_millis(100);
+                    fleet.queue.push(Reverse((again, Next::Look)));
+                }
+            }
+        }
+        (oldest, f64::from(reads) / LENGTH.as_secs_f64())
+    }
+}
+
+fn cut(from: u64, until: u64, who: Who) -> Cut {
+    Cut { from: Duration::from_millis(from), until: Duration::from_millis(until), who }
+}
+
+#[test]
+fn the_list_stays_young_where_those_that_read_it_are_cut_off() {
+    let cases = [
+        vec![cut(9_300, 17_300, Who::First(3))],
+        vec![cut(8_000, 16_000, Who::Zone(2)), cut(14_000, 20_000, Who::Zone(4))],
+        vec![cut(9_000, 10_500, Who::First(1)), cut(12_000, 13_500, Who::First(2))],
+        vec![cut(7_700, 15_700, Who::Every(5)), cut(16_000, 16_600, Who::First(1))],
+        vec![cut(10_000, 24_000, Who::First(18))],
+    ];
+    for cuts in cases {
+        let case = Case { instances: 295, cuts };
+        let (oldest, _) = Fleet::play(&case);
+        assert!(oldest <= AGE_MAX, "{oldest:.3} of the bound in {:?}", case.cuts);
+    }
+}
+
+#[test]
+fn the_list_stays_young_whoever_is_cut_off() {
+    let who = prop_oneof![
+        (0..ZONES).prop_map(Who::Zone),
+        (1..25usize).prop_map(Who::First),
+        (2..20usize).prop_map(Who::Every),
+    ];
+    let cuts = (5_000..20_000u64, 200..9_000u64, who)
+        .prop_map(|(from, time, who)| cut(from, from + time, who));
+    let cases = (prop::sample::select(vec![8usize, 62, 99]), prop::collection::vec(cuts, 0..4));
+    let config = Config {
+        cases: 25,
+        rng_seed: RngSeed::Fixed(30),
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let young = TestRunner::new(config).run(&cases, |(instances, cuts)| {
+        let (oldest, _) = Fleet::play(&Case { instances, cuts });
+        prop_assert!(oldest <= AGE_MAX, "{oldest:.3} of the bound");
+        Ok(())
+    });
+    young.expect("the list stays young");
+}
+
+#[test]
+fn in_calm_a_few_read_the_store_for_all() {
+    let (oldest, reads) = Fleet::play(&Case { instances: 295, cuts: Vec::new() });
+    assert!(oldest <= AGE_MAX, "{oldest:.3} of the bound");
+    // 295 at the start, and one instance all the time.
+    let start = 295.0 / LENGTH.as_secs_f64();
+    assert!(reads - start <= 2.0, "{reads:.1} reads a second");
+}
