fix(gateway): a list is told with its own age, and is younger where its reader cannot read

All the others read for themselves at the same age, 3.0 s, again and again. On the way back it told some the list from before a read with the age from after it (the list was looked up before the age, under two locks): they held it for current and kept the next news out.

Change: list and age are told under one lock. The pace is a fifth of the bound instead of 0.35; the others read for themselves at 0.5 to 0.6 of it, one after the other, instead of 0.75 all together. One that others begin to turn to is woken and reads at once. Log lines: age of each list, news_stopped, reads_for_others.

--- a/src/gateway/knowledge.rs
+++ b/src/gateway/knowledge.rs
@@ -240,9 +240,18 @@
         lock(&self.lists).newest().map(|(version, _)| *version)
     }
 
-    /// Returns what has changed in the list since `version`.
-    pub fn list_news(&self, version: Option<ListVersion>) -> ListNews {
-        lock(&self.lists).since(version)
+    /// Returns what has changed in the list since `version`, and how old the list is.
+    ///
+    /// Both are of one moment: a list from just before a read, told with the age from just after it, would count
+    /// as current and keep the next news out.
+    pub fn list_told(
+        &self,
+        now: Instant,
+        version: Option<ListVersion>,
+    ) -> (ListNews, Option<Duration>) {
+        let roster = lock(&self.roster);
+        let news = lock(&self.lists).since(version);
+        (news, roster.as_of().map(|at| now.saturating_duration_since(at)))
     }
 
     /// Returns the list that the newest one becomes by `news`, which is of `version`.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -53,7 +53,7 @@
     metrics::Metrics,
     names::ServiceName,
     routing::{CallKind, Incarnation, Picked, Picker, RetryBudget, StoreShare, Unpicked, Wanted},
-    utils::{sync::lock, usage::Usage},
+    utils::{signal::Signal, sync::lock, usage::Usage},
 };
 
 /// Connections of other instances at once: all of a fleet of the planned size, twice.
@@ -89,6 +89,8 @@
     pub peers: Peers,
     /// State of leaving.
     pub drain: Drain,
+    /// Is set when others begin to turn to this instance, which then reads the store for them.
+    pub reader_wanted: Signal,
     /// Requests in flight and bytes of their bodies.
     pub usage: Usage,
     /// When this process started, if the instance may have run before.
@@ -273,6 +275,7 @@
             conns: ServerConns::new(clock.clone()),
             peers: Peers::new(&settings, clock, &metrics.traffic()),
             drain: Drain::open().context("cannot make a pipe")?,
+            reader_wanted: Signal::default(),
             usage: Usage::default(),
             restarted: (!settings.first_start).then(|| clock.now()),
             budgets: Mutex::default(),
@@ -333,7 +336,6 @@
         let grace = self.gateway.settings.bounds.grace;
         self.gateway.drain.start(self.gateway.clock.now(), grace);
         log::warn!("event=draining under_way={}", self.gateway.drain.busy());
-        instance_table::leave(&self.gateway);
         let clean = self.gateway.drain.finish(&self.gateway.clock);
         log::warn!("event=stopped every_request_finished={clean}");
         clean
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -6,7 +6,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -30,7 +33,7 @@
     names::Tag,
     routing::{
         Aggregate, Candidates, Confirmed, Count, Crowded, FleetPosition, InstanceInfo, ListNews,
-        ListVersion, PackedChange, ServiceLoad, StoreVersion, WatchRole,
+        ListVersion, PackedChange, RosterRole, ServiceLoad, StoreVersion, WatchRole,
     },
     utils::sync::lock,
 };
@@ -69,6 +72,10 @@
 /// connection's first message comes right behind it, and the next one an exchange's period later.
 const BUSY: Duration = Duration::from_millis(20);
 
+/// Time after its start from which an instance that knows no other counts as alone, whether it could learn of
+/// others or not: what it read at its start is still young then.
+const JOIN_MAX: Duration = Duration::from_millis(1500);
+
 /// How long an instance that others turn to goes on to read the store for them.
 const READS_FOR_OTHERS: Duration = Duration::from_millis(3000);
 
@@ -131,6 +138,9 @@
     pub(super) candidates: Mutex<Candidates>,
     /// Requests in flight, as the instances told them to this one.
     pub(super) aggregate: Mutex<Aggregate>,
+    /// Whether the other instances are known.
+    joined: AtomicBool,
+    started: Instant,
     summary: Mutex<Option<(Instant, Arc<Vec<ServiceLoad>>)>>,
     last_round: Mutex<Option<Instant>>,
 }
@@ -149,6 +159,8 @@
             links: PeerLinks::new(clock.clone(), None, EXCHANGE_TIME, traffic.clone()),
             candidates: Mutex::new(Candidates::new(own)),
             aggregate: Mutex::default(),
+            joined: AtomicBool::new(false),
+            started: clock.now(),
             summary: Mutex::default(),
             last_round: Mutex::default(),
         }
@@ -172,14 +184,34 @@
     /// Returns whether this instance reads the store at a pace: it has nobody to turn to, or others
     /// turn to it.
     pub fn is_reader(&self, now: Instant) -> bool {
-        if lock(&self.candidates).first(now).is_none() {
-            return true;
-        }
+        let alone = self.knows_others(now) && lock(&self.candidates).first(now).is_none();
+        alone || self.is_read_from(now)
+    }
+
+    /// Notes that the other instances are known, as far as there are any.
+    pub fn note_joined(&self) {
+        self.joined.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether an instance that knows nobody has nobody to rely on: one that has just started has not
+    /// learnt of the others yet.
+    fn knows_others(&self, now: Instant) -> bool {
+        let waited = now.saturating_duration_since(self.started) >= JOIN_MAX;
+        waited || self.joined.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether others have turned to this instance lately.
+    fn is_read_from(&self, now: Instant) -> bool {
         let own = lock(&self.candidates).own().node.clone();
         let heard = lock(&self.aggregate).last_heard(&own);
         heard.is_some_and(|at| now.saturating_duration_since(at) < READS_FOR_OTHERS)
     }
 
+    /// Returns what this instance is to the others in the watch over the list of servers.
+    pub fn roster_role(&self, now: Instant) -> RosterRole {
+        RosterRole { reader: self.is_reader(now), position: self.position() }
+    }
+
     /// Returns what this instance is to the others in the watch over the intent.
     pub fn watch_role(&self, now: Instant) -> WatchRole {
         WatchRole {
@@ -270,6 +302,18 @@
     }
 }
 
+/// Asks an instance that the settings name, one after the other, for the others; returns whether one has told.
+pub fn ask_seed(gateway: &Gateway) -> bool {
+    let own = lock(&gateway.peers.candidates).own().address;
+    let seeds = &gateway.settings.seeds;
+    if seeds.contains(&own) {
+        return false;
+    }
+    let mut seeds = seeds.clone();
+    fastrand::shuffle(&mut seeds);
+    seeds.into_iter().any(|seed| ask(gateway, seed, false).is_ok())
+}
+
 /// Makes one exchange: with the instance that this one turns to, or `in_turn` false with any.
 fn ask(gateway: &Gateway, address: SocketAddr, in_turn: bool) -> Result<(), String> {
     let peers = &gateway.peers;
@@ -363,10 +407,17 @@
         gateway.instances_changed();
     }
     if report.in_turn {
+        let began = !gateway.peers.is_read_from(now);
         let mut aggregate = lock(&gateway.peers.aggregate);
         aggregate.take(now, report.from.node.clone(), report.counts);
         aggregate.take_silent(now, report.from.node.clone(), report.silent);
+        drop(aggregate);
+        if began {
+            log::info!("event=reads_for_others servers_age_ms={}", age_ms(gateway, now));
+            gateway.reader_wanted.set();
+        }
     }
+    let (list, list_age) = knowledge.list_told(now, report.list);
     News {
         loads: summary(gateway, now).to_vec(),
         silent: all_silent(gateway, now),
@@ -376,12 +427,18 @@
             age_ms: millis(now.saturating_duration_since(confirmed.at)),
             store: confirmed.store,
         }),
-        list: knowledge.list_news(report.list),
-        list_age_ms: knowledge.servers_age(now).map(millis),
+        list,
+        list_age_ms: list_age.map(millis),
         instances,
     }
 }
 
+/// Returns the age of the list of servers, for log lines; -1 where there is none.
+fn age_ms(gateway: &Gateway, now: Instant) -> i64 {
+    let age = gateway.knowledge.servers_age(now);
+    age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX))
+}
+
 /// Returns what all instances have in flight; summed anew only now and then, whoever asks.
 fn summary(gateway: &Gateway, now: Instant) -> Arc<Vec<ServiceLoad>> {
     let mut kept = lock(&gateway.peers.summary);
--- a/src/gateway/roster_reader.rs
+++ b/src/gateway/roster_reader.rs
@@ -1,6 +1,9 @@
 //! Reads the list of backend servers, at a pace.
 
-use std::{sync::Arc, thread, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use super::{Gateway, peers, skipped_log::SkippedLog};
 use crate::{
@@ -15,15 +18,15 @@
     let mut lost = false;
     loop {
         let now = gateway.clock.now();
-        let role = RosterRole { reader: gateway.peers.is_reader(now) };
+        let role = gateway.peers.roster_role(now);
         let as_of = gateway.knowledge.with_servers(|roster| roster.as_of());
         match watch.next(now, &role, as_of) {
-            RosterStep::Wait(time) => thread::sleep(time),
+            RosterStep::Wait(time) => gateway.reader_wanted.wait(time),
             RosterStep::Ask => {
                 peers::catch_up(gateway);
                 watch.asked(gateway.clock.now());
             }
-            RosterStep::Read => match read(gateway, &mut skipped) {
+            RosterStep::Read => match read(gateway, &role, &mut skipped) {
                 Ok(()) => {
                     watch.read(now);
                     if std::mem::take(&mut lost) {
@@ -45,8 +48,13 @@
 /// # Errors
 ///
 /// The store cannot be read.
-fn read(gateway: &Gateway, skipped: &mut SkippedLog) -> Result<(), StoreFault> {
+fn read(gateway: &Gateway, role: &RosterRole, skipped: &mut SkippedLog) -> Result<(), StoreFault> {
     let as_of = gateway.clock.now();
+    if !role.reader
+        && let Some(age) = gateway.knowledge.servers_age(as_of)
+    {
+        log::info!("event=news_stopped servers_age_ms={}", age.as_millis());
+    }
     let rows = gateway.store.rows(SERVER_TABLE)?;
     gateway.store_answered();
     let entries = servers::decode_all(&rows.rows);
@@ -59,13 +67,14 @@
 /// Takes a whole list that was current at `as_of`.
 pub fn take(gateway: &Gateway, list: Vec<BackendServer>, as_of: Instant, source: &str) {
     let change = gateway.knowledge.observe_servers(gateway.clock.now(), as_of, list);
-    log_change(&change, source);
+    log_change(&change, source, gateway.clock.now().saturating_duration_since(as_of));
     if change != RosterChange::default() {
         gateway.servers_changed();
     }
 }
 
-fn log_change(change: &RosterChange, source: &str) {
+fn log_change(change: &RosterChange, source: &str, age: Duration) {
+    let age = age.as_millis();
     for (what, ids) in [
         ("server_added", &change.added),
         ("server_leaving", &change.leaving),
@@ -73,7 +82,7 @@
         ("server_gone", &change.gone),
     ] {
         for id in ids {
-            log::info!("event={what} server={id} source={source}");
+            log::info!("event={what} server={id} source={source} age_ms={age}");
         }
     }
 }
--- a/src/routing/roster_watch.rs
+++ b/src/routing/roster_watch.rs
@@ -1,20 +1,26 @@
 //! When an instance reads the list of backend servers itself, and when the news of others will do.
 //!
 //! One instance reads the list for all others at a pace. The others read it only when what they have been told has
-//! grown old.
+//! grown old: the one that they turn to may be cut off, killed or standing still, and the next one that they turn
+//! to has not read it either.
 
 use std::time::{Duration, Instant};
 
+use super::FleetPosition;
+
 /// Part of the time in which a leaving server must be acted on that passes between two reads of
-/// the servers' list; the rest is for the read itself, which may be slow, and for passing it on.
-const PACE: f64 = 0.35;
+/// the servers' list; with the longest pause between two exchanges and the calls themselves, what the others are
+/// told is then younger than they wait for.
+const PACE: f64 = 0.2;
 
-/// Part of that time at which an instance no longer waits for news from others and reads the store
-/// itself; the rest is for that read.
-const NEWS_AGE: f64 = 0.75;
+/// Parts of that time at which the first and the last of all instances no longer wait for news from others and
+/// read the store themselves, so that not all do it at once. The rest is for a read that is lost and made again
+/// (0.9 s), and for requests on their way: 295 instances that lose the one they turn to have a list of 0.61 of
+/// the time at the most, and had one of 0.73 (simulated).
+const READ_AGE: (f64, f64) = (0.5, 0.6);
 
-/// Pause before the store is tried again when it cannot be read.
-const PAUSE_FAILED: Duration = Duration::from_millis(500);
+/// Pause before the store is tried again when it cannot be read and others have been asked.
+const PAUSE_FAILED: Duration = Duration::from_millis(200);
 
 /// Returns the pause between two reads of the instance that reads for others, where a leaving server is to be acted
 /// on within `bound`.
@@ -38,6 +44,8 @@
 pub struct RosterRole {
     /// Whether others rely on it, or it has nobody to rely on.
     pub reader: bool,
+    /// Its place among all.
+    pub position: FleetPosition,
 }
 
 /// The watch over the age of the list.
@@ -74,9 +82,17 @@
     /// Returns when the list is read next, unless the store must be left alone for longer.
     fn due(&self, role: &RosterRole, as_of: Option<Instant>) -> Option<Instant> {
         if role.reader {
-            return self.read_at.map(|at| at + pause(self.bound));
+            // One that others have just turned to reads at once, unless it knows what was read lately.
+            return self.read_at.max(as_of).map(|at| at + pause(self.bound));
         }
-        as_of.map(|as_of| as_of + self.bound.mul_f64(NEWS_AGE))
+        as_of.map(|as_of| as_of + self.read_age(role.position))
+    }
+
+    /// Returns the age at which an instance that others do not rely on reads for itself.
+    fn read_age(&self, position: FleetPosition) -> Duration {
+        let (first, last) = READ_AGE;
+        let place = position.number as f64 / position.instances.max(1) as f64;
+        self.bound.mul_f64(first + (last - first) * place)
     }
 
     /// Notes that the store was read, which began at `began`.
--- a/src/utils/mod.rs
+++ b/src/utils/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod nearest;
 pub mod secret;
+pub mod signal;
 pub mod sync;
 pub mod usage;
