--- /dev/null
+++ b/src/gateway/answering.rs
@@ -0,0 +1,174 @@
+//! What other instances are answered, and what the one that collects their reports tells them.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use super::{
+    Gateway, intent_reader,
+    messages::{Asks, ConfirmedAgo, News, Report},
+    peers::{EXCHANGE_PATH, EXCHANGE_TIME},
+    roster_reader,
+    spread::{self, OFFER_PATH},
+};
+use crate::{
+    configs::fleet::chunks::{decode, encode},
+    link::{
+        caller::Served,
+        http1::Conn,
+        peer::{self, PeerService},
+        traffic::Purpose,
+    },
+    names::Tag,
+    routing::{BudgetSum, ServiceLoad},
+    utils::sync::lock,
+};
+
+/// Age up to which a sum of all counts is told again: a small part of the exchange's pause.
+const SUMMARY_AGE: Duration = Duration::from_millis(50);
+
+/// Largest change of the intent passed on unasked, in bytes: a whole fleet's copies of a larger one would
+/// fill the link of the one instance that sends them all.
+const INTENT_PASSED_ON: usize = 16 << 10;
+
+/// How long a thread waits for the next message before the connection is left to the watch over idle ones: a new
+/// connection's first message comes right behind it, and the next one an exchange's period later.
+const BUSY: Duration = Duration::from_millis(20);
+
+/// Answers another instance.
+fn answer(gateway: &Gateway, report: Report) -> News {
+    let now = gateway.clock.now();
+    let knowledge = &gateway.knowledge;
+    let millis = |age: Duration| u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+    let asks = report.asks;
+    knowledge.told_of(now, report.version);
+    let changes = if report.wants_intent {
+        knowledge.changes_since(report.version)
+    } else {
+        knowledge.small_changes_since(report.version, INTENT_PASSED_ON)
+    };
+    let (instances, is_news) = {
+        let mut candidates = lock(&gateway.peers.candidates);
+        let before = candidates.version();
+        candidates.add(report.from.clone());
+        let after = candidates.version();
+        ((after != report.instances).then(|| candidates.all().to_vec()), after != before)
+    };
+    if is_news {
+        gateway.instances_changed();
+    }
+    if report.asks == Asks::InTurn {
+        let began = !gateway.peers.is_read_from(now);
+        let mut aggregate = lock(&gateway.peers.aggregate);
+        aggregate.take(now, report.from.node.clone(), report.counts);
+        aggregate.take_silent(now, report.from.node.clone(), report.silent);
+        drop(aggregate);
+        lock(&gateway.peers.budget).take(now, &report.from.node, report.run, report.spending);
+        if began {
+            log::info!("event=reads_for_others servers_age_ms={}", age_ms(gateway, now));
+            gateway.reader_wanted.set();
+        }
+    }
+    let (list, list_age) = knowledge.list_told(now, report.list);
+    News {
+        loads: summary(gateway, now).to_vec(),
+        silent: all_silent(gateway, now),
+        budgets: if asks == Asks::InTurn { budget_sums(gateway, now) } else { Vec::new() },
+        version: knowledge.version(),
+        changes,
+        confirmed: knowledge.with_watch(|watch| watch.confirmed()).map(|confirmed| ConfirmedAgo {
+            age_ms: millis(now.saturating_duration_since(confirmed.at)),
+            store: confirmed.store,
+        }),
+        list,
+        list_age_ms: list_age.map(millis),
+        instances,
+    }
+}
+
+/// Returns the age of the list of servers, for log lines; -1 where there is none.
+fn age_ms(gateway: &Gateway, now: Instant) -> i64 {
+    let age = gateway.knowledge.servers_age(now);
+    age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX))
+}
+
+/// Returns what all instances have in flight; summed anew only now and then, whoever asks.
+pub(super) fn summary(gateway: &Gateway, now: Instant) -> Arc<Vec<ServiceLoad>> {
+    let mut kept = lock(&gateway.peers.summary);
+    if let Some((at, loads)) = &*kept
+        && now.saturating_duration_since(*at) < SUMMARY_AGE
+    {
+        return Arc::clone(loads);
+    }
+    let own_counts = lock(&gateway.picker).own_counts();
+    let mut aggregate = lock(&gateway.peers.aggregate);
+    aggregate.take(now, gateway.settings.node.clone(), own_counts);
+    let loads = gateway.knowledge.with_servers(|roster| {
+        Arc::new(aggregate.summary(now, roster.servers().map(|server| &**server)))
+    });
+    *kept = Some((now, Arc::clone(&loads)));
+    loads
+}
+
+/// Returns the repeats that all instances have spent, this one among them.
+pub(super) fn budget_sums(gateway: &Gateway, now: Instant) -> Vec<BudgetSum> {
+    let own = gateway.spending(now);
+    let mut budget = lock(&gateway.peers.budget);
+    budget.take(now, &gateway.settings.node, gateway.peers.run, own);
+    budget.sums(now)
+}
+
+/// Returns the servers that several instances find silent, this one among them.
+pub(super) fn all_silent(gateway: &Gateway, now: Instant) -> Vec<Tag> {
+    let own = lock(&gateway.picker).own_silent(now);
+    let mut aggregate = lock(&gateway.peers.aggregate);
+    aggregate.take_silent(now, gateway.settings.node.clone(), own);
+    aggregate.silent()
+}
+
+/// Reads the store for an instance that it turns away.
+///
+/// # Errors
+///
+/// The status that tells that it turns this one away too.
+fn read_for_another(gateway: &Arc<Gateway>) -> Result<(), u16> {
+    let servers = roster_reader::read(gateway);
+    let intent = servers.and_then(|()| intent_reader::look(gateway));
+    intent.map_err(|fault| {
+        gateway.store_failed("for_another", &fault);
+        503
+    })
+}
+
+/// Serves a connection of another instance as long as one message closely follows the other.
+pub fn serve(gateway: &Arc<Gateway>, conn: Conn) -> Served {
+    let service = PeerService {
+        accepted: None,
+        timeout: EXCHANGE_TIME,
+        traffic: &gateway.peers.traffic,
+        answer: |path: &str, body: &[u8]| {
+            if gateway.drain.is_draining() {
+                // The others turn to the next instance before this one is gone.
+                return Err(503);
+            }
+            match path {
+                EXCHANGE_PATH => {
+                    let report: Report = decode(body).map_err(|_| 400_u16)?;
+                    if report.asks == Asks::ToRead {
+                        read_for_another(gateway)?;
+                    }
+                    Ok(encode(&answer(gateway, report)))
+                }
+                OFFER_PATH => {
+                    let offer = decode(body).map_err(|_| 400_u16)?;
+                    Ok(encode(&spread::take_offer(gateway, offer)))
+                }
+                _ => Err(404),
+            }
+        },
+        stream: |_, _| {},
+        purpose: |path| if path == OFFER_PATH { Purpose::Config } else { Purpose::Loads },
+    };
+    peer::serve_while_busy(conn, &service, BUSY)
+}
--- /dev/null
+++ b/src/gateway/messages.rs
@@ -0,0 +1,81 @@
+//! What instances tell each other in an exchange. They share no clock, so times are told as ages.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    names::Tag,
+    routing::{
+        BudgetSum, Count, InstanceInfo, ListNews, ListVersion, PackedChange, RunId, ServiceLoad,
+        Spending, StoreVersion,
+    },
+};
+
+/// What an instance wants of the one that it asks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Asks {
+    /// What it knows, this once.
+    Once,
+    /// That it collects its counts, and reads the store for it.
+    InTurn,
+    /// That it reads the store for it, since the store turns it away.
+    ToRead,
+}
+
+/// What an instance tells.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Report {
+    /// Who tells.
+    pub from: InstanceInfo,
+    /// Its requests in flight, by server.
+    pub counts: Vec<Count>,
+    /// Servers that it finds silent.
+    pub silent: Vec<Tag>,
+    /// The run of its process.
+    pub run: RunId,
+    /// Repeats that it has spent.
+    pub spending: Vec<Spending>,
+    /// Version of the intent that it has in force.
+    pub version: u64,
+    /// Whether it wants a newer intent however large.
+    pub wants_intent: bool,
+    /// What the other is to it.
+    pub asks: Asks,
+    /// Its newest list of servers.
+    pub list: Option<ListVersion>,
+    /// Hash of the instances that it knows.
+    pub instances: u64,
+}
+
+/// What it is told.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct News {
+    /// What all instances have in flight.
+    pub loads: Vec<ServiceLoad>,
+    /// Servers that several instances find silent.
+    pub silent: Vec<Tag>,
+    /// Repeats that all instances have spent.
+    pub budgets: Vec<BudgetSum>,
+    /// Version of the intent that the other has in force.
+    pub version: u64,
+    /// What has changed in the operator's intent, if that is small or wanted.
+    pub changes: Vec<Arc<PackedChange>>,
+    /// When the other's version was known to be the newest.
+    pub confirmed: Option<ConfirmedAgo>,
+    /// What is new in the list of servers.
+    pub list: ListNews,
+    /// Milliseconds since the list was current.
+    pub list_age_ms: Option<u64>,
+    /// All instances, if the asker knows others.
+    pub instances: Option<Vec<InstanceInfo>>,
+}
+
+/// That a version of the intent was the newest in the store.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct ConfirmedAgo {
+    /// Milliseconds since then.
+    pub age_ms: u64,
+    /// Version of the store at that moment.
+    pub store: StoreVersion,
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! `stream` passes events on; `intent_reader`, `roster_reader` and `peers` keep `knowledge` fresh;
 //! `instance_table` tells instances of each other.
 
+pub mod answering;
 pub mod connection;
 pub mod drain;
 pub mod exchange;
@@ -13,6 +14,7 @@
 pub mod intent_reader;
 pub mod knowledge;
 pub mod log_sink;
+pub mod messages;
 pub mod peers;
 pub mod reply;
 pub mod request;
@@ -429,7 +431,7 @@
     let listen = gateway.settings.addresses.peers;
     let rules = idle_rules(idle, |since| since + peer::IDLE_TIME, false);
     let serving = Arc::clone(gateway);
-    let serve = move |conn: Conn| peers::serve(&serving, conn);
+    let serve = move |conn: Conn| answering::serve(&serving, conn);
     Listener::bind_idling(listen, gateway.clock.clone(), PEER_CONNECTIONS, rules, serve)
         .with_context(|| format!("cannot listen for other instances on {listen}"))
 }
