fix(gateway): an instance that has just started tells of no other instances

Change: an instance tells the list of instances only once it has learnt it; the others ask 0.2 s after those that the settings name have read the table.

The test of a start with three calls each passes as before, as do all others.

--- a/src/gateway/answering.rs
+++ b/src/gateway/answering.rs
@@ -53,7 +53,9 @@
         let before = candidates.version();
         candidates.add(report.from.clone());
         let after = candidates.version();
-        ((after != report.instances).then(|| candidates.all().to_vec()), after != before)
+        // One that knows a few only would have them taken for all.
+        let tells = after != report.instances && gateway.peers.knows_others(now);
+        (tells.then(|| candidates.all().to_vec()), after != before)
     };
     if is_news {
         gateway.instances_changed();
--- a/src/gateway/instance_table.rs
+++ b/src/gateway/instance_table.rs
@@ -23,6 +23,9 @@
 /// reads it earlier finds some, and takes the wrong one for the first of all.
 const SETTLED: Duration = Duration::from_millis(500);
 
+/// Time after that in which those that the settings name have read the table, and can tell the others.
+const SEEDS_FIRST: Duration = Duration::from_millis(200);
+
 /// Time without a sign of an instance after which its row is removed.
 const ROW_LEFT_BEHIND: Duration = Duration::from_secs(60);
 
@@ -62,6 +65,9 @@
     // One that alone starts again is told of all at once.
     let told = !gateway.settings.first_start && peers::ask_seed(gateway);
     thread::sleep(SETTLED);
+    if !gateway.peers.is_seed(&gateway.settings.seeds) {
+        thread::sleep(SEEDS_FIRST);
+    }
     if peers::ask_seed(gateway) || told {
         return;
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -133,6 +133,11 @@
         alone || self.is_read_from(now)
     }
 
+    /// Returns whether the settings name this instance among `seeds`.
+    pub fn is_seed(&self, seeds: &[SocketAddr]) -> bool {
+        seeds.contains(&lock(&self.candidates).own().address)
+    }
+
     /// Notes that the other instances are known, as far as there are any.
     pub fn note_joined(&self) {
         self.joined.store(true, Ordering::Relaxed);
@@ -140,7 +145,7 @@
 
     /// Returns whether an instance that knows nobody has nobody to rely on: one that has just started has not
     /// learnt of the others yet.
-    fn knows_others(&self, now: Instant) -> bool {
+    pub(super) fn knows_others(&self, now: Instant) -> bool {
         let waited = now.saturating_duration_since(self.started) >= JOIN_MAX;
         waited || self.joined.load(Ordering::Relaxed)
     }
@@ -263,16 +268,16 @@
     }
 }
 
-/// Asks an instance that the settings name, one after the other, for the others; returns whether one has told.
+/// Asks the instances that the settings name, one after the other, for all; returns whether one has told.
 pub fn ask_seed(gateway: &Gateway) -> bool {
-    let own = lock(&gateway.peers.candidates).own().address;
-    let seeds = &gateway.settings.seeds;
-    if seeds.contains(&own) {
+    let mut seeds = gateway.settings.seeds.clone();
+    if gateway.peers.is_seed(&seeds) {
         return false;
     }
-    let mut seeds = seeds.clone();
     fastrand::shuffle(&mut seeds);
-    seeds.into_iter().any(|seed| ask(gateway, seed, Asks::Once).is_ok())
+    // One that has just started itself answers, and tells of nobody.
+    let told = |seed| ask(gateway, seed, Asks::Once).is_ok() && gateway.peers.instances() > 1;
+    seeds.into_iter().any(told)
 }
 
 /// Makes one exchange.
