test(gateway): streams that break off together go on within the budget

40 streams whose every run breaks off after two events, at an instance with ten repeats beside a fifth of its requests: each ends as what it is, none runs more often than its route allows, all runs together stay within the budget.

--- a/tests/suite/gateway.rs
+++ b/tests/suite/gateway.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use cartvane::{clock::Clock, link::http1::Conn};
+use cartvane::{clock::Clock, gateway::GatewayHandle, link::http1::Conn};
 use standins::{
     caller::Call,
     fault::Fault,
@@ -12,7 +12,7 @@
 
 use crate::{
     support::eventually,
-    world::{KEY, call, spawn, start, start_sharing},
+    world::{KEY, call, settings, spawn, start, start_sharing},
 };
 
 #[test]
@@ -357,3 +357,32 @@
     assert_ne!(idle.state(), cartvane::link::http1::conn::ConnState::Open);
     world.instance = instance;
 }
+
+// Many streams that break off at the same time, whose next runs break off too: as many go on as the budget of all
+// allows, none runs more often than its route allows, and those beyond end as what they are.
+#[test]
+fn streams_that_break_off_together_go_on_within_the_budget() {
+    const STREAMS: usize = 40;
+    const SLACK: usize = 10;
+    let world = start(3);
+    let mut tight = settings("tight", world.store.address(), Vec::new());
+    tight.bounds.retries.slack = SLACK as f64;
+    let instance = GatewayHandle::spawn(tight, &Clock::system()).expect("an instance");
+    eventually("it is ready", || instance.gateway().is_ready());
+    world.fault(Fault::BreakAfter(2));
+    let callers = instance.callers();
+    let streams: Vec<_> = (0..STREAMS)
+        .map(|i| {
+            std::thread::spawn(move || call("/stream-resumable/x", &format!("r{i}")).send(callers))
+        })
+        .collect();
+    for (number, stream) in streams.into_iter().enumerate() {
+        let answer = stream.join().expect("an answer");
+        assert_eq!((answer.status, answer.whole), (200, false), "stream {number}");
+        assert!(events(1).starts_with(&answer.text()), "only whole events, each once, in order");
+        assert!((1..=3).contains(&world.runs(&format!("r{number}"))), "stream {number}");
+    }
+    let runs: u32 = world.servers.iter().map(|server| server.total_runs()).sum();
+    let allowed = STREAMS + SLACK + STREAMS / 5;
+    assert!((STREAMS + 1..=allowed).contains(&(runs as usize)), "{runs} runs");
+}
