--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -43,6 +43,9 @@
     Slow(u64),
 }
 
+/// Header that counts how often the store has come back from a copy.
+const ERA_HEADER: &str = "store-era";
+
 /// Bytes that leave a slow link at once.
 const PIECE: usize = 8 << 10;
 
@@ -55,10 +58,19 @@
     version: u64,
 }
 
+/// What the store held at one moment.
+#[derive(Debug, Clone)]
+pub struct StoreCopy {
+    rows: BTreeMap<(String, String), Stored>,
+    version: u64,
+}
+
 #[derive(Debug, Default)]
 struct State {
     rows: BTreeMap<(String, String), Stored>,
     version: u64,
+    /// How often the store has come back from a copy.
+    era: u64,
     forgotten: u64,
     mode: StoreMode,
     /// How it behaves towards reads of single tables.
@@ -165,6 +177,22 @@
         self.shared.changed.notify_all();
     }
 
+    /// Returns a copy of all rows.
+    pub fn copy(&self) -> StoreCopy {
+        let state = lock(&self.shared.state);
+        StoreCopy { rows: state.rows.clone(), version: state.version }
+    }
+
+    /// Comes back from a copy: what was written since is gone, and its versions are given out again.
+    pub fn come_back(&self, copy: StoreCopy) {
+        let mut state = lock(&self.shared.state);
+        state.rows = copy.rows;
+        state.version = copy.version;
+        state.forgotten = state.forgotten.min(copy.version);
+        state.era += 1;
+        self.shared.changed.notify_all();
+    }
+
     /// Returns how often a call was made, by its path.
     pub fn calls(&self, path: &str) -> usize {
         lock(&self.shared.state).calls.get(path).copied().unwrap_or(0)
@@ -215,15 +243,16 @@
 
 fn serve(shared: &Shared, began: Instant, exchange: Exchange<'_>) -> Next {
     let Exchange { conn, received, .. } = exchange;
-    let mode = {
+    let (mode, era) = {
         let mut state = lock(&shared.state);
         *state.calls.entry(received.path().to_owned()).or_default() += 1;
         let table = received.param("table").unwrap_or_default();
-        state.table_modes.get(table).copied().unwrap_or(state.mode)
+        (state.table_modes.get(table).copied().unwrap_or(state.mode), state.era)
     };
+    let refuse = |status| Reply::new(status, "").with(ERA_HEADER, era).bytes();
     match mode {
-        StoreMode::Busy => return send(conn, &Reply::new(503, "").bytes(), Next::KeepAlive),
-        StoreMode::TooMany => return send(conn, &Reply::new(429, "").bytes(), Next::KeepAlive),
+        StoreMode::Busy => return send(conn, &refuse(503), Next::KeepAlive),
+        StoreMode::TooMany => return send(conn, &refuse(429), Next::KeepAlive),
         StoreMode::Reset => return Next::Close,
         StoreMode::Silent => {
             thread::sleep(SILENCE);
@@ -274,6 +303,7 @@
             Reply::json(&json!({
                 "rows": rows, "has_more": has_more, "ver": state.version, "now_ms": now_ms
             }))
+            .with(ERA_HEADER, state.era)
         }
         "/v1/rows-feed" => {
             let after = param("after").parse().unwrap_or(0);
@@ -309,13 +339,14 @@
     let until = Instant::now() + wait;
     let mut state = lock(&shared.state);
     loop {
-        if after < state.forgotten {
-            return Reply::new(410, "");
+        if after < state.forgotten || after > state.version {
+            return Reply::new(410, "").with(ERA_HEADER, state.era);
         }
         let rows = state.rows(table, "", after, true);
         let left = until.saturating_duration_since(Instant::now());
         if !rows.is_empty() || left.is_zero() || state.mode != StoreMode::Up {
-            return Reply::json(&json!({"rows": rows, "ver": state.version, "now_ms": now_ms}));
+            let body = json!({"rows": rows, "ver": state.version, "now_ms": now_ms});
+            return Reply::json(&body).with(ERA_HEADER, state.era);
         }
         let waited = shared.changed.wait_timeout(state, left.min(Duration::from_millis(50)));
         state = waited.unwrap_or_else(std::sync::PoisonError::into_inner).0;
@@ -335,5 +366,5 @@
         state.write(&text(&entry, "table"), &text(&entry, "key"), None);
     }
     shared.changed.notify_all();
-    Reply::json(&json!({"ver": state.version, "now_ms": now_ms}))
+    Reply::json(&json!({"ver": state.version, "now_ms": now_ms})).with(ERA_HEADER, state.era)
 }
