feat(store): a version of the store is of an era, and a later era goes first

Cause: a store that comes back from a copy gives versions out again. The watch kept the largest, so each look was a 410 and a read of the whole configuration until the counter had passed the old one, and rows written between the two were never seen.

A version is a pair, ordered by era first, read from the header that all answers carry, and told so between instances. The intent in force stays; for 5 s after a return it does not count as surely the newest (nothing is denied by it), and "out of date" is forgotten unless somebody tells it again.

Found on the way: word that a newer version is the newest counted as word on an older one in force, which could then deny what the newer allows.

--- a/src/gateway/knowledge.rs
+++ b/src/gateway/knowledge.rs
@@ -144,9 +144,10 @@
         Some(intent)
     }
 
-    /// Notes that `version` was the newest, which says something of an intent in force that is no older.
+    /// Notes that `version` was the newest, which says something of an intent in force that is no older: one that is
+    /// behind would count as sure, and deny what the newer one allows.
     pub fn confirm(&self, version: u64, confirmed: Confirmed) {
-        if version >= self.version() {
+        if version <= self.version() {
             lock(&self.watch).confirm(confirmed);
         }
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -247,7 +247,8 @@
     /// Returns whether the intent in force is recent enough to deny a request by it.
     pub fn intent_is_fresh(&self, now: Instant) -> bool {
         let bound = self.settings.bounds.intent_in_force.max(self.settings.roster_period() * 2);
-        self.knowledge.intent_age(now).is_some_and(|age| age <= bound)
+        let is_young = self.knowledge.intent_age(now).is_some_and(|age| age <= bound);
+        is_young && self.knowledge.with_watch(|watch| watch.is_settled(now))
     }
 
     /// Brings the metrics that are looked up, not counted, up to date.
--- a/src/link/call.rs
+++ b/src/link/call.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use http::{Method, StatusCode};
+use http::{HeaderMap, Method, StatusCode};
 
 use super::http1::{BodyReader, Conn, ReadFault, ResponseHead};
 
@@ -30,6 +30,8 @@
 pub struct CallReply {
     /// Status.
     pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Body.
     pub body: Vec<u8>,
     /// Whether the connection may carry another call.
@@ -77,7 +79,7 @@
     let body = reader.read_progressing(conn, most, time.stall, end);
     let body = body.map_err(|(read, e)| cut(&e, read))?;
     let keep_alive = head.keep_alive() && conn.buffered().is_empty();
-    Ok(CallReply { status: head.status, body, keep_alive })
+    Ok(CallReply { status: head.status, headers: head.headers, body, keep_alive })
 }
 
 fn read_head(conn: &mut Conn, time: &CallTime, end: Instant) -> Result<ResponseHead, CallFault> {
--- a/src/routing/intent_watch.rs
+++ b/src/routing/intent_watch.rs
@@ -5,9 +5,7 @@
 
 use std::time::{Duration, Instant};
 
-use serde::{Deserialize, Serialize};
-
-use super::FleetPosition;
+use super::{FleetPosition, StoreVersion, store_version::SETTLING};
 
 /// Parts of the operator's bound after which the first and the last instance of the fleet read the store
 /// themselves if no other tells them anything newer. One after the other, so that the first can tell the
@@ -39,11 +37,6 @@
 /// Pause after a failed call and a question to other instances.
 const PAUSE_FAILED: Duration = Duration::from_millis(400);
 
-/// The store's one counter, which grows with each change of any table.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct StoreVersion(pub u64);
-
 /// That the intent in force was the newest.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Confirmed {
@@ -105,6 +98,8 @@
     behind: Option<Behind>,
     ask_next: bool,
     not_before: Option<Instant>,
+    /// Until when a newer intent may have been lost with the store's return, and be written again.
+    unsettled_until: Option<Instant>,
 }
 
 impl IntentWatch {
@@ -118,6 +113,7 @@
             behind: None,
             ask_next: false,
             not_before: None,
+            unsettled_until: None,
         }
     }
 
@@ -151,17 +147,34 @@
 
     /// Notes the version in force.
     pub fn in_force(&mut self, version: u64) {
+        if version > self.version {
+            self.unsettled_until = None;
+        }
         self.version = self.version.max(version);
         if self.behind.is_some_and(|behind| behind.newest <= self.version) {
             self.behind = None;
         }
     }
 
-    /// Notes that the intent in force was the newest.
+    /// Notes that the intent in force was the newest. What is told of an earlier era of the store says nothing of
+    /// this one.
     pub fn confirm(&mut self, confirmed: Confirmed) {
-        let known = self.confirmed.get_or_insert(confirmed);
-        known.at = known.at.max(confirmed.at);
-        known.store = known.store.max(confirmed.store);
+        let known = *self.confirmed.get_or_insert(confirmed);
+        if confirmed.store.era < known.store.era {
+            return;
+        }
+        if confirmed.store.era > known.store.era {
+            self.unsettled_until = Some(confirmed.at + SETTLING);
+            // Whoever has the newer version in force tells of it again; if nobody does, it is lost.
+            self.behind = None;
+        }
+        let at = known.at.max(confirmed.at);
+        self.confirmed = Some(Confirmed { at, store: known.store.max(confirmed.store) });
+    }
+
+    /// Returns whether nothing newer can have been lost with the store's return.
+    pub fn is_settled(&self, now: Instant) -> bool {
+        self.unsettled_until.is_none_or(|until| now >= until)
     }
 
     /// Notes that all of the store up to `store` was seen, whether it was understood or not.
--- a/tests/suite/intent_watch.rs
+++ b/tests/suite/intent_watch.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use cartvane::routing::{
-    Confirmed, FleetPosition, IntentWatch, StoreVersion, WatchRole, WatchStep,
+    Confirmed, FleetPosition, IntentWatch, StoreEra, StoreVersion, WatchRole, WatchStep,
 };
 
 const BOUND: Duration = Duration::from_secs(2);
@@ -14,13 +14,18 @@
     Duration::from_millis(millis)
 }
 
+/// A version of the store's first era.
+fn store(counter: u64) -> StoreVersion {
+    StoreVersion { era: StoreEra(1), counter }
+}
+
 fn role(reader: bool, number: usize, instances: usize) -> WatchRole {
     let exchange_period = ms(250).max(Duration::from_micros(2500) * instances as u32).min(ms(900));
     WatchRole { reader, position: FleetPosition { number, instances }, exchange_period }
 }
 
 fn confirmed(at: Instant) -> Confirmed {
-    Confirmed { at, store: StoreVersion(70) }
+    Confirmed { at, store: store(70) }
 }
 
 /// Returns a watch over version 5, which was the newest at `at`.
@@ -32,7 +37,7 @@
 }
 
 fn look(wait: Duration) -> WatchStep {
-    WatchStep::Follow { after: StoreVersion(70), wait }
+    WatchStep::Follow { after: store(70), wait }
 }
 
 #[test]
@@ -149,10 +154,31 @@
 fn knowledge_never_grows_older() {
     let now = Instant::now();
     let mut watch = sure(now);
-    watch.confirm(Confirmed { at: now - ms(500), store: StoreVersion(60) });
+    watch.confirm(Confirmed { at: now - ms(500), store: store(60) });
     assert_eq!(watch.age(now), Some(NOTHING));
     assert_eq!(watch.next(now + BOUND, &role(false, 1, 8)), look(NOTHING));
-    watch.seen(StoreVersion(90));
+    watch.seen(store(90));
+    let step = watch.next(now + BOUND, &role(false, 1, 8));
+    assert_eq!(step, WatchStep::Follow { after: store(90), wait: NOTHING });
+}
+
+// With the largest version of the store kept over its return, every look led to a read of the whole intent; and what the
+// copy shows is not known to be the newest until operators have had time to write again what was lost.
+#[test]
+fn a_later_era_of_the_store_goes_before_any_count_and_takes_time_to_settle() {
+    let now = Instant::now();
+    let mut watch = sure(now);
+    watch.told(now, 7);
+    let back = StoreVersion { era: StoreEra(2), counter: 12 };
+    watch.confirm(Confirmed { at: now + ms(100), store: back });
+    assert!(!watch.is_behind(), "who had the newer version may be gone");
     let step = watch.next(now + BOUND, &role(false, 1, 8));
-    assert_eq!(step, WatchStep::Follow { after: StoreVersion(90), wait: NOTHING });
+    assert_eq!(step, WatchStep::Follow { after: back, wait: NOTHING });
+    assert!(!watch.is_settled(now + BOUND));
+    watch.confirm(Confirmed { at: now + BOUND * 2, store: store(900) });
+    assert_eq!(watch.confirmed().expect("confirmed").store, back, "an answer of before is late");
+    assert_eq!(watch.age(now + ms(100)), Some(NOTHING));
+    assert!(watch.is_settled(now + BOUND * 5), "not for ever");
+    watch.in_force(8);
+    assert!(watch.is_settled(now + BOUND), "operators have written again");
 }
--- a/tests/suite/knowledge.rs
+++ b/tests/suite/knowledge.rs
@@ -3,7 +3,11 @@
 
 use std::time::Duration;
 
-use cartvane::{clock::Clock, gateway::GatewayHandle, routing::Wanted};
+use cartvane::{
+    clock::Clock,
+    gateway::{GatewayHandle, knowledge::Knowledge},
+    routing::{Confirmed, Intent, StoreVersion, Wanted},
+};
 use serde_json::json;
 use standins::{
     caller::Call,
@@ -278,3 +282,18 @@
     let value = line.rsplit(' ').next().and_then(|value| value.parse::<f64>().ok());
     if counts { value.unwrap_or(0.0) as usize } else { 0 }
 }
+
+// An instance that is told of a newer version, but not what it says, took the word that this one is the newest for a word
+// on its own: it counted as sure, and would have denied requests that the newer version allows.
+#[test]
+fn word_of_a_newer_version_says_nothing_of_the_one_in_force() {
+    let now = Clock::system().now();
+    let later = now + Duration::from_secs(1);
+    let knowledge = Knowledge::new(Duration::from_secs(2));
+    let store = StoreVersion::default();
+    knowledge.offer_intent(Intent { version: 5, ..Intent::empty() }, Confirmed { at: now, store });
+    knowledge.confirm(9, Confirmed { at: later, store });
+    assert_eq!(knowledge.intent_age(later), Some(Duration::from_secs(1)));
+    knowledge.confirm(4, Confirmed { at: later, store });
+    assert_eq!(knowledge.intent_age(later), Some(Duration::ZERO), "it was no older then");
+}
--- a/tests/suite/store.rs
+++ b/tests/suite/store.rs
@@ -65,7 +65,7 @@
         let store = client(standin.address());
         standin.set_mode(mode);
         assert_eq!(came(store.rows(TABLE)), rows, "rows, {mode:?}");
-        let waited = store.changes(TABLE, StoreVersion(0), Duration::from_millis(20));
+        let waited = store.changes(TABLE, StoreVersion::default(), Duration::from_millis(20));
         assert_eq!(came(waited), changes, "changes, {mode:?}");
         assert_eq!(came(store.change(TABLE, &put("b"))), change, "change, {mode:?}");
         assert_eq!(standin.keys(TABLE).contains(&"b".to_owned()), made, "made, {mode:?}");
@@ -79,7 +79,7 @@
     drop(nobody);
     let store = client(address);
     assert_eq!(came(store.rows(TABLE)), Came::NotDone);
-    assert_eq!(came(store.changes(TABLE, StoreVersion(0), Duration::ZERO)), Came::NotDone);
+    assert_eq!(came(store.changes(TABLE, StoreVersion::default(), Duration::ZERO)), Came::NotDone);
     assert_eq!(came(store.change(TABLE, &put("a"))), Came::NotDone);
 }
 
