feat(routing): nothing new goes to an availability zone that operators have emptied

What operators want emptied is knowledge beside the intent: read by the same calls, told with the store's version at which it was read in every exchange and every hand-on of a change, and put in force before an intent or list by which an instance becomes ready. The picker passes servers there over like leaving ones, so first tries, repeats, resumed streams and requests that waited all go elsewhere; memory of prompts may still be fetched from there. Over a return of the store from a copy a zone stays empty for 5 s, until operators have had time to ask again. A row's key says all, also where its value cannot be read.

Ruled out: a list of zones inside the configuration's change (it has no version of its own: the operator's counter does not move), and a table read of its own (calls).

--- a/src/gateway/answering.rs
+++ b/src/gateway/answering.rs
@@ -87,6 +87,7 @@
             age_ms: millis(now.saturating_duration_since(confirmed.at)),
             store: confirmed.store,
         }),
+        evacuations: knowledge.evacuations_told(),
         list,
         list_age_ms: list_age.map(millis),
         instances,
--- a/src/gateway/intent_reader.rs
+++ b/src/gateway/intent_reader.rs
@@ -10,10 +10,10 @@
 use crate::{
     adapter::{
         calls::{INTENT_KEY, INTENT_TABLE},
-        intent,
+        evacuations, intent,
         store::{StoreFault, StoreRow, StoreRows},
     },
-    routing::{Confirmed, PackedChange, StoreVersion, WatchStep},
+    routing::{Confirmed, PackedChange, StoreVersion, ToldEvacuations, WatchStep},
 };
 
 /// Keeps the intent fresh until the process ends: follows it in the store where others rely on this
@@ -23,6 +23,7 @@
     loop {
         let now = gateway.clock.now();
         tell_overdue(gateway, now);
+        gateway.refresh_evacuated();
         let role = gateway.peers.watch_role(now);
         match knowledge.with_watch(|watch| watch.next(now, &role)) {
             WatchStep::Pause(time) => thread::sleep(time),
@@ -84,6 +85,10 @@
 fn read(gateway: &Arc<Gateway>) -> Result<(), StoreFault> {
     let at = gateway.clock.now();
     let rows = gateway.store.rows(INTENT_TABLE)?;
+    let wanted = evacuations::decode(&rows.rows).into_iter().filter(|row| row.is_wanted);
+    let zones = wanted.map(|row| row.zone).collect();
+    let told = ToldEvacuations { as_of: rows.version, zones };
+    gateway.knowledge.offer_evacuations(at, told);
     take(gateway, &rows, at);
     Ok(())
 }
@@ -104,37 +109,47 @@
     let began = gateway.clock.now();
     let rows = gateway.store.changes(INTENT_TABLE, after, wait)?;
     // A reply without changes came when the wait was over, so nothing had changed until then.
+    let changes = evacuations::decode(&rows.rows);
+    gateway.knowledge.follow_evacuations(began, rows.version, changes);
     let unchanged = rows.rows.is_empty() && gateway.clock.now() >= began + wait;
     take(gateway, &rows, if unchanged { began + wait } else { began });
     Ok(())
 }
 
+/// Takes the intent among rows that were current at `at`, and hands on what is new of it and of zones to be emptied.
 fn take(gateway: &Arc<Gateway>, rows: &StoreRows, at: Instant) {
+    let before = gateway.knowledge.version();
+    let zones_changed = gateway.refresh_evacuated();
     let confirmed = Confirmed { at, store: rows.version };
     let is_intent = |row: &&StoreRow| row.key == INTENT_KEY && !row.removed;
-    match rows.rows.iter().rev().find(is_intent) {
-        None => gateway.knowledge.confirm(gateway.knowledge.version(), confirmed),
+    let is_newer = match rows.rows.iter().rev().find(is_intent) {
+        None => {
+            gateway.knowledge.confirm(gateway.knowledge.version(), confirmed);
+            false
+        }
         Some(row) => take_row(gateway, row, confirmed),
+    };
+    // At a start all instances read; there is nothing to tell.
+    if before > 0 && (zones_changed || is_newer) {
+        spread::publish(gateway);
     }
 }
 
-/// Decodes an intent that was the newest, puts it in force if it is newer, and hands it to the others.
-fn take_row(gateway: &Arc<Gateway>, row: &StoreRow, confirmed: Confirmed) {
+/// Decodes an intent that was the newest; returns whether it is newer than the one in force, which it then replaces.
+fn take_row(gateway: &Arc<Gateway>, row: &StoreRow, confirmed: Confirmed) -> bool {
     let began = gateway.clock.now();
-    let before = gateway.knowledge.version();
     match intent::decode(&row.value) {
         Ok(decoded) => {
-            if gateway.knowledge.offer_intent(decoded, confirmed) {
+            let is_newer = gateway.knowledge.offer_intent(decoded, confirmed);
+            if is_newer {
                 log_in_force(gateway, "store", row.value.len(), began);
-                // At a start all instances read; there is nothing to tell.
-                if before > 0 {
-                    spread::publish(gateway);
-                }
             }
+            is_newer
         }
         Err(fault) => {
             log::error!("event=intent_skipped source=store reason={fault}");
             gateway.knowledge.with_watch(|watch| watch.seen(confirmed.store));
+            false
         }
     }
 }
--- a/src/gateway/knowledge.rs
+++ b/src/gateway/knowledge.rs
@@ -7,12 +7,14 @@
 };
 
 use arc_swap::ArcSwapOption;
+use indexmap::IndexSet;
 
 use crate::{
+    names::ZoneName,
     routing::{
-        BackendServer, ChangeFault, Confirmed, Incarnation, Intent, IntentChange, IntentHistory,
-        IntentInForce, IntentWatch, ListHistory, ListNews, ListVersion, PackedChange, Roster,
-        roster::RosterChange,
+        BackendServer, ChangeFault, Confirmed, EvacuationChange, Evacuations, Incarnation, Intent,
+        IntentChange, IntentHistory, IntentInForce, IntentWatch, ListHistory, ListNews,
+        ListVersion, PackedChange, Roster, StoreVersion, ToldEvacuations, roster::RosterChange,
     },
     utils::sync::lock,
 };
@@ -26,6 +28,8 @@
     watch: Mutex<IntentWatch>,
     /// Is told when the watch has something new to do.
     watch_told: Condvar,
+    /// Availability zones that get nothing new.
+    evacuations: Mutex<Evacuations>,
     /// Changes of the intent, for other instances.
     changes: Mutex<IntentHistory>,
     /// Lists of servers, for other instances.
@@ -45,6 +49,7 @@
             roster: Mutex::default(),
             watch: Mutex::new(IntentWatch::new(bound)),
             watch_told: Condvar::new(),
+            evacuations: Mutex::default(),
             changes: Mutex::default(),
             lists: Mutex::default(),
             complete: Mutex::default(),
@@ -176,6 +181,31 @@
         lock(&self.watch).age(now)
     }
 
+    /// Takes what was told of zones to be emptied; returns whether it is news.
+    pub fn offer_evacuations(&self, now: Instant, told: ToldEvacuations) -> bool {
+        lock(&self.evacuations).take(now, told)
+    }
+
+    /// Takes changes of zones to be emptied, up to the store's version `as_of`.
+    pub fn follow_evacuations(
+        &self,
+        now: Instant,
+        as_of: StoreVersion,
+        changes: impl IntoIterator<Item = EvacuationChange>,
+    ) -> bool {
+        lock(&self.evacuations).follow(now, as_of, changes)
+    }
+
+    /// Returns the zones that get nothing new.
+    pub fn evacuated(&self, now: Instant) -> IndexSet<ZoneName> {
+        lock(&self.evacuations).in_force(now)
+    }
+
+    /// Returns what other instances are told of zones to be emptied.
+    pub fn evacuations_told(&self) -> ToldEvacuations {
+        lock(&self.evacuations).newest().clone()
+    }
+
     /// Takes a list of backend servers that was current at `as_of`.
     pub fn observe_servers(
         &self,
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -9,7 +9,7 @@
     names::Tag,
     routing::{
         BudgetSum, Count, InstanceInfo, ListNews, ListVersion, PackedChange, RunId, ServiceLoad,
-        Spending, StoreVersion, ToldVerdict,
+        Spending, StoreVersion, ToldEvacuations, ToldVerdict,
     },
 };
 
@@ -72,6 +72,8 @@
     pub changes: Vec<Arc<PackedChange>>,
     /// When the other's version was known to be the newest.
     pub confirmed: Option<ConfirmedAgo>,
+    /// Availability zones to be emptied, as the other knows them.
+    pub evacuations: ToldEvacuations,
     /// What is new in the list of servers.
     pub list: ListNews,
     /// Milliseconds since the list was current.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -54,7 +54,7 @@
     names::ServiceName,
     routing::{
         BudgetSum, CallKind, Incarnation, Picked, Picker, RetryBudget, Spending, StoreShare,
-        Unpicked, Wanted,
+        ToldEvacuations, Unpicked, Wanted,
     },
     utils::{signal::Signal, sync::lock, usage::Usage},
 };
@@ -224,6 +224,27 @@
         self.conns.retain(|server| known.contains(server));
     }
 
+    /// Takes what was read or told of zones to be emptied.
+    pub fn take_evacuations(&self, told: ToldEvacuations, source: &str) {
+        if self.knowledge.offer_evacuations(self.clock.now(), told) && self.refresh_evacuated() {
+            log::info!("event=evacuations_known source={source}");
+        }
+    }
+
+    /// Has nothing new sent to the zones that are to be empty by now, and some to those that are taken back; returns
+    /// whether anything has changed.
+    pub fn refresh_evacuated(&self) -> bool {
+        let zones = self.knowledge.evacuated(self.clock.now());
+        let former = lock(&self.picker).set_evacuated(zones.clone());
+        for zone in zones.difference(&former) {
+            log::warn!("event=zone_evacuated zone={zone}");
+        }
+        for zone in former.difference(&zones) {
+            log::warn!("event=zone_taken_back zone={zone}");
+        }
+        zones != former
+    }
+
     /// Forgets a server whose address answered as another one.
     pub fn forget_server(&self, id: &Incarnation) {
         self.knowledge.forget_server(id);
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -362,6 +362,8 @@
 }
 
 fn take(gateway: &Gateway, news: News, list: Option<ListVersion>, asked: Instant) {
+    // Before an intent or a list by which the instance may become ready.
+    gateway.take_evacuations(news.evacuations, "peer");
     intent_reader::take_changes(gateway, &news.changes);
     let then = |age_ms: u64| asked.checked_sub(Duration::from_millis(age_ms));
     if let Some(ConfirmedAgo { age_ms, store }) = news.confirmed
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -5,6 +5,7 @@
 pub mod blame;
 pub mod budget;
 pub mod candidates;
+pub mod evacuations;
 pub mod events;
 pub mod fleet_budget;
 pub mod health;
@@ -34,6 +35,7 @@
 };
 pub use budget::RetryBudget;
 pub use candidates::{Candidates, InstanceInfo};
+pub use evacuations::{EvacuationChange, Evacuations, ToldEvacuations};
 pub use events::EventSplitter;
 pub use fleet_budget::{BudgetSum, FleetBudget, RunId, Spending, ToldSpent};
 pub use health::Health;
--- a/src/routing/picker.rs
+++ b/src/routing/picker.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use super::{
     BackendServer, Count, Crowded, FleetPosition, Health, Incarnation, Load, LoadReport, Overload,
@@ -66,13 +66,22 @@
     /// This instance among all.
     position: FleetPosition,
     overload: IndexMap<ServiceName, Overload>,
+    /// Availability zones that get nothing new.
+    evacuated: IndexSet<ZoneName>,
 }
 
 impl Picker {
     /// Returns a picker for an instance in `zone`.
     pub fn new(zone: ZoneName, load_bound: f64) -> Picker {
         let position = FleetPosition { number: 0, instances: 1 };
-        Picker { servers: IndexMap::new(), zone, load_bound, position, overload: IndexMap::new() }
+        Picker {
+            servers: IndexMap::new(),
+            zone,
+            load_bound,
+            position,
+            overload: IndexMap::new(),
+            evacuated: IndexSet::new(),
+        }
     }
 
     /// Sets which of all instances this one is.
@@ -85,6 +94,16 @@
         self.position
     }
 
+    /// Sets the zones whose servers get nothing new; returns those before.
+    pub fn set_evacuated(&mut self, zones: IndexSet<ZoneName>) -> IndexSet<ZoneName> {
+        std::mem::replace(&mut self.evacuated, zones)
+    }
+
+    /// Returns whether a server takes new requests.
+    fn takes_requests(&self, server: &BackendServer) -> bool {
+        !server.leaving && !self.evacuated.contains(&server.zone)
+    }
+
     /// Takes the list of servers in force; what is known of those that stay is kept, and nothing of those that
     /// started again.
     pub fn set_servers<'a>(&mut self, list: impl Iterator<Item = &'a Arc<BackendServer>>) {
@@ -127,7 +146,7 @@
         let usable: Vec<&Tracked> = self
             .servers
             .values()
-            .filter(|t| t.server.service == *wanted.service && !t.server.leaving)
+            .filter(|t| t.server.service == *wanted.service && self.takes_requests(&t.server))
             .filter(|t| !wanted.tried.contains(&t.server.id))
             .collect();
         let healthy = self.healthy(now, &usable);
@@ -165,7 +184,7 @@
     fn places(&self, service: &ServiceName) -> Option<(f64, f64)> {
         let (mut own, mut places) = (0.0, 0.0);
         for tracked in self.servers.values().filter(|t| t.server.service == *service) {
-            if tracked.server.leaving {
+            if !self.takes_requests(&tracked.server) {
                 continue;
             }
             own += f64::from(tracked.load.own());
@@ -332,7 +351,8 @@
 
     /// Returns whether `service` has a server that may be used.
     pub fn serves(&self, service: &ServiceName) -> bool {
-        self.servers.values().any(|t| t.server.service == *service && !t.server.leaving)
+        let mut servers = self.servers.values().filter(|t| t.server.service == *service);
+        servers.any(|t| self.takes_requests(&t.server))
     }
 
     fn with(&mut self, id: &Incarnation, change: impl FnOnce(&mut Tracked)) {
