feat(routing): requests stay in the regions of their route and their team

Cause: `allowed_regions` of routes and teams were not read. A list without entries names no limit. The regions of zones come from the settings (`zones`); a zone whose region they do not name is nobody's home. Memory of prompts is fetched from servers at home only. Bodies are not passed between instances, so none leaves the caller's region that way.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -109,6 +109,7 @@
                 affinity: self.request.affinity(),
                 spread: self.request.spread(),
                 tried: self.tries.servers(),
+                homes: &self.request.homes,
                 admission: (!self.tries.may_have_run()).then_some(self.request.priority),
             };
             let (picked, flight) = match self.gateway.pick(now, &wanted) {
@@ -357,6 +358,7 @@
             affinity: None,
             spread: self.request.spread(),
             tried: &tried,
+            homes: &self.request.homes,
             admission: Some(self.request.priority),
         };
         let other = lock(&self.gateway.picker).pick(now, &wanted).is_ok();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -112,7 +112,7 @@
             store: open_store(&settings, clock, metrics.clone(), &store_share),
             store_share,
             knowledge: Knowledge::new(settings.bounds.intent_in_force),
-            picker: Mutex::new(Picker::new(settings.zone.clone(), settings.bounds.load)),
+            picker: Mutex::new(open_picker(&settings)),
             conns: ServerConns::new(clock.clone()),
             peers: Peers::new(&settings, clock, &metrics.traffic()),
             suspicion: Suspicion::default(),
@@ -311,6 +311,12 @@
     }
 }
 
+fn open_picker(settings: &GatewaySettings) -> Picker {
+    let mut picker = Picker::new(settings.zone.clone(), settings.bounds.load);
+    picker.set_regions(settings.regions.clone());
+    picker
+}
+
 /// Opens the store; calls beyond this instance's share wait for their turn.
 fn open_store(
     settings: &GatewaySettings,
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     names::{ServerId, ServiceName, TeamName},
-    routing::{RequestDigest, Route},
+    routing::{HomeRegions, RequestDigest, Route},
     zone::rendezvous::ChatKey,
 };
 
@@ -66,6 +66,8 @@
     pub service: ServiceName,
     /// Team of its caller.
     pub team: Option<TeamName>,
+    /// Where it may be served.
+    pub homes: HomeRegions,
     /// Rank among requests; 0 goes first.
     pub priority: u8,
     /// Method.
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -2,8 +2,10 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use indexmap::IndexMap;
+
 use crate::{
-    names::{NodeName, ZoneName},
+    names::{NodeName, RegionName, ZoneName},
     routing::{StoreRates, budget::BudgetTerms, roster_watch},
 };
 
@@ -14,6 +16,8 @@
     pub node: NodeName,
     /// The instance's availability zone.
     pub zone: ZoneName,
+    /// Regions of the availability zones.
+    pub regions: IndexMap<ZoneName, RegionName>,
     /// Whether all instances start for the first time, so that none can have run before.
     pub first_start: bool,
     /// Where it listens.
--- a/src/names.rs
+++ b/src/names.rs
@@ -184,6 +184,10 @@
     /// An availability zone as a platform names it.
     ZoneName
 );
+label!(
+    /// A region as a platform names it: a group of availability zones.
+    RegionName
+);
 label!(
     /// A running router instance as a platform names it.
     NodeName
--- a/src/routing/pick.rs
+++ b/src/routing/pick.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::{BackendServer, Incarnation};
+use super::{BackendServer, HomeRegions, Incarnation};
 use crate::names::ServiceName;
 
 /// What the caller's request wants.
@@ -16,11 +16,25 @@
     pub spread: u64,
     /// Servers that must not be used again.
     pub tried: &'a [Incarnation],
+    /// Where it may be served.
+    pub homes: &'a HomeRegions,
     /// Rank of a request that may be refused beyond capacity; `None` for one that has gone out already.
     pub admission: Option<u8>,
 }
 
-impl Wanted<'_> {
+impl<'a> Wanted<'a> {
+    /// Returns what a request wants that asks for a service only.
+    pub fn of(service: &'a ServiceName) -> Wanted<'a> {
+        Wanted {
+            service,
+            affinity: None,
+            spread: 0,
+            tried: &[],
+            homes: &HomeRegions::Anywhere,
+            admission: None,
+        }
+    }
+
     /// Returns a number in [0, 1) that is another one for each request.
     pub fn draw(&self) -> f64 {
         // 53 bits make a float in [0, 1).
--- a/src/routing/picker.rs
+++ b/src/routing/picker.rs
@@ -19,7 +19,7 @@
     overload::FleetTotal,
 };
 use crate::{
-    names::{ServiceName, Tag, ZoneName},
+    names::{RegionName, ServiceName, Tag, ZoneName},
     zone::rendezvous,
 };
 
@@ -61,6 +61,8 @@
 pub struct Picker {
     servers: IndexMap<Incarnation, Tracked>,
     zone: ZoneName,
+    /// Regions of the availability zones.
+    regions: IndexMap<ZoneName, RegionName>,
     /// The operator's bound on an engine's load, as a multiple of the mean.
     load_bound: f64,
     /// This instance among all.
@@ -77,6 +79,7 @@
         Picker {
             servers: IndexMap::new(),
             zone,
+            regions: IndexMap::new(),
             load_bound,
             position,
             overload: IndexMap::new(),
@@ -84,6 +87,16 @@
         }
     }
 
+    /// Sets the regions of the availability zones.
+    pub fn set_regions(&mut self, regions: IndexMap<ZoneName, RegionName>) {
+        self.regions = regions;
+    }
+
+    /// Returns whether a server is where a request may be served.
+    fn is_home(&self, server: &BackendServer, wanted: &Wanted<'_>) -> bool {
+        wanted.homes.allow(self.regions.get(&server.zone))
+    }
+
     /// Sets which of all instances this one is.
     pub fn set_position(&mut self, position: FleetPosition) {
         self.position = position;
@@ -148,6 +161,7 @@
             .values()
             .filter(|t| t.server.service == *wanted.service && self.takes_requests(&t.server))
             .filter(|t| !wanted.tried.contains(&t.server.id))
+            .filter(|t| self.is_home(&t.server, wanted))
             .collect();
         let healthy = self.healthy(now, &usable);
         let pool = if healthy.is_empty() { usable } else { healthy };
@@ -439,6 +453,7 @@
             t.server.service == picked.service
                 && !wanted.tried.contains(&t.server.id)
                 && t.server.id != picked.id
+                && self.is_home(&t.server, wanted)
                 && !t.health.is_paused(now)
         };
         let score = |t: &Tracked| rendezvous::score(key, t.server.place(), 1.0);
--- a/src/routing/route.rs
+++ b/src/routing/route.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
+use super::HomeRegions;
 use crate::names::ServiceName;
 
 /// What may be repeated, and how the answer comes.
@@ -77,6 +78,8 @@
     pub public: bool,
     /// Whether requests that share a prompt go to the same backend server.
     pub affinity: bool,
+    /// Where its requests may be served.
+    pub homes: HomeRegions,
 }
 
 impl Route {
--- a/src/routing/team.rs
+++ b/src/routing/team.rs
@@ -3,6 +3,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
+use super::HomeRegions;
 use crate::names::TeamName;
 
 /// A team.
@@ -12,6 +13,8 @@
     pub name: TeamName,
     /// Rank of its requests, in place of their route's.
     pub priority: Option<u8>,
+    /// Where its requests may be served.
+    pub homes: HomeRegions,
 }
 
 /// Teams by key.
--- a/tests/suite/herding.rs
+++ b/tests/suite/herding.rs
@@ -110,6 +110,7 @@
             spread: self.spread,
             tried: &[],
             admission: None,
+            ..Wanted::of(&service)
         };
         let picked = self.pickers[instance].pick(now, &wanted).expect("a server");
         let at = self.servers.iter().position(|s| s.id == picked.server.id).expect("listed");
--- a/tests/suite/incarnations.rs
+++ b/tests/suite/incarnations.rs
@@ -163,8 +163,14 @@
     picker.told_silent(now, &[before.tag()]);
     let service = "llm".parse().expect("a name");
     let tried = [server("b@1000", 2).id];
-    let wanted =
-        Wanted { service: &service, affinity: None, spread: 5, tried: &tried, admission: None };
+    let wanted = Wanted {
+        service: &service,
+        affinity: None,
+        spread: 5,
+        tried: &tried,
+        admission: None,
+        ..Wanted::of(&service)
+    };
     assert_eq!(picker.pick(now, &wanted).expect("a server").server.id, after.id);
 }
 
@@ -183,6 +189,7 @@
                 spread: 5,
                 tried: &[],
                 admission: None,
+                ..Wanted::of(&service)
             };
             picker.pick(now, &wanted).expect("a server").server.id.server.to_string()
         };
--- a/tests/suite/intent_changes.rs
+++ b/tests/suite/intent_changes.rs
@@ -10,8 +10,8 @@
 use cartvane::{
     names::ServiceName,
     routing::{
-        CallerLimits, ChangeFault, InstanceInfo, Intent, IntentChange, IntentHistory, PackedChange,
-        Route, RouteKind, RouteTable, ServiceShare, ServiceSpec, Team, Teams, spread,
+        CallerLimits, ChangeFault, HomeRegions, InstanceInfo, Intent, IntentChange, IntentHistory,
+        PackedChange, Route, RouteKind, RouteTable, ServiceShare, ServiceSpec, Team, Teams, spread,
     },
 };
 use proptest::{prelude::*, test_runner::RngSeed};
@@ -34,6 +34,7 @@
         max_attempts: 2,
         public: number.is_multiple_of(2),
         affinity: false,
+        homes: homes(service),
     }
 }
 
@@ -62,10 +63,17 @@
     )
 }
 
+/// Some have homes, some have none.
+fn homes(number: u8) -> HomeRegions {
+    let region = |number: u8| format!("r{number}").parse().expect("a name");
+    HomeRegions::named((number.is_multiple_of(2)).then(|| region(number)))
+}
+
 fn build(version: u64, drawn: &Drawn) -> Intent {
     let team = |number: &u8| Team {
         name: format!("team-{number}").parse().expect("a name"),
         priority: (*number > 0).then_some(*number),
+        homes: homes(*number),
     };
     let keys = drawn.keys.iter().map(|(key, holder)| (team(holder), vec![format!("key-{key}")]));
     let spec = |number: &u8| ServiceSpec { max_connections: 10, engine: *number > 1 };
--- a/tests/suite/knowledge.rs
+++ b/tests/suite/knowledge.rs
@@ -218,8 +218,14 @@
         .collect();
     let service = "app".parse().expect("a name");
     eventually("the other counts them", || {
-        let wanted =
-            Wanted { service: &service, affinity: None, spread: 5, tried: &[], admission: None };
+        let wanted = Wanted {
+            service: &service,
+            affinity: None,
+            spread: 5,
+            tried: &[],
+            admission: None,
+            ..Wanted::of(&service)
+        };
         let now = Clock::system().now();
         let picker = two.gateway().picker.lock().expect("the picker");
         picker.pick(now, &wanted).expect("a server").load >= 2.0
--- a/tests/suite/overload.rs
+++ b/tests/suite/overload.rs
@@ -200,6 +200,7 @@
             spread: self.rng.u64(..),
             tried: &[],
             admission: Some(rank as u8),
+            ..Wanted::of(&self.service)
         };
         self.asked[rank] += 1;
         match picker.pick(now, &wanted) {
--- a/tests/suite/picking.rs
+++ b/tests/suite/picking.rs
@@ -29,7 +29,14 @@
     tried: &[Incarnation],
 ) -> Option<Incarnation> {
     let service = "llm".parse().expect("a name");
-    let wanted = Wanted { service: &service, affinity, spread: 5, tried, admission: None };
+    let wanted = Wanted {
+        service: &service,
+        affinity,
+        spread: 5,
+        tried,
+        admission: None,
+        ..Wanted::of(&service)
+    };
     picker.pick(now, &wanted).ok().map(|picked| picked.server.id.clone())
 }
 
@@ -124,8 +131,14 @@
     let mut servers = fleet(6);
     let service = "llm".parse().expect("a name");
     let pick = |picker: &Picker, tried: &[Incarnation]| {
-        let wanted =
-            Wanted { service: &service, affinity: Some(42), spread: 5, tried, admission: None };
+        let wanted = Wanted {
+            service: &service,
+            affinity: Some(42),
+            spread: 5,
+            tried,
+            admission: None,
+            ..Wanted::of(&service)
+        };
         let picked = picker.pick(now, &wanted).expect("a server");
         (picked.server.id.clone(), picked.holder.expect("a holder").id.clone())
     };
@@ -163,8 +176,14 @@
     picker.set_fleet_loads(now, &[both], &own);
     let service = "llm".parse().expect("a name");
     let tried = [servers[1].id.clone(), servers[2].id.clone()];
-    let wanted =
-        Wanted { service: &service, affinity: None, spread: 5, tried: &tried, admission: None };
+    let wanted = Wanted {
+        service: &service,
+        affinity: None,
+        spread: 5,
+        tried: &tried,
+        admission: None,
+        ..Wanted::of(&service)
+    };
     let picked = picker.pick(now, &wanted).expect("a server");
     assert!((picked.load - 6.0).abs() < 0.01, "{picked:?}");
 }
--- a/tests/suite/routing.rs
+++ b/tests/suite/routing.rs
@@ -6,9 +6,9 @@
 };
 
 use cartvane::routing::{
-    BackendServer, EventSplitter, Health, Incarnation, Intent, IntentInForce, ListHistory,
-    ListNews, Load, LoadReport, RetryBudget, Roster, Route, RouteKind, RouteTable, ServiceShare,
-    Teams, budget::BudgetTerms,
+    BackendServer, EventSplitter, Health, HomeRegions, Incarnation, Intent, IntentInForce,
+    ListHistory, ListNews, Load, LoadReport, RetryBudget, Roster, Route, RouteKind, RouteTable,
+    ServiceShare, Teams, budget::BudgetTerms,
 };
 use indexmap::IndexMap;
 use proptest::{
@@ -110,6 +110,7 @@
         max_attempts: 2,
         public: false,
         affinity: false,
+        homes: HomeRegions::Anywhere,
     }
 }
 
--- a/tests/suite/world.rs
+++ b/tests/suite/world.rs
@@ -31,6 +31,11 @@
     GatewaySettings {
         node: node.parse().expect("a name"),
         zone: "north".parse().expect("a zone"),
+        regions: [("north", "upper"), ("south", "lower")]
+            .map(|(zone, region)| {
+                (zone.parse().expect("a zone"), region.parse().expect("a region"))
+            })
+            .into(),
         first_start: true,
         addresses: Addresses {
             callers: port(0),
