feat(knowledge): what the store has lost by coming back from a copy does not undo what was known

Cause: after a return the copy lists servers that have left since, lacks those that started, lacks rows of instances and of held requests; a missing held row counted as lifted by an operator, so all requests that end servers would have gone free.

Lists between instances carry the store's era, and are what the teller believes, so that one that starts meanwhile does not fall for the copy. Held rows that are missing in a new era are written again.

--- a/src/gateway/answering.rs
+++ b/src/gateway/answering.rs
@@ -73,7 +73,7 @@
             gateway.reader_wanted.set();
         }
     }
-    let (list, list_age) = knowledge.list_told(now, report.list);
+    let told = knowledge.list_told(now, report.list);
     News {
         loads: summary(gateway, now).to_vec(),
         silent: all_silent(gateway, now),
@@ -88,8 +88,9 @@
             store: confirmed.store,
         }),
         evacuations: knowledge.evacuations_told(),
-        list,
-        list_age_ms: list_age.map(millis),
+        list: told.news,
+        list_age_ms: told.age.map(millis),
+        list_era: told.era,
         instances,
     }
 }
--- a/src/gateway/held_table.rs
+++ b/src/gateway/held_table.rs
@@ -56,6 +56,7 @@
         return Ok(());
     }
     let read = gateway.store.rows(HELD_TABLE)?;
+    watch.note_era(read.version.era);
     let rows: Vec<HeldRow> = read.rows.iter().filter_map(decode_row).collect();
     let plan = watch.plan(read.now_ms, &rows, &known);
     let now = gateway.clock.now();
@@ -81,7 +82,7 @@
     let puts = puts.iter().map(|(key, value)| Change::Put { key, value });
     let changes: Vec<Change<'_>> =
         puts.chain(gone.iter().map(|key| Change::Remove { key })).collect();
-    gateway.store.change(HELD_TABLE, &changes)
+    gateway.store.change(HELD_TABLE, &changes).map(drop)
 }
 
 fn decode_row(row: &StoreRow) -> Option<HeldRow> {
--- a/src/gateway/instance_table.rs
+++ b/src/gateway/instance_table.rs
@@ -9,7 +9,7 @@
         store::{Change, StoreFault},
     },
     configs::fleet::chunks::{decode, encode},
-    routing::InstanceInfo,
+    routing::{InstanceInfo, StoreEra, StoreVersion},
     utils::sync::lock,
 };
 
@@ -32,17 +32,20 @@
 /// Keeps the instances' table until the process ends: every instance writes its row once and learns of the others;
 /// the one that the others turn to reads the table now and then and removes rows left behind.
 pub fn run(gateway: &Arc<Gateway>) {
-    while let Err(fault) = announce(gateway) {
-        log::info!("event=instances_unread reason={:?}", fault.to_string());
-        thread::sleep(TABLE_FIRST);
-    }
+    let mut era = announce_until_done(gateway);
     learn(gateway);
     gateway.peers.note_joined();
     let began = gateway.clock.now();
     let mut pause = TABLE_FIRST;
     loop {
         thread::sleep(pause);
-        pause = TABLE_PERIOD;
+        // Drawn, so that instances that started together do not call together.
+        pause = TABLE_PERIOD.mul_f64(1.0 - 0.5 * fastrand::f64());
+        let known = gateway.knowledge.with_watch(|watch| watch.confirmed());
+        if known.is_some_and(|known| known.store.era > era) && !gateway.drain.is_draining() {
+            // The store has come back from a copy, which may lack the row.
+            era = announce_until_done(gateway);
+        }
         let now = gateway.clock.now();
         if gateway.drain.is_draining() || lock(&gateway.peers.candidates).first(now).is_some() {
             continue;
@@ -53,7 +56,18 @@
     }
 }
 
-fn announce(gateway: &Gateway) -> Result<(), StoreFault> {
+/// Writes the instance's own row; returns the era of the store that has it.
+fn announce_until_done(gateway: &Gateway) -> StoreEra {
+    loop {
+        match announce(gateway) {
+            Ok(version) => return version.era,
+            Err(fault) => log::info!("event=instance_unwritten reason={:?}", fault.to_string()),
+        }
+        thread::sleep(TABLE_FIRST);
+    }
+}
+
+fn announce(gateway: &Gateway) -> Result<StoreVersion, StoreFault> {
     let own = lock(&gateway.peers.candidates).own().clone();
     let change = Change::Put { key: own.node.as_str(), value: &encode(&own) };
     gateway.store.change(INSTANCE_TABLE, &[change])
--- a/src/gateway/knowledge.rs
+++ b/src/gateway/knowledge.rs
@@ -14,11 +14,23 @@
     routing::{
         BackendServer, ChangeFault, Confirmed, EvacuationChange, Evacuations, Incarnation, Intent,
         IntentChange, IntentHistory, IntentInForce, IntentWatch, ListHistory, ListNews,
-        ListVersion, PackedChange, Roster, StoreVersion, ToldEvacuations, roster::RosterChange,
+        ListVersion, PackedChange, Roster, StoreEra, StoreVersion, ToldEvacuations,
+        roster::RosterChange,
     },
     utils::sync::lock,
 };
 
+/// A list of backend servers as another instance is told of it.
+#[derive(Debug)]
+pub struct ToldList {
+    /// What is new in it.
+    pub news: ListNews,
+    /// How long ago it was current.
+    pub age: Option<Duration>,
+    /// Era of the store that it is from.
+    pub era: StoreEra,
+}
+
 /// An instance's beliefs.
 pub struct Knowledge {
     current: ArcSwapOption<Intent>,
@@ -206,19 +218,22 @@
         lock(&self.evacuations).newest().clone()
     }
 
-    /// Takes a list of backend servers that was current at `as_of`.
+    /// Takes a list of backend servers that was current at `as_of`, in an era of the store.
     pub fn observe_servers(
         &self,
         now: Instant,
         as_of: Instant,
+        era: StoreEra,
         list: Vec<BackendServer>,
     ) -> RosterChange {
         let mut roster = lock(&self.roster);
-        if roster.as_of().is_some_and(|known| known >= as_of) {
+        let is_newer = roster.as_of().is_none_or(|known| known < as_of);
+        if !is_newer || !roster.note_era(now, era) {
             return RosterChange::default();
         }
-        lock(&self.lists).push(list.clone());
         let change = roster.observe(now, as_of, list);
+        // Others are told what is believed, which is more than the list after an outage of the store.
+        lock(&self.lists).push(roster.servers().map(|server| (**server).clone()).collect());
         drop(roster);
         self.note_progress();
         change
@@ -275,14 +290,11 @@
     ///
     /// Both are of one moment: a list from just before a read, told with the age from just after it, would count
     /// as current and keep the next news out.
-    pub fn list_told(
-        &self,
-        now: Instant,
-        version: Option<ListVersion>,
-    ) -> (ListNews, Option<Duration>) {
+    pub fn list_told(&self, now: Instant, version: Option<ListVersion>) -> ToldList {
         let roster = lock(&self.roster);
         let news = lock(&self.lists).since(version);
-        (news, roster.as_of().map(|at| now.saturating_duration_since(at)))
+        let age = roster.as_of().map(|at| now.saturating_duration_since(at));
+        ToldList { news, age, era: roster.era() }
     }
 
     /// Returns the list that the newest one becomes by `news`, which is of `version`.
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -9,7 +9,7 @@
     names::Tag,
     routing::{
         BudgetSum, Count, InstanceInfo, ListNews, ListVersion, PackedChange, RunId, ServiceLoad,
-        Spending, StoreVersion, ToldEvacuations, ToldVerdict,
+        Spending, StoreEra, StoreVersion, ToldEvacuations, ToldVerdict,
     },
 };
 
@@ -78,6 +78,8 @@
     pub list: ListNews,
     /// Milliseconds since the list was current.
     pub list_age_ms: Option<u64>,
+    /// Era of the store that the list is from.
+    pub list_era: StoreEra,
     /// All instances, if the asker knows others.
     pub instances: Option<Vec<InstanceInfo>>,
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -375,7 +375,7 @@
     if let Some(as_of) = news.list_age_ms.and_then(then)
         && let Some(servers) = gateway.knowledge.apply_list_news(list, news.list)
     {
-        roster_reader::take(gateway, servers, as_of, "peer");
+        roster_reader::take(gateway, servers, as_of, news.list_era, "peer");
     }
     if let Some(instances) = news.instances {
         lock(&gateway.peers.candidates).set(instances);
--- a/src/gateway/roster_reader.rs
+++ b/src/gateway/roster_reader.rs
@@ -8,7 +8,7 @@
 use super::{Gateway, peers};
 use crate::{
     adapter::{calls::SERVER_TABLE, servers, store::StoreFault},
-    routing::{BackendServer, RosterRole, RosterStep, RosterWatch, roster::RosterChange},
+    routing::{BackendServer, RosterRole, RosterStep, RosterWatch, StoreEra, roster::RosterChange},
     utils::sync::lock,
 };
 
@@ -65,13 +65,19 @@
     let entries = servers::decode_all(&rows.rows);
     lock(&gateway.skipped_log).tell(&entries.skipped);
     gateway.knowledge.overwritten(entries.skipped.iter().map(|entry| entry.key.as_str()));
-    take(gateway, entries.servers, as_of, "store");
+    take(gateway, entries.servers, as_of, rows.version.era, "store");
     Ok(())
 }
 
-/// Takes a whole list that was current at `as_of`.
-pub fn take(gateway: &Gateway, list: Vec<BackendServer>, as_of: Instant, source: &str) {
-    let change = gateway.knowledge.observe_servers(gateway.clock.now(), as_of, list);
+/// Takes a whole list that was current at `as_of`, in an era of the store.
+pub fn take(
+    gateway: &Gateway,
+    list: Vec<BackendServer>,
+    as_of: Instant,
+    era: StoreEra,
+    source: &str,
+) {
+    let change = gateway.knowledge.observe_servers(gateway.clock.now(), as_of, era, list);
     log_change(&change, source, gateway.clock.now().saturating_duration_since(as_of));
     if change != RosterChange::default() {
         gateway.servers_changed();
--- a/src/routing/blame/table.rs
+++ b/src/routing/blame/table.rs
@@ -3,6 +3,7 @@
 use std::collections::HashSet;
 
 use super::{Judgement, RequestDigest, RequestLook, ToldVerdict, verdicts::HELD_FOR};
+use crate::routing::StoreEra;
 
 /// A row of the table.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -32,6 +33,8 @@
 #[derive(Debug)]
 pub struct TableWatch {
     is_read: bool,
+    /// Era of the store of the rows seen.
+    era: StoreEra,
     /// Requests whose rows were there.
     seen: HashSet<RequestDigest>,
 }
@@ -55,7 +58,7 @@
 impl TableWatch {
     /// Returns the watch of an instance that has just started; `is_empty` says that there can be no rows yet.
     pub fn new(is_empty: bool) -> TableWatch {
-        TableWatch { is_read: is_empty, seen: HashSet::new() }
+        TableWatch { is_read: is_empty, era: StoreEra::default(), seen: HashSet::new() }
     }
 
     /// Returns whether the table need not be looked at: it has been read, and nothing is held back.
@@ -68,6 +71,15 @@
         self.is_read
     }
 
+    /// Notes the era of the rows that are read next: those that are missing after the store's return were lost with it,
+    /// not removed by an operator, and are written again.
+    pub fn note_era(&mut self, era: StoreEra) {
+        if era != self.era {
+            self.era = era;
+            self.seen.clear();
+        }
+    }
+
     /// Returns what is to be done where the table has those rows at `now_ms`, and those verdicts are known.
     pub fn plan(&self, now_ms: u64, rows: &[HeldRow], known: &[ToldVerdict]) -> TablePlan {
         let mut plan = TablePlan::default();
--- a/src/routing/roster.rs
+++ b/src/routing/roster.rs
@@ -10,7 +10,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use super::Incarnation;
+use super::{Incarnation, StoreEra, store_version::SETTLING};
 use crate::names::{ServerId, ServiceName, Tag, ZoneName};
 
 /// How long entries missing from the first lists after an outage are still believed: entries that
@@ -23,6 +23,9 @@
 /// do not lapse while any instance can read them.
 const OUTAGE_AGE: Duration = Duration::from_millis(2500);
 
+/// How long a server that is gone is remembered: the store may come back from a copy some seconds old, which lists it.
+const GONE_KEPT: Duration = Duration::from_secs(30);
+
 /// One incarnation of a backend server.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BackendServer {
@@ -60,6 +63,12 @@
     as_of: Option<Instant>,
     /// Until when missing entries are kept.
     keep_missing_until: Option<Instant>,
+    /// Era of the store that the list is from.
+    era: StoreEra,
+    /// Until when the store may not know what was known before it came back from a copy.
+    settled_at: Option<Instant>,
+    /// Servers that are gone, and when that became known.
+    gone: IndexMap<Incarnation, Instant>,
 }
 
 /// What a new list changed.
@@ -76,6 +85,23 @@
 }
 
 impl Roster {
+    /// Notes that the next list is of `era`; returns whether it is of use, which one of an earlier era is not.
+    ///
+    /// After a return of the store from a copy, a server that is known to leave or to be gone stays so, and one that the
+    /// list lacks stays in use, until all have had time to write again what was lost.
+    pub fn note_era(&mut self, now: Instant, era: StoreEra) -> bool {
+        if era > self.era && self.as_of.is_some() {
+            self.settled_at = Some(now + SETTLING);
+        }
+        self.era = self.era.max(era);
+        era == self.era
+    }
+
+    /// Returns the era of the list in force.
+    pub fn era(&self) -> StoreEra {
+        self.era
+    }
+
     /// Takes a whole list that was current at `as_of`; an older one than is in force is ignored.
     pub fn observe(
         &mut self,
@@ -90,7 +116,9 @@
             self.keep_missing_until = Some(now + RETURN_GRACE);
         }
         self.as_of = Some(as_of);
-        let keeps = self.keep_missing_until.is_some_and(|until| now < until);
+        let unsettled = self.settled_at.is_some_and(|at| now < at);
+        let keeps = unsettled || self.keep_missing_until.is_some_and(|until| now < until);
+        self.gone.retain(|_, at| now.saturating_duration_since(*at) < GONE_KEPT);
         let mut change = RosterChange::default();
         let mut servers: IndexMap<Incarnation, Arc<BackendServer>> = IndexMap::new();
         let starts: HashMap<&ServerId, &Arc<BackendServer>> =
@@ -103,6 +131,15 @@
                 continue;
             }
             let known = self.servers.get(&server.id);
+            if unsettled {
+                if let Some(leaving) = known.filter(|known| known.leaving) {
+                    servers.insert(leaving.id.clone(), Arc::clone(leaving));
+                    continue;
+                }
+                if self.gone.contains_key(&server.id) {
+                    continue;
+                }
+            }
             match known {
                 None => change.added.push(server.id.clone()),
                 Some(known) if !known.leaving && server.leaving => {
@@ -130,6 +167,7 @@
                 servers.insert(id.clone(), Arc::clone(server));
             } else {
                 change.gone.push(id.clone());
+                self.gone.insert(id.clone(), now);
             }
         }
         self.servers = servers;
--- a/tests/suite/blame.rs
+++ b/tests/suite/blame.rs
@@ -4,7 +4,8 @@
 
 use cartvane::routing::{
     Answered, Collector, HeldRow, Incarnation, Judgement, RequestDigest, RequestLook, RunId,
-    ServerEnds, Suspect, TableWatch, ToldEnd, ToldVerdict, Verdicts, blame::verdicts::HELD_FOR,
+    ServerEnds, StoreEra, Suspect, TablePlan, TableWatch, ToldEnd, ToldVerdict, Verdicts,
+    blame::verdicts::HELD_FOR,
 };
 
 fn server(name: &str) -> Incarnation {
@@ -215,6 +216,12 @@
     let cleared = verdict(1, Judgement::Cleared, Duration::ZERO);
     let plan = watch.plan(2000, &rows, &[cleared, held(3)]);
     assert_eq!((plan.remove, plan.lifted), (vec![RequestDigest(1)], vec![RequestDigest(3)]));
+    // The store came back from a copy of before: what is missing was lost with it, and nobody has lifted anything.
+    watch.carried_out(&rows, &TablePlan::default());
+    watch.note_era(StoreEra(1));
+    let plan = watch.plan(1500, &[], &[held(1), held(3)]);
+    assert!(plan.lifted.is_empty());
+    assert_eq!(plan.write, [row(1, 1500 + whole), row(3, 1500 + whole)]);
     let mut verdicts = Verdicts::default();
     verdicts.take(now, &[held(3)]);
     assert!(watch.is_read() && !watch.is_idle(&verdicts.told(now)));
--- a/tests/suite/roster_fleet.rs
+++ b/tests/suite/roster_fleet.rs
@@ -11,7 +11,7 @@
     gateway::knowledge::Knowledge,
     routing::{
         BackendServer, Candidates, Helper, InstanceInfo, ListNews, RosterRole, RosterStep,
-        RosterWatch, helper,
+        RosterWatch, StoreEra, helper,
     },
 };
 use proptest::{
@@ -391,20 +391,20 @@
         ListNews::Whole(list) => list.iter().find(|s| s.id.server.as_str() == "marker").cloned(),
         _ => None,
     };
-    knowledge.observe_servers(start, as_of(1), list(1));
+    knowledge.observe_servers(start, as_of(1), StoreEra(0), list(1));
     let end = as_of(READS);
     std::thread::scope(|scope| {
         scope.spawn(|| {
             for read in 2..=READS {
-                knowledge.observe_servers(end, as_of(read), list(read));
+                knowledge.observe_servers(end, as_of(read), StoreEra(0), list(read));
             }
         });
         for _ in 0..3 {
             scope.spawn(|| {
                 loop {
-                    let (news, age) = knowledge.list_told(end, None);
-                    let told = marked(news).expect("a whole list").address.port();
-                    let age = age.expect("a list has an age");
+                    let list = knowledge.list_told(end, None);
+                    let told = marked(list.news).expect("a whole list").address.port();
+                    let age = list.age.expect("a list has an age");
                     assert_eq!(end - age, as_of(told), "the age is of another list");
                     if told == READS {
                         return;
