--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -37,6 +37,7 @@
 mod routing;
 mod sessions;
 mod silent_links;
+mod starts;
 mod store;
 mod store_eras;
 mod support;
