--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -110,7 +110,6 @@
             let wanted = Wanted {
                 service: &self.request.service,
                 affinity: self.request.affinity(),
-                parts: &self.request.asked.shared_parts,
                 spread: self.request.spread(),
                 tried: self.tries.servers(),
                 denied: &self.denied,
@@ -307,9 +306,6 @@
         let now = self.gateway.clock.now();
         let server = &picked.server;
         let mut picker = lock(&self.gateway.picker);
-        if answer.head.status.is_success() {
-            picker.note_prompt(&self.request.asked.shared_parts, &server.id);
-        }
         if let Some(load) = answer.words.load {
             picker.report(now, &server.id, load);
         }
@@ -368,7 +364,6 @@
         let wanted = Wanted {
             service: &self.request.service,
             affinity: None,
-            parts: &[],
             spread: self.request.spread(),
             tried: &tried,
             denied: &self.denied,
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -25,8 +25,6 @@
     pub key: Option<String>,
     /// Hash of the part of the prompt that other requests share.
     pub affinity: Option<u64>,
-    /// Hashes of all parts of the prompt that other requests share, in order.
-    pub shared_parts: Vec<u64>,
     /// Last event that the caller has of an earlier try.
     pub last_event: Option<String>,
 }
--- a/src/routing/pick.rs
+++ b/src/routing/pick.rs
@@ -12,8 +12,6 @@
     pub service: &'a ServiceName,
     /// Hash of the shared prompt, if the request has one.
     pub affinity: Option<u64>,
-    /// Parts of the prompt that other requests share, the longest beginning last.
-    pub parts: &'a [u64],
     /// Hash by which requests without a shared prompt are spread among servers that are as good.
     pub spread: u64,
     /// Servers that must not be used again.
@@ -32,7 +30,6 @@
         Wanted {
             service,
             affinity: None,
-            parts: &[],
             spread: 0,
             tried: &[],
             denied: &[],
--- a/src/routing/picker.rs
+++ b/src/routing/picker.rs
@@ -14,7 +14,7 @@
 
 use super::{
     BackendServer, Count, Crowded, FleetPosition, Health, Incarnation, Load, LoadReport, Overload,
-    Picked, PromptPlaces, ServiceLoad, Unpicked, Wanted,
+    Picked, ServiceLoad, Unpicked, Wanted,
     load::{LoadBounds, aim},
     overload::FleetTotal,
 };
@@ -56,8 +56,6 @@
     health: Health,
     /// Until when the server is cold.
     cold_until: Option<Instant>,
-    /// Whether it came after the first list that this instance knew: it may keep none of the prompts at home there.
-    came_later: bool,
 }
 
 impl Tracked {
@@ -80,8 +78,6 @@
     overload: IndexMap<ServiceName, Overload>,
     /// Availability zones that get nothing new.
     evacuated: IndexSet<ZoneName>,
-    /// Where prompts were read.
-    prompts: PromptPlaces,
 }
 
 impl Picker {
@@ -96,7 +92,6 @@
             position,
             overload: IndexMap::new(),
             evacuated: IndexSet::new(),
-            prompts: PromptPlaces::default(),
         }
     }
 
@@ -134,7 +129,6 @@
     /// started again.
     pub fn set_servers<'a>(&mut self, list: impl Iterator<Item = &'a Arc<BackendServer>>) {
         let mut former = std::mem::take(&mut self.servers);
-        let is_first = former.is_empty();
         for server in list {
             let tracked = match former.swap_remove(&server.id) {
                 Some(known) => Tracked { server: Arc::clone(server), ..known },
@@ -143,7 +137,6 @@
                     load: Load::default(),
                     health: Health::default(),
                     cold_until: None,
-                    came_later: !is_first,
                 },
             };
             self.servers.insert(server.id.clone(), tracked);
@@ -268,11 +261,6 @@
         overload.wait(tracked.load.queued(now, load, slots), slots)
     }
 
-    /// Notes that the server `id` has read parts of a prompt.
-    pub fn note_prompt(&mut self, parts: &[u64], id: &Incarnation) {
-        self.prompts.note(parts, id.tag());
-    }
-
     /// Notes that a request goes to `id`.
     pub fn begin(&mut self, now: Instant, id: &Incarnation) {
         self.with(id, |t| {
@@ -465,7 +453,7 @@
         let most = || ranked().max_by(|a, b| rooms[a.0].total_cmp(&rooms[b.0]));
         let (at, &i) = ranked().find(free).or_else(|| ranked().find(soon)).or_else(most)?;
         let server = Arc::clone(&pool[i].server);
-        let holder = self.holder(now, key, wanted, pool[i]);
+        let holder = self.holder(now, key, wanted, &server);
         let cold = pool[i].is_cold(now);
         Some(Picked { server, rank: at, load: loads[i], bound, wait: waits[at], cold, holder })
     }
@@ -493,42 +481,28 @@
         ((number + server.0 as usize) % instances.max(1)) as f64 / instances.max(1) as f64
     }
 
-    /// Returns the server from which the memory of a prompt is fetched, as far as `picked` does not keep it.
-    ///
-    /// That is where this instance last had the whole of what is shared read. If that is not known: the best of the
-    /// key's rank, if `picked` only stands in for it; else `picked` keeps the prompt, or nobody does, and only its
-    /// beginning can be had.
+    /// Returns the server that keeps the prompt `key` if `picked` does not: the best of the key's
+    /// rank beside it, leaving ones included. That is the server before a newer one took its place,
+    /// before it began to leave, or from which the request spilled.
     fn holder(
         &self,
         now: Instant,
         key: u64,
         wanted: &Wanted<'_>,
-        picked: &Tracked,
+        picked: &BackendServer,
     ) -> Option<Arc<BackendServer>> {
         // A server at which this request has failed may be gone, and would be waited for.
         let reachable = |t: &&Tracked| {
-            t.server.service == picked.server.service
+            t.server.service == picked.service
                 && !wanted.tried.contains(&t.server.id)
-                && t.server.id != picked.server.id
+                && t.server.id != picked.id
                 && self.is_home(&t.server, wanted)
                 && !t.health.is_paused(now)
         };
-        let others = || self.servers.values().filter(reachable);
-        let last_read = |part: &u64| {
-            let place = self.prompts.of(*part)?;
-            others().find(|t| t.server.tag() == place)
-        };
         let score = |t: &Tracked| rendezvous::score(key, t.server.place(), 1.0);
-        let best = others().max_by(|a, b| score(a).total_cmp(&score(b)));
-        let stands_in = best.is_some_and(|best| score(best) > score(picked));
-        let (whole, beginnings) =
-            wanted.parts.split_last().map_or((None, &[][..]), |(l, b)| (Some(l), b));
-        let holder = match whole.and_then(last_read) {
-            Some(holder) => Some(holder),
-            None if stands_in || picked.came_later || picked.is_cold(now) => best,
-            None => beginnings.iter().rev().find_map(last_read).or(best),
-        };
-        holder.map(|t| Arc::clone(&t.server))
+        let best =
+            self.servers.values().filter(reachable).max_by(|a, b| score(a).total_cmp(&score(b)));
+        best.map(|t| Arc::clone(&t.server))
     }
 
     /// Picks one of the servers that may be the least loaded. What the others have there is of another
