fix(gateway): instances learn of each other before they write their rows

Cause, by the same trace: rows lie in one part of a table, which takes 200 writes a second; of 296 first writes some 100 were refused (429), the next try came 3 s later, and only after the write were the others learnt of. Those instances took themselves for alone and read the whole list of servers every 0.6 s: 2,874 pages in four seconds of the start, 3,577 after all were killed.

Whoever is asked knows who asks, so no row is needed for that: the ones that the settings name write first, the others ask them for up to 1.4 s and write within 2 s, at a drawn moment.

--- a/src/gateway/instance_table.rs
+++ b/src/gateway/instance_table.rs
@@ -9,7 +9,7 @@
         store::{Change, StoreFault},
     },
     configs::fleet::chunks::{decode, encode},
-    routing::{InstanceInfo, StoreEra, StoreVersion},
+    routing::{InstanceInfo, StoreEra, StoreVersion, start::QUESTION_PAUSE},
     utils::sync::lock,
 };
 
@@ -19,6 +19,10 @@
 /// First pause, while instances that start together write their rows.
 const TABLE_FIRST: Duration = Duration::from_secs(3);
 
+/// Time over which instances that start together write their rows: 400 of them in half of what a part of the store takes,
+/// and before the table is read again.
+const ANNOUNCE_SPREAD: Duration = Duration::from_secs(2);
+
 /// Time in which instances that start together have written their rows, and in which nobody reads the table: who
 /// reads it earlier finds some, and takes the wrong one for the first of all.
 const SETTLED: Duration = Duration::from_millis(500);
@@ -26,15 +30,16 @@
 /// Time after that in which those that the settings name have read the table, and can tell the others.
 const SEEDS_FIRST: Duration = Duration::from_millis(200);
 
+/// Time after its start within which an instance asks them, before it reads the table itself.
+const TOLD_WITHIN: Duration = Duration::from_millis(1400);
+
 /// Time without a sign of an instance after which its row is removed.
 const ROW_LEFT_BEHIND: Duration = Duration::from_secs(60);
 
 /// Keeps the instances' table until the process ends: every instance writes its row once and learns of the others;
 /// the one that the others turn to reads the table now and then and removes rows left behind.
 pub fn run(gateway: &Arc<Gateway>) {
-    let mut era = announce_until_done(gateway);
-    learn(gateway);
-    gateway.peers.note_joined();
+    let mut era = join(gateway);
     let began = gateway.clock.now();
     let mut pause = TABLE_FIRST;
     loop {
@@ -56,6 +61,29 @@
     }
 }
 
+/// Learns of the other instances and writes the own row; returns the era of the store that has it.
+///
+/// The ones that all ask write first. The others need no row to be known, since whoever is asked knows who asks; they
+/// write when they have been told: with 296 rows at once a part of the table that takes 200 writes a second refused
+/// some 100, whose instances knew nobody for 3 s, and each read the whole list of servers for itself meanwhile.
+fn join(gateway: &Gateway) -> StoreEra {
+    let known_by_row = gateway.settings.seeds.is_empty() || is_asked(gateway);
+    if known_by_row {
+        let era = announce_until_done(gateway);
+        learn(gateway);
+        gateway.peers.note_joined();
+        return era;
+    }
+    learn(gateway);
+    gateway.peers.note_joined();
+    thread::sleep(ANNOUNCE_SPREAD.mul_f64(fastrand::f64()));
+    announce_until_done(gateway)
+}
+
+fn is_asked(gateway: &Gateway) -> bool {
+    gateway.peers.is_seed(&gateway.settings.seeds)
+}
+
 /// Writes the instance's own row; returns the era of the store that has it.
 fn announce_until_done(gateway: &Gateway) -> StoreEra {
     loop {
@@ -63,7 +91,7 @@
             Ok(version) => return version.era,
             Err(fault) => log::info!("event=instance_unwritten reason={:?}", fault.to_string()),
         }
-        thread::sleep(TABLE_FIRST);
+        thread::sleep(TABLE_FIRST.mul_f64(0.5 + 0.5 * fastrand::f64()));
     }
 }
 
@@ -76,13 +104,21 @@
 /// Learns of the other instances: from one that the settings name, which learns from the table, or else from the
 /// table.
 fn learn(gateway: &Gateway) {
+    let until = gateway.clock.now() + TOLD_WITHIN;
+    let knows_others = || gateway.peers.instances() > 1;
     // One that alone starts again is told of all at once.
-    let told = !gateway.settings.first_start && peers::ask_seed(gateway);
+    let told = !gateway.settings.first_start && peers::ask_seed(gateway, knows_others);
     thread::sleep(SETTLED);
-    if !gateway.peers.is_seed(&gateway.settings.seeds) {
+    if !is_asked(gateway) {
         thread::sleep(SEEDS_FIRST);
     }
-    if peers::ask_seed(gateway) || told {
+    while !is_asked(gateway) && gateway.clock.now() < until {
+        if peers::ask_seed(gateway, knows_others) {
+            return;
+        }
+        thread::sleep(QUESTION_PAUSE);
+    }
+    if told {
         return;
     }
     while let Err(fault) = read_table(gateway) {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -308,17 +308,15 @@
     }
 }
 
-/// Asks the instances that the settings name, one after the other, for all; returns whether one has told.
-pub fn ask_seed(gateway: &Gateway) -> bool {
+/// Asks the instances that the settings name, one after the other, for all, until what one tells is enough; returns
+/// whether it is. One that has just started itself answers, and tells of nobody and nothing.
+pub fn ask_seed(gateway: &Gateway, is_enough: impl Fn() -> bool) -> bool {
     let mut seeds = gateway.settings.seeds.clone();
     if gateway.peers.is_seed(&seeds) {
         return false;
     }
     fastrand::shuffle(&mut seeds);
-    // One that has just started itself answers, and tells of nobody and nothing.
-    let knows = || gateway.peers.instances() > 1 || gateway.knowledge.is_complete();
-    let told = |seed| ask(gateway, seed, Asks::Once).is_ok() && knows();
-    seeds.into_iter().any(told)
+    seeds.into_iter().any(|seed| ask(gateway, seed, Asks::Once).is_ok() && is_enough())
 }
 
 /// Makes one exchange.
