refactor(routing): the picker's two ways to choose have files of their own

No line of a decision changed: the tests of picking, herding and overload pass as they were. Results of questions for permits are a type, not texts.

--- a/src/gateway/cold_permits.rs
+++ b/src/gateway/cold_permits.rs
@@ -34,6 +34,33 @@
     pub granted: bool,
 }
 
+/// What came of a question.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Permit {
+    Granted,
+    Denied,
+    /// Those that could grant it do not answer.
+    Unanswered,
+    /// This instance has just started, and may take itself for the only one.
+    NobodyKnown,
+}
+
+impl Permit {
+    fn of(granted: bool) -> Permit {
+        if granted { Permit::Granted } else { Permit::Denied }
+    }
+
+    /// Returns its name in metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Permit::Granted => "granted",
+            Permit::Denied => "denied",
+            Permit::Unanswered => "unanswered",
+            Permit::NobodyKnown => "nobody-known",
+        }
+    }
+}
+
 /// What an instance knows of permits.
 #[derive(Debug, Default)]
 pub struct ColdPermits {
@@ -49,9 +76,9 @@
             return true;
         }
         let ask = PermitAsk { server: picked.server.tag(), service: service.clone() };
-        let result = self.ask_permit(&ask);
-        self.metrics.cold_permit(service, result);
-        result == "granted"
+        let permit = self.ask_permit(&ask);
+        self.metrics.cold_permit(service, permit.name());
+        permit == Permit::Granted
     }
 
     /// Returns what the servers of a service bear while they are cold, if that is little.
@@ -59,24 +86,22 @@
         self.knowledge.intent()?.services.get(service)?.cold
     }
 
-    fn ask_permit(&self, ask: &PermitAsk) -> &'static str {
+    fn ask_permit(&self, ask: &PermitAsk) -> Permit {
         let now = self.clock.now();
-        // One that has just started may take itself for the only one.
         if !self.peers.knows_others(now) {
-            return "unknown";
+            return Permit::NobodyKnown;
         }
-        let Some(granter) = self.granter(ask.server) else { return "unanswered" };
+        let Some(granter) = self.granter(ask.server) else { return Permit::Unanswered };
         if self.peers.is_own(&granter) {
-            return if self.grant(ask) { "granted" } else { "denied" };
+            return Permit::of(self.grant(ask));
         }
         match self.peers.ask_permit(granter.address, ask) {
-            Ok(PermitReply { granted: true }) => "granted",
-            Ok(PermitReply { granted: false }) => "denied",
+            Ok(reply) => Permit::of(reply.granted),
             Err(fault) => {
                 log::info!("event=permit_unanswered peer={} reason={fault:?}", granter.node);
                 let now = self.clock.now();
                 lock(&self.cold_permits.granters).note_silent(now, &granter.node);
-                "unanswered"
+                Permit::Unanswered
             }
         }
     }
--- /dev/null
+++ b/src/routing/picker/affinity.rs
@@ -0,0 +1,116 @@
+//! Requests that share a prompt: which server in their rank, and from where the prompt's memory is fetched.
+//!
+//! Answers the load of one prompt that many ask for at once: it goes to one engine until that has its part of the mean,
+//! and then on in its own rank, so that it is read by few.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use super::{Picker, Tracked};
+use crate::{
+    names::ServiceName,
+    routing::{
+        BackendServer, Picked, Wanted,
+        load::{LoadBounds, aim},
+    },
+    zone::rendezvous,
+};
+
+/// Requests in flight beyond the scaled mean that an engine may have before a chat spills: small
+/// fleets' means move by as much from one moment to the next.
+const BOUND_SLACK: f64 = 3.0;
+
+/// Part of the way from the mean to the operator's bound at which chats spill; the rest is for
+/// requests of other instances that are on their way.
+const BOUND_SHARE: f64 = 0.6;
+
+impl Picker {
+    /// Picks the first server in the rank of a prompt that has room, else the one where it waits least beyond its bound.
+    pub(super) fn by_affinity(
+        &self,
+        now: Instant,
+        key: u64,
+        wanted: &Wanted<'_>,
+        pool: &[&Tracked],
+        usual: f64,
+    ) -> Option<Picked> {
+        let loads: Vec<f64> = pool.iter().map(|t| t.load.estimate(now, usual)).collect();
+        let counted = loads.len() + self.evacuated_of(wanted.service);
+        let mean = loads.iter().sum::<f64>() / counted.max(1) as f64;
+        let bound = self.bounds(mean).spill;
+        let rank = rendezvous::ranked(key, pool.iter().map(|t| (t.server.place(), 1.0)));
+        let home_crowded = rank.first().is_some_and(|&i| pool[i].load.is_crowded(now));
+        let room = |&i: &usize| {
+            let (load, turn) = (&pool[i].load, self.turn(pool[i].server.place()));
+            let crowded = home_crowded || load.is_crowded(now);
+            let allotted =
+                if crowded { load.allotted(now, aim(bound), self.position, turn) } else { None };
+            allotted.unwrap_or_else(|| load.room(now, bound, usual))
+        };
+        let rooms: Vec<f64> = rank.iter().map(room).collect();
+        let waits: Vec<Duration> =
+            rank.iter().map(|&i| self.wait(now, pool[i], loads[i])).collect();
+        let overload = self.overload.get(wanted.service);
+        let admissible = overload.map_or(Duration::ZERO, |o| o.admissible_wait(now));
+        let ranked = || rank.iter().enumerate();
+        let filled = overload.is_some_and(|o| o.is_filled(now, self.places_of(wanted.service)));
+        let free = |&(at, &i): &(usize, &usize)| {
+            let own_place = !filled || self.has_own_place(now, pool[i]);
+            rooms[at] > 0.0 && waits[at].is_zero() && own_place && !is_full(now, pool[i])
+        };
+        let soon = |&(at, _): &(usize, &usize)| rooms[at] > 0.0 && waits[at] <= admissible;
+        let most = || ranked().max_by(|a, b| rooms[a.0].total_cmp(&rooms[b.0]));
+        let (at, &i) = ranked().find(free).or_else(|| ranked().find(soon)).or_else(most)?;
+        let server = Arc::clone(&pool[i].server);
+        let holder = self.holder(now, key, wanted, &server);
+        let cold = pool[i].is_cold(now);
+        Some(Picked { server, rank: at, load: loads[i], bound, wait: waits[at], cold, holder })
+    }
+
+    /// Returns how many servers of a service are in emptied zones. They count in the mean: without them, the others' bound
+    /// was passed by 121 of 3,782 requests in five seconds with one of four zones emptied (played on the users' days).
+    fn evacuated_of(&self, service: &ServiceName) -> usize {
+        let servers = self.servers.values().map(|tracked| &tracked.server);
+        let evacuated = |s: &&Arc<BackendServer>| {
+            s.service == *service && !s.leaving && self.evacuated.contains(&s.zone)
+        };
+        servers.filter(evacuated).count()
+    }
+
+    /// Returns how much load a server should have, where those of its service have `mean`.
+    pub(super) fn bounds(&self, mean: f64) -> LoadBounds {
+        let spill = (1.0 + (self.load_bound - 1.0) * BOUND_SHARE) * mean + BOUND_SLACK;
+        LoadBounds { spill, limit: self.load_bound * mean + BOUND_SLACK }
+    }
+
+    /// Returns the server that keeps the prompt `key` if `picked` does not: the best of the key's
+    /// rank beside it, leaving ones included. That is the server before a newer one took its place,
+    /// before it began to leave, or from which the request spilled.
+    fn holder(
+        &self,
+        now: Instant,
+        key: u64,
+        wanted: &Wanted<'_>,
+        picked: &BackendServer,
+    ) -> Option<Arc<BackendServer>> {
+        // A server at which this request has failed may be gone, and would be waited for.
+        let reachable = |t: &&Tracked| {
+            t.server.service == picked.service
+                && !wanted.tried.contains(&t.server.id)
+                && t.server.id != picked.id
+                && self.is_home(&t.server, wanted)
+                && !t.health.is_paused(now)
+        };
+        let score = |t: &Tracked| rendezvous::score(key, t.server.place(), 1.0);
+        let best =
+            self.servers.values().filter(reachable).max_by(|a, b| score(a).total_cmp(&score(b)));
+        best.map(|t| Arc::clone(&t.server))
+    }
+}
+
+/// Returns whether requests wait at a server that does not say how many it runs at once.
+fn is_full(now: Instant, tracked: &Tracked) -> bool {
+    tracked.server.slots.is_none() && tracked.load.waiting(now) > 0
+}
--- a/src/routing/picker.rs
+++ b/src/routing/picker/mod.rs
@@ -4,6 +4,9 @@
 //! stays under a bound; beyond that they go to the next in their own rank. Other requests go to
 //! the least loaded server, those of the own availability zone first.
 
+mod affinity;
+mod least_loaded;
+
 use std::{
     collections::HashMap,
     sync::Arc,
@@ -14,22 +17,9 @@
 
 use super::{
     BackendServer, Count, Crowded, FleetPosition, Health, Incarnation, Load, LoadReport, Overload,
-    Picked, ServiceLoad, Unpicked, Wanted,
-    load::{LoadBounds, aim},
-    overload::FleetTotal,
-};
-use crate::{
-    names::{RegionName, ServiceName, Tag, ZoneName},
-    zone::rendezvous,
+    Picked, ServiceLoad, Unpicked, Wanted, overload::FleetTotal,
 };
-
-/// Requests in flight beyond the scaled mean that an engine may have before a chat spills: small
-/// fleets' means move by as much from one moment to the next.
-const BOUND_SLACK: f64 = 3.0;
-
-/// Part of the way from the mean to the operator's bound at which chats spill; the rest is for
-/// requests of other instances that are on their way.
-const BOUND_SHARE: f64 = 0.6;
+use crate::names::{RegionName, ServiceName, Tag, ZoneName};
 
 /// Most silent servers that an instance tells of: a rack's, several times. If a whole zone is lost, the list
 /// of servers says so within some heartbeats, and thousands of tags from each instance would fill the links.
@@ -38,17 +28,6 @@
 /// How much worse than the service's mean a server's share of failures may be.
 const FAILURES_BEYOND_MEAN: f64 = 0.2;
 
-/// Load by which another availability zone counts as worse, for requests without affinity.
-const OTHER_ZONE_LOAD: f64 = 0.9;
-
-/// Times the usual spread of a difference of two counts (the root of twice their mean) within which
-/// servers count as equally loaded: chance hardly ever makes a larger difference.
-const SPREAD_TIMES: f64 = 3.0;
-
-/// Share of requests without affinity that a server of another availability zone gets, of what one of
-/// the own zone gets that is as good: bytes between zones cost, and take longer.
-const OTHER_ZONE_WEIGHT: f64 = 0.1;
-
 #[derive(Debug)]
 struct Tracked {
     server: Arc<BackendServer>,
@@ -417,126 +396,12 @@
         usable.iter().filter(works).copied().collect()
     }
 
-    fn by_affinity(
-        &self,
-        now: Instant,
-        key: u64,
-        wanted: &Wanted<'_>,
-        pool: &[&Tracked],
-        usual: f64,
-    ) -> Option<Picked> {
-        let loads: Vec<f64> = pool.iter().map(|t| t.load.estimate(now, usual)).collect();
-        let counted = loads.len() + self.evacuated_of(wanted.service);
-        let mean = loads.iter().sum::<f64>() / counted.max(1) as f64;
-        let bound = self.bounds(mean).spill;
-        let rank = rendezvous::ranked(key, pool.iter().map(|t| (t.server.place(), 1.0)));
-        let home_crowded = rank.first().is_some_and(|&i| pool[i].load.is_crowded(now));
-        let room = |&i: &usize| {
-            let (load, turn) = (&pool[i].load, self.turn(pool[i].server.place()));
-            let crowded = home_crowded || load.is_crowded(now);
-            let allotted =
-                if crowded { load.allotted(now, aim(bound), self.position, turn) } else { None };
-            allotted.unwrap_or_else(|| load.room(now, bound, usual))
-        };
-        let rooms: Vec<f64> = rank.iter().map(room).collect();
-        let waits: Vec<Duration> =
-            rank.iter().map(|&i| self.wait(now, pool[i], loads[i])).collect();
-        let overload = self.overload.get(wanted.service);
-        let admissible = overload.map_or(Duration::ZERO, |o| o.admissible_wait(now));
-        let ranked = || rank.iter().enumerate();
-        let filled = overload.is_some_and(|o| o.is_filled(now, self.places_of(wanted.service)));
-        let free = |&(at, &i): &(usize, &usize)| {
-            let own_place = !filled || self.has_own_place(now, pool[i]);
-            rooms[at] > 0.0 && waits[at].is_zero() && own_place && !is_full(now, pool[i])
-        };
-        let soon = |&(at, _): &(usize, &usize)| rooms[at] > 0.0 && waits[at] <= admissible;
-        let most = || ranked().max_by(|a, b| rooms[a.0].total_cmp(&rooms[b.0]));
-        let (at, &i) = ranked().find(free).or_else(|| ranked().find(soon)).or_else(most)?;
-        let server = Arc::clone(&pool[i].server);
-        let holder = self.holder(now, key, wanted, &server);
-        let cold = pool[i].is_cold(now);
-        Some(Picked { server, rank: at, load: loads[i], bound, wait: waits[at], cold, holder })
-    }
-
-    /// Returns how many servers of a service are in emptied zones. They count in the mean: without them, the others' bound
-    /// was passed by 121 of 3,782 requests in five seconds with one of four zones emptied (played on the users' days).
-    fn evacuated_of(&self, service: &ServiceName) -> usize {
-        let servers = self.servers.values().map(|tracked| &tracked.server);
-        let evacuated = |s: &&Arc<BackendServer>| {
-            s.service == *service && !s.leaving && self.evacuated.contains(&s.zone)
-        };
-        servers.filter(evacuated).count()
-    }
-
-    /// Returns how much load a server should have, where those of its service have `mean`.
-    fn bounds(&self, mean: f64) -> LoadBounds {
-        let spill = (1.0 + (self.load_bound - 1.0) * BOUND_SHARE) * mean + BOUND_SLACK;
-        LoadBounds { spill, limit: self.load_bound * mean + BOUND_SLACK }
-    }
-
     /// Returns this instance's turn at a server, in [0, 1): each instance has another one, and another
     /// at each server.
     fn turn(&self, server: Tag) -> f64 {
         let FleetPosition { number, instances } = self.position;
         ((number + server.0 as usize) % instances.max(1)) as f64 / instances.max(1) as f64
     }
-
-    /// Returns the server that keeps the prompt `key` if `picked` does not: the best of the key's
-    /// rank beside it, leaving ones included. That is the server before a newer one took its place,
-    /// before it began to leave, or from which the request spilled.
-    fn holder(
-        &self,
-        now: Instant,
-        key: u64,
-        wanted: &Wanted<'_>,
-        picked: &BackendServer,
-    ) -> Option<Arc<BackendServer>> {
-        // A server at which this request has failed may be gone, and would be waited for.
-        let reachable = |t: &&Tracked| {
-            t.server.service == picked.service
-                && !wanted.tried.contains(&t.server.id)
-                && t.server.id != picked.id
-                && self.is_home(&t.server, wanted)
-                && !t.health.is_paused(now)
-        };
-        let score = |t: &Tracked| rendezvous::score(key, t.server.place(), 1.0);
-        let best =
-            self.servers.values().filter(reachable).max_by(|a, b| score(a).total_cmp(&score(b)));
-        best.map(|t| Arc::clone(&t.server))
-    }
-
-    /// Picks one of the servers that may be the least loaded. What the others have there is of another
-    /// moment and strays by about its root; if all instances went to the least by that, they would
-    /// go there together.
-    fn by_load(&self, now: Instant, wanted: &Wanted<'_>, pool: &[&Tracked]) -> Option<Picked> {
-        let others: Vec<f64> = pool.iter().map(|t| t.load.others(now).unwrap_or(0.0)).collect();
-        let strays =
-            SPREAD_TIMES * (2.0 * others.iter().sum::<f64>() / others.len().max(1) as f64).sqrt();
-        let cost = |at: usize| {
-            let away = if pool[at].server.zone == self.zone { 0.0 } else { OTHER_ZONE_LOAD };
-            f64::from(pool[at].load.own()) + others[at] + away
-        };
-        let least = (0..pool.len()).map(cost).min_by(f64::total_cmp)?;
-        let score = |&at: &usize| {
-            let server = &pool[at].server;
-            let weight = if server.zone == self.zone { 1.0 } else { OTHER_ZONE_WEIGHT };
-            // Of its own requests an instance knows for sure.
-            let own = f64::from(pool[at].load.own());
-            rendezvous::score(wanted.spread, server.place(), weight / (1.0 + own))
-        };
-        let near = (0..pool.len()).filter(|&at| cost(at) <= least + strays);
-        let at = near.max_by(|a, b| score(a).total_cmp(&score(b)))?;
-        let load = f64::from(pool[at].load.own()) + others[at];
-        let server = Arc::clone(&pool[at].server);
-        let wait = self.wait(now, pool[at], load);
-        let (cold, bound) = (pool[at].is_cold(now), f64::INFINITY);
-        Some(Picked { server, rank: 0, load, bound, wait, cold, holder: None })
-    }
-}
-
-/// Returns whether requests wait at a server that does not say how many it runs at once.
-fn is_full(now: Instant, tracked: &Tracked) -> bool {
-    tracked.server.slots.is_none() && tracked.load.waiting(now) > 0
 }
 
 /// Returns the mean of the last reports, in requests.
