test(soak): the store comes back from a copy, and all write again what was lost

Drawn apart, so that the other events of a seed stay what they were: in one run of two, once or twice, a copy of 0.3 to 3 s; operator and servers write again within 1.2 s.

--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -194,6 +194,21 @@
         *lock(&self.idle_routes) += routes;
     }
 
+    /// Writes what the operator and the servers have written, as after a return of the store from a copy.
+    pub(crate) fn write_again(&self) {
+        self.write_intent();
+        let used: Vec<String> = (0..self.places.len())
+            .map(|place| {
+                self.list(place, "ready");
+                let at = lock(&self.places[place]).server;
+                lock(&self.servers)[at].id.clone()
+            })
+            .collect();
+        // Entries that nobody writes lapse.
+        let left = self.store.keys("servers").into_iter().filter(|id| !used.contains(id));
+        left.for_each(|id| self.store.remove("servers", &id));
+    }
+
     fn write_intent(&self) {
         let (version, idle_routes) = (*lock(&self.version), *lock(&self.idle_routes));
         self.store.put("op", "config", &intent(version, idle_routes));
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -23,6 +23,12 @@
 /// Tells what is drawn for growth from what else a seed draws.
 const GROWTH_SEED: u64 = 0x6772_6f77;
 
+/// Tells what is drawn for returns of the store from what else a seed draws.
+const RETURN_SEED: u64 = 0x7265_7475;
+
+/// Age of the copy that the store comes back from.
+const COPY_AGE_MS: std::ops::Range<u64> = 300..3000;
+
 /// Longest fault that ends; a process may stand still for as long.
 pub(crate) const LENGTH_MAX: Duration = Duration::from_millis(LENGTH_MS.end);
 
@@ -57,6 +63,8 @@
     Change(u32),
     /// The operator's intent changes and grows by this many routes.
     Grow(usize),
+    /// The store comes back from a copy of this age; all write again what was lost.
+    ComeBack(Duration),
 }
 
 /// How large a run's intent becomes, and how fast the store sends it.
@@ -102,6 +110,20 @@
     Growth { events: at.into_iter().map(grow).collect(), store_link }
 }
 
+/// Draws when the store of a run comes back from a copy: in one run of two, once or twice.
+///
+/// Drawn apart, as growth is.
+pub(crate) fn draw_returns(seed: u64, length: Duration) -> Vec<(Duration, Event)> {
+    let mut rng = Rng::with_seed(seed ^ RETURN_SEED);
+    let times = if rng.bool() { rng.u32(1..=2) } else { 0 };
+    let span = u64::try_from(length.as_millis()).unwrap_or(u64::MAX).max(1);
+    let mut drawn = || {
+        let at = Duration::from_millis(rng.u64(..span));
+        (at, Event::ComeBack(Duration::from_millis(rng.u64(COPY_AGE_MS))))
+    };
+    (0..times).map(|_| drawn()).collect()
+}
+
 fn event(rng: &mut Rng, instances: usize, servers: usize) -> Event {
     let instance = rng.usize(..instances);
     let server = rng.usize(..servers);
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -26,6 +26,9 @@
     proxy::Link,
 };
 
+/// Time after a return of the store in which operators and servers write again, in milliseconds.
+const WRITTEN_AGAIN_MS: std::ops::Range<u64> = 50..1200;
+
 /// Backend servers of a run.
 const SERVERS: usize = 5;
 
@@ -83,6 +86,8 @@
     let mut events: Vec<(Duration, Event, Rng)> =
         events.into_iter().map(|(at, event)| (at, event, rng.fork())).collect();
     events.extend(growth.events.into_iter().map(|(at, event)| (at, event, rng.fork())));
+    let returns = plan::draw_returns(seed, options.faults);
+    events.extend(returns.into_iter().map(|(at, event)| (at, event, rng.fork())));
     events.sort_by_key(|(at, ..)| *at);
     let fleet = Fleet::start(seed, options.instances, SERVERS, &dir)?;
     fleet.store.set_link(growth.store_link);
@@ -165,6 +170,15 @@
             fleet.disturb_store();
             fleet.store.forget_history();
         }
+        Event::ComeBack(age) => {
+            let copy = fleet.store.copy();
+            thread::sleep(age);
+            fleet.disturb_store();
+            fleet.store.come_back(copy);
+            thread::sleep(Duration::from_millis(rng.u64(WRITTEN_AGAIN_MS)));
+            fleet.write_again();
+            fleet.disturb_store();
+        }
         Event::ServerLink(place, link, time) => {
             lock(&fleet.places[place]).link.set(link);
             thread::sleep(time);
