test(gateway): the bytes of messages between instances, kept as this build writes them

A format that two builds understand is not built: structs still travel without names of their fields, and a reader of another build refuses what it does not know and reads the store.

--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -27,6 +27,7 @@
 mod knowledge;
 mod large_intent;
 mod machines;
+mod messages;
 mod orders;
 mod overload;
 mod picking;
--- /dev/null
+++ b/tests/suite/messages.rs
@@ -0,0 +1,126 @@
+//! The bytes of messages between instances, as this build writes them.
+//!
+//! A build whose bytes differ does not understand this one's, so that during an upgrade instances of both read the store
+//! for themselves: whoever changes a message sees it here, and says so in the changelog.
+
+use std::{fmt::Write as _, sync::Arc, time::Duration};
+
+use cartvane::{
+    configs::fleet::chunks::{decode, encode},
+    gateway::{
+        cold_permits::{PermitAsk, PermitReply},
+        messages::{Asks, ConfirmedAgo, News, Report},
+        spread::{Offer, OfferReply},
+    },
+    names::Tag,
+    routing::{
+        BudgetSum, InstanceInfo, Intent, IntentChange, ListHistory, ListNews, ListVersion,
+        PackedChange, RunId, ServiceLoad, Spending, StoreEra, StoreVersion, ToldEvacuations,
+    },
+};
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::routing::server;
+
+fn store() -> StoreVersion {
+    StoreVersion { era: StoreEra(2), counter: 412 }
+}
+
+fn evacuations() -> ToldEvacuations {
+    ToldEvacuations { as_of: store(), zones: ["north".parse().expect("a zone")].into() }
+}
+
+fn instance() -> InstanceInfo {
+    InstanceInfo {
+        node: "edge-1".parse().expect("a name"),
+        address: ([10, 0, 0, 1], 8229).into(),
+        zone: "north".parse().expect("a zone"),
+        cores: 0.5,
+    }
+}
+
+fn report() -> Report {
+    Report {
+        from: instance(),
+        counts: vec![(Tag(7), 3)],
+        silent: vec![Tag(9)],
+        run: RunId(5),
+        spending: Vec::<Spending>::new(),
+        suspicion: Default::default(),
+        version: 12,
+        wants_intent: false,
+        asks: Asks::InTurn,
+        list: Some(ListVersion(77)),
+        instances: 8,
+    }
+}
+
+fn news(list: ListNews) -> News {
+    let service = "llm".parse().expect("a name");
+    News {
+        loads: vec![ServiceLoad { service, mean: 2.5, counts: vec![(Tag(7), 4)], whole: true }],
+        silent: vec![Tag(9)],
+        budgets: Vec::<BudgetSum>::new(),
+        run: RunId(6),
+        servers_end: false,
+        verdicts: Vec::new(),
+        version: 12,
+        changes: Vec::new(),
+        confirmed: Some(ConfirmedAgo { age_ms: 40, store: store() }),
+        evacuations: evacuations(),
+        list,
+        list_age_ms: Some(250),
+        list_era: StoreEra(2),
+        instances: Some(vec![instance()]),
+    }
+}
+
+fn lists() -> ListHistory {
+    let mut cold = server("b@1000", 2);
+    cold.cold_for = Duration::from_millis(2500);
+    let mut lists = ListHistory::default();
+    lists.push(vec![server("a", 1)]);
+    lists.push(vec![server("a", 1), cold]);
+    lists
+}
+
+fn hex(message: &impl Serialize) -> String {
+    encode(message).iter().fold(String::new(), |mut text, byte| {
+        let _ = write!(text, "{byte:02x}");
+        text
+    })
+}
+
+/// Returns whether a message is read as it was written.
+fn comes_back<T: Serialize + DeserializeOwned>(message: &T) -> bool {
+    let bytes = encode(message);
+    decode::<T>(&bytes).is_ok_and(|read| encode(&read) == bytes)
+}
+
+#[test]
+fn messages_have_the_bytes_that_this_build_has_always_written() {
+    let first = ListVersion::of(&[server("a", 1)]);
+    let changes = news(lists().since(Some(first)));
+    let whole = news(lists().since(None));
+    let offer = Offer {
+        version: 12,
+        evacuations: evacuations(),
+        changes: vec![Arc::new(PackedChange::pack(&IntentChange::whole(&Intent::empty())))],
+        pass_on: vec![([10, 0, 0, 2], 8229).into()],
+    };
+    let ask = PermitAsk { server: Tag(7), service: "llm".parse().expect("a name") };
+    assert!(comes_back(&report()) && comes_back(&changes) && comes_back(&whole));
+    assert!(comes_back(&offer) && comes_back(&OfferReply { version: 12 }));
+    assert!(comes_back(&ask) && comes_back(&PermitReply { granted: true }));
+    // Compressed bytes may differ with the library, and are left out.
+    let lines = [
+        ("report", hex(&report())),
+        ("news, changes of the list", hex(&changes)),
+        ("permit", hex(&ask)),
+        ("permit reply", hex(&PermitReply { granted: true })),
+        ("offer reply", hex(&OfferReply { version: 12 })),
+        ("evacuations", hex(&evacuations())),
+    ];
+    let text = lines.map(|(name, bytes)| format!("{name}: {bytes}")).join("\n");
+    insta::assert_snapshot!(text);
+}
