--- a/tests/suite/herding.rs
+++ b/tests/suite/herding.rs
@@ -250,6 +250,12 @@
     hold([emptied(56, 500, 0.02, 450), emptied(56, 350, 0.1, 450)]);
 }
 
+// As above, beyond what has been mended: 0.053 and 0.041 of the arrivals are beyond the bound.
+#[test]
+fn where_half_of_the_servers_are_emptied_under_more_or_shorter_requests() {
+    hold([emptied(56, 700, 0.02, 450), emptied(56, 350, 0.1, 150)]);
+}
+
 /// Plays cases and checks that hardly any arrival is beyond the bound.
 fn hold(cases: impl IntoIterator<Item = Case>) {
     let shares: Vec<(f64, Case)> = cases.into_iter().map(|case| (play(case), case)).collect();
