test(rollouts): orders to move a service to another version; failing, listed

An order is in the store and nothing reads it, so the new version's servers are used like any others and operators find no status. The stand-in of the store learns conditions of transactions (412).

--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -162,6 +162,13 @@
         rows.map(|((_, key), _)| key.clone()).collect()
     }
 
+    /// Returns the value of a row, if it is there and is JSON.
+    pub fn value(&self, table: &str, key: &str) -> Option<Value> {
+        let state = lock(&self.shared.state);
+        let row = state.rows.get(&(table.to_owned(), key.to_owned()))?;
+        serde_json::from_slice(row.value.as_ref()?).ok()
+    }
+
     /// Changes how the store behaves.
     pub fn set_mode(&self, mode: StoreMode) {
         lock(&self.shared.state).mode = mode;
@@ -373,6 +380,21 @@
     let entries = |name: &str| transaction[name].as_array().cloned().unwrap_or_default();
     let text = |entry: &Value, name: &str| entry[name].as_str().unwrap_or_default().to_owned();
     let mut state = lock(&shared.state);
+    let key = |entry: &Value| (text(entry, "table"), text(entry, "key"));
+    let holds = |entry: &Value| {
+        let row = state.rows.get(&key(entry)).filter(|row| row.value.is_some());
+        entry["ver"].as_u64() == Some(row.map_or(0, |row| row.version))
+    };
+    let conditions = entries("precondition");
+    if !conditions.iter().all(holds) {
+        let rows: Vec<Value> = conditions
+            .iter()
+            .map(key)
+            .filter_map(|key| Some(encode(&key.0, &key.1, state.rows.get(&key)?)))
+            .collect();
+        let body = json!({"rows": rows, "ver": state.version, "now_ms": now_ms});
+        return Reply::new(412, body.to_string()).with(ERA_HEADER, state.era);
+    }
     for entry in entries("puts") {
         let value = BASE64_STANDARD.decode(text(&entry, "value")).unwrap_or_default();
         state.write(&text(&entry, "table"), &text(&entry, "key"), Some(value));
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -36,6 +36,7 @@
 mod platform;
 mod process;
 mod report;
+mod rollouts;
 mod roster_fleet;
 mod routing;
 mod server_notices;
--- /dev/null
+++ b/tests/suite/rollouts.rs
@@ -0,0 +1,210 @@
+//! Roll-outs: operators have a service's requests moved to backend servers of another version.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
+};
+
+use cartvane::gateway::GatewayHandle;
+use serde_json::{Value, json};
+use standins::{fault::Fault, listed::Listed, store::StoreStandIn};
+
+use crate::{
+    support::eventually,
+    world::{call, intent, spawn},
+};
+
+/// Time that operators give a roll-out.
+const LASTS: Duration = Duration::from_secs(8);
+
+/// Parts of all requests, and requests beyond that, which a bad version may get: half of what operators allow.
+const EXPOSURE_MAX: (f64, f64) = (0.05, 25.0);
+
+/// Callers that ask one request after the other, and the pause of each between two.
+const CALLERS: usize = 6;
+const PAUSE: Duration = Duration::from_millis(15);
+
+/// A store, servers of two versions of one service, and instances.
+struct Versions {
+    store: StoreStandIn,
+    old: Vec<Listed>,
+    new: Vec<Listed>,
+    instances: Vec<GatewayHandle>,
+}
+
+/// Callers that go on until they are stopped.
+struct Load {
+    is_over: Arc<AtomicBool>,
+    callers: Vec<JoinHandle<Vec<u16>>>,
+}
+
+fn entry(server: &Listed, version: &str) -> Value {
+    let mut entry = server.entry("app", "ready");
+    entry["version"] = version.into();
+    entry
+}
+
+fn servers(store: &StoreStandIn, version: &str) -> Vec<Listed> {
+    let server = |i| Listed::spawn(&format!("{version}-{i}")).expect("a server");
+    let servers: Vec<Listed> = (0..3).map(server).collect();
+    servers.iter().for_each(|server| store.put("servers", &server.id, &entry(server, version)));
+    servers
+}
+
+fn start(instances: usize) -> Versions {
+    let store = StoreStandIn::spawn().expect("a store");
+    let old = servers(&store, "v1");
+    store.put("op", "config", &intent(5));
+    let mut running: Vec<GatewayHandle> = Vec::new();
+    for number in 0..instances {
+        let seeds = running.first().map(GatewayHandle::peers).into_iter().collect();
+        running.push(spawn(&format!("n{number}"), store.address(), seeds));
+    }
+    eventually("all are ready and know of all", || {
+        let mut all = running.iter().map(GatewayHandle::gateway);
+        all.all(|gateway| gateway.is_ready() && gateway.instances() == instances)
+    });
+    Versions { store, old, new: Vec::new(), instances: running }
+}
+
+impl Versions {
+    /// Orders a roll-out to v2, whose servers are listed right after.
+    fn order(&mut self, fault: Option<Fault>) -> Instant {
+        let order = json!({"service": "app", "to": "v2", "duration_s": LASTS.as_secs_f64()});
+        self.store.put("op", "rollout/app", &order);
+        self.new = servers(&self.store, "v2");
+        self.new.iter().for_each(|server| server.faults.set_standing(fault));
+        Instant::now()
+    }
+
+    fn state(&self) -> String {
+        let status = self.store.value("status", "rollout/app").unwrap_or_default();
+        assert!(status.is_null() || status["to"] == "v2", "{status}");
+        status["state"].as_str().unwrap_or_default().to_owned()
+    }
+
+    /// Returns how many requests reached servers of the old and of the new version.
+    fn arrivals(&self) -> (usize, usize) {
+        let count = |servers: &[Listed]| servers.iter().map(|s| s.arrivals().len()).sum();
+        (count(&self.old), count(&self.new))
+    }
+
+    fn load(&self) -> Load {
+        let is_over = Arc::new(AtomicBool::new(false));
+        let count = Arc::new(AtomicU32::new(0));
+        let callers = (0..CALLERS).map(|caller| {
+            let to = self.instances[caller % self.instances.len()].callers();
+            let (is_over, count) = (Arc::clone(&is_over), Arc::clone(&count));
+            thread::spawn(move || ask_until(to, &is_over, &count))
+        });
+        Load { callers: callers.collect(), is_over }
+    }
+}
+
+fn ask_until(to: SocketAddr, is_over: &AtomicBool, count: &AtomicU32) -> Vec<u16> {
+    let mut statuses = Vec::new();
+    while !is_over.load(Ordering::Relaxed) {
+        let number = count.fetch_add(1, Ordering::Relaxed);
+        let path = ["/once/", "/stream/"][number as usize % 2];
+        statuses.push(call(path, &format!("r{number}")).send(to).status);
+        thread::sleep(PAUSE);
+    }
+    statuses
+}
+
+impl Load {
+    /// Stops the callers, and returns the statuses that they got.
+    fn stop(self) -> Vec<u16> {
+        self.is_over.store(true, Ordering::Relaxed);
+        self.callers.into_iter().flat_map(|caller| caller.join().expect("a caller")).collect()
+    }
+}
+
+// Operators ordered a version of a service and nothing read the order: its servers got their part of the requests at
+// once, whether they answered well or not, and no status was ever written, neither for a good version nor a bad one.
+#[test]
+fn a_good_version_takes_over_in_time_and_no_request_is_lost() {
+    let mut versions = start(3);
+    let load = versions.load();
+    let ordered = versions.order(None);
+    eventually("it runs", || versions.state() == "running");
+    eventually("it has succeeded", || versions.state() == "succeeded");
+    assert!(ordered.elapsed() < LASTS);
+    // As the platform does: the old servers stop without a word.
+    versions.old.iter().for_each(|server| versions.store.remove("servers", &server.id));
+    assert!(
+        versions.old.iter().all(|server| server.in_flight() == 0),
+        "nothing is under way there"
+    );
+    let before = versions.arrivals();
+    thread::sleep(Duration::from_secs(1));
+    let after = versions.arrivals();
+    assert_eq!(after.0, before.0, "nothing goes to those that have stopped");
+    assert!(after.1 > before.1);
+    let statuses = load.stop();
+    assert!(statuses.iter().all(|&status| status == 200), "{statuses:?}");
+}
+
+/// Has a version with a fault rolled out, and checks that few requests reach it and none after the verdict.
+fn is_rolled_back(fault: Fault) {
+    let mut versions = start(3);
+    let load = versions.load();
+    let ordered = versions.order(Some(fault));
+    eventually("it is rolled back", || versions.state() == "rolled_back");
+    assert!(ordered.elapsed() < LASTS);
+    thread::sleep(Duration::from_secs(1));
+    let reached = versions.arrivals();
+    thread::sleep(LASTS.saturating_sub(ordered.elapsed()));
+    let (old, new) = versions.arrivals();
+    assert_eq!(new, reached.1, "nothing goes there once it is rolled back");
+    let allowed = EXPOSURE_MAX.0 * (old + new) as f64 + EXPOSURE_MAX.1;
+    assert!(new as f64 <= allowed, "{new} of {} requests", old + new);
+    assert!(new > 0, "a version that gets nothing is not judged");
+    load.stop();
+}
+
+#[test]
+fn a_version_that_fails_is_rolled_back_before_many_requests_have_met_it() {
+    is_rolled_back(Fault::ServerError);
+}
+
+#[test]
+fn a_version_that_is_many_times_slower_is_rolled_back() {
+    is_rolled_back(Fault::Late(Duration::from_millis(250)));
+}
+
+#[test]
+fn a_fleet_that_starts_again_goes_on_where_the_store_says() {
+    let mut versions = start(2);
+    let load = versions.load();
+    versions.order(Some(Fault::ServerError));
+    eventually("it is rolled back", || versions.state() == "rolled_back");
+    load.stop();
+    versions.instances.clear();
+    let instance = spawn("again", versions.store.address(), Vec::new());
+    eventually("it is ready", || instance.gateway().is_ready());
+    let (_, before) = versions.arrivals();
+    for number in 0..50 {
+        let answer = call("/once/", &format!("again{number}")).send(instance.callers());
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(versions.arrivals().1, before, "the verdict outlives those that gave it");
+    assert_eq!(versions.state(), "rolled_back");
+}
+
+#[test]
+fn an_order_that_is_not_understood_is_passed_over() {
+    let mut versions = start(1);
+    let load = versions.load();
+    versions.store.put_raw("op", "rollout/app", b"{\"service\": 3".to_vec());
+    versions.store.put("op", "rollout/", &json!({"service": "", "to": "v2", "duration_s": 3}));
+    versions.new = servers(&versions.store, "v2");
+    eventually("the servers are used like any others", || versions.arrivals().1 > 0);
+    assert_eq!(versions.state(), "");
+    assert!(load.stop().iter().all(|&status| status == 200));
+}
