--- a/src/gateway/answering.rs
+++ b/src/gateway/answering.rs
@@ -11,6 +11,7 @@
     intent_reader,
     messages::{Asks, ConfirmedAgo, News, Report},
     peers::{EXCHANGE_PATH, EXCHANGE_TIME},
+    rollout_table::{ROLLOUT_PATH, perform_for_another},
     roster_reader,
     spread::{self, OFFER_PATH},
 };
@@ -75,6 +76,11 @@
             gateway.reader_wanted.set();
         }
     }
+    gateway.rollouts.take_told(gateway, &report.rollout_states, "peer");
+    if asks == Asks::InTurn {
+        let (node, run) = (&report.from.node, report.run);
+        gateway.rollouts.take_reports(gateway, node, run, report.rollouts);
+    }
     let told = knowledge.list_told(now, report.list);
     News {
         loads: summary(gateway, now).to_vec(),
@@ -89,7 +95,8 @@
             age_ms: millis(now.saturating_duration_since(confirmed.at)),
             store: confirmed.store,
         }),
-        evacuations: knowledge.evacuations_told(),
+        orders: knowledge.orders_told(),
+        rollout_states: gateway.rollouts.told(now),
         list: told.news,
         list_age_ms: told.age.map(millis),
         list_era: told.era,
@@ -183,6 +190,10 @@
                     let ask = decode(body).map_err(|_| 400_u16)?;
                     Ok(encode(&PermitReply { granted: gateway.grant(&ask) }))
                 }
+                ROLLOUT_PATH => {
+                    let ask = decode(body).map_err(|_| 400_u16)?;
+                    Ok(encode(&perform_for_another(gateway, &ask)))
+                }
                 OFFER_PATH => {
                     let offer = decode(body).map_err(|_| 400_u16)?;
                     Ok(encode(&spread::take_offer(gateway, offer)))
@@ -192,7 +203,7 @@
         },
         stream: |_, _| {},
         purpose: |path| match path {
-            OFFER_PATH => Purpose::Config,
+            OFFER_PATH | ROLLOUT_PATH => Purpose::Config,
             PERMIT_PATH => Purpose::Permits,
             _ => Purpose::Loads,
         },
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -21,7 +21,7 @@
         answer::{AnswerNote, send_whole},
         http1::Conn,
     },
-    routing::{AnswerTimes, Incarnation, Picked, RouteKind, Wanted},
+    routing::{AnswerSeen, AnswerTimes, Incarnation, Picked, RouteKind, Wanted},
     utils::sync::lock,
 };
 
@@ -59,6 +59,8 @@
     /// Cold servers that do not take it.
     denied: Vec<Incarnation>,
     decided: Option<Decided>,
+    /// When it last went out.
+    sent_at: Option<Instant>,
 }
 
 impl<'a> Forwarding<'a> {
@@ -72,6 +74,7 @@
             refused: None,
             denied: Vec::new(),
             decided: None,
+            sent_at: None,
         }
     }
 
@@ -150,6 +153,7 @@
             _ => picker.bad(now, server),
         }
         drop(picker);
+        self.note_version_fault(picked, fault);
         self.tries.failed(server, fault);
         if fault.ends_connection() {
             self.note_lost(picked);
@@ -174,6 +178,24 @@
         }
     }
 
+    /// Notes what a fault says of the version of the server's software: connections fail for reasons of the machine or
+    /// the network too, and say nothing.
+    fn note_version_fault(&self, picked: &Picked, fault: AttemptFault) {
+        let now = self.gateway.clock.now();
+        let waited = self.sent_at.map(|at| now.saturating_duration_since(at));
+        let seen = match (fault, waited) {
+            (AttemptFault::Garbage, _) => AnswerSeen::Failed,
+            (AttemptFault::HeadTimeout, Some(waited)) => AnswerSeen::Took(waited),
+            _ => return,
+        };
+        self.note_version(picked, seen);
+    }
+
+    /// Notes what an answer says of the version of the server's software.
+    pub fn note_version(&self, picked: &Picked, seen: AnswerSeen) {
+        self.gateway.rollouts.note_answer(&self.request.route.name, &picked.server, seen);
+    }
+
     fn note_lost(&mut self, picked: &Picked) {
         let suspicion = &self.gateway.suspicion;
         suspicion.note_lost(self.gateway, self.request, picked, self.has_run_on());
@@ -252,6 +274,8 @@
             prompt_holder: picked.holder.as_ref().map(|holder| holder.address),
         };
         self.tries.sent();
+        self.sent_at = Some(now);
+        gateway.rollouts.note_sent(server);
         self.decided = Some(Decided {
             server: server.id.clone(),
             rank: picked.rank,
@@ -378,6 +402,7 @@
         self.keep_connection(&picked.server.id, answer);
         if whole.status.is_server_error() {
             lock(&self.gateway.picker).bad(self.gateway.clock.now(), &picked.server.id);
+            self.note_version(&picked, AnswerSeen::Failed);
             self.tries.answered_with_error(&picked.server.id);
             log::info!(
                 "event=server_error request={} server={} status={}",
@@ -389,6 +414,8 @@
             return self.end_unless_again(conn);
         }
         self.note_good(&picked, times.0, times.1);
+        let took = times.1.saturating_duration_since(times.0);
+        self.note_version(&picked, AnswerSeen::Took(took));
         Some(self.send_whole(conn, &whole, "answered"))
     }
 
--- a/src/gateway/intent_reader.rs
+++ b/src/gateway/intent_reader.rs
@@ -6,15 +6,15 @@
     time::{Duration, Instant},
 };
 
-use super::{Gateway, peers, spread, start};
+use super::{Gateway, peers, rollout_keeper, spread, start};
 use crate::{
     adapter::{
         calls::{INTENT_KEY, INTENT_TABLE},
-        evacuations, intent,
+        intent, orders,
         store::{StoreFault, StoreRow, StoreRows},
     },
     routing::{
-        Confirmed, PackedChange, StoreVersion, ToldEvacuations, WatchStep, start::QUESTION_PAUSE,
+        Confirmed, PackedChange, StoreVersion, ToldOrders, WatchStep, start::QUESTION_PAUSE,
     },
 };
 
@@ -29,7 +29,8 @@
             continue;
         }
         tell_overdue(gateway, now);
-        gateway.refresh_evacuated();
+        gateway.refresh_orders();
+        rollout_keeper::spawn_if_due(gateway);
         let role = gateway.peers.watch_role(now);
         match knowledge.with_watch(|watch| watch.next(now, &role)) {
             WatchStep::Pause(time) => thread::sleep(time),
@@ -91,10 +92,8 @@
 fn read(gateway: &Arc<Gateway>) -> Result<(), StoreFault> {
     let at = gateway.clock.now();
     let rows = gateway.store.rows(INTENT_TABLE)?;
-    let wanted = evacuations::decode(&rows.rows).into_iter().filter(|row| row.is_wanted);
-    let zones = wanted.map(|row| row.zone).collect();
-    let told = ToldEvacuations { as_of: rows.version, zones };
-    gateway.knowledge.offer_evacuations(at, told);
+    let told = ToldOrders::read(rows.version, orders::decode(&rows.rows));
+    gateway.knowledge.offer_orders(at, told);
     take(gateway, &rows, at);
     Ok(())
 }
@@ -115,17 +114,17 @@
     let began = gateway.clock.now();
     let rows = gateway.store.changes(INTENT_TABLE, after, wait)?;
     // A reply without changes came when the wait was over, so nothing had changed until then.
-    let changes = evacuations::decode(&rows.rows);
-    gateway.knowledge.follow_evacuations(began, rows.version, changes);
+    let changes = orders::decode(&rows.rows);
+    gateway.knowledge.follow_orders(began, rows.version, changes);
     let unchanged = rows.rows.is_empty() && gateway.clock.now() >= began + wait;
     take(gateway, &rows, if unchanged { began + wait } else { began });
     Ok(())
 }
 
-/// Takes the intent among rows that were current at `at`, and hands on what is new of it and of zones to be emptied.
+/// Takes the intent among rows that were current at `at`, and hands on what is new of it and of operators' orders.
 fn take(gateway: &Arc<Gateway>, rows: &StoreRows, at: Instant) {
     let before = gateway.knowledge.version();
-    let zones_changed = gateway.refresh_evacuated();
+    let orders_changed = gateway.refresh_orders();
     let confirmed = Confirmed { at, store: rows.version };
     let is_intent = |row: &&StoreRow| row.key == INTENT_KEY && !row.removed;
     let is_newer = match rows.rows.iter().rev().find(is_intent) {
@@ -136,7 +135,7 @@
         Some(row) => take_row(gateway, row, confirmed),
     };
     // At a start all instances read; there is nothing to tell.
-    if before > 0 && (zones_changed || is_newer) {
+    if before > 0 && (orders_changed || is_newer) {
         spread::publish(gateway);
     }
 }
--- a/src/gateway/knowledge.rs
+++ b/src/gateway/knowledge.rs
@@ -12,9 +12,9 @@
 use crate::{
     names::{ServiceName, ZoneName},
     routing::{
-        BackendServer, ChangeFault, Confirmed, EvacuationChange, Evacuations, Incarnation, Intent,
-        IntentChange, IntentHistory, IntentInForce, IntentWatch, ListHistory, ListNews,
-        ListVersion, PackedChange, Roster, StoreEra, StoreVersion, ToldEvacuations,
+        BackendServer, ChangeFault, Confirmed, Incarnation, Intent, IntentChange, IntentHistory,
+        IntentInForce, IntentWatch, ListHistory, ListNews, ListVersion, OperatorOrders,
+        OrderChange, PackedChange, Roster, StoreEra, StoreVersion, ToldOrders,
         roster::RosterChange,
     },
     utils::sync::lock,
@@ -40,8 +40,8 @@
     watch: Mutex<IntentWatch>,
     /// Is told when the watch has something new to do.
     watch_told: Condvar,
-    /// Availability zones that get nothing new.
-    evacuations: Mutex<Evacuations>,
+    /// What operators order beside the intent.
+    orders: Mutex<OperatorOrders>,
     /// Changes of the intent, for other instances.
     changes: Mutex<IntentHistory>,
     /// Lists of servers, for other instances.
@@ -61,7 +61,7 @@
             roster: Mutex::default(),
             watch: Mutex::new(IntentWatch::new(bound)),
             watch_told: Condvar::new(),
-            evacuations: Mutex::default(),
+            orders: Mutex::default(),
             changes: Mutex::default(),
             lists: Mutex::default(),
             complete: Mutex::default(),
@@ -198,39 +198,35 @@
         lock(&self.watch).age(now)
     }
 
-    /// Takes what was told of zones to be emptied; returns whether it is news.
-    pub fn offer_evacuations(&self, now: Instant, told: ToldEvacuations) -> bool {
-        lock(&self.evacuations).take(now, told)
+    /// Takes what was told of operators' orders; returns whether it is news.
+    pub fn offer_orders(&self, now: Instant, told: ToldOrders) -> bool {
+        lock(&self.orders).take(now, told)
     }
 
-    /// Takes changes of zones to be emptied, up to the store's version `as_of`.
-    pub fn follow_evacuations(
+    /// Takes changes of operators' orders, up to the store's version `as_of`.
+    pub fn follow_orders(
         &self,
         now: Instant,
         as_of: StoreVersion,
-        changes: impl IntoIterator<Item = EvacuationChange>,
+        changes: impl IntoIterator<Item = OrderChange>,
     ) -> bool {
-        lock(&self.evacuations).follow(now, as_of, changes)
+        lock(&self.orders).follow(now, as_of, changes)
     }
 
     /// Returns the zones that get nothing new.
     pub fn evacuated(&self, now: Instant) -> IndexSet<ZoneName> {
-        lock(&self.evacuations).in_force(now)
+        lock(&self.orders).in_force(now).zones
     }
 
-    /// Runs `apply` with the zones that get nothing new; no other thread puts older ones in force meanwhile.
-    pub fn apply_evacuated<T>(
-        &self,
-        now: Instant,
-        apply: impl FnOnce(&IndexSet<ZoneName>) -> T,
-    ) -> T {
-        let evacuations = lock(&self.evacuations);
-        apply(&evacuations.in_force(now))
+    /// Runs `apply` with the orders in force; no other thread puts older ones in force meanwhile.
+    pub fn apply_orders<T>(&self, now: Instant, apply: impl FnOnce(ToldOrders) -> T) -> T {
+        let orders = lock(&self.orders);
+        apply(orders.in_force(now))
     }
 
-    /// Returns what other instances are told of zones to be emptied.
-    pub fn evacuations_told(&self) -> ToldEvacuations {
-        lock(&self.evacuations).newest().clone()
+    /// Returns what other instances are told of operators' orders.
+    pub fn orders_told(&self) -> ToldOrders {
+        lock(&self.orders).newest().clone()
     }
 
     /// Takes a list of backend servers that was current at `as_of`, in an era of the store.
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -8,8 +8,8 @@
 use crate::{
     names::Tag,
     routing::{
-        BudgetSum, Count, InstanceInfo, ListNews, ListVersion, PackedChange, RunId, ServiceLoad,
-        Spending, StoreEra, StoreVersion, ToldEvacuations, ToldVerdict,
+        BudgetSum, Count, InstanceInfo, ListNews, ListVersion, PackedChange, RolloutReport, RunId,
+        ServiceLoad, Spending, StoreEra, StoreVersion, ToldOrders, ToldRollout, ToldVerdict,
     },
 };
 
@@ -37,6 +37,10 @@
     pub run: RunId,
     /// Repeats that it has spent.
     pub spending: Vec<Spending>,
+    /// What it has seen of roll-outs.
+    pub rollouts: Vec<RolloutReport>,
+    /// How far roll-outs have come, as it knows it.
+    pub rollout_states: Vec<ToldRollout>,
     /// What it had at servers that ended, and what it knows of requests that end them.
     pub suspicion: SuspicionReport,
     /// Version of the intent that it has in force.
@@ -72,8 +76,10 @@
     pub changes: Vec<Arc<PackedChange>>,
     /// When the other's version was known to be the newest.
     pub confirmed: Option<ConfirmedAgo>,
-    /// Availability zones to be emptied, as the other knows them.
-    pub evacuations: ToldEvacuations,
+    /// Operators' orders, as the other knows them.
+    pub orders: ToldOrders,
+    /// How far roll-outs have come, as the other knows it.
+    pub rollout_states: Vec<ToldRollout>,
     /// What is new in the list of servers.
     pub list: ListNews,
     /// Milliseconds since the list was current.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -23,6 +23,9 @@
 pub mod peers;
 pub mod reply;
 pub mod request;
+pub mod rollout_keeper;
+pub mod rollout_table;
+pub mod rollouts;
 pub mod roster_reader;
 pub mod server_conns;
 pub mod settings;
@@ -48,7 +51,7 @@
 pub use self::handle::GatewayHandle;
 use self::{
     cold_permits::ColdPermits, drain::Drain, flight::Flight, knowledge::Knowledge, peers::Peers,
-    request::Request, server_conns::ServerConns, settings::GatewaySettings,
+    request::Request, rollouts::Rollouts, server_conns::ServerConns, settings::GatewaySettings,
     skipped_log::SkippedLog, suspicion::Suspicion,
 };
 use crate::{
@@ -58,7 +61,7 @@
     names::ServiceName,
     routing::{
         BudgetSum, CallKind, Incarnation, Picked, Picker, RetryBudget, Spending, StoreShare,
-        ToldEvacuations, Unpicked, Wanted,
+        ToldOrders, Unpicked, Wanted,
     },
     utils::{signal::Signal, sync::lock, usage::Usage},
 };
@@ -86,6 +89,8 @@
     pub peers: Peers,
     /// Requests that end servers.
     pub suspicion: Suspicion,
+    /// Roll-outs of versions.
+    pub rollouts: Rollouts,
     /// Requests to cold servers.
     cold_permits: ColdPermits,
     /// State of leaving.
@@ -122,6 +127,7 @@
             conns: ServerConns::new(clock.clone()),
             peers: Peers::new(&settings, clock, &metrics.traffic()),
             suspicion: Suspicion::default(),
+            rollouts: Rollouts::default(),
             cold_permits: ColdPermits::default(),
             drain: Drain::open().context("cannot make a pipe")?,
             reader_wanted: Signal::default(),
@@ -233,19 +239,20 @@
         self.conns.retain(|server| known.contains(server));
     }
 
-    /// Takes what was read or told of zones to be emptied.
-    pub fn take_evacuations(&self, told: ToldEvacuations, source: &str) {
-        if self.knowledge.offer_evacuations(self.clock.now(), told) && self.refresh_evacuated() {
-            log::info!("event=evacuations_known source={source}");
+    /// Takes what was read or told of operators' orders.
+    pub fn take_orders(&self, told: ToldOrders, source: &str) {
+        if self.knowledge.offer_orders(self.clock.now(), told) && self.refresh_orders() {
+            log::info!("event=orders_known source={source}");
         }
     }
 
-    /// Has nothing new sent to the zones that are to be empty by now, and some to those that are taken back; returns
-    /// whether anything has changed.
-    pub fn refresh_evacuated(&self) -> bool {
+    /// Has nothing new sent to the zones that are to be empty by now, and some to those that are taken back, and takes up
+    /// roll-outs; returns whether anything has changed.
+    pub fn refresh_orders(&self) -> bool {
         let now = self.clock.now();
-        let (zones, former) = self.knowledge.apply_evacuated(now, |zones| {
-            (zones.clone(), lock(&self.picker).set_evacuated(zones.clone()))
+        let (zones, former, rollouts_changed) = self.knowledge.apply_orders(now, |orders| {
+            let former = lock(&self.picker).set_evacuated(orders.zones.clone());
+            (orders.zones, former, self.rollouts.set_orders(self, &orders.rollouts))
         });
         for zone in zones.difference(&former) {
             log::warn!("event=zone_evacuated zone={zone}");
@@ -256,7 +263,7 @@
             self.knowledge.suspect_cold(now, zone, lasts);
             self.servers_changed();
         }
-        zones != former
+        zones != former || rollouts_changed
     }
 
     /// Forgets a server whose address answered as another one.
@@ -309,6 +316,9 @@
         let confirmed = self.knowledge.with_watch(|watch| watch.confirmed());
         self.metrics.store_era(confirmed.map_or(0, |confirmed| confirmed.store.era.0));
         self.metrics.evacuated_zones(self.knowledge.evacuated(now).len());
+        for (service, share) in lock(&self.picker).new_version_shares(now) {
+            self.metrics.rollout_share(&service, share);
+        }
         self.metrics.cold_servers(lock(&self.picker).cold_count(now));
         self.metrics.held_requests(self.suspicion.held_count());
         self.metrics.log_lines_left_out(log_sink::take_left_out());
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -20,6 +20,7 @@
     cold_permits::{PERMIT_PATH, PERMIT_TIME, PermitAsk, PermitReply},
     intent_reader,
     messages::{Asks, ConfirmedAgo, News, Report},
+    rollout_table::{ROLLOUT_PATH, TableAsk, TableReply},
     roster_reader,
     settings::GatewaySettings,
     spread::{OFFER_PATH, Offer, OfferReply},
@@ -190,6 +191,24 @@
         reply.map_err(|fault| fault.to_string())
     }
 
+    /// Has another instance do something in the store's table of roll-outs; `None` where none could.
+    pub fn ask_helper_for_rollouts(&self, now: Instant, ask: &TableAsk) -> Option<TableReply> {
+        for _ in 0..helper::ASKED {
+            let helper = lock(&self.helper).pick(now, &lock(&self.candidates))?;
+            match self.links.call(Purpose::Config, helper.address, ROLLOUT_PATH, ask) {
+                Ok(TableReply::Failed(reason)) => {
+                    log::info!("event=no_help peer={} reason={reason:?}", helper.node);
+                }
+                Ok(reply) => return Some(reply),
+                Err(fault) => {
+                    log::info!("event=no_help peer={} reason={:?}", helper.node, fault.to_string());
+                }
+            }
+            lock(&self.helper).failed();
+        }
+        None
+    }
+
     /// Asks another instance for a permit.
     ///
     /// # Errors
@@ -205,7 +224,8 @@
         lock(&self.candidates).own().node == instance.node
     }
 
-    fn period(&self) -> Duration {
+    /// Returns the pause between two exchanges.
+    pub(super) fn period(&self) -> Duration {
         let instances = u32::try_from(self.instances()).unwrap_or(u32::MAX);
         PERIOD_PER_INSTANCE.saturating_mul(instances).clamp(PERIOD_MIN, PERIOD_MAX)
     }
@@ -342,6 +362,8 @@
         run: peers.run,
         suspicion,
         spending: if in_turn { gateway.spending(asked) } else { Vec::new() },
+        rollouts: if in_turn { gateway.rollouts.reports(gateway) } else { Vec::new() },
+        rollout_states: gateway.rollouts.told(asked),
         version,
         // An instance that starts takes what it can get, and so does one that asks.
         wants_intent: !in_turn || version == 0,
@@ -386,7 +408,8 @@
 
 fn take(gateway: &Gateway, news: News, list: Option<ListVersion>, asked: Instant) {
     // Before an intent or a list by which the instance may become ready.
-    gateway.take_evacuations(news.evacuations, "peer");
+    gateway.take_orders(news.orders, "peer");
+    gateway.rollouts.take_told(gateway, &news.rollout_states, "peer");
     intent_reader::take_changes(gateway, &news.changes);
     let then = |age_ms: u64| asked.checked_sub(Duration::from_millis(age_ms));
     if let Some(ConfirmedAgo { age_ms, store }) = news.confirmed
--- /dev/null
+++ b/src/gateway/rollout_keeper.rs
@@ -0,0 +1,300 @@
+//! Takes roll-outs further, on the instance that all others turn to: holds their records in the store, and does what
+//! `routing::rollout` says is next.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    thread,
+    time::{Duration, Instant},
+};
+
+use indexmap::{IndexMap, IndexSet};
+
+use super::{
+    Gateway,
+    rollout_table::{RecordRow, TableAsk, TableReply, perform},
+};
+use crate::{
+    names::{ServiceName, SoftwareVersion},
+    routing::{
+        Course, LEASE, RolloutOrder, RolloutRecord, RolloutState, Stage, Tally, ToldRollout,
+    },
+    utils::sync::lock,
+};
+
+/// Pause between two steps of a roll-out: less than that between two reports of an instance.
+const STEP: Duration = Duration::from_millis(200);
+
+/// Pause of an instance that may have to take over.
+const DEPUTY: Duration = Duration::from_secs(1);
+
+/// Pause between two renewals of a record.
+const RENEW: Duration = Duration::from_millis(1000);
+
+/// Smallest change of a share that is told.
+const SHARE_STEP: f64 = 0.005;
+
+/// A record that this instance holds.
+struct Held {
+    row: RecordRow,
+    /// When the last write that succeeded began: another instance counts from later on.
+    renewed: Instant,
+    /// The store's clock, in milliseconds, at a moment of the own one.
+    clock: (Instant, u64),
+    stage_since: Instant,
+    told: Option<RolloutState>,
+}
+
+/// Has roll-outs taken further as long as there are any; without one, an instance has no thread for them.
+pub fn spawn_if_due(gateway: &Arc<Gateway>) {
+    let rollouts = &gateway.rollouts;
+    if !rollouts.has_open() || rollouts.is_kept.swap(true, Ordering::Relaxed) {
+        return;
+    }
+    let keeping = Arc::clone(gateway);
+    let spawned = thread::Builder::new().name("rollouts".to_owned()).spawn(move || run(&keeping));
+    if let Err(fault) = spawned {
+        rollouts.is_kept.store(false, Ordering::Relaxed);
+        log::error!("event=rollouts_not_kept reason={:?}", fault.to_string());
+    }
+}
+
+/// Takes roll-outs further until all have come to their end.
+fn run(gateway: &Arc<Gateway>) {
+    let mut held: IndexMap<ServiceName, Held> = IndexMap::new();
+    while gateway.rollouts.has_open() || !held.is_empty() {
+        let is_turn_yet = is_turn(gateway, gateway.clock.now());
+        gateway.rollouts.due.wait(if is_turn_yet { STEP } else { DEPUTY });
+        let now = gateway.clock.now();
+        let is_turn = is_turn(gateway, now);
+        if !is_turn {
+            held.clear();
+            continue;
+        }
+        let orders = lock(&gateway.rollouts.states).orders().clone();
+        let own = gateway.rollouts.reports(gateway);
+        gateway.rollouts.take_reports(gateway, &gateway.settings.node, gateway.peers.run, own);
+        for (service, order) in &orders {
+            keep(gateway, &mut held, service, order);
+        }
+    }
+    gateway.rollouts.is_kept.store(false, Ordering::Relaxed);
+}
+
+/// Returns whether this is the instance that takes roll-outs further.
+fn is_turn(gateway: &Gateway, now: Instant) -> bool {
+    let is_first = lock(&gateway.peers.candidates).first(now).is_none();
+    is_first && gateway.peers.knows_others(now) && !gateway.drain.is_draining()
+}
+
+fn keep(
+    gateway: &Gateway,
+    held: &mut IndexMap<ServiceName, Held>,
+    service: &ServiceName,
+    order: &RolloutOrder,
+) {
+    if held.get(service).is_some_and(|held| held.row.record.order.to != order.to) {
+        held.swap_remove(service);
+    }
+    let mut record = match held.swap_remove(service) {
+        Some(known) => known,
+        None => match claim(gateway, service, order) {
+            Some(claimed) => claimed,
+            None => return,
+        },
+    };
+    if step(gateway, &mut record, order) {
+        held.insert(service.clone(), record);
+    }
+}
+
+/// Takes the record of a service, unless another instance holds it or nothing is left to do.
+fn claim(gateway: &Gateway, service: &ServiceName, order: &RolloutOrder) -> Option<Held> {
+    let (state, term) = {
+        let states = lock(&gateway.rollouts.states);
+        (states.of(service, &order.to).cloned(), states.term(service))
+    };
+    let began = gateway.clock.now();
+    let (rows, now_ms) = match perform(gateway, &TableAsk::Read) {
+        TableReply::Read { rows, now_ms } => (rows, now_ms),
+        other => {
+            log::info!("event=rollouts_unread reason={other:?}");
+            return None;
+        }
+    };
+    let own = &gateway.settings.node;
+    let known = rows.into_iter().find(|row| row.service == *service);
+    let expected = known.as_ref().map_or(0, |row| row.version);
+    let former = known.as_ref().map(|row| &row.record);
+    if former.is_some_and(|former| former.is_held_by_another(own, now_ms)) {
+        return None;
+    }
+    let same = former.filter(|former| former.order.to == order.to);
+    let mut record = match same {
+        Some(same) => RolloutRecord { holder: own.clone(), ..same.clone() },
+        None => RolloutRecord::first(order.clone(), own.clone(), now_ms, former),
+    };
+    // What all instances know to be decided stays so, also where the store has come back from a copy.
+    if let Some(decided) = state.map(|state| state.stage).filter(|stage| stage.is_final()) {
+        record.stage = record.stage.max(decided);
+    }
+    let is_done = same.is_some_and(|same| same.stage == record.stage) && record.stage.is_final();
+    if is_done {
+        publish(gateway, RolloutState::of(service, &record));
+        return None;
+    }
+    record.term = record.term.max(term + 1);
+    record.renewed_ms = now_ms;
+    let row = RecordRow { service: service.clone(), version: expected, record };
+    let clock = (gateway.clock.now(), now_ms);
+    let mut held = Held { row, renewed: began, clock, stage_since: began, told: None };
+    if !write(gateway, &mut held) {
+        return None;
+    }
+    log::warn!(
+        "event=rollout_held service={service} to={} term={} stage={:?}",
+        order.to,
+        held.row.record.term,
+        held.row.record.stage
+    );
+    Some(held)
+}
+
+/// Writes the record; returns whether this instance still holds it.
+fn write(gateway: &Gateway, held: &mut Held) -> bool {
+    let began = gateway.clock.now();
+    let (at, ms) = held.clock;
+    let since = began.saturating_duration_since(at).as_millis();
+    held.row.record.renewed_ms = ms.saturating_add(u64::try_from(since).unwrap_or(u64::MAX));
+    match perform(gateway, &TableAsk::Write(held.row.clone())) {
+        TableReply::Written(version) => {
+            held.row.version = version;
+            held.renewed = began;
+            true
+        }
+        reply => {
+            // Whether it was written is read again.
+            log::info!("event=rollout_not_written service={} reason={reply:?}", held.row.service);
+            false
+        }
+    }
+}
+
+/// Takes a roll-out one step further; returns whether the record is still held.
+fn step(gateway: &Gateway, held: &mut Held, order: &RolloutOrder) -> bool {
+    let now = gateway.clock.now();
+    let (terms, exchange) = (gateway.settings.bounds.rollouts, gateway.peers.period());
+    let course = Course { order, terms, exchange };
+    let tally = tally(gateway, now, held);
+    let service = held.row.service.clone();
+    let decided = lock(&gateway.rollouts.states).of(&service, &order.to).map(|known| known.stage);
+    let stage = held.row.record.stage;
+    let next = match decided.filter(|decided| decided.is_final()) {
+        Some(decided) => stage.max(decided),
+        None => course.stage(stage, &tally),
+    };
+    if next == Stage::RolledBack && decided != Some(next) {
+        // Known to all before it is written: nothing more reaches the version meanwhile.
+        publish(gateway, state(held, next, 0.0, 0));
+    }
+    let is_due = now.saturating_duration_since(held.renewed) >= RENEW;
+    if next != stage || is_due {
+        held.row.record.stage = next;
+        if next == Stage::Succeeded {
+            // Their servers stop as soon as operators read of it, and are listed for a while yet.
+            held.row.record.barred.extend(other_versions(gateway, &service, &order.to));
+        }
+        if !write(gateway, held) {
+            return false;
+        }
+        if next != stage {
+            held.stage_since = now;
+        }
+    }
+    if next.is_final() {
+        publish(
+            gateway,
+            state(held, next, if next == Stage::Succeeded { 1.0 } else { 0.0 }, usize::MAX),
+        );
+        return false;
+    }
+    let share = (course.share(next, &tally) / SHARE_STEP).round() * SHARE_STEP;
+    let servers = course.servers(share, &tally);
+    let is_fresh = gateway.clock.now().saturating_duration_since(held.renewed) < LEASE;
+    if is_fresh {
+        publish(gateway, state(held, next, share, servers));
+    }
+    true
+}
+
+/// Returns the versions beside `to` of the servers that are listed.
+fn other_versions(
+    gateway: &Gateway,
+    service: &ServiceName,
+    to: &SoftwareVersion,
+) -> IndexSet<SoftwareVersion> {
+    gateway.knowledge.with_servers(|roster| {
+        let servers = roster.servers().filter(|server| server.service == *service);
+        servers
+            .filter_map(|server| server.version.clone())
+            .filter(|version| version != to)
+            .collect()
+    })
+}
+
+/// Returns the state to be told, of a further step where it is another one than before.
+fn state(held: &mut Held, stage: Stage, share: f64, servers: usize) -> RolloutState {
+    let record = &held.row.record;
+    let mut state = RolloutState {
+        service: held.row.service.clone(),
+        to: record.order.to.clone(),
+        stage,
+        term: record.term,
+        step: 0,
+        share,
+        servers,
+        barred: record.barred.clone(),
+    };
+    if let Some(told) = &held.told {
+        state.step = told.step;
+        if state != *told {
+            state.step += 1;
+        }
+    }
+    held.told = Some(state.clone());
+    state
+}
+
+fn publish(gateway: &Gateway, state: RolloutState) {
+    gateway.rollouts.take_told(gateway, &[ToldRollout { state, age_ms: 0 }], "own");
+}
+
+fn tally(gateway: &Gateway, now: Instant, held: &Held) -> Tally {
+    let record = &held.row.record;
+    let (at, ms) = held.clock;
+    let before = Duration::from_millis(ms.saturating_sub(record.since_ms));
+    let to = &record.order.to;
+    let (servers_new, servers_old) = gateway.knowledge.with_servers(|roster| {
+        let servers = roster.servers().filter(|s| s.service == held.row.service && !s.leaving);
+        let usable = servers
+            .filter(|s| s.version.as_ref().is_none_or(|version| !record.barred.contains(version)));
+        let (new, old): (Vec<_>, Vec<_>) = usable.partition(|s| s.version.as_ref() == Some(to));
+        (new.len(), old.len())
+    });
+    let mut tally = Tally {
+        elapsed: before + now.saturating_duration_since(at),
+        in_stage: now.saturating_duration_since(held.stage_since),
+        servers_new,
+        servers_old,
+        ..Tally::default()
+    };
+    if let Some(judge) = lock(&gateway.rollouts.judges).get(&held.row.service)
+        && judge.to() == to
+    {
+        (tally.sent, tally.sent_new) = judge.sent();
+        tally.answered_new = judge.answered_new();
+        tally.under_way_old = judge.under_way_old(now);
+        tally.doubt_in_all = judge.doubt_in_all();
+        (tally.doubt, tally.is_bad) = (judge.doubt(), judge.is_bad());
+    }
+    tally
+}
--- /dev/null
+++ b/src/gateway/rollout_table.rs
@@ -0,0 +1,115 @@
+//! The store's table of roll-outs: read and written by the instance that takes them further, or for it by another one where
+//! the store turns it away.
+
+use serde::{Deserialize, Serialize};
+
+use super::Gateway;
+use crate::{
+    adapter::{
+        calls::{ROLLOUT_TABLE, STATUS_TABLE},
+        orders,
+        store::{Condition, Put, StoreFault, StoreRow},
+    },
+    configs::fleet::chunks::{decode, encode},
+    names::ServiceName,
+    routing::RolloutRecord,
+};
+
+/// Path of the question.
+pub const ROLLOUT_PATH: &str = "/rollouts";
+
+/// A record with the version that its row has.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct RecordRow {
+    /// The service.
+    pub service: ServiceName,
+    /// Version of the row.
+    pub version: u64,
+    /// The record.
+    pub record: RolloutRecord,
+}
+
+/// What is wanted of the table.
+#[derive(Debug, Serialize, Deserialize)]
+pub enum TableAsk {
+    /// All records.
+    Read,
+    /// That a record is written, with what operators read of it, if its row has the version that it had when it was read; 0
+    /// for none.
+    Write(RecordRow),
+}
+
+/// What has come of it.
+#[derive(Debug, Serialize, Deserialize)]
+pub enum TableReply {
+    /// The records.
+    Read {
+        /// Records by service.
+        rows: Vec<RecordRow>,
+        /// The store's clock, in milliseconds.
+        now_ms: u64,
+    },
+    /// It is written, and its row has this version.
+    Written(u64),
+    /// Another instance has written the record meanwhile.
+    Conflict,
+    /// The store could not be asked, or its reply was lost.
+    Failed(String),
+}
+
+/// Does what is wanted, by another instance where the store turns this one away.
+pub fn perform(gateway: &Gateway, ask: &TableAsk) -> TableReply {
+    match perform_here(gateway, ask) {
+        Err(fault @ StoreFault::NotDone(_)) => {
+            gateway.store_failed("rollouts", &fault);
+            let helped = gateway.peers.ask_helper_for_rollouts(gateway.clock.now(), ask);
+            helped.unwrap_or_else(|| TableReply::Failed(fault.to_string()))
+        }
+        Ok(reply) => reply,
+        Err(fault) => TableReply::Failed(fault.to_string()),
+    }
+}
+
+/// Does what another instance wants.
+pub fn perform_for_another(gateway: &Gateway, ask: &TableAsk) -> TableReply {
+    let reply = perform_here(gateway, ask);
+    reply.unwrap_or_else(|fault| TableReply::Failed(fault.to_string()))
+}
+
+fn perform_here(gateway: &Gateway, ask: &TableAsk) -> Result<TableReply, StoreFault> {
+    match ask {
+        TableAsk::Read => {
+            let read = gateway.store.rows(ROLLOUT_TABLE)?;
+            let rows = read.rows.iter().filter_map(decode_row).collect();
+            Ok(TableReply::Read { rows, now_ms: read.now_ms })
+        }
+        TableAsk::Write(row) => match write(gateway, row) {
+            Ok(version) => Ok(TableReply::Written(version)),
+            Err(StoreFault::Conflict) => Ok(TableReply::Conflict),
+            Err(fault) => Err(fault),
+        },
+    }
+}
+
+fn write(gateway: &Gateway, row: &RecordRow) -> Result<u64, StoreFault> {
+    let key = row.service.as_str();
+    let condition = Condition { table: ROLLOUT_TABLE, key, version: row.version };
+    let status_key = orders::status_key(&row.service);
+    let puts = [
+        Put { table: ROLLOUT_TABLE, key, value: &encode(&row.record) },
+        Put { table: STATUS_TABLE, key: &status_key, value: &orders::status(&row.record) },
+    ];
+    gateway.store.put_if(&condition, &puts).map(|version| version.counter)
+}
+
+fn decode_row(row: &StoreRow) -> Option<RecordRow> {
+    let record = decode(&row.value).map_err(|fault| fault.to_string());
+    let service = row.key.parse().map_err(|fault: crate::names::IdError| fault.to_string());
+    match (service, record) {
+        (Ok(service), Ok(record)) => Some(RecordRow { service, version: row.version, record }),
+        (Err(fault), _) | (_, Err(fault)) => {
+            log::warn!("event=row_skipped table={ROLLOUT_TABLE} key={} reason={fault:?}", row.key);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/rollouts.rs
@@ -0,0 +1,219 @@
+//! What this instance knows of roll-outs: operators' orders, how far each has come, and how both versions answer.
+
+use std::{
+    sync::{
+        Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Instant,
+};
+
+use indexmap::IndexMap;
+
+use super::Gateway;
+use crate::{
+    names::{NodeName, ServiceName, Tag},
+    routing::{
+        AnswerSeen, BackendServer, FailureDomains, Judge, RolloutEvidence, RolloutOrder,
+        RolloutReport, RolloutState, RolloutStates, RunId, Stage, ToldRollout,
+    },
+    utils::{signal::Signal, sync::lock},
+};
+
+/// Roll-outs, as this instance knows them.
+#[derive(Debug, Default)]
+pub struct Rollouts {
+    pub(super) states: Mutex<RolloutStates>,
+    evidence: Mutex<IndexMap<ServiceName, RolloutEvidence>>,
+    /// What all instances have told, where they turn to this one.
+    pub(super) judges: Mutex<IndexMap<ServiceName, Judge>>,
+    /// Is set when there is something new to do for the instance that takes roll-outs further.
+    pub(super) due: Signal,
+    is_noting: AtomicBool,
+    /// Whether a thread takes roll-outs further.
+    pub(super) is_kept: AtomicBool,
+}
+
+impl Rollouts {
+    /// Takes the orders in force; returns whether they are others than before.
+    pub fn set_orders(
+        &self,
+        gateway: &Gateway,
+        orders: &IndexMap<ServiceName, RolloutOrder>,
+    ) -> bool {
+        if !lock(&self.states).set_orders(orders) {
+            return false;
+        }
+        for (service, order) in orders {
+            let to = &order.to;
+            log::warn!("event=rollout_ordered service={service} to={to}");
+        }
+        {
+            let mut evidence = lock(&self.evidence);
+            let is_ordered = |service: &ServiceName, of: &RolloutEvidence| {
+                orders.get(service).is_some_and(|order| order.to == *of.to())
+            };
+            evidence.retain(|service, of| is_ordered(service, of));
+            for (service, order) in orders {
+                let begin = || RolloutEvidence::new(order.to.clone());
+                evidence.entry(service.clone()).or_insert_with(begin);
+            }
+            self.is_noting.store(!evidence.is_empty(), Ordering::Relaxed);
+        }
+        self.put_in_force(gateway);
+        self.due.set();
+        true
+    }
+
+    /// Takes what another instance tells of roll-outs, or this one has decided.
+    pub fn take_told(&self, gateway: &Gateway, told: &[ToldRollout], source: &str) {
+        if told.is_empty() {
+            return;
+        }
+        let now = gateway.clock.now();
+        for told in told {
+            let news = lock(&self.states).take(now, told);
+            let RolloutState { service, to, term, .. } = &told.state;
+            if let Some(stage) = news {
+                log::warn!(
+                    "event=rollout_stage service={service} to={to} stage={stage:?} term={term} source={source}"
+                );
+            }
+            if news.is_some_and(Stage::is_final) {
+                let mut evidence = lock(&self.evidence);
+                evidence.swap_remove(service);
+                self.is_noting.store(!evidence.is_empty(), Ordering::Relaxed);
+            }
+        }
+        self.put_in_force(gateway);
+    }
+
+    /// Returns whether a roll-out has not come to its end.
+    pub fn has_open(&self) -> bool {
+        let states = lock(&self.states);
+        let is_open = |(service, order): (&ServiceName, &RolloutOrder)| {
+            !states.of(service, &order.to).is_some_and(|known| known.stage.is_final())
+        };
+        states.orders().iter().any(is_open)
+    }
+
+    fn put_in_force(&self, gateway: &Gateway) {
+        let lanes = lock(&self.states).lanes();
+        lock(&gateway.picker).set_lanes(lanes);
+    }
+
+    /// Returns what other instances are told of roll-outs.
+    pub fn told(&self, now: Instant) -> Vec<ToldRollout> {
+        lock(&self.states).told(now)
+    }
+
+    /// Notes a request sent to a server.
+    pub fn note_sent(&self, server: &BackendServer) {
+        self.note(server, |evidence| evidence.note_sent(server.version.as_ref()));
+    }
+
+    /// Notes what became of a request on a route at a server.
+    pub fn note_answer(&self, route: &str, server: &BackendServer, seen: AnswerSeen) {
+        let version = server.version.as_ref();
+        self.note(server, |evidence| {
+            evidence.note_answer(Tag::of(route), server.tag(), version, seen);
+        });
+    }
+
+    fn note(&self, server: &BackendServer, note: impl FnOnce(&mut RolloutEvidence)) {
+        if !self.is_noting.load(Ordering::Relaxed) {
+            return;
+        }
+        if let Some(evidence) = lock(&self.evidence).get_mut(&server.service) {
+            note(evidence);
+        }
+    }
+
+    /// Returns what this instance has seen of roll-outs that are under way.
+    pub fn reports(&self, gateway: &Gateway) -> Vec<RolloutReport> {
+        if !self.is_noting.load(Ordering::Relaxed) {
+            return Vec::new();
+        }
+        let picker = lock(&gateway.picker);
+        let evidence = lock(&self.evidence);
+        let report = |(service, of): (&ServiceName, &RolloutEvidence)| {
+            of.report(service, picker.under_way_beside(service, of.to()))
+        };
+        evidence.iter().map(report).collect()
+    }
+
+    /// Takes what an instance has seen; a version that is found bad gets nothing from then on, whoever holds its record in
+    /// the store and whether that can be reached or not.
+    pub fn take_reports(
+        &self,
+        gateway: &Gateway,
+        node: &NodeName,
+        run: RunId,
+        reports: Vec<RolloutReport>,
+    ) {
+        let now = gateway.clock.now();
+        for report in reports {
+            let service = report.service.clone();
+            let is_ordered = lock(&self.states)
+                .orders()
+                .get(&service)
+                .is_some_and(|order| order.to == report.to);
+            if !is_ordered {
+                continue;
+            }
+            let mut judges = lock(&self.judges);
+            let to = report.to.clone();
+            let judge = judges.entry(service.clone()).or_insert_with(|| Judge::new(to.clone()));
+            if *judge.to() != to {
+                *judge = Judge::new(to.clone());
+            }
+            judge.set_domains(domains(gateway, &service, &to));
+            judge.take(now, node, run, report);
+            if !judge.is_bad() {
+                continue;
+            }
+            let doubt = judge.doubt();
+            drop(judges);
+            self.roll_back(gateway, &service, &to, doubt);
+        }
+    }
+
+    fn roll_back(
+        &self,
+        gateway: &Gateway,
+        service: &ServiceName,
+        to: &crate::names::SoftwareVersion,
+        doubt: f64,
+    ) {
+        let state = {
+            let states = lock(&self.states);
+            let known = states.of(service, to);
+            if known.is_none_or(|known| known.stage.is_final()) {
+                return;
+            }
+            let Some(known) = known else { return };
+            RolloutState {
+                stage: Stage::RolledBack,
+                step: known.step + 1,
+                share: 0.0,
+                ..known.clone()
+            }
+        };
+        log::warn!("event=version_is_bad service={service} to={to} doubt={doubt:.1}");
+        self.take_told(gateway, &[ToldRollout { state, age_ms: 0 }], "own");
+        self.due.set();
+    }
+}
+
+/// Returns how the listed servers of a version are grouped.
+fn domains(
+    gateway: &Gateway,
+    service: &ServiceName,
+    to: &crate::names::SoftwareVersion,
+) -> FailureDomains {
+    gateway.knowledge.with_servers(|roster| {
+        let servers = roster.servers().filter(|s| s.service == *service);
+        let new = servers.filter(|s| s.version.as_ref() == Some(to));
+        FailureDomains::new(new.map(|s| (s.tag(), Tag::of(s.zone.as_str()))))
+    })
+}
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     names::{NodeName, RegionName, ZoneName},
-    routing::{StoreRates, budget::BudgetTerms, roster_watch},
+    routing::{RolloutTerms, StoreRates, budget::BudgetTerms, roster_watch},
 };
 
 /// Everything an instance needs to know to start.
@@ -69,6 +69,8 @@
     pub intent_in_force: Duration,
     /// Most load of an engine, as a multiple of its service's mean.
     pub load: f64,
+    /// What a bad version may get of its service's requests.
+    pub rollouts: RolloutTerms,
     /// The fleet's retry budget.
     pub retries: BudgetTerms,
 }
--- a/src/gateway/spread.rs
+++ b/src/gateway/spread.rs
@@ -9,7 +9,7 @@
 
 use super::{Gateway, intent_reader};
 use crate::{
-    routing::{PackedChange, ToldEvacuations, spread},
+    routing::{PackedChange, ToldOrders, spread},
     utils::sync::lock,
 };
 
@@ -33,8 +33,8 @@
 pub struct Offer {
     /// Version that the other is to have.
     pub version: u64,
-    /// Availability zones to be emptied: they are few, and told beside every version.
-    pub evacuations: ToldEvacuations,
+    /// Operators' orders: they are few, and told beside every version.
+    pub orders: ToldOrders,
     /// Changes that lead to it, where they are small or asked for.
     pub changes: Vec<Arc<PackedChange>>,
     /// To whom else it is to be handed.
@@ -48,7 +48,7 @@
     pub version: u64,
 }
 
-/// Hands the intent in force and the zones to be emptied to all others, if that is this instance's task.
+/// Hands the intent in force and operators' orders to all others, if that is this instance's task.
 pub fn publish(gateway: &Arc<Gateway>) {
     let now = gateway.clock.now();
     let number = gateway.peers.position().number;
@@ -61,7 +61,7 @@
 
 /// Takes an offer; passes it on as soon as its version is in force.
 pub fn take_offer(gateway: &Arc<Gateway>, offer: Offer) -> OfferReply {
-    gateway.take_evacuations(offer.evacuations, "peer");
+    gateway.take_orders(offer.orders, "peer");
     intent_reader::take_changes(gateway, &offer.changes);
     let version = gateway.knowledge.version();
     gateway.knowledge.told_of(gateway.clock.now(), offer.version);
@@ -117,8 +117,8 @@
     changes: Vec<Arc<PackedChange>>,
     pass_on: &[SocketAddr],
 ) -> Result<u64, String> {
-    let evacuations = gateway.knowledge.evacuations_told();
-    let offer = Offer { version, evacuations, changes, pass_on: pass_on.to_vec() };
+    let orders = gateway.knowledge.orders_told();
+    let offer = Offer { version, orders, changes, pass_on: pass_on.to_vec() };
     let reply: OfferReply = gateway.peers.offer(to, &offer)?;
     Ok(reply.version)
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -18,7 +18,7 @@
         answer::{AnswerBody, AnswerNote, AnswerWriter},
         http1::Conn,
     },
-    routing::{EventSplitter, RouteKind},
+    routing::{AnswerSeen, EventSplitter, RouteKind},
 };
 
 /// Times the route's longest pause after which a stream that may be resumed is taken to another
@@ -28,6 +28,16 @@
 /// Least time before a silent stream is taken to another server.
 const STALL_MIN: Duration = Duration::from_millis(500);
 
+/// Pieces after the first from which a stream's pace is known.
+const PACE_PIECES: u32 = 3;
+
+/// How fast a server's pieces come, which, unlike the time of the first, does not hang on what the server keeps of the
+/// prompt.
+struct Pace {
+    first: Instant,
+    pieces: u32,
+}
+
 /// One source of events: a server's answer and how its bytes become events.
 struct Source<'g> {
     opened: Opened<'g>,
@@ -68,10 +78,12 @@
     let ended = |keep, reason| Some(Done { status: code, outcome: Outcome::Run, keep, reason });
     let started = AnswerWriter::start(conn, CALLER_STALL, status, &headers, &note, framing, &first);
     let Ok(mut writer) = started else { return ended(false, "caller left") };
+    let mut pace = Pace::new(forwarding.gateway.clock.now());
     loop {
         match next_events(forwarding, &mut source, &mut splitter, writer.conn()) {
             Brought::Events(events) => {
                 forwarding.note_running();
+                pace.piece();
                 if writer.piece(&events).is_err() {
                     return ended(false, "caller left");
                 }
@@ -79,6 +91,7 @@
             Brought::End => {
                 let Opened { picked, sent, head, .. } = &source.opened;
                 forwarding.note_good(picked, *sent, *head);
+                forwarding.note_version(picked, pace.seen(forwarding.gateway.clock.now()));
                 let Opened { answer, picked, .. } = source.opened;
                 forwarding.keep_connection(&picked.server.id, answer);
                 let sent = writer.end().is_ok();
@@ -91,7 +104,10 @@
                 forwarding.note_fault(&picked, fault);
                 splitter.drop_rest();
                 match resume(forwarding, writer.conn(), &splitter) {
-                    Some(next) => source = next,
+                    Some(next) => {
+                        source = next;
+                        pace = Pace::new(forwarding.gateway.clock.now());
+                    }
                     None => {
                         // Nothing may follow that makes the cut answer look whole.
                         writer.cut(&[]);
@@ -128,6 +144,24 @@
     None
 }
 
+impl Pace {
+    fn new(first: Instant) -> Pace {
+        Pace { first, pieces: 0 }
+    }
+
+    fn piece(&mut self) {
+        self.pieces += 1;
+    }
+
+    /// Returns what the pace says of the server, whose last piece came at `end`.
+    fn seen(&self, end: Instant) -> AnswerSeen {
+        if self.pieces < PACE_PIECES {
+            return AnswerSeen::Untimed;
+        }
+        AnswerSeen::Took(end.saturating_duration_since(self.first) / self.pieces)
+    }
+}
+
 impl<'g> Source<'g> {
     fn new(opened: Opened<'g>) -> Source<'g> {
         let headers = &opened.answer.head.headers;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -50,6 +50,7 @@
     cold_servers: Gauge<u64>,
     evacuated_zones: Gauge<u64>,
     store_era: Gauge<u64>,
+    rollout_share: Gauge<f64>,
 }
 
 /// The instance's metrics; clones share them.
@@ -172,6 +173,12 @@
                 "cartvane_store_era",
                 "How often the store has come back from a copy, as far as is known",
             ),
+            rollout_share: meter
+                .f64_gauge("cartvane_rollout_share")
+                .with_description(
+                    "Share of a service's requests that goes to a version which is rolled out",
+                )
+                .build(),
             log_lines_left_out: counter(
                 "cartvane_log_lines_left_out",
                 "Log lines left out since there were too many",
@@ -330,6 +337,11 @@
         self.i.evacuated_zones.record(count as u64, &[]);
     }
 
+    /// Shows the share of a service's requests that goes to a version which is rolled out.
+    pub fn rollout_share(&self, service: &crate::names::ServiceName, share: f64) {
+        self.i.rollout_share.record(share, &[kv("service", service)]);
+    }
+
     /// Shows the store's era.
     pub fn store_era(&self, era: u64) {
         self.i.store_era.record(era, &[]);
--- a/src/names.rs
+++ b/src/names.rs
@@ -188,6 +188,10 @@
     /// A region as a platform names it: a group of availability zones.
     RegionName
 );
+label!(
+    /// A version of the software of backend servers, as they name it.
+    SoftwareVersion
+);
 label!(
     /// A running router instance as a platform names it.
     NodeName
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -6,7 +6,6 @@
 pub mod budget;
 pub mod candidates;
 pub mod cold;
-pub mod evacuations;
 pub mod events;
 pub mod fleet_budget;
 pub mod health;
@@ -19,9 +18,11 @@
 pub mod intent_watch;
 pub mod load;
 pub mod notice;
+pub mod operator_orders;
 pub mod overload;
 pub mod pick;
 pub mod picker;
+pub mod rollout;
 pub mod roster;
 pub mod roster_watch;
 pub mod route;
@@ -41,7 +42,6 @@
 pub use budget::RetryBudget;
 pub use candidates::{Candidates, InstanceInfo};
 pub use cold::{ColdGranters, ColdGrants, ColdTerms};
-pub use evacuations::{EvacuationChange, Evacuations, ToldEvacuations};
 pub use events::EventSplitter;
 pub use fleet_budget::{BudgetSum, FleetBudget, RunId, Spending, ToldSpent};
 pub use health::Health;
@@ -54,9 +54,15 @@
 pub use intent_watch::{Confirmed, IntentWatch, WatchRole, WatchStep};
 pub use load::{FleetPosition, Load, LoadReport};
 pub use notice::Notice;
+pub use operator_orders::{OperatorOrders, OrderChange, ToldOrders};
 pub use overload::{AnswerTimes, Overload};
 pub use pick::{Crowded, Picked, Unpicked, Wanted};
 pub use picker::Picker;
+pub use rollout::{
+    AnswerSeen, Course, FailureDomains, Judge, LEASE, Lane, RolloutEvidence, RolloutOrder,
+    RolloutRecord, RolloutReport, RolloutState, RolloutStates, RolloutTerms, Stage, Tally,
+    ToldRollout,
+};
 pub use roster::{BackendServer, Roster};
 pub use roster_watch::{RosterRole, RosterStep, RosterWatch};
 pub use route::{Route, RouteKey, RouteKind, RouteTable, ServiceShare};
--- /dev/null
+++ b/src/routing/operator_orders.rs
@@ -0,0 +1,125 @@
+//! What operators order beside the intent: availability zones that they empty, for maintenance or before they lose them, so
+//! that nothing new is sent to their backend servers until they are taken back; and roll-outs of versions.
+//!
+//! The orders are read with the intent and handed from instance to instance like it, so that they cost no call of their
+//! own; the version of the store at which they were read says which of two tellings is the newer one.
+
+use std::time::Instant;
+
+use indexmap::{IndexMap, IndexSet};
+use serde::{Deserialize, Serialize};
+
+use super::{RolloutOrder, StoreVersion, store_version::SETTLING};
+use crate::names::{ServiceName, ZoneName};
+
+/// The orders that stood at one version of the store.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldOrders {
+    /// Version of the store at which they were read.
+    pub as_of: StoreVersion,
+    /// Zones to be empty.
+    pub zones: IndexSet<ZoneName>,
+    /// Roll-outs, by service.
+    pub rollouts: IndexMap<ServiceName, RolloutOrder>,
+}
+
+/// That operators give an order, or take it back.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OrderChange {
+    /// A zone is to be empty, or not any more.
+    Zone {
+        /// The zone.
+        zone: ZoneName,
+        /// Whether it is to be empty.
+        is_wanted: bool,
+    },
+    /// A service's requests are to be moved to a version; `None` where that is taken back.
+    Rollout {
+        /// The service.
+        service: ServiceName,
+        /// The order.
+        order: Option<RolloutOrder>,
+    },
+}
+
+/// What an instance knows of operators' orders.
+#[derive(Debug, Default)]
+pub struct OperatorOrders {
+    newest: ToldOrders,
+    /// Orders of the store's era before, which operators may not have had time to write again.
+    former: ToldOrders,
+    former_until: Option<Instant>,
+}
+
+impl ToldOrders {
+    /// Returns the orders as of `as_of` that lead from none by `changes`.
+    pub fn read(as_of: StoreVersion, changes: impl IntoIterator<Item = OrderChange>) -> ToldOrders {
+        let mut told = ToldOrders { as_of, ..ToldOrders::default() };
+        changes.into_iter().for_each(|change| told.apply(change));
+        told
+    }
+
+    fn apply(&mut self, change: OrderChange) {
+        match change {
+            OrderChange::Zone { zone, is_wanted: true } => {
+                self.zones.insert(zone);
+            }
+            OrderChange::Zone { zone, is_wanted: false } => {
+                self.zones.swap_remove(&zone);
+            }
+            OrderChange::Rollout { service, order: Some(order) } => {
+                self.rollouts.insert(service, order);
+            }
+            OrderChange::Rollout { service, order: None } => {
+                self.rollouts.swap_remove(&service);
+            }
+        }
+    }
+}
+
+impl OperatorOrders {
+    /// Takes what was read or told; returns whether it is newer than what is known.
+    pub fn take(&mut self, now: Instant, told: ToldOrders) -> bool {
+        if told.as_of <= self.newest.as_of {
+            return false;
+        }
+        let knows_any = self.newest.as_of != StoreVersion::default();
+        if knows_any && told.as_of.era > self.newest.as_of.era {
+            self.former = self.in_force(now);
+            self.former_until = Some(now + SETTLING);
+        }
+        self.newest = told;
+        true
+    }
+
+    /// Takes the changes up to the version `as_of`; returns whether that is newer than what is known.
+    pub fn follow(
+        &mut self,
+        now: Instant,
+        as_of: StoreVersion,
+        changes: impl IntoIterator<Item = OrderChange>,
+    ) -> bool {
+        let mut told = ToldOrders { as_of, ..self.newest.clone() };
+        changes.into_iter().for_each(|change| told.apply(change));
+        self.take(now, told)
+    }
+
+    /// Returns the orders in force; zones and services in an order of their own.
+    pub fn in_force(&self, now: Instant) -> ToldOrders {
+        let mut orders = self.newest.clone();
+        if self.former_until.is_some_and(|until| now < until) {
+            orders.zones.extend(self.former.zones.iter().cloned());
+            for (service, order) in &self.former.rollouts {
+                orders.rollouts.entry(service.clone()).or_insert_with(|| order.clone());
+            }
+        }
+        orders.zones.sort_unstable();
+        orders.rollouts.sort_unstable_keys();
+        orders
+    }
+
+    /// Returns what other instances are told.
+    pub fn newest(&self) -> &ToldOrders {
+        &self.newest
+    }
+}
--- a/src/routing/picker/affinity.rs
+++ b/src/routing/picker/affinity.rs
@@ -104,6 +104,7 @@
                 && !wanted.tried.contains(&t.server.id)
                 && t.server.id != picked.id
                 && self.is_home(&t.server, wanted)
+                && self.shares_memory(&t.server, picked)
                 && !t.health.is_paused(now)
         };
         let score = |t: &Tracked| rendezvous::score(key, t.server.place(), 1.0);
--- a/src/routing/picker/mod.rs
+++ b/src/routing/picker/mod.rs
@@ -9,6 +9,7 @@
 mod notices;
 mod places;
 mod silent;
+mod versions;
 
 use std::{
     collections::HashMap,
@@ -18,6 +19,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
+use self::versions::{Side, Versions};
 use super::{
     BackendServer, Count, Crowded, FleetPosition, Health, Incarnation, Load, LoadReport, Notice,
     Overload, Picked, ServiceLoad, UnlistedNotices, Unpicked, Wanted, overload::FleetTotal,
@@ -59,6 +61,8 @@
     /// Availability zones that get nothing new.
     evacuated: IndexSet<ZoneName>,
     unlisted: UnlistedNotices,
+    /// Services whose version changes.
+    versions: IndexMap<ServiceName, Versions>,
 }
 
 impl Picker {
@@ -74,6 +78,7 @@
             overload: IndexMap::new(),
             evacuated: IndexSet::new(),
             unlisted: UnlistedNotices::default(),
+            versions: IndexMap::new(),
         }
     }
 
@@ -138,6 +143,7 @@
             self.unlisted.keep(now, id, gone.notice);
         }
         self.unlisted.forget_old(now);
+        self.group_versions();
     }
 
     /// Sets until when servers are cold.
@@ -206,14 +212,26 @@
         Ok(picked)
     }
 
-    /// Returns the servers that a request may go to, the warm ones only where a cold one did not take it.
+    /// Returns the servers that a request may go to; where those of a new version are its turn and none of them may be
+    /// used, those of the others.
     fn usable(&self, now: Instant, wanted: &Wanted<'_>) -> Vec<&Tracked> {
+        let side = self.side(now, wanted);
+        let usable = self.usable_of(now, wanted, side);
+        if usable.is_empty() && side == Side::New {
+            return self.usable_of(now, wanted, Side::Old);
+        }
+        usable
+    }
+
+    /// Returns the servers of one side that a request may go to, the warm ones only where a cold one did not take it.
+    fn usable_of(&self, now: Instant, wanted: &Wanted<'_>, side: Side) -> Vec<&Tracked> {
         let refused = |id| wanted.tried.contains(id) || wanted.denied.contains(id);
         let usable: Vec<&Tracked> = self
             .servers
             .values()
             .filter(|t| t.server.service == *wanted.service && self.takes_requests(now, t))
             .filter(|t| !refused(&t.server.id) && self.is_home(&t.server, wanted))
+            .filter(|t| self.is_on(side, &t.server))
             .collect();
         if wanted.denied.is_empty() || usable.iter().all(|t| t.is_cold(now)) {
             return usable;
--- a/src/routing/picker/places.rs
+++ b/src/routing/picker/places.rs
@@ -16,7 +16,7 @@
     pub(super) fn places(&self, now: Instant, service: &ServiceName) -> Option<(f64, f64)> {
         let (mut own, mut places) = (0.0, 0.0);
         for tracked in self.servers.values().filter(|t| t.server.service == *service) {
-            if !self.takes_requests(now, tracked) {
+            if !self.takes_requests(now, tracked) || !self.is_in_use(now, &tracked.server) {
                 continue;
             }
             own += f64::from(tracked.load.own());
--- /dev/null
+++ b/src/routing/rollout/course.rs
@@ -0,0 +1,182 @@
+//! How a roll-out goes from stage to stage.
+//!
+//! A version gets few requests until half of the time is over, or longer, so that one that turns bad some seconds later is
+//! found by then; its servers carry their usual load all the while, since only as many of them are used as the requests
+//! need. Then a part of the requests moves to it, and then all, and it has taken over when nothing is under way at the others.
+
+use std::time::Duration;
+
+use super::{RolloutOrder, Stage};
+
+/// Part of the exposure that operators allow which a trial uses: reports are late, and a verdict takes time.
+const EXPOSURE_USED: f64 = 0.4;
+
+/// Largest share of a service's requests in a trial, where these are so few that operators allow more.
+const TRIAL_MAX: f64 = 0.3;
+
+/// Share of the requests in a trial of which it is not known yet how many come, as a part of what operators allow.
+const TRIAL_FIRST: f64 = 0.3;
+
+/// Time in which the instance that takes the roll-out further has heard enough of the others to know the rate of requests.
+const RATE_KNOWN: Duration = Duration::from_secs(2);
+
+/// Part of the time after which requests move at the earliest, and the part after which it is decided one way or the other.
+const MOVES: (f64, f64) = (0.5, 0.65);
+
+/// Time that moving takes: the first step, word to all instances, and the longest usual requests.
+const MOVING_TIME: Duration = Duration::from_secs(6);
+
+/// Part of the time after which requests that are still under way at the old version are not waited for: they would end
+/// with the roll-out's time.
+const WAITS: f64 = 0.88;
+
+/// Share of the requests that moves first, and how long that step lasts at least: all instances learn of it meanwhile and
+/// tell what has come of it, so that a version which fails under load is found before it has all of it.
+const STEP_SHARE: f64 = 0.1;
+const STEP_MIN: Duration = Duration::from_millis(600);
+
+/// Exchanges until nothing is counted under way that was sent before an instance knew that all requests have moved: one in
+/// which it learns that, and one in which it tells what is under way. Pauses are drawn up to a tenth longer.
+const EXCHANGES: f64 = 2.2;
+
+/// Answers that speak for a version if hardly anything is against it, its worst failure domain included, and what may be
+/// against it: of a version that answers badly one time in ten, 60 answers all good come once in 500 times.
+const PROVEN: (u64, f64) = (60, 4.0);
+
+/// The same where the time runs out, the worst failure domain left out.
+const PROVEN_LATE: (u64, f64) = (15, 5.0);
+
+/// Servers of the new version used at least, so that one in trouble is told from the version.
+const SERVERS_MIN: usize = 6;
+
+/// What operators allow a bad version to get.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RolloutTerms {
+    /// Part of all requests of its service from the order until its time is over.
+    pub share: f64,
+    /// Requests beyond that.
+    pub slack: f64,
+}
+
+/// What is known of a roll-out at one moment.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Tally {
+    /// Time since the order.
+    pub elapsed: Duration,
+    /// Time in the present stage, at the instance that takes the roll-out further.
+    pub in_stage: Duration,
+    /// Requests sent to the service.
+    pub sent: u64,
+    /// Requests sent to the new version.
+    pub sent_new: u64,
+    /// Answers of the new version.
+    pub answered_new: u64,
+    /// Requests under way at other versions.
+    pub under_way_old: u32,
+    /// What speaks against the version, its worst failure domain left out.
+    pub doubt: f64,
+    /// What speaks against it in all.
+    pub doubt_in_all: f64,
+    /// Whether that is enough.
+    pub is_bad: bool,
+    /// Listed servers of the new version.
+    pub servers_new: usize,
+    /// Listed servers of other versions.
+    pub servers_old: usize,
+}
+
+/// The rules by which one roll-out goes on.
+#[derive(Debug, Clone, Copy)]
+pub struct Course<'o> {
+    /// The order.
+    pub order: &'o RolloutOrder,
+    /// What operators allow.
+    pub terms: RolloutTerms,
+    /// Pause between two exchanges of an instance.
+    pub exchange: Duration,
+}
+
+impl Course<'_> {
+    /// Returns the stage in which the roll-out should be, where it is in `stage`.
+    pub fn stage(&self, stage: Stage, tally: &Tally) -> Stage {
+        match stage {
+            Stage::Trial | Stage::Moving if tally.is_bad => Stage::RolledBack,
+            Stage::Trial => self.after_trial(tally),
+            Stage::Moving if self.has_moved(tally) => Stage::Succeeded,
+            stage => stage,
+        }
+    }
+
+    fn after_trial(&self, tally: &Tally) -> Stage {
+        let lasts = self.order.lasts;
+        if tally.servers_new == 0 {
+            return if tally.elapsed < lasts { Stage::Trial } else { Stage::RolledBack };
+        }
+        if tally.servers_old == 0 {
+            // Whatever runs is of the version that is wanted.
+            return Stage::Moving;
+        }
+        let earliest = lasts.mul_f64(MOVES.0).max(lasts.saturating_sub(MOVING_TIME));
+        let latest = lasts.mul_f64(MOVES.1);
+        let (answers, doubt) = PROVEN;
+        let is_proven = tally.answered_new >= answers && tally.doubt_in_all < doubt;
+        if tally.elapsed >= earliest.min(latest) && is_proven {
+            return Stage::Moving;
+        }
+        let (answers, doubt) = PROVEN_LATE;
+        // One that has just taken over waits for the others' reports.
+        let has_heard = tally.in_stage >= self.exchange.mul_f64(EXCHANGES);
+        match tally.elapsed >= latest && has_heard {
+            true if tally.answered_new >= answers && tally.doubt < doubt => Stage::Moving,
+            true => Stage::RolledBack,
+            false => Stage::Trial,
+        }
+    }
+
+    /// Returns how long the first step lasts.
+    fn step(&self) -> Duration {
+        self.exchange.mul_f64(EXCHANGES).max(STEP_MIN)
+    }
+
+    fn has_moved(&self, tally: &Tally) -> bool {
+        // Until then some send requests to servers that would stop.
+        let all_told = tally.in_stage >= self.step() + self.exchange.mul_f64(EXCHANGES / 2.0);
+        let all_counted = tally.in_stage >= self.step() + self.exchange.mul_f64(EXCHANGES);
+        let is_late = tally.elapsed >= self.order.lasts.mul_f64(WAITS);
+        let has_ended = all_counted && tally.under_way_old == 0;
+        tally.servers_new > 0 && all_told && (is_late || has_ended)
+    }
+
+    /// Returns the share of the service's requests that go to the new version.
+    pub fn share(&self, stage: Stage, tally: &Tally) -> f64 {
+        match stage {
+            Stage::Trial => self.trial_share(tally),
+            Stage::Moving if tally.in_stage < self.step() => STEP_SHARE,
+            Stage::Moving => 1.0,
+            Stage::RolledBack => 0.0,
+            Stage::Succeeded => 1.0,
+        }
+    }
+
+    fn trial_share(&self, tally: &Tally) -> f64 {
+        let RolloutTerms { share, slack } = self.terms;
+        let allowed = EXPOSURE_USED * (share * tally.sent as f64 + slack);
+        if tally.sent_new as f64 >= allowed {
+            return 0.0;
+        }
+        if tally.in_stage < RATE_KNOWN {
+            return share * TRIAL_FIRST;
+        }
+        let expected =
+            tally.sent as f64 / tally.elapsed.as_secs_f64() * self.order.lasts.as_secs_f64();
+        let most = EXPOSURE_USED * (share + slack / expected.max(1.0));
+        most.clamp(share * TRIAL_FIRST, TRIAL_MAX)
+    }
+
+    /// Returns how many servers of the new version are used: as many as carry the requests at the load that the others
+    /// have, so that a version that fails under load does so while few requests go there.
+    pub fn servers(&self, share: f64, tally: &Tally) -> usize {
+        let needed = (share * tally.servers_old as f64).ceil() as usize;
+        needed.max(SERVERS_MIN).min(tally.servers_new)
+    }
+}
--- /dev/null
+++ b/src/routing/rollout/mod.rs
@@ -0,0 +1,26 @@
+//! Roll-outs: operators have the requests of a service moved to backend servers of another version of its software, which
+//! run beside the old ones until one of the two has to go.
+//!
+//! Answers the load of a version that is worse than the one before: at once, some seconds later, only under load, or only
+//! on one route. Its servers get few requests until enough answers speak for them.
+//!
+//! `order` is what operators want. Each instance notes how both versions answer (`evidence`) and tells the one that
+//! collects reports, which judges (`judge`) and takes the roll-out through its stages (`course`), under a lease in the
+//! store (`record`). What it has decided travels to all instances (`state`), and `lane` says which servers a request may
+//! go to.
+
+mod course;
+mod evidence;
+mod judge;
+mod lane;
+mod order;
+mod record;
+mod state;
+
+pub use course::{Course, RolloutTerms, Tally};
+pub use evidence::{AnswerSeen, RolloutEvidence, RolloutReport, TimeBin, ToldAnswers};
+pub use judge::{FailureDomains, Judge};
+pub use lane::Lane;
+pub use order::RolloutOrder;
+pub use record::{LEASE, RolloutRecord};
+pub use state::{RolloutState, RolloutStates, Stage, ToldRollout};
--- a/src/routing/roster.rs
+++ b/src/routing/roster.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Incarnation, StoreEra, store_version::SETTLING};
-use crate::names::{ServerId, ServiceName, Tag, ZoneName};
+use crate::names::{ServerId, ServiceName, SoftwareVersion, Tag, ZoneName};
 
 /// How long entries missing from the first lists after an outage are still believed: entries that
 /// lapsed meanwhile are back within two seconds (users' letter), and a list is read about once a
@@ -41,6 +41,8 @@
     pub leaving: bool,
     /// Requests that it runs at once, if it says so.
     pub slots: Option<u32>,
+    /// Version of its software, if it says so.
+    pub version: Option<SoftwareVersion>,
     /// How long it still stayed cold when its entry was read first.
     pub cold_for: Duration,
 }
@@ -48,9 +50,11 @@
 impl BackendServer {
     /// Returns whether `other` says the same, but for how long it is cold.
     fn differs_by_cold_only(&self, other: &BackendServer) -> bool {
-        let BackendServer { id, service, address, zone, leaving, slots, cold_for: _ } = self;
+        let BackendServer { id, service, address, zone, leaving, slots, version, cold_for: _ } =
+            self;
         let same_place = *address == other.address && *zone == other.zone;
         let same_work = *service == other.service && *slots == other.slots;
+        let same_work = same_work && *version == other.version;
         *id == other.id && same_place && same_work && *leaving == other.leaving
     }
 
--- a/src/routing/server_list.rs
+++ b/src/routing/server_list.rs
@@ -90,10 +90,11 @@
     pub fn of(list: &[BackendServer]) -> ListVersion {
         let entry = |s: &BackendServer| {
             let (id, slots) = (&s.id, s.slots.unwrap_or(0));
+            let version = s.version.as_ref().map_or("", |version| version.as_str());
             let cold = s.cold_for.as_millis();
             let text =
                 format!("{id}|{}|{}|{}|{}|{slots}|{cold}", s.service, s.address, s.zone, s.leaving);
-            xxh3_64(text.as_bytes())
+            xxh3_64(format!("{text}|{version}").as_bytes())
         };
         ListVersion(list.iter().map(entry).fold(list.len() as u64, |sum, hash| sum ^ hash))
     }
--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -235,6 +235,11 @@
 impl State {
     fn write(&mut self, table: &str, key: &str, value: Option<Vec<u8>>) {
         self.version += 1;
+        self.write_now(table, key, value);
+    }
+
+    /// Writes a row in the transaction that has the newest version.
+    fn write_now(&mut self, table: &str, key: &str, value: Option<Vec<u8>>) {
         let row = Stored { value, version: self.version };
         self.rows.insert((table.to_owned(), key.to_owned()), row);
     }
@@ -395,12 +400,13 @@
         let body = json!({"rows": rows, "ver": state.version, "now_ms": now_ms});
         return Reply::new(412, body.to_string()).with(ERA_HEADER, state.era);
     }
+    state.version += 1;
     for entry in entries("puts") {
         let value = BASE64_STANDARD.decode(text(&entry, "value")).unwrap_or_default();
-        state.write(&text(&entry, "table"), &text(&entry, "key"), Some(value));
+        state.write_now(&text(&entry, "table"), &text(&entry, "key"), Some(value));
     }
     for entry in entries("remove") {
-        state.write(&text(&entry, "table"), &text(&entry, "key"), None);
+        state.write_now(&text(&entry, "table"), &text(&entry, "key"), None);
     }
     shared.changed.notify_all();
     Reply::json(&json!({"ver": state.version, "now_ms": now_ms})).with(ERA_HEADER, state.era)
--- a/tests/suite/herding.rs
+++ b/tests/suite/herding.rs
@@ -66,6 +66,7 @@
         zone: zone.parse().expect("a zone"),
         leaving: false,
         slots: None,
+        version: None,
         cold_for: Duration::ZERO,
     }
 }
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -37,6 +37,7 @@
 mod process;
 mod report;
 mod rollouts;
+mod rollouts_drawn;
 mod roster_fleet;
 mod routing;
 mod server_notices;
--- a/tests/suite/routing.rs
+++ b/tests/suite/routing.rs
@@ -28,6 +28,7 @@
         zone: "north".parse().expect("a zone"),
         leaving: false,
         slots: None,
+        version: None,
         cold_for: Duration::ZERO,
     }
 }
