perf(exchange): what one instance does for all no longer grows with their square

- A long list of servers (over one reply) is read once and followed by what has changed, whole again after 10 s; the ones that read for others have a quarter of the store's rate among four, not a part in 986.
A change of a list of 1,000 and of 4,000 costs under 4,000 bytes.
Cause: 20 calls one after the other at 13 a second made all news old, and everybody read.
- Loads, silent servers and budgets are summed up once in 50 ms for all that ask; reports that are too old are looked for ten times a second, not with each report.
- A start or a stop is told as a change (under 100 bytes, with 250 instances as with 1,000), not as the list of all.
- Connections of other instances are bounded by descriptors (0.3 of them: 1,230 of 4,100, 4,915 of 16,384), not by 800: with 986 instances the rest took the first for silent, and two collected.

Each has a test in growth.rs that counts at one size and at four times it. Messages between instances differ again.

--- a/src/gateway/answering.rs
+++ b/src/gateway/answering.rs
@@ -28,8 +28,9 @@
     utils::sync::lock,
 };
 
-/// Age up to which a sum of all counts is told again: a small part of the exchange's pause.
-const SUMMARY_AGE: Duration = Duration::from_millis(50);
+/// Age up to which what is summed up of all instances is told again: a small part of the exchange's pause. Else each
+/// instance that asks would have the reports of all summed up, and the work would grow with the square of their number.
+pub(super) const SUMS_AGE: Duration = Duration::from_millis(50);
 
 /// Largest change of the intent passed on unasked, in bytes: a whole fleet's copies of a larger one would
 /// fill the link of the one instance that sends them all.
@@ -58,7 +59,7 @@
         let after = candidates.version();
         // One that knows a few only would have them taken for all.
         let tells = after != report.instances && gateway.peers.knows_others(now);
-        (tells.then(|| candidates.all().to_vec()), after != before)
+        (tells.then(|| candidates.since(report.instances)), after != before)
     };
     if is_news {
         gateway.instances_changed();
@@ -81,11 +82,12 @@
         let (node, run) = (&report.from.node, report.run);
         gateway.rollouts.take_reports(gateway, node, run, report.rollouts);
     }
+    let sums = sums(gateway, now);
     let told = knowledge.list_told(now, report.list);
     News {
-        loads: summary(gateway, now).to_vec(),
-        silent: all_silent(gateway, now),
-        budgets: if asks == Asks::InTurn { budget_sums(gateway, now) } else { Vec::new() },
+        loads: sums.loads.clone(),
+        silent: sums.silent.clone(),
+        budgets: if asks == Asks::InTurn { sums.budgets.clone() } else { Vec::new() },
         run: gateway.peers.run,
         servers_end: gateway.suspicion.is_alert(now),
         verdicts: verdicts(gateway, now, asks),
@@ -119,34 +121,43 @@
     age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX))
 }
 
-/// Returns what all instances have in flight; summed anew only now and then, whoever asks.
-pub(super) fn summary(gateway: &Gateway, now: Instant) -> Arc<Vec<ServiceLoad>> {
-    let mut kept = lock(&gateway.peers.summary);
-    if let Some((at, loads)) = &*kept
-        && now.saturating_duration_since(*at) < SUMMARY_AGE
-    {
-        return Arc::clone(loads);
-    }
+/// What all instances have told, summed up.
+#[derive(Debug)]
+pub(super) struct Sums {
+    /// What they have in flight.
+    pub(super) loads: Vec<ServiceLoad>,
+    /// Servers that several find silent.
+    pub(super) silent: Vec<Tag>,
+    /// Repeats that they have spent.
+    pub(super) budgets: Vec<BudgetSum>,
+}
+
+/// Returns what all instances have told, this one among them; summed up anew only now and then, whoever asks.
+pub(super) fn sums(gateway: &Gateway, now: Instant) -> Arc<Sums> {
+    gateway.peers.sums.get(now, || Sums {
+        loads: summary(gateway, now),
+        silent: all_silent(gateway, now),
+        budgets: budget_sums(gateway, now),
+    })
+}
+
+fn summary(gateway: &Gateway, now: Instant) -> Vec<ServiceLoad> {
     let own_counts = lock(&gateway.picker).own_counts();
     let mut aggregate = lock(&gateway.peers.aggregate);
     aggregate.take(now, gateway.settings.node.clone(), own_counts);
-    let loads = gateway.knowledge.with_servers(|roster| {
-        Arc::new(aggregate.summary(now, roster.servers().map(|server| &**server)))
-    });
-    *kept = Some((now, Arc::clone(&loads)));
-    loads
+    gateway
+        .knowledge
+        .with_servers(|roster| aggregate.summary(now, roster.servers().map(|server| &**server)))
 }
 
-/// Returns the repeats that all instances have spent, this one among them.
-pub(super) fn budget_sums(gateway: &Gateway, now: Instant) -> Vec<BudgetSum> {
+fn budget_sums(gateway: &Gateway, now: Instant) -> Vec<BudgetSum> {
     let own = gateway.spending(now);
     let mut budget = lock(&gateway.peers.budget);
     budget.take(now, &gateway.settings.node, gateway.peers.run, own);
     budget.sums(now)
 }
 
-/// Returns the servers that several instances find silent, this one among them.
-pub(super) fn all_silent(gateway: &Gateway, now: Instant) -> Vec<Tag> {
+fn all_silent(gateway: &Gateway, now: Instant) -> Vec<Tag> {
     let own = lock(&gateway.picker).own_silent(now);
     let mut aggregate = lock(&gateway.peers.aggregate);
     aggregate.take_silent(now, gateway.settings.node.clone(), own);
--- a/src/gateway/instance_table.rs
+++ b/src/gateway/instance_table.rs
@@ -6,7 +6,7 @@
 use crate::{
     adapter::{
         calls::INSTANCE_TABLE,
-        store::{Change, StoreFault},
+        store::{Change, StoreFault, StoreRow},
     },
     configs::fleet::chunks::{decode, encode},
     routing::{InstanceInfo, StoreEra, StoreVersion, start::QUESTION_PAUSE},
@@ -130,14 +130,15 @@
 
 fn read_table(gateway: &Gateway) -> Result<(), StoreFault> {
     let rows = gateway.store.rows(INSTANCE_TABLE)?;
-    let mut candidates = lock(&gateway.peers.candidates);
-    for row in rows.rows {
-        match decode::<InstanceInfo>(&row.value) {
-            Ok(instance) => candidates.add(instance),
-            Err(fault) => log::warn!("event=row_skipped key={} reason={fault:?}", row.key),
+    let understood = |row: StoreRow| match decode::<InstanceInfo>(&row.value) {
+        Ok(instance) => Some(instance),
+        Err(fault) => {
+            log::warn!("event=row_skipped key={} reason={fault:?}", row.key);
+            None
         }
-    }
-    drop(candidates);
+    };
+    let listed = rows.rows.into_iter().filter_map(understood).collect();
+    lock(&gateway.peers.candidates).add_all(listed);
     gateway.instances_changed();
     Ok(())
 }
--- a/src/gateway/knowledge.rs
+++ b/src/gateway/knowledge.rs
@@ -250,6 +250,20 @@
         change
     }
 
+    /// Notes that the list of `version` was current at `as_of`, in an era of the store, without looking at its servers; returns
+    /// whether that is enough, as it is while this is the newest list.
+    pub fn confirm_list(
+        &self,
+        now: Instant,
+        version: Option<ListVersion>,
+        as_of: Instant,
+        era: StoreEra,
+    ) -> bool {
+        let mut roster = lock(&self.roster);
+        let newest = lock(&self.lists).newest().map(|(newest, _)| *newest);
+        newest.is_some() && newest == version && roster.confirm(now, as_of, era)
+    }
+
     /// Notes that the entries of servers have been overwritten by something that is not understood.
     pub fn overwritten<'k>(&self, keys: impl Iterator<Item = &'k str>) {
         let mut roster = lock(&self.roster);
--- /dev/null
+++ b/src/gateway/list_read.rs
@@ -0,0 +1,71 @@
+//! The list of backend servers as this instance has read it in the store.
+//!
+//! Answers a list of many pages: read whole at each look, it takes one call after the other, seconds in all. One that has been
+//! read is followed by what has changed, in a call or two.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+
+use crate::{
+    adapter::{
+        servers::{self, SkippedEntry},
+        store::StoreRows,
+    },
+    routing::{BackendServer, StoreVersion},
+};
+
+/// Rows of one reply of the store at most.
+pub const PAGE_ROWS: usize = 500;
+
+/// How long a list is followed before it is read whole again: half of the history that the users' stores keep, and whatever a
+/// reply should have left out is set right.
+const FOLLOWED: Duration = Duration::from_secs(10);
+
+/// Entries of servers, by key, as of one version of the store.
+#[derive(Debug)]
+pub struct ListRead {
+    /// Version of the store.
+    pub version: StoreVersion,
+    /// When it was read whole.
+    whole_at: Instant,
+    servers: IndexMap<String, BackendServer>,
+    skipped: IndexMap<String, SkippedEntry>,
+}
+
+impl ListRead {
+    /// Returns an empty list that is read at `at`.
+    pub fn new(at: Instant, version: StoreVersion) -> ListRead {
+        ListRead { version, whole_at: at, servers: IndexMap::new(), skipped: IndexMap::new() }
+    }
+
+    /// Returns whether what has changed costs less than the whole, and is still told.
+    pub fn can_be_followed(&self, now: Instant) -> bool {
+        let is_long = self.servers.len() + self.skipped.len() > PAGE_ROWS;
+        is_long && now.saturating_duration_since(self.whole_at) < FOLLOWED
+    }
+
+    /// Takes rows that are new, changed or removed.
+    pub fn take(&mut self, rows: StoreRows) {
+        for row in &rows.rows {
+            self.servers.swap_remove(&row.key);
+            self.skipped.swap_remove(&row.key);
+        }
+        let entries = servers::decode_all(&rows.rows);
+        let servers = entries.servers.into_iter();
+        self.servers.extend(servers.map(|server| (server.id.server.as_str().to_owned(), server)));
+        let skipped = entries.skipped.into_iter();
+        self.skipped.extend(skipped.map(|entry| (entry.key.clone(), entry)));
+        self.version = rows.version;
+    }
+
+    /// Returns the servers.
+    pub fn servers(&self) -> Vec<BackendServer> {
+        self.servers.values().cloned().collect()
+    }
+
+    /// Returns the entries that name no server to use.
+    pub fn skipped(&self) -> impl Iterator<Item = &SkippedEntry> {
+        self.skipped.values()
+    }
+}
--- a/src/gateway/listeners.rs
+++ b/src/gateway/listeners.rs
@@ -18,9 +18,6 @@
     small::{self, SmallAnswer},
 };
 
-/// Connections of other instances at once: all of a fleet of the planned size, twice.
-const PEER_CONNECTIONS: usize = 800;
-
 /// Connections of those who look at readiness or metrics, at once, for each: the platform's and an operator's,
 /// with room for what they leave open.
 const SMALL_CONNECTIONS: usize = 32;
@@ -72,7 +69,8 @@
     let rules = idle_rules(idle, |since| since + peer::IDLE_TIME, false);
     let serving = Arc::clone(gateway);
     let serve = move |conn: Conn| answering::serve(&serving, conn);
-    Listener::bind_idling(listen, gateway.clock.clone(), PEER_CONNECTIONS, rules, serve)
+    let most = gateway.settings.peer_connections;
+    Listener::bind_idling(listen, gateway.clock.clone(), most, rules, serve)
         .with_context(|| format!("cannot listen for other instances on {listen}"))
 }
 
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -8,8 +8,9 @@
 use crate::{
     names::Tag,
     routing::{
-        BudgetSum, Count, InstanceInfo, ListNews, ListVersion, PackedChange, RolloutReport, RunId,
-        ServiceLoad, Spending, StoreEra, StoreVersion, ToldOrders, ToldRollout, ToldVerdict,
+        BudgetSum, Count, InstanceInfo, InstanceNews, ListNews, ListVersion, PackedChange,
+        RolloutReport, RunId, ServiceLoad, Spending, StoreEra, StoreVersion, ToldOrders,
+        ToldRollout, ToldVerdict,
     },
 };
 
@@ -86,8 +87,8 @@
     pub list_age_ms: Option<u64>,
     /// Era of the store that the list is from.
     pub list_era: StoreEra,
-    /// All instances, if the asker knows others.
-    pub instances: Option<Vec<InstanceInfo>>,
+    /// What is new in the list of instances, if the asker knows another one.
+    pub instances: Option<InstanceNews>,
 }
 
 /// That a version of the intent was the newest in the store.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 pub mod instance_table;
 pub mod intent_reader;
 pub mod knowledge;
+pub mod list_read;
 mod listeners;
 pub mod log_sink;
 pub mod messages;
@@ -50,9 +51,10 @@
 
 pub use self::handle::GatewayHandle;
 use self::{
-    cold_permits::ColdPermits, drain::Drain, flight::Flight, knowledge::Knowledge, peers::Peers,
-    request::Request, rollouts::Rollouts, server_conns::ServerConns, settings::GatewaySettings,
-    skipped_log::SkippedLog, suspicion::Suspicion,
+    cold_permits::ColdPermits, drain::Drain, flight::Flight, knowledge::Knowledge,
+    list_read::ListRead, peers::Peers, request::Request, rollouts::Rollouts,
+    server_conns::ServerConns, settings::GatewaySettings, skipped_log::SkippedLog,
+    suspicion::Suspicion,
 };
 use crate::{
     adapter::store::{Store, StoreFault},
@@ -105,6 +107,7 @@
     store_share: Arc<Mutex<StoreShare>>,
     store_lost: Mutex<bool>,
     skipped_log: Mutex<SkippedLog>,
+    list_read: Mutex<Option<ListRead>>,
 }
 
 impl Gateway {
@@ -136,6 +139,7 @@
             budgets: Mutex::default(),
             store_lost: Mutex::default(),
             skipped_log: Mutex::default(),
+            list_read: Mutex::default(),
             settings,
         })
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -16,7 +16,7 @@
 
 use super::{
     Gateway,
-    answering::{all_silent, budget_sums, summary},
+    answering::{SUMS_AGE, Sums, sums},
     cold_permits::{PERMIT_PATH, PERMIT_TIME, PermitAsk, PermitReply},
     intent_reader,
     messages::{Asks, ConfirmedAgo, News, Report},
@@ -33,10 +33,10 @@
     },
     routing::{
         Aggregate, Candidates, Confirmed, Count, Crowded, FleetBudget, FleetPosition, Helper,
-        InstanceInfo, Judgement, ListVersion, RosterRole, RunId, ServiceLoad, StartWatch,
-        WatchRole, helper,
+        InstanceInfo, Judgement, ListNews, ListVersion, RosterRole, RunId, ServiceLoad, StartWatch,
+        StoreEra, WatchRole, helper,
     },
-    utils::sync::lock,
+    utils::{recent::Recent, sync::lock},
 };
 
 /// Path of the exchange.
@@ -87,7 +87,7 @@
     started: Instant,
     /// Whether this instance waits for others as it starts.
     pub(super) start: StartWatch,
-    pub(super) summary: Mutex<Option<(Instant, Arc<Vec<ServiceLoad>>)>>,
+    pub(super) sums: Recent<Sums>,
     last_round: Mutex<Option<Instant>>,
     /// The one that reads for this one while the store turns it away.
     helper: Mutex<Helper>,
@@ -115,7 +115,7 @@
             joined: AtomicBool::new(false),
             started: clock.now(),
             start: StartWatch::new(clock.now(), is_asked, fastrand::f64()),
-            summary: Mutex::default(),
+            sums: Recent::new(SUMS_AGE),
             last_round: Mutex::default(),
             helper: Mutex::default(),
         }
@@ -261,10 +261,10 @@
         let now = gateway.clock.now();
         let first = lock(&peers.candidates).first(now).cloned();
         let Some(first) = first else {
-            take_loads(gateway, now, &summary(gateway, now), None);
-            let silent = all_silent(gateway, now);
-            lock(&gateway.picker).told_silent(now, &silent);
-            gateway.set_budget_sums(now, budget_sums(gateway, now));
+            let sums = sums(gateway, now);
+            take_loads(gateway, now, &sums.loads, None);
+            lock(&gateway.picker).told_silent(now, &sums.silent);
+            gateway.set_budget_sums(now, sums.budgets.clone());
             judge_own(gateway, now);
             return;
         };
@@ -406,6 +406,24 @@
     }
 }
 
+/// Takes what is new in the list that was of `version`, and current at `as_of`.
+fn take_list(
+    gateway: &Gateway,
+    version: Option<ListVersion>,
+    news: ListNews,
+    as_of: Instant,
+    era: StoreEra,
+) {
+    let knowledge = &gateway.knowledge;
+    let is_same = matches!(news, ListNews::Same);
+    if is_same && knowledge.confirm_list(gateway.clock.now(), version, as_of, era) {
+        return;
+    }
+    if let Some(servers) = knowledge.apply_list_news(version, news) {
+        roster_reader::take(gateway, servers, as_of, era, "peer");
+    }
+}
+
 fn take(gateway: &Gateway, news: News, list: Option<ListVersion>, asked: Instant) {
     // Before an intent or a list by which the instance may become ready.
     gateway.take_orders(news.orders, "peer");
@@ -418,13 +436,11 @@
         gateway.knowledge.confirm(news.version, Confirmed { at, store });
     }
     gateway.knowledge.told_of(gateway.clock.now(), news.version);
-    if let Some(as_of) = news.list_age_ms.and_then(then)
-        && let Some(servers) = gateway.knowledge.apply_list_news(list, news.list)
-    {
-        roster_reader::take(gateway, servers, as_of, news.list_era, "peer");
+    if let Some(as_of) = news.list_age_ms.and_then(then) {
+        take_list(gateway, list, news.list, as_of, news.list_era);
     }
     if let Some(instances) = news.instances {
-        lock(&gateway.peers.candidates).set(instances);
+        lock(&gateway.peers.candidates).take(instances);
         gateway.instances_changed();
     }
 }
--- a/src/gateway/roster_reader.rs
+++ b/src/gateway/roster_reader.rs
@@ -5,9 +5,13 @@
     time::{Duration, Instant},
 };
 
-use super::{Gateway, peers, start};
+use super::{
+    Gateway,
+    list_read::{ListRead, PAGE_ROWS},
+    peers, start,
+};
 use crate::{
-    adapter::{calls::SERVER_TABLE, servers, store::StoreFault},
+    adapter::{calls::SERVER_TABLE, servers::SkippedEntry, store::StoreFault},
     routing::{
         BackendServer, RosterRole, RosterStep, RosterWatch, StoreEra, roster::RosterChange,
         start::QUESTION_PAUSE,
@@ -15,6 +19,9 @@
     utils::sync::lock,
 };
 
+/// Most replies of one look at what has changed: some seconds' heartbeats of ten thousand servers.
+const REPLIES_MAX: usize = 16;
+
 /// Keeps the list fresh until the process ends: does what `routing::roster_watch` says is next.
 pub fn run(gateway: &Arc<Gateway>) {
     let mut watch = RosterWatch::new(gateway.settings.bounds.leaving_acted_on);
@@ -26,6 +33,7 @@
             continue;
         }
         let role = gateway.peers.roster_role(now);
+        lock(&gateway.store_share).set_reads_for_others(role.reader);
         let as_of = gateway.knowledge.with_servers(|roster| roster.as_of());
         match watch.next(now, &role, as_of) {
             RosterStep::Wait(time) => gateway.reader_wanted.wait(time),
@@ -67,12 +75,41 @@
 /// The store cannot be read.
 pub fn read(gateway: &Gateway) -> Result<(), StoreFault> {
     let as_of = gateway.clock.now();
-    let rows = gateway.store.rows(SERVER_TABLE)?;
+    let mut kept = lock(&gateway.list_read);
+    let list = match kept.as_mut().filter(|kept| kept.can_be_followed(as_of)) {
+        Some(known) => match follow(gateway, known) {
+            Err(StoreFault::HistoryGone) => kept.insert(read_whole(gateway, as_of)?),
+            followed => followed.map(|()| known)?,
+        },
+        None => kept.insert(read_whole(gateway, as_of)?),
+    };
     gateway.store_answered();
-    let entries = servers::decode_all(&rows.rows);
-    lock(&gateway.skipped_log).tell(&entries.skipped);
-    gateway.knowledge.overwritten(entries.skipped.iter().map(|entry| entry.key.as_str()));
-    take(gateway, entries.servers, as_of, rows.version.era, "store");
+    let skipped: Vec<SkippedEntry> = list.skipped().cloned().collect();
+    let (servers, era) = (list.servers(), list.version.era);
+    drop(kept);
+    lock(&gateway.skipped_log).tell(&skipped);
+    gateway.knowledge.overwritten(skipped.iter().map(|entry| entry.key.as_str()));
+    take(gateway, servers, as_of, era, "store");
+    Ok(())
+}
+
+fn read_whole(gateway: &Gateway, at: Instant) -> Result<ListRead, StoreFault> {
+    let rows = gateway.store.rows(SERVER_TABLE)?;
+    let mut list = ListRead::new(at, rows.version);
+    list.take(rows);
+    Ok(list)
+}
+
+/// Takes what has changed in the list since it was read; a reply may hold a part of that.
+fn follow(gateway: &Gateway, list: &mut ListRead) -> Result<(), StoreFault> {
+    for _ in 0..REPLIES_MAX {
+        let rows = gateway.store.changes(SERVER_TABLE, list.version, Duration::ZERO)?;
+        let is_last = rows.rows.len() < PAGE_ROWS;
+        list.take(rows);
+        if is_last {
+            break;
+        }
+    }
     Ok(())
 }
 
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -30,6 +30,8 @@
     pub cores: f32,
     /// Most connections of callers at once.
     pub connections: usize,
+    /// Most connections of other instances at once.
+    pub peer_connections: usize,
     /// Most bytes of bodies held at once.
     pub body_bytes: u64,
     /// The operator's bounds.
--- a/src/routing/aggregate.rs
+++ b/src/routing/aggregate.rs
@@ -15,6 +15,9 @@
 /// within a second or two.
 const REPORT_LIFE: Duration = Duration::from_millis(2500);
 
+/// Pause between two looks for reports that are too old.
+const SWEEP_PERIOD: Duration = Duration::from_millis(100);
+
 /// Requests in flight at one backend server.
 pub type Count = (Tag, u32);
 
@@ -58,19 +61,46 @@
 pub struct Aggregate {
     reports: IndexMap<NodeName, (Instant, Vec<Count>)>,
     silent: IndexMap<NodeName, (Instant, Vec<Tag>)>,
+    /// When reports that are too old were dropped last.
+    swept: Option<Instant>,
+    /// The instance that reported last, and when.
+    newest: Option<(NodeName, Instant)>,
+    /// When another one than that reported last.
+    newest_of_others: Option<Instant>,
 }
 
 impl Aggregate {
     /// Takes an instance's counts.
     pub fn take(&mut self, now: Instant, node: NodeName, counts: Vec<Count>) {
+        self.note_heard(now, &node);
         self.reports.insert(node, (now, counts));
-        self.reports.retain(|_, (at, _)| now.saturating_duration_since(*at) <= REPORT_LIFE);
+        self.sweep(now);
+    }
+
+    fn note_heard(&mut self, now: Instant, node: &NodeName) {
+        if let Some((last, at)) = self.newest.take()
+            && last != *node
+        {
+            self.newest_of_others = Some(at);
+        }
+        self.newest = Some((node.clone(), now));
+    }
+
+    /// Drops reports that are too old; not with each report, which would look at all others.
+    fn sweep(&mut self, now: Instant) {
+        let is_old = |at: Instant, age: Duration| now.saturating_duration_since(at) > age;
+        if self.swept.is_some_and(|at| !is_old(at, SWEEP_PERIOD)) {
+            return;
+        }
+        self.swept = Some(now);
+        self.reports.retain(|_, (at, _)| !is_old(*at, REPORT_LIFE));
+        self.silent.retain(|_, (at, _)| !is_old(*at, REPORT_LIFE));
     }
 
     /// Takes the servers that an instance finds silent.
     pub fn take_silent(&mut self, now: Instant, node: NodeName, silent: Vec<Tag>) {
         self.silent.insert(node, (now, silent));
-        self.silent.retain(|_, (at, _)| now.saturating_duration_since(*at) <= REPORT_LIFE);
+        self.sweep(now);
     }
 
     /// Returns the servers that several instances find silent.
@@ -115,7 +145,8 @@
 
     /// Returns when the newest report of another instance than `node` came.
     pub fn last_heard(&self, node: &NodeName) -> Option<Instant> {
-        self.reports.iter().filter(|(other, _)| *other != node).map(|(_, (at, _))| *at).max()
+        let (last, at) = self.newest.as_ref()?;
+        if last == node { self.newest_of_others } else { Some(*at) }
     }
 
     /// Returns whether `node` reported lately.
--- a/src/routing/candidates.rs
+++ b/src/routing/candidates.rs
@@ -5,6 +5,8 @@
 //! the age of what it says, so nothing rests on agreement.
 
 use std::{
+    cmp::Ordering,
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -13,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::FleetPosition;
+use super::{FleetPosition, InstanceChange, InstanceHistory, InstanceNews};
 use crate::names::{NodeName, ZoneName};
 
 /// First pause after an instance did not answer; doubled at each further time.
@@ -22,6 +24,9 @@
 /// Longest pause.
 const PAUSE_MAX: Duration = Duration::from_secs(8);
 
+/// Changes at once from which the whole list is ranked anew rather than each put into its place.
+const RANKED_ANEW: usize = 16;
+
 /// A running instance as the others know it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct InstanceInfo {
@@ -41,14 +46,15 @@
     own: InstanceInfo,
     ranked: Vec<InstanceInfo>,
     version: u64,
+    history: InstanceHistory,
     silent: IndexMap<NodeName, (Instant, Duration)>,
 }
 
 impl Candidates {
     /// Returns the candidates as an instance knows them that knows only itself.
     pub fn new(own: InstanceInfo) -> Candidates {
-        let mut candidates =
-            Candidates { own, ranked: Vec::new(), version: 0, silent: IndexMap::new() };
+        let (history, silent) = (InstanceHistory::default(), IndexMap::new());
+        let mut candidates = Candidates { own, ranked: Vec::new(), version: 0, history, silent };
         candidates.set([]);
         candidates
     }
@@ -56,34 +62,108 @@
     /// Sets the own address, once it is bound.
     pub fn set_own_address(&mut self, address: SocketAddr) {
         self.own.address = address;
-        let all = std::mem::take(&mut self.ranked);
-        self.set(all);
+        self.change(vec![self.own.clone()], Vec::new());
     }
 
     /// Takes the list of all instances; the own one is always in it.
     pub fn set(&mut self, instances: impl IntoIterator<Item = InstanceInfo>) {
-        let mut ranked: Vec<InstanceInfo> =
-            instances.into_iter().filter(|i| i.node != self.own.node).collect();
-        ranked.push(self.own.clone());
-        ranked.sort_by(|a, b| {
-            let order = |i: &InstanceInfo| xxh3_64(i.node.as_str().as_bytes());
-            b.cores.total_cmp(&a.cores).then_with(|| order(a).cmp(&order(b)))
-        });
-        self.version = ranked
-            .iter()
-            .fold(0, |sum, i| sum ^ xxh3_64(format!("{}@{}", i.node, i.address).as_bytes()));
-        self.ranked = ranked;
+        let own = self.own.node.clone();
+        if self.ranked.len() <= 1 {
+            // One that has just started knows nothing that could have changed.
+            let others = instances.into_iter().filter(|instance| instance.node != own);
+            self.ranked = others.collect();
+            self.ranked.push(self.own.clone());
+            return self.rank();
+        }
+        let mut listed: IndexMap<NodeName, InstanceInfo> =
+            instances.into_iter().map(|i| (i.node.clone(), i)).collect();
+        listed.insert(own, self.own.clone());
+        let gone = |i: &&InstanceInfo| !listed.contains_key(&i.node);
+        let gone: Vec<NodeName> = self.ranked.iter().filter(gone).map(|i| i.node.clone()).collect();
+        let mut put: Vec<InstanceInfo> = listed.into_values().collect();
+        let known = self.by_node();
+        put.retain(|i| known.get(&i.node) != Some(&i));
+        self.change(put, gone);
+    }
+
+    /// Takes what another instance tells of the list; returns whether it has changed.
+    pub fn take(&mut self, news: InstanceNews) -> bool {
+        let before = self.version;
+        match news {
+            InstanceNews::Whole(all) => self.set(all),
+            InstanceNews::Changes(InstanceChange { put, gone }) => self.change(put, gone),
+        }
+        self.version != before
+    }
+
+    /// Returns what has changed in the list since it had `version`: all of it where that is too long ago.
+    pub fn since(&self, version: u64) -> InstanceNews {
+        match self.history.since(version) {
+            Some(change) if change.len() < self.ranked.len() => InstanceNews::Changes(change),
+            _ => InstanceNews::Whole(self.ranked.clone()),
+        }
     }
 
     /// Adds or replaces one instance.
     pub fn add(&mut self, instance: InstanceInfo) {
-        if self.ranked.contains(&instance) {
-            return;
+        if !self.ranked.contains(&instance) {
+            self.change(vec![instance], Vec::new());
+        }
+    }
+
+    fn by_node(&self) -> HashMap<&NodeName, &InstanceInfo> {
+        self.ranked.iter().map(|instance| (&instance.node, instance)).collect()
+    }
+
+    /// Adds or replaces instances.
+    pub fn add_all(&mut self, mut instances: Vec<InstanceInfo>) {
+        let known = self.by_node();
+        instances.retain(|instance| known.get(&instance.node) != Some(&instance));
+        if !instances.is_empty() {
+            self.change(instances, Vec::new());
+        }
+    }
+
+    /// Changes the list.
+    fn change(&mut self, mut put: Vec<InstanceInfo>, mut gone: Vec<NodeName>) {
+        let before = self.version;
+        gone.retain(|node| *node != self.own.node);
+        put.retain(|instance| instance.node != self.own.node || *instance == self.own);
+        if put.len() + gone.len() > RANKED_ANEW {
+            self.rank_anew(&put, &gone);
+        } else {
+            gone.iter().for_each(|node| self.remove(node));
+            put.iter().for_each(|instance| self.insert(instance));
+        }
+        if self.version != before {
+            self.history.push(before, InstanceChange { put, gone });
+        }
+    }
+
+    fn insert(&mut self, instance: &InstanceInfo) {
+        self.remove(&instance.node);
+        let at = self.ranked.partition_point(|known| by_rank(known, instance).is_lt());
+        self.version ^= hash(instance);
+        self.ranked.insert(at, instance.clone());
+    }
+
+    fn rank_anew(&mut self, put: &[InstanceInfo], gone: &[NodeName]) {
+        let changed: HashSet<&NodeName> = gone.iter().chain(put.iter().map(|i| &i.node)).collect();
+        self.ranked.retain(|known| !changed.contains(&known.node));
+        self.ranked.extend(put.iter().cloned());
+        self.rank();
+    }
+
+    fn rank(&mut self) {
+        self.ranked.sort_by(by_rank);
+        self.version = self.ranked.iter().map(hash).fold(0, |sum, hash| sum ^ hash);
+    }
+
+    fn remove(&mut self, node: &NodeName) {
+        if let Some(at) = self.ranked.iter().position(|known| known.node == *node) {
+            let known = self.ranked.remove(at);
+            self.version ^= hash(&known);
         }
-        let mut all = std::mem::take(&mut self.ranked);
-        all.retain(|known| known.node != instance.node);
-        all.push(instance);
-        self.set(all);
     }
 
     /// Returns the first instance that is not passed over; `None` for the own one.
@@ -137,3 +217,13 @@
         self.version
     }
 }
+
+/// Compares by rank: the strongest first, else as their names' hashes have it.
+fn by_rank(a: &InstanceInfo, b: &InstanceInfo) -> Ordering {
+    let order = |i: &InstanceInfo| xxh3_64(i.node.as_str().as_bytes());
+    b.cores.total_cmp(&a.cores).then_with(|| order(a).cmp(&order(b)))
+}
+
+fn hash(instance: &InstanceInfo) -> u64 {
+    xxh3_64(format!("{}@{}", instance.node, instance.address).as_bytes())
+}
--- a/src/routing/roster.rs
+++ b/src/routing/roster.rs
@@ -85,6 +85,8 @@
     gone: IndexMap<Incarnation, Instant>,
     /// Until when servers are cold.
     cold: IndexMap<Incarnation, Instant>,
+    /// Whether a server of the list in force has been forgotten, or counts as leaving, against what the list says.
+    differs: bool,
 }
 
 /// What a new list changed.
@@ -127,13 +129,10 @@
         as_of: Instant,
         list: impl IntoIterator<Item = BackendServer>,
     ) -> RosterChange {
-        if self.as_of.is_some_and(|known| known >= as_of) {
+        if !self.note_current(now, as_of) {
             return RosterChange::default();
         }
-        if self.as_of.is_some_and(|known| as_of.duration_since(known) > OUTAGE_AGE) {
-            self.keep_missing_until = Some(now + RETURN_GRACE);
-        }
-        self.as_of = Some(as_of);
+        self.differs = false;
         let unsettled = self.settled_at.is_some_and(|at| now < at);
         let keeps = unsettled || self.keep_missing_until.is_some_and(|until| now < until);
         self.gone.retain(|_, at| now.saturating_duration_since(*at) < GONE_KEPT);
@@ -200,18 +199,44 @@
         change
     }
 
+    /// Notes that the list in force was current at `as_of`; returns whether that is news.
+    fn note_current(&mut self, now: Instant, as_of: Instant) -> bool {
+        if self.as_of.is_some_and(|known| known >= as_of) {
+            return false;
+        }
+        if self.as_of.is_some_and(|known| as_of.duration_since(known) > OUTAGE_AGE) {
+            self.keep_missing_until = Some(now + RETURN_GRACE);
+        }
+        self.as_of = Some(as_of);
+        true
+    }
+
+    /// Notes that the list in force was still current at `as_of`, in an era of the store, without looking at its servers:
+    /// nearly all that others tell is that nothing has changed, several times a second. Returns whether that is enough;
+    /// else the list is to be observed.
+    pub fn confirm(&mut self, now: Instant, as_of: Instant, era: StoreEra) -> bool {
+        let unsettled = self.settled_at.is_some_and(|at| now < at);
+        if era != self.era || unsettled || self.differs {
+            return false;
+        }
+        self.note_current(now, as_of);
+        true
+    }
+
     /// Notes that the entry of a server has been overwritten by something that is not understood: the server is
     /// missing from the next list, and is not kept.
     pub fn overwritten(&mut self, key: &str) {
         let known = self.servers.values_mut().find(|known| known.id.server.as_str() == key);
         if let Some(server) = known {
             Arc::make_mut(server).leaving = true;
+            self.differs = true;
         }
     }
 
     /// Forgets one server until a list shows another entry with its address or id again.
     pub fn forget(&mut self, id: &Incarnation) {
         self.servers.shift_remove(id);
+        self.differs = true;
     }
 
     /// Returns the servers in force.
--- a/src/routing/store_share.rs
+++ b/src/routing/store_share.rs
@@ -8,6 +8,11 @@
 /// not know each other yet.
 const USED_SHARE: f64 = 0.8;
 
+/// Part of what they use that is for those which read for others, and how many of these there may be at once: the one that all
+/// turn to, one that reads for it, and their successors. Divided among all, a list of many pages would take the longer the
+/// larger the fleet is.
+const READERS: (f64, f64) = (0.25, 4.0);
+
 /// Least calls a second of one instance, however many there are: it reads the servers' list and the
 /// intent within the operator's bounds, in a few pages each.
 const LEAST: f64 = 4.0;
@@ -36,21 +41,42 @@
     rates: StoreRates,
     reads: TokenBucket,
     writes: TokenBucket,
+    instances: usize,
+    reads_for_others: bool,
 }
 
 impl StoreShare {
     /// Returns the share of an instance that knows no other one.
     pub fn new(rates: StoreRates, now: Instant) -> StoreShare {
         let bucket = |rate| TokenBucket::new(part(rate, 1), now);
-        StoreShare { rates, reads: bucket(rates.reads), writes: bucket(rates.writes) }
+        let (reads, writes) = (bucket(rates.reads), bucket(rates.writes));
+        StoreShare { rates, reads, writes, instances: 1, reads_for_others: false }
     }
 
     /// Sets how many instances share the store.
     pub fn set_instances(&mut self, instances: usize) {
-        self.reads.set_rate(part(self.rates.reads, instances));
+        self.instances = instances;
+        self.set_reads();
         self.writes.set_rate(part(self.rates.writes, instances));
     }
 
+    /// Sets whether others have this instance read for them.
+    pub fn set_reads_for_others(&mut self, reads_for_others: bool) {
+        if self.reads_for_others != reads_for_others {
+            self.reads_for_others = reads_for_others;
+            self.set_reads();
+        }
+    }
+
+    fn set_reads(&mut self) {
+        let (part_of_readers, readers) = READERS;
+        let rate = self.rates.reads.0;
+        let own = part(Rate(rate * (1.0 - part_of_readers)), self.instances);
+        let for_others = Rate(rate * USED_SHARE * part_of_readers / readers);
+        let rate = if self.reads_for_others { for_others.0.max(own.0) } else { own.0 };
+        self.reads.set_rate(Rate(rate));
+    }
+
     /// Takes one call, or says how long until there is one.
     ///
     /// # Errors
--- a/src/utils/mod.rs
+++ b/src/utils/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod deflate;
 pub mod nearest;
+pub mod recent;
 pub mod secret;
 pub mod signal;
 pub mod sync;
--- a/standins/src/measure/choices.rs
+++ b/standins/src/measure/choices.rs
@@ -6,8 +6,9 @@
 };
 
 use cartvane::{
+    gateway::knowledge::Knowledge,
     names::ServiceName,
-    routing::{BackendServer, LoadReport, Picker, ServiceLoad, Wanted},
+    routing::{BackendServer, ListNews, LoadReport, Picker, ServiceLoad, StoreEra, Wanted},
 };
 use fastrand::Rng;
 use serde_json::json;
@@ -41,6 +42,7 @@
         .map(|_| timed(|| drop(picker.set_fleet_loads(now, std::slice::from_ref(&load), &[]))))
         .collect();
     let mut figures = spread(&format!("counts of all taken, {size} servers"), &took);
+    figures.extend(list_figures(size, &servers));
     let mut rng = Rng::with_seed(1);
     for (name, has_prompt) in [("with a prompt", true), ("without", false)] {
         let mut took = Vec::with_capacity(CHOICES);
@@ -55,6 +57,26 @@
     figures
 }
 
+/// Times a list that others tell, without news: looked at, and confirmed.
+fn list_figures(size: usize, servers: &[Arc<BackendServer>]) -> Vec<Figure> {
+    let (now, era) = (Instant::now(), StoreEra::default());
+    let knowledge = Knowledge::new(Duration::from_secs(1));
+    let list: Vec<BackendServer> = servers.iter().map(|server| (**server).clone()).collect();
+    knowledge.observe_servers(now, now, era, list);
+    let version = knowledge.list_version();
+    let at = |round: u32| now + Duration::from_millis(1) * round;
+    let look = |round| {
+        let same = knowledge.apply_list_news(version, ListNews::Same);
+        same.map(|list| knowledge.observe_servers(at(round), at(round), era, list))
+    };
+    let looked: Vec<Duration> = (1..20).map(|round| timed(|| drop(look(round)))).collect();
+    let confirm = |round| knowledge.confirm_list(at(round), version, at(round), era);
+    let confirmed: Vec<Duration> = (20..60).map(|round| timed(|| _ = confirm(round))).collect();
+    let mut figures = spread(&format!("list without news looked at, {size} servers"), &looked);
+    figures.extend(spread(&format!("list without news confirmed, {size} servers"), &confirmed));
+    figures
+}
+
 fn server(number: usize) -> BackendServer {
     let value = json!({
         "id": {"server": format!("i-{number:08x}"), "born": null}, "service": "llm",
--- a/tests/suite/growth.rs
+++ b/tests/suite/growth.rs
@@ -1,18 +1,38 @@
 //! What grows with the fleet: for each way in which one instance deals with all servers or all instances, its work or its
 //! bytes are counted at one size and at four times that size.
 
-use std::{collections::HashMap, sync::Arc, time::Instant};
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use cartvane::{
+    adapter::settings::decode as decode_settings,
+    configs::fleet::chunks::encode,
+    gateway::knowledge::Knowledge,
     names::Tag,
-    routing::{BackendServer, Incarnation, Picker, Wanted},
+    routing::{
+        BackendServer, CallKind, Candidates, Incarnation, InstanceInfo, InstanceNews, Picker,
+        Roster, StoreEra, StoreRates, StoreShare, Wanted, roster::RosterChange,
+    },
+    units::Rate,
+    utils::recent::Recent,
 };
+use standins::store::StoreStandIn;
 
-use crate::routing::{list, picker, server};
+use crate::{
+    routing::{list, picker, server},
+    support::eventually,
+    world::{intent, spawn},
+};
 
 const SMALL: usize = 1_000;
 const LARGE: usize = 4 * SMALL;
 
+/// Rows of one reply of the store.
+const PAGE: usize = 500;
+
 fn servers(count: usize) -> Vec<BackendServer> {
     let zone = |number: usize| ["north", "south", "east"][number % 3].parse().expect("a zone");
     let server = |number: usize| BackendServer {
@@ -99,6 +119,211 @@
     assert!(near > requests * 4 / 5, "{near} of {requests} in the own zone");
 }
 
+// Each exchange brought "nothing new", and the whole list was copied, hashed and compared all the same: with 9,999 servers
+// the middle instance of 986 was busy with that and little else.
+#[test]
+fn a_list_without_news_is_current_without_a_look_at_its_servers() {
+    for count in [SMALL, LARGE] {
+        let knowledge = Knowledge::new(Duration::from_secs(1));
+        let now = Instant::now();
+        let era = StoreEra::default();
+        let first = knowledge.observe_servers(now, now, era, servers(count));
+        assert_eq!(first.added.len(), count);
+        let version = knowledge.list_version();
+        let later = now + Duration::from_millis(900);
+        assert!(knowledge.confirm_list(later, version, later, era), "{count} servers");
+        assert_eq!(knowledge.servers_age(later), Some(Duration::ZERO));
+        let told = knowledge.list_told(later, version);
+        assert!(encode(&told.news).len() < 16, "{count} servers");
+    }
+}
+
+#[test]
+fn a_list_is_looked_at_where_what_is_believed_differs_from_it() {
+    let now = Instant::now();
+    let at = |millis: u64| now + Duration::from_millis(millis);
+    let era = StoreEra::default();
+    let mut roster = Roster::default();
+    assert!(!roster.confirm(now, now, StoreEra(1)), "the era of a store that has come back");
+    roster.observe(now, now, servers(3));
+    assert!(roster.confirm(at(100), at(100), era));
+    let forgotten = servers(1).remove(0).id;
+    roster.forget(&forgotten);
+    assert!(!roster.confirm(at(200), at(200), era), "one is missing that the list has");
+    assert_eq!(roster.observe(at(200), at(200), servers(3)).added, [forgotten]);
+    assert!(roster.confirm(at(300), at(300), era));
+    roster.overwritten("s1");
+    assert!(!roster.confirm(at(400), at(400), era), "one counts as leaving");
+    roster.observe(at(400), at(400), servers(3));
+    // Word that is older than what is known changes nothing.
+    assert!(roster.confirm(at(500), at(350), era));
+    assert_eq!(roster.as_of(), Some(at(400)));
+    // After an outage what is missing from the first lists is still believed.
+    assert!(roster.confirm(at(9000), at(9000), era));
+    assert_eq!(roster.observe(at(9100), at(9100), servers(2)), RosterChange::default());
+}
+
+// The counts of all instances were summed up for each that asked, so that the work of the one that is asked grew with the
+// square of their number.
+#[test]
+fn sums_are_worked_out_once_for_all_that_ask_at_a_time() {
+    let sums = Recent::new(Duration::from_millis(50));
+    let now = Instant::now();
+    let mut worked_out = 0;
+    for ask in 0..LARGE as u64 {
+        let at = now + Duration::from_micros(ask);
+        sums.get(at, || worked_out += 1);
+    }
+    assert_eq!(worked_out, 1);
+    sums.get(now + Duration::from_millis(50), || worked_out += 1);
+    assert_eq!(worked_out, 2);
+}
+
+// The instance that reads for all read the whole list each second, 20 replies one after the other with 9,999 servers, and had one
+// call in 986 of what the store takes for that. Its news were so old that all others read the list themselves: 104,200 calls and
+// 9.9 GB in 43 s, and servers that left were known after more than 5 s.
+#[test]
+fn what_changes_in_a_long_list_is_read_in_as_many_bytes_in_one_four_times_as_long() {
+    let bytes = |count: usize| {
+        let store = StoreStandIn::spawn().expect("a store");
+        store.set_page(PAGE);
+        let entry = |number: usize, state: &str| {
+            serde_json::json!({
+                "service": "app", "address": format!("10.1.{}.{}:80", number >> 8, number & 255),
+                "zone": "north", "version": "v1", "slots": 8, "state": state,
+                "cold_remaining_ms": 0, "seq": 1
+            })
+        };
+        for number in 0..count {
+            store.put("servers", &format!("s{number}"), &entry(number, "ready"));
+        }
+        store.put("op", "config", &intent(5));
+        let instance = spawn("one", store.address(), Vec::new());
+        let knows = |wanted: &dyn Fn(&BackendServer) -> bool| {
+            instance
+                .gateway()
+                .knowledge
+                .with_servers(|roster| roster.servers().filter(|server| wanted(server)).count())
+        };
+        eventually("the list is known", || knows(&|_| true) == count);
+        let before = store.row_bytes("servers");
+        store.put("servers", "s1", &entry(1, "draining"));
+        store.remove("servers", "s2");
+        eventually("its changes are known", || {
+            knows(&|server| server.leaving) == 1 && knows(&|_| true) == count - 1
+        });
+        store.row_bytes("servers") - before
+    };
+    let (small, large) = (bytes(SMALL), bytes(LARGE));
+    assert!(small < 4_000 && large < 4_000, "{small} bytes, {large} in a list four times as long");
+}
+
+#[test]
+fn the_calls_of_one_that_reads_for_others_do_not_become_fewer_with_their_number() {
+    let took = |instances: usize| {
+        let mut now = Instant::now();
+        let rates = StoreRates { reads: Rate(16_000.0), writes: Rate(3_200.0) };
+        let mut share = StoreShare::new(rates, now);
+        share.set_instances(instances);
+        share.set_reads_for_others(true);
+        let began = now;
+        for _ in 0..2_000 {
+            while let Err(wait) = share.take(now, CallKind::Read) {
+                now += wait.max(Duration::from_micros(1));
+            }
+        }
+        now - began
+    };
+    let (small, large) = (took(SMALL), took(LARGE));
+    assert!(large <= small.mul_f64(1.05), "{small:?}, {large:?} with four times the instances");
+    assert!(large < Duration::from_secs(4));
+}
+
+fn instance(number: usize) -> InstanceInfo {
+    InstanceInfo {
+        node: format!("edge-{number}").parse().expect("a name"),
+        address: ([10, 0, (number >> 8) as u8, number as u8], 8229).into(),
+        zone: "north".parse().expect("a zone"),
+        cores: [1.0, 0.12][usize::from(!number.is_multiple_of(16))],
+    }
+}
+
+fn fleet(count: usize) -> Candidates {
+    let mut candidates = Candidates::new(instance(0));
+    candidates.set((0..count).map(instance));
+    candidates
+}
+
+// Each start or stop of one instance sent the list of all instances to each of them: 986 x 986 rows.
+#[test]
+fn a_start_is_told_in_as_many_bytes_in_a_fleet_four_times_as_large() {
+    let bytes = |count: usize| {
+        let (mut told, mut asks) = (fleet(count), fleet(count));
+        assert_eq!(told.version(), asks.version());
+        told.add(instance(count));
+        let news = told.since(asks.version());
+        let bytes = encode(&news).len();
+        assert!(asks.take(news));
+        assert_eq!((asks.version(), asks.all()), (told.version(), told.all()));
+        bytes
+    };
+    let (small, large) = (bytes(250), bytes(1_000));
+    assert!(large <= small + 8, "{small} bytes, {large} with four times the instances");
+    assert!(large < 100);
+}
+
+#[test]
+fn lists_of_instances_agree_after_any_changes() {
+    let mut rng = fastrand::Rng::with_seed(7);
+    let (mut told, mut asks) = (fleet(40), fleet(40));
+    for _ in 0..200 {
+        for _ in 0..rng.usize(1..6) {
+            match rng.usize(..3) {
+                0 => told.add(instance(rng.usize(1..80))),
+                1 => {
+                    let number = rng.usize(1..80);
+                    let moved = ([10, 1, 0, number as u8], 8229).into();
+                    told.add(InstanceInfo { address: moved, ..instance(number) });
+                }
+                _ => {
+                    let mut stay = told.all().to_vec();
+                    stay.swap_remove(rng.usize(..stay.len()));
+                    told.set(stay);
+                }
+            }
+        }
+        if rng.bool() {
+            asks.take(told.since(asks.version()));
+            assert_eq!((asks.version(), asks.all()), (told.version(), told.all()));
+        }
+    }
+    let unknown = told.since(1);
+    assert!(matches!(unknown, InstanceNews::Whole(all) if all.len() == told.all().len()));
+}
+
+// A process took the connections of 800 other instances, whatever it could bear: of 986 some found none, took the one that
+// all turn to for silent, and turned to the next, so that two collected halves of the counts.
+#[test]
+fn an_instance_has_room_for_connections_of_as_many_others_as_its_descriptors_allow() {
+    let peers = |descriptors: usize| {
+        let settings = serde_json::json!({
+            "node_name": "edge-1", "zone": "north", "limits": {"max_fds": descriptors},
+            "listen": {
+                "frontend": "10.0.0.1:1", "readiness": "10.0.0.1:2", "control": "10.0.0.1:3"
+            },
+            "bounds": {
+                "drain_ms": 2000, "grace_s": 8, "config_apply_ms": 2000,
+                "retry_budget_ratio": 0.2, "retry_window_s": 10, "budget_slack": 56
+            },
+            "platform": {"address": "10.0.0.9:1"}
+        });
+        let decoded = decode_settings(settings.to_string().as_bytes(), "boot.json");
+        decoded.expect("settings").peer_connections
+    };
+    let (weak, strong) = (peers(4_100), peers(16_384));
+    assert!(weak >= 1_000 && strong >= 4 * 1_000, "{weak}, {strong}");
+}
+
 #[test]
 fn tags_of_a_large_service_hardly_ever_meet() {
     let mut picker = picker(&servers(SMALL));
--- a/tests/suite/messages.rs
+++ b/tests/suite/messages.rs
@@ -14,9 +14,9 @@
     },
     names::Tag,
     routing::{
-        BudgetSum, InstanceInfo, Intent, IntentChange, ListHistory, ListNews, ListVersion,
-        PackedChange, RolloutOrder, RunId, ServiceLoad, Spending, StoreEra, StoreVersion,
-        ToldOrders,
+        BudgetSum, InstanceInfo, InstanceNews, Intent, IntentChange, ListHistory, ListNews,
+        ListVersion, PackedChange, RolloutOrder, RunId, ServiceLoad, Spending, StoreEra,
+        StoreVersion, ToldOrders,
     },
 };
 use serde::{Serialize, de::DeserializeOwned};
@@ -81,7 +81,7 @@
         list,
         list_age_ms: Some(250),
         list_era: StoreEra(2),
-        instances: Some(vec![instance()]),
+        instances: Some(InstanceNews::Whole(vec![instance()])),
     }
 }
 
--- a/tests/suite/world.rs
+++ b/tests/suite/world.rs
@@ -50,6 +50,7 @@
         },
         cores: 1.0,
         connections: 100,
+        peer_connections: 100,
         body_bytes: 64 << 20,
         bounds: Bounds {
             leaving_acted_on: Duration::from_millis(400),
