--- a/src/gateway/rollout_table.rs
+++ b/src/gateway/rollout_table.rs
@@ -11,7 +11,7 @@
         store::{Condition, Put, StoreFault, StoreRow},
     },
     configs::fleet::chunks::{decode, encode},
-    names::ServiceName,
+    names::{IdError, ServiceName},
     routing::RolloutRecord,
 };
 
@@ -104,7 +104,7 @@
 
 fn decode_row(row: &StoreRow) -> Option<RecordRow> {
     let record = decode(&row.value).map_err(|fault| fault.to_string());
-    let service = row.key.parse().map_err(|fault: crate::names::IdError| fault.to_string());
+    let service = row.key.parse().map_err(|fault: IdError| fault.to_string());
     match (service, record) {
         (Ok(service), Ok(record)) => Some(RecordRow { service, version: row.version, record }),
         (Err(fault), _) | (_, Err(fault)) => {
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -12,7 +12,7 @@
 
 use super::Gateway;
 use crate::{
-    names::{NodeName, ServiceName, Tag},
+    names::{NodeName, ServiceName, SoftwareVersion, Tag},
     routing::{
         AnswerSeen, BackendServer, FailureDomains, Judge, RolloutEvidence, RolloutOrder,
         RolloutReport, RolloutState, RolloutStates, RunId, Stage, ToldRollout,
@@ -48,23 +48,36 @@
             let to = &order.to;
             log::warn!("event=rollout_ordered service={service} to={to}");
         }
-        {
-            let mut evidence = lock(&self.evidence);
-            let is_ordered = |service: &ServiceName, of: &RolloutEvidence| {
-                orders.get(service).is_some_and(|order| order.to == *of.to())
-            };
-            evidence.retain(|service, of| is_ordered(service, of));
-            for (service, order) in orders {
-                let begin = || RolloutEvidence::new(order.to.clone());
-                evidence.entry(service.clone()).or_insert_with(begin);
-            }
-            self.is_noting.store(!evidence.is_empty(), Ordering::Relaxed);
-        }
+        self.begin_evidence(orders);
         self.put_in_force(gateway);
         self.due.set();
         true
     }
 
+    /// Begins to note how versions answer that are ordered and not decided, and forgets what was noted of others.
+    fn begin_evidence(&self, orders: &IndexMap<ServiceName, RolloutOrder>) {
+        let states = lock(&self.states);
+        let is_open = |(service, order): &(&ServiceName, &RolloutOrder)| {
+            !states.of(service, &order.to).is_some_and(|known| known.stage.is_final())
+        };
+        let mut evidence = lock(&self.evidence);
+        evidence.retain(|service, of| orders.get(service).is_some_and(|o| o.to == *of.to()));
+        for (service, order) in orders.iter().filter(is_open) {
+            let begin = || RolloutEvidence::new(order.to.clone());
+            evidence.entry(service.clone()).or_insert_with(begin);
+        }
+        self.is_noting.store(!evidence.is_empty(), Ordering::Relaxed);
+    }
+
+    /// Ends the evidence on a version that is decided.
+    fn end_evidence(&self, service: &ServiceName, to: &SoftwareVersion) {
+        let mut evidence = lock(&self.evidence);
+        if evidence.get(service).is_some_and(|of| of.to() == to) {
+            evidence.swap_remove(service);
+        }
+        self.is_noting.store(!evidence.is_empty(), Ordering::Relaxed);
+    }
+
     /// Takes what another instance tells of roll-outs, or this one has decided.
     pub fn take_told(&self, gateway: &Gateway, told: &[ToldRollout], source: &str) {
         if told.is_empty() {
@@ -80,9 +93,7 @@
                 );
             }
             if news.is_some_and(Stage::is_final) {
-                let mut evidence = lock(&self.evidence);
-                evidence.swap_remove(service);
-                self.is_noting.store(!evidence.is_empty(), Ordering::Relaxed);
+                self.end_evidence(service, to);
             }
         }
         self.put_in_force(gateway);
@@ -182,15 +193,12 @@
         &self,
         gateway: &Gateway,
         service: &ServiceName,
-        to: &crate::names::SoftwareVersion,
+        to: &SoftwareVersion,
         doubt: f64,
     ) {
         let state = {
             let states = lock(&self.states);
-            let known = states.of(service, to);
-            if known.is_none_or(|known| known.stage.is_final()) {
-                return;
-            }
+            let known = states.of(service, to).filter(|known| !known.stage.is_final());
             let Some(known) = known else { return };
             RolloutState {
                 stage: Stage::RolledBack,
@@ -206,11 +214,7 @@
 }
 
 /// Returns how the listed servers of a version are grouped.
-fn domains(
-    gateway: &Gateway,
-    service: &ServiceName,
-    to: &crate::names::SoftwareVersion,
-) -> FailureDomains {
+fn domains(gateway: &Gateway, service: &ServiceName, to: &SoftwareVersion) -> FailureDomains {
     gateway.knowledge.with_servers(|roster| {
         let servers = roster.servers().filter(|s| s.service == *service);
         let new = servers.filter(|s| s.version.as_ref() == Some(to));
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -12,7 +12,7 @@
 use crate::{
     contract::outcome::{AttemptFault, Outcome},
     link::traffic::{Direction, Traffic},
-    names::{BackendId, ServiceId},
+    names::{BackendId, ServiceId, ServiceName},
 };
 
 /// Bounds of latency histograms, in seconds.
@@ -338,7 +338,7 @@
     }
 
     /// Shows the share of a service's requests that goes to a version which is rolled out.
-    pub fn rollout_share(&self, service: &crate::names::ServiceName, share: f64) {
+    pub fn rollout_share(&self, service: &ServiceName, share: f64) {
         self.i.rollout_share.record(share, &[kv("service", service)]);
     }
 
