fix(rollouts): a version whose order is withdrawn or replaced before it is proven gets nothing

Now whoever reads servers of a version that was not there looks for orders first, one call, and a version that was ordered and never proven is remembered and written into the next record.

--- a/src/gateway/intent_reader.rs
+++ b/src/gateway/intent_reader.rs
@@ -110,6 +110,23 @@
     }
 }
 
+/// Looks once for operators' orders, and puts them in force; the intent is left to the thread that follows it.
+///
+/// # Errors
+///
+/// The store cannot be read.
+pub fn look_at_orders(gateway: &Gateway) -> Result<(), StoreFault> {
+    let Some(confirmed) = gateway.knowledge.with_watch(|watch| watch.confirmed()) else {
+        // One that knows nothing yet serves nobody.
+        return Ok(());
+    };
+    let rows = gateway.store.changes(INTENT_TABLE, confirmed.store, Duration::ZERO)?;
+    let changes = orders::decode(&rows.rows);
+    gateway.knowledge.follow_orders(gateway.clock.now(), rows.version, changes);
+    gateway.refresh_orders();
+    Ok(())
+}
+
 fn follow(gateway: &Arc<Gateway>, after: StoreVersion, wait: Duration) -> Result<(), StoreFault> {
     let began = gateway.clock.now();
     let rows = gateway.store.changes(INTENT_TABLE, after, wait)?;
--- a/src/gateway/rollout_keeper.rs
+++ b/src/gateway/rollout_keeper.rs
@@ -143,6 +143,7 @@
         return None;
     }
     record.term = record.term.max(term + 1);
+    record.barred.extend(lock(&gateway.rollouts.states).unproven(service).cloned());
     record.renewed_ms = now_ms;
     let row = RecordRow { service: service.clone(), version: expected, record };
     let clock = (gateway.clock.now(), now_ms);
--- a/src/gateway/roster_reader.rs
+++ b/src/gateway/roster_reader.rs
@@ -6,7 +6,7 @@
 };
 
 use super::{
-    Gateway,
+    Gateway, intent_reader,
     list_read::{ListRead, PAGE_ROWS},
     peers, start,
 };
@@ -87,12 +87,23 @@
     let skipped: Vec<SkippedEntry> = list.skipped().cloned().collect();
     let (servers, era) = (list.servers(), list.version.era);
     drop(kept);
+    if gateway.knowledge.with_servers(|roster| roster.lacks_version_of(&servers)) {
+        look_for_orders(gateway);
+    }
     lock(&gateway.skipped_log).tell(&skipped);
     gateway.knowledge.overwritten(skipped.iter().map(|entry| entry.key.as_str()));
     take(gateway, servers, as_of, era, "store");
     Ok(())
 }
 
+/// Looks for operators' orders before servers of a version that was not there are used: it may be one that is rolled out, and
+/// the list is read more often than the orders.
+fn look_for_orders(gateway: &Gateway) {
+    if let Err(fault) = intent_reader::look_at_orders(gateway) {
+        log::info!("event=orders_unread reason={:?}", fault.to_string());
+    }
+}
+
 fn read_whole(gateway: &Gateway, at: Instant) -> Result<ListRead, StoreFault> {
     let rows = gateway.store.rows(SERVER_TABLE)?;
     let mut list = ListRead::new(at, rows.version);
--- a/src/routing/rollout/state.rs
+++ b/src/routing/rollout/state.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
 use super::{Lane, RolloutOrder, RolloutRecord};
@@ -67,6 +67,8 @@
 pub struct RolloutStates {
     orders: IndexMap<ServiceName, RolloutOrder>,
     known: IndexMap<ServiceName, Known>,
+    /// Versions whose order was taken back or replaced before they were proven.
+    unproven: IndexMap<ServiceName, IndexSet<SoftwareVersion>>,
 }
 
 impl Stage {
@@ -91,6 +93,10 @@
         }
     }
 
+    fn has_succeeded(&self) -> bool {
+        self.stage == Stage::Succeeded
+    }
+
     /// Returns whether this is to be believed rather than `known`.
     fn outdoes(&self, known: &RolloutState) -> bool {
         if self.to != known.to {
@@ -107,9 +113,26 @@
 impl RolloutStates {
     /// Takes what operators want; returns whether that is news.
     pub fn set_orders(&mut self, orders: &IndexMap<ServiceName, RolloutOrder>) -> bool {
-        let is_news = self.orders != *orders;
-        self.orders = orders.clone();
-        is_news
+        if self.orders == *orders {
+            return false;
+        }
+        for (service, former) in std::mem::replace(&mut self.orders, orders.clone()) {
+            let is_proven = self.of(&service, &former.to).is_some_and(RolloutState::has_succeeded);
+            if !is_proven {
+                self.unproven.entry(service).or_default().insert(former.to);
+            }
+        }
+        for (service, order) in orders {
+            if let Some(unproven) = self.unproven.get_mut(service) {
+                unproven.swap_remove(&order.to);
+            }
+        }
+        true
+    }
+
+    /// Returns the versions of a service whose order was taken back or replaced before they were proven.
+    pub fn unproven(&self, service: &ServiceName) -> impl Iterator<Item = &SoftwareVersion> {
+        self.unproven.get(service).into_iter().flatten()
     }
 
     /// Returns what operators want.
@@ -157,7 +180,7 @@
     /// Returns which servers requests may go to, for each service with a roll-out.
     pub fn lanes(&self) -> Vec<Lane> {
         let services = self.orders.keys().chain(self.known.keys());
-        let services: indexmap::IndexSet<&ServiceName> = services.collect();
+        let services: IndexSet<&ServiceName> = services.collect();
         services.into_iter().map(|service| self.lane(service)).collect()
     }
 
@@ -165,11 +188,12 @@
         let order = self.orders.get(service);
         let known = self.known.get(service);
         let mut barred = known.map_or_else(Vec::new, |known| known.state.barred.clone());
+        barred.extend(self.unproven(service).cloned());
         let current = known.filter(|known| order.is_some_and(|o| o.to == known.state.to));
         if let Some(former) = known.filter(|_| current.is_none())
-            && former.state.stage != Stage::Succeeded
+            && !former.state.has_succeeded()
         {
-            // Withdrawn or replaced before it was proven.
+            // As others know it, who have seen its order.
             barred.push(former.state.to.clone());
         }
         let mut lane = Lane {
--- a/src/routing/roster.rs
+++ b/src/routing/roster.rs
@@ -1,7 +1,7 @@
 //! Backend servers as the platform lists them.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -239,6 +239,12 @@
         self.differs = true;
     }
 
+    /// Returns whether a list has servers of a version that no server of their service in force has.
+    pub fn lacks_version_of(&self, list: &[BackendServer]) -> bool {
+        let known: HashSet<_> = self.servers().map(|s| (&s.service, &s.version)).collect();
+        list.iter().any(|server| !known.contains(&(&server.service, &server.version)))
+    }
+
     /// Returns the servers in force.
     pub fn servers(&self) -> impl Iterator<Item = &Arc<BackendServer>> {
         self.servers.values()
--- a/tests/suite/rollouts.rs
+++ b/tests/suite/rollouts.rs
@@ -209,3 +209,32 @@
     assert_eq!(versions.state(), "");
     assert!(load.stop().iter().all(|&status| status == 200));
 }
+
+/// Waits until servers of v2 have been met, and checks that they are not met any more a second after `change`.
+fn gets_nothing_after(change: impl FnOnce(&Versions)) {
+    let mut versions = start(2);
+    let load = versions.load();
+    versions.order(None);
+    eventually("the new version is met", || versions.arrivals().1 > 0);
+    change(&versions);
+    thread::sleep(Duration::from_secs(1));
+    let (old, new) = versions.arrivals();
+    thread::sleep(Duration::from_secs(1));
+    let after = versions.arrivals();
+    assert_eq!(after.1, new, "a version that was never proven gets nothing");
+    assert!(after.0 > old);
+    assert!(load.stop().iter().all(|&status| status == 200));
+}
+
+#[test]
+fn a_version_that_another_order_replaces_gets_nothing_more() {
+    gets_nothing_after(|versions| {
+        let order = json!({"service": "app", "to": "v3", "duration_s": LASTS.as_secs_f64()});
+        versions.store.put("op", "rollout/app", &order);
+    });
+}
+
+#[test]
+fn a_version_whose_order_is_withdrawn_gets_nothing_more() {
+    gets_nothing_after(|versions| versions.store.remove("op", "rollout/app"));
+}
