--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -28,6 +28,7 @@
 mod intent_watch;
 mod knowledge;
 mod large_intent;
+mod log_lines;
 mod machines;
 mod messages;
 mod notices;
--- a/tests/suite/world.rs
+++ b/tests/suite/world.rs
@@ -19,7 +19,7 @@
     store::StoreStandIn,
 };
 
-use crate::support::eventually;
+use crate::{log_lines, support::eventually};
 
 pub(crate) const KEY: &str = "key-of-crew";
 
@@ -125,6 +125,7 @@
 }
 
 pub(crate) fn spawn(node: &str, store: SocketAddr, seeds: Vec<SocketAddr>) -> GatewayHandle {
+    log_lines::start();
     GatewayHandle::spawn(settings(node, store, seeds), &Clock::system()).expect("an instance")
 }
 
