fix(config): who applies beside another is told by whom the newer revision is, also while it comes into force

Callers saw, once: "a newer revision is coming in; apply again" instead of the revision and who applied it. The head is read again then, five times at most. Ruled out: that the loser had won; the write is conditional.

--- a/src/instance/knowledge/apply.rs
+++ b/src/instance/knowledge/apply.rs
@@ -28,6 +28,10 @@
 /// Tries to write the head, each after reading it anew, when no base was stated.
 const TRIES: u32 = 5;
 
+/// Reads of the head in a row during which newer revisions may come into force: who applied the newest is told then, not that
+/// there is one.
+const HEAD_READS: u32 = 5;
+
 /// What came of an apply.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Applied {
@@ -181,27 +185,24 @@
 
 /// Reads the head and its file from the store, or from memory where that is the same.
 fn current(shared: &Shared) -> Result<Current, ApplyFault> {
-    let row = shared.platform.table.get(HEAD_KEY)?;
-    let head: Option<Head> = row.as_ref().and_then(|row| decode(&row.value).ok());
-    let fleet = match &head {
-        None => Fleet::default(),
-        Some(head) => {
-            if shared.revision() < head.revision {
-                config::install(shared, head.clone())
-                    .map_err(|e| ApplyFault::Store(e.to_string()))?;
-            }
-            let snapshot = shared.snapshot.load_full();
-            match snapshot {
-                Some(snapshot) if snapshot.revision() == head.revision => snapshot.fleet.clone(),
-                _ => {
-                    return Err(ApplyFault::Store(
-                        "a newer revision is coming in; apply again".to_owned(),
-                    ));
-                }
-            }
-        }
-    };
-    Ok(Current { row, head, fleet })
+    for _ in 0..HEAD_READS {
+        let row = shared.platform.table.get(HEAD_KEY)?;
+        let head: Option<Head> = row.as_ref().and_then(|row| decode(&row.value).ok());
+        let Some(fleet) = fleet_of(shared, head.as_ref())? else { continue };
+        return Ok(Current { row, head, fleet });
+    }
+    Err(ApplyFault::Store("newer revisions keep coming in; apply again".to_owned()))
+}
+
+/// Returns the file of a head; `None` where a newer one has come into force since the head was read.
+fn fleet_of(shared: &Shared, head: Option<&Head>) -> Result<Option<Fleet>, ApplyFault> {
+    let Some(head) = head else { return Ok(Some(Fleet::default())) };
+    if shared.revision() < head.revision {
+        config::install(shared, head.clone()).map_err(|e| ApplyFault::Store(e.to_string()))?;
+    }
+    let snapshot = shared.snapshot.load_full();
+    let same = snapshot.filter(|snapshot| snapshot.revision() == head.revision);
+    Ok(same.map(|snapshot| snapshot.fleet.clone()))
 }
 
 /// Writes the head with its audit row; false when another apply came first.
