fix(rollouts): a verdict that is reached while the store is away is written once it is back

Operators read 'running' for ever: the version got nothing from the verdict on, as it should, but the thread that takes roll-outs further ended as soon as nothing was open, and the write that had failed was not made again. A state says whether the store has it, and a roll-out is open until it does; one that takes over reads the row and tells the others, so that no thread stays. Found by the first test with real instances and a store that is away, which failed in the one run before and passes after; the other one, a roll-out whose taker is gone, passed at once. Ruled out: a later write by another instance; none had a thread left.

--- a/src/gateway/rollout_keeper.rs
+++ b/src/gateway/rollout_keeper.rs
@@ -262,6 +262,7 @@
         share,
         servers,
         barred: record.barred.clone(),
+        is_written: record.stage == stage,
     };
     if let Some(told) = &held.told {
         state.step = told.step;
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -99,11 +99,11 @@
         self.put_in_force(gateway);
     }
 
-    /// Returns whether a roll-out has not come to its end.
+    /// Returns whether a roll-out has not come to its end, or operators cannot read yet that it has.
     pub fn has_open(&self) -> bool {
         let states = lock(&self.states);
         let is_open = |(service, order): (&ServiceName, &RolloutOrder)| {
-            !states.of(service, &order.to).is_some_and(|known| known.stage.is_final())
+            !states.of(service, &order.to).is_some_and(RolloutState::is_done)
         };
         states.orders().iter().any(is_open)
     }
@@ -204,6 +204,7 @@
                 stage: Stage::RolledBack,
                 step: known.step + 1,
                 share: 0.0,
+                is_written: false,
                 ..known.clone()
             }
         };
--- a/src/routing/rollout/state.rs
+++ b/src/routing/rollout/state.rs
@@ -44,6 +44,8 @@
     pub servers: usize,
     /// Versions that get nothing.
     pub barred: Vec<SoftwareVersion>,
+    /// Whether the store has the stage, from where operators read it.
+    pub is_written: bool,
 }
 
 /// A state as instances tell it.
@@ -90,9 +92,15 @@
             share: if record.stage == Stage::Succeeded { 1.0 } else { 0.0 },
             servers: usize::MAX,
             barred: record.barred.clone(),
+            is_written: true,
         }
     }
 
+    /// Returns whether nothing is left to do.
+    pub fn is_done(&self) -> bool {
+        self.stage.is_final() && self.is_written
+    }
+
     fn has_succeeded(&self) -> bool {
         self.stage == Stage::Succeeded
     }
@@ -104,7 +112,7 @@
         }
         let rank = |state: &RolloutState| {
             let is_final = state.stage.is_final();
-            (is_final.then_some(state.stage), state.term, state.stage, state.step)
+            (is_final.then_some(state.stage), state.term, state.stage, state.is_done(), state.step)
         };
         rank(self) >= rank(known)
     }
--- a/tests/suite/rollouts.rs
+++ b/tests/suite/rollouts.rs
@@ -17,7 +17,11 @@
     routing::{OperatorOrders, OrderChange, RolloutOrder, StoreEra, StoreVersion, ToldOrders},
 };
 use serde_json::{Value, json};
-use standins::{fault::Fault, listed::Listed, store::StoreStandIn};
+use standins::{
+    fault::Fault,
+    listed::Listed,
+    store::{StoreMode, StoreStandIn},
+};
 
 use crate::{
     log_lines,
@@ -101,10 +105,16 @@
     }
 
     fn load(&self) -> Load {
+        self.load_at(0)
+    }
+
+    /// Has callers ask all instances but the first ones.
+    fn load_at(&self, first: usize) -> Load {
+        let instances = &self.instances[first..];
         let is_over = Arc::new(AtomicBool::new(false));
         let count = Arc::new(AtomicU32::new(0));
         let callers = (0..CALLERS).map(|caller| {
-            let to = self.instances[caller % self.instances.len()].callers();
+            let to = instances[caller % instances.len()].callers();
             let (is_over, count) = (Arc::clone(&is_over), Arc::clone(&count));
             thread::spawn(move || ask_until(to, &is_over, &count))
         });
@@ -185,6 +195,42 @@
     is_rolled_back(Fault::Late(Duration::from_millis(250)));
 }
 
+// Nothing was played with real instances but a store that is there: a verdict is known to all without it, and is written once
+// it is back.
+#[test]
+fn a_version_that_turns_bad_while_the_store_is_away_gets_nothing_and_operators_learn_of_it() {
+    let mut versions = start(3);
+    let load = versions.load();
+    versions.order(None);
+    eventually("the new version is met", || versions.arrivals().1 > 0);
+    versions.store.set_mode(StoreMode::Reset);
+    versions.new.iter().for_each(|server| server.faults.set_standing(Some(Fault::ServerError)));
+    thread::sleep(Duration::from_millis(3500));
+    let (_, reached) = versions.arrivals();
+    thread::sleep(Duration::from_secs(1));
+    let (old, new) = versions.arrivals();
+    assert_eq!(new, reached, "nothing goes there, by the verdict or as nobody holds the roll-out");
+    assert!(new as f64 <= EXPOSURE_MAX.0 * (old + new) as f64 + EXPOSURE_MAX.1, "{new}");
+    versions.store.set_mode(StoreMode::Up);
+    eventually("it is written", || versions.state() == "rolled_back");
+    load.stop();
+}
+
+#[test]
+fn a_roll_out_goes_on_where_the_instance_that_takes_it_further_is_gone() {
+    let mut versions = start(3);
+    let load = versions.load_at(1);
+    versions.order(Some(Fault::ServerError));
+    eventually("the new version is met", || versions.arrivals().1 > 0);
+    // The first in rank is the one that all turn to.
+    drop(versions.instances.remove(0));
+    eventually("it is rolled back", || versions.state() == "rolled_back");
+    let (_, reached) = versions.arrivals();
+    thread::sleep(Duration::from_secs(1));
+    assert_eq!(versions.arrivals().1, reached, "nothing goes there once it is rolled back");
+    load.stop();
+}
+
 #[test]
 fn a_fleet_that_starts_again_goes_on_where_the_store_says() {
     let mut versions = start(2);
--- a/tests/suite/rollouts_drawn.rs
+++ b/tests/suite/rollouts_drawn.rs
@@ -323,6 +323,7 @@
             share,
             servers: course.servers(share, &tally),
             barred: Vec::new(),
+            is_written: false,
         };
         decider.states.take(now, &ToldRollout { state, age_ms: 0 });
     }
