fix(routing): the servers that are left when two of four zones are emptied stay within the operator's bound

Two causes, traced in the drawn fleet:

- The servers that are left have twice the mean of all on average, 0.8 and more of the load at which prompts spill, and each instance goes there by counts that are a quarter of a second old, so that chance takes them over it.
Where the mean of those in use is beyond 0.7 of that load all instances keep to their part, as at a crowded server, and aim between the mean and the spill; where one has no part left, the least loaded of eight drawn servers takes the request.
It cannot begin where nothing is emptied: there the mean is 0.625 of the spill at most.
The turn moves on with each exchange where a server is beyond the aim.

--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -31,9 +31,14 @@
     pub slots: u32,
 }
 
+/// By how much an instance's turn moves on with each exchange: the golden ratio, whose multiples fall evenly into [0, 1).
+const TURN_STEP: f64 = 0.618_033_988_75;
+
 /// What all instances had in flight at a server at the last exchange.
 #[derive(Debug, Clone, Copy)]
 struct FleetCount {
+    /// Counts exchanges.
+    number: u32,
     all: f64,
     /// This instance's part of it.
     own: u32,
@@ -88,7 +93,8 @@
     /// server has become crowded.
     pub fn set_fleet(&mut self, now: Instant, all: f64, own: u32, bounds: LoadBounds) -> bool {
         let was_crowded = self.is_crowded(now);
-        self.fleet = Some(FleetCount { all, own, at: now });
+        let number = self.fleet.map_or(0, |fleet| fleet.number.wrapping_add(1));
+        self.fleet = Some(FleetCount { number, all, own, at: now });
         let stays = was_crowded && all >= CROWDED_STAYS * bounds.spill;
         // With few requests, chance alone goes beyond the limit.
         let beyond = all > bounds.limit.max(bounds.spill + bounds.spill.sqrt());
@@ -135,12 +141,13 @@
     ) -> Option<f64> {
         let fleet = self.fleet(now)?;
         let own = f64::from(fleet.own);
-        let allotted = if fleet.all > aim {
-            own * aim / fleet.all
-        } else {
-            own + (aim - fleet.all) / position.instances.max(1) as f64
-        };
-        Some(allotted - turn - f64::from(self.own))
+        if fleet.all <= aim {
+            let allotted = own + (aim - fleet.all) / position.instances.max(1) as f64;
+            return Some(allotted - turn - f64::from(self.own));
+        }
+        // Where many have one request each, those whose turn is low would keep it however far the server is beyond its bound.
+        let turn = (turn + f64::from(fleet.number) * TURN_STEP).fract();
+        Some(own * aim / fleet.all - turn - f64::from(self.own))
     }
 
     /// Returns this instance's own requests in flight.
--- a/src/routing/picker/affinity.rs
+++ b/src/routing/picker/affinity.rs
@@ -26,6 +26,17 @@
 /// requests of other instances that are on their way.
 const BOUND_SHARE: f64 = 0.6;
 
+/// Part of the load at which prompts spill, from which servers have so much on the mean that all keep to their part of each:
+/// where the servers of emptied zones count in the bound, chance alone takes the others beyond it.
+const SCARCE: f64 = 0.7;
+
+/// Part of the way from that mean to the load at which prompts spill, which all instances aim at together then.
+const SCARCE_AIM: f64 = 0.5;
+
+/// Servers, drawn for each request, of which the least loaded takes it then where this instance has no part left: few enough
+/// that not all instances turn to the same one, and others for each request of a prompt that many ask for.
+const SCARCE_CHOICES: usize = 8;
+
 impl Picker {
     /// Picks the first server in the rank of a prompt that has room, else the one where it waits least beyond its bound.
     pub(super) fn by_affinity(
@@ -44,12 +55,16 @@
             // They come in their rank.
             (0..pool.len()).collect()
         };
-        let home_crowded = rank.first().is_some_and(|&i| pool[i].load.is_crowded(now));
+        let mean = loads.iter().sum::<f64>() / loads.len().max(1) as f64;
+        let is_scarce = mean > SCARCE * bound;
+        let scarce_aim = if is_scarce { mean + (bound - mean) * SCARCE_AIM } else { 0.0 };
+        let aim = aim(bound).max(scarce_aim);
+        let home_crowded = is_scarce || rank.first().is_some_and(|&i| pool[i].load.is_crowded(now));
         let room = |&i: &usize| {
             let (load, turn) = (&pool[i].load, self.turn(pool[i].server.place()));
             let crowded = home_crowded || load.is_crowded(now);
             let allotted =
-                if crowded { load.allotted(now, aim(bound), self.position, turn) } else { None };
+                if crowded { load.allotted(now, aim, self.position, turn) } else { None };
             allotted.unwrap_or_else(|| load.room(now, bound, usual))
         };
         let rooms: Vec<f64> = rank.iter().map(room).collect();
@@ -65,7 +80,14 @@
             rooms[at] > 0.0 && waits[at].is_zero() && own_place && !is_full(now, pool[i])
         };
         let soon = |&(at, _): &(usize, &usize)| rooms[at] > 0.0 && waits[at] <= admissible;
-        let most = || ranked().max_by(|a, b| rooms[a.0].total_cmp(&rooms[b.0]));
+        let most = || {
+            if is_scarce {
+                let from = usize::try_from(wanted.spread % rank.len().max(1) as u64).unwrap_or(0);
+                let some = ranked().cycle().skip(from).take(SCARCE_CHOICES.min(rank.len()));
+                return some.min_by(|a, b| loads[*a.1].total_cmp(&loads[*b.1]));
+            }
+            ranked().max_by(|a, b| rooms[a.0].total_cmp(&rooms[b.0]))
+        };
         let (at, &i) = ranked().find(free).or_else(|| ranked().find(soon)).or_else(most)?;
         let server = Arc::clone(&pool[i].server);
         let holder = self.holder(now, key, wanted, &server);
