--- a/tests/suite/log_lines.rs
+++ b/tests/suite/log_lines.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::VecDeque,
     sync::{Mutex, Once, PoisonError},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 /// Lines kept: those of the last seconds of all tests that run at once.
@@ -11,7 +11,7 @@
 
 struct Kept {
     began: Instant,
-    lines: VecDeque<String>,
+    lines: VecDeque<(Duration, String)>,
 }
 
 static KEPT: Mutex<Option<Kept>> = Mutex::new(None);
@@ -24,13 +24,14 @@
         *KEPT.lock().unwrap_or_else(PoisonError::into_inner) =
             Some(Kept { began, lines: VecDeque::new() });
         let keep = fern::Output::call(|record| {
+            // Formatted before the lock is taken, for which the instances of all tests wait.
+            let line = record.args().to_string();
             let mut kept = KEPT.lock().unwrap_or_else(PoisonError::into_inner);
             let Some(kept) = kept.as_mut() else { return };
             if kept.lines.len() >= KEPT_MAX {
                 kept.lines.pop_front();
             }
-            let at = kept.began.elapsed().as_millis();
-            kept.lines.push_back(format!("{at} {}", record.args()));
+            kept.lines.push_back((kept.began.elapsed(), line));
         });
         let started = fern::Dispatch::new().level(log::LevelFilter::Info).chain(keep).apply();
         started.expect("no other logger in this process");
@@ -39,8 +40,10 @@
 
 /// Returns the lines with one of these words, of all tests that ran meanwhile, with the milliseconds since the first start.
 pub(crate) fn with(words: &[&str]) -> String {
-    let kept = KEPT.lock().unwrap_or_else(PoisonError::into_inner);
-    let lines = kept.iter().flat_map(|kept| &kept.lines);
-    let wanted = lines.filter(|line| words.iter().any(|word| line.contains(word)));
-    wanted.map(|line| format!("\n{line}")).collect()
+    let lines: Vec<(Duration, String)> = {
+        let kept = KEPT.lock().unwrap_or_else(PoisonError::into_inner);
+        kept.iter().flat_map(|kept| kept.lines.iter().cloned()).collect()
+    };
+    let wanted = lines.iter().filter(|(_, line)| words.iter().any(|word| line.contains(word)));
+    wanted.map(|(at, line)| format!("\n{} {line}", at.as_millis())).collect()
 }
