feat(exchange): messages and rows have the names of their fields, so that two builds understand each other

Fields that a reader does not know are passed over now; the rule for changes stands at the messages, and the bytes that the build before wrote are kept as a test that reads them.

Weighed: a format number that has the other refuse what it does not know (says so, and reads the store all the same); one-letter names (60 bytes instead of 505, and nobody can read a message). The other program's messages stay as they are: its budget counts each byte.

--- a/tests/suite/messages.rs
+++ b/tests/suite/messages.rs
@@ -1,12 +1,12 @@
 //! The bytes of messages between instances, as this build writes them.
 //!
-//! A build whose bytes differ does not understand this one's, so that during an upgrade instances of both read the store
-//! for themselves: whoever changes a message sees it here, and says so in the changelog.
+//! Instances of two builds are there during an upgrade, and understand each other's: whoever changes a message sees it here,
+//! keeps the bytes of before among those that are still read, and says so in the changelog.
 
 use std::{fmt::Write as _, sync::Arc, time::Duration};
 
 use cartvane::{
-    configs::fleet::chunks::{decode, encode},
+    configs::fleet::chunks::{decode, encode_named},
     gateway::{
         cold_permits::{PermitAsk, PermitReply},
         messages::{Asks, ConfirmedAgo, News, Report},
@@ -96,7 +96,7 @@
 }
 
 fn hex(message: &impl Serialize) -> String {
-    encode(message).iter().fold(String::new(), |mut text, byte| {
+    encode_named(message).iter().fold(String::new(), |mut text, byte| {
         let _ = write!(text, "{byte:02x}");
         text
     })
@@ -104,8 +104,8 @@
 
 /// Returns whether a message is read as it was written.
 fn comes_back<T: Serialize + DeserializeOwned>(message: &T) -> bool {
-    let bytes = encode(message);
-    decode::<T>(&bytes).is_ok_and(|read| encode(&read) == bytes)
+    let bytes = encode_named(message);
+    decode::<T>(&bytes).is_ok_and(|read| encode_named(&read) == bytes)
 }
 
 #[test]
@@ -135,3 +135,49 @@
     let text = lines.map(|(name, bytes)| format!("{name}: {bytes}")).join("\n");
     insta::assert_snapshot!(text);
 }
+
+/// Messages as builds before wrote them, without names.
+const KEPT: [(&str, &str); 4] = [
+    (
+        "report",
+        "9d94a6656467652d3181a2563492940a000001cd2025a56e6f727468ca3f00000091920703910905909090939090900cc2a6496e5475726e4d08",
+    ),
+    (
+        "news",
+        "9f9194a36c6c6dca4020000091920704c391099006c2900c9092289202cd019c949202cd019c91a56e6f72746881a36c6c6d92a27632920c0091a36170709081a74368616e67657392919892a162cd03e8a36c6c6d81a2563492940a00000102a56e6f727468c2c0c09202ce1dcd650090ccfa0281a557686f6c659194a6656467652d3181a2563492940a000001cd2025a56e6f727468ca3f000000",
+    ),
+    ("permit", "9207a36c6c6d"),
+    ("orders", "949202cd019c91a56e6f72746881a36c6c6d92a27632920c0091a3617070"),
+];
+
+fn bytes_of(hex: &str) -> Vec<u8> {
+    let byte = |at: usize| u8::from_str_radix(&hex[at..at + 2], 16).expect("hexadecimal");
+    (0..hex.len()).step_by(2).map(byte).collect()
+}
+
+#[test]
+fn what_builds_before_have_written_is_understood() {
+    let [report_bytes, news_bytes, permit, orders_bytes] = KEPT.map(|(_, hex)| bytes_of(hex));
+    let same = |read: Vec<u8>, now: Vec<u8>| assert_eq!(read, now);
+    same(
+        encode_named(&decode::<Report>(&report_bytes).expect("a report")),
+        encode_named(&report()),
+    );
+    let read = decode::<News>(&news_bytes).expect("news");
+    assert_eq!((read.version, read.orders), (12, orders()));
+    assert!(decode::<PermitAsk>(&permit).is_ok_and(|ask| ask.server == Tag(7)));
+    assert_eq!(decode::<ToldOrders>(&orders_bytes).expect("orders"), orders());
+}
+
+// Messages were lists of values without names: an instance of a build with one field more was not understood, and during an
+// upgrade all instances read the store for themselves.
+#[test]
+fn a_field_that_a_later_build_adds_is_passed_over() {
+    #[derive(Serialize)]
+    struct Later {
+        colour: &'static str,
+        version: u64,
+    }
+    let later = encode_named(&Later { colour: "red", version: 12 });
+    assert!(decode::<OfferReply>(&later).is_ok_and(|read| read.version == 12));
+}
