--- a/tests/suite/rollouts.rs
+++ b/tests/suite/rollouts.rs
@@ -221,18 +221,23 @@
 }
 
 #[test]
-fn a_roll_out_goes_on_where_the_instance_that_takes_it_further_is_gone() {
+fn a_roll_out_goes_on_where_the_instance_that_takes_it_further_leaves() {
     let mut versions = start(3);
+    versions.instances.sort_by_key(|instance| instance.gateway().peers.position().number);
     let load = versions.load_at(1);
     versions.order(Some(Fault::ServerError));
     eventually("the new version is met", || versions.arrivals().1 > 0);
     // The first in rank is the one that all turn to.
-    drop(versions.instances.remove(0));
+    let first = versions.instances.remove(0);
+    let leaves = thread::spawn(move || first.drain());
     eventually("it is rolled back", || versions.state() == "rolled_back");
+    // The others learn of it with their next exchange.
+    thread::sleep(Duration::from_secs(1));
     let (_, reached) = versions.arrivals();
     thread::sleep(Duration::from_secs(1));
     assert_eq!(versions.arrivals().1, reached, "nothing goes there once it is rolled back");
     load.stop();
+    assert!(leaves.join().expect("an end"), "nothing was under way at the one that left");
 }
 
 #[test]
