test(soak): versions that fail are rolled out beside the other faults

In one run of two operators order a version of which each answer is a failure, with servers of its own; it may get a tenth of all requests and 50, whichever instances are killed, frozen or cut off and whatever the store does.

--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -9,6 +9,7 @@
 mod options;
 mod plan;
 mod proxy;
+mod rollouts;
 mod run;
 
 use std::{
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -29,6 +29,9 @@
 /// Tells what is drawn for servers' notices from what else a seed draws.
 const NOTICE_SEED: u64 = 0x6e6f_7469;
 
+/// Tells what is drawn for roll-outs from what else a seed draws.
+const ROLLOUT_SEED: u64 = 0x726f_6c6c;
+
 /// For how long a server turns requests away, and for how long it wants none.
 const REFUSING_MS: std::ops::Range<u64> = 300..2500;
 const BACKOFF_MS: std::ops::Range<u64> = 800..3000;
@@ -76,6 +79,8 @@
     SayLeaving(usize),
     /// A backend server turns requests away for the first time and wants none for the second.
     Refuse(usize, Duration, Duration),
+    /// Operators order a version that fails.
+    RollOut,
 }
 
 /// How large a run's intent becomes, and how fast the store sends it.
@@ -135,6 +140,15 @@
     (0..times).map(|_| drawn()).collect()
 }
 
+/// Draws when operators of a run order a bad version: in one run of two, once.
+///
+/// Drawn apart, as growth is.
+pub(crate) fn draw_rollout(seed: u64, length: Duration) -> Option<(Duration, Event)> {
+    let mut rng = Rng::with_seed(seed ^ ROLLOUT_SEED);
+    let span = u64::try_from(length.as_millis()).unwrap_or(u64::MAX).max(1);
+    rng.bool().then(|| (Duration::from_millis(rng.u64(..span)), Event::RollOut))
+}
+
 /// Draws when servers of a run say something of themselves in their answers: up to three times.
 ///
 /// Drawn apart, as growth is.
--- /dev/null
+++ b/soak/src/rollouts.rs
@@ -0,0 +1,55 @@
+//! Roll-outs of a version that fails, and the promise that few requests meet it.
+
+use std::{thread, time::Duration};
+
+use cartvane::utils::sync::lock;
+use serde_json::json;
+use standins::{fault::Fault, listed::Listed};
+
+use crate::{checks::Checks, fleet::Fleet};
+
+/// Time that operators give a roll-out.
+const LASTS: Duration = Duration::from_secs(6);
+
+/// Servers of the new version.
+const SERVERS: usize = 2;
+
+/// Parts of all requests, and requests beyond that, which operators allow a bad version.
+const EXPOSURE: (f64, f64) = (0.1, 50.0);
+
+const ORDER: &str = "rollout/app";
+
+/// A version is rolled out of which each answer is a failure; then its servers go, and the order is taken back.
+pub(crate) fn roll_out(fleet: &Fleet, checks: &Checks) {
+    if let Err(fault) = roll_out_with(fleet, checks) {
+        checks.broken("the soak itself works", "roll-out", fault.to_string());
+    }
+}
+
+fn roll_out_with(fleet: &Fleet, checks: &Checks) -> anyhow::Result<()> {
+    let (before, _) = checks.counts();
+    let version = format!("v{before}");
+    let order = json!({"service": "app", "to": version, "duration_s": LASTS.as_secs_f64()});
+    fleet.store.put("op", ORDER, &order);
+    let spawn = |number| Listed::spawn(&format!("{version}-{number}"));
+    let new = (0..SERVERS).map(spawn).collect::<Result<Vec<Listed>, _>>()?;
+    for server in &new {
+        server.faults.set_standing(Some(Fault::ServerError));
+        let mut entry = server.entry("app", "ready");
+        entry["version"] = version.as_str().into();
+        fleet.store.put("servers", &server.id, &entry);
+    }
+    thread::sleep(LASTS);
+    let (after, _) = checks.counts();
+    let met: usize = new.iter().map(|server| server.arrivals().len()).sum();
+    if met as f64 > EXPOSURE.0 * (after - before) as f64 + EXPOSURE.1 {
+        let seen = format!("{met} requests of {}", after - before);
+        checks.broken("few requests meet a bad version", &version, seen);
+    }
+    new.iter().for_each(|server| fleet.store.remove("servers", &server.id));
+    // Once no instance uses them any more.
+    thread::sleep(Duration::from_secs(2));
+    fleet.store.remove("op", ORDER);
+    lock(&fleet.servers).extend(new);
+    Ok(())
+}
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -24,6 +24,7 @@
     options::Options,
     plan::{self, Event},
     proxy::Link,
+    rollouts,
 };
 
 /// Time after a return of the store in which operators and servers write again, in milliseconds.
@@ -90,6 +91,8 @@
     events.extend(returns.into_iter().map(|(at, event)| (at, event, rng.fork())));
     let notices = plan::draw_notices(seed, options.faults, SERVERS);
     events.extend(notices.into_iter().map(|(at, event)| (at, event, rng.fork())));
+    let rollout = plan::draw_rollout(seed, options.faults);
+    events.extend(rollout.into_iter().map(|(at, event)| (at, event, rng.fork())));
     events.sort_by_key(|(at, ..)| *at);
     let fleet = Fleet::start(seed, options.instances, SERVERS, &dir)?;
     fleet.store.set_link(growth.store_link);
@@ -188,6 +191,7 @@
         }
         Event::SayLeaving(place) => notices::say_leaving(fleet, checks, place),
         Event::Refuse(place, time, backoff) => notices::refuse(fleet, checks, place, time, backoff),
+        Event::RollOut => rollouts::roll_out(fleet, checks),
         Event::Replace(place) => leave(fleet, checks, place),
         Event::Crash(place) => replace(fleet, checks, place),
         Event::ServerFaults(place) => {
