--- a/src/gateway/answering.rs
+++ b/src/gateway/answering.rs
@@ -16,7 +16,7 @@
     spread::{self, OFFER_PATH},
 };
 use crate::{
-    configs::fleet::chunks::{decode, encode_named},
+    configs::fleet::chunks::{decode, encode},
     link::{
         caller::Served,
         http1::Conn,
@@ -195,19 +195,19 @@
                     if report.asks == Asks::ToRead {
                         read_for_another(gateway)?;
                     }
-                    Ok(encode_named(&answer(gateway, report)))
+                    Ok(encode(&answer(gateway, report)))
                 }
                 PERMIT_PATH => {
                     let ask = decode(body).map_err(|_| 400_u16)?;
-                    Ok(encode_named(&PermitReply { granted: gateway.grant(&ask) }))
+                    Ok(encode(&PermitReply { granted: gateway.grant(&ask) }))
                 }
                 ROLLOUT_PATH => {
                     let ask = decode(body).map_err(|_| 400_u16)?;
-                    Ok(encode_named(&perform_for_another(gateway, &ask)))
+                    Ok(encode(&perform_for_another(gateway, &ask)))
                 }
                 OFFER_PATH => {
                     let offer = decode(body).map_err(|_| 400_u16)?;
-                    Ok(encode_named(&spread::take_offer(gateway, offer)))
+                    Ok(encode(&spread::take_offer(gateway, offer)))
                 }
                 _ => Err(404),
             }
--- a/src/gateway/held_table.rs
+++ b/src/gateway/held_table.rs
@@ -11,7 +11,7 @@
         calls::HELD_TABLE,
         store::{Change, StoreFault, StoreRow},
     },
-    configs::fleet::chunks::{decode, encode_named},
+    configs::fleet::chunks::{decode, encode},
     routing::{HeldRow, RequestLook, TablePlan, TableWatch, blame::digest::DigestError},
     utils::sync::lock,
 };
@@ -75,7 +75,7 @@
     if plan.write.is_empty() && plan.remove.is_empty() {
         return Ok(());
     }
-    let value = |row: &HeldRow| encode_named(&RowValue { look: row.look, until_ms: row.until_ms });
+    let value = |row: &HeldRow| encode(&RowValue { look: row.look, until_ms: row.until_ms });
     let puts: Vec<(String, Vec<u8>)> =
         plan.write.iter().map(|row| (row.digest.to_string(), value(row))).collect();
     let gone: Vec<String> = plan.remove.iter().map(ToString::to_string).collect();
--- a/src/gateway/instance_table.rs
+++ b/src/gateway/instance_table.rs
@@ -8,7 +8,7 @@
         calls::INSTANCE_TABLE,
         store::{Change, StoreFault, StoreRow},
     },
-    configs::fleet::chunks::{decode, encode_named},
+    configs::fleet::chunks::{decode, encode},
     routing::{InstanceInfo, StoreEra, StoreVersion, start::QUESTION_PAUSE},
     utils::sync::lock,
 };
@@ -98,7 +98,7 @@
 
 fn announce(gateway: &Gateway) -> Result<StoreVersion, StoreFault> {
     let own = lock(&gateway.peers.candidates).own().clone();
-    let change = Change::Put { key: own.node.as_str(), value: &encode_named(&own) };
+    let change = Change::Put { key: own.node.as_str(), value: &encode(&own) };
     gateway.store.change(INSTANCE_TABLE, &[change])
 }
 
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -1,9 +1,8 @@
 //! What instances tell each other in an exchange. They share no clock, so times are told as ages.
 //!
-//! While operators replace one build by the next, instances of both are there, and all would read the store for themselves if
-//! they did not understand each other. Messages, and rows that instances write, have the names of their fields: one that a
-//! reader does not know is passed over. A field that is added has a default for messages that lack it (`serde(default)`), none
-//! is removed or comes to mean something else, and what cannot be said like that has a path of its own.
+//! While operators replace one build by the next, instances of both are there. Messages are lists of values without names,
+//! which would double their bytes. A field that is added is the last one of its type and has a default for messages that lack
+//! it (`serde(default)`): what the build before writes is understood, though not the other way round.
 
 use std::sync::Arc;
 
--- a/src/gateway/rollout_table.rs
+++ b/src/gateway/rollout_table.rs
@@ -10,7 +10,7 @@
         orders,
         store::{Condition, Put, StoreFault, StoreRow},
     },
-    configs::fleet::chunks::{decode, encode_named},
+    configs::fleet::chunks::{decode, encode},
     names::{IdError, ServiceName},
     routing::RolloutRecord,
 };
@@ -96,7 +96,7 @@
     let condition = Condition { table: ROLLOUT_TABLE, key, version: row.version };
     let status_key = orders::status_key(&row.service);
     let puts = [
-        Put { table: ROLLOUT_TABLE, key, value: &encode_named(&row.record) },
+        Put { table: ROLLOUT_TABLE, key, value: &encode(&row.record) },
         Put { table: STATUS_TABLE, key: &status_key, value: &orders::status(&row.record) },
     ];
     gateway.store.put_if(&condition, &puts).map(|version| version.counter)
--- a/src/link/peer.rs
+++ b/src/link/peer.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     clock::Clock,
-    configs::fleet::chunks::{decode, encode, encode_named},
+    configs::fleet::chunks::{decode, encode},
     link::{
         call::{CallTime, WHOLE_MESSAGE},
         caller::Served,
@@ -73,8 +73,6 @@
     credential: Option<Secret>,
     time: CallTime,
     traffic: Traffic,
-    /// Whether messages have the names of their fields.
-    named: bool,
 }
 
 impl PeerLinks {
@@ -88,12 +86,7 @@
     ) -> PeerLinks {
         let conns = KeptConns::new(clock, timeout);
         let time = CallTime { head: timeout, stall: timeout, whole: WHOLE_MESSAGE };
-        PeerLinks { conns, credential, time, traffic, named: false }
-    }
-
-    /// Has messages have the names of their fields, so that instances of two builds understand each other.
-    pub fn named(self) -> PeerLinks {
-        PeerLinks { named: true, ..self }
+        PeerLinks { conns, credential, time, traffic }
     }
 
     /// Sends `message` and returns the peer's answer.
@@ -111,7 +104,7 @@
         path: &str,
         message: &impl Serialize,
     ) -> Result<T, PeerFault> {
-        let body = if self.named { encode_named(message) } else { encode(message) };
+        let body = encode(message);
         let message = |first: bool| {
             let credential = if first { self.credential.as_ref() } else { None };
             let message = request_bytes(path, &body, credential);
--- a/src/routing/intent_change.rs
+++ b/src/routing/intent_change.rs
@@ -5,7 +5,7 @@
 
 use super::{CallerLimits, Intent, Route, ServiceSpec, Team, route::RouteKey};
 use crate::{
-    configs::fleet::chunks::{decode, encode_named},
+    configs::fleet::chunks::{decode, encode},
     names::ServiceName,
     utils::deflate,
 };
@@ -116,7 +116,7 @@
 impl PackedChange {
     /// Packs a change.
     pub fn pack(change: &IntentChange) -> PackedChange {
-        let bytes = deflate::pack(&encode_named(change));
+        let bytes = deflate::pack(&encode(change));
         PackedChange { from: change.from, to: change.to, bytes }
     }
 
--- a/src/routing/server_list.rs
+++ b/src/routing/server_list.rs
@@ -10,7 +10,7 @@
 
 use super::{BackendServer, Incarnation};
 use crate::{
-    configs::fleet::chunks::{decode, encode_named},
+    configs::fleet::chunks::{decode, encode},
     utils::deflate,
 };
 
@@ -72,7 +72,7 @@
 impl PackedList {
     /// Packs a list.
     pub fn pack(list: &[BackendServer]) -> PackedList {
-        PackedList { bytes: deflate::pack(&encode_named(&list)) }
+        PackedList { bytes: deflate::pack(&encode(&list)) }
     }
 
     /// Unpacks the list.
