--- a/tests/suite/rollouts.rs
+++ b/tests/suite/rollouts.rs
@@ -199,8 +199,8 @@
     is_rolled_back(Fault::Late(Duration::from_millis(250)));
 }
 
-// Nothing was played with real instances but a store that is there: a verdict is known to all without it, and is written once
-// it is back.
+// Operators read "running" for ever of a version that was found bad while the store was away: it got nothing any more, but the
+// write of the verdict had failed, and the thread that takes roll-outs further ended as nothing was open.
 #[test]
 fn a_version_that_turns_bad_while_the_store_is_away_gets_nothing_and_operators_learn_of_it() {
     let mut versions = start(3);
