refactor(admission): a folder for admission decisions, and the interface of the slot broker

Cause: admission holds means, retry delays and shares in one file, and the parts for hard load need a common interface before they are built side by side.

--- a/src/routing/admission.rs
+++ b/src/routing/admission/control.rs
@@ -13,7 +13,7 @@
 
 use indexmap::IndexMap;
 
-use super::load::FLEET_COUNT_MAX_AGE;
+use crate::routing::load::FLEET_COUNT_MAX_AGE;
 
 /// Share of the shortest target latency beyond which no request waits for a slot, whatever the admitted share: with the
 /// time to process its prompt, a request that waits longer is late.
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -35,7 +35,9 @@
 pub mod team;
 pub mod unlisted;
 
-pub use admission::{AdmissionControl, ResponseTimes};
+pub use admission::{
+    AdmissionControl, BrokerAction, LeaseId, ResponseTimes, ServerSlots, SlotBroker, SlotRequest,
+};
 pub use aggregate::{Aggregate, InFlightCount, ServiceLoad};
 pub use budget::RetryBudget;
 pub use candidates::{Candidates, InstanceInfo};
