--- a/src/routing/admission/slot_broker.rs
+++ b/src/routing/admission/slot_broker.rs
@@ -3,67 +3,220 @@
 //! With fewer slots than instances, no instance can be given a part of the slots: by counts that are an exchange old,
 //! all of them choose the same free slot, and the servers reject what they cannot run. One instance therefore leases
 //! each slot for one request.
+//!
+//! The load that this handles is several times what the slots can serve: one team or a few at 8 to 12 times their usual
+//! load, all teams at 5 times, half of the servers lost, callers that retry at once, and the return of all callers
+//! after an outage. Teams share the slots equally (max-min), so that the load of one does not delay the others.
 
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
-
-use super::{BrokerAction, LeaseId, ServerSlots, SlotRequest};
+use super::{
+    BrokerAction, LeaseId, ServerSlots, SlotRequest,
+    slot_demand::SlotDemand,
+    slot_promises::SlotPromises,
+    slot_queue::{Rank, SlotQueue, Waiting},
+    slot_table::SlotTable,
+    slot_time::SlotTime,
+};
 use crate::names::Tag;
 
-#[derive(Debug)]
-struct Lease {
-    server: Tag,
-    expires_at: Instant,
-}
+/// Share of a team's capacity that is promised to callers that retry; the rest is left to new requests, the more urgent
+/// of which would otherwise wait behind the promises of less urgent ones.
+const PROMISED_SHARE: f64 = 0.5;
+
+/// Part of the time left that a caller is prepared to wait for a retry.
+const PATIENCE_SHARE: u32 = 3;
 
 /// Leases of the slots of one service.
 #[derive(Debug, Default)]
 pub struct SlotBroker {
-    servers: Vec<ServerSlots>,
-    leases: IndexMap<LeaseId, Lease>,
+    table: SlotTable,
+    queue: SlotQueue,
+    promises: SlotPromises,
+    demand: SlotDemand,
+    slot_time: SlotTime,
 }
 
 impl SlotBroker {
     /// Sets the servers that may be used. Leases of servers that are not listed any more stay until they end.
-    pub fn set_servers(&mut self, _now: Instant, servers: Vec<ServerSlots>) -> Vec<BrokerAction> {
-        self.servers = servers;
-        Vec::new()
+    ///
+    /// Waiting requests that cannot be served in time with fewer slots are rejected.
+    pub fn set_servers(&mut self, now: Instant, servers: Vec<ServerSlots>) -> Vec<BrokerAction> {
+        let mut actions = self.tick(now);
+        let slots_before = self.table.slots();
+        self.table.set_servers(servers);
+        if self.table.slots() < slots_before {
+            self.requeue(now, &mut actions);
+        }
+        self.dispatch(now, &mut actions);
+        actions
     }
 
-    /// Decides on a request for a slot.
+    /// Decides on a request for a slot. The actions end with the one for this request; others may precede it.
     pub fn request(&mut self, now: Instant, request: SlotRequest) -> Vec<BrokerAction> {
+        let mut actions = self.tick(now);
         let id = request.id;
-        let used = |server: Tag| self.leases.values().filter(|l| l.server == server).count();
-        let free = |s: &&ServerSlots| {
-            used(s.server) < s.slots as usize && !request.excluded.contains(&s.server)
+        let action = match self.table.server_of(id) {
+            Some(server) => BrokerAction::Grant { id, server },
+            None if self.queue.contains(id) => BrokerAction::Queue { id },
+            None => {
+                self.demand.note_request(now, request.team, request.digest);
+                let is_return = self.promises.redeem(now, request.team, request.digest);
+                let rank = if is_return { Rank::Returned } else { Rank::new(now, &request) };
+                self.decide(now, Waiting { req: request, rank, since: now })
+            }
         };
-        let Some(server) = self.servers.iter().find(free).map(|s| s.server) else {
-            return vec![BrokerAction::Reject { id, retry_after: request.wait_max }];
-        };
-        self.adopt(now, id, server, request.time_left);
-        vec![BrokerAction::Grant { id, server }]
+        actions.push(action);
+        actions
     }
 
     /// Records a lease that an instance holds already, as it reports when it turns to this broker.
     pub fn adopt(&mut self, now: Instant, id: LeaseId, server: Tag, time_left: Duration) {
-        self.leases.insert(id, Lease { server, expires_at: now + time_left });
+        self.queue.remove(id);
+        self.table.insert(id, server, None, now + time_left);
     }
 
     /// Ends a lease, or takes a waiting request out of the queue.
-    pub fn release(&mut self, _now: Instant, id: LeaseId) -> Vec<BrokerAction> {
-        self.leases.swap_remove(&id);
-        Vec::new()
+    pub fn release(&mut self, now: Instant, id: LeaseId) -> Vec<BrokerAction> {
+        if let Some(granted_at) = self.table.remove(id) {
+            self.slot_time.note(now.saturating_duration_since(granted_at));
+        }
+        self.queue.remove(id);
+        self.tick(now)
     }
 
     /// Ends what has expired: leases whose holder did not return them, and waits that are over.
     pub fn tick(&mut self, now: Instant) -> Vec<BrokerAction> {
-        self.leases.retain(|_, lease| now < lease.expires_at);
-        Vec::new()
+        let mut actions = Vec::new();
+        self.table.expire(now);
+        self.dispatch(now, &mut actions);
+        for waiting in self.queue.expire(now) {
+            actions.push(self.reject(now, &waiting.aged(now)));
+        }
+        actions
     }
 
     /// Returns when [`SlotBroker::tick`] is next due; `None` while nothing can expire.
     pub fn next_tick(&self) -> Option<Instant> {
-        self.leases.values().map(|lease| lease.expires_at).min()
+        [self.table.next_expiry(), self.queue.next_expiry()].into_iter().flatten().min()
+    }
+
+    /// Returns the number of requests that wait for a slot.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns the number of retry times that callers were promised and that have not passed.
+    pub fn promised(&self) -> usize {
+        self.promises.len()
+    }
+
+    /// Grants, queues or rejects a new request. No waiting request can use a server that is still free.
+    fn decide(&mut self, now: Instant, new: Waiting) -> BrokerAction {
+        if let Some(server) = self.table.pick(&new.req, self.slot_time.mean()) {
+            return self.grant(now, &new.req, server);
+        }
+        let Waiting { req, rank, .. } = &new;
+        let limit = self.wait_limit(now, req);
+        if limit.is_zero() || self.expected_wait(now, req, *rank) > limit {
+            return self.reject(now, req);
+        }
+        let (id, floor) = (req.id, self.demand.floor(now, req.team));
+        self.queue.push(now, floor, new);
+        BrokerAction::Queue { id }
+    }
+
+    fn grant(&mut self, now: Instant, req: &SlotRequest, server: Tag) -> BrokerAction {
+        self.promises.remove(req.team, req.digest);
+        self.demand.note_grant(now);
+        self.table.insert(req.id, server, Some(now), now + req.time_left);
+        BrokerAction::Grant { id: req.id, server }
+    }
+
+    /// Grants slots to waiting requests while there are any.
+    fn dispatch(&mut self, now: Instant, actions: &mut Vec<BrokerAction>) {
+        let slot_time = self.slot_time.mean();
+        while let Some(waiting) =
+            self.queue.pop(now, |req| self.table.pick(req, slot_time).is_some())
+        {
+            if let Some(server) = self.table.pick(&waiting.req, slot_time) {
+                actions.push(self.grant(now, &waiting.aged(now), server));
+            }
+        }
+    }
+
+    /// Decides again on all waiting requests, in the order in which they would be served.
+    fn requeue(&mut self, now: Instant, actions: &mut Vec<BrokerAction>) {
+        let mut queue = std::mem::take(&mut self.queue);
+        while let Some(waiting) = queue.pop(now, |_| true) {
+            let Waiting { req, rank, .. } = &waiting;
+            let left = waiting.wait_ends().saturating_duration_since(now);
+            if self.expected_wait(now, req, *rank) > left {
+                actions.push(self.reject(now, &waiting.aged(now)));
+            } else {
+                let floor = self.demand.floor(now, req.team);
+                self.queue.push(now, floor, waiting);
+            }
+        }
+    }
+
+    fn reject(&mut self, now: Instant, req: &SlotRequest) -> BrokerAction {
+        self.demand.note_rejection(now, req.team, req.digest);
+        let patience = req.time_left / PATIENCE_SHARE;
+        let retry_after = match self.promise_interval(req) {
+            Some(interval) => {
+                let SlotRequest { team, digest, priority, .. } = *req;
+                self.promises.promise(now, team, digest, priority, interval, patience)
+            }
+            // When there will be a server is not known; a late retry has the best chance.
+            None => patience,
+        };
+        BrokerAction::Reject { id: req.id, retry_after }
+    }
+
+    /// Returns the time between two promises to a team: the time in which it is served one request, if all teams that
+    /// compete for slots get the same, divided by the promised share. `None` without a server for the request.
+    fn promise_interval(&self, req: &SlotRequest) -> Option<Duration> {
+        let interval = self.service_interval(req)?;
+        let competing = self.queue.teams().max(self.promises.teams()).max(1);
+        let share = PROMISED_SHARE * self.queue.quantum(req.team);
+        Some(interval.mul_f64(competing as f64 / share))
+    }
+
+    /// Returns the mean time between two ends of leases on the servers that a request may use, while no more can be
+    /// leased; `None` without such a server.
+    fn service_interval(&self, req: &SlotRequest) -> Option<Duration> {
+        let mean = self.slot_time.mean();
+        let leases = self.table.lease_limit(req, mean);
+        // Before the first lease has ended, a slot is assumed to become free once in the time that the request waits.
+        (leases > 0).then(|| mean.unwrap_or(req.wait_max) / leases)
+    }
+
+    /// Returns how long a new request would wait; `Duration::MAX` without a server that it may use.
+    fn expected_wait(&self, now: Instant, req: &SlotRequest, rank: Rank) -> Duration {
+        let Some(interval) = self.service_interval(req) else { return Duration::MAX };
+        let wait = |coming| {
+            interval.saturating_mul(self.queue.ahead_of(req.team, rank, coming) as u32 + 1)
+        };
+        let without_returns = wait(0);
+        match rank {
+            Rank::Returned => without_returns,
+            Rank::New(_) => {
+                let until = now + without_returns.min(req.wait_max);
+                wait(self.promises.due_until(req.team, until))
+            }
+        }
+    }
+
+    /// Returns the longest expected wait with which a request is queued.
+    ///
+    /// A queue that has lasted for less than the time until the deadline is a burst, which is served in full. Otherwise
+    /// the wait leaves room for requests that take longer than the mean.
+    fn wait_limit(&self, now: Instant, req: &SlotRequest) -> Duration {
+        let since = self.queue.waiting_since(req.team).unwrap_or(now);
+        if now.saturating_duration_since(since) < req.time_left {
+            return req.wait_max;
+        }
+        req.wait_max.saturating_sub(self.slot_time.excess()).max(req.wait_max / 3)
     }
 }
