--- a/src/routing/admission/slot_broker.rs
+++ b/src/routing/admission/slot_broker.rs
@@ -42,7 +42,7 @@
     ///
     /// Waiting requests that cannot be served in time with fewer slots are rejected.
     pub fn set_servers(&mut self, now: Instant, servers: Vec<ServerSlots>) -> Vec<BrokerAction> {
-        let mut actions = self.tick(now);
+        let mut actions = self.advance(now);
         let slots_before = self.table.slots();
         self.table.set_servers(servers);
         if self.table.slots() < slots_before {
@@ -54,7 +54,7 @@
 
     /// Decides on a request for a slot. The actions end with the one for this request; others may precede it.
     pub fn request(&mut self, now: Instant, request: SlotRequest) -> Vec<BrokerAction> {
-        let mut actions = self.tick(now);
+        let mut actions = self.advance(now);
         let id = request.id;
         let action = match self.table.server_of(id) {
             Some(server) => BrokerAction::Grant { id, server },
@@ -82,18 +82,13 @@
             self.slot_time.note(now.saturating_duration_since(granted_at));
         }
         self.queue.remove(id);
-        self.tick(now)
+        self.advance(now)
     }
 
     /// Ends what has expired: leases whose holder did not return them, and waits that are over.
     pub fn tick(&mut self, now: Instant) -> Vec<BrokerAction> {
-        let mut actions = Vec::new();
-        self.table.expire(now);
-        self.dispatch(now, &mut actions);
-        for waiting in self.queue.expire(now) {
-            actions.push(self.reject(now, &waiting.aged(now)));
-        }
-        actions
+        self.promises.expire(now);
+        self.advance(now)
     }
 
     /// Returns when [`SlotBroker::tick`] is next due; `None` while nothing can expire.
@@ -111,6 +106,18 @@
         self.promises.len()
     }
 
+    /// Ends leases and waits that are over, and grants the slots that are free.
+    fn advance(&mut self, now: Instant) -> Vec<BrokerAction> {
+        let mut actions = Vec::new();
+        self.table.expire(now);
+        // Before the grants: a request that has waited for its `wait_max` would be late.
+        for waiting in self.queue.expire(now) {
+            actions.push(self.reject(now, &waiting.aged(now)));
+        }
+        self.dispatch(now, &mut actions);
+        actions
+    }
+
     /// Grants, queues or rejects a new request. No waiting request can use a server that is still free.
     fn decide(&mut self, now: Instant, new: Waiting) -> BrokerAction {
         if let Some(server) = self.table.pick(&new.req, self.slot_time.mean()) {
@@ -136,9 +143,10 @@
     /// Grants slots to waiting requests while there are any.
     fn dispatch(&mut self, now: Instant, actions: &mut Vec<BrokerAction>) {
         let slot_time = self.slot_time.mean();
-        while let Some(waiting) =
-            self.queue.pop(now, |req| self.table.pick(req, slot_time).is_some())
-        {
+        // Without room, each waiting request would be compared with each server in vain.
+        while self.table.has_room(slot_time) {
+            let fits = |req: &SlotRequest| self.table.pick(req, slot_time).is_some();
+            let Some(waiting) = self.queue.pop(now, fits) else { return };
             if let Some(server) = self.table.pick(&waiting.req, slot_time) {
                 actions.push(self.grant(now, &waiting.aged(now), server));
             }
--- a/src/routing/admission/slot_promises.rs
+++ b/src/routing/admission/slot_promises.rs
@@ -22,6 +22,10 @@
 /// Priority from which callers are promised the same: the horizon of a less urgent one would be below the interval.
 const PRIORITY_MAX: u8 = 3;
 
+/// Ratio of the latest moments that are promised to one priority and to the next less urgent one. With 2, after an
+/// outage the least urgent callers were served at a larger share than the next, since they are rejected first.
+const HORIZON_RATIO: u32 = 4;
+
 #[derive(Debug, Clone, Copy)]
 struct Promise {
     digest: u64,
@@ -109,7 +113,7 @@
         if delay > patience {
             return delay;
         }
-        let horizon = patience / (1 << priority.min(PRIORITY_MAX));
+        let horizon = patience / HORIZON_RATIO.pow(priority.min(PRIORITY_MAX).into());
         if delay > horizon || self.len == PROMISES_MAX {
             return patience + interval;
         }
--- a/src/routing/admission/slot_table.rs
+++ b/src/routing/admission/slot_table.rs
@@ -67,6 +67,12 @@
         usable.map(|(_, server)| server.slots + extra_leases(server.slots, slot_time)).sum()
     }
 
+    /// Returns whether any server can be leased once more.
+    pub(super) fn has_room(&self, slot_time: Option<Duration>) -> bool {
+        let limit = |server: &Server| server.slots + extra_leases(server.slots, slot_time);
+        self.servers.values().any(|server| server.leased < limit(server))
+    }
+
     /// Returns the server that a request is to be sent to, if one can take it: one with a free slot, otherwise one that
     /// can be leased beyond its slots. `slot_time` is the mean time for which a lease is held.
     pub(super) fn pick(&self, req: &SlotRequest, slot_time: Option<Duration>) -> Option<Tag> {
