feat(gateway): lease the slots of small services from a broker

Cause: with fewer slots than instances, all instances choose the same free slot by counts that are an exchange old, and the servers reject what they cannot run. Services with as many slots as instances are not affected.

--- a/src/contract/outcome.rs
+++ b/src/contract/outcome.rs
@@ -45,6 +45,8 @@
     Refused,
     /// The request was not sent, because the backend server had asked for no more requests.
     Withheld,
+    /// The request was not sent, because its slot lease had expired or had been unused for too long.
+    LeaseExpired,
     /// The response's body ended early, before any of it was sent to the caller.
     CutBody,
     /// The response's body stalled.
@@ -60,7 +62,8 @@
             AttemptFault::Connect
             | AttemptFault::BeforeSend
             | AttemptFault::Refused
-            | AttemptFault::Withheld => Outcome::NotRun,
+            | AttemptFault::Withheld
+            | AttemptFault::LeaseExpired => Outcome::NotRun,
             AttemptFault::AfterSend
             | AttemptFault::HeadTimeout
             | AttemptFault::Garbage
@@ -73,7 +76,13 @@
 
     /// Returns whether the fault counts as evidence against the backend server itself.
     pub fn counts_against_server(self) -> bool {
-        !matches!(self, AttemptFault::CallerGone | AttemptFault::Refused | AttemptFault::Withheld)
+        !matches!(
+            self,
+            AttemptFault::CallerGone
+                | AttemptFault::Refused
+                | AttemptFault::Withheld
+                | AttemptFault::LeaseExpired
+        )
     }
 
     /// Returns whether the connection closed while the request may have been running: the server's process may have
@@ -97,6 +106,7 @@
             AttemptFault::Foreign => "the backend server answered another request",
             AttemptFault::Refused => "the backend server refused the request without running it",
             AttemptFault::Withheld => "the backend server wants no requests now",
+            AttemptFault::LeaseExpired => "the slot for the request was held for too long",
             AttemptFault::CutBody => "the backend server's answer was cut short",
             AttemptFault::StalledBody => "the backend server stopped in the middle of its answer",
             AttemptFault::CallerGone => "the caller went away",
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -115,6 +115,11 @@
         self.last_fault = None;
     }
 
+    /// Records that the caller disconnected before the request was sent.
+    pub fn note_caller_left(&mut self) {
+        self.last_fault = Some(AttemptFault::CallerGone);
+    }
+
     /// Records that the deadline passed before another server was picked.
     pub fn note_deadline_passed(&mut self) {
         self.last_fault.get_or_insert(AttemptFault::HeadTimeout);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -11,6 +11,7 @@
     request::{AttemptHeaders, Request},
     response::{CALLER_WRITE_TIMEOUT, ResponseMetadata},
     server_call::{self, HeadWait, ServerResponse},
+    slot_leases::SlotOutcome,
     stall_timer::StallTimer,
     stream,
 };
@@ -21,6 +22,7 @@
         http1::Conn,
         response::{ResponseOptions, send_response},
     },
+    names::Tag,
     routing::{Incarnation, PickRequest, Picked, ResponseObservation, ResponseTimes, RouteKind},
     utils::sync::lock,
 };
@@ -62,6 +64,10 @@
     last_attempt: Option<LastAttempt>,
     /// When the request was last sent.
     sent_at: Option<Instant>,
+    /// Servers on which a slot was leased although this instance may not use them.
+    pub(super) unusable: Vec<Tag>,
+    /// Time that was spent waiting for slot brokers that did not respond.
+    pub(super) broker_silence: Duration,
 }
 
 impl<'a> Forwarding<'a> {
@@ -76,6 +82,8 @@
             denied: Vec::new(),
             last_attempt: None,
             sent_at: None,
+            unusable: Vec::new(),
+            broker_silence: Duration::ZERO,
         }
     }
 
@@ -115,22 +123,32 @@
                 self.attempts.note_deadline_passed();
                 return None;
             }
-            let pick_request = PickRequest {
-                service: &self.request.service,
-                affinity: self.request.affinity(),
-                spread: self.request.spread(),
-                tried: self.attempts.servers(),
-                denied: &self.denied,
-                homes: &self.request.homes,
-                admission: (!self.attempts.may_have_run()).then_some(self.request.priority),
+            let lease = match self.acquire_slot(now, caller) {
+                SlotOutcome::Alone => None,
+                SlotOutcome::Leased(lease) => Some(lease),
+                SlotOutcome::Rejected(retry_after) => {
+                    self.note_slot_rejected(retry_after);
+                    return None;
+                }
+                SlotOutcome::CallerLeft => {
+                    self.attempts.note_caller_left();
+                    return None;
+                }
             };
-            let (picked, in_flight) = match self.gateway.pick(now, &pick_request) {
+            let now = self.gateway.clock.now();
+            let pick_request = self.pick_request(lease.as_ref().map(|lease| lease.server));
+            let (picked, mut in_flight) = match self.gateway.pick(now, &pick_request) {
                 Ok(picked) => picked,
+                Err(_) if let Some(lease) = lease => {
+                    self.unusable.push(lease.server);
+                    continue;
+                }
                 Err(error) => {
                     self.note_pick_error(now, error, pick_request.draw());
                     return None;
                 }
             };
+            in_flight.lease = lease;
             if !self.gateway.may_send(&picked) {
                 self.denied.push(picked.server.id.clone());
                 continue;
@@ -140,12 +158,30 @@
             }
             match self.attempt(caller, &picked, in_flight, last_event_id) {
                 Ok(open) => return Some(open),
+                Err(AttemptFault::LeaseExpired) => {
+                    let fault = Some(AttemptFault::LeaseExpired);
+                    self.gateway.metrics.attempt(&self.request.service, fault);
+                }
                 Err(fault) => self.note_fault(&picked, fault),
             }
         }
         None
     }
 
+    /// Returns the parameters of the pick for the next attempt; `leased` is the server on which a slot was leased.
+    pub(super) fn pick_request(&self, leased: Option<Tag>) -> PickRequest<'_> {
+        PickRequest {
+            service: &self.request.service,
+            affinity: self.request.affinity(),
+            spread: self.request.spread(),
+            tried: self.attempts.servers(),
+            denied: &self.denied,
+            homes: &self.request.homes,
+            admission: (!self.attempts.may_have_run()).then_some(self.request.priority),
+            leased,
+        }
+    }
+
     /// Records that an attempt at a server failed.
     pub fn note_fault(&mut self, picked: &Picked, fault: AttemptFault) {
         let now = self.gateway.clock.now();
@@ -271,6 +307,10 @@
         if lock(&gateway.picker).forbids_requests(now, &server.id) {
             return Err(AttemptFault::Withheld);
         }
+        // This instance may have been suspended since the grant.
+        if in_flight.lease.as_ref().is_some_and(|lease| !lease.is_usable()) {
+            return Err(AttemptFault::LeaseExpired);
+        }
         let headers = AttemptHeaders {
             time_left: request.deadline.saturating_duration_since(now),
             server: &server.id.server,
@@ -291,10 +331,7 @@
             running_since: None,
             first_byte_after: None,
         });
-        // A disconnect of the caller ends only idempotent requests and streams: ending any other request would leave
-        // its outcome unknown.
-        let watched_caller =
-            if request.route.kind == RouteKind::AtMostOnce { None } else { caller };
+        let watched_caller = self.watched_caller(caller);
         let stall_after =
             lock(&gateway.picker).admission(&request.service).stall_timeout(picked.wait);
         let stall = StallTimer::new(gateway, &server.id, stall_after.map(|time| now + time));
@@ -320,6 +357,17 @@
         Ok(OpenResponse { response, picked: picked.clone(), in_flight, sent_at: now, head_at })
     }
 
+    /// Returns the caller whose disconnect ends the request. That ends only idempotent requests and streams: ending any
+    /// other request would leave its outcome unknown.
+    pub(super) fn watched_caller<'c>(&self, caller: Option<&'c Conn>) -> Option<&'c Conn> {
+        if self.request.route.kind == RouteKind::AtMostOnce { None } else { caller }
+    }
+
+    /// Returns whether a server may have run the request.
+    pub(super) fn may_have_run(&self) -> bool {
+        self.attempts.may_have_run()
+    }
+
     /// Applies the metadata of a response; fails if the response cannot be used.
     fn take_metadata(
         &self,
@@ -392,6 +440,7 @@
             denied: &self.denied,
             homes: &self.request.homes,
             admission: Some(self.request.priority),
+            leased: None,
         };
         let has_other = lock(&self.gateway.picker).pick(now, &pick_request).is_ok();
         has_other && self.gateway.has_retry(now, &self.request.service, FAILURE_RESERVE)
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -9,7 +9,7 @@
     listeners::{serve_callers, serve_metrics, serve_peers, serve_readiness},
     peers, roster_reader,
     settings::GatewaySettings,
-    startup,
+    slot_leases, startup,
 };
 use crate::{
     clock::Clock,
@@ -46,6 +46,7 @@
         spawn_thread(&gateway, "peers", peers::run)?;
         spawn_thread(&gateway, "table", instance_table::run)?;
         spawn_thread(&gateway, "held", held_table::run)?;
+        spawn_thread(&gateway, "slots", slot_leases::run)?;
         let callers = serve_callers(&gateway, &idle)?;
         log::warn!(
             "event=started node={} zone={} callers={} first_start={}",
@@ -89,6 +90,7 @@
     pub fn drain(&self) -> bool {
         let grace = self.gateway.settings.bounds.grace;
         self.gateway.drain.start(self.gateway.clock.now(), grace);
+        self.gateway.slot_leases.drain_started();
         log::warn!("event=draining under_way={}", self.gateway.drain.in_flight());
         let clean = self.gateway.drain.finish(&self.gateway.clock);
         log::warn!("event=stopped every_request_finished={clean}");
--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::{Gateway, server_call::ServerResponse};
+use super::{Gateway, server_call::ServerResponse, slot_leases::SlotLease};
 use crate::{
     contract::outcome::Outcome,
     routing::{Incarnation, Picked},
@@ -55,12 +55,14 @@
     pub head_at: Instant,
 }
 
-/// Counts a request as in flight at a server until dropped.
+/// Counts a request as in flight at a server until dropped, and then returns its slot.
 pub struct InFlightGuard<'g> {
     /// The instance.
     pub gateway: &'g Gateway,
     /// The server.
     pub server: Incarnation,
+    /// Lease of the slot that the request occupies there, if the service is small.
+    pub lease: Option<SlotLease<'g>>,
 }
 
 impl Drop for InFlightGuard<'_> {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -35,6 +35,7 @@
 pub mod server_list_cache;
 pub mod settings;
 pub mod skipped_log;
+pub mod slot_leases;
 pub mod stall_timer;
 pub mod startup;
 pub mod stream;
@@ -54,7 +55,7 @@
     cluster_state::ClusterState, cold_permits::ColdPermits, crash_suspects::CrashSuspects,
     drain::Drain, in_flight::InFlightGuard, peers::Peers, request::Request, rollouts::Rollouts,
     server_conns::ServerConns, server_list_cache::ServerListCache, settings::GatewaySettings,
-    skipped_log::SkippedLog,
+    skipped_log::SkippedLog, slot_leases::SlotLeases,
 };
 use crate::{
     adapter::store::{Store, StoreError},
@@ -95,6 +96,8 @@
     pub rollouts: Rollouts,
     /// Permits for requests to cold servers.
     cold_permits: ColdPermits,
+    /// Slot leases of small services.
+    pub slot_leases: SlotLeases,
     /// Drain before the process stops.
     pub drain: Drain,
     /// Set when this instance becomes the aggregator, which reads the store for the others.
@@ -132,6 +135,7 @@
             crash_suspects: CrashSuspects::default(),
             rollouts: Rollouts::default(),
             cold_permits: ColdPermits::default(),
+            slot_leases: SlotLeases::new(&settings, clock, &metrics.traffic()),
             drain: Drain::open().context("cannot create a pipe")?,
             store_read_requested: Signal::default(),
             usage: Usage::default(),
@@ -154,6 +158,7 @@
         self.conns.set_instances(self.instances());
         lock(&self.picker).set_position(self.peers.position());
         lock(&self.store_share).set_instances(self.instances());
+        self.slots_changed();
     }
 
     /// Counts a request of a caller for the retry budget and for the load statistics of its service.
@@ -182,7 +187,7 @@
         let picked = picker.pick(now, wanted)?;
         let server = picked.server.id.clone();
         picker.start_request(now, &server);
-        Ok((picked, InFlightGuard { gateway: self, server }))
+        Ok((picked, InFlightGuard { gateway: self, server, lease: None }))
     }
 
     /// Returns whether the budget of `service` has a retry left beyond `reserve`.
@@ -241,6 +246,7 @@
             roster.servers().map(|server| server.id.clone()).collect()
         });
         self.conns.retain(|server| listed.contains(server));
+        self.slots_changed();
     }
 
     /// Applies a snapshot of operators' orders that was read or received.
@@ -258,6 +264,9 @@
             let previous = lock(&self.picker).set_evacuated(orders.zones.clone());
             (orders.zones, previous, self.rollouts.set_orders(self, &orders.rollouts))
         });
+        if zones != previous {
+            self.slots_changed();
+        }
         for zone in zones.difference(&previous) {
             log::warn!("event=zone_evacuated zone={zone}");
         }
@@ -326,6 +335,7 @@
         }
         self.metrics.cold_servers(lock(&self.picker).cold_count(now));
         self.metrics.held_requests(self.crash_suspects.held_count());
+        self.update_lease_gauges();
         self.metrics.log_lines_left_out(log_sink::take_dropped());
     }
 
--- a/src/gateway/peer_server.rs
+++ b/src/gateway/peer_server.rs
@@ -20,7 +20,7 @@
     link::{
         http1::Conn,
         listener::ConnOutcome,
-        peer::{self, PeerService},
+        peer::{self, PeerService, STREAM_PATH},
         traffic::Purpose,
     },
     names::Tag,
@@ -223,10 +223,11 @@
                 _ => Err(404),
             }
         },
-        handle_stream: |_, _| {},
+        handle_stream: |sender, receiver| gateway.serve_slot_stream(sender, receiver),
         purpose: |path| match path {
             OFFER_PATH | ROLLOUT_PATH => Purpose::Config,
             PERMIT_PATH => Purpose::Permits,
+            STREAM_PATH => Purpose::Slots,
             _ => Purpose::Loads,
         },
     };
--- a/src/gateway/pick_error.rs
+++ b/src/gateway/pick_error.rs
@@ -39,6 +39,12 @@
         );
     }
 
+    /// Refuses a request that the slot broker has rejected; its caller is served if it returns after `retry_after`.
+    pub(super) fn note_slot_rejected(&mut self, retry_after: Duration) {
+        self.refusal = Some(Refusal::overload(retry_after));
+        self.gateway.metrics.refusal(&self.request.service, "slots");
+    }
+
     /// Refuses a request because all servers back off; the first of them accepts requests after `left`.
     fn note_backoff(&mut self, left: Duration, draw: f64) {
         let retry_after = left.mul_f64(1.0 + BACKOFF_JITTER * draw);
--- /dev/null
+++ b/src/gateway/slot_leases/mod.rs
@@ -0,0 +1,118 @@
+//! Slot leases of small services: an instance requests a lease from the broker of the service before it sends a
+//! request, and is the broker of some services itself.
+//!
+//! `client` has the leases of this instance and the streams to brokers, `server` the brokers that this instance runs,
+//! and `request` the way of one request through them. `routing::admission` has the decisions.
+
+mod client;
+mod link;
+pub mod messages;
+mod request;
+mod server;
+mod waiter;
+
+use std::{sync::Arc, time::Duration};
+
+use arc_swap::ArcSwap;
+
+use self::{client::LeaseClient, server::LeaseServer};
+pub(super) use self::{request::SlotOutcome, server::run};
+use super::{Gateway, request::Request, settings::GatewaySettings};
+use crate::{
+    clock::Clock,
+    link::traffic::TrafficCounter,
+    names::{NodeName, Tag},
+    routing::{LeaseId, SmallServices},
+    utils::sync::lock,
+};
+
+/// The slot leases of an instance, and its brokers.
+pub struct SlotLeases {
+    client: Arc<LeaseClient>,
+    server: LeaseServer,
+    small: ArcSwap<SmallServices>,
+}
+
+impl SlotLeases {
+    /// Returns the state of an instance without leases.
+    pub fn new(settings: &GatewaySettings, clock: &Clock, traffic: &TrafficCounter) -> SlotLeases {
+        SlotLeases {
+            client: Arc::new(LeaseClient::new(settings.node.clone(), clock, traffic)),
+            server: LeaseServer::default(),
+            small: ArcSwap::default(),
+        }
+    }
+
+    /// Has this instance's brokers apply a drain at once.
+    pub(super) fn drain_started(&self) {
+        self.server.refresh();
+    }
+}
+
+/// A lease of a slot for one request; dropping it returns the slot to the broker.
+pub struct SlotLease<'g> {
+    gateway: &'g Gateway,
+    id: LeaseId,
+    /// Server on which the slot is.
+    pub server: Tag,
+}
+
+impl SlotLease<'_> {
+    /// Returns whether the request may be sent now: the lease has neither expired nor been unused for too long.
+    pub fn is_usable(&self) -> bool {
+        let now = self.gateway.clock.now();
+        self.gateway.slot_leases.client.is_usable(now, self.id)
+    }
+}
+
+impl Drop for SlotLease<'_> {
+    fn drop(&mut self) {
+        self.gateway.release_slot(self.id);
+    }
+}
+
+impl Gateway {
+    /// Decides anew which services are small, after the servers, the evacuated zones or the instances have changed.
+    pub(super) fn slots_changed(&self) {
+        let services = lock(&self.picker).service_slots();
+        let known = self.slot_leases.small.load();
+        let updated = known.updated(self.peers.instances(), &services);
+        if **known != updated {
+            for service in updated.beyond(&known) {
+                log::info!("event=slots_leased service={service} leased=true");
+            }
+            for service in known.beyond(&updated) {
+                log::info!("event=slots_leased service={service} leased=false");
+            }
+            self.slot_leases.small.store(Arc::new(updated));
+        }
+        self.slot_leases.server.refresh();
+    }
+
+    /// Returns whether a request needs a lease of a slot before it is sent.
+    pub(super) fn needs_lease(&self, request: &Request) -> bool {
+        self.slot_leases.small.load().needs_lease(&request.service, request.route.affinity)
+    }
+
+    /// Ends a lease, or the wait for one, and tells the brokers that know of it.
+    fn release_slot(&self, id: LeaseId) {
+        for broker in self.slot_leases.client.forget(id) {
+            if self.is_own_node(&broker) {
+                self.handle_own_release(id);
+            } else {
+                self.slot_leases.client.send_release(&broker, id);
+            }
+        }
+    }
+
+    fn is_own_node(&self, node: &NodeName) -> bool {
+        self.settings.node == *node
+    }
+
+    /// Updates the metrics of slot leases that are gauges.
+    pub(super) fn update_lease_gauges(&self) {
+        let (waiting, held, oldest) = self.slot_leases.client.counts(self.clock.now());
+        let oldest = if held == 0 { Duration::ZERO } else { oldest };
+        self.metrics.slot_leases(waiting, held, oldest);
+    }
+}
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -105,7 +105,8 @@
                 forwarding.note_success(picked, *sent_at, *head_at);
                 forwarding
                     .note_version(picked, interval.observation(forwarding.gateway.clock.now()));
-                let OpenResponse { response, picked, .. } = source.open;
+                let OpenResponse { response, picked, in_flight, .. } = source.open;
+                drop(in_flight);
                 forwarding.keep_connection(&picked.server.id, response);
                 let sent = writer.finish().is_ok();
                 return completed(sent && keep_alive, "answered");
--- a/src/link/http1/body.rs
+++ b/src/link/http1/body.rs
@@ -112,10 +112,24 @@
         max: usize,
         deadline: Instant,
         keep_waiting: &mut dyn FnMut() -> bool,
+    ) -> Result<Option<Vec<u8>>, ReadError> {
+        self.next_chunk_with(conn, max, |conn| conn.fill(deadline, keep_waiting))
+    }
+
+    /// Returns the next complete chunk as [`BodyReader::next_chunk`] does; `fill` reads more bytes into the buffer.
+    ///
+    /// # Errors
+    ///
+    /// Those of `fill`, and as [`BodyReader::next_chunk`].
+    pub fn next_chunk_with(
+        &mut self,
+        conn: &mut Conn,
+        max: usize,
+        mut fill: impl FnMut(&mut Conn) -> Result<(), ReadError>,
     ) -> Result<Option<Vec<u8>>, ReadError> {
         let mut chunk = Vec::new();
         loop {
-            let Some(piece) = self.next(conn, deadline, keep_waiting)? else { return Ok(None) };
+            let Some(piece) = self.next_with(conn, &mut fill)? else { return Ok(None) };
             if chunk.is_empty() {
                 chunk = piece
             } else {
--- a/src/link/peer.rs
+++ b/src/link/peer.rs
@@ -21,7 +21,10 @@
     link::{
         call::{CallTimeouts, MESSAGE_TIMEOUT},
         conn_pool::{Call, ConnPool, PoolError},
-        http1::{BodyFraming, BodyReader, ChunkWriter, Conn, HeadError, RequestHead, ResponseHead},
+        http1::{
+            BodyFraming, BodyReader, ChunkWriter, Conn, HeadError, ReadError, RequestHead,
+            ResponseHead,
+        },
         listener::ConnOutcome,
         traffic::{Purpose, TrafficCounter},
     },
@@ -32,7 +35,7 @@
 };
 
 /// Path of a stream's request.
-const STREAM_PATH: &str = "/p";
+pub const STREAM_PATH: &str = "/p";
 
 /// Head of the response to a stream's request.
 const STREAM_RESPONSE_HEAD: &[u8] = b"HTTP/1.1 200 \r\ntransfer-encoding:chunked\r\n\r\n";
@@ -237,19 +240,37 @@
         keep_waiting: &mut dyn FnMut() -> bool,
     ) -> Option<T> {
         let deadline = self.conn.clock().now() + IDLE_TIMEOUT;
+        self.next_with(|conn| conn.fill(deadline, keep_waiting))
+    }
+
+    /// Waits for the next message; returns `None` when the stream has ended, which [`StreamSender::shutdown`] brings
+    /// about, or has been idle for [`IDLE_TIMEOUT`].
+    ///
+    /// Unlike [`StreamReceiver::next`], it does not wake up every 50 ms, which matters where hundreds of streams wait.
+    pub fn next_until_end<T: DeserializeOwned>(&mut self) -> Option<T> {
+        let deadline = self.conn.clock().now() + IDLE_TIMEOUT;
+        self.next_with(|conn| conn.fill_until(deadline, None))
+    }
+
+    fn next_with<T: DeserializeOwned>(
+        &mut self,
+        mut fill: impl FnMut(&mut Conn) -> Result<(), ReadError>,
+    ) -> Option<T> {
         if self.reader.is_none() {
-            let head = ResponseHead::read(&mut self.conn, HEAD_MAX, deadline, keep_waiting).ok()?;
+            let head = loop {
+                if let Some(head) = ResponseHead::take_buffered(&mut self.conn, HEAD_MAX).ok()? {
+                    break head;
+                }
+                fill(&mut self.conn).ok()?;
+            };
             if head.status != http::StatusCode::OK {
                 return None;
             }
             self.traffic.count_received(self.purpose, STREAM_RESPONSE_HEAD.len());
             self.reader = Some(BodyReader::new(head.framing(&http::Method::POST).ok()?));
         }
-        let chunk = self
-            .reader
-            .as_mut()?
-            .next_chunk(&mut self.conn, MESSAGE_MAX, deadline, keep_waiting)
-            .ok()??;
+        let reader = self.reader.as_mut()?;
+        let chunk = reader.next_chunk_with(&mut self.conn, MESSAGE_MAX, fill).ok()??;
         self.traffic.count_received(self.purpose, ChunkWriter::default().frame(&chunk).len());
         decode(&chunk).ok()
     }
--- a/src/link/traffic.rs
+++ b/src/link/traffic.rs
@@ -21,11 +21,13 @@
     Probe,
     /// Operators' requests, forwarded to other instances.
     Operators,
+    /// Slot leases of small services.
+    Slots,
 }
 
 impl Purpose {
     /// All purposes.
-    pub const ALL: [Purpose; 8] = [
+    pub const ALL: [Purpose; 9] = [
         Purpose::Permits,
         Purpose::Heartbeat,
         Purpose::Loads,
@@ -34,6 +36,7 @@
         Purpose::Platform,
         Purpose::Probe,
         Purpose::Operators,
+        Purpose::Slots,
     ];
 
     /// Returns the purpose's name in metrics.
@@ -47,6 +50,7 @@
             Purpose::Platform => "platform",
             Purpose::Probe => "probe",
             Purpose::Operators => "operators",
+            Purpose::Slots => "slots",
         }
     }
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -51,6 +51,11 @@
     evacuated_zones: Gauge<u64>,
     store_era: Gauge<u64>,
     rollout_share: Gauge<f64>,
+    slot_leases: Counter<u64>,
+    slot_time: Histogram<f64>,
+    slots_awaited: Gauge<u64>,
+    slots_held: Gauge<u64>,
+    oldest_slot: Gauge<f64>,
 }
 
 /// The metrics of an instance; clones share them.
@@ -182,6 +187,21 @@
                     "Share of a service's requests that goes to a version which is rolled out",
                 )
                 .build(),
+            slot_leases: counter(
+                "cartvane_slot_leases",
+                "Requests for a slot of a small service, by service and result",
+            ),
+            slot_time: latency("cartvane_slot", "From a request for a slot to the decision"),
+            slots_awaited: gauge(
+                "cartvane_slots_awaited",
+                "Requests of this instance that wait for a slot's broker",
+            ),
+            slots_held: gauge("cartvane_slots_held", "Slots leased to this instance"),
+            oldest_slot: meter
+                .f64_gauge("cartvane_slot_oldest")
+                .with_unit("s")
+                .with_description("Age of the oldest lease of this instance")
+                .build(),
             log_lines_left_out: counter(
                 "cartvane_log_lines_left_out",
                 "Log lines left out since there were too many",
@@ -236,6 +256,7 @@
             AttemptFault::Foreign => "foreign",
             AttemptFault::Refused => "refused",
             AttemptFault::Withheld => "withheld",
+            AttemptFault::LeaseExpired => "lease-expired",
             AttemptFault::CutBody => "cut-body",
             AttemptFault::StalledBody => "stalled-body",
             AttemptFault::CallerGone => "caller-gone",
@@ -356,6 +377,19 @@
         self.instruments.refusals.add(1, &[label("service", service), label("reason", reason)]);
     }
 
+    /// Counts a request for a slot lease and records the time that it added to its request.
+    pub fn slot_lease(&self, service: &impl fmt::Display, result: &'static str, took: Duration) {
+        self.instruments.slot_leases.add(1, &[label("service", service), label("result", result)]);
+        self.instruments.slot_time.record(took.as_secs_f64(), &[label("service", service)]);
+    }
+
+    /// Sets the numbers of requests that wait for a slot and of leases held, and the age of the oldest lease.
+    pub fn slot_leases(&self, waiting: usize, held: usize, oldest: Duration) {
+        self.instruments.slots_awaited.record(waiting as u64, &[]);
+        self.instruments.slots_held.record(held as u64, &[]);
+        self.instruments.oldest_slot.record(oldest.as_secs_f64(), &[]);
+    }
+
     /// Counts a response in which a backend server announced that it leaves or asked for a backoff.
     pub fn server_notice(&self, service: &impl fmt::Display, notice: &'static str) {
         self.instruments
--- /dev/null
+++ b/src/routing/admission/lease_times.rs
@@ -0,0 +1,57 @@
+//! How long an instance may use a slot lease.
+//!
+//! An instance that was suspended, or whose messages were delayed, must not use a slot that the broker may have leased
+//! to another request meanwhile.
+
+use std::time::{Duration, Instant};
+
+/// Time after the grant within which the request must be sent: many round trips and scheduling delays. Afterwards a
+/// broker that was told nothing may count the holder as lost.
+const UNUSED_MAX: Duration = Duration::from_millis(500);
+
+/// Times of a granted lease, by the clock of the instance that holds it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaseTimes {
+    /// Earliest time at which the broker can have granted the lease.
+    granted_at: Instant,
+    expires_at: Instant,
+}
+
+impl LeaseTimes {
+    /// Returns the times of a lease that was requested at `sent_at` for `time_left` and that the broker granted `waited`
+    /// after it had received the request. The time for which the grant was under way or unread counts as its age.
+    pub fn new(sent_at: Instant, waited: Duration, time_left: Duration) -> LeaseTimes {
+        LeaseTimes { granted_at: sent_at + waited, expires_at: sent_at + time_left }
+    }
+
+    /// Returns whether the request may be sent now.
+    pub fn is_usable(&self, now: Instant) -> bool {
+        now < self.expires_at && self.age(now) <= UNUSED_MAX
+    }
+
+    /// Returns the time since the grant.
+    pub fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.granted_at)
+    }
+
+    /// Returns the time until the lease expires.
+    pub fn time_left(&self, now: Instant) -> Duration {
+        self.expires_at.saturating_duration_since(now)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    // Guards against a request that is sent after a suspension, when its slot has been leased to another one.
+    #[test]
+    fn a_lease_is_usable_until_it_expires_and_for_half_a_second_after_its_grant() {
+        let millis = Duration::from_millis;
+        let sent_at = Instant::now();
+        let short = LeaseTimes::new(sent_at, millis(0), millis(200));
+        assert!(short.is_usable(sent_at + millis(199)) && !short.is_usable(sent_at + millis(200)));
+        let long = LeaseTimes::new(sent_at, millis(300), millis(5000));
+        assert!(long.is_usable(sent_at + millis(800)) && !long.is_usable(sent_at + millis(801)));
+    }
+}
--- a/src/routing/admission/mod.rs
+++ b/src/routing/admission/mod.rs
@@ -2,14 +2,23 @@
 //!
 //! `control` admits a share of the requests beyond capacity, from this instance's counts and those of the last
 //! exchange. `max_min` divides capacity among teams. `slot_broker` hands out the slots of a service that has fewer slots
-//! than the fleet has instances.
+//! than the fleet has instances; `small_services` decides which services those are, and `broker_choice` which instance
+//! is the broker. `broker_silence` and `lease_times` tell an instance when to give up a broker or a lease.
 
+mod broker_choice;
+mod broker_silence;
 mod control;
+mod lease_times;
 mod max_min;
 mod slot_broker;
 mod slot_request;
+mod small_services;
 
+pub use broker_choice::BrokerChoice;
+pub use broker_silence::{BrokerSilence, RESPONSE_TIMEOUT};
 pub use control::{AdmissionControl, FleetTotal, ResponseTimes};
+pub use lease_times::LeaseTimes;
 pub use max_min::fair_level;
 pub use slot_broker::SlotBroker;
 pub use slot_request::{BrokerAction, LeaseId, ServerSlots, SlotRequest};
+pub use small_services::{ServiceSlots, SmallServices};
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -36,7 +36,9 @@
 pub mod unlisted;
 
 pub use admission::{
-    AdmissionControl, BrokerAction, LeaseId, ResponseTimes, ServerSlots, SlotBroker, SlotRequest,
+    AdmissionControl, BrokerAction, BrokerChoice, BrokerSilence, LeaseId, LeaseTimes,
+    RESPONSE_TIMEOUT, ResponseTimes, ServerSlots, ServiceSlots, SlotBroker, SlotRequest,
+    SmallServices,
 };
 pub use aggregate::{Aggregate, InFlightCount, ServiceLoad};
 pub use budget::RetryBudget;
--- a/src/routing/pick.rs
+++ b/src/routing/pick.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use super::{BackendServer, HomeRegions, Incarnation};
-use crate::names::ServiceName;
+use crate::names::{ServiceName, Tag};
 
 /// Parameters of one pick of a server.
 #[derive(Debug)]
@@ -22,6 +22,9 @@
     pub denied: &'a [Incarnation],
     /// Priority of a request that may be rejected beyond capacity; `None` for one that has been sent already.
     pub admission: Option<u8>,
+    /// Server on which a broker has leased a slot to the request: no other one is picked, and the request is not rejected
+    /// because of overload.
+    pub leased: Option<Tag>,
 }
 
 impl<'a> PickRequest<'a> {
@@ -35,6 +38,7 @@
             denied: &[],
             homes: &HomeRegions::Anywhere,
             admission: None,
+            leased: None,
         }
     }
 
--- a/src/routing/picker/mod.rs
+++ b/src/routing/picker/mod.rs
@@ -5,6 +5,7 @@
 //! availability zone.
 
 mod affinity;
+mod leased;
 mod least_loaded;
 mod notices;
 mod service_servers;
@@ -188,14 +189,15 @@
     ///
     /// No server of the service may be used, or the request is rejected because of overload.
     pub fn pick(&self, now: Instant, request: &PickRequest<'_>) -> Result<Picked, PickError> {
-        let usable = self.usable(now, request);
-        if usable.is_empty()
+        let pool = self.pool(now, request);
+        if pool.is_empty()
             && let Some(left) = self.backoff_left(now, request)
         {
             return Err(PickError::Backoff { left });
         }
-        let healthy = self.healthy(now, &usable);
-        let pool = if healthy.is_empty() { usable } else { healthy };
+        if let Some(server) = request.leased {
+            return self.by_lease(now, server, &pool).ok_or(PickError::NoServer);
+        }
         let fallback_load = mean_reported_load(&pool);
         let picked = match request.affinity {
             Some(key) => self.by_affinity(now, key, request, &pool, fallback_load),
@@ -219,6 +221,13 @@
         Ok(picked)
     }
 
+    /// Returns the servers that a request may use: the healthy ones, or all if none is healthy.
+    fn pool(&self, now: Instant, request: &PickRequest<'_>) -> Vec<&Tracked> {
+        let usable = self.usable(now, request);
+        let healthy = self.healthy(now, &usable);
+        if healthy.is_empty() { usable } else { healthy }
+    }
+
     /// Returns the servers that a request may use. If it should use a new version and no server of that may be used,
     /// returns servers of the other versions.
     fn usable(&self, now: Instant, request: &PickRequest<'_>) -> Vec<&Tracked> {
