--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -156,7 +156,7 @@
 
     /// Returns whether the list of instances counts as complete: they have been discovered, or the time for that is
     /// over. Until then, an instance without known peers need not be the only one.
-    pub(super) fn has_joined(&self, now: Instant) -> bool {
+    pub fn has_joined(&self, now: Instant) -> bool {
         let waited = now.saturating_duration_since(self.started_at) >= JOIN_TIMEOUT;
         waited || self.joined.load(Ordering::Relaxed)
     }
--- a/src/gateway/slot_leases/mod.rs
+++ b/src/gateway/slot_leases/mod.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// Returns the services whose slots are leased.
+    pub fn small_services(&self) -> Arc<SmallServices> {
+        self.small.load_full()
+    }
+
     /// Has this instance's brokers apply a drain at once.
     pub(super) fn drain_started(&self) {
         self.server.refresh();
--- a/src/gateway/slot_leases/request.rs
+++ b/src/gateway/slot_leases/request.rs
@@ -29,6 +29,14 @@
 /// Interval at which a waiting request checks whether its caller and the broker are still there.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time by which a wait is exceeded if this instance was short of processor time: a small share of a core comes in parts,
+/// with pauses of up to 90 ms between them.
+const STALL_MIN: Duration = Duration::from_millis(10);
+
+/// Time for the thread that reads the broker's stream to catch up after that. Without it, a broker whose reply has
+/// arrived unread would be given up.
+const CATCH_UP_TIME: Duration = Duration::from_millis(10);
+
 /// The result of a request for a lease.
 pub(in crate::gateway) enum SlotOutcome<'g> {
     /// The request needs no lease, or no broker responds: the instance decides alone.
@@ -88,13 +96,10 @@
         now: Instant,
         caller: Option<&Conn>,
     ) -> SlotOutcome<'a> {
-        let silence_left = RESPONSE_TIMEOUT.saturating_sub(self.broker_silence);
-        if !self.gateway.needs_lease(self.request)
-            || self.unusable.len() >= UNUSABLE_LEASES_MAX
-            || silence_left.is_zero()
-        {
+        if !self.gateway.needs_lease(self.request) || self.unusable.len() >= UNUSABLE_LEASES_MAX {
             return SlotOutcome::Alone;
         }
+        let silence_left = RESPONSE_TIMEOUT.saturating_sub(self.broker_silence);
         let excluded = lock(&self.gateway.picker).excluded(now, &self.pick_request(None));
         // Without a usable server, the pick finds out why.
         let Some(mut excluded) = excluded else { return SlotOutcome::Alone };
@@ -130,14 +135,18 @@
         for _ in 0..BROKERS_TRIED_MAX {
             let now = self.clock.now();
             // Until the instances know each other, several could be taken for the broker.
-            if !self.peers.has_joined(now) || query.silence_left.is_zero() {
+            if !self.peers.has_joined(now) {
                 return SlotOutcome::Alone;
             }
             let service = &query.request.service;
             let candidates = lock(&self.peers.candidates);
             let broker = self.slot_leases.client.broker_of(now, service, &candidates);
             drop(candidates);
-            let Some(broker) = broker else { return SlotOutcome::Alone };
+            // This instance's own broker replies at once, also if no time is left for silent ones.
+            let may_ask = |broker: &InstanceInfo| {
+                !query.silence_left.is_zero() || self.is_own_node(&broker.node)
+            };
+            let Some(broker) = broker.filter(may_ask) else { return SlotOutcome::Alone };
             if let BrokerReply::Final(outcome) = self.ask_broker(now, &broker, query) {
                 return outcome;
             }
@@ -236,7 +245,11 @@
             if query.caller.is_some_and(has_left) {
                 return WaitEnd::CallerLeft;
             }
-            waiter.wait(&state, until.saturating_duration_since(now).min(POLL_INTERVAL));
+            let wait = until.saturating_duration_since(now).min(POLL_INTERVAL);
+            waiter.wait(&state, wait);
+            if self.clock.now() >= now + wait + STALL_MIN {
+                waiter.wait(&state, CATCH_UP_TIME);
+            }
         };
         let silent_until = first_reply_at.unwrap_or_else(|| self.clock.now());
         let silence = silent_until.saturating_duration_since(sent_at);
--- a/src/routing/admission/broker_choice.rs
+++ b/src/routing/admission/broker_choice.rs
@@ -62,3 +62,53 @@
         self.unresponsive.insert(node.clone(), now + UNRESPONSIVE_DURATION);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn instances(cores: &[f32]) -> Candidates {
+        let info = |(i, &cores): (usize, &f32)| InstanceInfo {
+            node: format!("i{i}").parse().expect("a name"),
+            address: ([10, 0, 0, 1], 8000 + i as u16).into(),
+            zone: "north".parse().expect("a zone"),
+            cores,
+        };
+        let mut all = cores.iter().enumerate().map(info);
+        let mut instances = Candidates::new(all.next().expect("an instance"));
+        instances.set(all);
+        instances
+    }
+
+    // Guards against a broker on a weak instance, and against one broker for all services.
+    #[test]
+    fn the_strongest_instances_share_the_services() {
+        let (choice, now) = (BrokerChoice::default(), Instant::now());
+        let instances = instances(&[0.1, 0.5, 0.1, 0.5, 0.2]);
+        let broker_of = |service: usize| {
+            let service = format!("service-{service}").parse().expect("a name");
+            choice.broker_of(now, &service, &instances).map(|i| i.node.as_str().to_owned())
+        };
+        let brokers: Vec<String> = (0..40).filter_map(broker_of).collect();
+        let count = |node: &str| brokers.iter().filter(|broker| *broker == node).count();
+        assert!(count("i1") >= 10 && count("i3") >= 10 && count("i1") + count("i3") == 40);
+    }
+
+    // Guards against a third broker, which could grant the slots a third time.
+    #[test]
+    fn an_unresponsive_broker_is_skipped_for_2_s_and_the_third_in_rank_is_none() {
+        let (mut choice, now) = (BrokerChoice::default(), Instant::now());
+        let instances = instances(&[0.3, 0.2, 0.1]);
+        let service = "app".parse().expect("a name");
+        let node = |choice: &BrokerChoice, at| {
+            choice.broker_of(at, &service, &instances).map(|i| i.node.clone())
+        };
+        for name in ["i0", "i1"] {
+            let broker = node(&choice, now).expect("a broker");
+            assert_eq!(broker.as_str(), name);
+            choice.note_unresponsive(now, &broker);
+        }
+        assert_eq!(node(&choice, now), None);
+        assert!(node(&choice, now + UNRESPONSIVE_DURATION).is_some_and(|n| n.as_str() == "i0"));
+    }
+}
--- a/src/routing/picker/leased.rs
+++ b/src/routing/picker/leased.rs
@@ -18,25 +18,30 @@
     /// servers that a pick does not consider all of them.
     pub fn service_slots(&self) -> IndexMap<ServiceName, Option<ServiceSlots>> {
         let slots = |service: &ServiceName| {
-            let servers = self.slots_to_lease(service)?;
-            let largest = servers.iter().map(|s| s.slots).max()?;
-            Some(ServiceSlots { total: servers.iter().map(|s| s.slots).sum(), largest })
+            let mut servers = self.leasable(service)?.map(|t| t.server.slots);
+            servers.try_fold(ServiceSlots { total: 0, largest: 0 }, |sum, slots| {
+                let slots = slots?;
+                Some(ServiceSlots { total: sum.total + slots, largest: sum.largest.max(slots) })
+            })
         };
         self.by_service.keys().map(|service| (service.clone(), slots(service))).collect()
     }
 
+    /// Returns the servers of a service that neither leave nor are in an evacuated zone; `None` if the service has too
+    /// many.
+    fn leasable(&self, service: &ServiceName) -> Option<impl Iterator<Item = &Tracked>> {
+        let available = self.servers_of(service).filter(|t| self.is_available(t));
+        self.is_small(service).then_some(available)
+    }
+
     /// Returns the servers of a service whose slots may be leased: those that neither leave nor are in an evacuated
     /// zone. `None` if some servers do not state their slots, or if the service has too many servers.
     pub fn slots_to_lease(&self, service: &ServiceName) -> Option<Vec<ServerSlots>> {
-        if !self.is_small(service) {
-            return None;
-        }
-        let available = self.servers_of(service).filter(|t| self.is_available(t));
         let slots = |t: &Tracked| {
             let (server, zone) = (t.server.tag(), t.server.zone.clone());
             Some(ServerSlots { server, slots: t.server.slots?, zone })
         };
-        available.map(slots).collect()
+        self.leasable(service)?.map(slots).collect()
     }
 
     /// Returns the servers of the service that a request must not use now; `None` if it can use none.
