--- a/src/gateway/slot_leases/server.rs
+++ b/src/gateway/slot_leases/server.rs
@@ -15,7 +15,7 @@
 use crate::{
     gateway::Gateway,
     link::peer::{StreamReceiver, StreamSender},
-    names::ServiceName,
+    names::{NodeName, ServiceName},
     routing::{BrokerAction, LeaseId, ServerSlots, SlotBroker},
     utils::{signal::Signal, sync::lock},
 };
@@ -115,13 +115,17 @@
         }
     }
 
-    /// Sets the list of servers of a service.
+    /// Sets the list of servers of a service. A service without servers, for example one that only other instances know
+    /// of, gets no broker.
     fn set_servers(
         &mut self,
         now: Instant,
         service: &ServiceName,
         servers: Vec<ServerSlots>,
     ) -> Outgoing {
+        if servers.is_empty() && !self.services.contains_key(service) {
+            return Outgoing::new();
+        }
         let entry = self.services.entry(service.clone()).or_insert_with(|| ServiceBroker {
             broker: SlotBroker::default(),
             servers: Vec::new(),
@@ -248,7 +252,8 @@
         let mut outgoing = state.set_servers(now, &acquire.service, servers);
         held.into_iter().for_each(|lease| state.adopt(now, &reply_path, lease));
         outgoing.extend(state.request(now, reply_path, acquire));
-        let wakes_too_late = state.next_tick() < state.wakes_at && state.next_tick().is_some();
+        let (next, wakes_at) = (state.next_tick(), state.wakes_at);
+        let wakes_too_late = next.is_some() && next < wakes_at;
         drop(state);
         if wakes_too_late {
             server.wake.set();
@@ -317,14 +322,13 @@
         }
         sender.shutdown();
         drop(receiver);
-        self.end_session(session);
         if let Some(node) = node {
-            log::debug!("the slot stream of {node} has ended");
+            self.end_session(session, &node);
         }
     }
 
     /// Releases what an instance waited for and, after a grace period, what it held.
-    fn end_session(&self, session: SessionId) {
+    fn end_session(&self, session: SessionId, node: &NodeName) {
         let server = &self.slot_leases.server;
         let is_waiting = |e: &Entry| e.is_waiting && e.reply_path.is_session(session);
         let (_, outgoing) = lock(&server.state).release_where(self.clock.now(), is_waiting);
@@ -335,7 +339,7 @@
         let (lost, outgoing) = lock(&server.state).release_where(self.clock.now(), is_held);
         self.deliver(outgoing);
         if lost > 0 {
-            log::info!("event=lease_holder_lost leases={lost}");
+            log::info!("event=lease_holder_lost peer={node} leases={lost}");
         }
     }
 
