--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -48,6 +48,7 @@
 mod slot_broker;
 mod slot_broker_load;
 mod slot_broker_rules;
+mod slot_leases;
 mod starts;
 mod state_machines;
 mod store;
