feat(report): requests by service and team

`cartvane report` has a table by service and team: requests in time, late, refused, failed and left, for the 20 largest teams of each of the 20 largest services, the others of a service as one row, and the lowest and the mean share in time of the teams with 20 requests or more. JSON has `teams` and `team_shares`. At most 10,000 teams and 1,000 services are told apart.

The `request` line states `stream=`, since the report could not tell a stream, which is in time by its first bytes, from a response, which is in time as a whole. Lines without it count as before. The table by route follows the same rule.

Tested by tests/suite/report.rs, with a line as the logger writes it.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -318,7 +318,7 @@
     });
     log::info!(
         "event=request request={} route={} service={} team={} status={} outcome={} reason={:?} \
-         took_ms={} target_ms={} version={} version_age_ms={} servers_age_ms={}{attempt}",
+         took_ms={} target_ms={} stream={} version={} version_age_ms={} servers_age_ms={}{attempt}",
         request.metadata.id,
         request.route.name,
         request.service,
@@ -328,6 +328,7 @@
         completion.reason,
         now.saturating_duration_since(request.received_at).as_millis(),
         request.route.target_latency.as_millis(),
+        u8::from(request.route.kind.is_stream()),
         request.version,
         millis(gateway.cluster_state.intent_age(now)),
         millis(gateway.cluster_state.servers_age(now)),
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -54,7 +54,7 @@
 
 /// Keys whose values are numbers, in addition to those that end in `_ms`. Values of other keys stay strings, since ids
 /// may look like numbers.
-const NUMERIC_KEYS: [&str; 11] = [
+const NUMERIC_KEYS: [&str; 12] = [
     "status",
     "version",
     "rank",
@@ -66,6 +66,7 @@
     "count",
     "priority",
     "admitted",
+    "stream",
 ];
 
 /// Returns a line of `key=value` words as a JSON object. A quoted value may contain spaces. Words that are no pair are
--- a/src/report/line.rs
+++ b/src/report/line.rs
@@ -16,6 +16,12 @@
     pub request: Option<String>,
     /// Route of the request.
     pub route: Option<String>,
+    /// Whether the route's responses are streams: 1 or 0.
+    pub stream: Option<u8>,
+    /// Service of the request.
+    pub service: Option<String>,
+    /// Team of the caller; empty on routes that are open to anyone.
+    pub team: Option<String>,
     /// Id of the backend server.
     pub server: Option<String>,
     /// Status of the response to the caller; 0 if the caller disconnected before it.
@@ -95,10 +101,12 @@
         })
     }
 
-    /// Returns whether a successful response was in time. Lines without the time of the first bytes count by their
-    /// whole duration, and lines without a target as in time.
+    /// Returns whether a successful response was in time: its first bytes where the line says that it is a stream, or
+    /// nothing of that, else the whole response. Lines without the time of the first bytes count by their whole
+    /// duration, and lines without a target as in time.
     fn timeliness(&self) -> Ending {
-        let first = self.first_ms.filter(|&first| first >= 0.0).or(self.took_ms);
+        let is_whole = self.stream == Some(0);
+        let first = self.first_ms.filter(|&first| first >= 0.0 && !is_whole).or(self.took_ms);
         match (first, self.target_ms) {
             (Some(first), Some(target)) if first > target => Ending::Late,
             _ => Ending::InTime,
--- a/src/report/mod.rs
+++ b/src/report/mod.rs
@@ -1,4 +1,4 @@
-//! Summary of the log lines of any number of instances: requests by route and result, failed attempts, and changes of
+//! Summary of the log lines of any number of instances: requests by route and result and by team, failed attempts, and changes of
 //! state over time.
 
 pub mod chart;
@@ -6,6 +6,7 @@
 pub mod line;
 pub mod request_trace;
 pub mod summary;
+pub mod teams;
 
 pub use line::LogLine;
 pub use request_trace::RequestTrace;
--- a/src/report/summary.rs
+++ b/src/report/summary.rs
@@ -10,6 +10,7 @@
 use super::{
     durations::{Durations, Percentiles},
     line::{Ending, LogLine},
+    teams::TeamTable,
 };
 
 /// Maximum number of groups of one kind. Requests and attempts of further groups are counted under [`OTHERS`], and
@@ -42,6 +43,7 @@
     damaged: u64,
     left_out: u64,
     requests: HashMap<RequestGroup, Durations>,
+    teams: TeamTable,
     attempts: HashMap<AttemptGroup, u64>,
     repeats_denied: u64,
     /// Number of lines about changes of state, by second and event.
@@ -104,6 +106,7 @@
         let group = RequestGroup { route: text(&line.route), ending, reason: text(&line.reason) };
         let others = RequestGroup { route: OTHERS.to_owned(), ending, reason: OTHERS.to_owned() };
         bounded_entry(&mut self.requests, group, others).record(line.took_ms);
+        self.teams.count(line, ending);
         let second = line.second();
         if let Some(counts) = self.seconds.get_mut(second) {
             counts[ending as usize] += 1;
@@ -160,6 +163,8 @@
             "damaged": self.damaged,
             "left_out": self.left_out,
             "requests": self.request_rows(),
+            "teams": self.teams.json_rows(),
+            "team_shares": self.teams.json_shares(),
             "attempts": self.attempt_rows(),
             "repeats_denied": self.repeats_denied,
             "beliefs": state_changes,
@@ -189,6 +194,7 @@
             );
         }
         note_omitted_rows(&mut text, rows.len());
+        text.push_str(&self.teams.text());
         let _ = writeln!(text, "\nattempts   fault          server");
         let rows = self.attempt_rows();
         for AttemptRow { group, count } in rows.iter().take(TABLE_ROWS_MAX) {
--- a/tests/suite/report.rs
+++ b/tests/suite/report.rs
@@ -2,7 +2,10 @@
 
 use std::{fs, process::Command};
 
-use cartvane::report::{LogLine, RequestTrace, Summary, chart, line::Ending};
+use cartvane::{
+    logging,
+    report::{LogLine, RequestTrace, Summary, chart, line::Ending},
+};
 
 /// Log lines of two instances as a log collector may forward them: out of order, some with a time and a name in front,
 /// one truncated, and one that is no log line.
@@ -61,6 +64,74 @@
     assert_eq!(ending(r#"{"status":200}"#), None);
 }
 
+// Guards against a response that counts as in time because its first byte was, although the caller waits for all of it.
+#[test]
+fn only_streams_are_in_time_by_their_first_bytes() {
+    for (stream, ending) in [(1, Ending::InTime), (0, Ending::Late)] {
+        let line = format!(
+            r#"{{"event":"request","status":200,"took_ms":900,"first_ms":70,"target_ms":300,"stream":{stream}}}"#
+        );
+        let line = LogLine::parse(&line).expect("a log line");
+        assert_eq!(line.ending(), Some(ending), "{stream}");
+    }
+}
+
+// Guards against a key that the log states as text and the report reads as a number: every such line counts as damaged.
+#[test]
+fn a_line_of_a_request_is_read_as_it_was_written() {
+    let message = "event=request request=r1 route=chat service=llm team= status=200 outcome=run \
+                   reason=\"answered\" took_ms=900 target_ms=300 stream=1 version=3 first_ms=70";
+    let written = logging::event_line("t", "edge-a", log::Level::Info, message);
+    let line = LogLine::parse(&written).expect("a log line");
+    assert_eq!((line.stream, line.team.as_deref()), (Some(1), Some("")), "{written}");
+    assert_eq!((line.service.as_deref(), line.ending()), (Some("llm"), Some(Ending::InTime)));
+}
+
+/// Adds `requests` requests of a team, of which `in_time` are in time and the others refused.
+fn add_team(summary: &mut Summary, service: &str, team: &str, requests: u64, in_time: u64) {
+    for number in 0..requests {
+        let status = if number < in_time { 200 } else { 503 };
+        summary.add_line(&format!(
+            r#"{{"event":"request","service":"{service}","team":"{team}","status":{status},"took_ms":1}}"#
+        ));
+    }
+}
+
+#[test]
+fn teams_are_shown_by_service_with_the_lowest_and_the_mean_share_in_time() {
+    let mut summary = Summary::default();
+    add_team(&mut summary, "tag", "large", 100, 40);
+    add_team(&mut summary, "tag", "", 20, 10);
+    add_team(&mut summary, "tag", "rare", 19, 0);
+    add_team(&mut summary, "llm", "large", 5, 5);
+    let text = summary.text();
+    let table = text.split("service, team\n").nth(1).and_then(|rest| rest.split("\n\n").next());
+    insta::assert_snapshot!(table.expect("a table of teams"));
+    let json = summary.json();
+    let shares = &json["team_shares"][0];
+    assert_eq!((&shares["lowest_team"], &shares["lowest_in_time"]), (&"large".into(), &0.4.into()));
+    assert_eq!((&shares["compared_teams"], &shares["mean_in_time"]), (&2.into(), &0.45.into()));
+    assert_eq!(json["team_shares"].as_array().map(Vec::len), Some(1));
+    assert_eq!(json["teams"].as_array().map(Vec::len), Some(4));
+}
+
+// Guards against memory and output that grow with the number of teams in the logs.
+#[test]
+fn teams_and_services_are_bounded_in_memory_and_rows() {
+    let mut summary = Summary::default();
+    add_team(&mut summary, "tag", "large", 30, 30);
+    (0..12_000).for_each(|i| add_team(&mut summary, "tag", &format!("t{i}"), 1, 0));
+    (0..1_200).for_each(|i| add_team(&mut summary, &format!("s{i}"), "late", 1, 0));
+    let json = summary.json();
+    let rows = json["teams"].as_array().expect("teams is a list");
+    assert!(rows.len() <= 11_001, "{}", rows.len());
+    let counted: u64 = rows.iter().filter_map(|row| row["requests"].as_u64()).sum();
+    assert_eq!(counted, 30 + 12_000 + 1_200, "requests beyond the bounds are counted as others");
+    let text = summary.text();
+    assert_eq!(text.lines().filter(|line| line.contains("tag, ")).count(), 21, "{text}");
+    assert!(text.contains("services more; --json has all"), "{text}");
+}
+
 #[test]
 fn a_request_trace_is_in_order_of_time() {
     let mut trace = RequestTrace::new("r2");
