feat(gateway): one budget for the bytes that are buffered for callers

Cause: only request bodies were limited. A response was collected whole (up to 32 MiB) before any of it was sent, so that callers that read nothing filled the memory of an instance, and a caller that read slowly was cut off: by the deadline of the request, or since the kernel reports progress of its 2 MB send buffer in large steps only.

Change: `BufferBudget` decides who may hold how many bytes more: in total (`body_bytes`, a quarter of the memory), half of it for responses and streams, and equal shares of teams while over three quarters are held. Each request holds 8 KiB from its admission on, with which its response can be passed on where there is no room to collect it; it is then read at the pace of its caller, or ahead after 1 s if there is room, and is not retried. A request without room is refused before its body is read, where its length is stated. Large bodies of requests are no longer copied behind their heads, nor large pieces into their chunks.

Two faults found on the way: a stream was resumed after a part of an event over 64 KiB had been sent, so that the caller got two halves as one event; and a response of HTTP/1.0 without a length that broke off ended regularly, as a whole one does (now the connection is reset).

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -6,6 +6,7 @@
 
 use super::{
     Gateway,
+    buffers::{BufferHold, RELAY_WINDOW, append},
     forward::Forwarding,
     in_flight::{Completion, LastAttempt},
     request::{Request, RequestMetadata},
@@ -19,8 +20,7 @@
         listener::{ConnOutcome, lingering_close},
     },
     names::TeamName,
-    routing::{Intent, Route},
-    utils::usage::UsageGuard,
+    routing::{BufferDenial, BufferKind, Intent, Route},
     zone::rendezvous::ChatKey,
 };
 
@@ -40,9 +40,9 @@
 /// `Retry-After` if the instance has no intent, or one that may be outdated.
 const RETRY_AFTER_NO_INTENT: Duration = Duration::from_millis(200);
 
-/// `Retry-After` if the instance has reached its limit for buffered bodies: a body is forwarded within some hundredths
-/// of a second.
-const RETRY_AFTER_BODY_LIMIT: Duration = Duration::from_millis(200);
+/// `Retry-After` if the instance has no room for the body of a request: a body is forwarded within some hundredths of a
+/// second.
+const RETRY_AFTER_NO_ROOM: Duration = Duration::from_millis(200);
 
 /// `Retry-After` if the instance is draining: another instance can serve the request at once.
 const RETRY_AFTER_DRAINING: Duration = Duration::from_millis(20);
@@ -111,12 +111,14 @@
         // The process is about to end. The body has not been read, so nothing has run.
         return Disposition::Close;
     };
-    // Only the bytes are limited here; the listener limits connections.
-    let Some(mut usage) = gateway.usage.enter(u32::MAX) else { return Disposition::Close };
+    // Bytes are limited by the buffer budget, connections by the listener.
+    let Some(_usage) = gateway.usage.enter(u32::MAX) else { return Disposition::Close };
     gateway.metrics.request_started();
     let body_bytes = limits.map_or(usize::MAX, |limits| limits.body_bytes);
+    // Released when the response has been sent.
+    let mut hold = gateway.buffer_hold(team_of(&head, intent.as_deref()));
     let (served, disposition) =
-        match read_body(gateway, conn, &head, received_at, body_bytes, &mut usage) {
+        match read_body(gateway, conn, &head, received_at, body_bytes, &mut hold) {
             Ok(body) => {
                 let served = respond(gateway, conn, head, body, intent.as_deref(), received_at);
                 let disposition = Disposition::of(served.completion.is_some_and(|c| c.keep_alive));
@@ -187,7 +189,7 @@
     head: &RequestHead,
     received_at: Instant,
     max_bytes: usize,
-    usage: &mut UsageGuard<'_>,
+    hold: &mut BufferHold<'_>,
 ) -> Result<Vec<u8>, LocalResponse> {
     let too_large = || {
         LocalResponse::new(
@@ -201,6 +203,13 @@
     if matches!(framing, BodyFraming::Length(length) if length > max_bytes as u64) {
         return Err(too_large());
     }
+    let announced = match framing {
+        BodyFraming::Length(length) => length,
+        _ => 0,
+    };
+    hold.check(BufferKind::Request, announced + RELAY_WINDOW as u64)
+        .and_then(|()| hold.reserve(BufferKind::Request, RELAY_WINDOW))
+        .map_err(|denial| no_room(gateway, hold, denial))?;
     let expects_continue =
         head.header("expect").is_some_and(|e| e.eq_ignore_ascii_case("100-continue"));
     if expects_continue {
@@ -221,16 +230,39 @@
         if body.len() + piece.len() > max_bytes {
             return Err(too_large());
         }
-        if !usage.reserve(piece.len() as u64, gateway.settings.body_bytes) {
-            return Err(LocalResponse::not_run(
-                "this instance holds as many bytes of bodies as it may; try another one",
-                RETRY_AFTER_BODY_LIMIT,
-            ));
-        }
-        body.extend_from_slice(&piece);
+        hold.reserve(BufferKind::Request, piece.len())
+            .map_err(|denial| no_room(gateway, hold, denial))?;
+        append(&mut body, &piece);
     }
 }
 
+/// Returns the team by the key of a request, for which its bytes are held before the request is admitted.
+fn team_of(head: &RequestHead, intent: Option<&Intent>) -> Option<TeamName> {
+    let team = intent?.teams.holder(head.bearer_token()?)?;
+    Some(team.name.clone())
+}
+
+/// Returns the refusal of a request that the buffer budget has no room for.
+fn no_room(gateway: &Gateway, hold: &BufferHold<'_>, denial: BufferDenial) -> LocalResponse {
+    gateway.metrics.refusal(&"", denial.name());
+    log::info!(
+        "event=buffer_refused reason={} team={} team_held={} held={}",
+        denial.name(),
+        hold.team(),
+        hold.held_by_team(),
+        gateway.buffers.total()
+    );
+    let reason = match denial {
+        BufferDenial::Full => {
+            "this instance holds as many bytes of bodies as it may; try another one"
+        }
+        BufferDenial::TeamShare => {
+            "this instance holds the team's share of bytes of bodies; try another one"
+        }
+    };
+    LocalResponse::not_run(reason, RETRY_AFTER_NO_ROOM)
+}
+
 fn body_refusal(fault: &ReadError) -> LocalResponse {
     if matches!(fault, ReadError::Timeout) {
         return LocalResponse::new(StatusCode::REQUEST_TIMEOUT, "the body did not come in time");
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -7,7 +7,9 @@
 use super::{
     Gateway,
     attempts::{Attempts, Refusal},
+    buffers::HeldBody,
     in_flight::{Completion, InFlightGuard, LastAttempt, OpenResponse},
+    relay::{self, Collected},
     request::{AttemptHeaders, Request},
     response::{CALLER_WRITE_TIMEOUT, ResponseMetadata},
     server_call::{self, HeadWait, ServerResponse},
@@ -41,10 +43,10 @@
 const FAILURE_RESERVE: f64 = 0.5;
 
 /// A response of a server that was read to its end.
-struct BufferedResponse {
+struct BufferedResponse<'g> {
     status: StatusCode,
     headers: http::HeaderMap,
-    body: Vec<u8>,
+    body: HeldBody<'g>,
 }
 
 /// A request that is being forwarded.
@@ -54,7 +56,7 @@
     /// The request.
     pub request: &'a Request,
     attempts: Attempts,
-    last_failure: Option<BufferedResponse>,
+    last_failure: Option<BufferedResponse<'a>>,
     /// Why the request was refused without being sent.
     pub(super) refusal: Option<Refusal>,
     /// Cold servers that the request has no permit for.
@@ -398,19 +400,24 @@
     }
 
     /// Reads a response to its end and sends it to the caller; `None` if it failed and another attempt is allowed.
-    fn relay_buffered(&mut self, conn: &mut Conn, open: OpenResponse<'a>) -> Option<Completion> {
+    fn relay_buffered(
+        &mut self,
+        conn: &mut Conn,
+        mut open: OpenResponse<'a>,
+    ) -> Option<Completion> {
+        let collected = relay::collect(self, conn, &mut open.response);
         let times = (open.sent_at, open.head_at);
-        let OpenResponse { mut response, picked, in_flight, .. } = open;
-        let caller =
-            if self.request.route.kind == RouteKind::AtMostOnce { None } else { Some(&*conn) };
-        let body = match response.read_body(self.request.deadline, caller) {
-            Ok(body) => body,
-            Err(fault) => {
-                drop(in_flight);
+        let body = match collected {
+            Collected::Whole(body) => body,
+            Collected::Partial(body) => return Some(relay::pass_on(self, conn, open, body)),
+            Collected::Fault(fault) => {
+                let picked = open.picked.clone();
+                drop(open);
                 self.note_fault(&picked, fault);
                 return self.respond_failed_unless_retry(conn);
             }
         };
+        let OpenResponse { response, picked, in_flight, .. } = open;
         drop(in_flight);
         let buffered = BufferedResponse {
             status: response.head.status,
@@ -419,24 +426,45 @@
         };
         self.keep_connection(&picked.server.id, response);
         if buffered.status.is_server_error() {
-            lock(&self.gateway.picker).note_failure(self.gateway.clock.now(), &picked.server.id);
-            self.note_version(&picked, ResponseObservation::Failed);
-            self.attempts.note_server_error(&picked.server.id);
-            log::info!(
-                "event=server_error request={} server={} status={}",
-                self.request.metadata.id,
-                picked.server.id,
-                buffered.status.as_u16()
-            );
+            self.note_server_error(&picked, buffered.status);
             self.last_failure = Some(buffered);
             return self.respond_failed_unless_retry(conn);
         }
-        self.note_success(&picked, times.0, times.1);
-        let took = times.1.saturating_duration_since(times.0);
-        self.note_version(&picked, ResponseObservation::Took(took));
+        self.note_answered(&picked, times.0, times.1);
         Some(self.send_buffered(conn, &buffered, "answered"))
     }
 
+    /// Records the end of a response that was passed on to the caller as it came.
+    pub fn note_relayed(&mut self, open: OpenResponse<'a>) {
+        let OpenResponse { response, picked, in_flight, sent_at, head_at } = open;
+        drop(in_flight);
+        let status = response.head.status;
+        self.keep_connection(&picked.server.id, response);
+        if status.is_server_error() {
+            self.note_server_error(&picked, status);
+        } else {
+            self.note_answered(&picked, sent_at, head_at);
+        }
+    }
+
+    fn note_server_error(&mut self, picked: &Picked, status: StatusCode) {
+        lock(&self.gateway.picker).note_failure(self.gateway.clock.now(), &picked.server.id);
+        self.note_version(picked, ResponseObservation::Failed);
+        self.attempts.note_server_error(&picked.server.id);
+        log::info!(
+            "event=server_error request={} server={} status={}",
+            self.request.metadata.id,
+            picked.server.id,
+            status.as_u16()
+        );
+    }
+
+    fn note_answered(&self, picked: &Picked, sent_at: Instant, head_at: Instant) {
+        self.note_success(picked, sent_at, head_at);
+        let took = head_at.saturating_duration_since(sent_at);
+        self.note_version(picked, ResponseObservation::Took(took));
+    }
+
     /// Records a successful response that ends now, to a request sent at `sent_at`, whose head arrived at `head_at`.
     pub fn note_success(&self, picked: &Picked, sent_at: Instant, head_at: Instant) {
         let now = self.gateway.clock.now();
@@ -477,14 +505,15 @@
     fn send_buffered(
         &mut self,
         conn: &mut Conn,
-        response: &BufferedResponse,
+        response: &BufferedResponse<'_>,
         reason: &'static str,
     ) -> Completion {
         self.note_first_byte();
         let keep_alive = self.keep_alive();
         let note = ResponseOptions::plain(keep_alive);
         let head_only = self.request.method == Method::HEAD;
-        let (headers, body) = (&response.headers, &response.body);
+        let (headers, body) = (&response.headers, &response.body.bytes);
+        relay::prepare_caller(conn, body);
         let sent = send_response(
             conn,
             CALLER_WRITE_TIMEOUT,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! `instance_table`, instances discover each other.
 
 pub mod attempts;
+pub mod buffers;
 pub mod cluster_state;
 pub mod cold_permits;
 pub mod connection;
@@ -24,6 +25,7 @@
 pub mod peer_server;
 pub mod peers;
 pub mod pick_error;
+pub mod relay;
 pub mod request;
 pub mod response;
 pub mod rollout_controller;
@@ -51,19 +53,28 @@
 
 pub use self::handle::GatewayHandle;
 use self::{
-    cluster_state::ClusterState, cold_permits::ColdPermits, crash_suspects::CrashSuspects,
-    drain::Drain, in_flight::InFlightGuard, peers::Peers, request::Request, rollouts::Rollouts,
-    server_conns::ServerConns, server_list_cache::ServerListCache, settings::GatewaySettings,
+    buffers::{BufferHold, Buffers},
+    cluster_state::ClusterState,
+    cold_permits::ColdPermits,
+    crash_suspects::CrashSuspects,
+    drain::Drain,
+    in_flight::InFlightGuard,
+    peers::Peers,
+    request::Request,
+    rollouts::Rollouts,
+    server_conns::ServerConns,
+    server_list_cache::ServerListCache,
+    settings::GatewaySettings,
     skipped_log::SkippedLog,
 };
 use crate::{
     adapter::store::{Store, StoreError},
     clock::Clock,
     metrics::Metrics,
-    names::ServiceName,
+    names::{ServiceName, TeamName},
     routing::{
-        BudgetSum, CallKind, Incarnation, OrdersSnapshot, PickError, PickRequest, Picked, Picker,
-        RetryBudget, RetrySpending, StoreShare,
+        BudgetSum, BufferKind, CallKind, Incarnation, OrdersSnapshot, PickError, PickRequest,
+        Picked, Picker, RetryBudget, RetrySpending, StoreShare,
     },
     utils::{signal::Signal, sync::lock, usage::Usage},
 };
@@ -99,8 +110,10 @@
     pub drain: Drain,
     /// Set when this instance becomes the aggregator, which reads the store for the others.
     pub store_read_requested: Signal,
-    /// Requests in flight and bytes of their bodies.
+    /// Requests in flight.
     pub usage: Usage,
+    /// Bytes held for callers.
+    pub buffers: Buffers,
     /// Start of this process, unless all instances start for the first time.
     restarted_at: Option<Instant>,
     budgets: Mutex<IndexMap<ServiceName, RetryBudget>>,
@@ -135,6 +148,7 @@
             drain: Drain::open().context("cannot create a pipe")?,
             store_read_requested: Signal::default(),
             usage: Usage::default(),
+            buffers: Buffers::new(settings.body_bytes),
             restarted_at: (!settings.first_start).then(|| clock.now()),
             budgets: Mutex::default(),
             store_lost: Mutex::default(),
@@ -167,6 +181,13 @@
         lock(&self.picker).note_request(now, service, request.priority, target);
     }
 
+    /// Returns a hold on buffered bytes for a caller of `team`.
+    pub fn buffer_hold(&self, team: Option<TeamName>) -> BufferHold<'_> {
+        let intent = self.cluster_state.intent();
+        let has_other_teams = intent.is_some_and(|intent| intent.teams.has_several());
+        self.buffers.hold(team, has_other_teams)
+    }
+
     /// Picks a server and counts the request there under the same lock, so that concurrent requests take each other
     /// into account.
     ///
@@ -325,6 +346,9 @@
             self.metrics.rollout_share(&service, share);
         }
         self.metrics.cold_servers(lock(&self.picker).cold_count(now));
+        for kind in BufferKind::ALL {
+            self.metrics.buffered_bytes(kind.name(), self.buffers.held(kind));
+        }
         self.metrics.held_requests(self.crash_suspects.held_count());
         self.metrics.log_lines_left_out(log_sink::take_dropped());
     }
--- a/src/gateway/server_call.rs
+++ b/src/gateway/server_call.rs
@@ -12,7 +12,7 @@
     adapter,
     contract::outcome::AttemptFault,
     link::http1::{
-        BodyReader, Conn, ReadError, ResponseHead,
+        BodyFraming, BodyReader, Conn, ReadError, ResponseHead,
         head::{write_header, write_headers},
     },
 };
@@ -20,8 +20,8 @@
 /// Largest head of a response.
 const HEAD_BYTES_MAX: usize = 64 << 10;
 
-/// Largest response body that is buffered before it is sent to the caller.
-const BODY_BYTES_MAX: usize = 32 << 20;
+/// Largest request body that is copied behind its head, to be sent in the same packet.
+const COPIED_BODY_MAX: usize = 8 << 10;
 
 /// Responses to other requests that are skipped on one connection.
 const FOREIGN_RESPONSES_MAX: usize = 2;
@@ -63,15 +63,7 @@
     caller: Option<&Conn>,
 ) -> Result<ServerResponse, AttemptFault> {
     let deadline = wait.deadline;
-    let bytes = request_bytes(request, attempt_headers);
-    let sent = match conn.send_until_response(&bytes, deadline, caller) {
-        Ok(sent) => sent,
-        Err((_, ReadError::Cancelled)) => return Err(AttemptFault::CallerGone),
-        Err((0, _)) => return Err(AttemptFault::BeforeSend),
-        Err((_, ReadError::Timeout)) => return Err(AttemptFault::HeadTimeout),
-        Err(_) => return Err(AttemptFault::AfterSend),
-    };
-    let request_sent = sent == bytes.len();
+    let request_sent = send_request(&mut conn, request, attempt_headers, deadline, caller)?;
     for _ in 0..=FOREIGN_RESPONSES_MAX {
         let head = read_head(&mut conn, wait, caller)?;
         let metadata = adapter::responses::decode(&head);
@@ -107,24 +99,12 @@
         next_piece(&mut self.conn, &mut self.body, deadline, caller)
     }
 
-    /// Reads the body to its end.
-    ///
-    /// # Errors
-    ///
-    /// As [`ServerResponse::next_piece`]; a body of over 32 MiB is `Garbage`.
-    pub fn read_body(
-        &mut self,
-        deadline: Instant,
-        caller: Option<&Conn>,
-    ) -> Result<Vec<u8>, AttemptFault> {
-        let mut body = Vec::new();
-        while let Some(piece) = self.next_piece(deadline, caller)? {
-            body.extend_from_slice(&piece);
-            if body.len() > BODY_BYTES_MAX {
-                return Err(AttemptFault::Garbage);
-            }
+    /// Returns the length of the body that the head announces.
+    pub fn announced_length(&self, method: &Method) -> Option<u64> {
+        match self.head.framing(method) {
+            Ok(BodyFraming::Length(length)) => Some(length),
+            _ => None,
         }
-        Ok(body)
     }
 
     /// Returns the connection, if it may carry another request.
@@ -134,6 +114,31 @@
     }
 }
 
+/// Sends the request; returns whether it was sent to its end before a response began.
+fn send_request(
+    conn: &mut Conn,
+    request: &Request,
+    attempt_headers: &AttemptHeaders<'_>,
+    deadline: Instant,
+    caller: Option<&Conn>,
+) -> Result<bool, AttemptFault> {
+    let mut head = request_head(request, attempt_headers);
+    let copied = if request.body.len() <= COPIED_BODY_MAX { &request.body[..] } else { &[] };
+    head.extend_from_slice(copied);
+    let mut before = 0;
+    for part in [&head[..], &request.body[copied.len()..]] {
+        match conn.send_until_response(part, deadline, caller) {
+            Ok(sent) if sent < part.len() => return Ok(false),
+            Ok(sent) => before += sent,
+            Err((_, ReadError::Cancelled)) => return Err(AttemptFault::CallerGone),
+            Err((0, _)) if before == 0 => return Err(AttemptFault::BeforeSend),
+            Err((_, ReadError::Timeout)) => return Err(AttemptFault::HeadTimeout),
+            Err(_) => return Err(AttemptFault::AfterSend),
+        }
+    }
+    Ok(true)
+}
+
 fn read_head(
     conn: &mut Conn,
     wait: &HeadWait<'_>,
@@ -175,9 +180,9 @@
     }
 }
 
-fn request_bytes(request: &Request, attempt_headers: &AttemptHeaders<'_>) -> Vec<u8> {
+fn request_head(request: &Request, attempt_headers: &AttemptHeaders<'_>) -> Vec<u8> {
     let headers = adapter::headers::encode_request(&request.headers, attempt_headers);
-    let mut buf = Vec::with_capacity(1024 + request.body.len());
+    let mut buf = Vec::with_capacity(1024);
     buf.extend_from_slice(request.method.as_str().as_bytes());
     buf.push(b' ');
     buf.extend_from_slice(request.target.as_bytes());
@@ -189,6 +194,5 @@
         write_header(&mut buf, "content-length", request.body.len().to_string().as_bytes());
     }
     buf.extend_from_slice(b"\r\n");
-    buf.extend_from_slice(&request.body);
     buf
 }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -32,7 +32,7 @@
     pub connections: usize,
     /// Maximum number of concurrent connections of other instances.
     pub peer_connections: usize,
-    /// Maximum total size of buffered bodies.
+    /// Maximum number of bytes that are buffered for callers: bodies of requests and responses, and pieces of streams.
     pub body_bytes: u64,
     /// The operator's bounds.
     pub bounds: Bounds,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -6,6 +6,7 @@
 use http::header::CONTENT_TYPE;
 
 use super::{
+    buffers::{BufferHold, RELAY_WINDOW},
     forward::Forwarding,
     in_flight::{Completion, OpenResponse},
     response::CALLER_WRITE_TIMEOUT,
@@ -18,7 +19,7 @@
         http1::Conn,
         response::{ResponseFraming, ResponseOptions, ResponseWriter},
     },
-    routing::{EventSplitter, ResponseObservation, RouteKind},
+    routing::{BufferKind, EventSplitter, ResponseObservation, RouteKind},
 };
 
 /// Time without a byte after which a resumable stream is resumed at another server, in gap targets of the route. Callers
@@ -45,6 +46,12 @@
     is_event_stream: bool,
 }
 
+/// Events of a stream and the hold on the bytes of the incomplete one.
+struct HeldEvents<'g> {
+    splitter: EventSplitter,
+    hold: BufferHold<'g>,
+}
+
 /// The result of reading from a source.
 enum SourceRead {
     Events(Vec<u8>),
@@ -58,11 +65,14 @@
     conn: &mut Conn,
     open: OpenResponse<'_>,
 ) -> Option<Completion> {
-    let mut splitter = EventSplitter::after(forwarding.request.metadata.last_event_id.clone());
+    let mut events = HeldEvents {
+        splitter: EventSplitter::after(forwarding.request.metadata.last_event_id.clone()),
+        hold: forwarding.gateway.buffer_hold(forwarding.request.team.clone()),
+    };
     let status = open.response.head.status;
     let headers = adapter::responses::forwarded_headers(&open.response.head);
     let mut source = Source::new(open);
-    let first = match next_events(forwarding, &mut source, &mut splitter, conn) {
+    let first = match next_events(forwarding, &mut source, &mut events, conn) {
         SourceRead::Events(events) => events,
         SourceRead::End => Vec::new(),
         SourceRead::Fault(fault) => {
@@ -92,7 +102,7 @@
     let Ok(mut writer) = started else { return completed(false, "caller left") };
     let mut interval = PieceInterval::new(forwarding.gateway.clock.now());
     loop {
-        match next_events(forwarding, &mut source, &mut splitter, writer.conn()) {
+        match next_events(forwarding, &mut source, &mut events, writer.conn()) {
             SourceRead::Events(events) => {
                 forwarding.note_running();
                 interval.count_piece();
@@ -115,8 +125,8 @@
                 let picked = source.open.picked.clone();
                 drop(source);
                 forwarding.note_fault(&picked, fault);
-                splitter.discard_partial();
-                match resume(forwarding, writer.conn(), &splitter) {
+                events.splitter.discard_partial();
+                match resume(forwarding, writer.conn(), &events.splitter) {
                     Some(next) => {
                         source = next;
                         interval = PieceInterval::new(forwarding.gateway.clock.now());
@@ -138,6 +148,9 @@
     caller: &Conn,
     splitter: &EventSplitter,
 ) -> Option<Source<'a>> {
+    if !splitter.is_between_events() {
+        return None;
+    }
     let last_event_id = splitter.last_id()?.to_owned();
     while forwarding.may_retry() {
         let open = forwarding.open(Some(caller), Some(&last_event_id))?;
@@ -157,6 +170,25 @@
     None
 }
 
+impl HeldEvents<'_> {
+    /// Adds received bytes and returns the events that are complete now. Where the budget has no room for an incomplete
+    /// event, its beginning is returned too.
+    ///
+    /// The bytes returned stay held until the next call: by then they have been written.
+    fn push(&mut self, piece: &[u8]) -> Vec<u8> {
+        let complete = self.splitter.push(piece);
+        if !complete.is_empty() {
+            return complete;
+        }
+        // The relay window of the request has room for a piece.
+        let beyond = self.splitter.buffered().saturating_sub(RELAY_WINDOW);
+        if self.hold.resize(BufferKind::Stream, beyond) {
+            return complete;
+        }
+        self.splitter.take_partial()
+    }
+}
+
 impl PieceInterval {
     fn new(first_at: Instant) -> PieceInterval {
         PieceInterval { first_at, pieces: 0 }
@@ -192,7 +224,7 @@
 fn next_events(
     forwarding: &Forwarding<'_>,
     source: &mut Source<'_>,
-    splitter: &mut EventSplitter,
+    events: &mut HeldEvents<'_>,
     caller: &Conn,
 ) -> SourceRead {
     loop {
@@ -200,15 +232,15 @@
         let piece = match source.response().next_piece(deadline, Some(caller)) {
             Ok(Some(piece)) => piece,
             Ok(None) => {
-                let rest = splitter.take_remainder();
+                let rest = events.splitter.take_remainder();
                 return if rest.is_empty() { SourceRead::End } else { SourceRead::Events(rest) };
             }
             Err(AttemptFault::StalledBody) if keeps_waiting(forwarding, source) => continue,
             Err(fault) => return SourceRead::Fault(fault),
         };
-        let events = if source.is_event_stream { splitter.push(&piece) } else { piece };
-        if !events.is_empty() {
-            return SourceRead::Events(events);
+        let complete = if source.is_event_stream { events.push(&piece) } else { piece };
+        if !complete.is_empty() {
+            return SourceRead::Events(complete);
         }
     }
 }
--- a/src/link/http1/conn.rs
+++ b/src/link/http1/conn.rs
@@ -315,6 +315,44 @@
         Ok(())
     }
 
+    /// Sends as many of `bytes` as the socket accepts without waiting; returns their number, which may be zero.
+    ///
+    /// # Errors
+    ///
+    /// The connection has failed.
+    pub fn send_now(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let flags = SendFlags::DONTWAIT | SendFlags::NOSIGNAL;
+        match rustix::net::send(&self.stream, bytes, flags) {
+            Ok(count) => Ok(count),
+            Err(rustix::io::Errno::AGAIN | rustix::io::Errno::INTR) => Ok(0),
+            Err(e) => Err(e.into()),
+        }
+    }
+
+    /// Waits until the socket accepts bytes or `deadline` has passed.
+    ///
+    /// # Errors
+    ///
+    /// The wait failed. A failed connection counts as accepting bytes, and the next send fails.
+    pub fn wait_for_space(&self, deadline: Instant) -> Result<(), ReadError> {
+        self.wait(deadline, None, PollFlags::OUT).map(drop)
+    }
+
+    /// Limits the bytes that the kernel holds until the peer has received them; the kernel doubles `bytes` for its own
+    /// data. Must be called before more than that has been sent.
+    pub fn limit_send_buffer(&self, bytes: usize) {
+        // Without the limit, a slow peer only appears to accept bytes in larger steps.
+        let _ = sockopt::set_socket_send_buffer_size(&self.stream, bytes);
+    }
+
+    /// Has the connection reset when it is closed, so that the peer does not take the end of the data for the end of the
+    /// message.
+    pub fn reset_on_close(&self) {
+        if sockopt::set_socket_linger(&self.stream, Some(Duration::ZERO)).is_err() {
+            self.shutdown();
+        }
+    }
+
     /// Checks, without waiting, whether the peer has sent data or closed the connection, or the connection has failed.
     pub fn state(&self) -> ConnState {
         let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
--- a/src/link/response.rs
+++ b/src/link/response.rs
@@ -13,6 +13,9 @@
     },
 };
 
+/// Largest piece that is copied into its chunk; a larger one is sent between the lines of its chunk.
+const COPIED_PIECE_MAX: usize = 8 << 10;
+
 /// Options of a response.
 #[derive(Debug, Clone)]
 pub struct ResponseOptions {
@@ -107,11 +110,16 @@
     /// The caller has disconnected, or accepts no bytes for the stall timeout.
     pub fn write(&mut self, piece: &[u8]) -> io::Result<()> {
         self.written += piece.len() as u64;
-        if self.framing == ResponseFraming::Chunked {
+        if self.framing != ResponseFraming::Chunked {
+            return self.send(piece);
+        }
+        if piece.len() <= COPIED_PIECE_MAX {
             let frame = self.chunks.frame(piece);
             return self.conn.send(frame, self.stall).map_err(|(_, e)| e);
         }
-        self.send(piece)
+        self.send(format!("{:x}\r\n", piece.len()).as_bytes())?;
+        self.send(piece)?;
+        self.send(b"\r\n")
     }
 
     /// Ends a complete body.
@@ -123,13 +131,18 @@
         if self.framing == ResponseFraming::Chunked { self.send(LAST_CHUNK) } else { Ok(()) }
     }
 
-    /// Ends a body that cannot be completed: sends `final_bytes` and closes the connection.
+    /// Ends a body that cannot be completed: sends `final_bytes` and closes the connection, or has it reset when it is
+    /// dropped if its regular end would end the body.
     pub fn abort(mut self, final_bytes: &[u8]) {
         if !final_bytes.is_empty() {
             // It fails only if the caller no longer reads the response.
             let _ = self.write(final_bytes);
         }
-        self.conn.shutdown();
+        if self.framing == ResponseFraming::UntilClose {
+            self.conn.reset_on_close();
+        } else {
+            self.conn.shutdown();
+        }
     }
 
     /// Returns the connection that the response is written to.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -51,6 +51,8 @@
     evacuated_zones: Gauge<u64>,
     store_era: Gauge<u64>,
     rollout_share: Gauge<f64>,
+    buffered_bytes: Gauge<u64>,
+    responses_relayed: Counter<u64>,
 }
 
 /// The metrics of an instance; clones share them.
@@ -190,6 +192,14 @@
                 "cartvane_refusals",
                 "Requests refused without being sent, by service and reason",
             ),
+            buffered_bytes: gauge(
+                "cartvane_buffered_bytes",
+                "Bytes held in memory for callers, by kind: request, response, stream",
+            ),
+            responses_relayed: counter(
+                "cartvane_responses_relayed",
+                "Responses passed on as they came since there was no room to collect them, by service",
+            ),
             server_notices: counter(
                 "cartvane_server_notices",
                 "Answers in which a backend server said something of itself, by service and notice",
@@ -321,6 +331,16 @@
         self.instruments.budget_spent.record(retries as u64, &[label("service", service)]);
     }
 
+    /// Sets the number of bytes of a kind that are held in memory for callers.
+    pub fn buffered_bytes(&self, kind: &'static str, bytes: u64) {
+        self.instruments.buffered_bytes.record(bytes, &[label("kind", kind)]);
+    }
+
+    /// Counts a response that is passed on as it comes instead of being collected first.
+    pub fn response_relayed(&self, service: &impl fmt::Display) {
+        self.instruments.responses_relayed.add(1, &[label("service", service)]);
+    }
+
     /// Sets the number of held requests.
     pub fn held_requests(&self, count: usize) {
         self.instruments.held_requests.record(count as u64, &[]);
--- a/src/routing/events.rs
+++ b/src/routing/events.rs
@@ -9,27 +9,50 @@
 pub struct EventSplitter {
     buf: Vec<u8>,
     last_id: Option<String>,
+    /// Whether a part of an incomplete event was returned.
+    has_split_event: bool,
 }
 
 impl EventSplitter {
     /// Returns a splitter of a stream that is resumed after the event `last_id`.
     pub fn after(last_id: Option<String>) -> EventSplitter {
-        EventSplitter { buf: Vec::new(), last_id }
+        EventSplitter { last_id, ..EventSplitter::default() }
     }
 
     /// Adds received bytes and returns the events that are complete now; may be empty.
     pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
         self.buf.extend_from_slice(bytes);
-        let end = match self.buf.windows(2).rposition(|pair| pair == b"\n\n") {
-            Some(at) => at + 2,
-            None if self.buf.len() > EVENT_MAX_BYTES => self.buf.len(),
-            None => return Vec::new(),
-        };
-        let complete: Vec<u8> = self.buf.drain(..end).collect();
-        if let Some(id) = last_event_id(&complete) {
+        match self.buf.windows(2).rposition(|pair| pair == b"\n\n") {
+            Some(at) => self.take(at + 2, false),
+            None if self.buf.len() > EVENT_MAX_BYTES => self.take_partial(),
+            None => Vec::new(),
+        }
+    }
+
+    /// Returns the bytes of an incomplete event, of which no more may be held.
+    pub fn take_partial(&mut self) -> Vec<u8> {
+        self.take(self.buf.len(), true)
+    }
+
+    fn take(&mut self, end: usize, splits_event: bool) -> Vec<u8> {
+        let rest = self.buf.split_off(end);
+        let taken = std::mem::replace(&mut self.buf, rest);
+        if let Some(id) = last_event_id(&taken) {
             self.last_id = Some(id);
         }
-        complete
+        self.has_split_event = splits_event;
+        taken
+    }
+
+    /// Returns the number of bytes of the incomplete event that is held.
+    pub fn buffered(&self) -> usize {
+        self.buf.len()
+    }
+
+    /// Returns whether all bytes returned so far are complete events. Otherwise the stream cannot be resumed: the caller
+    /// has received a part of an event that would be sent again, or skipped.
+    pub fn is_between_events(&self) -> bool {
+        !self.has_split_event
     }
 
     /// Discards an incomplete event whose stream is broken.
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -4,6 +4,7 @@
 pub mod admission;
 pub mod aggregate;
 pub mod budget;
+pub mod buffer_budget;
 pub mod candidates;
 pub mod cold;
 pub mod crash_suspects;
@@ -40,6 +41,7 @@
 };
 pub use aggregate::{Aggregate, InFlightCount, ServiceLoad};
 pub use budget::RetryBudget;
+pub use buffer_budget::{BufferBudget, BufferClaim, BufferDenial, BufferKind};
 pub use candidates::{Candidates, InstanceInfo};
 pub use cold::{ColdGranters, ColdGrants, ColdTerms};
 pub use crash_suspects::{
--- a/src/routing/team.rs
+++ b/src/routing/team.rs
@@ -62,6 +62,12 @@
         self.configured
     }
 
+    /// Returns whether there are several teams.
+    pub fn has_several(&self) -> bool {
+        let mut teams = self.keys.values().map(|team| &team.name);
+        teams.next().is_some_and(|first| teams.any(|name| name != first))
+    }
+
     /// Returns the team of `key`.
     pub fn holder(&self, key: &str) -> Option<&Team> {
         self.keys.get(key)
--- a/standins/src/listed.rs
+++ b/standins/src/listed.rs
@@ -14,7 +14,10 @@
 };
 
 use cartvane::{
-    link::{http1::Conn, listener::Listener},
+    link::{
+        http1::{ChunkWriter, Conn, body::LAST_CHUNK},
+        listener::Listener,
+    },
     utils::sync::lock,
 };
 use serde_json::{Value, json};
@@ -221,7 +224,34 @@
 }
 
 fn event(number: usize) -> String {
-    format!("id: {number}\ndata: part {number}\n\n")
+    large_event(number, 0)
+}
+
+/// Returns an event whose data has this many bytes more than usual.
+pub fn large_event(number: usize, bytes: usize) -> String {
+    format!("id: {number}\ndata: part {number}{}\n\n", "x".repeat(bytes))
+}
+
+/// Returns the body of an answer to a request that asks for this many bytes.
+pub fn large_body(bytes: usize) -> Vec<u8> {
+    (0..bytes).map(|at| b'a' + (at / 7 % 26) as u8).collect()
+}
+
+/// Size of the chunks of an answer that is asked for in chunks, in bytes.
+const CHUNK: usize = 30_000;
+
+/// Returns a whole answer in chunks instead of with a length.
+fn in_chunks(bytes: &[u8]) -> Vec<u8> {
+    let end = bytes.windows(4).position(|four| four == b"\r\n\r\n").unwrap_or_default();
+    let (head, body) = (String::from_utf8_lossy(&bytes[..end]), &bytes[end + 4..]);
+    let lines = head.split("\r\n").filter(|line| !line.starts_with("content-length"));
+    let head: Vec<&str> = lines.chain(["transfer-encoding: chunked", "", ""]).collect();
+    let mut buf = head.join("\r\n").into_bytes();
+    for chunk in body.chunks(CHUNK) {
+        buf.extend_from_slice(ChunkWriter::default().frame(chunk));
+    }
+    buf.extend_from_slice(LAST_CHUNK);
+    buf
 }
 
 /// One request in the hands of a server.
@@ -289,7 +319,7 @@
     }
 
     /// Returns the bytes of a signed answer to the request `id`.
-    fn signed(&self, status: u16, body: &str, id: &str) -> Vec<u8> {
+    fn signed(&self, status: u16, body: impl Into<Vec<u8>>, id: &str) -> Vec<u8> {
         let reply = Reply::new(status, body).with("x-request-id", id);
         let reply = self.mark(reply.with("x-server-load", "1,0,8"));
         if self.fault == Fault::Unsigned {
@@ -301,7 +331,11 @@
     fn whole(&self, conn: &mut Conn) -> Next {
         let body = expected(&self.received.head.target, &self.received.body);
         let status = if self.fault == Fault::ServerError { 500 } else { 200 };
-        let bytes = self.signed(status, &body, &self.id);
+        let bytes = match self.number("bytes") {
+            0 => self.signed(status, &*body, &self.id),
+            count => self.signed(status, large_body(count), &self.id),
+        };
+        let bytes = if self.number("chunked") > 0 { in_chunks(&bytes) } else { bytes };
         match self.fault {
             Fault::CloseAfterRun => Next::Close,
             Fault::StallHead(time) => {
@@ -333,6 +367,11 @@
         }
     }
 
+    /// Returns a number of the query; zero when it is not there.
+    fn number(&self, name: &str) -> usize {
+        self.received.param(name).and_then(|text| text.parse().ok()).unwrap_or(0)
+    }
+
     fn stream(&self, conn: &mut Conn) -> Next {
         let (id, own, fault) = (&self.id, self.own, self.fault);
         let last = self.received.head.header("last-event-id").and_then(|last| last.parse().ok());
@@ -349,7 +388,7 @@
             if self.seen.ends_by(&self.received.body, sent) {
                 return Next::Close;
             }
-            let bytes = event(number);
+            let bytes = large_event(number, self.number("bytes"));
             match fault {
                 Fault::BreakAfter(count) if sent == count => {
                     send_chunk(conn, &bytes.as_bytes()[..bytes.len() / 2]);
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -45,6 +45,7 @@
 mod server_notices;
 mod sessions;
 mod silent_links;
+mod slow_readers;
 mod starts;
 mod state_machines;
 mod store;
--- a/tests/suite/testbed.rs
+++ b/tests/suite/testbed.rs
@@ -126,6 +126,26 @@
     Testbed { store, servers, instance }
 }
 
+/// Starts a test bed whose instance may hold `body_bytes` for callers, with servers of many slots that share their
+/// faults.
+pub(crate) fn start_holding(servers: usize, body_bytes: u64, intent: &Value) -> Testbed {
+    log_lines::start();
+    let faults: Arc<Faults> = Arc::default();
+    let server = |i| Listed::spawn_sharing(&format!("s{i}"), Arc::clone(&faults));
+    let servers: Vec<Listed> = (0..servers).map(|i| server(i).expect("a server")).collect();
+    let store = StoreStandIn::spawn().expect("a store");
+    for server in &servers {
+        let mut entry = server.entry("app", "ready");
+        entry["slots"] = 500.into();
+        store.put("servers", &server.id, &entry);
+    }
+    store.put("op", "config", intent);
+    let settings = GatewaySettings { body_bytes, ..settings("one", store.address(), Vec::new()) };
+    let instance = GatewayHandle::spawn(settings, &Clock::system()).expect("an instance");
+    eventually("the instance is ready", || instance.gateway().is_ready());
+    Testbed { store, servers, instance }
+}
+
 /// Starts an instance.
 pub(crate) fn spawn(node: &str, store: SocketAddr, seeds: Vec<SocketAddr>) -> GatewayHandle {
     log_lines::start();
