fix(gateway): the time that a caller of a stream takes does not count against its server

Cause: a stream whose caller reads slowly was cut at the deadline of the request, although events were there: the deadline of reads from the server did not allow for the time that writes to the caller had taken.

Change: that time is added to the deadline, as for whole responses. `EventSplitter` searches only the bytes that are new for the end of an event: it searched up to 64 KiB again for each piece of 4 KiB.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -50,6 +50,8 @@
 struct HeldEvents<'g> {
     splitter: EventSplitter,
     hold: BufferHold<'g>,
+    /// How long the caller has kept the stream waiting, which does not count against the server.
+    blocked: Duration,
 }
 
 /// The result of reading from a source.
@@ -68,6 +70,7 @@
     let mut events = HeldEvents {
         splitter: EventSplitter::after(forwarding.request.metadata.last_event_id.clone()),
         hold: forwarding.gateway.buffer_hold(forwarding.request.team.clone()),
+        blocked: Duration::ZERO,
     };
     let status = open.response.head.status;
     let headers = adapter::responses::forwarded_headers(&open.response.head);
@@ -103,12 +106,14 @@
     let mut interval = PieceInterval::new(forwarding.gateway.clock.now());
     loop {
         match next_events(forwarding, &mut source, &mut events, writer.conn()) {
-            SourceRead::Events(events) => {
+            SourceRead::Events(complete) => {
                 forwarding.note_running();
                 interval.count_piece();
-                if writer.write(&events).is_err() {
+                let began = forwarding.gateway.clock.now();
+                if writer.write(&complete).is_err() {
                     return completed(false, "caller left");
                 }
+                events.blocked += forwarding.gateway.clock.now().saturating_duration_since(began);
             }
             SourceRead::End => {
                 let OpenResponse { picked, sent_at, head_at, .. } = &source.open;
@@ -228,14 +233,15 @@
     caller: &Conn,
 ) -> SourceRead {
     loop {
-        let deadline = stall_deadline(forwarding);
+        let end = forwarding.request.deadline + events.blocked;
+        let deadline = stall_deadline(forwarding, end);
         let piece = match source.response().next_piece(deadline, Some(caller)) {
             Ok(Some(piece)) => piece,
             Ok(None) => {
                 let rest = events.splitter.take_remainder();
                 return if rest.is_empty() { SourceRead::End } else { SourceRead::Events(rest) };
             }
-            Err(AttemptFault::StalledBody) if keeps_waiting(forwarding, source) => continue,
+            Err(AttemptFault::StalledBody) if keeps_waiting(forwarding, source, end) => continue,
             Err(fault) => return SourceRead::Fault(fault),
         };
         let complete = if source.is_event_stream { events.push(&piece) } else { piece };
@@ -245,21 +251,21 @@
     }
 }
 
-/// Returns whether to keep waiting for a stalled source: the request has time left, and no other server can resume the
-/// stream.
-fn keeps_waiting(forwarding: &Forwarding<'_>, source: &Source<'_>) -> bool {
+/// Returns whether to keep waiting for a stalled source: the request has time left until `end`, and no other server can
+/// resume the stream.
+fn keeps_waiting(forwarding: &Forwarding<'_>, source: &Source<'_>, end: Instant) -> bool {
     let now = forwarding.gateway.clock.now();
     let server = &source.open.picked.server.id;
-    now < forwarding.request.deadline && !forwarding.could_retry_elsewhere(now, server)
+    now < end && !forwarding.could_retry_elsewhere(now, server)
 }
 
-/// Returns when a source without further bytes counts as stalled.
-fn stall_deadline(forwarding: &Forwarding<'_>) -> Instant {
+/// Returns when a source without further bytes counts as stalled; at `end` the request is out of time.
+fn stall_deadline(forwarding: &Forwarding<'_>, end: Instant) -> Instant {
     let request = forwarding.request;
     if request.route.kind != RouteKind::ResumableStream {
-        return request.deadline;
+        return end;
     }
     let gap = request.route.gap_target.unwrap_or(request.route.target_latency);
     let timeout = (gap * STALL_GAP_TARGETS).max(STALL_TIMEOUT_MIN);
-    request.deadline.min(forwarding.gateway.clock.now() + timeout)
+    end.min(forwarding.gateway.clock.now() + timeout)
 }
--- a/src/routing/events.rs
+++ b/src/routing/events.rs
@@ -21,9 +21,11 @@
 
     /// Adds received bytes and returns the events that are complete now; may be empty.
     pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
+        // What was held before has no end of an event; one may begin with its last byte.
+        let from = self.buf.len().saturating_sub(1);
         self.buf.extend_from_slice(bytes);
-        match self.buf.windows(2).rposition(|pair| pair == b"\n\n") {
-            Some(at) => self.take(at + 2, false),
+        match self.buf[from..].windows(2).rposition(|pair| pair == b"\n\n") {
+            Some(at) => self.take(from + at + 2, false),
             None if self.buf.len() > EVENT_MAX_BYTES => self.take_partial(),
             None => Vec::new(),
         }
