--- a/src/gateway/buffers.rs
+++ b/src/gateway/buffers.rs
@@ -9,8 +9,8 @@
 };
 
 /// Bytes held for each request from its admission to its end, beside its body: a piece of its response and its chunk,
-/// so that the response can be passed on when there is no room for more. Pieces have at most 4 KiB where all that was
-/// read before has been passed on.
+/// so that the response can be passed on when there is no room for more. A piece has at most 4 KiB where all that was
+/// read before has been passed on; only after a head of over 4 KiB can the read buffer, and the piece, be larger.
 pub const RELAY_WINDOW: usize = 8 << 10;
 
 /// Largest number of bytes that a growing body allocates ahead.
