--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -50,6 +50,7 @@
 mod slot_broker_load;
 mod slot_broker_rules;
 mod slot_leases;
+mod slow_readers;
 mod starts;
 mod state_machines;
 mod store;
