fix(admission): a burst below capacity no longer keeps a large team's requests waiting until they are rejected

Cause: at 0.7 of the capacity, 99 of 92,878 requests were rejected with three servers and clumps of up to 6. All were of the largest team's less urgent priorities: other teams' turns and more urgent requests overtook them until their waits were over, though in a single queue (a trial) none of 92,425 waits more than 78 ms of the 120 that it may. Ruled out: rejections on arrival; a trial with log lines counted 0 of them and 100 timeouts. Change: while the queue is a burst and short, a request that has waited for half of its time is served next.

--- a/src/routing/admission/slot_broker.rs
+++ b/src/routing/admission/slot_broker.rs
@@ -146,7 +146,10 @@
         // Without room, each waiting request would be compared with each server in vain.
         while self.table.has_room(slot_time) {
             let fits = |req: &SlotRequest| self.table.pick(req, slot_time).is_some();
-            let Some(waiting) = self.queue.pop(now, fits) else { return };
+            let backlog =
+                slot_time.unwrap_or_default() * self.queue.len() as u32 / self.table.slots().max(1);
+            let pressing = self.queue.pop_pressing(now, backlog, fits);
+            let Some(waiting) = pressing.or_else(|| self.queue.pop(now, fits)) else { return };
             if let Some(server) = self.table.pick(&waiting.req, slot_time) {
                 actions.push(self.grant(now, &waiting.aged(now), server));
             }
@@ -176,7 +179,7 @@
                 let SlotRequest { team, digest, priority, .. } = *req;
                 self.promises.promise(now, team, digest, priority, interval, patience)
             }
-            // When there will be a server is not known; a late retry has the best chance.
+            // When there will be a server is not known: the delay is the longest that the caller waits.
             None => patience,
         };
         BrokerAction::Reject { id: req.id, retry_after }
--- a/src/routing/admission/slot_promises.rs
+++ b/src/routing/admission/slot_promises.rs
@@ -19,11 +19,11 @@
 /// Resolution of `Retry-After`: a caller may return early by as much, and promises to a team are not closer together.
 const RESOLUTION: Duration = Duration::from_millis(1);
 
-/// Priority from which callers are promised the same: the horizon of a less urgent one would be below the interval.
+/// Priority from which callers are promised the same, so that the latest moment does not fall below the interval.
 const PRIORITY_MAX: u8 = 3;
 
-/// Ratio of the latest moments that are promised to one priority and to the next less urgent one. With 2, after an
-/// outage the least urgent callers were served at a larger share than the next, since they are rejected first.
+/// Ratio of the latest moments that are promised to one priority and to the next less urgent one. If all were promised
+/// the same, 0.05 of the second and 0.07 of the third priority of the largest team were served at 5 times the load.
 const HORIZON_RATIO: u32 = 4;
 
 #[derive(Debug, Clone, Copy)]
--- a/src/routing/admission/slot_queue.rs
+++ b/src/routing/admission/slot_queue.rs
@@ -1,6 +1,6 @@
 //! Requests that wait for a slot, queued by team and served by deficit round robin.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
 
@@ -21,6 +21,12 @@
 /// later overtake it. Beyond capacity, the less urgent ones are not queued in the first place.
 const LATER_PER_STEP: f64 = 0.15;
 
+/// Share of its `wait_max` after which a request is served before others while few wait.
+const PRESSING_SHARE: f64 = 0.5;
+
+/// Share of a request's `wait_max` up to which the time to serve all that wait is short.
+const SHORT_BACKLOG_SHARE: f64 = 0.8;
+
 /// Position of a request within its team; the lowest is served first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Rank {
@@ -81,6 +87,8 @@
     /// Index of the team whose turn it is.
     next_team: usize,
     waiting: IndexMap<LeaseId, Waiting>,
+    /// Since when there have been waiting requests without a break, up to the last one.
+    since: Option<Instant>,
 }
 
 impl SlotQueue {
@@ -121,6 +129,9 @@
 
     /// Adds a request. Its team is served one request in each round, or `floor` requests per second if that is more.
     pub(super) fn push(&mut self, now: Instant, floor: f64, waiting: Waiting) {
+        if self.waiting.is_empty() {
+            self.since = Some(now);
+        }
         let queue = self.teams.entry(waiting.req.team).or_insert_with(|| TeamQueue {
             floor,
             last_turn: now,
@@ -164,6 +175,29 @@
         None
     }
 
+    /// Removes and returns the request that must be served next so that its wait is not over first, if it has waited for
+    /// more than [`PRESSING_SHARE`] of its time and all that wait are served soon; `backlog` is the time that this takes.
+    ///
+    /// Below capacity, a burst of other teams and of more urgent requests would otherwise keep a request of a large team
+    /// waiting until it is rejected. Beyond capacity there are waiting requests for longer than the time until the
+    /// deadline, and the order stays that of teams and priorities.
+    pub(super) fn pop_pressing(
+        &mut self,
+        now: Instant,
+        backlog: Duration,
+        fits: impl Fn(&SlotRequest) -> bool,
+    ) -> Option<Waiting> {
+        let since = self.since?;
+        let is_pressing = |waiting: &&Waiting| {
+            let share = waiting.req.wait_max.mul_f64(PRESSING_SHARE);
+            let is_burst = now.saturating_duration_since(since) < waiting.req.time_left;
+            let is_short = backlog < waiting.req.wait_max.mul_f64(SHORT_BACKLOG_SHARE);
+            is_burst && is_short && waiting.since + share <= now && fits(&waiting.req)
+        };
+        let next = self.waiting.values().filter(is_pressing).min_by_key(|w| w.wait_ends())?;
+        self.remove(next.req.id)
+    }
+
     /// Removes and returns the request with this id.
     pub(super) fn remove(&mut self, id: LeaseId) -> Option<Waiting> {
         let waiting = self.waiting.swap_remove(&id)?;
--- a/tests/suite/slot_broker.rs
+++ b/tests/suite/slot_broker.rs
@@ -215,21 +215,16 @@
 fn nothing_is_rejected_at_0_7_of_the_capacity() {
     for service in SERVICES {
         let factor = 0.7 * service.capacity(service.servers) / service.rate;
-        // With larger clumps some requests would wait longer than their target even in a single queue.
-        for (clump_max, rejected_max) in [(3, 0.0), (6, 0.002)] {
-            let mut all = 0;
-            let mut rejected = 0;
+        for clump_max in [3, 6] {
             for seed in 1..21 {
                 let mut sim = Simulation::new(service, seed ^ extra_seed());
                 sim.clump_max = clump_max;
                 sim.add_load(Duration::ZERO..SURGE.end, |_| factor);
                 sim.run();
                 let tally = sim.figures(Duration::ZERO..SURGE.end).teams(0..TEAMS);
-                (all, rejected) = (all + tally.attempts, rejected + tally.rejected());
+                let case = format!("{} servers, clumps up to {clump_max}", service.servers);
+                assert_eq!(tally.rejected(), 0, "{case}, seed {seed}: {tally:?}");
             }
-            let share = f64::from(rejected) / f64::from(all);
-            let case = format!("{} servers, clumps up to {clump_max}", service.servers);
-            assert!(share <= rejected_max, "{case}: {rejected} of {all} were rejected");
         }
     }
 }
--- a/tests/suite/slot_broker_rules.rs
+++ b/tests/suite/slot_broker_rules.rs
@@ -252,7 +252,7 @@
         })
         .collect();
     assert_eq!(granted[0], 2, "12 slots in the own zone");
-    let own_zone = |server: &u32| server % 2 == 0;
+    let own_zone = |server: &u32| server.is_multiple_of(2);
     assert!(granted[..13].iter().all(own_zone) && !granted[13..].iter().any(own_zone));
     assert_eq!(granted[13], 1, "6 slots in the other zone");
 }
