--- a/standins/src/measure/choices.rs
+++ b/standins/src/measure/choices.rs
@@ -1,4 +1,5 @@
-//! The cost of choosing a backend server, and of taking what others tell, by the number of servers.
+//! The cost of choosing a backend server, and of taking what others tell, by the number of servers; and of a slot
+//! broker's decisions.
 
 use std::{
     sync::Arc,
@@ -15,7 +16,7 @@
 use fastrand::Rng;
 use serde_json::json;
 
-use super::{Figure, figure};
+use super::{Figure, figure, slots};
 use crate::load::measure::percentile;
 
 /// Servers of the service.
@@ -24,9 +25,11 @@
 /// Choices timed at each size.
 const CHOICES: usize = 2_000;
 
-/// Measures choices with and without a prompt, and taking the counts of all instances.
+/// Measures choices with and without a prompt, taking the counts of all instances, and decisions on slots.
 pub fn measure() -> Vec<Figure> {
-    SIZES.into_iter().flat_map(measure_at).collect()
+    let mut figures: Vec<Figure> = SIZES.into_iter().flat_map(measure_at).collect();
+    figures.extend(slots::measure());
+    figures
 }
 
 fn measure_at(size: usize) -> Vec<Figure> {
@@ -89,13 +92,13 @@
     serde_json::from_value(value).expect("a server")
 }
 
-fn timed(run: impl FnOnce()) -> Duration {
+pub(super) fn timed(run: impl FnOnce()) -> Duration {
     let began = Instant::now();
     run();
     began.elapsed()
 }
 
-fn spread(name: &str, took: &[Duration]) -> Vec<Figure> {
+pub(super) fn spread(name: &str, took: &[Duration]) -> Vec<Figure> {
     let mut micros: Vec<f64> = took.iter().map(|time| time.as_secs_f64() * 1e6).collect();
     let of = |part: f64, micros: &mut Vec<f64>| percentile(micros, part);
     let (median, p99) = (of(0.5, &mut micros), of(0.99, &mut micros));
--- a/standins/src/measure/mod.rs
+++ b/standins/src/measure/mod.rs
@@ -6,6 +6,7 @@
 pub mod config;
 pub mod decisions;
 pub mod latency;
+mod slots;
 
 use std::{fs, time::Duration};
 
