--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -9,7 +9,7 @@
     listeners::{serve_callers, serve_metrics, serve_peers, serve_readiness},
     peers, roster_reader,
     settings::GatewaySettings,
-    slot_leases, startup,
+    startup,
 };
 use crate::{
     clock::Clock,
@@ -46,7 +46,7 @@
         spawn_thread(&gateway, "peers", peers::run)?;
         spawn_thread(&gateway, "table", instance_table::run)?;
         spawn_thread(&gateway, "held", held_table::run)?;
-        spawn_thread(&gateway, "slots", slot_leases::run)?;
+        gateway.slot_leases.attach(&gateway);
         let callers = serve_callers(&gateway, &idle)?;
         log::warn!(
             "event=started node={} zone={} callers={} first_start={}",
--- a/src/gateway/slot_leases/mod.rs
+++ b/src/gateway/slot_leases/mod.rs
@@ -11,12 +11,15 @@
 mod server;
 mod waiter;
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, OnceLock, Weak},
+    time::Duration,
+};
 
 use arc_swap::ArcSwap;
 
+pub(super) use self::request::SlotOutcome;
 use self::{client::LeaseClient, server::LeaseServer};
-pub(super) use self::{request::SlotOutcome, server::run};
 use super::{Gateway, request::Request, settings::GatewaySettings};
 use crate::{
     clock::Clock,
@@ -31,6 +34,8 @@
     client: Arc<LeaseClient>,
     server: LeaseServer,
     small: ArcSwap<SmallServices>,
+    /// For the thread that ticks this instance's brokers, which starts when it first is a broker.
+    gateway: OnceLock<Weak<Gateway>>,
 }
 
 impl SlotLeases {
@@ -40,9 +45,15 @@
             client: Arc::new(LeaseClient::new(settings.node.clone(), clock, traffic)),
             server: LeaseServer::default(),
             small: ArcSwap::default(),
+            gateway: OnceLock::new(),
         }
     }
 
+    /// Sets the instance that this is a part of; further calls do nothing.
+    pub(super) fn attach(&self, gateway: &Arc<Gateway>) {
+        self.gateway.get_or_init(|| Arc::downgrade(gateway));
+    }
+
     /// Returns the services whose slots are leased.
     pub fn small_services(&self) -> Arc<SmallServices> {
         self.small.load_full()
--- a/src/gateway/slot_leases/server.rs
+++ b/src/gateway/slot_leases/server.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{
-        Arc, Mutex,
+        Arc, Mutex, Weak,
         atomic::{AtomicBool, Ordering},
     },
     thread,
@@ -84,6 +84,8 @@
     /// Wakes the thread that ticks the brokers.
     wake: Signal,
     must_refresh: AtomicBool,
+    /// Whether that thread has been started.
+    is_ticking: AtomicBool,
 }
 
 impl State {
@@ -242,6 +244,7 @@
     ) -> Outgoing {
         let now = self.clock.now();
         let id = acquire.request.id;
+        self.ensure_ticking();
         // Before the instances know each other, several could take themselves for the broker.
         if self.drain.is_draining() || !self.peers.has_joined(now) {
             return vec![(reply_path, FromBroker::Unavailable { id })];
@@ -266,9 +269,26 @@
         lock(&self.picker).slots_to_lease(service).unwrap_or_default()
     }
 
+    /// Starts the thread that ticks the brokers, unless it runs: an instance that is no broker has no thread for it.
+    fn ensure_ticking(&self) {
+        let is_ticking = &self.slot_leases.server.is_ticking;
+        let gateway = self.slot_leases.gateway.get().and_then(Weak::upgrade);
+        let Some(gateway) = gateway.filter(|_| !is_ticking.swap(true, Ordering::Relaxed)) else {
+            return;
+        };
+        let thread = thread::Builder::new().name("slots".to_owned());
+        if let Err(error) = thread.spawn(move || run(&gateway)) {
+            log::warn!("event=no_slot_ticks reason=\"{error}\"");
+            is_ticking.store(false, Ordering::Relaxed);
+        }
+    }
+
     fn adopt_at_broker(&self, reply_path: &ReplyPath, held: Vec<HeldLease>) -> Outgoing {
         let now = self.clock.now();
         let mut outgoing = Outgoing::new();
+        if !held.is_empty() {
+            self.ensure_ticking();
+        }
         for lease in held {
             let servers = self.servers_to_lease(&lease.service);
             let mut state = lock(&self.slot_leases.server.state);
@@ -359,7 +379,7 @@
 }
 
 /// Ticks the brokers of this instance until the process ends.
-pub(in crate::gateway) fn run(gateway: &Arc<Gateway>) {
+fn run(gateway: &Arc<Gateway>) {
     let server = &gateway.slot_leases.server;
     let mut refreshed_at = None;
     loop {
