feat(admission): divide scarce capacity equally among teams

Cause: admission control does not know teams.

Change: instances report the demand of teams in each exchange, the aggregator derives a max-min level per service, and instances admit the share of each team above it. Teams below the level are exempt from the admitted share while limits are fresh. A rejected request that comes again within a second is not counted as demand again.

In tests/suite/overload.rs the panic names any unexpected error, since the new reason of a rejection is one too.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -30,6 +30,13 @@
         Refusal { reason, retry_after }
     }
 
+    /// Returns the refusal of a request that exceeds its team's share of the capacity of the service.
+    pub fn team_share(retry_after: Duration) -> Refusal {
+        let reason =
+            "the team sends more than its share of what can be served; this one has not run";
+        Refusal { reason, retry_after }
+    }
+
     /// Returns the refusal of a request whose servers all back off.
     pub fn backoff(retry_after: Duration) -> Refusal {
         let reason = "all backend servers want no requests for a while; this one has not run";
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -122,7 +122,7 @@
                 tried: self.attempts.servers(),
                 denied: &self.denied,
                 homes: &self.request.homes,
-                admission: (!self.attempts.may_have_run()).then_some(self.request.priority),
+                admission: (!self.attempts.may_have_run()).then(|| self.request.admission_terms()),
             };
             let (picked, in_flight) = match self.gateway.pick(now, &pick_request) {
                 Ok(picked) => picked,
@@ -391,7 +391,7 @@
             tried: &tried,
             denied: &self.denied,
             homes: &self.request.homes,
-            admission: Some(self.request.priority),
+            admission: Some(self.request.admission_terms()),
         };
         let has_other = lock(&self.gateway.picker).pick(now, &pick_request).is_ok();
         has_other && self.gateway.has_retry(now, &self.request.service, FAILURE_RESERVE)
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -16,7 +16,7 @@
     routing::{
         BudgetSum, InFlightCount, InstanceInfo, InstanceListUpdate, ListVersion, OrdersSnapshot,
         PackedChange, RetrySpending, RolloutReport, RolloutUpdate, RunId, ServerListUpdate,
-        ServiceLoad, StoreEra, StoreVersion, VerdictUpdate,
+        ServiceDemand, ServiceLimits, ServiceLoad, StoreEra, StoreVersion, VerdictUpdate,
     },
 };
 
@@ -63,6 +63,9 @@
     pub list_version: Option<ListVersion>,
     /// Hash of the sender's list of instances.
     pub instances_hash: u64,
+    /// Demand of teams at the sender, by service in use.
+    #[serde(default)]
+    pub team_demands: Vec<ServiceDemand>,
 }
 
 /// The reply to an [`ExchangeReport`].
@@ -98,6 +101,9 @@
     pub list_era: StoreEra,
     /// Update of the list of instances, if its hash differs from the reported one.
     pub instances: Option<InstanceListUpdate>,
+    /// Limits of teams at each service whose demand is above its capacity; `None` if they are not known.
+    #[serde(default)]
+    pub team_limits: Option<Vec<ServiceLimits>>,
 }
 
 /// Confirmation that a version of the intent was the newest in the store.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -38,6 +38,7 @@
 pub mod stall_timer;
 pub mod startup;
 pub mod stream;
+mod team_shares;
 
 use std::{
     collections::HashSet,
@@ -165,6 +166,7 @@
         drop(budgets);
         let target = request.route.target_latency;
         lock(&self.picker).note_request(now, service, request.priority, target);
+        self.note_team_request(now, request);
     }
 
     /// Picks a server and counts the request there under the same lock, so that concurrent requests take each other
@@ -325,6 +327,9 @@
             self.metrics.rollout_share(&service, share);
         }
         self.metrics.cold_servers(lock(&self.picker).cold_count(now));
+        for (service, count) in lock(&self.picker).team_limits().counts(now) {
+            self.metrics.limited_teams(service, count);
+        }
         self.metrics.held_requests(self.crash_suspects.held_count());
         self.metrics.log_lines_left_out(log_sink::take_dropped());
     }
--- a/src/gateway/peer_server.rs
+++ b/src/gateway/peer_server.rs
@@ -24,7 +24,7 @@
         traffic::Purpose,
     },
     names::Tag,
-    routing::{BudgetSum, ServiceLoad, VerdictUpdate},
+    routing::{BudgetSum, ServiceLimits, ServiceLoad, VerdictUpdate},
     utils::sync::lock,
 };
 
@@ -76,6 +76,9 @@
             report.run,
             report.spending,
         );
+        let mut team_demand = lock(&gateway.peers.team_demand);
+        team_demand.record_report(now, report.from.node.clone(), report.team_demands);
+        drop(team_demand);
         gateway.crash_suspects.apply_report(now, &report.crash_suspects);
         if was_inactive {
             log::info!("event=reads_for_others servers_age_ms={}", servers_age_ms(gateway, now));
@@ -114,6 +117,7 @@
         list_age_ms: list.age.map(millis),
         list_era: list.era,
         instances,
+        team_limits: sums.team_limits.clone().filter(|_| purpose == ExchangePurpose::Aggregate),
     }
 }
 
@@ -141,6 +145,8 @@
     pub(super) unresponsive: Vec<Tag>,
     /// Retries spent at each service.
     pub(super) budgets: Vec<BudgetSum>,
+    /// Limits of teams, once the reports of all instances are known.
+    pub(super) team_limits: Option<Vec<ServiceLimits>>,
 }
 
 /// Returns the sums over all instances including this one, from a cache that is at most [`SUMS_MAX_AGE`] old.
@@ -149,6 +155,7 @@
         loads: service_loads(gateway, now),
         unresponsive: unresponsive_servers(gateway, now),
         budgets: budget_sums(gateway, now),
+        team_limits: gateway.fleet_team_limits(now),
     })
 }
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -32,9 +32,9 @@
         traffic::{Purpose, TrafficCounter},
     },
     routing::{
-        Aggregate, Candidates, Confirmation, Crowded, FallbackReader, FleetBudget, FleetPosition,
-        InFlightCount, InstanceInfo, Judgement, ListVersion, RosterRole, RunId, ServerListUpdate,
-        ServiceLoad, StartupWait, StoreEra, WatchRole, fallback_reader,
+        Aggregate, Candidates, Confirmation, Crowded, FallbackReader, FleetBudget, FleetDemand,
+        FleetPosition, InFlightCount, InstanceInfo, Judgement, ListVersion, RosterRole, RunId,
+        ServerListUpdate, ServiceLoad, StartupWait, StoreEra, WatchRole, fallback_reader,
     },
     utils::{cached::Cached, sync::lock},
 };
@@ -82,6 +82,8 @@
     pub(super) aggregate: Mutex<Aggregate>,
     /// Retries spent, as the instances reported them to this one.
     pub(super) budget: Mutex<FleetBudget>,
+    /// Demand of teams, as the instances reported it to this one.
+    pub(super) team_demand: Mutex<FleetDemand>,
     pub(super) run: RunId,
     /// Whether the other instances have been discovered.
     joined: AtomicBool,
@@ -113,6 +115,7 @@
             links: PeerClient::new(clock.clone(), None, EXCHANGE_TIMEOUT, traffic.clone()),
             candidates: Mutex::new(Candidates::new(own)),
             aggregate: Mutex::default(),
+            team_demand: Mutex::default(),
             joined: AtomicBool::new(false),
             started_at: clock.now(),
             startup_wait: StartupWait::new(clock.now(), is_seed, fastrand::f64()),
@@ -273,6 +276,8 @@
 /// aggregator itself applies its own sums.
 fn exchange(gateway: &Gateway) {
     let peers = &gateway.peers;
+    // Ends limits that have become too old, in case that no reply arrives.
+    gateway.apply_team_limits(gateway.clock.now(), gateway.clock.now(), None);
     for _ in 0..2 {
         let now = gateway.clock.now();
         let aggregator = lock(&peers.candidates).aggregator(now).cloned();
@@ -281,6 +286,7 @@
             apply_loads(gateway, now, &sums.loads, None);
             lock(&gateway.picker).note_reported_unresponsive(now, &sums.unresponsive);
             gateway.set_budget_sums(now, sums.budgets.clone());
+            gateway.apply_team_limits(now, now, sums.team_limits.as_deref());
             take_own_crash_report(gateway, now);
             return;
         };
@@ -398,6 +404,7 @@
         purpose,
         list_version: list,
         instances_hash: instances,
+        team_demands: if to_aggregator { gateway.team_demands(sent_at) } else { Vec::new() },
     };
     let mut reply: ExchangeReply = peers
         .links
@@ -416,6 +423,7 @@
         apply_loads(gateway, received_at, &reply.loads, Some(counts));
         lock(&gateway.picker).note_reported_unresponsive(received_at, &reply.unresponsive);
         gateway.set_budget_sums(received_at, std::mem::take(&mut reply.budgets));
+        gateway.apply_team_limits(received_at, sent_at, reply.team_limits.as_deref());
     }
     apply_reply(gateway, reply, list, sent_at);
     Ok(())
--- a/src/gateway/pick_error.rs
+++ b/src/gateway/pick_error.rs
@@ -3,7 +3,11 @@
 use std::time::{Duration, Instant};
 
 use super::{attempts::Refusal, forward::Forwarding};
-use crate::{routing::PickError, utils::sync::lock};
+use crate::{
+    names::TeamName,
+    routing::{PickError, admission::team_retry_delay},
+    utils::sync::lock,
+};
 
 /// Jitter of `Retry-After`, as a fraction of the remaining backoff. Without it all callers refused during the backoff
 /// would return together and overload the server at once.
@@ -15,11 +19,12 @@
         let request = self.request;
         let (admitted, wait) = match error {
             PickError::Overload { admitted, wait } => (admitted, wait),
+            PickError::TeamShare { share } => return self.note_team_share(now, share, draw),
             PickError::Backoff { left } => return self.note_backoff(left, draw),
             PickError::NoServer => return,
         };
-        // Callers accept at most a third of their remaining time as `Retry-After`.
-        let max = request.deadline.saturating_duration_since(now) / 3;
+        self.gateway.note_rejection(now, request);
+        let max = self.retry_delay_max(now);
         let target = request.route.target_latency;
         let retry_after = {
             let mut picker = lock(&self.gateway.picker);
@@ -39,6 +44,28 @@
         );
     }
 
+    /// Returns the longest useful `Retry-After`: callers accept at most a third of their remaining time.
+    fn retry_delay_max(&self, now: Instant) -> Duration {
+        self.request.deadline.saturating_duration_since(now) / 3
+    }
+
+    /// Refuses a request because its team exceeds the team's share of capacity, `share` of its requests.
+    fn note_team_share(&mut self, now: Instant, share: f64, draw: f64) {
+        let request = self.request;
+        self.gateway.note_rejection(now, request);
+        let retry_after = team_retry_delay(share, draw, self.retry_delay_max(now));
+        self.refusal = Some(Refusal::team_share(retry_after));
+        self.gateway.metrics.refusal(&request.service, "team_share");
+        log::info!(
+            "event=team_share_exceeded request={} service={} team={} share={share:.3} \
+             retry_after_ms={}",
+            request.metadata.id,
+            request.service,
+            request.team.as_ref().map_or("", TeamName::as_str),
+            retry_after.as_millis()
+        );
+    }
+
     /// Refuses a request because all servers back off; the first of them accepts requests after `left`.
     fn note_backoff(&mut self, left: Duration, draw: f64) {
         let retry_after = left.mul_f64(1.0 + BACKOFF_JITTER * draw);
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -9,8 +9,8 @@
 use http::{HeaderMap, Method, header::HOST};
 
 use crate::{
-    names::{ServerId, ServiceName, TeamName},
-    routing::{HomeRegions, RequestDigest, Route},
+    names::{ServerId, ServiceName, Tag, TeamName},
+    routing::{AdmissionTerms, HomeRegions, RequestDigest, Route},
     zone::rendezvous::ChatKey,
 };
 
@@ -109,6 +109,16 @@
         ChatKey::of(&[&self.metadata.id]).0
     }
 
+    /// Returns the tag of its caller's team. Callers without a team count as one team.
+    pub fn team_tag(&self) -> Tag {
+        Tag::of(self.team.as_ref().map_or("", TeamName::as_str))
+    }
+
+    /// Returns what decides whether the request is admitted beyond capacity.
+    pub fn admission_terms(&self) -> AdmissionTerms {
+        AdmissionTerms { priority: self.priority, team: self.team_tag() }
+    }
+
     /// Returns the hash of the shared prompt, if the route has prompt affinity.
     pub fn affinity(&self) -> Option<u64> {
         if self.route.affinity { self.metadata.affinity } else { None }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -51,6 +51,7 @@
     evacuated_zones: Gauge<u64>,
     store_era: Gauge<u64>,
     rollout_share: Gauge<f64>,
+    limited_teams: Gauge<u64>,
 }
 
 /// The metrics of an instance; clones share them.
@@ -182,6 +183,10 @@
                     "Share of a service's requests that goes to a version which is rolled out",
                 )
                 .build(),
+            limited_teams: gauge(
+                "cartvane_limited_teams",
+                "Teams whose requests exceed their share of capacity, by service",
+            ),
             log_lines_left_out: counter(
                 "cartvane_log_lines_left_out",
                 "Log lines left out since there were too many",
@@ -346,6 +351,11 @@
         self.instruments.rollout_share.record(share, &[label("service", service)]);
     }
 
+    /// Sets the number of teams of a service whose requests exceed their share of capacity.
+    pub fn limited_teams(&self, service: &ServiceName, count: usize) {
+        self.instruments.limited_teams.record(count as u64, &[label("service", service)]);
+    }
+
     /// Sets the store's era.
     pub fn store_era(&self, era: u64) {
         self.instruments.store_era.record(era, &[]);
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -36,7 +36,8 @@
 pub mod unlisted;
 
 pub use admission::{
-    AdmissionControl, BrokerAction, LeaseId, ResponseTimes, ServerSlots, SlotBroker, SlotRequest,
+    AdmissionControl, BrokerAction, FleetDemand, LeaseId, ResponseTimes, ServerSlots,
+    ServiceDemand, ServiceLimits, SlotBroker, SlotRequest, TeamLimitChange,
 };
 pub use aggregate::{Aggregate, InFlightCount, ServiceLoad};
 pub use budget::RetryBudget;
@@ -61,7 +62,7 @@
 pub use load::{FleetPosition, Load, LoadReport};
 pub use notice::Notice;
 pub use operator_orders::{OperatorOrders, OrderChange, OrdersSnapshot};
-pub use pick::{Crowded, PickError, PickRequest, Picked};
+pub use pick::{AdmissionTerms, Crowded, PickError, PickRequest, Picked};
 pub use picker::Picker;
 pub use rollout::{
     ExposureLimit, FailureDomains, ROLLOUT_LEASE, ResponseObservation, RolloutEvidence,
--- a/src/routing/pick.rs
+++ b/src/routing/pick.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use super::{BackendServer, HomeRegions, Incarnation};
-use crate::names::ServiceName;
+use crate::names::{ServiceName, Tag};
 
 /// Parameters of one pick of a server.
 #[derive(Debug)]
@@ -20,8 +20,17 @@
     pub homes: &'a HomeRegions,
     /// Cold servers for which no grant was obtained. If there are any, warm servers are preferred.
     pub denied: &'a [Incarnation],
-    /// Priority of a request that may be rejected beyond capacity; `None` for one that has been sent already.
-    pub admission: Option<u8>,
+    /// Terms of a request that may be rejected beyond capacity; `None` for one that has been sent already.
+    pub admission: Option<AdmissionTerms>,
+}
+
+/// What decides whether a request is admitted beyond capacity.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AdmissionTerms {
+    /// Priority; 0 is the most urgent.
+    pub priority: u8,
+    /// Team of the caller. All callers without a team count as one team.
+    pub team: Tag,
 }
 
 impl<'a> PickRequest<'a> {
@@ -62,6 +71,11 @@
         /// How long it would have waited for a slot.
         wait: Duration,
     },
+    /// The requests of its team exceed the team's share of capacity, and this one is not admitted.
+    TeamShare {
+        /// Share of the team's requests that is admitted.
+        share: f64,
+    },
 }
 
 /// A picked server, with the values that decided the pick.
--- a/src/routing/picker/mod.rs
+++ b/src/routing/picker/mod.rs
@@ -9,6 +9,7 @@
 mod notices;
 mod service_servers;
 mod slots;
+mod teams;
 mod unresponsive;
 mod versions;
 
@@ -27,7 +28,7 @@
 use super::{
     AdmissionControl, BackendServer, Crowded, FleetPosition, Health, InFlightCount, Incarnation,
     Load, LoadReport, Notice, PickError, PickRequest, Picked, ServiceLoad, UnlistedNotices,
-    admission::FleetTotal,
+    admission::{FleetTotal, TeamLimits, TeamUsage},
 };
 use crate::names::{RegionName, ServiceName, Tag, ZoneName};
 
@@ -67,6 +68,8 @@
     /// Services with a roll-out of another version.
     rollouts: IndexMap<ServiceName, RolloutServers>,
     by_service: IndexMap<ServiceName, ServiceServers>,
+    team_usage: TeamUsage,
+    team_limits: TeamLimits,
 }
 
 impl Picker {
@@ -84,6 +87,8 @@
             unlisted: UnlistedNotices::default(),
             rollouts: IndexMap::new(),
             by_service: IndexMap::new(),
+            team_usage: TeamUsage::default(),
+            team_limits: TeamLimits::default(),
         }
     }
 
@@ -188,6 +193,7 @@
     ///
     /// No server of the service may be used, or the request is rejected because of overload.
     pub fn pick(&self, now: Instant, request: &PickRequest<'_>) -> Result<Picked, PickError> {
+        self.check_team_share(now, request)?;
         let usable = self.usable(now, request);
         if usable.is_empty()
             && let Some(left) = self.backoff_left(now, request)
@@ -202,16 +208,17 @@
             None => self.by_load(now, request, &pool),
         };
         let picked = picked.ok_or(PickError::NoServer)?;
-        let (Some(admission), Some(priority)) =
+        let (Some(admission), Some(terms)) =
             (self.admission.get(request.service), request.admission)
         else {
             return Ok(picked);
         };
         let admitted = match self.slots(now, request.service) {
-            Some((own, slots)) => {
-                admission.admitted_share(now, priority, own, slots, self.position.instances)
+            Some((own, slots)) if !self.team_fits(now, request.service, terms.team) => {
+                let instances = self.position.instances;
+                admission.admitted_share(now, terms.priority, own, slots, instances)
             }
-            None => 1.0,
+            _ => 1.0,
         };
         if request.draw() >= admitted || picked.wait > admission.max_wait(now) {
             return Err(PickError::Overload { admitted, wait: picked.wait });
--- a/tests/suite/messages.rs
+++ b/tests/suite/messages.rs
@@ -17,7 +17,8 @@
     routing::{
         BudgetSum, InstanceInfo, InstanceListUpdate, Intent, IntentChange, ListHistory,
         ListVersion, OrdersSnapshot, PackedChange, RetrySpending, RolloutOrder, RunId,
-        ServerListUpdate, ServiceLoad, StoreEra, StoreVersion,
+        ServerListUpdate, ServiceDemand, ServiceLimits, ServiceLoad, StoreEra, StoreVersion,
+        admission::{CentiRate, PerMille, TeamRate},
     },
 };
 use indexmap::IndexSet;
@@ -64,6 +65,7 @@
         purpose: ExchangePurpose::Aggregate,
         list_version: Some(ListVersion(77)),
         instances_hash: 8,
+        team_demands: Vec::new(),
     }
 }
 
@@ -90,9 +92,51 @@
         list_age_ms: Some(250),
         list_era: StoreEra(2),
         instances: Some(InstanceListUpdate::Whole(vec![instance()])),
+        team_limits: None,
     }
 }
 
+/// Returns the demand of the same `teams` teams at two services.
+fn team_demands(teams: u32) -> Vec<ServiceDemand> {
+    let rate = |number: u32| TeamRate {
+        team: Tag(u32::MAX - number),
+        demand: CentiRate::of(2.0 + f64::from(number)),
+        attempts: CentiRate::of(2.5 + f64::from(number)),
+    };
+    let demand = |service: &str| ServiceDemand {
+        service: service.parse().expect("a name"),
+        demand: CentiRate::of(40.0),
+        attempts: CentiRate::of(44.0),
+        slot_time_us: 61_000,
+        teams: (0..teams).map(rate).collect(),
+    };
+    ["llm", "app"].map(demand).into()
+}
+
+/// Returns limits of the same `teams` teams at two services.
+fn team_limits(teams: u32) -> Option<Vec<ServiceLimits>> {
+    let limit =
+        |number: u32| (Tag(u32::MAX - number), PerMille::of(0.3 + f64::from(number) / 100.0));
+    let limits = |service: &str| ServiceLimits {
+        service: service.parse().expect("a name"),
+        level: CentiRate::of(20.5),
+        teams: (0..teams).map(limit).collect(),
+    };
+    Some(["llm", "app"].map(limits).into())
+}
+
+// Guards against fields that take up the control traffic of the median instance, 12 KB a second.
+#[test]
+fn shares_of_teams_add_few_bytes_to_an_exchange() {
+    let with_demands = ExchangeReport { team_demands: team_demands(8), ..report() };
+    let with_limits = ExchangeReply { team_limits: team_limits(8), ..reply(lists().since(None)) };
+    let added_to_report = encode(&with_demands).len() - encode(&report()).len();
+    let added_to_reply = encode(&with_limits).len() - encode(&reply(lists().since(None))).len();
+    println!("a report gains {added_to_report} bytes, a reply {added_to_reply}");
+    assert!(added_to_report <= 256 && added_to_reply <= 256);
+    assert!(survives_round_trip(&with_demands) && survives_round_trip(&with_limits));
+}
+
 fn lists() -> ListHistory {
     let mut cold = server("b@1000", 2);
     cold.cold_for = Duration::from_millis(2500);
@@ -142,13 +186,15 @@
         ("permit reply", hex(&PermitReply { granted: true })),
         ("offer reply", hex(&OfferReply { version: 12 })),
         ("orders", hex(&orders())),
+        ("demand of teams", hex(&team_demands(1))),
+        ("limits of teams", hex(&team_limits(1))),
     ];
     let text = lines.map(|(name, bytes)| format!("{name}: {bytes}")).join("\n");
     insta::assert_snapshot!(text);
 }
 
 /// Messages as written by earlier builds.
-const EARLIER_BUILDS: [(&str, &str); 4] = [
+const EARLIER_BUILDS: [(&str, &str); 5] = [
     (
         "report",
         "9d94a6656467652d3181a2563492940a000001cd2025a56e6f727468ca3f00000091920703910905909090939090900cc2a6496e5475726e4d08",
@@ -157,6 +203,10 @@
         "reply",
         "9f9194a36c6c6dca4020000091920704c391099006c2900c9092289202cd019c939202cd019c91a56e6f72746881a36c6c6d92a27632920c009081a74368616e67657392919892a162cd03e8a36c6c6d81a2563492940a00000102a56e6f727468c2c0c09202ce1dcd650090ccfa0281a557686f6c659194a6656467652d3181a2563492940a000001cd2025a56e6f727468ca3f000000",
     ),
+    (
+        "reply without limits of teams",
+        "9f9194a36c6c6dca4020000091920704c391099006c2900c9092289202cd019c949202cd019c91a56e6f72746881a36c6c6d92a27632920c0091a36170709081a74368616e67657392919892a162cd03e8a36c6c6d81a2563492940a00000102a56e6f727468c2c0c09202ce1dcd650090ccfa0281a557686f6c659194a6656467652d3181a2563492940a000001cd2025a56e6f727468ca3f000000",
+    ),
     ("permit", "9207a36c6c6d"),
     ("orders", "939202cd019c91a56e6f72746881a36c6c6d92a27632920c00"),
 ];
@@ -168,13 +218,15 @@
 
 #[test]
 fn messages_of_earlier_builds_are_decoded() {
-    let [report_bytes, reply_bytes, permit, orders_bytes] =
+    let [report_bytes, reply_bytes, without_teams, permit, orders_bytes] =
         EARLIER_BUILDS.map(|(_, hex)| bytes_of(hex));
     let same = |read: Vec<u8>, now: Vec<u8>| assert_eq!(read, now);
     same(encode(&decode::<ExchangeReport>(&report_bytes).expect("a report")), encode(&report()));
     let orders_before = OrdersSnapshot { unparsed: IndexSet::new(), ..orders() };
     let decoded = decode::<ExchangeReply>(&reply_bytes).expect("a reply");
     assert_eq!((decoded.intent_version, &decoded.orders), (12, &orders_before));
+    let decoded = decode::<ExchangeReply>(&without_teams).expect("a reply");
+    assert_eq!((decoded.intent_version, decoded.team_limits), (12, None));
     assert!(decode::<PermitRequest>(&permit).is_ok_and(|request| request.server == Tag(7)));
     assert_eq!(decode::<OrdersSnapshot>(&orders_bytes).expect("orders"), orders_before);
 }
--- a/tests/suite/overload.rs
+++ b/tests/suite/overload.rs
@@ -9,10 +9,10 @@
 };
 
 use cartvane::{
-    names::ServiceName,
+    names::{ServiceName, Tag},
     routing::{
-        AdmissionControl, Aggregate, BackendServer, FleetPosition, PickError, PickRequest, Picker,
-        ResponseTimes, admission::FleetTotal,
+        AdmissionControl, AdmissionTerms, Aggregate, BackendServer, FleetPosition, PickError,
+        PickRequest, Picker, ResponseTimes, admission::FleetTotal,
     },
 };
 use fastrand::Rng;
@@ -209,7 +209,7 @@
             affinity: Some(self.rng.u64(0..60)),
             spread: self.rng.u64(..),
             tried: &[],
-            admission: Some(priority as u8),
+            admission: Some(AdmissionTerms { priority: priority as u8, team: Tag(0) }),
             ..PickRequest::new(&self.service)
         };
         self.requests[priority] += 1;
@@ -222,7 +222,7 @@
                 self.run_next(at);
             }
             Err(PickError::Overload { .. }) => self.rejected[priority] += 1,
-            Err(PickError::NoServer | PickError::Backoff { .. }) => panic!("servers are available"),
+            Err(error) => panic!("servers are available and no team is limited: {error:?}"),
         }
     }
 
