fix(picker): prefer a free slot when no allotment is left

Cause: with seed 4707 in place of 7, the test of overload below capacity failed at 40 instances. The first server of a popular prompt was crowded, so all servers were judged by allotments. An instance with 20 of the 642 requests in flight had none left, picked the server with the largest remainder, which had five requests queued, and rejected the request for its wait of 250 ms (180 ms allowed), although 318 of 960 slots were free.

Change: among servers without an allotment, those with a free slot are preferred. The seed is kept as a case.

--- a/src/routing/picker/affinity.rs
+++ b/src/routing/picker/affinity.rs
@@ -42,8 +42,8 @@
 
 impl Picker {
     /// Picks the first server in the rendezvous order of a prompt that has headroom and a free slot, or else headroom
-    /// and an acceptable wait. If there is none, picks the one with the most headroom, or a lightly loaded one while
-    /// capacity is scarce.
+    /// and an acceptable wait. If there is none, picks the one with the most headroom, preferably with a free slot, or a
+    /// lightly loaded one while capacity is scarce.
     pub(super) fn by_affinity(
         &self,
         now: Instant,
@@ -94,7 +94,10 @@
                 let choices = ordered().cycle().skip(from).take(SCARCE_CHOICES.min(order.len()));
                 return choices.min_by(|a, b| loads[*a.1].total_cmp(&loads[*b.1]));
             }
-            ordered().max_by(|a, b| headrooms[a.0].total_cmp(&headrooms[b.0]))
+            // Without a free slot the request may be rejected for its wait, though others are free.
+            let has_slot = |at: usize| waits[at].is_zero();
+            let by_headroom = |a: usize, b: usize| headrooms[a].total_cmp(&headrooms[b]);
+            ordered().max_by(|a, b| has_slot(a.0).cmp(&has_slot(b.0)).then(by_headroom(a.0, b.0)))
         };
         let (at, &i) = ordered()
             .find(is_free)
--- a/tests/suite/overload.rs
+++ b/tests/suite/overload.rs
@@ -136,7 +136,7 @@
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(250);
 
 impl Fleet {
-    fn new(instances: usize, servers: u16) -> Fleet {
+    fn new(instances: usize, servers: u16, seed: u64) -> Fleet {
         let slots = |s: BackendServer| BackendServer { slots: Some(SLOTS), ..s };
         let servers: Vec<BackendServer> =
             (0..servers).map(|i| slots(server(&format!("s{i}"), i))).collect();
@@ -151,7 +151,7 @@
         let mut fleet = Fleet {
             now,
             events: BinaryHeap::new(),
-            rng: Rng::with_seed(7),
+            rng: Rng::with_seed(seed),
             service: "llm".parse().expect("a valid name"),
             running: vec![0; servers.len()],
             waiting: vec![VecDeque::new(); servers.len()],
@@ -274,7 +274,7 @@
     {
         for load in loads {
             let case = format!("{instances} instances, {servers} servers, load {load}");
-            let mut fleet = Fleet::new(instances, servers);
+            let mut fleet = Fleet::new(instances, servers, 7);
             fleet.simulate(SECOND * 4, 0.5);
             fleet.simulate(SECOND * 2, load);
             let mut taken = Vec::new();
@@ -303,14 +303,20 @@
 
 #[test]
 fn nothing_is_rejected_below_capacity_or_from_a_second_after_an_overload() {
-    for (instances, servers) in [(1, 6), (7, 18), (40, 60)] {
-        let mut fleet = Fleet::new(instances, servers);
+    // With seed 4707, an instance without an allotment left picked a server with a queue and rejected the request for
+    // its wait, although a third of the slots was free.
+    let sizes = [(1, 6), (7, 18), (40, 60)];
+    for (seed, (instances, servers)) in
+        [7, 4707].into_iter().flat_map(|s| sizes.map(|size| (s, size)))
+    {
+        let mut fleet = Fleet::new(instances, servers, seed);
         fleet.simulate(SECOND * 5, 0.65);
-        assert_eq!(fleet.rejected, [0; 3], "{instances} instances");
+        assert_eq!(fleet.rejected, [0; 3], "{instances} instances, seed {seed}");
         fleet.simulate(SECOND * 5, 3.0);
         assert!(fleet.rejected.iter().sum::<u32>() > 0);
         fleet.simulate(SECOND, 0.5);
         fleet.simulate(SECOND * 3, 0.5);
-        assert_eq!(fleet.rejected, [0; 3], "{instances} instances, after the overload");
+        let case = format!("{instances} instances, seed {seed}, after the overload");
+        assert_eq!(fleet.rejected, [0; 3], "{case}");
     }
 }
