feat(admission): each kind of request waits by its own target

Cause: all requests of a service waited for at most 0.6 of the shortest target among its recent priorities, so that requests with a target of 1,500 ms were rejected for waits beyond 240 ms beside others with 400 ms.

Change: PickRequest carries the target of the request, by which its wait is bounded. AdmissionControl no longer records targets, so note_request has a parameter less, also in its tests.

Measured: a request with a wait of 500 ms is rejected with a target of 400 ms and sent with 1,500 ms (test each_kind_of_request_waits_by_its_own_target).

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -122,6 +122,7 @@
                 tried: self.attempts.servers(),
                 denied: &self.denied,
                 homes: &self.request.homes,
+                target: self.request.route.target_latency,
                 admission: (!self.attempts.may_have_run()).then(|| self.request.admission_terms()),
             };
             let (picked, in_flight) = match self.gateway.pick(now, &pick_request) {
@@ -391,6 +392,7 @@
             tried: &tried,
             denied: &self.denied,
             homes: &self.request.homes,
+            target: self.request.route.target_latency,
             admission: Some(self.request.admission_terms()),
         };
         let has_other = lock(&self.gateway.picker).pick(now, &pick_request).is_ok();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -164,8 +164,7 @@
         let mut budgets = lock(&self.budgets);
         self.budget_of(&mut budgets, service).record_request(now, terms);
         drop(budgets);
-        let target = request.route.target_latency;
-        lock(&self.picker).note_request(now, service, request.priority, target);
+        lock(&self.picker).note_request(now, service, request.priority);
         self.note_team_request(now, request);
     }
 
--- a/src/routing/admission/control.rs
+++ b/src/routing/admission/control.rs
@@ -15,7 +15,7 @@
 
 use crate::routing::load::FLEET_COUNT_MAX_AGE;
 
-/// Share of the shortest target latency beyond which no request waits for a slot, whatever the admitted share: with the
+/// Share of its target latency beyond which a request does not wait for a slot, whatever the admitted share: with the
 /// time to process its prompt, a request that waits longer is late.
 const MAX_WAIT_SHARE: f64 = 0.6;
 
@@ -95,13 +95,6 @@
     pub body: Duration,
 }
 
-/// Last request of one priority.
-#[derive(Debug, Clone, Copy)]
-struct PriorityUse {
-    last_request: Instant,
-    target: Duration,
-}
-
 /// Requests in flight at all servers of a service at the last exchange.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct FleetTotal {
@@ -121,8 +114,8 @@
     /// Time from the head to the end.
     body: MovingMean,
     responses: u32,
-    /// Recently used priorities.
-    priorities: IndexMap<u8, PriorityUse>,
+    /// Recently used priorities, and when the last request of each was received.
+    priorities: IndexMap<u8, Instant>,
     /// Requests in flight of all instances at the last exchange.
     fleet: Option<FleetTotal>,
     /// First and last rejection of the current or last period of overload.
@@ -130,11 +123,10 @@
 }
 
 impl AdmissionControl {
-    /// Records a caller's request with its priority (0 is the most urgent) and target latency.
-    pub fn note_request(&mut self, now: Instant, priority: u8, target: Duration) {
-        self.priorities.insert(priority, PriorityUse { last_request: now, target });
-        self.priorities
-            .retain(|_, used| now.saturating_duration_since(used.last_request) < PRIORITY_TTL);
+    /// Records a caller's request with its priority (0 is the most urgent).
+    pub fn note_request(&mut self, now: Instant, priority: u8) {
+        self.priorities.insert(priority, now);
+        self.priorities.retain(|_, used| now.saturating_duration_since(*used) < PRIORITY_TTL);
     }
 
     /// Records the times of a successful response; `waited` tells whether its request was expected to wait for a slot.
@@ -223,23 +215,18 @@
             .clamp(0.0, 1.0);
         let others = self.recent_priorities(now).count().saturating_sub(1).max(1) as f64;
         let more_urgent =
-            self.recent_priorities(now).filter(|(other, _)| **other < priority).count() as f64;
+            self.recent_priorities(now).filter(|other| *other < priority).count() as f64;
         share.powf(1.0 + URGENCY * (more_urgent / others - 0.5))
     }
 
-    /// Returns the longest expected wait for a slot with which a request is still sent.
-    pub fn max_wait(&self, now: Instant) -> Duration {
-        self.shortest_target(now).map_or(Duration::ZERO, |target| target.mul_f64(MAX_WAIT_SHARE))
-    }
-
-    fn recent_priorities(&self, now: Instant) -> impl Iterator<Item = (&u8, &PriorityUse)> {
-        self.priorities.iter().filter(move |(_, used)| {
-            now.saturating_duration_since(used.last_request) < PRIORITY_TTL
-        })
+    /// Returns the longest expected wait for a slot with which a request of that target latency is still sent.
+    pub fn max_wait(target: Duration) -> Duration {
+        target.mul_f64(MAX_WAIT_SHARE)
     }
 
-    fn shortest_target(&self, now: Instant) -> Option<Duration> {
-        self.recent_priorities(now).map(|(_, used)| used.target).min()
+    fn recent_priorities(&self, now: Instant) -> impl Iterator<Item = u8> {
+        let is_recent = move |used: &Instant| now.saturating_duration_since(*used) < PRIORITY_TTL;
+        self.priorities.iter().filter(move |(_, used)| is_recent(used)).map(|(other, _)| *other)
     }
 
     /// Records a rejection and returns the delay after which its caller should retry.
--- a/src/routing/pick.rs
+++ b/src/routing/pick.rs
@@ -20,6 +20,8 @@
     pub homes: &'a HomeRegions,
     /// Cold servers for which no grant was obtained. If there are any, warm servers are preferred.
     pub denied: &'a [Incarnation],
+    /// Target latency of the request, which bounds its wait for a slot.
+    pub target: Duration,
     /// Terms of a request that may be rejected beyond capacity; `None` for one that has been sent already.
     pub admission: Option<AdmissionTerms>,
 }
@@ -43,6 +45,7 @@
             tried: &[],
             denied: &[],
             homes: &HomeRegions::Anywhere,
+            target: Duration::ZERO,
             admission: None,
         }
     }
--- a/src/routing/picker/affinity.rs
+++ b/src/routing/picker/affinity.rs
@@ -12,7 +12,7 @@
 use crate::{
     names::ServiceName,
     routing::{
-        BackendServer, PickRequest, Picked,
+        AdmissionControl, BackendServer, PickRequest, Picked,
         load::{LoadBounds, target_load},
     },
     zone::rendezvous,
@@ -78,7 +78,7 @@
         let waits: Vec<Duration> =
             order.iter().map(|&i| self.wait(now, pool[i], loads[i])).collect();
         let admission = self.admission.get(request.service);
-        let max_wait = admission.map_or(Duration::ZERO, |a| a.max_wait(now));
+        let max_wait = AdmissionControl::max_wait(request.target);
         let ordered = || order.iter().enumerate();
         let nearly_full =
             admission.is_some_and(|a| a.is_nearly_full(now, self.slots_of(now, request.service)));
--- a/src/routing/picker/mod.rs
+++ b/src/routing/picker/mod.rs
@@ -13,11 +13,7 @@
 mod unresponsive;
 mod versions;
 
-use std::{
-    collections::HashMap,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{collections::HashMap, sync::Arc, time::Instant};
 
 use indexmap::{IndexMap, IndexSet};
 
@@ -171,15 +167,9 @@
         self.servers.values().filter(|tracked| tracked.is_cold(now)).count()
     }
 
-    /// Records a caller's request to a service, with its priority and target latency.
-    pub fn note_request(
-        &mut self,
-        now: Instant,
-        service: &ServiceName,
-        priority: u8,
-        target: Duration,
-    ) {
-        self.admission(service).note_request(now, priority, target);
+    /// Records a caller's request to a service, with its priority.
+    pub fn note_request(&mut self, now: Instant, service: &ServiceName, priority: u8) {
+        self.admission(service).note_request(now, priority);
     }
 
     /// Returns the admission control of a service.
@@ -220,7 +210,7 @@
             }
             _ => 1.0,
         };
-        if request.draw() >= admitted || picked.wait > admission.max_wait(now) {
+        if request.draw() >= admitted || picked.wait > AdmissionControl::max_wait(request.target) {
             return Err(PickError::Overload { admitted, wait: picked.wait });
         }
         Ok(picked)
--- a/tests/suite/overload.rs
+++ b/tests/suite/overload.rs
@@ -12,12 +12,12 @@
     names::{ServiceName, Tag},
     routing::{
         AdmissionControl, AdmissionTerms, Aggregate, BackendServer, FleetPosition, PickError,
-        PickRequest, Picker, ResponseTimes, admission::FleetTotal,
+        PickRequest, Picker, ResponseTimes, ServiceLoad, admission::FleetTotal,
     },
 };
 use fastrand::Rng;
 
-use crate::routing::server;
+use crate::routing::{picker, server};
 
 const MS: Duration = Duration::from_millis(1);
 const SECOND: Duration = Duration::from_secs(1);
@@ -27,7 +27,7 @@
 fn with_responses(now: Instant) -> AdmissionControl {
     let mut admission = AdmissionControl::default();
     for priority in 0..3 {
-        admission.note_request(now, priority, TARGET);
+        admission.note_request(now, priority);
     }
     let times = ResponseTimes { head: MS * 100, body: MS * 900 };
     (0..20).for_each(|_| admission.note_response(times, false));
@@ -203,12 +203,12 @@
         let (now, priority) = (self.now, self.rng.usize(0..3));
         let instance = self.rng.usize(0..self.pickers.len());
         let picker = &mut self.pickers[instance];
-        picker.note_request(now, &self.service, priority as u8, TARGET);
+        picker.note_request(now, &self.service, priority as u8);
         let request = PickRequest {
             service: &self.service,
             affinity: Some(self.rng.u64(0..60)),
             spread: self.rng.u64(..),
-            tried: &[],
+            target: TARGET,
             admission: Some(AdmissionTerms { priority: priority as u8, team: Tag(0) }),
             ..PickRequest::new(&self.service)
         };
@@ -320,3 +320,32 @@
         assert_eq!(fleet.rejected, [0; 3], "{case}");
     }
 }
+
+// Guards against waits by the shortest target of a service: requests with a target of 400 ms kept those with 1,500 ms
+// from waiting longer than 240 ms.
+#[test]
+fn each_kind_of_request_waits_by_its_own_target() {
+    let now = Instant::now();
+    let with_slots = |id, port, slots| BackendServer { slots: Some(slots), ..server(id, port) };
+    let servers = [with_slots("a", 1, 10), with_slots("b", 2, 40)];
+    let mut picker = picker(&servers);
+    let service: ServiceName = "llm".parse().expect("a valid name");
+    let times = ResponseTimes { head: MS * 100, body: MS * 900 };
+    (0..20).for_each(|_| picker.admission(&service).note_response(times, false));
+    (0..3).for_each(|priority| picker.note_request(now, &service, priority));
+    (0..15).for_each(|_| picker.start_request(now, &servers[0].id));
+    let counts = vec![(servers[0].tag(), 15)];
+    let (mean, counts, is_complete) = (7.5, counts, true);
+    let load = ServiceLoad { service: service.clone(), mean, counts: counts.clone(), is_complete };
+    picker.set_fleet_loads(now, &[load], &counts);
+    let tried = [servers[1].id.clone()];
+    let pick = |target| {
+        let admission = Some(AdmissionTerms { priority: 1, team: Tag(0) });
+        let request =
+            PickRequest { target, tried: &tried, admission, ..PickRequest::new(&service) };
+        picker.pick(now, &request).map(|picked| picked.wait)
+    };
+    let wait = MS * 500;
+    assert_eq!(pick(MS * 400), Err(PickError::Overload { admitted: 1.0, wait }));
+    assert_eq!(pick(MS * 1500), Ok(wait));
+}
