feat(admission): exclude waits from capacity, drain queues, replay surges

Cause: in simulated fleets, response times of short requests include their waits, since counts are older than the requests. The queue that the onset left was served by the free slots only, for over a second.

Change: the aggregator uses the smallest recent slot time, divides the capacity less one slot of each server, and less what the requests in flight beyond the slots need for half a second. A long queue lowers the margin at which limits begin.

--- a/src/gateway/peer_server.rs
+++ b/src/gateway/peer_server.rs
@@ -151,11 +151,14 @@
 
 /// Returns the sums over all instances including this one, from a cache that is at most [`SUMS_MAX_AGE`] old.
 pub(super) fn fleet_sums(gateway: &Gateway, now: Instant) -> Arc<FleetSums> {
-    gateway.peers.fleet_sums.get(now, || FleetSums {
-        loads: service_loads(gateway, now),
-        unresponsive: unresponsive_servers(gateway, now),
-        budgets: budget_sums(gateway, now),
-        team_limits: gateway.fleet_team_limits(now),
+    gateway.peers.fleet_sums.get(now, || {
+        let loads = service_loads(gateway, now);
+        FleetSums {
+            unresponsive: unresponsive_servers(gateway, now),
+            budgets: budget_sums(gateway, now),
+            team_limits: gateway.fleet_team_limits(now, &loads),
+            loads,
+        }
     })
 }
 
--- a/src/gateway/team_shares.rs
+++ b/src/gateway/team_shares.rs
@@ -7,7 +7,7 @@
 use super::{Gateway, request::Request};
 use crate::{
     names::{Tag, TeamName},
-    routing::{ServiceDemand, ServiceLimits, TeamLimitChange},
+    routing::{ServiceDemand, ServiceLimits, ServiceLoad, TeamLimitChange},
     utils::sync::lock,
 };
 
@@ -40,13 +40,17 @@
     }
 
     /// Returns the limits of teams that follow from the reports of all instances including this one; `None` while they
-    /// are incomplete.
-    pub(super) fn fleet_team_limits(&self, now: Instant) -> Option<Vec<ServiceLimits>> {
+    /// are incomplete. `loads` are the requests in flight of all instances.
+    pub(super) fn fleet_team_limits(
+        &self,
+        now: Instant,
+        loads: &[ServiceLoad],
+    ) -> Option<Vec<ServiceLimits>> {
         let own = self.team_demands(now);
         let (instances, period) = (self.peers.instances(), self.peers.period());
         let mut demand = lock(&self.peers.team_demand);
         demand.record_report(now, self.settings.node.clone(), own);
-        let slots = |service: &_| lock(&self.picker).service_slots(now, service);
+        let slots = |service: &_| lock(&self.picker).service_slots(now, service, loads);
         demand.limits(now, instances, period, slots)
     }
 
--- a/src/routing/admission/demand_sums.rs
+++ b/src/routing/admission/demand_sums.rs
@@ -78,10 +78,9 @@
         self.reports == 0
     }
 
-    /// Returns the capacity of a service with `slots` slots, in requests per second, unless the time that its requests
-    /// occupy a slot is not known.
-    pub(super) fn capacity(&self, slots: f64) -> Option<f64> {
+    /// Returns the mean slot time that the instances have measured, in seconds.
+    pub(super) fn slot_time(&self) -> Option<f64> {
         let (sum_us, weights) = self.slot_time;
-        (sum_us > 0 && slots > 0.0).then(|| slots * weights as f64 * 1e6 / sum_us as f64)
+        (sum_us > 0).then(|| sum_us as f64 / 1e6 / weights as f64)
     }
 }
--- a/src/routing/admission/fleet_demand.rs
+++ b/src/routing/admission/fleet_demand.rs
@@ -9,7 +9,8 @@
 
 use super::{
     demand_sums::DemandSums,
-    service_shares::ServiceShares,
+    service_shares::{ServiceShares, ServiceSlots},
+    slot_time::SlotTime,
     team_messages::{ServiceDemand, ServiceLimits},
 };
 use crate::names::{NodeName, ServiceName};
@@ -28,6 +29,7 @@
 pub struct FleetDemand {
     reports: IndexMap<NodeName, (Instant, Vec<ServiceDemand>)>,
     sums: IndexMap<ServiceName, DemandSums>,
+    slot_times: IndexMap<ServiceName, SlotTime>,
     /// Start of the current uninterrupted sequence of reports.
     since: Option<Instant>,
     last: Option<Instant>,
@@ -83,7 +85,7 @@
         now: Instant,
         instances: usize,
         period: Duration,
-        slots: impl Fn(&ServiceName) -> Option<f64>,
+        slots: impl Fn(&ServiceName) -> Option<ServiceSlots>,
     ) -> Option<Vec<ServiceLimits>> {
         self.prune(now);
         let collected_for = now.saturating_duration_since(self.since?);
@@ -92,19 +94,24 @@
         if !is_complete {
             return None;
         }
-        let FleetDemand { sums, followed, .. } = self;
+        let FleetDemand { sums, slot_times, followed, .. } = self;
         followed.retain(|service, _| sums.contains_key(service));
+        slot_times.retain(|service, _| sums.contains_key(service));
         let limits = sums.iter().filter_map(|(service, sums)| {
-            let capacity = slots(service).and_then(|slots| sums.capacity(slots));
-            let capacity = capacity.filter(|c| sums.total.attempts() >= FOLLOWED_FROM * c);
-            let Some(capacity) = capacity else {
+            let capacity = slots(service).zip(sums.slot_time()).map(|(slots, measured)| {
+                let first = SlotTime::new(now, measured);
+                let slot_time = slot_times.entry(service.clone()).or_insert(first);
+                (slots, slots.capacity(slot_time.note(now, measured)))
+            });
+            let capacity = capacity.filter(|(_, c)| sums.total.attempts() >= FOLLOWED_FROM * c);
+            let Some((slots, capacity)) = capacity else {
                 followed.swap_remove(service);
                 return None;
             };
             let shares =
                 followed.entry(service.clone()).or_insert_with(|| ServiceShares::new(now, sums));
             shares.note(now, sums);
-            shares.limits(service, capacity)
+            shares.limits(service, slots, capacity)
         });
         Some(limits.collect())
     }
--- a/src/routing/admission/mod.rs
+++ b/src/routing/admission/mod.rs
@@ -16,6 +16,7 @@
 mod service_shares;
 mod slot_broker;
 mod slot_request;
+mod slot_time;
 mod smoothed_rate;
 mod team_limits;
 mod team_messages;
@@ -24,6 +25,7 @@
 pub use control::{AdmissionControl, FleetTotal, ResponseTimes};
 pub use fleet_demand::FleetDemand;
 pub use max_min::fair_level;
+pub use service_shares::ServiceSlots;
 pub use slot_broker::SlotBroker;
 pub use slot_request::{BrokerAction, LeaseId, ServerSlots, SlotRequest};
 pub use team_limits::{
--- a/src/routing/admission/service_shares.rs
+++ b/src/routing/admission/service_shares.rs
@@ -12,17 +12,61 @@
 };
 use crate::names::{ServiceName, Tag};
 
-/// Share of a service's capacity that is divided among teams. Admission control keeps slots taken between 0.85 and 1.05,
-/// and above this share waits grow without gain.
-const DIVIDED_SHARE: f64 = 0.95;
+/// Largest share of the slots that is divided among teams.
+const DIVIDED_MAX: f64 = 0.95;
 
 /// Number of standard deviations by which demand must exceed capacity before teams are limited, so that random bursts
 /// below capacity limit nobody.
 const ONSET_DEVIATIONS: f64 = 5.0;
 
+/// The same where many requests are queued, which a random burst hardly causes.
+const QUEUED_ONSET_DEVIATIONS: f64 = 3.0;
+
+/// Share of the slots from which a queue is long.
+const LONG_QUEUE_SHARE: f64 = 1.0;
+
 /// Rate below which a team that is not reported any more is forgotten, in requests per second.
 const KEPT_MIN: f64 = 0.05;
 
+/// Time in which queued requests are to be served, in seconds. While a queue that an onset has left drains by the free
+/// slots only, all requests behind it are late.
+const DRAIN_TIME_S: f64 = 0.5;
+
+/// Smallest part of the capacity that is divided while a queue is served.
+const DRAIN_LEAVES: f64 = 0.5;
+
+/// Slots of a service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ServiceSlots {
+    /// Slots of all of its servers.
+    pub total: f64,
+    /// Number of its servers.
+    pub servers: usize,
+    /// Requests in flight of all instances.
+    pub in_flight: f64,
+}
+
+impl ServiceSlots {
+    /// Returns the requests per second that are divided among teams if each occupies a slot for `slot_time` seconds.
+    ///
+    /// One slot of each server is left free: a request that finds all slots of its server taken then waits for about
+    /// one slot time. With less, waits soon exceed the usual targets, since instances spread requests by old counts.
+    pub(super) fn capacity(self, slot_time: f64) -> f64 {
+        let divided = (self.total - self.servers as f64).max(self.total / 2.0);
+        divided.min(self.total * DIVIDED_MAX) / slot_time
+    }
+
+    fn has_long_queue(self) -> bool {
+        self.in_flight >= self.total * (1.0 + LONG_QUEUE_SHARE)
+    }
+
+    /// Returns the part of `capacity` that is divided while queued requests are served.
+    fn beside_queue(self, capacity: f64) -> f64 {
+        let queued = (self.in_flight - self.total).max(0.0);
+        (capacity - queued / DRAIN_TIME_S).max(capacity * DRAIN_LEAVES)
+    }
+}
+
 /// Rates of a service or of a team.
 #[derive(Debug, Clone, Copy)]
 struct Claimant {
@@ -83,13 +127,22 @@
         });
     }
 
-    /// Returns the limits of the teams where `capacity` is available, in requests per second; `None` if all demand fits.
-    pub(super) fn limits(&mut self, service: &ServiceName, capacity: f64) -> Option<ServiceLimits> {
-        let divided = capacity * DIVIDED_SHARE;
+    /// Returns the limits of the teams among which `capacity` requests per second are divided; `None` if all fit.
+    pub(super) fn limits(
+        &mut self,
+        service: &ServiceName,
+        slots: ServiceSlots,
+        capacity: f64,
+    ) -> Option<ServiceLimits> {
         let deviation = self.total.demand.deviation();
-        let margin = if self.total.is_limited { 0.0 } else { ONSET_DEVIATIONS * deviation };
-        self.total.is_limited = self.total.claim() - margin > divided;
+        let margin = match (self.total.is_limited, slots.has_long_queue()) {
+            (true, _) => 0.0,
+            (false, true) => QUEUED_ONSET_DEVIATIONS * deviation,
+            (false, false) => ONSET_DEVIATIONS * deviation,
+        };
+        self.total.is_limited = self.total.claim() - margin > capacity;
         let claims: Vec<f64> = self.teams.values().map(Claimant::claim).collect();
+        let divided = slots.beside_queue(capacity);
         let Some(level) = fair_level(divided, &claims).filter(|_| self.total.is_limited) else {
             self.total.is_limited = false;
             self.teams.values_mut().for_each(|team| team.is_limited = false);
--- a/src/routing/picker/teams.rs
+++ b/src/routing/picker/teams.rs
@@ -6,9 +6,10 @@
 use crate::{
     names::{ServiceName, Tag},
     routing::{
-        PickError, PickRequest,
+        PickError, PickRequest, ServiceLoad,
         admission::{
-            ServiceDemand, ServiceLimits, TeamLimitChange, TeamLimits, TeamUsage, TeamVerdict,
+            ServiceDemand, ServiceLimits, ServiceSlots, TeamLimitChange, TeamLimits, TeamUsage,
+            TeamVerdict,
         },
     },
 };
@@ -32,9 +33,18 @@
         self.team_usage.report(now, draw, slot_time)
     }
 
-    /// Returns the slots of a service's servers that accept requests; `None` if some do not state them.
-    pub fn service_slots(&self, now: Instant, service: &ServiceName) -> Option<f64> {
-        self.slots(now, service).map(|(_, slots)| slots)
+    /// Returns the slots of a service's servers that accept requests; `None` if there are none, or if some servers do
+    /// not state them. `loads` are the requests in flight of all instances.
+    pub fn service_slots(
+        &self,
+        now: Instant,
+        service: &ServiceName,
+        loads: &[ServiceLoad],
+    ) -> Option<ServiceSlots> {
+        let (_, total) = self.slots(now, service).filter(|(_, slots)| *slots > 0.0)?;
+        let servers = self.servers_of(service).count();
+        let mean = loads.iter().find(|l| l.service == *service).map_or(0.0, |l| l.mean);
+        Some(ServiceSlots { total, servers, in_flight: f64::from(mean) * servers as f64 })
     }
 
     /// Applies the aggregator's limits of teams as of `as_of`; returns those that have begun or ended.
--- a/tests/suite/overload.rs
+++ b/tests/suite/overload.rs
@@ -1,23 +1,21 @@
 //! Admission control beyond capacity, on a simulated clock: the admitted share, the retry delay of rejected callers,
 //! and the combined behaviour of several instances that know each other's counts as of the last exchange.
 
-use std::{
-    cmp::Reverse,
-    collections::{BinaryHeap, VecDeque},
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use cartvane::{
     names::{ServiceName, Tag},
     routing::{
-        AdmissionControl, AdmissionTerms, Aggregate, BackendServer, FleetPosition, PickError,
-        PickRequest, Picker, ResponseTimes, ServiceLoad, admission::FleetTotal,
+        AdmissionControl, AdmissionTerms, Aggregate, BackendServer, PickError, PickRequest, Picker,
+        ResponseTimes, ServiceLoad, admission::FleetTotal,
     },
 };
 use fastrand::Rng;
 
-use crate::routing::{picker, server};
+use crate::{
+    routing::{picker, server},
+    simulation::{self, ServerQueues, Timeline, pause, report_counts},
+};
 
 const MS: Duration = Duration::from_millis(1);
 const SECOND: Duration = Duration::from_secs(1);
@@ -113,14 +111,14 @@
 /// Instances that admit requests and pick servers, and servers with `SLOTS` slots and a queue each.
 struct Fleet {
     now: Instant,
-    events: BinaryHeap<Reverse<(Instant, Event)>>,
+    events: Timeline<Event>,
     rng: Rng,
     service: ServiceName,
     servers: Vec<BackendServer>,
     pickers: Vec<Picker>,
     aggregate: Aggregate,
-    running: Vec<u32>,
-    waiting: Vec<VecDeque<(Instant, usize)>>,
+    /// Requests at the servers: when they were sent, and by which instance.
+    queues: ServerQueues<(Instant, usize)>,
     /// Times that admitted requests waited for a slot.
     waits: Vec<Duration>,
     /// Rejected requests, by priority.
@@ -137,26 +135,16 @@
 
 impl Fleet {
     fn new(instances: usize, servers: u16, seed: u64) -> Fleet {
-        let slots = |s: BackendServer| BackendServer { slots: Some(SLOTS), ..s };
-        let servers: Vec<BackendServer> =
-            (0..servers).map(|i| slots(server(&format!("s{i}"), i))).collect();
-        let list: Vec<_> = servers.iter().cloned().map(Arc::new).collect();
-        let picker = |number| {
-            let mut picker = Picker::new("north".parse().expect("a valid zone"), 2.0);
-            picker.set_servers(Instant::now(), list.iter());
-            picker.set_position(FleetPosition { number, instances });
-            picker
-        };
+        let servers = simulation::servers(servers, SLOTS);
         let now = Instant::now();
         let mut fleet = Fleet {
             now,
-            events: BinaryHeap::new(),
+            events: Timeline::new(),
             rng: Rng::with_seed(seed),
             service: "llm".parse().expect("a valid name"),
-            running: vec![0; servers.len()],
-            waiting: vec![VecDeque::new(); servers.len()],
+            queues: ServerQueues::new(servers.len(), SLOTS),
+            pickers: simulation::pickers(instances, &servers),
             servers,
-            pickers: (0..instances).map(picker).collect(),
             aggregate: Aggregate::default(),
             waits: Vec::new(),
             rejected: [0; 3],
@@ -164,9 +152,9 @@
         };
         for i in 0..instances {
             let at = now + EXCHANGE_INTERVAL * i as u32 / instances as u32;
-            fleet.events.push(Reverse((at, Event::Exchange(i))));
+            fleet.events.push(at, Event::Exchange(i));
         }
-        fleet.events.push(Reverse((now, Event::Arrival)));
+        fleet.events.push(now, Event::Arrival);
         fleet
     }
 
@@ -176,22 +164,17 @@
         self.waits.clear();
         let capacity = f64::from(SLOTS) * self.servers.len() as f64 / REQUEST_TIME.as_secs_f64();
         let until = self.now + time;
-        while let Some(Reverse((at, event))) = self.events.pop() {
-            if at > until {
-                self.events.push(Reverse((at, event)));
-                break;
-            }
+        while let Some((at, event)) = self.events.pop_until(until) {
             self.now = at;
             match event {
                 Event::Arrival => {
-                    let pause = -self.rng.f64().max(1e-9).ln() / (load * capacity);
-                    let then = at + Duration::from_secs_f64(pause);
-                    self.events.push(Reverse((then, Event::Arrival)));
+                    let pause = pause(&mut self.rng, load * capacity);
+                    self.events.push(at + Duration::from_secs_f64(pause), Event::Arrival);
                     self.arrive();
                 }
                 Event::Exchange(instance) => {
                     self.exchange(instance);
-                    self.events.push(Reverse((at + EXCHANGE_INTERVAL, Event::Exchange(instance))));
+                    self.events.push(at + EXCHANGE_INTERVAL, Event::Exchange(instance));
                 }
                 Event::RequestEnd { server, instance } => self.finish_request(server, instance),
             }
@@ -218,7 +201,7 @@
                 let at = self.servers.iter().position(|s| s.id == picked.server.id);
                 let at = at.expect("listed");
                 picker.start_request(now, &picked.server.id);
-                self.waiting[at].push_back((now, instance));
+                self.queues.add(at, (now, instance));
                 self.run_next(at);
             }
             Err(PickError::Overload { .. }) => self.rejected[priority] += 1,
@@ -227,19 +210,14 @@
     }
 
     fn run_next(&mut self, server: usize) {
-        if self.running[server] == SLOTS {
-            return;
-        }
-        let Some((since, instance)) = self.waiting[server].pop_front() else { return };
-        self.running[server] += 1;
+        let Some((since, instance)) = self.queues.start_next(server) else { return };
         self.waits.push(self.now.saturating_duration_since(since));
         let request_time = REQUEST_TIME.mul_f64(0.5 + self.rng.f64());
-        self.events
-            .push(Reverse((self.now + request_time, Event::RequestEnd { server, instance })));
+        self.events.push(self.now + request_time, Event::RequestEnd { server, instance });
     }
 
     fn finish_request(&mut self, server: usize, instance: usize) {
-        self.running[server] -= 1;
+        self.queues.finish(server);
         let picker = &mut self.pickers[instance];
         picker.finish_request(&self.servers[server].id);
         let times = ResponseTimes { head: REQUEST_TIME / 10, body: REQUEST_TIME * 9 / 10 };
@@ -248,18 +226,12 @@
     }
 
     fn exchange(&mut self, instance: usize) {
-        let own = self.pickers[instance].own_counts();
-        let node = format!("n{instance}").parse().expect("a valid name");
-        self.aggregate.record_counts(self.now, node, own.clone());
+        let picker = &self.pickers[instance];
+        let own = report_counts(self.now, &mut self.aggregate, instance, picker);
         let loads = self.aggregate.summary(self.now, self.servers.iter());
         self.pickers[instance].set_fleet_loads(self.now, &loads, &own);
     }
 
-    fn taken_share(&self) -> f64 {
-        let running = self.running.iter().sum::<u32>();
-        f64::from(running) / (f64::from(SLOTS) * self.servers.len() as f64)
-    }
-
     /// Returns a quantile of the waits for a slot.
     fn wait_quantile(&mut self, quantile: f64) -> Duration {
         self.waits.sort_unstable();
@@ -280,7 +252,7 @@
             let mut taken = Vec::new();
             for _ in 0..20 {
                 fleet.simulate(SECOND / 5, load);
-                taken.push(fleet.taken_share());
+                taken.push(fleet.queues.taken_share());
             }
             let least = taken.iter().copied().fold(1.0, f64::min);
             assert!(least > 0.75, "{case}: {taken:?}");
