--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -179,7 +179,8 @@
             tried: self.attempts.servers(),
             denied: &self.denied,
             homes: &self.request.homes,
-            admission: (!self.attempts.may_have_run()).then_some(self.request.priority),
+            target: self.request.route.target_latency,
+            admission: (!self.attempts.may_have_run()).then(|| self.request.admission_terms()),
             leased,
         }
     }
@@ -441,7 +442,8 @@
             tried: &tried,
             denied: &self.denied,
             homes: &self.request.homes,
-            admission: Some(self.request.priority),
+            target: self.request.route.target_latency,
+            admission: Some(self.request.admission_terms()),
             leased: None,
         };
         let has_other = lock(&self.gateway.picker).pick(now, &pick_request).is_ok();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -41,6 +41,7 @@
 pub mod stall_timer;
 pub mod startup;
 pub mod stream;
+mod team_shares;
 
 use std::{
     collections::HashSet,
@@ -183,8 +184,8 @@
         let mut budgets = lock(&self.budgets);
         self.budget_of(&mut budgets, service).record_request(now, terms);
         drop(budgets);
-        let target = request.route.target_latency;
-        lock(&self.picker).note_request(now, service, request.priority, target);
+        lock(&self.picker).note_request(now, service, request.priority);
+        self.note_team_request(now, request);
     }
 
     /// Returns a hold on buffered bytes for a caller of `team`.
@@ -359,6 +360,9 @@
         for kind in BufferKind::ALL {
             self.metrics.buffered_bytes(kind.name(), self.buffers.held(kind));
         }
+        for (service, count) in lock(&self.picker).team_limits().counts(now) {
+            self.metrics.limited_teams(service, count);
+        }
         self.metrics.held_requests(self.crash_suspects.held_count());
         self.update_lease_gauges();
         self.metrics.log_lines_left_out(log_sink::take_dropped());
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -37,9 +37,9 @@
     names::NodeName,
     routing::{
         Aggregate, CallFailure, Candidates, Confirmation, Crowded, FallbackReader, FleetBudget,
-        FleetPosition, InFlightCount, InstanceInfo, Judgement, ListVersion, ReaderTakeover,
-        RosterRole, RunId, ServerListUpdate, ServiceLoad, StartupWait, StoreEra, WatchRole,
-        fallback_reader,
+        FleetDemand, FleetPosition, InFlightCount, InstanceInfo, Judgement, ListVersion,
+        ReaderTakeover, RosterRole, RunId, ServerListUpdate, ServiceLoad, StartupWait, StoreEra,
+        WatchRole, fallback_reader,
     },
     utils::{cached::Cached, sync::lock},
 };
@@ -104,6 +104,8 @@
     pub(super) aggregate: Mutex<Aggregate>,
     /// Retries spent, as the instances reported them to this one.
     pub(super) budget: Mutex<FleetBudget>,
+    /// Demand of teams, as the instances reported it to this one.
+    pub(super) team_demand: Mutex<FleetDemand>,
     pub(super) run: RunId,
     /// Whether the other instances have been discovered.
     joined: AtomicBool,
@@ -140,6 +142,7 @@
             candidates: Mutex::new(Candidates::new(own)),
             takeover: Mutex::new(takeover),
             aggregate: Mutex::default(),
+            team_demand: Mutex::default(),
             joined: AtomicBool::new(false),
             started_at: clock.now(),
             startup_wait: StartupWait::new(clock.now(), is_seed, fastrand::f64()),
@@ -324,6 +327,8 @@
 /// aggregator itself applies its own sums.
 fn exchange(gateway: &Arc<Gateway>) {
     let peers = &gateway.peers;
+    // Ends limits that have become too old, in case that no reply arrives.
+    gateway.apply_team_limits(gateway.clock.now(), gateway.clock.now(), None);
     for _ in 0..2 {
         let now = gateway.clock.now();
         let aggregator = lock(&peers.candidates).aggregator(now).cloned();
@@ -332,6 +337,7 @@
             apply_loads(gateway, now, &sums.loads, None);
             lock(&gateway.picker).note_reported_unresponsive(now, &sums.unresponsive);
             gateway.set_budget_sums(now, sums.budgets.clone());
+            gateway.apply_team_limits(now, now, sums.team_limits.as_deref());
             take_own_crash_report(gateway, now);
             return;
         };
@@ -505,6 +511,7 @@
         purpose,
         list_version: list,
         instances_hash: instances,
+        team_demands: if to_aggregator { gateway.team_demands(sent_at) } else { Vec::new() },
     };
     let links = if terms.is_patient { &peers.patient_links } else { &peers.links };
     let mut reply: ExchangeReply = links.call(Purpose::Loads, address, EXCHANGE_PATH, &report)?;
@@ -521,6 +528,7 @@
         apply_loads(gateway, received_at, &reply.loads, Some(counts));
         lock(&gateway.picker).note_reported_unresponsive(received_at, &reply.unresponsive);
         gateway.set_budget_sums(received_at, std::mem::take(&mut reply.budgets));
+        gateway.apply_team_limits(received_at, sent_at, reply.team_limits.as_deref());
     }
     apply_reply(gateway, reply, list, sent_at);
     Ok(())
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -58,6 +58,7 @@
     oldest_slot: Gauge<f64>,
     buffered_bytes: Gauge<u64>,
     responses_relayed: Counter<u64>,
+    limited_teams: Gauge<u64>,
 }
 
 /// The metrics of an instance; clones share them.
@@ -204,6 +205,10 @@
                 .with_unit("s")
                 .with_description("Age of the oldest lease of this instance")
                 .build(),
+            limited_teams: gauge(
+                "cartvane_limited_teams",
+                "Teams whose requests exceed their share of capacity, by service",
+            ),
             log_lines_left_out: counter(
                 "cartvane_log_lines_left_out",
                 "Log lines left out since there were too many",
@@ -387,6 +392,11 @@
         self.instruments.rollout_share.record(share, &[label("service", service)]);
     }
 
+    /// Sets the number of teams of a service whose requests exceed their share of capacity.
+    pub fn limited_teams(&self, service: &ServiceName, count: usize) {
+        self.instruments.limited_teams.record(count as u64, &[label("service", service)]);
+    }
+
     /// Sets the store's era.
     pub fn store_era(&self, era: u64) {
         self.instruments.store_era.record(era, &[]);
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -38,9 +38,9 @@
 pub mod unlisted;
 
 pub use admission::{
-    AdmissionControl, BrokerAction, BrokerChoice, BrokerSilence, LeaseId, LeaseTimes,
-    RESPONSE_TIMEOUT, ResponseTimes, ServerSlots, ServiceSlots, SlotBroker, SlotRequest,
-    SmallServices,
+    AdmissionControl, BrokerAction, BrokerChoice, BrokerSilence, FleetDemand, LeaseId, LeaseTimes,
+    RESPONSE_TIMEOUT, ResponseTimes, ServerSlots, ServiceDemand, ServiceLimits, ServiceSlots,
+    SlotBroker, SlotRequest, SmallServices, TeamLimitChange,
 };
 pub use aggregate::{Aggregate, InFlightCount, ServiceLoad};
 pub use budget::RetryBudget;
@@ -66,7 +66,7 @@
 pub use load::{FleetPosition, Load, LoadReport};
 pub use notice::Notice;
 pub use operator_orders::{OperatorOrders, OrderChange, OrdersSnapshot};
-pub use pick::{Crowded, PickError, PickRequest, Picked};
+pub use pick::{AdmissionTerms, Crowded, PickError, PickRequest, Picked};
 pub use picker::Picker;
 pub use reader_takeover::{CallFailure, ReaderTakeover};
 pub use rollout::{
--- a/src/routing/pick.rs
+++ b/src/routing/pick.rs
@@ -20,13 +20,24 @@
     pub homes: &'a HomeRegions,
     /// Cold servers for which no grant was obtained. If there are any, warm servers are preferred.
     pub denied: &'a [Incarnation],
-    /// Priority of a request that may be rejected beyond capacity; `None` for one that has been sent already.
-    pub admission: Option<u8>,
+    /// Target latency of the request, which bounds its wait for a slot.
+    pub target: Duration,
+    /// Terms of a request that may be rejected beyond capacity; `None` for one that has been sent already.
+    pub admission: Option<AdmissionTerms>,
     /// Server on which a broker has leased a slot to the request: no other one is picked, and the request is not rejected
     /// because of overload.
     pub leased: Option<Tag>,
 }
 
+/// What decides whether a request is admitted beyond capacity.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AdmissionTerms {
+    /// Priority; 0 is the most urgent.
+    pub priority: u8,
+    /// Team of the caller. All callers without a team count as one team.
+    pub team: Tag,
+}
+
 impl<'a> PickRequest<'a> {
     /// Returns a pick of any server of `service`.
     pub fn new(service: &'a ServiceName) -> PickRequest<'a> {
@@ -37,6 +48,7 @@
             tried: &[],
             denied: &[],
             homes: &HomeRegions::Anywhere,
+            target: Duration::ZERO,
             admission: None,
             leased: None,
         }
@@ -66,6 +78,11 @@
         /// How long it would have waited for a slot.
         wait: Duration,
     },
+    /// The requests of its team exceed the team's share of capacity, and this one is not admitted.
+    TeamShare {
+        /// Share of the team's requests that is admitted.
+        share: f64,
+    },
 }
 
 /// A picked server, with the values that decided the pick.
--- a/src/routing/picker/mod.rs
+++ b/src/routing/picker/mod.rs
@@ -10,14 +10,11 @@
 mod notices;
 mod service_servers;
 mod slots;
+mod teams;
 mod unresponsive;
 mod versions;
 
-use std::{
-    collections::HashMap,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{collections::HashMap, sync::Arc, time::Instant};
 
 use indexmap::{IndexMap, IndexSet};
 
@@ -28,7 +25,7 @@
 use super::{
     AdmissionControl, BackendServer, Crowded, FleetPosition, Health, InFlightCount, Incarnation,
     Load, LoadReport, Notice, PickError, PickRequest, Picked, ServiceLoad, UnlistedNotices,
-    admission::FleetTotal,
+    admission::{FleetTotal, TeamLimits, TeamUsage},
 };
 use crate::names::{RegionName, ServiceName, Tag, ZoneName};
 
@@ -68,6 +65,8 @@
     /// Services with a roll-out of another version.
     rollouts: IndexMap<ServiceName, RolloutServers>,
     by_service: IndexMap<ServiceName, ServiceServers>,
+    team_usage: TeamUsage,
+    team_limits: TeamLimits,
 }
 
 impl Picker {
@@ -85,6 +84,8 @@
             unlisted: UnlistedNotices::default(),
             rollouts: IndexMap::new(),
             by_service: IndexMap::new(),
+            team_usage: TeamUsage::default(),
+            team_limits: TeamLimits::default(),
         }
     }
 
@@ -167,15 +168,9 @@
         self.servers.values().filter(|tracked| tracked.is_cold(now)).count()
     }
 
-    /// Records a caller's request to a service, with its priority and target latency.
-    pub fn note_request(
-        &mut self,
-        now: Instant,
-        service: &ServiceName,
-        priority: u8,
-        target: Duration,
-    ) {
-        self.admission(service).note_request(now, priority, target);
+    /// Records a caller's request to a service, with its priority.
+    pub fn note_request(&mut self, now: Instant, service: &ServiceName, priority: u8) {
+        self.admission(service).note_request(now, priority);
     }
 
     /// Returns the admission control of a service.
@@ -189,6 +184,9 @@
     ///
     /// No server of the service may be used, or the request is rejected because of overload.
     pub fn pick(&self, now: Instant, request: &PickRequest<'_>) -> Result<Picked, PickError> {
+        if request.leased.is_none() {
+            self.check_team_share(now, request)?;
+        }
         let pool = self.pool(now, request);
         if pool.is_empty()
             && let Some(left) = self.backoff_left(now, request)
@@ -204,18 +202,19 @@
             None => self.by_load(now, request, &pool),
         };
         let picked = picked.ok_or(PickError::NoServer)?;
-        let (Some(admission), Some(priority)) =
+        let (Some(admission), Some(terms)) =
             (self.admission.get(request.service), request.admission)
         else {
             return Ok(picked);
         };
         let admitted = match self.slots(now, request.service) {
-            Some((own, slots)) => {
-                admission.admitted_share(now, priority, own, slots, self.position.instances)
+            Some((own, slots)) if !self.team_fits(now, request.service, terms.team) => {
+                let instances = self.position.instances;
+                admission.admitted_share(now, terms.priority, own, slots, instances)
             }
-            None => 1.0,
+            _ => 1.0,
         };
-        if request.draw() >= admitted || picked.wait > admission.max_wait(now) {
+        if request.draw() >= admitted || picked.wait > AdmissionControl::max_wait(request.target) {
             return Err(PickError::Overload { admitted, wait: picked.wait });
         }
         Ok(picked)
--- a/tests/suite/overload.rs
+++ b/tests/suite/overload.rs
@@ -1,23 +1,21 @@
 //! Admission control beyond capacity, on a simulated clock: the admitted share, the retry delay of rejected callers,
 //! and the combined behaviour of several instances that know each other's counts as of the last exchange.
 
-use std::{
-    cmp::Reverse,
-    collections::{BinaryHeap, VecDeque},
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use cartvane::{
-    names::ServiceName,
+    names::{ServiceName, Tag},
     routing::{
-        AdmissionControl, Aggregate, BackendServer, FleetPosition, PickError, PickRequest, Picker,
-        ResponseTimes, admission::FleetTotal,
+        AdmissionControl, AdmissionTerms, Aggregate, BackendServer, PickError, PickRequest, Picker,
+        ResponseTimes, ServiceLoad, admission::FleetTotal,
     },
 };
 use fastrand::Rng;
 
-use crate::routing::server;
+use crate::{
+    routing::{picker, server},
+    simulation::{self, ServerQueues, Timeline, pause, report_counts},
+};
 
 const MS: Duration = Duration::from_millis(1);
 const SECOND: Duration = Duration::from_secs(1);
@@ -27,7 +25,7 @@
 fn with_responses(now: Instant) -> AdmissionControl {
     let mut admission = AdmissionControl::default();
     for priority in 0..3 {
-        admission.note_request(now, priority, TARGET);
+        admission.note_request(now, priority);
     }
     let times = ResponseTimes { head: MS * 100, body: MS * 900 };
     (0..20).for_each(|_| admission.note_response(times, false));
@@ -113,14 +111,14 @@
 /// Instances that admit requests and pick servers, and servers with `SLOTS` slots and a queue each.
 struct Fleet {
     now: Instant,
-    events: BinaryHeap<Reverse<(Instant, Event)>>,
+    events: Timeline<Event>,
     rng: Rng,
     service: ServiceName,
     servers: Vec<BackendServer>,
     pickers: Vec<Picker>,
     aggregate: Aggregate,
-    running: Vec<u32>,
-    waiting: Vec<VecDeque<(Instant, usize)>>,
+    /// Requests at the servers: when they were sent, and by which instance.
+    queues: ServerQueues<(Instant, usize)>,
     /// Times that admitted requests waited for a slot.
     waits: Vec<Duration>,
     /// Rejected requests, by priority.
@@ -136,27 +134,17 @@
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(250);
 
 impl Fleet {
-    fn new(instances: usize, servers: u16) -> Fleet {
-        let slots = |s: BackendServer| BackendServer { slots: Some(SLOTS), ..s };
-        let servers: Vec<BackendServer> =
-            (0..servers).map(|i| slots(server(&format!("s{i}"), i))).collect();
-        let list: Vec<_> = servers.iter().cloned().map(Arc::new).collect();
-        let picker = |number| {
-            let mut picker = Picker::new("north".parse().expect("a valid zone"), 2.0);
-            picker.set_servers(Instant::now(), list.iter());
-            picker.set_position(FleetPosition { number, instances });
-            picker
-        };
+    fn new(instances: usize, servers: u16, seed: u64) -> Fleet {
+        let servers = simulation::servers(servers, SLOTS);
         let now = Instant::now();
         let mut fleet = Fleet {
             now,
-            events: BinaryHeap::new(),
-            rng: Rng::with_seed(7),
+            events: Timeline::new(),
+            rng: Rng::with_seed(seed),
             service: "llm".parse().expect("a valid name"),
-            running: vec![0; servers.len()],
-            waiting: vec![VecDeque::new(); servers.len()],
+            queues: ServerQueues::new(servers.len(), SLOTS),
+            pickers: simulation::pickers(instances, &servers),
             servers,
-            pickers: (0..instances).map(picker).collect(),
             aggregate: Aggregate::default(),
             waits: Vec::new(),
             rejected: [0; 3],
@@ -164,9 +152,9 @@
         };
         for i in 0..instances {
             let at = now + EXCHANGE_INTERVAL * i as u32 / instances as u32;
-            fleet.events.push(Reverse((at, Event::Exchange(i))));
+            fleet.events.push(at, Event::Exchange(i));
         }
-        fleet.events.push(Reverse((now, Event::Arrival)));
+        fleet.events.push(now, Event::Arrival);
         fleet
     }
 
@@ -176,22 +164,17 @@
         self.waits.clear();
         let capacity = f64::from(SLOTS) * self.servers.len() as f64 / REQUEST_TIME.as_secs_f64();
         let until = self.now + time;
-        while let Some(Reverse((at, event))) = self.events.pop() {
-            if at > until {
-                self.events.push(Reverse((at, event)));
-                break;
-            }
+        while let Some((at, event)) = self.events.pop_until(until) {
             self.now = at;
             match event {
                 Event::Arrival => {
-                    let pause = -self.rng.f64().max(1e-9).ln() / (load * capacity);
-                    let then = at + Duration::from_secs_f64(pause);
-                    self.events.push(Reverse((then, Event::Arrival)));
+                    let pause = pause(&mut self.rng, load * capacity);
+                    self.events.push(at + Duration::from_secs_f64(pause), Event::Arrival);
                     self.arrive();
                 }
                 Event::Exchange(instance) => {
                     self.exchange(instance);
-                    self.events.push(Reverse((at + EXCHANGE_INTERVAL, Event::Exchange(instance))));
+                    self.events.push(at + EXCHANGE_INTERVAL, Event::Exchange(instance));
                 }
                 Event::RequestEnd { server, instance } => self.finish_request(server, instance),
             }
@@ -203,13 +186,13 @@
         let (now, priority) = (self.now, self.rng.usize(0..3));
         let instance = self.rng.usize(0..self.pickers.len());
         let picker = &mut self.pickers[instance];
-        picker.note_request(now, &self.service, priority as u8, TARGET);
+        picker.note_request(now, &self.service, priority as u8);
         let request = PickRequest {
             service: &self.service,
             affinity: Some(self.rng.u64(0..60)),
             spread: self.rng.u64(..),
-            tried: &[],
-            admission: Some(priority as u8),
+            target: TARGET,
+            admission: Some(AdmissionTerms { priority: priority as u8, team: Tag(0) }),
             ..PickRequest::new(&self.service)
         };
         self.requests[priority] += 1;
@@ -218,28 +201,23 @@
                 let at = self.servers.iter().position(|s| s.id == picked.server.id);
                 let at = at.expect("listed");
                 picker.start_request(now, &picked.server.id);
-                self.waiting[at].push_back((now, instance));
+                self.queues.add(at, (now, instance));
                 self.run_next(at);
             }
             Err(PickError::Overload { .. }) => self.rejected[priority] += 1,
-            Err(PickError::NoServer | PickError::Backoff { .. }) => panic!("servers are available"),
+            Err(error) => panic!("servers are available and no team is limited: {error:?}"),
         }
     }
 
     fn run_next(&mut self, server: usize) {
-        if self.running[server] == SLOTS {
-            return;
-        }
-        let Some((since, instance)) = self.waiting[server].pop_front() else { return };
-        self.running[server] += 1;
+        let Some((since, instance)) = self.queues.start_next(server) else { return };
         self.waits.push(self.now.saturating_duration_since(since));
         let request_time = REQUEST_TIME.mul_f64(0.5 + self.rng.f64());
-        self.events
-            .push(Reverse((self.now + request_time, Event::RequestEnd { server, instance })));
+        self.events.push(self.now + request_time, Event::RequestEnd { server, instance });
     }
 
     fn finish_request(&mut self, server: usize, instance: usize) {
-        self.running[server] -= 1;
+        self.queues.finish(server);
         let picker = &mut self.pickers[instance];
         picker.finish_request(&self.servers[server].id);
         let times = ResponseTimes { head: REQUEST_TIME / 10, body: REQUEST_TIME * 9 / 10 };
@@ -248,18 +226,12 @@
     }
 
     fn exchange(&mut self, instance: usize) {
-        let own = self.pickers[instance].own_counts();
-        let node = format!("n{instance}").parse().expect("a valid name");
-        self.aggregate.record_counts(self.now, node, own.clone());
+        let picker = &self.pickers[instance];
+        let own = report_counts(self.now, &mut self.aggregate, instance, picker);
         let loads = self.aggregate.summary(self.now, self.servers.iter());
         self.pickers[instance].set_fleet_loads(self.now, &loads, &own);
     }
 
-    fn taken_share(&self) -> f64 {
-        let running = self.running.iter().sum::<u32>();
-        f64::from(running) / (f64::from(SLOTS) * self.servers.len() as f64)
-    }
-
     /// Returns a quantile of the waits for a slot.
     fn wait_quantile(&mut self, quantile: f64) -> Duration {
         self.waits.sort_unstable();
@@ -274,13 +246,13 @@
     {
         for load in loads {
             let case = format!("{instances} instances, {servers} servers, load {load}");
-            let mut fleet = Fleet::new(instances, servers);
+            let mut fleet = Fleet::new(instances, servers, 7);
             fleet.simulate(SECOND * 4, 0.5);
             fleet.simulate(SECOND * 2, load);
             let mut taken = Vec::new();
             for _ in 0..20 {
                 fleet.simulate(SECOND / 5, load);
-                taken.push(fleet.taken_share());
+                taken.push(fleet.queues.taken_share());
             }
             let least = taken.iter().copied().fold(1.0, f64::min);
             assert!(least > 0.75, "{case}: {taken:?}");
@@ -303,14 +275,49 @@
 
 #[test]
 fn nothing_is_rejected_below_capacity_or_from_a_second_after_an_overload() {
-    for (instances, servers) in [(1, 6), (7, 18), (40, 60)] {
-        let mut fleet = Fleet::new(instances, servers);
+    // With seed 4707, an instance without an allotment left picked a server with a queue and rejected the request for
+    // its wait, although a third of the slots was free.
+    let sizes = [(1, 6), (7, 18), (40, 60)];
+    for (seed, (instances, servers)) in
+        [7, 4707].into_iter().flat_map(|s| sizes.map(|size| (s, size)))
+    {
+        let mut fleet = Fleet::new(instances, servers, seed);
         fleet.simulate(SECOND * 5, 0.65);
-        assert_eq!(fleet.rejected, [0; 3], "{instances} instances");
+        assert_eq!(fleet.rejected, [0; 3], "{instances} instances, seed {seed}");
         fleet.simulate(SECOND * 5, 3.0);
         assert!(fleet.rejected.iter().sum::<u32>() > 0);
         fleet.simulate(SECOND, 0.5);
         fleet.simulate(SECOND * 3, 0.5);
-        assert_eq!(fleet.rejected, [0; 3], "{instances} instances, after the overload");
+        let case = format!("{instances} instances, seed {seed}, after the overload");
+        assert_eq!(fleet.rejected, [0; 3], "{case}");
     }
 }
+
+// Guards against waits by the shortest target of a service: requests with a target of 400 ms kept those with 1,500 ms
+// from waiting longer than 240 ms.
+#[test]
+fn each_kind_of_request_waits_by_its_own_target() {
+    let now = Instant::now();
+    let with_slots = |id, port, slots| BackendServer { slots: Some(slots), ..server(id, port) };
+    let servers = [with_slots("a", 1, 10), with_slots("b", 2, 40)];
+    let mut picker = picker(&servers);
+    let service: ServiceName = "llm".parse().expect("a valid name");
+    let times = ResponseTimes { head: MS * 100, body: MS * 900 };
+    (0..20).for_each(|_| picker.admission(&service).note_response(times, false));
+    (0..3).for_each(|priority| picker.note_request(now, &service, priority));
+    (0..15).for_each(|_| picker.start_request(now, &servers[0].id));
+    let counts = vec![(servers[0].tag(), 15)];
+    let (mean, counts, is_complete) = (7.5, counts, true);
+    let load = ServiceLoad { service: service.clone(), mean, counts: counts.clone(), is_complete };
+    picker.set_fleet_loads(now, &[load], &counts);
+    let tried = [servers[1].id.clone()];
+    let pick = |target| {
+        let admission = Some(AdmissionTerms { priority: 1, team: Tag(0) });
+        let request =
+            PickRequest { target, tried: &tried, admission, ..PickRequest::new(&service) };
+        picker.pick(now, &request).map(|picked| picked.wait)
+    };
+    let wait = MS * 500;
+    assert_eq!(pick(MS * 400), Err(PickError::Overload { admitted: 1.0, wait }));
+    assert_eq!(pick(MS * 1500), Ok(wait));
+}
