--- a/src/routing/admission/slot_queue.rs
+++ b/src/routing/admission/slot_queue.rs
@@ -59,6 +59,14 @@
         self.since + self.req.wait_max
     }
 
+    /// Returns whether the request has waited for a large part of its time, while serving all that wait takes `backlog`.
+    fn is_pressing(&self, now: Instant, backlog: Duration) -> bool {
+        let wait_max = self.req.wait_max;
+        let waited = now.saturating_duration_since(self.since);
+        waited >= wait_max.mul_f64(PRESSING_SHARE)
+            && backlog < wait_max.mul_f64(SHORT_BACKLOG_SHARE)
+    }
+
     /// Returns the request with the time that is left until its deadline at `now`.
     pub(super) fn aged(self, now: Instant) -> SlotRequest {
         let waited = now.saturating_duration_since(self.since);
@@ -188,11 +196,11 @@
         fits: impl Fn(&SlotRequest) -> bool,
     ) -> Option<Waiting> {
         let since = self.since?;
+        let lasted = now.saturating_duration_since(since);
         let is_pressing = |waiting: &&Waiting| {
-            let share = waiting.req.wait_max.mul_f64(PRESSING_SHARE);
-            let is_burst = now.saturating_duration_since(since) < waiting.req.time_left;
-            let is_short = backlog < waiting.req.wait_max.mul_f64(SHORT_BACKLOG_SHARE);
-            is_burst && is_short && waiting.since + share <= now && fits(&waiting.req)
+            lasted < waiting.req.time_left
+                && waiting.is_pressing(now, backlog)
+                && fits(&waiting.req)
         };
         let next = self.waiting.values().filter(is_pressing).min_by_key(|w| w.wait_ends())?;
         self.remove(next.req.id)
