test(rollouts): vary randomized roll-outs by CARTVANE_SEED and CARTVANE_CASES

The cases of the randomized tests were fixed, so each manual run with other seeds edited the constants. support::seed combines each seed with CARTVANE_SEED, support::cases multiplies the number of cases by CARTVANE_CASES; without them every case is the one played before. The number is multiplied before it is combined: XOR with a small number would permute the seeds 0..1000 instead of replacing them.

The tests of bad versions report every failing case in place of the first, so that a manual run gives a rate; each condition is as before. The bound of 40 of 200 good versions of small services is written as under a fifth, which is the same at 200 cases.

--- a/tests/suite/rollouts_random.rs
+++ b/tests/suite/rollouts_random.rs
@@ -21,6 +21,8 @@
 use fastrand::Rng;
 use indexmap::IndexMap;
 
+use crate::support;
+
 /// Limit on the requests of a bad version: a part of all requests, and some beyond.
 const EXPOSURE_LIMIT: ExposureLimit = ExposureLimit { share: 0.1, slack: 50.0 };
 
@@ -422,8 +424,24 @@
     Duration::from_millis(time)
 }
 
-#[test]
-fn no_good_version_is_rolled_back_in_a_thousand_random_cases() {
+fn is_rolled_back((.., outcome): &&(u64, Case, Outcome)) -> bool {
+    outcome.stage != Some(Stage::Succeeded)
+}
+
+/// Returns the limit on the requests of a bad version, by this test: half of what operators allow.
+fn allowed(outcome: &Outcome) -> f64 {
+    (EXPOSURE_LIMIT.share * outcome.sent as f64 + EXPOSURE_LIMIT.slack) / 2.0
+}
+
+/// Returns whether a bad version got too many requests, got some too late, or was not rolled back.
+fn is_accepted((.., outcome): &&(u64, Case, Outcome)) -> bool {
+    outcome.exposed as f64 >= allowed(outcome)
+        || outcome.late > 0
+        || outcome.stage != Some(Stage::RolledBack)
+}
+
+/// Returns a case of a good version.
+fn good_version(number: u64, seed: u64) -> Case {
     let disturbances = [
         Disturbance::None,
         Disturbance::BadServer,
@@ -431,28 +449,57 @@
         Disturbance::ZoneSlow,
         Disturbance::AllFail,
     ];
-    let cases = (0..1000_u64).map(|seed| {
-        let mut rng = Rng::with_seed(seed ^ 0xc0ffee);
-        let case = Case {
-            instances: [8, 62][seed as usize % 2],
-            rate: 150.0 + 100.0 * rng.f64(),
-            regression: Regression::None,
-            disturbance: disturbances[seed as usize % disturbances.len()],
-            controller_fault: match seed % 3 {
-                0 => ControllerFault::None,
-                1 => ControllerFault::Lost(millis(rng.u64(500..11_000))),
-                _ => ControllerFault::Frozen(
-                    millis(rng.u64(500..9_000)),
-                    millis(rng.u64(1_000..5_000)),
-                ),
-            },
-        };
-        (seed, case)
+    let mut rng = Rng::with_seed(seed);
+    Case {
+        instances: [8, 62][number as usize % 2],
+        rate: 150.0 + 100.0 * rng.f64(),
+        regression: Regression::None,
+        disturbance: disturbances[number as usize % disturbances.len()],
+        controller_fault: controller_fault(&mut rng, number, 11_000, 9_000),
+    }
+}
+
+/// Returns a case of a bad version.
+fn bad_version(number: u64, instances: usize, seed: u64) -> Case {
+    let regression = [
+        Regression::Fails(1.0, Duration::ZERO),
+        Regression::Fails(0.3, Duration::ZERO),
+        Regression::Slow(1.0, 5.0, Duration::ZERO),
+        Regression::Slow(0.5, 6.0, Duration::ZERO),
+        Regression::OneRoute(0.8),
+        Regression::Fails(0.5, Duration::from_secs(3)),
+        Regression::Slow(0.8, 6.0, Duration::from_secs(4)),
+    ];
+    let mut rng = Rng::with_seed(seed);
+    Case {
+        instances,
+        rate: 200.0 + 300.0 * rng.f64(),
+        regression: regression[number as usize % regression.len()],
+        disturbance: Disturbance::None,
+        controller_fault: controller_fault(&mut rng, number, 6_000, 6_000),
+    }
+}
+
+/// Returns no fault, or one that begins before `lost` or `frozen` milliseconds.
+fn controller_fault(rng: &mut Rng, number: u64, lost: u64, frozen: u64) -> ControllerFault {
+    match number % 3 {
+        0 => ControllerFault::None,
+        1 => ControllerFault::Lost(millis(rng.u64(500..lost))),
+        _ => {
+            let from = millis(rng.u64(500..frozen));
+            ControllerFault::Frozen(from, millis(rng.u64(1_000..5_000)))
+        }
+    }
+}
+
+#[test]
+fn no_good_version_is_rolled_back_in_a_thousand_random_cases() {
+    let cases = (0..support::cases(1000)).map(|number| {
+        (support::seed(number), good_version(number, support::seed(number ^ 0xc0ffee)))
     });
     let outcomes = simulate(cases.collect());
-    let rolled_back: Vec<_> =
-        outcomes.iter().filter(|(.., outcome)| outcome.stage != Some(Stage::Succeeded)).collect();
-    assert!(rolled_back.is_empty(), "{} of 1,000: {:?}", rolled_back.len(), rolled_back.first());
+    let rolled_back: Vec<_> = outcomes.iter().filter(is_rolled_back).collect();
+    assert!(rolled_back.is_empty(), "{} of {}: {rolled_back:?}", rolled_back.len(), outcomes.len());
 }
 
 // Guards against rolling back a good version when responses of both versions are slow or fail for 2.5 s. If the old
@@ -460,24 +507,23 @@
 // and the burst counts against the new version alone: 25 of these 200 cases were rolled back.
 #[test]
 fn no_good_version_is_rolled_back_during_a_brief_disturbance_of_the_whole_fleet() {
-    let cases = (0..200_u64).map(|seed| {
-        let mut rng = Rng::with_seed(seed ^ 0xb0057);
+    let cases = (0..support::cases(200)).map(|number| {
+        let mut rng = Rng::with_seed(support::seed(number ^ 0xb0057));
         let from = millis(rng.u64(1_000..5_000));
         let disturbance =
-            [Disturbance::AllSlow(from), Disturbance::AllFailBriefly(from)][seed as usize % 2];
+            [Disturbance::AllSlow(from), Disturbance::AllFailBriefly(from)][number as usize % 2];
         let case = Case {
-            instances: [8, 62][seed as usize / 2 % 2],
+            instances: [8, 62][number as usize / 2 % 2],
             rate: 150.0 + 300.0 * rng.f64(),
             regression: Regression::None,
             disturbance,
             controller_fault: ControllerFault::None,
         };
-        (seed, case)
+        (support::seed(number), case)
     });
     let outcomes = simulate(cases.collect());
-    let rolled_back: Vec<_> =
-        outcomes.iter().filter(|(.., outcome)| outcome.stage != Some(Stage::Succeeded)).collect();
-    assert!(rolled_back.is_empty(), "{} of 200: {:?}", rolled_back.len(), rolled_back.first());
+    let rolled_back: Vec<_> = outcomes.iter().filter(is_rolled_back).collect();
+    assert!(rolled_back.is_empty(), "{} of {}: {rolled_back:?}", rolled_back.len(), outcomes.len());
 }
 
 // A service with few requests has fewer responses of the new version at the latest decision than the usual rule needs,
@@ -486,27 +532,26 @@
 // some, and between 60 and 500 requests in all a version cannot be proven within that half.
 #[test]
 fn most_good_versions_of_a_service_with_few_requests_take_over() {
-    let cases = (0..200_u64).map(|seed| {
-        let mut rng = Rng::with_seed(seed ^ 0xfe3);
+    let cases = (0..support::cases(200)).map(|number| {
+        let mut rng = Rng::with_seed(support::seed(number ^ 0xfe3));
         let case = Case {
-            instances: [3, 8][seed as usize % 2],
+            instances: [3, 8][number as usize % 2],
             rate: 2.0 + 3.5 * rng.f64(),
             regression: Regression::None,
             disturbance: Disturbance::None,
             controller_fault: ControllerFault::None,
         };
-        (seed, case)
+        (support::seed(number), case)
     });
     let outcomes = simulate(cases.collect());
-    let rolled_back =
-        outcomes.iter().filter(|(.., outcome)| outcome.stage != Some(Stage::Succeeded)).count();
-    assert!(rolled_back < 40, "{rolled_back} of 200");
+    let rolled_back = outcomes.iter().filter(is_rolled_back).count();
+    assert!(5 * rolled_back < outcomes.len(), "{rolled_back} of {}", outcomes.len());
 }
 
 #[test]
 fn a_bad_version_of_a_service_with_few_requests_gets_under_half_of_what_operators_allow() {
-    let cases = (0..200_u64).map(|seed| {
-        let mut rng = Rng::with_seed(seed ^ 0xbadfe3);
+    let cases = (0..support::cases(200)).map(|number| {
+        let mut rng = Rng::with_seed(support::seed(number ^ 0xbadfe3));
         let regression = [
             Regression::Fails(1.0, Duration::ZERO),
             Regression::Fails(0.3, Duration::ZERO),
@@ -515,62 +560,29 @@
             Regression::Fails(0.5, Duration::from_secs(3)),
         ];
         let case = Case {
-            instances: [3, 8][seed as usize % 2],
+            instances: [3, 8][number as usize % 2],
             rate: 2.0 + 38.0 * rng.f64(),
-            regression: regression[seed as usize % regression.len()],
+            regression: regression[number as usize % regression.len()],
             disturbance: Disturbance::None,
             controller_fault: ControllerFault::None,
         };
-        (seed, case)
+        (support::seed(number), case)
     });
-    let over = |outcome: &Outcome| {
-        outcome.exposed as f64
-            >= (EXPOSURE_LIMIT.share * outcome.sent as f64 + EXPOSURE_LIMIT.slack) / 2.0
-    };
     let outcomes = simulate(cases.collect());
-    let over: Vec<_> = outcomes.iter().filter(|(.., outcome)| over(outcome)).collect();
-    assert!(over.is_empty(), "{} of 200: {over:?}", over.len());
+    let over: Vec<_> = outcomes.iter().filter(|(.., o)| o.exposed as f64 >= allowed(o)).collect();
+    assert!(over.is_empty(), "{} of {}: {over:?}", over.len(), outcomes.len());
 }
 
 #[test]
 fn a_bad_version_gets_under_half_of_what_operators_allow_and_nothing_soon_after() {
-    let regression = [
-        Regression::Fails(1.0, Duration::ZERO),
-        Regression::Fails(0.3, Duration::ZERO),
-        Regression::Slow(1.0, 5.0, Duration::ZERO),
-        Regression::Slow(0.5, 6.0, Duration::ZERO),
-        Regression::OneRoute(0.8),
-        Regression::Fails(0.5, Duration::from_secs(3)),
-        Regression::Slow(0.8, 6.0, Duration::from_secs(4)),
-    ];
     let mut cases = Vec::new();
-    for (number, instances) in [8, 62, 302, 986].into_iter().enumerate() {
-        for seed in 0..42_u64 {
-            let mut rng = Rng::with_seed(seed ^ 0xbad);
-            let case = Case {
-                instances,
-                rate: 200.0 + 300.0 * rng.f64(),
-                regression: regression[seed as usize % regression.len()],
-                disturbance: Disturbance::None,
-                controller_fault: match seed % 3 {
-                    0 => ControllerFault::None,
-                    1 => ControllerFault::Lost(millis(rng.u64(500..6_000))),
-                    _ => ControllerFault::Frozen(
-                        millis(rng.u64(500..6_000)),
-                        millis(rng.u64(1_000..5_000)),
-                    ),
-                },
-            };
-            cases.push((seed + 1000 * number as u64, case));
+    for (fleet, instances) in [8, 62, 302, 986].into_iter().enumerate() {
+        for number in 0..support::cases(42) {
+            let case = bad_version(number, instances, support::seed(number ^ 0xbad));
+            cases.push((support::seed(number + 1000 * fleet as u64), case));
         }
     }
-    for (seed, case, outcome) in simulate(cases) {
-        let allowed = (EXPOSURE_LIMIT.share * outcome.sent as f64 + EXPOSURE_LIMIT.slack) / 2.0;
-        assert!(
-            (outcome.exposed as f64) < allowed,
-            "{seed} {case:?} {outcome:?} allowed {allowed}"
-        );
-        assert_eq!(outcome.late, 0, "{seed} {case:?} {outcome:?}");
-        assert_eq!(outcome.stage, Some(Stage::RolledBack), "{seed} {case:?} {outcome:?}");
-    }
+    let outcomes = simulate(cases);
+    let accepted: Vec<_> = outcomes.iter().filter(is_accepted).collect();
+    assert!(accepted.is_empty(), "{} of {}: {accepted:?}", accepted.len(), outcomes.len());
 }
--- a/tests/suite/support.rs
+++ b/tests/suite/support.rs
@@ -1,7 +1,7 @@
-//! Helpers of the tests: fleets of the built binary, and requests to them.
+//! Helpers of the tests: fleets of the built binary, requests to them, and the seeds of randomized tests.
 
 use std::{
-    thread,
+    env, thread,
     time::{Duration, Instant},
 };
 
@@ -69,3 +69,24 @@
         thread::sleep(Duration::from_millis(20));
     }
 }
+
+/// Factor by which `CARTVANE_SEED` is multiplied: seeds of a test are small consecutive numbers, and a small number that
+/// is combined with them bit by bit would only change their order.
+const SEED_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
+
+/// Returns the seed of a randomized test: `base`, or `base` combined with the environment's `CARTVANE_SEED`.
+pub(crate) fn seed(base: u64) -> u64 {
+    base ^ number("CARTVANE_SEED").unwrap_or(0).wrapping_mul(SEED_FACTOR)
+}
+
+/// Returns the number of cases of a randomized test: `base`, or `base` times the environment's `CARTVANE_CASES`.
+pub(crate) fn cases(base: u64) -> u64 {
+    base * number("CARTVANE_CASES").unwrap_or(1)
+}
+
+/// Returns the number in an environment variable, if it is set.
+fn number(variable: &str) -> Option<u64> {
+    let value = env::var_os(variable)?;
+    let number = value.to_str().and_then(|value| value.parse().ok());
+    Some(number.unwrap_or_else(|| panic!("{variable} is a whole number, not {value:?}")))
+}
