--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -70,9 +70,10 @@
 pub use picker::Picker;
 pub use reader_takeover::{CallFailure, ReaderTakeover};
 pub use rollout::{
-    ExposureLimit, FailureDomains, ROLLOUT_LEASE, ResponseObservation, RolloutEvidence,
-    RolloutOrder, RolloutProgress, RolloutRecord, RolloutReport, RolloutState, RolloutStates,
-    RolloutUpdate, Stage, StagePolicy, VersionEvaluation, VersionSplit,
+    ExposureLimit, FailureDomains, ROLLOUT_LEASE, ResponseCounts, ResponseObservation,
+    RolloutEvidence, RolloutOrder, RolloutProgress, RolloutRecord, RolloutReport, RolloutState,
+    RolloutStates, RolloutUpdate, Stage, StagePolicy, StageTimes, TimeBin, VersionEvaluation,
+    VersionSplit,
 };
 pub use roster::{BackendServer, Roster};
 pub use roster_watch::{RosterRole, RosterStep, RosterWatch};
--- a/tests/suite/rollouts_random.rs
+++ b/tests/suite/rollouts_random.rs
@@ -13,14 +13,16 @@
 use cartvane::{
     names::{NodeName, ServiceName, SoftwareVersion, Tag},
     routing::{
-        ExposureLimit, FailureDomains, ResponseObservation, RolloutEvidence, RolloutOrder,
-        RolloutProgress, RolloutState, RolloutStates, RolloutUpdate, RunId, Stage, StagePolicy,
-        VersionEvaluation,
+        ExposureLimit, FailureDomains, ResponseCounts, ResponseObservation, RolloutEvidence,
+        RolloutOrder, RolloutProgress, RolloutReport, RolloutState, RolloutStates, RolloutUpdate,
+        RunId, Stage, StagePolicy, StageTimes, TimeBin, VersionEvaluation,
     },
 };
 use fastrand::Rng;
 use indexmap::IndexMap;
 
+use crate::support;
+
 /// Limit on the requests of a bad version: a part of all requests, and some beyond.
 const EXPOSURE_LIMIT: ExposureLimit = ExposureLimit { share: 0.1, slack: 50.0 };
 
@@ -118,8 +120,7 @@
     evaluation: VersionEvaluation,
     states: RolloutStates,
     term: u64,
-    stage: Stage,
-    stage_since: Instant,
+    times: StageTimes,
 }
 
 struct Fleet {
@@ -154,7 +155,7 @@
         let mut evaluation = VersionEvaluation::new(to);
         let server = |number: usize| (Tag(number as u32), Tag((number % ZONES) as u32));
         evaluation.set_domains(FailureDomains::new((0..SERVERS).map(server)));
-        Controller { evaluation, states, term, stage, stage_since: now }
+        Controller { evaluation, states, term, times: StageTimes::new(now, stage) }
     }
 }
 
@@ -304,13 +305,18 @@
         let (sent, sent_new) = controller.evaluation.sent();
         let progress = RolloutProgress {
             elapsed: now - self.began,
-            in_stage: now.saturating_duration_since(controller.stage_since),
+            stage: controller.times.stage(),
+            in_stage: controller.times.in_stage(now),
+            at_full_share: controller.times.at_full_share(now),
             sent,
             sent_new,
             responses_new: controller.evaluation.responses_new(),
+            evaluated_new: controller.evaluation.evaluated_new(),
+            is_disturbed: controller.evaluation.is_disturbed(now),
             in_flight_old: controller.evaluation.in_flight_old(now),
             regression_score: controller.evaluation.regression_score(),
             total_regression_score: controller.evaluation.total_regression_score(),
+            log_odds: controller.evaluation.log_odds(),
             is_bad: controller.evaluation.is_bad(),
             servers_new: SERVERS,
             servers_old: SERVERS,
@@ -318,13 +324,11 @@
         let known = controller.states.state(&self.service, &self.to).map(|state| state.stage);
         let next = match known.filter(|stage| stage.is_final()) {
             Some(stage) => stage,
-            None => policy.stage(controller.stage, &progress),
+            None => policy.stage(&progress),
         };
-        if next != controller.stage {
-            (controller.stage, controller.stage_since) = (next, now);
-        }
         self.stored = self.stored.max(next);
         let share = policy.share(next, &progress);
+        controller.times.note(now, next, share);
         let state = RolloutState {
             service: self.service.clone(),
             to: self.to.clone(),
@@ -422,8 +426,24 @@
     Duration::from_millis(time)
 }
 
-#[test]
-fn no_good_version_is_rolled_back_in_a_thousand_random_cases() {
+fn is_rolled_back((.., outcome): &&(u64, Case, Outcome)) -> bool {
+    outcome.stage != Some(Stage::Succeeded)
+}
+
+/// Returns the limit on the requests of a bad version, by this test: half of what operators allow.
+fn allowed(outcome: &Outcome) -> f64 {
+    (EXPOSURE_LIMIT.share * outcome.sent as f64 + EXPOSURE_LIMIT.slack) / 2.0
+}
+
+/// Returns whether a bad version got too many requests, got some too late, or was not rolled back.
+fn is_accepted((.., outcome): &&(u64, Case, Outcome)) -> bool {
+    outcome.exposed as f64 >= allowed(outcome)
+        || outcome.late > 0
+        || outcome.stage != Some(Stage::RolledBack)
+}
+
+/// Returns a case of a good version.
+fn good_version(number: u64, seed: u64) -> Case {
     let disturbances = [
         Disturbance::None,
         Disturbance::BadServer,
@@ -431,28 +451,57 @@
         Disturbance::ZoneSlow,
         Disturbance::AllFail,
     ];
-    let cases = (0..1000_u64).map(|seed| {
-        let mut rng = Rng::with_seed(seed ^ 0xc0ffee);
-        let case = Case {
-            instances: [8, 62][seed as usize % 2],
-            rate: 150.0 + 100.0 * rng.f64(),
-            regression: Regression::None,
-            disturbance: disturbances[seed as usize % disturbances.len()],
-            controller_fault: match seed % 3 {
-                0 => ControllerFault::None,
-                1 => ControllerFault::Lost(millis(rng.u64(500..11_000))),
-                _ => ControllerFault::Frozen(
-                    millis(rng.u64(500..9_000)),
-                    millis(rng.u64(1_000..5_000)),
-                ),
-            },
-        };
-        (seed, case)
+    let mut rng = Rng::with_seed(seed);
+    Case {
+        instances: [8, 62][number as usize % 2],
+        rate: 150.0 + 100.0 * rng.f64(),
+        regression: Regression::None,
+        disturbance: disturbances[number as usize % disturbances.len()],
+        controller_fault: controller_fault(&mut rng, number, 11_000, 9_000),
+    }
+}
+
+/// Returns a case of a bad version.
+fn bad_version(number: u64, instances: usize, seed: u64) -> Case {
+    let regression = [
+        Regression::Fails(1.0, Duration::ZERO),
+        Regression::Fails(0.3, Duration::ZERO),
+        Regression::Slow(1.0, 5.0, Duration::ZERO),
+        Regression::Slow(0.5, 6.0, Duration::ZERO),
+        Regression::OneRoute(0.8),
+        Regression::Fails(0.5, Duration::from_secs(3)),
+        Regression::Slow(0.8, 6.0, Duration::from_secs(4)),
+    ];
+    let mut rng = Rng::with_seed(seed);
+    Case {
+        instances,
+        rate: 200.0 + 300.0 * rng.f64(),
+        regression: regression[number as usize % regression.len()],
+        disturbance: Disturbance::None,
+        controller_fault: controller_fault(&mut rng, number, 6_000, 6_000),
+    }
+}
+
+/// Returns no fault, or one that begins before `lost` or `frozen` milliseconds.
+fn controller_fault(rng: &mut Rng, number: u64, lost: u64, frozen: u64) -> ControllerFault {
+    match number % 3 {
+        0 => ControllerFault::None,
+        1 => ControllerFault::Lost(millis(rng.u64(500..lost))),
+        _ => {
+            let from = millis(rng.u64(500..frozen));
+            ControllerFault::Frozen(from, millis(rng.u64(1_000..5_000)))
+        }
+    }
+}
+
+#[test]
+fn no_good_version_is_rolled_back_in_a_thousand_random_cases() {
+    let cases = (0..support::cases(1000)).map(|number| {
+        (support::seed(number), good_version(number, support::seed(number ^ 0xc0ffee)))
     });
     let outcomes = simulate(cases.collect());
-    let rolled_back: Vec<_> =
-        outcomes.iter().filter(|(.., outcome)| outcome.stage != Some(Stage::Succeeded)).collect();
-    assert!(rolled_back.is_empty(), "{} of 1,000: {:?}", rolled_back.len(), rolled_back.first());
+    let rolled_back: Vec<_> = outcomes.iter().filter(is_rolled_back).collect();
+    assert!(rolled_back.is_empty(), "{} of {}: {rolled_back:?}", rolled_back.len(), outcomes.len());
 }
 
 // Guards against rolling back a good version when responses of both versions are slow or fail for 2.5 s. If the old
@@ -460,24 +509,23 @@
 // and the burst counts against the new version alone: 25 of these 200 cases were rolled back.
 #[test]
 fn no_good_version_is_rolled_back_during_a_brief_disturbance_of_the_whole_fleet() {
-    let cases = (0..200_u64).map(|seed| {
-        let mut rng = Rng::with_seed(seed ^ 0xb0057);
+    let cases = (0..support::cases(200)).map(|number| {
+        let mut rng = Rng::with_seed(support::seed(number ^ 0xb0057));
         let from = millis(rng.u64(1_000..5_000));
         let disturbance =
-            [Disturbance::AllSlow(from), Disturbance::AllFailBriefly(from)][seed as usize % 2];
+            [Disturbance::AllSlow(from), Disturbance::AllFailBriefly(from)][number as usize % 2];
         let case = Case {
-            instances: [8, 62][seed as usize / 2 % 2],
+            instances: [8, 62][number as usize / 2 % 2],
             rate: 150.0 + 300.0 * rng.f64(),
             regression: Regression::None,
             disturbance,
             controller_fault: ControllerFault::None,
         };
-        (seed, case)
+        (support::seed(number), case)
     });
     let outcomes = simulate(cases.collect());
-    let rolled_back: Vec<_> =
-        outcomes.iter().filter(|(.., outcome)| outcome.stage != Some(Stage::Succeeded)).collect();
-    assert!(rolled_back.is_empty(), "{} of 200: {:?}", rolled_back.len(), rolled_back.first());
+    let rolled_back: Vec<_> = outcomes.iter().filter(is_rolled_back).collect();
+    assert!(rolled_back.is_empty(), "{} of {}: {rolled_back:?}", rolled_back.len(), outcomes.len());
 }
 
 // A service with few requests has fewer responses of the new version at the latest decision than the usual rule needs,
@@ -486,27 +534,26 @@
 // some, and between 60 and 500 requests in all a version cannot be proven within that half.
 #[test]
 fn most_good_versions_of_a_service_with_few_requests_take_over() {
-    let cases = (0..200_u64).map(|seed| {
-        let mut rng = Rng::with_seed(seed ^ 0xfe3);
+    let cases = (0..support::cases(200)).map(|number| {
+        let mut rng = Rng::with_seed(support::seed(number ^ 0xfe3));
         let case = Case {
-            instances: [3, 8][seed as usize % 2],
+            instances: [3, 8][number as usize % 2],
             rate: 2.0 + 3.5 * rng.f64(),
             regression: Regression::None,
             disturbance: Disturbance::None,
             controller_fault: ControllerFault::None,
         };
-        (seed, case)
+        (support::seed(number), case)
     });
     let outcomes = simulate(cases.collect());
-    let rolled_back =
-        outcomes.iter().filter(|(.., outcome)| outcome.stage != Some(Stage::Succeeded)).count();
-    assert!(rolled_back < 40, "{rolled_back} of 200");
+    let rolled_back = outcomes.iter().filter(is_rolled_back).count();
+    assert!(5 * rolled_back < outcomes.len(), "{rolled_back} of {}", outcomes.len());
 }
 
 #[test]
 fn a_bad_version_of_a_service_with_few_requests_gets_under_half_of_what_operators_allow() {
-    let cases = (0..200_u64).map(|seed| {
-        let mut rng = Rng::with_seed(seed ^ 0xbadfe3);
+    let cases = (0..support::cases(200)).map(|number| {
+        let mut rng = Rng::with_seed(support::seed(number ^ 0xbadfe3));
         let regression = [
             Regression::Fails(1.0, Duration::ZERO),
             Regression::Fails(0.3, Duration::ZERO),
@@ -515,62 +562,151 @@
             Regression::Fails(0.5, Duration::from_secs(3)),
         ];
         let case = Case {
-            instances: [3, 8][seed as usize % 2],
+            instances: [3, 8][number as usize % 2],
             rate: 2.0 + 38.0 * rng.f64(),
-            regression: regression[seed as usize % regression.len()],
+            regression: regression[number as usize % regression.len()],
             disturbance: Disturbance::None,
             controller_fault: ControllerFault::None,
         };
-        (seed, case)
+        (support::seed(number), case)
     });
-    let over = |outcome: &Outcome| {
-        outcome.exposed as f64
-            >= (EXPOSURE_LIMIT.share * outcome.sent as f64 + EXPOSURE_LIMIT.slack) / 2.0
-    };
     let outcomes = simulate(cases.collect());
-    let over: Vec<_> = outcomes.iter().filter(|(.., outcome)| over(outcome)).collect();
-    assert!(over.is_empty(), "{} of 200: {over:?}", over.len());
+    let over: Vec<_> = outcomes.iter().filter(|(.., o)| o.exposed as f64 >= allowed(o)).collect();
+    assert!(over.is_empty(), "{} of {}: {over:?}", over.len(), outcomes.len());
 }
 
 #[test]
 fn a_bad_version_gets_under_half_of_what_operators_allow_and_nothing_soon_after() {
-    let regression = [
-        Regression::Fails(1.0, Duration::ZERO),
-        Regression::Fails(0.3, Duration::ZERO),
-        Regression::Slow(1.0, 5.0, Duration::ZERO),
-        Regression::Slow(0.5, 6.0, Duration::ZERO),
-        Regression::OneRoute(0.8),
-        Regression::Fails(0.5, Duration::from_secs(3)),
-        Regression::Slow(0.8, 6.0, Duration::from_secs(4)),
-    ];
     let mut cases = Vec::new();
-    for (number, instances) in [8, 62, 302, 986].into_iter().enumerate() {
-        for seed in 0..42_u64 {
-            let mut rng = Rng::with_seed(seed ^ 0xbad);
-            let case = Case {
-                instances,
-                rate: 200.0 + 300.0 * rng.f64(),
-                regression: regression[seed as usize % regression.len()],
-                disturbance: Disturbance::None,
-                controller_fault: match seed % 3 {
-                    0 => ControllerFault::None,
-                    1 => ControllerFault::Lost(millis(rng.u64(500..6_000))),
-                    _ => ControllerFault::Frozen(
-                        millis(rng.u64(500..6_000)),
-                        millis(rng.u64(1_000..5_000)),
-                    ),
-                },
-            };
-            cases.push((seed + 1000 * number as u64, case));
+    for (fleet, instances) in [8, 62, 302, 986].into_iter().enumerate() {
+        for number in 0..support::cases(42) {
+            let case = bad_version(number, instances, support::seed(number ^ 0xbad));
+            cases.push((support::seed(number + 1000 * fleet as u64), case));
         }
     }
-    for (seed, case, outcome) in simulate(cases) {
-        let allowed = (EXPOSURE_LIMIT.share * outcome.sent as f64 + EXPOSURE_LIMIT.slack) / 2.0;
-        assert!(
-            (outcome.exposed as f64) < allowed,
-            "{seed} {case:?} {outcome:?} allowed {allowed}"
-        );
-        assert_eq!(outcome.late, 0, "{seed} {case:?} {outcome:?}");
-        assert_eq!(outcome.stage, Some(Stage::RolledBack), "{seed} {case:?} {outcome:?}");
+    let outcomes = simulate(cases);
+    let accepted: Vec<_> = outcomes.iter().filter(is_accepted).collect();
+    assert!(accepted.is_empty(), "{} of {}: {accepted:?}", accepted.len(), outcomes.len());
+}
+
+// Guards against versions that were rolled back for failures outside of the faulty server, too few to tell: the trial
+// ended although there was time for more responses.
+#[test]
+fn good_versions_in_doubt_at_the_latest_decision_take_over() {
+    let seeds = [(381, 0x51c0ffee), (397, 0x61c0ffee), (976, 0x71c0ffee), (7, 0x81c0ffee)];
+    let cases = seeds.map(|(number, salt)| (number, good_version(number, number ^ salt)));
+    let outcomes = simulate(cases.to_vec());
+    let rolled_back: Vec<_> = outcomes.iter().filter(is_rolled_back).collect();
+    assert!(rolled_back.is_empty(), "{} of {}: {rolled_back:?}", rolled_back.len(), outcomes.len());
+}
+
+// Guards against a controller that has just taken over and decides before it has evaluated the reported responses: a
+// version that fails four in five requests of a route had the score of one without failures, and took over.
+#[test]
+fn a_bad_version_does_not_take_over_when_its_controller_is_lost_before_the_decision() {
+    let outcomes = simulate(vec![(4, bad_version(4, 8, 4 ^ 0x81bad))]);
+    let accepted: Vec<_> = outcomes.iter().filter(is_accepted).collect();
+    assert!(accepted.is_empty(), "{accepted:?}");
+}
+
+// Fails (KNOWN-RED.txt). Guards against a bad version that takes over at the time from which a roll-out is late: an
+// instance of a large fleet reports every 0.9 s, and no response of the version under its whole load has been evaluated.
+#[test]
+fn a_bad_version_does_not_take_over_late_in_a_large_fleet() {
+    // Cases 431 and 351 of the random ones with `CARTVANE_SEED` 12 and 13.
+    let cases = [(431, 0x6a99_b4b1_f77d_d0fc), (351, 0x08d1_2e6b_76c8_4d11)].map(
+        |(number, combined): (u64, u64)| {
+            let case = bad_version(number, 986, number ^ 0xbad ^ combined);
+            ((number + 3000) ^ combined, case)
+        },
+    );
+    let outcomes = simulate(cases.to_vec());
+    let accepted: Vec<_> = outcomes.iter().filter(is_accepted).collect();
+    assert!(accepted.is_empty(), "{} of {}: {accepted:?}", accepted.len(), outcomes.len());
+}
+
+fn policy(order: &RolloutOrder) -> StagePolicy<'_> {
+    StagePolicy { order, exposure_limit: EXPOSURE_LIMIT, exchange: period(8) }
+}
+
+// Guards against a step in which all requests go to the new version: the time in the trial counted as time in the first
+// step of moving.
+#[test]
+fn the_first_share_while_moving_is_that_of_the_first_step() {
+    let order = RolloutOrder { to: "v2".parse().expect("a version"), time_limit: TIME_LIMIT };
+    let progress = RolloutProgress {
+        elapsed: TIME_LIMIT / 2,
+        in_stage: TIME_LIMIT / 2,
+        ..RolloutProgress::default()
+    };
+    let share = policy(&order).share(Stage::Moving, &progress);
+    assert!(share < 0.5, "{share}");
+}
+
+// Guards against a version that takes over while it is in doubt, which cannot be undone.
+#[test]
+fn a_version_in_doubt_gets_few_requests_and_does_not_take_over() {
+    let order = RolloutOrder { to: "v2".parse().expect("a version"), time_limit: TIME_LIMIT };
+    let moved = RolloutProgress {
+        elapsed: TIME_LIMIT.mul_f64(0.8),
+        stage: Stage::Moving,
+        in_stage: Duration::from_secs(3),
+        at_full_share: Some(Duration::from_secs(2)),
+        evaluated_new: 300,
+        log_odds: -20.0,
+        servers_new: SERVERS,
+        servers_old: SERVERS,
+        ..RolloutProgress::default()
+    };
+    assert_eq!(policy(&order).stage(&moved), Stage::Succeeded);
+    let scored = RolloutProgress { regression_score: 9.0, total_regression_score: 12.0, ..moved };
+    for doubtful in [scored, RolloutProgress { log_odds: 5.0, ..moved }] {
+        assert_eq!(policy(&order).stage(&doubtful), Stage::Moving);
+        assert!(policy(&order).share(Stage::Moving, &doubtful) < 0.5);
+        let late = RolloutProgress { elapsed: TIME_LIMIT, ..doubtful };
+        assert_eq!(policy(&order).stage(&late), Stage::RolledBack);
+    }
+}
+
+/// Returns the scores of a version from one report of each of three instances.
+fn scores(routes: impl Iterator<Item = u32> + Clone, began: Instant) -> [f64; 3] {
+    let to: SoftwareVersion = "v2".parse().expect("a version");
+    let mut controller = VersionEvaluation::new(to.clone());
+    let server = |number: u32| (Tag(number), Tag(number));
+    controller.set_domains(FailureDomains::new((0..3).map(server)));
+    for number in 0..3_u32 {
+        let counts = |route: u32| {
+            let failed = (TimeBin::FAILED, 2 + (route * 7 + number) % 9);
+            let new = vec![failed, (TimeBin::UNTIMED, 5 + (route * 5 + number) % 11)];
+            let old = vec![(TimeBin::FAILED, 3), (TimeBin::UNTIMED, 60 + route)];
+            let counts = |server, bins| ResponseCounts { route: Tag(route), server, bins };
+            [counts(None, old), counts(Some(Tag(number)), new)]
+        };
+        let report = RolloutReport {
+            service: "llm".parse().expect("a name"),
+            to: to.clone(),
+            sent: 1000,
+            sent_new: 100,
+            in_flight_old: 0,
+            responses: routes.clone().flat_map(counts).collect(),
+        };
+        let node = format!("n{number}").parse().expect("a name");
+        let at = began + Duration::from_millis(u64::from(number) * 500);
+        controller.add_report(at, &node, RunId(1), report);
+    }
+    [controller.regression_score(), controller.total_regression_score(), controller.log_odds()]
+}
+
+// Guards against verdicts that depend on the order in which routes are evaluated. That was the order of a `HashMap`, and
+// the same reports led to "succeeded" in 243 of 6,000 runs and to "rolled back" in the others.
+#[test]
+fn the_scores_do_not_depend_on_the_order_of_routes() {
+    let began = Instant::now();
+    let expected = scores(0..12, began);
+    assert!(expected[0] > 0.0, "{expected:?}");
+    for shift in 0..12 {
+        let routes = (0..12).map(|route| (route + shift) % 12);
+        assert_eq!(scores(routes.clone(), began), expected, "{shift}");
+        assert_eq!(scores(routes.rev(), began), expected, "{shift} reversed");
     }
 }
