feat(admission): limits of teams begin at engines that slow down under load

Change: once nearly all slots are taken, the capacity follows from the requests in flight and the time of each, for requests that last two exchanges or more; it is forgotten over 5 s.

--- a/src/routing/admission/fleet_demand.rs
+++ b/src/routing/admission/fleet_demand.rs
@@ -9,6 +9,7 @@
 
 use super::{
     demand_sums::DemandSums,
+    saturated_time::SaturatedTime,
     service_shares::{ServiceShares, SlotUsage},
     service_time::ServiceTime,
     team_messages::{ServiceDemand, ServiceLimits},
@@ -29,7 +30,7 @@
 pub struct FleetDemand {
     reports: IndexMap<NodeName, (Instant, Vec<ServiceDemand>)>,
     sums: IndexMap<ServiceName, DemandSums>,
-    slot_times: IndexMap<ServiceName, ServiceTime>,
+    service_times: IndexMap<ServiceName, (ServiceTime, SaturatedTime)>,
     /// Start of the current uninterrupted sequence of reports.
     since: Option<Instant>,
     last: Option<Instant>,
@@ -94,14 +95,17 @@
         if !is_complete {
             return None;
         }
-        let FleetDemand { sums, slot_times, followed, .. } = self;
+        let FleetDemand { sums, service_times, followed, .. } = self;
         followed.retain(|service, _| sums.contains_key(service));
-        slot_times.retain(|service, _| sums.contains_key(service));
+        service_times.retain(|service, _| sums.contains_key(service));
         let limits = sums.iter().filter_map(|(service, sums)| {
             let capacity = slots(service).zip(sums.slot_time()).map(|(slots, measured)| {
-                let first = ServiceTime::new(now, measured);
-                let slot_time = slot_times.entry(service.clone()).or_insert(first);
-                (slots, slots.capacity(slot_time.note(now, measured)))
+                let first = || (ServiceTime::new(now, measured), SaturatedTime::default());
+                let (unloaded, saturated) =
+                    service_times.entry(service.clone()).or_insert_with(first);
+                let unloaded = unloaded.note(now, measured);
+                let time = saturated.note(now, slots, measured, unloaded, period);
+                (slots, slots.capacity(time))
             });
             let capacity = capacity.filter(|(_, c)| sums.total.attempts() >= FOLLOWED_FROM * c);
             let Some((slots, capacity)) = capacity else {
--- a/src/routing/admission/mod.rs
+++ b/src/routing/admission/mod.rs
@@ -21,6 +21,7 @@
 mod lease_times;
 mod max_min;
 mod rejected_requests;
+mod saturated_time;
 mod service_shares;
 mod service_time;
 mod slot_broker;
--- a/tests/suite/team_shares.rs
+++ b/tests/suite/team_shares.rs
@@ -9,7 +9,8 @@
         AdmissionTerms, Aggregate, BackendServer, FleetDemand, Incarnation, PickError, PickRequest,
         Picker, ResponseTimes, ServiceLimits, ServiceLoad,
         admission::{
-            CentiRate, PerMille, TeamLimits, TeamRate, TeamUsage, TeamVerdict, team_retry_delay,
+            CentiRate, PerMille, ServiceDemand, SlotUsage, TeamLimits, TeamRate, TeamUsage,
+            TeamVerdict, team_retry_delay,
         },
     },
 };
@@ -553,6 +554,54 @@
     "llm".parse().expect("a valid name")
 }
 
+// Guards against limits that never begin at engines, whose requests take longer the more of them run: by the time that a
+// request takes while slots are free, their capacity seems to be more than twice what it is.
+#[test]
+fn a_team_is_limited_where_requests_take_longer_under_load() {
+    let start = Instant::now();
+    let mut demand = FleetDemand::default();
+    let heavy = Tag(1);
+    let mut shares = |at: Instant, heavy_rate: f64, slot_time: f64, in_flight: f64| {
+        let rate = |team, rate| {
+            let rate = CentiRate::of(rate);
+            TeamRate { team, demand: rate, attempts: rate }
+        };
+        let mut teams = vec![rate(heavy, heavy_rate)];
+        teams.extend((2..9).map(|team| rate(Tag(team), 6.0)));
+        let total = CentiRate::of(teams.iter().map(|r| r.demand.per_second()).sum());
+        let slot_time_us = (slot_time * 1e6) as u32;
+        let report = ServiceDemand {
+            service: service(),
+            demand: total,
+            attempts: total,
+            slot_time_us,
+            teams,
+        };
+        demand.record_report(at, "one".parse().expect("a name"), vec![report]);
+        let usage = SlotUsage { total: 100.0, servers: 5, in_flight };
+        let limits = demand.limits(at, 1, Duration::from_millis(250), |_| Some(usage));
+        let limits = limits.unwrap_or_default();
+        limits.into_iter().flat_map(|l| l.teams).collect::<Vec<_>>()
+    };
+    let at = |quarters: u32| start + Duration::from_millis(250) * quarters;
+    for quarter in 0..8 {
+        assert!(shares(at(quarter), 30.0, 0.6, 60.0).is_empty(), "the demand fits");
+    }
+    // 122 requests per second are fewer than 95 slots would serve in 0.6 s each, and twice what they serve.
+    let under_load: Vec<_> = (8..16).map(|q| shares(at(q), 80.0, 1.5, 100.0)).collect();
+    let last = under_load.last().expect("shares");
+    assert_eq!(last.iter().map(|(team, _)| *team).collect::<Vec<_>>(), [heavy]);
+    let share = last[0].1.share();
+    assert!(
+        (0.1..0.3).contains(&share),
+        "25 of 130 requests per second fit beside the others: {share}"
+    );
+    // The limit has freed some slots; it must not end at once.
+    let freed = shares(at(17), 80.0, 1.2, 80.0);
+    assert_eq!(freed.len(), 1, "{freed:?}");
+    assert!((18..80).any(|q| shares(at(q), 30.0, 0.6, 60.0).is_empty()), "it ends with the load");
+}
+
 // Guards against limits that outlive an exchange by far, and against a lost reply that ends them at once.
 #[test]
 fn limits_hold_for_two_seconds_and_only_for_their_service() {
