fix(admission): the time under full load counts where responses arrive over time

Cause: the shortest recent time of a request is that of the first small requests after a start, so that engines counted as services with short requests, whose times include waits, and no team was limited there. Change: the mean time from the head of a response to its end decides, which includes no wait for a slot.

--- a/src/routing/admission/control.rs
+++ b/src/routing/admission/control.rs
@@ -146,6 +146,11 @@
         Some(Duration::from_secs_f64(self.head.mean? + self.body.mean?))
     }
 
+    /// Returns the mean time from the head of a response to its end.
+    pub fn body_time(&self) -> Duration {
+        Duration::from_secs_f64(self.body.mean.unwrap_or_default())
+    }
+
     /// Returns the time without a response head after which a request that was expected to wait `wait` for a slot
     /// counts as stalled; `None` until enough responses were observed.
     pub fn stall_timeout(&self, wait: Duration) -> Option<Duration> {
--- a/src/routing/admission/saturated_time.rs
+++ b/src/routing/admission/saturated_time.rs
@@ -11,9 +11,9 @@
 /// Share of the slots from which the time of a request shows how many requests the slots can serve.
 const SATURATED_FROM: f64 = 0.9;
 
-/// Number of exchanges that a request must last for its time to count. Instances spread shorter requests by counts that
-/// are older than the requests, so that some servers have queues while others have free slots: the time then includes
-/// waits that end when fewer requests come.
+/// Number of exchanges that the body of a response must last for its time to count. Of shorter responses the time is
+/// mostly that to the head, which includes waits: instances spread short requests by counts that are older than the
+/// requests, so that some servers have queues while others have free slots.
 const EXCHANGES_MIN: u32 = 2;
 
 /// Time constant with which a new time replaces the former one, in seconds: the counts of one exchange vary by chance.
@@ -45,7 +45,7 @@
         unloaded: f64,
         exchange_period: Duration,
     ) -> f64 {
-        if unloaded < (exchange_period * EXCHANGES_MIN).as_secs_f64() {
+        if usage.body_time < exchange_period * EXCHANGES_MIN {
             return unloaded;
         }
         let is_saturated = usage.in_flight >= SATURATED_FROM * usage.total;
--- a/src/routing/admission/service_shares.rs
+++ b/src/routing/admission/service_shares.rs
@@ -1,6 +1,6 @@
 //! Division of the capacity of one service among its teams.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
 
@@ -44,6 +44,8 @@
     pub servers: usize,
     /// Requests in flight of all instances.
     pub in_flight: f64,
+    /// Mean time from the head of a response to its end, which includes no wait for a slot.
+    pub body_time: Duration,
 }
 
 impl SlotUsage {
--- a/src/routing/picker/teams.rs
+++ b/src/routing/picker/teams.rs
@@ -44,7 +44,9 @@
         let (_, total) = self.slots(now, service).filter(|(_, slots)| *slots > 0.0)?;
         let servers = self.servers_of(service).count();
         let mean = loads.iter().find(|l| l.service == *service).map_or(0.0, |l| l.mean);
-        Some(SlotUsage { total, servers, in_flight: f64::from(mean) * servers as f64 })
+        let in_flight = f64::from(mean) * servers as f64;
+        let body_time = self.admission.get(service).map_or(Duration::ZERO, |a| a.body_time());
+        Some(SlotUsage { total, servers, in_flight, body_time })
     }
 
     /// Applies the aggregator's limits of teams as of `as_of`; returns those that have begun or ended.
--- a/tests/suite/team_shares.rs
+++ b/tests/suite/team_shares.rs
@@ -578,7 +578,8 @@
             teams,
         };
         demand.record_report(at, "one".parse().expect("a name"), vec![report]);
-        let usage = SlotUsage { total: 100.0, servers: 5, in_flight };
+        let body_time = Duration::from_secs_f64(slot_time);
+        let usage = SlotUsage { total: 100.0, servers: 5, in_flight, body_time };
         let limits = demand.limits(at, 1, Duration::from_millis(250), |_| Some(usage));
         let limits = limits.unwrap_or_default();
         limits.into_iter().flat_map(|l| l.teams).collect::<Vec<_>>()
