test(soak): a service with fewer slots than instances, and a team that surges

Cause: the soak knew neither slot leases nor shares of teams. Change: two servers of one slot (Listed::limit_slots rejects what they cannot run), and four teams that send to them during all faults; one of them surges for 2 to 4 s at a random time, drawn by a generator of its own, so that the other events of a seed stay as they were. Checked: a request that may run only once runs at most once and has not run if rejected as not run (the checks of the other service); while one team surges without a fault, each other team is served for 0.9 of its requests; after the load, each team is served at each instance and both slots run requests again within 4 s and the soak's tolerance. Not covered: faults of the small service's own servers, and fleets of two instances or fewer, which have no broker.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -19,6 +19,7 @@
 use crate::{
     checks::Checks,
     fleet::{Fleet, KEY},
+    small_service::{TEAMS, TeamCaller},
 };
 
 /// Longest wait for a response: longer than the routes' timeout plus the time for which an instance is frozen.
@@ -34,7 +35,7 @@
 }
 
 impl Callers {
-    /// Starts `count` callers whose random choices follow from `seed`.
+    /// Starts `count` callers, and one for each team of the small service, whose random choices follow from `seed`.
     pub(crate) fn spawn(
         count: usize,
         seed: u64,
@@ -47,7 +48,12 @@
             let rng = Rng::with_seed(seed.wrapping_mul(1000) + number as u64);
             thread::spawn(move || call_until(&stop, number, rng, &fleet, &checks))
         };
-        let threads = (0..count).map(start).collect();
+        let start_team = |team: usize| {
+            let caller = TeamCaller::new(team, format!("t{team}"), seed, fleet, checks);
+            let stop = Arc::clone(&stop);
+            thread::spawn(move || caller.call_until(&stop))
+        };
+        let threads = (0..count).map(start).chain((0..TEAMS).map(start_team)).collect();
         Callers { stop, threads }
     }
 
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -5,6 +5,8 @@
 use cartvane::utils::sync::lock;
 use standins::listed::Listed;
 
+use crate::small_service::TEAMS;
+
 /// A violated invariant.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Violation {
@@ -37,6 +39,7 @@
     violations: Mutex<Vec<Violation>>,
     once: Mutex<Vec<OnceResponse>>,
     request_counts: Mutex<(u64, u64)>,
+    team_counts: Mutex<[(u64, u64); TEAMS]>,
 }
 
 impl Checks {
@@ -47,6 +50,7 @@
             violations: Mutex::default(),
             once: Mutex::default(),
             request_counts: Mutex::default(),
+            team_counts: Mutex::default(),
         }
     }
 
@@ -79,6 +83,18 @@
         *lock(&self.request_counts)
     }
 
+    /// Counts a request of a team to the small service and whether it was served.
+    pub(crate) fn count_team_request(&self, team: usize, served: bool) {
+        let counts = &mut lock(&self.team_counts)[team];
+        counts.0 += 1;
+        counts.1 += u64::from(served);
+    }
+
+    /// Returns the number of each team's requests to the small service and how many of them were served.
+    pub(crate) fn team_counts(&self) -> [(u64, u64); TEAMS] {
+        *lock(&self.team_counts)
+    }
+
     /// Checks how often the servers ran each request that may run at most once; called after the last response.
     pub(crate) fn check_runs(&self, servers: &[Listed]) {
         for response in lock(&self.once).iter() {
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -3,6 +3,7 @@
 use std::{
     fs::{self, File},
     net::SocketAddr,
+    ops::Range,
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
     sync::{
@@ -18,7 +19,10 @@
 use serde_json::{Value, json};
 use standins::{fault::Fault, listed::Listed, server::Received, store::StoreStandIn};
 
-use crate::proxy::{LinkMode, Proxy};
+use crate::{
+    proxy::{LinkMode, Proxy},
+    small_service,
+};
 
 /// API key of the callers' team.
 pub(crate) const KEY: &str = "key-of-crew";
@@ -62,6 +66,9 @@
     pub(crate) store: StoreStandIn,
     /// Instances, by number.
     pub(crate) instances: Vec<Mutex<Instance>>,
+    /// Addresses that callers connect to, by instance. Outside the instances' locks, which are held while an event waits
+    /// for a process to exit.
+    pub(crate) addresses: Vec<SocketAddr>,
     /// Process ids of the instances, 0 for none. Outside the instances' locks, since a process may be frozen while
     /// another event holds its lock and waits for it to exit.
     pub(crate) pids: Vec<Arc<AtomicI32>>,
@@ -69,6 +76,8 @@
     pub(crate) endpoints: Vec<Mutex<ServerEndpoint>>,
     /// All incarnations of backend servers, former ones included.
     pub(crate) servers: Mutex<Vec<Listed>>,
+    /// Indexes of the servers of the small service in [`Fleet::servers`].
+    small: Range<usize>,
     /// Current version of the intent.
     pub(crate) version: Mutex<u64>,
     /// Number of routes in the intent that no caller uses.
@@ -99,12 +108,15 @@
                 disturbed_at: Instant::now(),
             }));
         }
+        let small = all.len()..all.len() + small_service::SERVERS;
+        all.extend(small_service::spawn_servers()?);
         // Every run has its own loopback addresses, so that concurrent runs can use the same ports.
         let net = [127, 64 + (std::process::id() % 64) as u8, (seed % 250) as u8];
         let ip = |number: usize| [net[0], net[1], net[2], number as u8 + 1];
         let seeds: Vec<String> =
             (0..instances.min(3)).map(|n| SocketAddr::from((ip(n), 7002)).to_string()).collect();
         let mut started = Vec::new();
+        let mut addresses = Vec::new();
         let mut pids: Vec<Arc<AtomicI32>> = Vec::new();
         for number in 0..instances {
             let store_proxy = Proxy::spawn(store.address())?;
@@ -112,10 +124,11 @@
             let text = settings(number, &address, &seeds, store_proxy.address());
             let settings = dir.join(format!("{number}.json"));
             fs::write(&settings, text.to_string())?;
+            addresses.push(address(7000));
             pids.push(Arc::default());
             started.push(Mutex::new(Instance {
                 pid: Arc::clone(&pids[number]),
-                frontend: address(7000),
+                frontend: addresses[number],
                 store_proxy,
                 settings,
                 log: dir.join(format!("{number}.log")),
@@ -126,9 +139,11 @@
         let fleet = Fleet {
             store,
             instances: started,
+            addresses,
             pids,
             endpoints,
             servers: Mutex::new(all),
+            small,
             version: Mutex::new(10),
             idle_routes: Mutex::default(),
             store_disturbed_at: Mutex::new(Instant::now()),
@@ -136,6 +151,7 @@
         for endpoint in 0..servers {
             fleet.write_entry(endpoint, "ready");
         }
+        fleet.write_small_entries();
         fleet.write_intent();
         for instance in &fleet.instances {
             lock(instance).start()?;
@@ -152,6 +168,19 @@
         self.store.put("servers", &servers[endpoint.server].id, &entry);
     }
 
+    fn write_small_entries(&self) {
+        for server in &lock(&self.servers)[self.small.clone()] {
+            let mut entry = server.entry(small_service::SERVICE, "ready");
+            entry["slots"] = 1.into();
+            self.store.put("servers", &server.id, &entry);
+        }
+    }
+
+    /// Returns how many requests each server of the small service has run.
+    pub(crate) fn small_runs(&self) -> Vec<u32> {
+        lock(&self.servers)[self.small.clone()].iter().map(Listed::total_runs).collect()
+    }
+
     /// Starts a new incarnation behind an endpoint; the one before keeps running at its own address.
     pub(crate) fn replace_server(&self, endpoint: usize) -> anyhow::Result<()> {
         let mut current = lock(&self.endpoints[endpoint]);
@@ -212,13 +241,14 @@
     /// Writes the intent and the servers' entries again, as after a restore of the store from a copy.
     pub(crate) fn rewrite_all(&self) {
         self.write_intent();
-        let used: Vec<String> = (0..self.endpoints.len())
-            .map(|endpoint| {
-                self.write_entry(endpoint, "ready");
-                let server = lock(&self.endpoints[endpoint]).server;
-                lock(&self.servers)[server].id.clone()
-            })
-            .collect();
+        self.write_small_entries();
+        let small = lock(&self.servers)[self.small.clone()].iter().map(|s| s.id.clone()).collect();
+        let mut used: Vec<String> = small;
+        used.extend((0..self.endpoints.len()).map(|endpoint| {
+            self.write_entry(endpoint, "ready");
+            let server = lock(&self.endpoints[endpoint]).server;
+            lock(&self.servers)[server].id.clone()
+        }));
         // Entries of former servers, which the copy may contain, are removed as if they had expired.
         let left = self.store.keys("servers").into_iter().filter(|id| !used.contains(id));
         left.for_each(|id| self.store.remove("servers", &id));
@@ -351,11 +381,24 @@
         route("stream-resumable", "streaming", true),
         route(&format!("v{version}"), "idempotent", false),
     ];
+    for (name, kind) in [("small", "idempotent"), ("small-once", "non_idempotent")] {
+        let mut route = route(name, kind, false);
+        route["service"] = small_service::SERVICE.into();
+        route["sticky_sessions"] = false.into();
+        routes.push(route);
+    }
+    let team =
+        |team| json!({"name": format!("team-{team}"), "api_keys": [small_service::key(team)]});
+    let crew = json!({"name": "crew", "api_keys": [KEY]});
+    let teams: Vec<Value> = (0..small_service::TEAMS).map(team).chain([crew]).collect();
     routes.extend((0..idle_routes).map(|i| route(&format!("idle-{i}"), "idempotent", false)));
     json!({
         "version": version,
         "routes": routes,
-        "services": [{"name": "app", "max_connections": 200}],
-        "tenants": [{"name": "crew", "api_keys": [KEY]}]
+        "services": [
+            {"name": "app", "max_connections": 200},
+            {"name": small_service::SERVICE, "max_connections": 200}
+        ],
+        "tenants": teams
     })
 }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -11,6 +11,7 @@
 mod proxy;
 mod rollouts;
 mod run;
+mod small_service;
 
 use std::{
     process::ExitCode,
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -32,6 +32,12 @@
 /// Mixed into a run's seed for roll-outs.
 const ROLLOUT_SEED_MASK: u64 = 0x726f_6c6c;
 
+/// Mixed into a run's seed for the surge of a team.
+const SURGE_SEED_MASK: u64 = 0x7375_7267;
+
+/// Duration of a surge, in milliseconds.
+const SURGE_MS: std::ops::Range<u64> = 2000..4000;
+
 /// Time for which a server rejects requests, in milliseconds.
 const REJECTING_MS: std::ops::Range<u64> = 300..2500;
 
@@ -83,6 +89,8 @@
     AnnounceBackoff(usize, Duration, Duration),
     /// Operators order the roll-out of a version that fails every request.
     RollOut,
+    /// A team sends many times its usual load to the small service for this time.
+    Surge(Duration),
 }
 
 /// Growth of a run's intent, and the rate at which the store sends it.
@@ -151,6 +159,16 @@
     rng.bool().then(|| (Duration::from_millis(rng.u64(..length_ms)), Event::RollOut))
 }
 
+/// Returns the surge of a run.
+///
+/// Uses a generator of its own, as [`random_growth`] does.
+pub(crate) fn random_surge(seed: u64, length: Duration) -> (Duration, Event) {
+    let mut rng = Rng::with_seed(seed ^ SURGE_SEED_MASK);
+    let length_ms = u64::try_from(length.as_millis()).unwrap_or(u64::MAX).max(1);
+    let time = Duration::from_millis(rng.u64(SURGE_MS));
+    (Duration::from_millis(rng.u64(..length_ms)), Event::Surge(time))
+}
+
 /// Returns the three notices that servers of a run send in their responses.
 ///
 /// Uses a generator of its own, as [`random_growth`] does.
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -24,7 +24,7 @@
     options::Options,
     plan::{self, Event},
     proxy::LinkMode,
-    rollouts,
+    rollouts, small_service,
 };
 
 /// Time between a restore of the store and the writes with which operators and servers restore their rows, in
@@ -94,6 +94,9 @@
     events.extend(notices.into_iter().map(|(at, event)| (at, event, rng.fork())));
     let rollout = plan::random_rollout(seed, options.fault_time);
     events.extend(rollout.into_iter().map(|(at, event)| (at, event, rng.fork())));
+    let (at, surge) = plan::random_surge(seed, options.fault_time);
+    // Not drawn from the generator of the other events, whose choices stay as they were.
+    events.push((at, surge, Rng::with_seed(seed)));
     events.sort_by_key(|(at, ..)| *at);
     let fleet = Fleet::start(seed, options.instances, SERVERS, &dir)?;
     fleet.store.set_link(growth.store_bytes_per_s);
@@ -124,6 +127,7 @@
     check_undisturbed(&fleet, &checks, interrupted);
     load::check(&fleet, &checks);
     callers.finish();
+    small_service::check_slots(&fleet, &checks);
     // Servers may still run requests whose callers have given up on them; they finish within their deadlines.
     thread::sleep(Duration::from_millis(500));
     checks.check_runs(&lock(&fleet.servers));
@@ -138,7 +142,7 @@
     thread::spawn(move || apply_event(event, &fleet, &checks, rng))
 }
 
-fn apply_event(event: Event, fleet: &Fleet, checks: &Checks, mut rng: Rng) {
+fn apply_event(event: Event, fleet: &Fleet, checks: &Arc<Checks>, mut rng: Rng) {
     match event {
         Event::Terminate(number) => terminate(fleet, checks, number),
         Event::Kill(number, time) => {
@@ -194,6 +198,7 @@
         Event::AnnounceBackoff(endpoint, time, backoff) => {
             notices::announce_backoff(fleet, checks, endpoint, time, backoff)
         }
+        Event::Surge(time) => small_service::surge(fleet, checks, time, rng.u64(..)),
         Event::RollOut => rollouts::roll_out(fleet, checks),
         Event::Replace(endpoint) => drain_server(fleet, checks, endpoint),
         Event::Crash(endpoint) => replace_server(fleet, checks, endpoint),
@@ -352,14 +357,17 @@
     }
 }
 
-/// Changes the intent and announces that servers leave or back off while no other event runs: then the time bounds
-/// hold for every instance.
-fn check_undisturbed(fleet: &Fleet, checks: &Checks, interrupted: &AtomicBool) {
+/// Changes the intent while a team surges, and announces that servers leave or back off, while no other event runs: then
+/// the time bounds hold for every instance.
+fn check_undisturbed(fleet: &Fleet, checks: &Arc<Checks>, interrupted: &AtomicBool) {
     thread::sleep(UNDISTURBED_TIME + Duration::from_millis(100));
     if interrupted.load(Ordering::SeqCst) {
         return;
     }
-    change_intent(fleet, checks, 1);
+    thread::scope(|scope| {
+        scope.spawn(|| small_service::check_shares(fleet, checks));
+        change_intent(fleet, checks, 1);
+    });
     drain_server(fleet, checks, 0);
     notices::announce_backoff(
         fleet,
--- a/standins/src/listed.rs
+++ b/standins/src/listed.rs
@@ -57,6 +57,8 @@
     ended: AtomicBool,
     /// Whether all answers say that the server leaves.
     leaving: AtomicBool,
+    limit: Mutex<Option<SlotLimit>>,
+    running: AtomicU32,
     notices: Mutex<Vec<SentNotice>>,
 }
 
@@ -71,6 +73,13 @@
     pub backoff: Option<Duration>,
 }
 
+/// How many requests a server runs at a time; it rejects the others.
+#[derive(Debug, Clone, Copy)]
+struct SlotLimit {
+    slots: u32,
+    run_time: Duration,
+}
+
 /// What ends a server.
 struct Deadly {
     body: Vec<u8>,
@@ -94,6 +103,12 @@
         UnderWay(self)
     }
 
+    /// Takes one of `slots` slots; returns false if all are taken.
+    fn take_slot(&self, slots: u32) -> bool {
+        let take = |running| (running < slots).then_some(running + 1);
+        self.running.fetch_update(Ordering::SeqCst, Ordering::SeqCst, take).is_ok()
+    }
+
     fn has_ended(&self) -> bool {
         self.ended.load(Ordering::SeqCst)
     }
@@ -170,6 +185,12 @@
         self.seen.leaving.store(true, Ordering::SeqCst);
     }
 
+    /// Has the server run at most `slots` requests at a time, each for `run_time` before its answer, and reject the others
+    /// as not run.
+    pub fn limit_slots(&self, slots: u32, run_time: Duration) {
+        *lock(&self.seen.limit) = Some(SlotLimit { slots, run_time });
+    }
+
     /// Returns the entry that the server writes of itself.
     pub fn entry(&self, service: &str, state: &str) -> Value {
         json!({
@@ -285,7 +306,17 @@
         if self.seen.has_ended() {
             return Next::Close;
         }
+        let limit = *lock(&self.seen.limit);
+        if limit.is_some_and(|limit| !self.seen.take_slot(limit.slots)) {
+            let reply = self.mark(Reply::new(503, "full").with("x-not-executed", "1"));
+            return send(conn, &reply.bytes(), Next::KeepAlive);
+        }
         *lock(&self.seen.runs).entry(self.id.clone()).or_default() += 1;
+        if let Some(limit) = limit {
+            thread::sleep(limit.run_time);
+            // The slot is free before the answer, at which the next request may be sent.
+            self.seen.running.fetch_sub(1, Ordering::SeqCst);
+        }
         if self.seen.ends_by(&self.received.body, 0) {
             return Next::Close;
         }
@@ -321,7 +352,8 @@
     /// Returns the bytes of a signed answer to the request `id`.
     fn signed(&self, status: u16, body: impl Into<Vec<u8>>, id: &str) -> Vec<u8> {
         let reply = Reply::new(status, body).with("x-request-id", id);
-        let reply = self.mark(reply.with("x-server-load", "1,0,8"));
+        let slots = lock(&self.seen.limit).map_or(8, |limit| limit.slots);
+        let reply = self.mark(reply.with("x-server-load", format!("1,0,{slots}")));
         if self.fault == Fault::Unsigned {
             return reply.bytes();
         }
