refactor(gateway): the exchange and the probe have files of their own

The probe of a silent instance was named after patience (`patient_links`, `is_patient`, `CallTerms::PATIENT`), which a reader had to look up, and `exchange_for` had 60 lines.

Change: exchange.rs has the periodic exchange, probe.rs the probe, peers.rs the state. The names say probe. The report and the use of the aggregator's sums are functions of their own, and one function writes the three `no_help` lines. Messages, log lines and decisions are as before.

--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -5,9 +5,9 @@
 use anyhow::Context as _;
 
 use super::{
-    Gateway, held_table, instance_table, intent_reader,
+    Gateway, exchange, held_table, instance_table, intent_reader,
     listeners::{serve_callers, serve_metrics, serve_peers, serve_readiness},
-    peers, roster_reader,
+    roster_reader,
     settings::GatewaySettings,
     startup,
 };
@@ -43,7 +43,7 @@
         spawn_thread(&gateway, "start", startup::run)?;
         spawn_thread(&gateway, "intent", intent_reader::run)?;
         spawn_thread(&gateway, "roster", roster_reader::run)?;
-        spawn_thread(&gateway, "peers", peers::run)?;
+        spawn_thread(&gateway, "peers", exchange::run)?;
         spawn_thread(&gateway, "table", instance_table::run)?;
         spawn_thread(&gateway, "held", held_table::run)?;
         gateway.slot_leases.attach(&gateway);
--- a/src/gateway/instance_table.rs
+++ b/src/gateway/instance_table.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, thread, time::Duration};
 
-use super::{Gateway, peers};
+use super::{Gateway, exchange};
 use crate::{
     adapter::{
         store::{Change, StoreError, StoreRow},
@@ -114,13 +114,13 @@
     let until = gateway.clock.now() + SEED_QUERY_TIMEOUT;
     let knows_others = || gateway.peers.instances() > 1;
     // An instance that restarts alone discovers all others from the first seed.
-    let discovered = !gateway.settings.first_start && peers::query_seeds(gateway, knows_others);
+    let discovered = !gateway.settings.first_start && exchange::query_seeds(gateway, knows_others);
     thread::sleep(ANNOUNCE_SETTLE_TIME);
     if !is_seed_or_alone(gateway) {
         thread::sleep(SEEDS_HEAD_START);
     }
     while !is_seed_or_alone(gateway) && gateway.clock.now() < until {
-        if peers::query_seeds(gateway, knows_others) {
+        if exchange::query_seeds(gateway, knows_others) {
             return;
         }
         thread::sleep(STARTUP_POLL_INTERVAL);
--- a/src/gateway/intent_reader.rs
+++ b/src/gateway/intent_reader.rs
@@ -6,11 +6,7 @@
     time::{Duration, Instant},
 };
 
-use super::{
-    Gateway, intent_relay,
-    peers::{self, Missing},
-    rollout_controller, startup,
-};
+use super::{Gateway, exchange, intent_relay, peers::Missing, rollout_controller, startup};
 use crate::{
     adapter::{
         intent, orders,
@@ -51,7 +47,7 @@
             WatchStep::AskPeers => {
                 let has_failed = cluster_state.with_watch(|watch| watch.has_store_failed());
                 let missing = if has_failed { Missing::Intent } else { Missing::NewerIntent };
-                peers::catch_up(gateway, missing);
+                exchange::catch_up(gateway, missing);
                 cluster_state.with_watch(|watch| watch.peers_asked(gateway.clock.now(), &role));
             }
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,7 +1,7 @@
 //! An instance on a platform whose store has the list of backend servers and the operator's intent.
 //!
 //! `connection` reads requests of callers, `forward` sends them to a backend server and writes the response, and
-//! `stream` forwards events. `intent_reader`, `roster_reader` and `peers` keep `cluster_state` up to date. By
+//! `stream` forwards events. `intent_reader`, `roster_reader` and `exchange` keep `cluster_state` up to date. By
 //! `instance_table`, instances discover each other.
 
 pub mod attempts;
@@ -11,6 +11,7 @@
 pub mod connection;
 pub mod crash_suspects;
 pub mod drain;
+pub mod exchange;
 pub mod forward;
 pub mod handle;
 pub mod held_table;
@@ -25,6 +26,7 @@
 pub mod peer_server;
 pub mod peers;
 pub mod pick_error;
+mod probe;
 pub mod relay;
 pub mod request;
 pub mod response;
--- a/src/gateway/peer_server.rs
+++ b/src/gateway/peer_server.rs
@@ -8,10 +8,10 @@
 use super::{
     Gateway,
     cold_permits::{PERMIT_PATH, PermitReply},
+    exchange::{EXCHANGE_PATH, EXCHANGE_TIMEOUT},
     intent_reader,
     intent_relay::{self, OFFER_PATH},
     messages::{ConfirmedAgo, ExchangePurpose, ExchangeReply, ExchangeReport},
-    peers::{EXCHANGE_PATH, EXCHANGE_TIMEOUT},
     rollout_table::{ROLLOUT_PATH, perform_for_another},
     roster_reader,
 };
--- a/src/gateway/roster_reader.rs
+++ b/src/gateway/roster_reader.rs
@@ -6,8 +6,8 @@
 };
 
 use super::{
-    Gateway, intent_reader,
-    peers::{self, Missing},
+    Gateway, exchange, intent_reader,
+    peers::Missing,
     server_list_cache::{PAGE_ROWS, ServerListCache},
     startup,
 };
@@ -40,7 +40,7 @@
         match watch.next(now, &role, as_of) {
             RosterStep::Wait(time) => gateway.store_read_requested.wait(time),
             RosterStep::AskPeers => {
-                peers::catch_up(gateway, Missing::Servers);
+                exchange::catch_up(gateway, Missing::Servers);
                 watch.peers_asked(gateway.clock.now());
             }
             RosterStep::Read => match read_and_log(gateway, &role) {
