refactor(slots): names of the leases that a broker does not know

Cause: `told`, `untold` and `leases_to_tell` did not say of whom or of what, and the last one also marked the leases as reported. Some comments of the leases and of the report by team were figurative or had to be read twice.

Change: `known_to` has the brokers that know of a lease, and `take_unreported` takes the leases that one does not know of yet. Comments say what the items are.

--- a/src/gateway/slot_leases/client.rs
+++ b/src/gateway/slot_leases/client.rs
@@ -43,15 +43,16 @@
     service: ServiceName,
     server: Tag,
     times: LeaseTimes,
-    /// Brokers that know of the lease and must be told of its release.
-    told: Vec<NodeName>,
+    /// Brokers that the lease was granted by or reported to. Each gets its release.
+    known_to: Vec<NodeName>,
 }
 
 #[derive(Default)]
 struct State {
     choice: BrokerChoice,
-    /// Broker of each service at the last request, and why an instance was last given up as a broker.
+    /// Broker of each service at the last request.
     brokers: IndexMap<ServiceName, Option<NodeName>>,
+    /// Why an instance was last given up as a broker, for logs.
     reasons: IndexMap<NodeName, &'static str>,
     links: IndexMap<NodeName, Arc<BrokerLink>>,
     pending: IndexMap<LeaseId, Pending>,
@@ -122,34 +123,36 @@
         waiter
     }
 
-    /// Returns the leases of `service` that `broker` does not know of, and counts them as known to it.
-    pub(super) fn leases_to_tell(
+    /// Returns the leases of `service`, or of all services, that `broker` does not know of, and counts them as known to
+    /// it.
+    pub(super) fn take_unreported(
         &self,
         now: Instant,
         broker: &NodeName,
         service: Option<&ServiceName>,
     ) -> Vec<HeldLease> {
         let mut state = lock(&self.state);
-        let untold = state.held.iter_mut().filter(|(_, held)| {
-            service.is_none_or(|service| held.service == *service) && !held.told.contains(broker)
+        let unreported = state.held.iter_mut().filter(|(_, held)| {
+            service.is_none_or(|service| held.service == *service)
+                && !held.known_to.contains(broker)
         });
-        let tell = |(id, held): (&LeaseId, &mut Held)| {
-            held.told.push(broker.clone());
+        let report = |(id, held): (&LeaseId, &mut Held)| {
+            held.known_to.push(broker.clone());
             let (service, server) = (held.service.clone(), held.server);
             HeldLease { id: *id, service, server, time_left: held.times.time_left(now) }
         };
-        untold.map(tell).collect()
+        unreported.map(report).collect()
     }
 
     /// Sends a registered request to another instance, on a new stream if none is open.
     pub(super) fn send(self: &Arc<Self>, now: Instant, broker: &InstanceInfo, acquire: Acquire) {
         let link = self.link(now, broker);
-        let held = self.leases_to_tell(now, &broker.node, Some(&acquire.service));
-        let told = held.is_empty() || {
+        let held = self.take_unreported(now, &broker.node, Some(&acquire.service));
+        let reported = held.is_empty() || {
             let hello = Hello { node: self.node.clone(), held };
             link.send(now, ToBroker::Hello(hello))
         };
-        if !told || !link.send(now, ToBroker::Acquire(acquire)) {
+        if !reported || !link.send(now, ToBroker::Acquire(acquire)) {
             self.give_up_link(&link, "ended");
         }
     }
@@ -187,7 +190,7 @@
                 return self.give_up_link(link, "unreachable");
             }
         };
-        let held = self.leases_to_tell(self.clock.now(), &link.node, None);
+        let held = self.take_unreported(self.clock.now(), &link.node, None);
         let hello = ToBroker::Hello(Hello { node: self.node.clone(), held });
         if link.opened(sender, hello) {
             self.read_link(link, &mut receiver);
@@ -221,8 +224,8 @@
         let Some(pending) = state.pending.swap_remove(&id) else { return };
         if let FromBroker::Granted { server, waited, .. } = message {
             let times = LeaseTimes::new(pending.sent_at, waited, pending.time_left);
-            let (service, told) = (pending.service, vec![pending.broker]);
-            state.held.insert(id, Held { service, server, times, told });
+            let (service, known_to) = (pending.service, vec![pending.broker]);
+            state.held.insert(id, Held { service, server, times, known_to });
         }
         pending.waiter.set(WaitState::Decided(message));
     }
@@ -254,8 +257,8 @@
             return;
         }
         state.links.swap_remove(&link.node);
-        // The broker releases the leases that it was told of on the stream.
-        state.held.values_mut().for_each(|held| held.told.retain(|node| *node != link.node));
+        // The broker releases the leases that were granted or reported on the stream.
+        state.held.values_mut().for_each(|held| held.known_to.retain(|node| *node != link.node));
         let is_needed = state.pending.values().any(|pending| pending.broker == link.node);
         if is_needed {
             self.skip(&mut state, &link.node, reason);
@@ -280,16 +283,16 @@
         });
     }
 
-    /// Forgets a lease, or a request for one; returns the brokers that must be told.
+    /// Forgets a lease, or a request for one; returns the brokers that know of it.
     pub(super) fn forget(&self, id: LeaseId) -> Vec<NodeName> {
         let mut state = lock(&self.state);
         if let Some(pending) = state.pending.swap_remove(&id) {
             return vec![pending.broker];
         }
-        state.held.swap_remove(&id).map(|held| held.told).unwrap_or_default()
+        state.held.swap_remove(&id).map(|held| held.known_to).unwrap_or_default()
     }
 
-    /// Tells another instance that a lease has ended.
+    /// Notifies another instance that a lease has ended.
     pub(super) fn send_release(&self, broker: &NodeName, id: LeaseId) {
         let link = lock(&self.state).links.get(broker).cloned();
         if let Some(link) = link {
--- a/src/gateway/slot_leases/messages.rs
+++ b/src/gateway/slot_leases/messages.rs
@@ -28,7 +28,7 @@
     Ping,
 }
 
-/// What an instance tells a broker that it turns to.
+/// Names the sender to the broker and reports its leases.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hello {
     /// The instance.
--- a/src/gateway/slot_leases/mod.rs
+++ b/src/gateway/slot_leases/mod.rs
@@ -2,7 +2,7 @@
 //! request, and is the broker of some services itself.
 //!
 //! `client` has the leases of this instance and the streams to brokers, `server` the brokers that this instance runs,
-//! and `request` the way of one request through them. `routing::admission` has the decisions.
+//! and `request` requests a lease for one request. `routing::admission` has the decisions.
 
 mod client;
 mod link;
@@ -33,6 +33,7 @@
 pub struct SlotLeases {
     client: Arc<LeaseClient>,
     server: LeaseServer,
+    /// Services whose slots are leased.
     small: ArcSwap<SmallServices>,
     /// For the thread that ticks this instance's brokers, which starts when it first is a broker.
     gateway: OnceLock<Weak<Gateway>>,
@@ -110,7 +111,7 @@
         self.slot_leases.small.load().needs_lease(&request.service, request.route.affinity)
     }
 
-    /// Ends a lease, or the wait for one, and tells the brokers that know of it.
+    /// Ends a lease, or the wait for one, and notifies the brokers that know of it.
     fn release_slot(&self, id: LeaseId) {
         for broker in self.slot_leases.client.forget(id) {
             if self.is_own_node(&broker) {
--- a/src/gateway/slot_leases/request.rs
+++ b/src/gateway/slot_leases/request.rs
@@ -1,4 +1,4 @@
-//! The way of one request to a lease: it asks the broker, waits for the decision, and turns to the next broker if the
+//! Requests a lease for one request: asks the broker, waits for the decision, and asks the next broker if the
 //! first does not respond.
 
 use std::{
@@ -167,7 +167,7 @@
         let waiter = client.register(now, &broker.node, service, &request);
         let acquire = Acquire { service: service.clone(), request };
         if self.is_own_node(&broker.node) {
-            let held = client.leases_to_tell(now, &broker.node, Some(service));
+            let held = client.take_unreported(now, &broker.node, Some(service));
             self.handle_own_acquire(acquire, held);
         } else {
             client.send(now, broker, acquire);
--- a/src/report/line.rs
+++ b/src/report/line.rs
@@ -101,9 +101,9 @@
         })
     }
 
-    /// Returns whether a successful response was in time: its first bytes where the line says that it is a stream, or
-    /// nothing of that, else the whole response. Lines without the time of the first bytes count by their whole
-    /// duration, and lines without a target as in time.
+    /// Returns whether a successful response was in time. Streams, and lines that do not say whether they are of a
+    /// stream, count by the time of the first bytes, others by the whole duration. Lines without the time of the first
+    /// bytes count by their whole duration, and lines without a target as in time.
     fn timeliness(&self) -> Ending {
         let is_whole = self.stream == Some(0);
         let first = self.first_ms.filter(|&first| first >= 0.0 && !is_whole).or(self.took_ms);
--- a/src/report/mod.rs
+++ b/src/report/mod.rs
@@ -1,5 +1,5 @@
-//! Summary of the log lines of any number of instances: requests by route and result and by team, failed attempts, and changes of
-//! state over time.
+//! Summary of the log lines of any number of instances: requests by route and result and by team, failed attempts, and
+//! changes of state over time.
 
 pub mod chart;
 pub mod durations;
--- a/src/report/teams.rs
+++ b/src/report/teams.rs
@@ -49,6 +49,7 @@
     }
 }
 
+/// Requests to one service by team.
 #[derive(Debug, Default)]
 struct ServiceTeams {
     teams: HashMap<String, Counts>,
@@ -157,7 +158,7 @@
 }
 
 impl TeamTable {
-    /// Counts a request that ended so, if its line names a service.
+    /// Counts a request with the given ending, if its line names a service.
     pub fn count(&mut self, line: &LogLine, ending: Ending) {
         let Some(service) = line.service.as_deref() else { return };
         let team = line.team.as_deref().filter(|team| !team.is_empty()).unwrap_or(NO_TEAM);
