refactor(gateway): forward.rs and relay.rs are split by what they decide

Change: attempt_results.rs records what an attempt says about its server, head_deadline.rs decides how long it waits for the response head, send_queue.rs has the bytes between server and caller. `open` and `attempt` are made of functions for the lease, the pick, the connection and the wait for the head. Decisions and log lines are as before.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -13,7 +13,7 @@
     request::{AttemptHeaders, Request},
     response::{CALLER_WRITE_TIMEOUT, ResponseMetadata},
     server_call::{self, HeadWait, ServerResponse},
-    slot_leases::SlotOutcome,
+    slot_leases::{SlotLease, SlotOutcome},
     stall_timer::StallTimer,
     stream,
 };
@@ -25,24 +25,13 @@
         response::{ResponseOptions, send_response},
     },
     names::Tag,
-    routing::{Incarnation, PickRequest, Picked, ResponseObservation, ResponseTimes, RouteKind},
+    routing::{Incarnation, PickRequest, Picked, RouteKind},
     utils::sync::lock,
 };
 
-/// Minimum wait for the response head of an idempotent request before a retry at another server.
-const HEAD_WAIT_MIN: Duration = Duration::from_millis(250);
-
-/// Maximum wait for the head of a resumable stream before a retry at another server, in target latencies of the route.
-/// A server at capacity is late by less, and callers give up after four target latencies.
-const STREAM_HEAD_WAIT_TARGETS: u32 = 2;
-
-/// Time since the first event after which the request is taken not to crash the server: servers crashed by a request
-/// did so 40 to 104 ms after they began to run it.
-const SURVIVED_AFTER: Duration = Duration::from_millis(500);
-
 /// Fraction of the retry budget that is reserved for retries after failures; retries after slow responses cannot use
 /// it.
-const FAILURE_RESERVE: f64 = 0.5;
+pub(super) const FAILURE_RESERVE: f64 = 0.5;
 
 /// A response of a server that was read to its end.
 struct BufferedResponse<'g> {
@@ -51,21 +40,24 @@
     body: HeldBody<'g>,
 }
 
+/// No attempt is left, or the request was refused.
+struct NoAttempt;
+
 /// A request that is being forwarded.
 pub struct Forwarding<'a> {
     /// The instance.
     pub gateway: &'a Gateway,
     /// The request.
     pub request: &'a Request,
-    attempts: Attempts,
+    pub(super) attempts: Attempts,
     last_failure: Option<BufferedResponse<'a>>,
     /// Why the request was refused without being sent.
     pub(super) refusal: Option<Refusal>,
     /// Cold servers that the request has no permit for.
-    denied: Vec<Incarnation>,
-    last_attempt: Option<LastAttempt>,
+    pub(super) denied: Vec<Incarnation>,
+    pub(super) last_attempt: Option<LastAttempt>,
     /// When the request was last sent.
-    sent_at: Option<Instant>,
+    pub(super) sent_at: Option<Instant>,
     /// Servers on which a slot was leased although this instance may not use them.
     pub(super) unusable: Vec<Tag>,
     /// Time that was spent waiting for slot brokers that did not respond.
@@ -125,39 +117,8 @@
                 self.attempts.note_deadline_passed();
                 return None;
             }
-            let lease = match self.acquire_slot(now, caller) {
-                SlotOutcome::Alone => None,
-                SlotOutcome::Leased(lease) => Some(lease),
-                SlotOutcome::Rejected(retry_after) => {
-                    self.note_slot_rejected(retry_after);
-                    return None;
-                }
-                SlotOutcome::CallerLeft => {
-                    self.attempts.note_caller_left();
-                    return None;
-                }
-            };
-            let now = self.gateway.clock.now();
-            let pick_request = self.pick_request(lease.as_ref().map(|lease| lease.server));
-            let (picked, mut in_flight) = match self.gateway.pick(now, &pick_request) {
-                Ok(picked) => picked,
-                Err(_) if let Some(lease) = lease => {
-                    self.unusable.push(lease.server);
-                    continue;
-                }
-                Err(error) => {
-                    self.note_pick_error(now, error, pick_request.draw());
-                    return None;
-                }
-            };
-            in_flight.lease = lease;
-            if !self.gateway.may_send(&picked) {
-                self.denied.push(picked.server.id.clone());
-                continue;
-            }
-            if !self.budget_allows(now, &picked) {
-                return None;
-            }
+            let lease = self.lease_if_needed(now, caller).ok()?;
+            let Some((picked, in_flight)) = self.pick_server(lease).ok()? else { continue };
             match self.attempt(caller, &picked, in_flight, last_event_id) {
                 Ok(open) => return Some(open),
                 Err(AttemptFault::LeaseExpired) => {
@@ -170,6 +131,51 @@
         None
     }
 
+    /// Returns the lease of a slot for the next attempt, if it needs one.
+    fn lease_if_needed(
+        &mut self,
+        now: Instant,
+        caller: Option<&Conn>,
+    ) -> Result<Option<SlotLease<'a>>, NoAttempt> {
+        match self.acquire_slot(now, caller) {
+            SlotOutcome::Alone => return Ok(None),
+            SlotOutcome::Leased(lease) => return Ok(Some(lease)),
+            SlotOutcome::Rejected(retry_after) => self.note_slot_rejected(retry_after),
+            SlotOutcome::CallerLeft => self.attempts.note_caller_left(),
+        }
+        Err(NoAttempt)
+    }
+
+    /// Picks the server of the next attempt. Returns `None` if this server may not be used, but another one may.
+    fn pick_server(
+        &mut self,
+        lease: Option<SlotLease<'a>>,
+    ) -> Result<Option<(Picked, InFlightGuard<'a>)>, NoAttempt> {
+        let now = self.gateway.clock.now();
+        let pick_request = self.pick_request(lease.as_ref().map(|lease| lease.server));
+        let (picked, mut in_flight) = match self.gateway.pick(now, &pick_request) {
+            Ok(picked) => picked,
+            Err(_) if let Some(lease) = lease => {
+                self.unusable.push(lease.server);
+                return Ok(None);
+            }
+            Err(error) => {
+                self.note_pick_error(now, error, pick_request.draw());
+                return Err(NoAttempt);
+            }
+        };
+        in_flight.lease = lease;
+        if !self.gateway.may_send(&picked) {
+            self.denied.push(picked.server.id.clone());
+            return Ok(None);
+        }
+        if self.budget_allows(now, &picked) {
+            Ok(Some((picked, in_flight)))
+        } else {
+            Err(NoAttempt)
+        }
+    }
+
     /// Returns the parameters of the pick for the next attempt; `leased` is the server on which a slot was leased.
     pub(super) fn pick_request(&self, leased: Option<Tag>) -> PickRequest<'_> {
         PickRequest {
@@ -185,70 +191,6 @@
         }
     }
 
-    /// Records that an attempt at a server failed.
-    pub fn note_fault(&mut self, picked: &Picked, fault: AttemptFault) {
-        let now = self.gateway.clock.now();
-        let server = &picked.server.id;
-        let mut picker = lock(&self.gateway.picker);
-        match fault {
-            AttemptFault::Connect => picker.note_unreachable(now, server),
-            AttemptFault::CallerGone | AttemptFault::Withheld | AttemptFault::BeforeSend => {}
-            // A refusal counts too: each further request to the server would spend a retry.
-            _ => picker.note_failure(now, server),
-        }
-        drop(picker);
-        self.note_version_fault(picked, fault);
-        self.attempts.note_failure(server, fault);
-        if fault.is_disconnect() {
-            self.note_connection_lost(picked);
-        }
-        self.gateway.metrics.attempt(&self.request.service, Some(fault));
-        if fault != AttemptFault::CallerGone {
-            let suspect = if fault.is_disconnect() {
-                format!(" digest={} ran_on={}", self.request.digest(), self.has_survived())
-            } else {
-                String::new()
-            };
-            log::info!(
-                "event=attempt_failed request={} server={} rank={} load={:.1} fault={fault:?} \
-                 outcome={} arrivals={}{suspect}",
-                self.request.metadata.id,
-                server,
-                picked.rank,
-                picked.load,
-                fault.outcome(),
-                self.attempts.arrivals()
-            );
-        }
-    }
-
-    /// Records a fault as evidence on the server's software version. Failed connections are no evidence, as the machine
-    /// or the network can cause them too.
-    fn note_version_fault(&self, picked: &Picked, fault: AttemptFault) {
-        let now = self.gateway.clock.now();
-        let waited = self.sent_at.map(|at| now.saturating_duration_since(at));
-        let observation = match (fault, waited) {
-            (AttemptFault::Garbage, _) => ResponseObservation::Failed,
-            (AttemptFault::HeadTimeout, Some(waited)) => ResponseObservation::Took(waited),
-            _ => return,
-        };
-        self.note_version(picked, observation);
-    }
-
-    /// Records a response as evidence on the server's software version.
-    pub fn note_version(&self, picked: &Picked, observation: ResponseObservation) {
-        self.gateway.rollouts.note_response(&self.request.route.name, &picked.server, observation);
-    }
-
-    /// Records that the connection ended while the server may have been running the request, which may have crashed it.
-    fn note_connection_lost(&mut self, picked: &Picked) {
-        let crash_suspects = &self.gateway.crash_suspects;
-        crash_suspects.note_disconnect(self.gateway, self.request, picked, self.has_survived());
-        if crash_suspects.forbids_retry(self.request) {
-            self.attempts.hold();
-        }
-    }
-
     /// Records that events have arrived from the last server.
     pub fn note_running(&mut self) {
         let now = self.gateway.clock.now();
@@ -257,13 +199,6 @@
         }
     }
 
-    /// Returns whether the last server has run the request for long enough that the request is unlikely to crash it.
-    fn has_survived(&self) -> bool {
-        let running = self.last_attempt.as_ref().and_then(|attempt| attempt.running_since);
-        let time = running.map(|since| self.gateway.clock.now().saturating_duration_since(since));
-        time.is_some_and(|time| time >= SURVIVED_AFTER)
-    }
-
     /// Returns whether another attempt is allowed.
     pub fn may_retry(&self) -> bool {
         self.attempts.may_retry(&self.request.route)
@@ -296,15 +231,7 @@
     ) -> Result<OpenResponse<'a>, AttemptFault> {
         let (gateway, request) = (self.gateway, self.request);
         let server = &picked.server;
-        let once = !request.route.kind.may_run_again();
-        let idle = gateway.conns.take(&server.id, once);
-        let conn = match idle {
-            Some(conn) => conn,
-            None => gateway
-                .conns
-                .connect(server.address, request.deadline)
-                .map_err(|_| AttemptFault::Connect)?,
-        };
+        let conn = self.connect(picked)?;
         let now = gateway.clock.now();
         // Another response may have brought a notice of the server while the connection was opened.
         if lock(&gateway.picker).forbids_requests(now, &server.id) {
@@ -322,11 +249,33 @@
             last_event_id,
             prompt_holder: picked.holder.as_ref().map(|holder| holder.address),
         };
+        self.note_sent(now, picked);
+        let response = self.send(conn, caller, picked, now, &headers)?;
+        let head_at = gateway.clock.now();
+        self.take_metadata(picked, &response)?;
+        Ok(OpenResponse { response, picked: picked.clone(), in_flight, sent_at: now, head_at })
+    }
+
+    /// Returns a connection to the picked server.
+    fn connect(&self, picked: &Picked) -> Result<Conn, AttemptFault> {
+        let server = &picked.server;
+        let once = !self.request.route.kind.may_run_again();
+        let conns = &self.gateway.conns;
+        match conns.take(&server.id, once) {
+            Some(conn) => Ok(conn),
+            None => conns
+                .connect(server.address, self.request.deadline)
+                .map_err(|_| AttemptFault::Connect),
+        }
+    }
+
+    /// Records that the request is sent to the picked server now.
+    fn note_sent(&mut self, now: Instant, picked: &Picked) {
         self.attempts.note_sent();
         self.sent_at = Some(now);
-        gateway.rollouts.note_sent(server);
+        self.gateway.rollouts.note_sent(&picked.server);
         self.last_attempt = Some(LastAttempt {
-            server: server.id.clone(),
+            server: picked.server.id.clone(),
             rank: picked.rank,
             load: picked.load,
             bound: picked.bound,
@@ -334,7 +283,19 @@
             running_since: None,
             first_byte_after: None,
         });
-        let watched_caller = self.watched_caller(caller);
+    }
+
+    /// Sends the request on `conn` and waits for the response head.
+    fn send(
+        &self,
+        conn: Conn,
+        caller: Option<&Conn>,
+        picked: &Picked,
+        now: Instant,
+        headers: &AttemptHeaders<'_>,
+    ) -> Result<ServerResponse, AttemptFault> {
+        let (gateway, request) = (self.gateway, self.request);
+        let server = &picked.server;
         let stall_after =
             lock(&gateway.picker).admission(&request.service).stall_timeout(picked.wait);
         let stall = StallTimer::new(gateway, &server.id, stall_after.map(|time| now + time));
@@ -353,11 +314,10 @@
             extend: &extend,
             on_metadata: &on_metadata,
         };
-        let response = server_call::send(conn, request, &headers, &wait, watched_caller)?;
+        let caller = self.watched_caller(caller);
+        let response = server_call::send(conn, request, headers, &wait, caller)?;
         stall.finish();
-        let head_at = gateway.clock.now();
-        self.take_metadata(picked, &response)?;
-        Ok(OpenResponse { response, picked: picked.clone(), in_flight, sent_at: now, head_at })
+        Ok(response)
     }
 
     /// Returns the caller whose disconnect ends the request. That ends only idempotent requests and streams: ending any
@@ -402,54 +362,6 @@
         Ok(())
     }
 
-    /// Returns how long to wait for the response head before a retry at another server.
-    fn head_deadline(&self, now: Instant, server: &Incarnation) -> Instant {
-        let route = &self.request.route;
-        if !self.could_retry_elsewhere(now, server) {
-            return self.request.deadline;
-        }
-        let wait = match route.kind {
-            RouteKind::ResumableStream => route.target_latency * STREAM_HEAD_WAIT_TARGETS,
-            _ => route.target_latency.max(HEAD_WAIT_MIN),
-        };
-        self.request.deadline.min(now + wait)
-    }
-
-    /// Returns how much longer to wait for the response head after its first deadline; `None` to retry at another
-    /// server now, or if the request is out of time.
-    ///
-    /// The server or the retry that was available when the wait started may have been used meanwhile.
-    fn extended_head_deadline(&self, server: &Incarnation) -> Option<Instant> {
-        let now = self.gateway.clock.now();
-        if now >= self.request.deadline || self.could_retry_elsewhere(now, server) {
-            return None;
-        }
-        Some(self.request.deadline.min(now + HEAD_WAIT_MIN))
-    }
-
-    /// Returns whether a request that is slow at `server` could be retried at another one. Otherwise ending the attempt
-    /// would only lose the request.
-    pub fn could_retry_elsewhere(&self, now: Instant, server: &Incarnation) -> bool {
-        if !self.attempts.may_retry_after_current(&self.request.route) {
-            return false;
-        }
-        let mut tried = self.attempts.servers().to_vec();
-        tried.push(server.clone());
-        let pick_request = PickRequest {
-            service: &self.request.service,
-            affinity: None,
-            spread: self.request.spread(),
-            tried: &tried,
-            denied: &self.denied,
-            homes: &self.request.homes,
-            target: self.request.route.target_latency,
-            admission: Some(self.request.admission_terms()),
-            leased: None,
-        };
-        let has_other = lock(&self.gateway.picker).pick(now, &pick_request).is_ok();
-        has_other && self.gateway.has_retry(now, &self.request.service, FAILURE_RESERVE)
-    }
-
     /// Reads a response to its end and sends it to the caller; `None` if it failed and another attempt is allowed.
     fn relay_buffered(
         &mut self,
@@ -498,39 +410,6 @@
         }
     }
 
-    fn note_server_error(&mut self, picked: &Picked, status: StatusCode) {
-        lock(&self.gateway.picker).note_failure(self.gateway.clock.now(), &picked.server.id);
-        self.note_version(picked, ResponseObservation::Failed);
-        self.attempts.note_server_error(&picked.server.id);
-        log::info!(
-            "event=server_error request={} server={} status={}",
-            self.request.metadata.id,
-            picked.server.id,
-            status.as_u16()
-        );
-    }
-
-    fn note_answered(&self, picked: &Picked, sent_at: Instant, head_at: Instant) {
-        self.note_success(picked, sent_at, head_at);
-        let took = head_at.saturating_duration_since(sent_at);
-        self.note_version(picked, ResponseObservation::Took(took));
-    }
-
-    /// Records a successful response that ends now, to a request sent at `sent_at`, whose head arrived at `head_at`.
-    pub fn note_success(&self, picked: &Picked, sent_at: Instant, head_at: Instant) {
-        let now = self.gateway.clock.now();
-        let times = ResponseTimes {
-            head: head_at.saturating_duration_since(sent_at),
-            body: now.saturating_duration_since(head_at),
-        };
-        let mut picker = lock(&self.gateway.picker);
-        picker.note_success(now, &picked.server.id);
-        picker.admission(&self.request.service).note_response(times, !picked.wait.is_zero());
-        drop(picker);
-        self.gateway.crash_suspects.note_success(now, self.request);
-        self.gateway.metrics.attempt(&self.request.service, None);
-    }
-
     /// Responds to a failed request; `None` if another attempt is allowed.
     fn respond_failed_unless_retry(&mut self, conn: &mut Conn) -> Option<Completion> {
         if self.may_retry() { None } else { Some(self.respond_failed(conn)) }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! `stream` forwards events. `intent_reader`, `roster_reader` and `exchange` keep `cluster_state` up to date. By
 //! `instance_table`, instances discover each other.
 
+mod attempt_results;
 pub mod attempts;
 pub mod buffers;
 pub mod cluster_state;
@@ -14,6 +15,7 @@
 pub mod exchange;
 pub mod forward;
 pub mod handle;
+mod head_deadline;
 pub mod held_table;
 pub mod in_flight;
 pub mod instance_table;
@@ -34,6 +36,7 @@
 pub mod rollout_table;
 pub mod rollouts;
 pub mod roster_reader;
+mod send_queue;
 pub mod server_call;
 pub mod server_conns;
 pub mod server_list_cache;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,27 +1,24 @@
 //! Relays a whole response: collects it, so that it can be retried at another server if it breaks off, or passes it on
 //! at the pace of its caller where the budget of buffered bytes has no room for it.
 
-use std::{
-    collections::VecDeque,
-    io,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use super::{
     buffers::{BufferHold, HeldBody, append},
     forward::Forwarding,
     in_flight::{Completion, OpenResponse},
     response::CALLER_WRITE_TIMEOUT,
+    send_queue::SendQueue,
     server_call::ServerResponse,
 };
 use crate::{
     adapter,
     contract::outcome::{AttemptFault, Outcome},
     link::{
-        http1::{ChunkWriter, Conn, body::LAST_CHUNK},
+        http1::Conn,
         response::{ResponseFraming, ResponseOptions, ResponseWriter},
     },
-    routing::{BufferKind, RouteKind},
+    routing::BufferKind,
 };
 
 /// Largest response that is collected before it is sent to the caller.
@@ -37,9 +34,6 @@
 /// Wait for data that a server should have sent long ago, when a response is read ahead.
 const READ_AHEAD_WAIT: Duration = Duration::from_millis(1);
 
-/// Largest piece that is copied into its chunk; a larger one is sent between the lines of its chunk.
-const COPIED_PIECE_MAX: usize = 8 << 10;
-
 /// Size in bytes from which a body is sent with a limited send buffer of the kernel.
 const LARGE_BODY: usize = 64 << 10;
 
@@ -64,7 +58,7 @@
     response: &mut ServerResponse,
 ) -> Collected<'g> {
     let request = forwarding.request;
-    let watched = watched_caller(forwarding, caller);
+    let watched = forwarding.watched_caller(Some(caller));
     let mut body = HeldBody::new(forwarding.gateway.buffer_hold(request.team.clone()));
     loop {
         let piece = match response.next_piece(request.deadline, watched) {
@@ -87,12 +81,6 @@
     }
 }
 
-/// A disconnect of the caller ends only idempotent requests and streams: ending any other request would leave its
-/// outcome unknown.
-fn watched_caller<'c>(forwarding: &Forwarding<'_>, caller: &'c Conn) -> Option<&'c Conn> {
-    (forwarding.request.route.kind != RouteKind::AtMostOnce).then_some(caller)
-}
-
 /// Passes a response on as it comes, beginning with what was collected.
 pub fn pass_on<'g>(
     forwarding: &mut Forwarding<'g>,
@@ -240,7 +228,7 @@
 
     /// Reads the next piece, or notes the end of the response.
     fn read(&mut self, deadline: Instant) -> Result<(), AttemptFault> {
-        let watched = watched_caller(self.forwarding, self.conn);
+        let watched = self.forwarding.watched_caller(Some(self.conn));
         let Some(source) = &mut self.source else { return Ok(()) };
         match source.response.next_piece(deadline, watched)? {
             Some(piece) => self.queue.push(piece),
@@ -269,70 +257,3 @@
         self.forwarding.gateway.clock.now()
     }
 }
-
-/// Framed bytes that are to be sent to a caller.
-struct SendQueue {
-    framing: ResponseFraming,
-    chunks: ChunkWriter,
-    parts: VecDeque<Vec<u8>>,
-    /// Number of bytes of the first part that were sent.
-    sent: usize,
-    len: usize,
-}
-
-impl SendQueue {
-    fn new(framing: ResponseFraming) -> SendQueue {
-        let chunks = ChunkWriter::default();
-        SendQueue { framing, chunks, parts: VecDeque::new(), sent: 0, len: 0 }
-    }
-
-    fn push(&mut self, piece: Vec<u8>) {
-        if piece.is_empty() {
-            return;
-        }
-        if self.framing != ResponseFraming::Chunked {
-            self.push_part(piece);
-        } else if piece.len() <= COPIED_PIECE_MAX {
-            let chunk = self.chunks.frame(&piece).to_vec();
-            self.push_part(chunk);
-        } else {
-            self.push_part(format!("{:x}\r\n", piece.len()).into_bytes());
-            self.push_part(piece);
-            self.push_part(b"\r\n".to_vec());
-        }
-    }
-
-    /// Ends a complete body.
-    fn finish(&mut self) {
-        if self.framing == ResponseFraming::Chunked {
-            self.push_part(LAST_CHUNK.to_vec());
-        }
-    }
-
-    fn push_part(&mut self, part: Vec<u8>) {
-        self.len += part.len();
-        self.parts.push_back(part);
-    }
-
-    fn is_empty(&self) -> bool {
-        self.parts.is_empty()
-    }
-
-    /// Returns the number of bytes in memory, including those of the first part that were sent.
-    fn len(&self) -> usize {
-        self.len
-    }
-
-    /// Sends bytes of the first part without waiting; returns their number.
-    fn send(&mut self, conn: &mut Conn) -> io::Result<usize> {
-        let Some(part) = self.parts.front() else { return Ok(0) };
-        let sent = conn.send_now(&part[self.sent..])?;
-        self.sent += sent;
-        if self.sent == part.len() {
-            self.len -= part.len();
-            self.sent = 0;
-            self.parts.pop_front();
-        }
-        Ok(sent)
-    }
-}
--- a/src/link/response.rs
+++ b/src/link/response.rs
@@ -14,7 +14,7 @@
 };
 
 /// Largest piece that is copied into its chunk; a larger one is sent between the lines of its chunk.
-const COPIED_PIECE_MAX: usize = 8 << 10;
+pub const COPIED_PIECE_MAX: usize = 8 << 10;
 
 /// Options of a response.
 #[derive(Debug, Clone)]
