refactor(gateway): shorter functions for reports, bodies and streams

The name of a request's team for logs was written out in five places, and the choice between another attempt and a failure in two.

Change: the steps of these functions have names of their own, and `Request::team_name` and `respond_failed_unless_retry` replace the copies. Order of the steps, messages and log lines are as before.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -203,19 +203,8 @@
     if matches!(framing, BodyFraming::Length(length) if length > max_bytes as u64) {
         return Err(too_large());
     }
-    let announced = match framing {
-        BodyFraming::Length(length) => length,
-        _ => 0,
-    };
-    hold.check(BufferKind::Request, announced + RELAY_WINDOW as u64)
-        .and_then(|()| hold.reserve(BufferKind::Request, RELAY_WINDOW))
-        .map_err(|denial| no_room(gateway, hold, denial))?;
-    let expects_continue =
-        head.header("expect").is_some_and(|e| e.eq_ignore_ascii_case("100-continue"));
-    if expects_continue {
-        // If the caller has disconnected, the following read fails.
-        let _ = conn.send(b"HTTP/1.1 100 Continue\r\n\r\n", super::response::CALLER_WRITE_TIMEOUT);
-    }
+    reserve_relay_window(hold, &framing).map_err(|denial| no_room(gateway, hold, denial))?;
+    send_continue(conn, head);
     let mut reader = BodyReader::new(framing);
     let timeout = gateway.cluster_state.idle_time().max(IDLE_TIMEOUT_DEFAULT);
     let mut body = Vec::new();
@@ -236,6 +225,29 @@
     }
 }
 
+/// Holds the bytes of the relay window, if there is room for them and for a body of the announced length.
+fn reserve_relay_window(
+    hold: &mut BufferHold<'_>,
+    framing: &BodyFraming,
+) -> Result<(), BufferDenial> {
+    let announced = match framing {
+        BodyFraming::Length(length) => *length,
+        _ => 0,
+    };
+    hold.check(BufferKind::Request, announced + RELAY_WINDOW as u64)?;
+    hold.reserve(BufferKind::Request, RELAY_WINDOW)
+}
+
+/// Asks the caller for the body, if it waits for that.
+fn send_continue(conn: &mut Conn, head: &RequestHead) {
+    let expects_continue =
+        head.header("expect").is_some_and(|e| e.eq_ignore_ascii_case("100-continue"));
+    if expects_continue {
+        // If the caller has disconnected, the following read fails.
+        let _ = conn.send(b"HTTP/1.1 100 Continue\r\n\r\n", super::response::CALLER_WRITE_TIMEOUT);
+    }
+}
+
 /// Returns the team by the key of a request, for which its bytes are held before the request is admitted.
 fn team_of(head: &RequestHead, intent: Option<&Intent>) -> Option<TeamName> {
     let team = intent?.teams.holder(head.bearer_token()?)?;
@@ -354,7 +366,7 @@
         request.metadata.id,
         request.route.name,
         request.service,
-        request.team.as_ref().map_or("", TeamName::as_str),
+        request.team_name(),
         completion.status,
         completion.outcome,
         completion.reason,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -411,7 +411,7 @@
     }
 
     /// Responds to a failed request; `None` if another attempt is allowed.
-    fn respond_failed_unless_retry(&mut self, conn: &mut Conn) -> Option<Completion> {
+    pub(super) fn respond_failed_unless_retry(&mut self, conn: &mut Conn) -> Option<Completion> {
         if self.may_retry() { None } else { Some(self.respond_failed(conn)) }
     }
 
--- a/src/gateway/peer_server.rs
+++ b/src/gateway/peer_server.rs
@@ -1,6 +1,7 @@
 //! Serves other instances: replies to their reports and, as the aggregator, sums up the reports of all.
 
 use std::{
+    mem,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -24,7 +25,7 @@
         traffic::Purpose,
     },
     names::Tag,
-    routing::{BudgetSum, ServiceLimits, ServiceLoad, VerdictUpdate},
+    routing::{BudgetSum, InstanceListUpdate, ServiceLimits, ServiceLoad, VerdictUpdate},
     utils::sync::lock,
 };
 
@@ -41,7 +42,7 @@
 const NEXT_MESSAGE_TIMEOUT: Duration = Duration::from_millis(20);
 
 /// Applies a report and returns the reply.
-fn reply_to(gateway: &Gateway, report: ExchangeReport) -> ExchangeReply {
+fn reply_to(gateway: &Gateway, mut report: ExchangeReport) -> ExchangeReply {
     let now = gateway.clock.now();
     let cluster_state = &gateway.cluster_state;
     let millis = |age: Duration| u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
@@ -52,38 +53,9 @@
     } else {
         cluster_state.small_changes_since(report.intent_version, UNREQUESTED_CHANGES_MAX_BYTES)
     };
-    let (instances, has_changed) = {
-        let mut candidates = lock(&gateway.peers.candidates);
-        let before = candidates.version();
-        candidates.add(report.from.clone());
-        let after = candidates.version();
-        // An incomplete list would be taken for the list of all instances.
-        let sends_update = after != report.instances_hash && gateway.peers.has_joined(now);
-        (sends_update.then(|| candidates.update_since(report.instances_hash)), after != before)
-    };
-    if has_changed {
-        gateway.instances_changed();
-    }
-    if report.purpose == ExchangePurpose::Aggregate {
-        let was_inactive = !gateway.peers.is_aggregator(now);
-        let mut aggregate = lock(&gateway.peers.aggregate);
-        aggregate.record_counts(now, report.from.node.clone(), report.counts);
-        aggregate.record_unresponsive(now, report.from.node.clone(), report.unresponsive);
-        drop(aggregate);
-        lock(&gateway.peers.budget).record_report(
-            now,
-            &report.from.node,
-            report.run,
-            report.spending,
-        );
-        let mut team_demand = lock(&gateway.peers.team_demand);
-        team_demand.record_report(now, report.from.node.clone(), report.team_demands);
-        drop(team_demand);
-        gateway.crash_suspects.apply_report(now, &report.crash_suspects);
-        if was_inactive {
-            log::info!("event=reads_for_others servers_age_ms={}", servers_age_ms(gateway, now));
-            gateway.store_read_requested.set();
-        }
+    let instances = add_sender(gateway, now, &report);
+    if purpose == ExchangePurpose::Aggregate {
+        record_report(gateway, now, &mut report);
     }
     gateway.rollouts.apply_updates(gateway, &report.rollout_states, "peer");
     if purpose == ExchangePurpose::Aggregate {
@@ -121,6 +93,45 @@
     }
 }
 
+/// Adds the sender of a report to the known instances; returns the update of their list, if the sender needs one.
+fn add_sender(
+    gateway: &Gateway,
+    now: Instant,
+    report: &ExchangeReport,
+) -> Option<InstanceListUpdate> {
+    let (update, has_changed) = {
+        let mut candidates = lock(&gateway.peers.candidates);
+        let before = candidates.version();
+        candidates.add(report.from.clone());
+        let after = candidates.version();
+        // An incomplete list would be taken for the list of all instances.
+        let sends_update = after != report.instances_hash && gateway.peers.has_joined(now);
+        (sends_update.then(|| candidates.update_since(report.instances_hash)), after != before)
+    };
+    if has_changed {
+        gateway.instances_changed();
+    }
+    update
+}
+
+/// Records a report to this instance as the aggregator, and takes what it adds up over all instances out of it.
+fn record_report(gateway: &Gateway, now: Instant, report: &mut ExchangeReport) {
+    let (peers, node) = (&gateway.peers, &report.from.node);
+    let was_inactive = !peers.is_aggregator(now);
+    let mut aggregate = lock(&peers.aggregate);
+    aggregate.record_counts(now, node.clone(), mem::take(&mut report.counts));
+    aggregate.record_unresponsive(now, node.clone(), mem::take(&mut report.unresponsive));
+    drop(aggregate);
+    lock(&peers.budget).record_report(now, node, report.run, mem::take(&mut report.spending));
+    let team_demands = mem::take(&mut report.team_demands);
+    lock(&peers.team_demand).record_report(now, node.clone(), team_demands);
+    gateway.crash_suspects.apply_report(now, &report.crash_suspects);
+    if was_inactive {
+        log::info!("event=reads_for_others servers_age_ms={}", servers_age_ms(gateway, now));
+        gateway.store_read_requested.set();
+    }
+}
+
 /// Returns the verdicts on requests that crash servers, for an exchange of this purpose.
 fn verdicts(gateway: &Gateway, now: Instant, purpose: ExchangePurpose) -> Vec<VerdictUpdate> {
     let mut verdicts = gateway.crash_suspects.verdict_updates(now);
--- a/src/gateway/pick_error.rs
+++ b/src/gateway/pick_error.rs
@@ -4,7 +4,6 @@
 
 use super::{attempts::Refusal, forward::Forwarding};
 use crate::{
-    names::TeamName,
     routing::{PickError, admission::team_retry_delay},
     utils::sync::lock,
 };
@@ -67,7 +66,7 @@
              retry_after_ms={}",
             request.metadata.id,
             request.service,
-            request.team.as_ref().map_or("", TeamName::as_str),
+            request.team_name(),
             retry_after.as_millis()
         );
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -98,15 +98,7 @@
     let keep_alive = forwarding.keep_alive() && framing != ResponseFraming::UntilClose;
     let headers = adapter::responses::forwarded_headers(&open.response.head);
     forwarding.gateway.metrics.response_relayed(&request.service);
-    log::info!(
-        "event=response_relayed request={} server={} team={} collected={} team_held={} held={}",
-        request.metadata.id,
-        open.picked.server.id,
-        collected.hold.team(),
-        collected.bytes.len(),
-        collected.hold.held_by_team(),
-        forwarding.gateway.buffers.total()
-    );
+    log_relayed(forwarding, &open, &collected);
     forwarding.note_first_byte();
     conn.limit_send_buffer(SEND_BUFFER_BYTES);
     let options = ResponseOptions::plain(keep_alive);
@@ -128,6 +120,18 @@
     }
 }
 
+fn log_relayed(forwarding: &Forwarding<'_>, open: &OpenResponse<'_>, collected: &HeldBody<'_>) {
+    log::info!(
+        "event=response_relayed request={} server={} team={} collected={} team_held={} held={}",
+        forwarding.request.metadata.id,
+        open.picked.server.id,
+        collected.hold.team(),
+        collected.bytes.len(),
+        collected.hold.held_by_team(),
+        forwarding.gateway.buffers.total()
+    );
+}
+
 /// A response that is passed on at the pace of its caller.
 struct Relay<'r, 'g> {
     forwarding: &'r mut Forwarding<'g>,
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -94,7 +94,7 @@
     /// Returns a digest that is the same when the request is sent again; hashes the whole body.
     pub fn digest(&self) -> RequestDigest {
         let host = self.headers.get(HOST).map_or(&b""[..], |host| host.as_bytes());
-        let team = self.team.as_ref().map_or("", TeamName::as_str);
+        let team = self.team_name();
         RequestDigest::of(&[
             team.as_bytes(),
             host,
@@ -109,9 +109,14 @@
         ChatKey::of(&[&self.metadata.id]).0
     }
 
+    /// Returns the name of its caller's team; empty if there is none.
+    pub fn team_name(&self) -> &str {
+        self.team.as_ref().map_or("", TeamName::as_str)
+    }
+
     /// Returns the tag of its caller's team. Callers without a team count as one team.
     pub fn team_tag(&self) -> Tag {
-        Tag::of(self.team.as_ref().map_or("", TeamName::as_str))
+        Tag::of(self.team_name())
     }
 
     /// Returns what decides whether the request is admitted beyond capacity.
--- a/src/gateway/slot_leases/request.rs
+++ b/src/gateway/slot_leases/request.rs
@@ -14,7 +14,7 @@
 use crate::{
     gateway::{Gateway, forward::Forwarding, request::Request},
     link::http1::{Conn, conn::ConnState},
-    names::{NodeName, Tag, TeamName},
+    names::{NodeName, Tag},
     routing::{InstanceInfo, LeaseId, RESPONSE_TIMEOUT, SlotRequest},
     utils::sync::lock,
 };
@@ -271,7 +271,7 @@
              retry_after_ms={} broker={broker}",
             request.metadata.id,
             request.service,
-            request.team.as_ref().map_or("", TeamName::as_str),
+            request.team_name(),
             waited.as_millis(),
             retry_after.as_millis(),
         );
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -82,11 +82,7 @@
             let picked = source.open.picked.clone();
             drop(source);
             forwarding.note_fault(&picked, fault);
-            return if forwarding.may_retry() {
-                None
-            } else {
-                Some(forwarding.respond_failed(conn))
-            };
+            return forwarding.respond_failed_unless_retry(conn);
         }
     };
     let request = forwarding.request;
@@ -116,13 +112,7 @@
                 events.blocked += forwarding.gateway.clock.now().saturating_duration_since(began);
             }
             SourceRead::End => {
-                let OpenResponse { picked, sent_at, head_at, .. } = &source.open;
-                forwarding.note_success(picked, *sent_at, *head_at);
-                forwarding
-                    .note_version(picked, interval.observation(forwarding.gateway.clock.now()));
-                let OpenResponse { response, picked, in_flight, .. } = source.open;
-                drop(in_flight);
-                forwarding.keep_connection(&picked.server.id, response);
+                note_end(forwarding, source.open, &interval);
                 let sent = writer.finish().is_ok();
                 return completed(sent && keep_alive, "answered");
             }
@@ -148,6 +138,15 @@
     }
 }
 
+/// Records the end of a complete stream.
+fn note_end(forwarding: &Forwarding<'_>, open: OpenResponse<'_>, interval: &PieceInterval) {
+    let OpenResponse { response, picked, in_flight, sent_at, head_at } = open;
+    forwarding.note_success(&picked, sent_at, head_at);
+    forwarding.note_version(&picked, interval.observation(forwarding.gateway.clock.now()));
+    drop(in_flight);
+    forwarding.keep_connection(&picked.server.id, response);
+}
+
 /// Resumes a broken stream at another server; `None` if no server resumes it.
 fn resume<'a>(
     forwarding: &mut Forwarding<'a>,
