refactor(settings): the budget of buffered bytes is named buffer_bytes

Cause: `GatewaySettings::body_bytes` and `BODY_MEMORY_SHARE` bound responses and streams as well since the budget of buffered bytes, and `Limits::body_bytes`, the bound on one body, has the same name.

The settings file has no such field and is as before. Tests set the field under its new name, with the same values and assertions.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -159,7 +159,7 @@
             drain: Drain::open().context("cannot create a pipe")?,
             store_read_requested: Signal::default(),
             usage: Usage::default(),
-            buffers: Buffers::new(settings.body_bytes),
+            buffers: Buffers::new(settings.buffer_bytes),
             restarted_at: (!settings.first_start).then(|| clock.now()),
             budgets: Mutex::default(),
             store_lost: Mutex::default(),
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -33,7 +33,7 @@
     /// Maximum number of concurrent connections of other instances.
     pub peer_connections: usize,
     /// Maximum number of bytes that are buffered for callers: bodies of requests and responses, and pieces of streams.
-    pub body_bytes: u64,
+    pub buffer_bytes: u64,
     /// The operator's bounds.
     pub bounds: Bounds,
 }
--- a/tests/suite/bodies.rs
+++ b/tests/suite/bodies.rs
@@ -141,7 +141,7 @@
     larger["limits"]["max_body_bytes"] = 1_000_000.into();
     testbed.store.put("op", "config", &larger);
     let settings = GatewaySettings {
-        body_bytes: 100_000,
+        buffer_bytes: 100_000,
         ..settings("small", testbed.store.address(), Vec::new())
     };
     let instance = GatewayHandle::spawn(settings, &Clock::system()).expect("an instance");
--- a/tests/suite/platform.rs
+++ b/tests/suite/platform.rs
@@ -39,7 +39,7 @@
     assert_eq!(decoded.addresses.peers.port(), 3);
     assert_eq!(decoded.bounds.grace, Duration::from_secs(8));
     assert!((decoded.cores - 0.5).abs() < 1e-6);
-    assert_eq!(decoded.body_bytes, 65 << 20, "a quarter of 260 MB");
+    assert_eq!(decoded.buffer_bytes, 65 << 20, "a quarter of 260 MB");
     assert_eq!(decoded.roster_period(), Duration::from_millis(400));
     assert!(!decoded.first_start, "bootstrap is false by default");
     let mut first = boot();
--- a/tests/suite/testbed.rs
+++ b/tests/suite/testbed.rs
@@ -52,7 +52,7 @@
         cores: 1.0,
         connections: 100,
         peer_connections: 100,
-        body_bytes: 64 << 20,
+        buffer_bytes: 64 << 20,
         bounds: Bounds {
             server_drain_time: Duration::from_millis(400),
             grace: Duration::from_secs(8),
@@ -126,9 +126,9 @@
     Testbed { store, servers, instance }
 }
 
-/// Starts a test bed whose instance may hold `body_bytes` for callers, with servers of many slots that share their
+/// Starts a test bed whose instance may hold `buffer_bytes` for callers, with servers of many slots that share their
 /// faults.
-pub(crate) fn start_holding(servers: usize, body_bytes: u64, intent: &Value) -> Testbed {
+pub(crate) fn start_holding(servers: usize, buffer_bytes: u64, intent: &Value) -> Testbed {
     log_lines::start();
     let faults: Arc<Faults> = Arc::default();
     let server = |i| Listed::spawn_sharing(&format!("s{i}"), Arc::clone(&faults));
@@ -140,7 +140,7 @@
         store.put("servers", &server.id, &entry);
     }
     store.put("op", "config", intent);
-    let settings = GatewaySettings { body_bytes, ..settings("one", store.address(), Vec::new()) };
+    let settings = GatewaySettings { buffer_bytes, ..settings("one", store.address(), Vec::new()) };
     let instance = GatewayHandle::spawn(settings, &Clock::system()).expect("an instance");
     eventually("the instance is ready", || instance.gateway().is_ready());
     Testbed { store, servers, instance }
