--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,9 +1,10 @@
 //! An instance on a platform whose store has the list of backend servers and the operator's intent.
 //!
 //! `connection` reads requests of callers, `forward` sends them to a backend server and writes the response, and
-//! `stream` forwards events. `intent_reader`, `roster_reader` and `peers` keep `cluster_state` up to date. By
+//! `stream` forwards events. `intent_reader`, `roster_reader` and `exchange` keep `cluster_state` up to date. By
 //! `instance_table`, instances discover each other.
 
+mod attempt_results;
 pub mod attempts;
 pub mod buffers;
 pub mod cluster_state;
@@ -11,8 +12,10 @@
 pub mod connection;
 pub mod crash_suspects;
 pub mod drain;
+pub mod exchange;
 pub mod forward;
 pub mod handle;
+mod head_deadline;
 pub mod held_table;
 pub mod in_flight;
 pub mod instance_table;
@@ -25,6 +28,7 @@
 pub mod peer_server;
 pub mod peers;
 pub mod pick_error;
+mod probe;
 pub mod relay;
 pub mod request;
 pub mod response;
@@ -32,6 +36,7 @@
 pub mod rollout_table;
 pub mod rollouts;
 pub mod roster_reader;
+mod send_queue;
 pub mod server_call;
 pub mod server_conns;
 pub mod server_list_cache;
@@ -154,7 +159,7 @@
             drain: Drain::open().context("cannot create a pipe")?,
             store_read_requested: Signal::default(),
             usage: Usage::default(),
-            buffers: Buffers::new(settings.body_bytes),
+            buffers: Buffers::new(settings.buffer_bytes),
             restarted_at: (!settings.first_start).then(|| clock.now()),
             budgets: Mutex::default(),
             store_lost: Mutex::default(),
--- a/src/gateway/slot_leases/request.rs
+++ b/src/gateway/slot_leases/request.rs
@@ -1,4 +1,4 @@
-//! The way of one request to a lease: it asks the broker, waits for the decision, and turns to the next broker if the
+//! Requests a lease for one request: asks the broker, waits for the decision, and asks the next broker if the
 //! first does not respond.
 
 use std::{
@@ -14,7 +14,7 @@
 use crate::{
     gateway::{Gateway, forward::Forwarding, request::Request},
     link::http1::{Conn, conn::ConnState},
-    names::{NodeName, Tag, TeamName},
+    names::{NodeName, Tag},
     routing::{InstanceInfo, LeaseId, RESPONSE_TIMEOUT, SlotRequest},
     utils::sync::lock,
 };
@@ -167,7 +167,7 @@
         let waiter = client.register(now, &broker.node, service, &request);
         let acquire = Acquire { service: service.clone(), request };
         if self.is_own_node(&broker.node) {
-            let held = client.leases_to_tell(now, &broker.node, Some(service));
+            let held = client.take_unreported(now, &broker.node, Some(service));
             self.handle_own_acquire(acquire, held);
         } else {
             client.send(now, broker, acquire);
@@ -271,7 +271,7 @@
              retry_after_ms={} broker={broker}",
             request.metadata.id,
             request.service,
-            request.team.as_ref().map_or("", TeamName::as_str),
+            request.team_name(),
             waited.as_millis(),
             retry_after.as_millis(),
         );
