refactor(admission): one moving mean for response and lease times

Admission control and the slot broker each had an exponentially weighted mean and mean deviation with the same weight and the same number of deviations. Both use MovingMean now. Comments say how ServiceTime, which keeps waits out of the mean that instances report, differs from it.

--- a/src/routing/admission/control.rs
+++ b/src/routing/admission/control.rs
@@ -13,6 +13,7 @@
 
 use indexmap::IndexMap;
 
+use super::moving_mean::MovingMean;
 use crate::routing::load::FLEET_COUNT_MAX_AGE;
 
 /// Share of its target latency beyond which a request does not wait for a slot, whatever the admitted share: with the
@@ -37,9 +38,6 @@
 /// Time after which a priority without requests is ignored: several times the duration of a request.
 const PRIORITY_TTL: Duration = Duration::from_secs(10);
 
-/// Weight of the newest response in the moving means, which follow a change within a few tens of responses.
-const MEAN_WEIGHT: f64 = 1.0 / 32.0;
-
 /// Number of responses below which no request is rejected, because the means are not reliable yet.
 const RESPONSES_MIN: u32 = 8;
 
@@ -67,25 +65,6 @@
 /// of a few tenths of a second.
 const STALL_TIMEOUT_MIN: Duration = Duration::from_millis(250);
 
-/// Number of mean deviations above the mean within which nearly all response heads arrive.
-const DEVIATIONS: f64 = 6.0;
-
-/// Exponentially weighted moving mean and mean deviation, in seconds.
-#[derive(Debug, Clone, Copy, Default)]
-struct MovingMean {
-    mean: Option<f64>,
-    deviation: f64,
-}
-
-impl MovingMean {
-    fn note(&mut self, value: Duration) {
-        let value = value.as_secs_f64();
-        let mean = self.mean.unwrap_or(value);
-        self.deviation += ((value - mean).abs() - self.deviation) * MEAN_WEIGHT;
-        self.mean = Some(mean + (value - mean) * MEAN_WEIGHT);
-    }
-}
-
 /// Times at which the parts of a response arrived.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ResponseTimes {
@@ -143,17 +122,17 @@
         if self.responses < RESPONSES_MIN {
             return None;
         }
-        Some(Duration::from_secs_f64(self.head.mean? + self.body.mean?))
+        Some(Duration::from_secs_f64(self.head.seconds()? + self.body.seconds()?))
     }
 
     /// Returns the time without a response head after which a request that was expected to wait `wait` for a slot
     /// counts as stalled; `None` until enough responses were observed.
     pub fn stall_timeout(&self, wait: Duration) -> Option<Duration> {
-        let MovingMean { mean: Some(mean), deviation } = self.head else { return None };
+        let mean = self.head.seconds()?;
         if self.responses < RESPONSES_MIN {
             return None;
         }
-        let nearly_all = Duration::from_secs_f64(mean + DEVIATIONS * deviation);
+        let nearly_all = Duration::from_secs_f64(mean + self.head.excess_seconds());
         // The queue may be a few requests longer than this instance knows.
         Some(nearly_all.max(STALL_TIMEOUT_MIN) + wait * 2)
     }
--- a/src/routing/admission/mod.rs
+++ b/src/routing/admission/mod.rs
@@ -8,8 +8,8 @@
 //!
 //! `slot_broker` leases the slots of a service that has fewer slots than the fleet has instances; its parts are the
 //! servers with their leases (`slot_table`), the queue by team (`slot_queue`), the demand of the teams (`slot_demand`),
-//! the retry times promised to callers (`slot_promises`) and an estimate of the time for which leases are held
-//! (`slot_time`). `small_services` decides which services those are, and `broker_choice` which instance is the broker.
+//! the retry times promised to callers (`slot_promises`) and the mean time for which leases are held (`moving_mean`).
+//! `small_services` decides which services those are, and `broker_choice` which instance is the broker.
 //! `broker_silence` and `lease_times` tell an instance when to give up a broker or a lease.
 
 mod broker_choice;
@@ -20,6 +20,7 @@
 mod fleet_demand;
 mod lease_times;
 mod max_min;
+mod moving_mean;
 mod rejected_requests;
 mod service_shares;
 mod service_time;
@@ -29,7 +30,6 @@
 mod slot_queue;
 mod slot_request;
 mod slot_table;
-mod slot_time;
 mod small_services;
 mod smoothed_rate;
 mod team_limits;
--- a/src/routing/admission/service_time.rs
+++ b/src/routing/admission/service_time.rs
@@ -1,4 +1,8 @@
-//! The time that a request occupies a slot, without the time that it waits for one.
+//! The time that a request occupies a slot, without the time that it waits for one, as the aggregator estimates it for
+//! the capacity of a service.
+//!
+//! It handles the onset of an overload, at which the mean time that instances report includes growing waits. The mean
+//! itself is `AdmissionControl::slot_time`; a slot broker sees leases begin and end and needs no such estimate.
 
 use std::time::Instant;
 
--- a/src/routing/admission/slot_broker.rs
+++ b/src/routing/admission/slot_broker.rs
@@ -12,11 +12,11 @@
 
 use super::{
     BrokerAction, LeaseId, ServerSlots, SlotRequest,
+    moving_mean::MovingMean,
     slot_demand::SlotDemand,
     slot_promises::SlotPromises,
     slot_queue::{Rank, SlotQueue, Waiting},
     slot_table::SlotTable,
-    slot_time::SlotTime,
 };
 use crate::names::Tag;
 
@@ -34,7 +34,8 @@
     queue: SlotQueue,
     promises: SlotPromises,
     demand: SlotDemand,
-    slot_time: SlotTime,
+    /// Time from the grant of a lease to its release, which includes the way of the grant to its instance.
+    slot_time: MovingMean,
 }
 
 impl SlotBroker {
@@ -228,6 +229,8 @@
         if now.saturating_duration_since(since) < req.time_left {
             return req.wait_max;
         }
-        req.wait_max.saturating_sub(self.slot_time.excess()).max(req.wait_max / 3)
+        req.wait_max
+            .saturating_sub(Duration::from_secs_f64(self.slot_time.excess_seconds()))
+            .max(req.wait_max / 3)
     }
 }
