refactor(admission): one rule for the longest Retry-After that callers honour

The third of the time left was written out in the slot broker, where it was called patience, and twice in the gateway. max_retry_delay has it now. Comments speak of promised retry times in place of callers that were told to return.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -7,7 +7,7 @@
 use super::response::LocalResponse;
 use crate::{
     contract::outcome::{AttemptFault, Outcome},
-    routing::{Incarnation, Route},
+    routing::{Incarnation, Route, max_retry_delay},
 };
 
 /// Maximum number of servers tried for one request.
@@ -163,7 +163,7 @@
             }
             return LocalResponse::not_run(
                 "no backend server took the request; it has not run",
-                RETRY_AFTER_NO_SERVER.min(time_left / 3),
+                RETRY_AFTER_NO_SERVER.min(max_retry_delay(time_left)),
             );
         }
         if self.was_slow() {
--- a/src/gateway/pick_error.rs
+++ b/src/gateway/pick_error.rs
@@ -5,7 +5,7 @@
 use super::{attempts::Refusal, forward::Forwarding};
 use crate::{
     names::TeamName,
-    routing::{PickError, admission::team_retry_delay},
+    routing::{PickError, admission::team_retry_delay, max_retry_delay},
     utils::sync::lock,
 };
 
@@ -52,7 +52,7 @@
 
     /// Returns the longest useful `Retry-After`: callers accept at most a third of their remaining time.
     fn retry_delay_max(&self, now: Instant) -> Duration {
-        self.request.deadline.saturating_duration_since(now) / 3
+        max_retry_delay(self.request.deadline.saturating_duration_since(now))
     }
 
     /// Refuses a request because its team exceeds the team's share of capacity, `share` of its requests.
--- a/src/routing/admission/slot_broker.rs
+++ b/src/routing/admission/slot_broker.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use super::{
-    BrokerAction, LeaseId, ServerSlots, SlotRequest,
+    BrokerAction, LeaseId, ServerSlots, SlotRequest, max_retry_delay,
     moving_mean::MovingMean,
     slot_demand::SlotDemand,
     slot_promises::SlotPromises,
@@ -24,9 +24,6 @@
 /// of which would otherwise wait behind the promises of less urgent ones.
 const PROMISED_SHARE: f64 = 0.5;
 
-/// Part of the time left that a caller is prepared to wait for a retry.
-const PATIENCE_SHARE: u32 = 3;
-
 /// Leases of the slots of one service.
 #[derive(Debug, Default)]
 pub struct SlotBroker {
@@ -174,14 +171,14 @@
 
     fn reject(&mut self, now: Instant, req: &SlotRequest) -> BrokerAction {
         self.demand.note_rejection(now, req.team, req.digest);
-        let patience = req.time_left / PATIENCE_SHARE;
+        let max_delay = max_retry_delay(req.time_left);
         let retry_after = match self.promise_interval(req) {
             Some(interval) => {
                 let SlotRequest { team, digest, priority, .. } = *req;
-                self.promises.promise(now, team, digest, priority, interval, patience)
+                self.promises.promise(now, team, digest, priority, interval, max_delay)
             }
             // When there will be a server is not known: the delay is the longest that the caller waits.
-            None => patience,
+            None => max_delay,
         };
         BrokerAction::Reject { id: req.id, retry_after }
     }
--- a/src/routing/admission/slot_promises.rs
+++ b/src/routing/admission/slot_promises.rs
@@ -1,4 +1,7 @@
-//! Times at which rejected callers were told to retry, with capacity reserved for them.
+//! Promises of a retry time: the times that rejected callers got in `Retry-After`, with capacity reserved for them.
+//!
+//! The broker of a service makes them while its slots serve only some of the requests. Without them, callers that retry
+//! would compete with new requests once more, and most would be rejected again.
 
 use std::{
     collections::VecDeque,
@@ -9,7 +12,7 @@
 
 use super::slot_queue::TeamKey;
 
-/// Promises that are kept at most; with more, callers are told to return after the time that they wait.
+/// Promises that are kept at most; with more, callers get a time later than they wait, without a promise.
 pub(super) const PROMISES_MAX: usize = 1024;
 
 /// Time after the promised moment for which a promise holds: a new connection to another instance, and a pause of the
@@ -45,7 +48,7 @@
 /// Promised retry times, by team.
 #[derive(Debug, Default)]
 pub(super) struct SlotPromises {
-    /// Promises of each team, by time.
+    /// Promises by team, those of a team by time.
     teams: IndexMap<TeamKey, VecDeque<Promise>>,
     len: usize,
 }
@@ -66,7 +69,7 @@
         self.teams.get(&team).map_or(0, |list| list.partition_point(|promise| promise.at <= until))
     }
 
-    /// Returns whether the caller with this digest returns as it was told; its promise is then used up.
+    /// Returns whether the caller with this digest returns at its promised time; its promise is then used up.
     pub(super) fn redeem(&mut self, now: Instant, team: TeamKey, digest: u64) -> bool {
         let is_due = self.find(team, digest).is_some_and(|promise| promise.is_due(now));
         if is_due {
@@ -87,7 +90,7 @@
     }
 
     /// Returns the delay after which a rejected caller should return. Capacity is reserved for it then if the delay is at
-    /// most `patience`, the longest that the caller waits; `interval` is the time between two promises to its team.
+    /// most `max_delay`, the longest that the caller waits; `interval` is the time between two promises to its team.
     ///
     /// The less urgent the priority, the nearer the latest moment that is promised. While the more urgent callers of a
     /// team take all promises, the next one is later than that, so that the others get none.
@@ -98,7 +101,7 @@
         digest: u64,
         priority: u8,
         interval: Duration,
-        patience: Duration,
+        max_delay: Duration,
     ) -> Duration {
         self.expire(now);
         if let Some(promise) = self.find(team, digest) {
@@ -110,12 +113,12 @@
         let last = self.teams.get(&team).and_then(|list| list.back()).map(|promise| promise.at);
         let at = last.map_or(now, |last| last.max(now)) + interval.max(RESOLUTION);
         let delay = at - now;
-        if delay > patience {
+        if delay > max_delay {
             return delay;
         }
-        let horizon = patience / HORIZON_RATIO.pow(priority.min(PRIORITY_MAX).into());
+        let horizon = max_delay / HORIZON_RATIO.pow(priority.min(PRIORITY_MAX).into());
         if delay > horizon || self.len == PROMISES_MAX {
-            return patience + interval;
+            return max_delay + interval;
         }
         self.teams.entry(team).or_default().push_back(Promise { digest, at });
         self.len += 1;
--- a/src/routing/admission/slot_queue.rs
+++ b/src/routing/admission/slot_queue.rs
@@ -30,14 +30,14 @@
 /// Position of a request within its team; the lowest is served first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Rank {
-    /// The caller retries as it was told.
+    /// The caller retries at its promised time.
     Returned,
     /// Any other request, by the time at which it came, later for less urgent priorities.
     New(Instant),
 }
 
 impl Rank {
-    /// Returns the rank of a request that comes at `now` and was not told to retry.
+    /// Returns the rank of a request that comes at `now` without a promise of a retry time.
     pub(super) fn new(now: Instant, req: &SlotRequest) -> Rank {
         let steps = f64::from(req.priority.min(PRIORITY_MAX));
         Rank::New(now + req.wait_max.mul_f64(LATER_PER_STEP * steps))
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -40,7 +40,7 @@
 pub use admission::{
     AdmissionControl, BrokerAction, BrokerChoice, BrokerSilence, FleetDemand, LeaseId, LeaseTimes,
     RESPONSE_TIMEOUT, ResponseTimes, ServerSlots, ServiceDemand, ServiceLimits, ServiceSlots,
-    SlotBroker, SlotRequest, SmallServices, TeamLimitChange,
+    SlotBroker, SlotRequest, SmallServices, TeamLimitChange, max_retry_delay,
 };
 pub use aggregate::{Aggregate, InFlightCount, ServiceLoad};
 pub use budget::RetryBudget;
