docs(admission): which load each module handles and who decides

Module comments of the parts of team limits and of the slot broker named the mechanism but not the load, nor whether the aggregator, the broker or each instance decides. SlotUsage, ServiceSlots and ServerSlots, and the two decaying averages, say how they differ.

--- a/src/routing/admission/broker_silence.rs
+++ b/src/routing/admission/broker_silence.rs
@@ -1,4 +1,6 @@
 //! Detects a broker that does not respond: one that is frozen or partitioned keeps its connections open.
+//!
+//! Each instance decides this for itself, from the messages of its own stream to the broker.
 
 use std::time::{Duration, Instant};
 
--- a/src/routing/admission/demand_sums.rs
+++ b/src/routing/admission/demand_sums.rs
@@ -1,4 +1,4 @@
-//! Sums of the instances' current reports on one service.
+//! Sums of the instances' current reports on one service, which the aggregator keeps.
 //!
 //! They are updated with each report: to sum up all reports for each reply would take the aggregator of 986 instances
 //! over a tenth of a processor core. Integers leave no remainder when a report is replaced.
--- a/src/routing/admission/fleet_demand.rs
+++ b/src/routing/admission/fleet_demand.rs
@@ -21,7 +21,8 @@
 /// Time in which all instances have reported to a new aggregator, in exchange periods: periods vary by a tenth.
 const ALL_REPORTED_PERIODS: f64 = 1.1;
 
-/// Share of a service's capacity below which the rates of its teams are not followed.
+/// Share of a service's capacity below which the rates of its teams are not followed: no limit is near. Above it they
+/// are, so that averages exist when the demand reaches the capacity.
 const FOLLOWED_FROM: f64 = 0.5;
 
 /// Demand of teams over all instances.
--- a/src/routing/admission/lease_times.rs
+++ b/src/routing/admission/lease_times.rs
@@ -1,12 +1,12 @@
 //! How long an instance may use a slot lease.
 //!
 //! An instance that was suspended, or whose messages were delayed, must not use a slot that the broker may have leased
-//! to another request meanwhile.
+//! to another request meanwhile. The instance that holds the lease decides by its own clock.
 
 use std::time::{Duration, Instant};
 
-/// Time after the grant within which the request must be sent: many round trips and scheduling delays. Afterwards a
-/// broker that was told nothing may count the holder as lost.
+/// Time after the grant within which the request must be sent: many round trips and scheduling delays. A broker that has
+/// received no message by then may count the holder as lost.
 const UNUSED_MAX: Duration = Duration::from_millis(500);
 
 /// Times of a granted lease, by the clock of the instance that holds it.
--- a/src/routing/admission/max_min.rs
+++ b/src/routing/admission/max_min.rs
@@ -1,4 +1,6 @@
 //! Max-min fair division of a capacity among those that demand it.
+//!
+//! The aggregator divides the capacity of a service among teams by it while their demand exceeds the capacity.
 
 /// Returns the level at which demands that exceed it are capped so that all together use `capacity`; `None` if the
 /// demands fit into it.
--- a/src/routing/admission/mod.rs
+++ b/src/routing/admission/mod.rs
@@ -10,7 +10,7 @@
 //! servers with their leases (`slot_table`), the queue by team (`slot_queue`), the demand of the teams (`slot_demand`),
 //! the retry times promised to callers (`slot_promises`) and the mean time for which leases are held (`moving_mean`).
 //! `small_services` decides which services those are, and `broker_choice` which instance is the broker.
-//! `broker_silence` and `lease_times` tell an instance when to give up a broker or a lease.
+//! `broker_silence` and `lease_times` decide at an instance when it gives up a broker or a lease.
 
 mod broker_choice;
 mod broker_silence;
--- a/src/routing/admission/rejected_requests.rs
+++ b/src/routing/admission/rejected_requests.rs
@@ -1,4 +1,6 @@
-//! Rejected requests whose callers may send them again at once.
+//! Rejected requests whose callers may send them again at once, so that retries do not raise the demand of a team.
+//!
+//! It handles callers that ignore `Retry-After`. Each instance recognises the retries that come to itself.
 
 use std::time::{Duration, Instant};
 
--- a/src/routing/admission/service_shares.rs
+++ b/src/routing/admission/service_shares.rs
@@ -1,4 +1,7 @@
 //! Division of the capacity of one service among its teams.
+//!
+//! It handles loads in which some teams use more than their share of a service. The aggregator divides, by the
+//! sums of all reports; the instances apply the limits that follow (`team_limits`).
 
 use std::time::Instant;
 
@@ -35,7 +38,10 @@
 /// Smallest part of the capacity that is divided while a queue is served.
 const DRAIN_LEAVES: f64 = 0.5;
 
-/// Slots of a service, and their use.
+/// Slots of a service and their use, from which the aggregator derives the capacity that is divided among teams.
+///
+/// [`ServiceSlots`](super::ServiceSlots) has what decides whether a service is small instead, and
+/// [`ServerSlots`](super::ServerSlots) one server of a small service.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct SlotUsage {
     /// Slots of all of its servers.
--- a/src/routing/admission/slot_demand.rs
+++ b/src/routing/admission/slot_demand.rs
@@ -1,7 +1,7 @@
 //! Demand of the teams for a service's slots, and the rate below which no team's service falls.
 //!
 //! An equal part of scarce slots can be a very small share of a large team's requests. When all teams ask for more than
-//! there is, each therefore gets a floor in proportion to its demand.
+//! there is, each therefore gets a floor in proportion to its demand. The broker of a small service decides by it.
 
 use std::time::{Duration, Instant};
 
@@ -27,7 +27,8 @@
 /// retry within a few round trips.
 const RETRY_MAX_AGE: Duration = Duration::from_secs(1);
 
-/// A count that decays exponentially.
+/// A count that decays exponentially, for floors that are steady. `DecayedRate` is for limits that follow a surge within
+/// two exchanges.
 #[derive(Debug, Clone, Copy, Default)]
 struct DecayingCount {
     value: f64,
@@ -54,6 +55,8 @@
     grants: DecayingCount,
     /// Hashes of recently rejected callers, at the index that their lowest bits give. One that another has overwritten
     /// counts once more, which does little harm.
+    ///
+    /// All retries of a caller are ignored, also several after one rejection; `RejectedRequests` ignores one for each.
     rejected: Vec<Option<(u64, Instant)>>,
 }
 
--- a/src/routing/admission/slot_queue.rs
+++ b/src/routing/admission/slot_queue.rs
@@ -1,4 +1,7 @@
 //! Requests that wait for a slot, queued by team and served by deficit round robin.
+//!
+//! It handles loads in which one team or a few ask for many times what a small service can serve. The broker of the
+//! service decides by it which request gets the next slot.
 
 use std::time::{Duration, Instant};
 
--- a/src/routing/admission/slot_request.rs
+++ b/src/routing/admission/slot_request.rs
@@ -1,4 +1,7 @@
 //! What an instance asks of a slot broker, and what the broker does about it.
+//!
+//! An instance asks for each request to a small service; the broker of the service decides. The types are shared by
+//! both.
 
 use std::time::Duration;
 
@@ -11,7 +14,8 @@
 #[serde(transparent)]
 pub struct LeaseId(pub u64);
 
-/// A backend server whose slots a broker leases.
+/// A backend server whose slots a broker leases. [`ServiceSlots`](super::ServiceSlots) has the sum over the servers of
+/// a service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServerSlots {
     /// Tag of the server's incarnation.
--- a/src/routing/admission/slot_table.rs
+++ b/src/routing/admission/slot_table.rs
@@ -1,4 +1,7 @@
-//! The servers of a service and the leases of their slots.
+//! The servers of a small service and the leases of their slots, as the broker of the service keeps them.
+//!
+//! It handles loads at which all slots are taken nearly all the time: a slot is leased again without an idle round
+//! trip, and no server gets more than a few requests beyond its slots.
 
 use std::time::{Duration, Instant};
 
--- a/src/routing/admission/small_services.rs
+++ b/src/routing/admission/small_services.rs
@@ -1,5 +1,7 @@
 //! Decides which services are small: they have fewer slots than the fleet has instances, so that no instance can be
 //! given a part of the slots, and a broker leases each slot for one request.
+//!
+//! Each instance decides this for itself, from its own lists of servers and instances.
 
 use indexmap::{IndexMap, IndexSet};
 
@@ -9,7 +11,8 @@
 /// instance that starts and stops would turn the broker on and off.
 const MARGIN: f64 = 0.1;
 
-/// Slots of the servers of a service that may get new requests, all of which state their slots.
+/// Slots of the servers of a service that may get new requests, all of which state their slots. They decide whether the
+/// service is small; [`SlotUsage`](super::SlotUsage) has the use of slots.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ServiceSlots {
     /// Slots of all servers.
--- a/src/routing/admission/team_messages.rs
+++ b/src/routing/admission/team_messages.rs
@@ -1,4 +1,4 @@
-//! What instances tell the aggregator of their teams' demand, and the limits that it replies with.
+//! The demand of teams that instances report to the aggregator, and the limits of teams that it replies with.
 //!
 //! Rates are encoded as integers, which take one to three bytes in messages where a float takes five.
 
--- a/src/routing/picker/teams.rs
+++ b/src/routing/picker/teams.rs
@@ -1,4 +1,7 @@
-//! Demand and limits of teams.
+//! Demand and limits of teams, as a pick applies them.
+//!
+//! It handles loads beyond the capacity of a service: the aggregator decides on the limits, and this instance
+//! rejects by them.
 
 use std::time::{Duration, Instant};
 
