refactor(admission): names of the field for retries, near expiry and draining

Requests that come again after a rejection are called retries; a waiting request that is served early is near its expiry, not pressing; the part of capacity that stays divided while a queue drains is a minimum share. The smallest team share that a retry delay is computed with has a name and a reason, and the buffer budget calls responses what the rest of the code calls so.

--- a/src/routing/admission/rejected_requests.rs
+++ b/src/routing/admission/rejected_requests.rs
@@ -55,9 +55,9 @@
             self.0.swap_remove(&key);
             return false;
         }
-        let is_again = rejected.pending > 0;
+        let is_retry = rejected.pending > 0;
         rejected.pending = rejected.pending.saturating_sub(1);
-        is_again
+        is_retry
     }
 
     /// Forgets requests that no longer count as the same demand.
--- a/src/routing/admission/service_shares.rs
+++ b/src/routing/admission/service_shares.rs
@@ -35,8 +35,8 @@
 /// slots only, all requests behind it are late.
 const DRAIN_TIME_S: f64 = 0.5;
 
-/// Smallest part of the capacity that is divided while a queue is served.
-const DRAIN_LEAVES: f64 = 0.5;
+/// Smallest share of the capacity that is divided while a queue is served.
+const DRAIN_SHARE_MIN: f64 = 0.5;
 
 /// Slots of a service and their use, from which the aggregator derives the capacity that is divided among teams.
 ///
@@ -69,7 +69,7 @@
     /// Returns the part of `capacity` that is divided while queued requests are served.
     fn beside_queue(self, capacity: f64) -> f64 {
         let queued = (self.in_flight - self.total).max(0.0);
-        (capacity - queued / DRAIN_TIME_S).max(capacity * DRAIN_LEAVES)
+        (capacity - queued / DRAIN_TIME_S).max(capacity * DRAIN_SHARE_MIN)
     }
 }
 
--- a/src/routing/admission/slot_broker.rs
+++ b/src/routing/admission/slot_broker.rs
@@ -146,8 +146,8 @@
             let fits = |req: &SlotRequest| self.table.pick(req, slot_time).is_some();
             let backlog =
                 slot_time.unwrap_or_default() * self.queue.len() as u32 / self.table.slots().max(1);
-            let pressing = self.queue.pop_pressing(now, backlog, fits);
-            let Some(waiting) = pressing.or_else(|| self.queue.pop(now, fits)) else { return };
+            let near_expiry = self.queue.pop_near_expiry(now, backlog, fits);
+            let Some(waiting) = near_expiry.or_else(|| self.queue.pop(now, fits)) else { return };
             if let Some(server) = self.table.pick(&waiting.req, slot_time) {
                 actions.push(self.grant(now, &waiting.aged(now), server));
             }
--- a/src/routing/admission/slot_queue.rs
+++ b/src/routing/admission/slot_queue.rs
@@ -25,7 +25,7 @@
 const LATER_PER_STEP: f64 = 0.15;
 
 /// Share of its `wait_max` after which a request is served before others while few wait.
-const PRESSING_SHARE: f64 = 0.5;
+const NEAR_EXPIRY_SHARE: f64 = 0.5;
 
 /// Share of a request's `wait_max` up to which the time to serve all that wait is short.
 const SHORT_BACKLOG_SHARE: f64 = 0.8;
@@ -63,10 +63,10 @@
     }
 
     /// Returns whether the request has waited for a large part of its time, while serving all that wait takes `backlog`.
-    fn is_pressing(&self, now: Instant, backlog: Duration) -> bool {
+    fn is_near_expiry(&self, now: Instant, backlog: Duration) -> bool {
         let wait_max = self.req.wait_max;
         let waited = now.saturating_duration_since(self.since);
-        waited >= wait_max.mul_f64(PRESSING_SHARE)
+        waited >= wait_max.mul_f64(NEAR_EXPIRY_SHARE)
             && backlog < wait_max.mul_f64(SHORT_BACKLOG_SHARE)
     }
 
@@ -187,12 +187,13 @@
     }
 
     /// Removes and returns the request that must be served next so that its wait is not over first, if it has waited for
-    /// more than [`PRESSING_SHARE`] of its time and all that wait are served soon; `backlog` is the time that this takes.
+    /// more than [`NEAR_EXPIRY_SHARE`] of its time and all that wait are served soon; `backlog` is the time that this
+    /// takes.
     ///
     /// Below capacity, a burst of other teams and of more urgent requests would otherwise keep a request of a large team
     /// waiting until it is rejected. Beyond capacity there are waiting requests for longer than the time until the
     /// deadline, and the order stays that of teams and priorities.
-    pub(super) fn pop_pressing(
+    pub(super) fn pop_near_expiry(
         &mut self,
         now: Instant,
         backlog: Duration,
@@ -200,12 +201,12 @@
     ) -> Option<Waiting> {
         let since = self.since?;
         let lasted = now.saturating_duration_since(since);
-        let is_pressing = |waiting: &&Waiting| {
+        let is_near_expiry = |waiting: &&Waiting| {
             lasted < waiting.req.time_left
-                && waiting.is_pressing(now, backlog)
+                && waiting.is_near_expiry(now, backlog)
                 && fits(&waiting.req)
         };
-        let next = self.waiting.values().filter(is_pressing).min_by_key(|w| w.wait_ends())?;
+        let next = self.waiting.values().filter(is_near_expiry).min_by_key(|w| w.wait_ends())?;
         self.remove(next.req.id)
     }
 
--- a/src/routing/admission/team_limits.rs
+++ b/src/routing/admission/team_limits.rs
@@ -24,6 +24,9 @@
 /// Shortest delay: the limits may have changed by then.
 const RETRY_FLOOR: Duration = Duration::from_millis(200);
 
+/// Smallest share that a delay is computed with: the aggregator rounds shares to thousandths, and so down to zero.
+const SHARE_MIN: f64 = 0.001;
+
 /// Lower end of the range of delays that the caller's remaining time cuts short, as a share of the longest.
 const CUT_SHORT_MIN: f64 = 0.5;
 
@@ -164,7 +167,7 @@
 pub fn team_retry_delay(share: f64, draw: f64, max_delay: Duration) -> Duration {
     // Only requests whose draw is at or above the share are rejected.
     let draw = ((draw - share) / (1.0 - share).max(f64::EPSILON)).clamp(0.0, 1.0);
-    let needed = DECAY_TIME.as_secs_f64() * (1.0 / share.max(0.001) - 1.0);
+    let needed = DECAY_TIME.as_secs_f64() * (1.0 / share.max(SHARE_MIN) - 1.0);
     let longest = (needed * RETRY_MAX).max(RETRY_FLOOR.as_secs_f64() * 2.0);
     let max_delay = max_delay.as_secs_f64();
     let (min, max) = if longest > max_delay {
--- a/src/routing/admission/team_usage.rs
+++ b/src/routing/admission/team_usage.rs
@@ -40,9 +40,9 @@
         Rates { demand: DecayedRate::new(now), attempts: DecayedRate::new(now) }
     }
 
-    fn note(&mut self, now: Instant, is_again: bool) {
+    fn note(&mut self, now: Instant, is_retry: bool) {
         self.attempts.note(now);
-        if !is_again {
+        if !is_retry {
             self.demand.note(now);
         }
     }
@@ -70,14 +70,14 @@
         }
     }
 
-    fn note(&mut self, now: Instant, team: Tag, is_again: bool) {
-        self.total.note(now, is_again);
+    fn note(&mut self, now: Instant, team: Tag, is_retry: bool) {
+        self.total.note(now, is_retry);
         if !self.teams.contains_key(&team) {
             let inherited = self.make_room(now);
             self.teams.insert(team, inherited.unwrap_or_else(|| Rates::new(now)));
         }
         if let Some(rates) = self.teams.get_mut(&team) {
-            rates.note(now, is_again);
+            rates.note(now, is_retry);
         }
     }
 
@@ -109,8 +109,8 @@
         key: impl FnOnce() -> u64,
     ) {
         let usage = self.services.entry(service.clone()).or_insert_with(|| ServiceUsage::new(now));
-        let is_again = !usage.rejected.is_empty() && usage.rejected.note_arrival(now, key());
-        usage.note(now, team, is_again);
+        let is_retry = !usage.rejected.is_empty() && usage.rejected.note_arrival(now, key());
+        usage.note(now, team, is_retry);
     }
 
     /// Records that a request was rejected, so that its caller may send it again.
--- a/src/routing/buffer_budget.rs
+++ b/src/routing/buffer_budget.rs
@@ -1,5 +1,5 @@
-//! Budget of the bytes that an instance holds in memory for its callers: bodies of requests, answers that their callers
-//! have not taken yet, and pieces of streams.
+//! Budget of the bytes that an instance holds in memory for its callers: bodies of requests, responses that their
+//! callers have not read yet, and pieces of streams.
 //!
 //! It guards against callers that read or send slowly: their number has no bound below that of connections, and each
 //! may leave a whole body in the memory of the instance.
@@ -109,8 +109,8 @@
         if total > self.max {
             return Err(BufferDenial::Full);
         }
-        let answers = self.held(BufferKind::Response) + self.held(BufferKind::Stream);
-        if claim.kind != BufferKind::Request && answers + claim.bytes > self.answers_max() {
+        let responses = self.held(BufferKind::Response) + self.held(BufferKind::Stream);
+        if claim.kind != BufferKind::Request && responses + claim.bytes > self.responses_max() {
             return Err(BufferDenial::Full);
         }
         let by_team = self.held_by(claim.team) + claim.bytes;
@@ -147,7 +147,7 @@
 
     /// Returns how many bytes of responses and streams may be held. The other half is left to requests: a response can
     /// also be read at the pace of its caller, while a request without room is refused.
-    fn answers_max(&self) -> u64 {
+    fn responses_max(&self) -> u64 {
         self.max / 2
     }
 
--- a/tests/suite/team_shares.rs
+++ b/tests/suite/team_shares.rs
@@ -495,7 +495,7 @@
 #[test]
 fn a_storm_of_retries_does_not_raise_the_share_of_its_team() {
     let size = SIZES[0];
-    let [polite, storm] = [false, true].map(|is_storm| {
+    let [compliant, storm] = [false, true].map(|is_storm| {
         let simulation = surge(size, 1, 12.0, Fault::None, is_storm);
         // In the storm the goals are just missed: 0.969, the lowest team 0.86.
         if !is_storm {
@@ -503,8 +503,8 @@
         }
         simulation.result(SECOND * 2, |team| team.surge != 1.0).rate
     });
-    println!("polite {polite:.1} requests per second in time, storm {storm:.1}");
-    assert!(storm <= 1.1 * polite, "{storm}, {polite}");
+    println!("compliant {compliant:.1} requests per second in time, storm {storm:.1}");
+    assert!(storm <= 1.1 * compliant, "{storm}, {compliant}");
 }
 
 // Guards against a report of a few teams that leaves out as heavy ones.
