test(admission): the failure that each test guards against

Tests of the slot broker, of admission control and of messages lacked it. Callers that retry at once and callers that return at their promised time are called so.

--- a/tests/suite/messages.rs
+++ b/tests/suite/messages.rs
@@ -159,6 +159,7 @@
     decode::<T>(&bytes).is_ok_and(|read| encode(&read) == bytes)
 }
 
+// Guards against a change of a message that instances of two builds cannot exchange.
 #[test]
 fn message_bytes_are_stable() {
     let first = ListVersion::of(&[server("a", 1)]);
@@ -216,6 +217,7 @@
     (0..hex.len()).step_by(2).map(byte).collect()
 }
 
+// Guards against messages of earlier builds that are no longer decoded.
 #[test]
 fn messages_of_earlier_builds_are_decoded() {
     let [report_bytes, reply_bytes, without_teams, permit, orders_bytes] =
--- a/tests/suite/overload.rs
+++ b/tests/suite/overload.rs
@@ -32,6 +32,8 @@
     admission
 }
 
+// Guards against a share that rises with the load or rejects while slots are free, and against priorities without
+// effect.
 #[test]
 fn the_admitted_share_falls_as_slots_fill_up_and_is_larger_for_urgent_priorities() {
     let now = Instant::now();
@@ -55,6 +57,7 @@
     assert_eq!(share(&admission, 0, 40.0), 1.0);
 }
 
+// Guards against rejections by counts whose requests have ended.
 #[test]
 fn counts_older_than_the_duration_of_a_request_reject_nothing() {
     let now = Instant::now();
@@ -64,6 +67,7 @@
     assert_eq!(admission.admitted_share(now + MS * 1100, 0, 200.0, 400.0, 4), 1.0);
 }
 
+// Guards against waits that are counted as slot time, so that estimates grow with the queue.
 #[test]
 fn the_wait_for_a_slot_is_estimated_from_responses() {
     let now = Instant::now();
@@ -76,6 +80,7 @@
     assert_eq!(admission.slot_time(), Some(SECOND));
 }
 
+// Guards against callers that return together, too late to be in time, or soon while few are admitted.
 #[test]
 fn rejected_callers_retry_in_time_if_they_are_likely_admitted_and_not_together() {
     let now = Instant::now();
@@ -239,6 +244,7 @@
     }
 }
 
+// Guards against idle slots, long queues and equal treatment of priorities beyond capacity.
 #[test]
 fn beyond_capacity_slots_stay_taken_waits_stay_short_and_urgent_requests_are_preferred() {
     for (instances, servers, loads) in
@@ -273,6 +279,7 @@
     }
 }
 
+// Guards against rejections while slots are free, below capacity and after an overload has ended.
 #[test]
 fn nothing_is_rejected_below_capacity_or_from_a_second_after_an_overload() {
     // With seed 4707, an instance without an allotment left picked a server with a queue and rejected the request for
--- a/tests/suite/reader_takeover.rs
+++ b/tests/suite/reader_takeover.rs
@@ -54,6 +54,7 @@
     assert!(!takeover.is_due(now, &higher), "instances that left the list are forgotten");
 }
 
+// Guards against probes of several instances, and of instances that have stopped.
 #[test]
 fn only_the_instance_that_would_poll_probes_those_that_may_be_slow() {
     let now = Instant::now();
--- a/tests/suite/slot_broker.rs
+++ b/tests/suite/slot_broker.rs
@@ -44,7 +44,7 @@
         }
     }
     if figures.returned.attempts >= ATTEMPTS_MIN && figures.returned.granted_share() < 0.9 {
-        missed.push(format!("callers that return as told: {:?}", figures.returned));
+        missed.push(format!("callers that return at their promised time: {:?}", figures.returned));
     }
     missed
 }
@@ -136,18 +136,21 @@
     missed
 }
 
+// Guards against a large team that keeps the others from their slots, and against slots that stay idle meanwhile.
 #[test]
 fn one_team_at_12_times_its_load_delays_no_other_and_gets_the_rest() {
     let factor = |team| if team == 0 { 12.0 } else { 1.0 };
     assert_goals(factor, |_| (), is_sorted, |sim| missed(sim, 1..TEAMS));
 }
 
+// Guards against several large teams that together keep the others from their slots.
 #[test]
 fn three_teams_at_8_times_their_load_delay_no_other_and_get_the_rest() {
     let factor = |team| if team < 3 { 8.0 } else { 1.0 };
     assert_goals(factor, |_| (), is_sorted, |sim| missed(sim, 3..TEAMS));
 }
 
+// Guards against slots that are idle, or busy with requests that are late, while all teams ask for more than there is.
 #[test]
 fn slots_stay_busy_with_requests_in_time_at_5_and_15_times_the_load() {
     // The service with three servers can run nearly 5 times its usual load.
@@ -156,6 +159,7 @@
     }
 }
 
+// Guards against requests that wait as if the lost servers still served them.
 #[test]
 fn the_remaining_servers_stay_busy_when_half_of_them_are_lost() {
     let left = |service: Service| service.servers / 2;
@@ -174,12 +178,19 @@
     }
 }
 
+// Guards against callers that get more than other teams by ignoring `Retry-After`.
 #[test]
 fn callers_that_retry_at_once_gain_nothing_from_other_teams() {
     let factor = |team| if team == 0 { 12.0 } else { 1.0 };
-    assert_goals(factor, |sim| sim.set_hasty(0, 6), is_sorted, |sim| missed(sim, 1..TEAMS));
+    assert_goals(
+        factor,
+        |sim| sim.set_immediate_retries(0, 6),
+        is_sorted,
+        |sim| missed(sim, 1..TEAMS),
+    );
 }
 
+// Guards against a second overload by callers that return together, and against slots that are idle at first.
 #[test]
 fn after_an_outage_the_callers_of_two_seconds_are_served_without_a_second_overload() {
     let (end, settled) = (SECOND * 3, SECOND * 4);
@@ -211,6 +222,7 @@
     );
 }
 
+// Guards against rejections while the slots suffice, in bursts of arrivals.
 #[test]
 fn nothing_is_rejected_at_0_7_of_the_capacity() {
     for service in SERVICES {
--- a/tests/suite/slot_broker_load.rs
+++ b/tests/suite/slot_broker_load.rs
@@ -67,8 +67,8 @@
     digest: u64,
     first_at: Duration,
     /// Number of times that it retries without regard to `Retry-After`.
-    hasty_retries: u32,
-    /// Whether it returns as it was told.
+    immediate_retries: u32,
+    /// Whether it returns at its promised time.
     is_return: bool,
 }
 
@@ -115,7 +115,7 @@
     attempts: Vec<Attempt>,
     lease_servers: Vec<Option<usize>>,
     /// Team whose callers retry at once, and how often.
-    hasty: Option<(usize, u32)>,
+    immediate_retries: Option<(usize, u32)>,
     /// Period for which slots in use are summed up.
     pub(crate) measured: Range<Duration>,
     /// Period of the attempts whose priorities are compared.
@@ -158,7 +158,7 @@
             listed: 0,
             attempts: Vec::new(),
             lease_servers: Vec::new(),
-            hasty: None,
+            immediate_retries: None,
             measured: Duration::ZERO..Duration::MAX,
             compared: Duration::ZERO..Duration::MAX,
             busy: Duration::ZERO,
@@ -174,8 +174,8 @@
     }
 
     /// Adds a team whose callers retry `times` times at once.
-    pub(crate) fn set_hasty(&mut self, team: usize, times: u32) {
-        self.hasty = Some((team, times));
+    pub(crate) fn set_immediate_retries(&mut self, team: usize, times: u32) {
+        self.immediate_retries = Some((team, times));
     }
 
     /// Adds requests in clumps; `factor` times its usual load for each team.
@@ -291,9 +291,9 @@
 
     fn add_caller(&mut self, at: Duration, team: usize) {
         let (priority, digest) = (self.rng.u8(0..3), self.rng.u64(..));
-        let hasty_retries = self.hasty.filter(|h| h.0 == team).map_or(0, |h| h.1);
+        let immediate_retries = self.immediate_retries.filter(|r| r.0 == team).map_or(0, |r| r.1);
         let caller =
-            Caller { team, priority, digest, first_at: at, hasty_retries, is_return: false };
+            Caller { team, priority, digest, first_at: at, immediate_retries, is_return: false };
         self.add_attempt(at, caller);
     }
 
@@ -360,8 +360,8 @@
     fn retry(&mut self, caller: Caller, delay: Duration, retry_after: Duration) {
         let now = self.now + delay;
         let left = (caller.first_at + self.service.deadline).saturating_sub(now);
-        if caller.hasty_retries > 0 && left > self.service.target {
-            let caller = Caller { hasty_retries: caller.hasty_retries - 1, ..caller };
+        if caller.immediate_retries > 0 && left > self.service.target {
+            let caller = Caller { immediate_retries: caller.immediate_retries - 1, ..caller };
             self.add_attempt(now + MS * 2, caller);
         } else if !caller.is_return && retry_after <= left / 3 {
             let at = now + retry_after + MS.mul_f64(self.rng.f64());
@@ -434,7 +434,7 @@
     pub(crate) by_priority: [[Tally; 3]; TEAMS],
     /// Callers that made their first attempt.
     pub(crate) callers: u32,
-    /// Attempts of callers that return as they were told.
+    /// Attempts of callers that return at their promised time.
     pub(crate) returned: Tally,
 }
 
--- a/tests/suite/slot_broker_rules.rs
+++ b/tests/suite/slot_broker_rules.rs
@@ -68,7 +68,7 @@
     proptest::collection::vec(random_event, 1..400)
 }
 
-/// Reference model: what the broker has told so far.
+/// Reference model: what follows from the actions of the broker so far.
 #[derive(Default)]
 struct Model {
     requests: Vec<SlotRequest>,
@@ -183,6 +183,8 @@
     Ok(())
 }
 
+// Guards against requests that are decided on twice or never, servers that are leased too far beyond their slots,
+// slots that are idle while a request waits, and promises that stay.
 #[test]
 fn each_request_gets_one_final_action_and_no_server_is_overfilled() {
     let cases = std::env::var("CARTVANE_CASES").ok().and_then(|text| text.parse().ok());
@@ -210,21 +212,24 @@
     unreachable!("a request is rejected")
 }
 
+// Guards against callers that gain by returning early, and against a promised retry time that is not kept.
 #[test]
-fn a_caller_that_returns_early_gets_no_earlier_time_and_one_that_returns_as_told_is_served_first() {
+fn a_caller_that_returns_early_gets_no_earlier_time_and_one_that_returns_at_its_promised_time_is_served_first()
+ {
     let now = Instant::now();
     let (mut broker, rejected, retry_after) = overloaded(now);
     let again = |id| SlotRequest { digest: rejected, ..request(id) };
     let early = broker.request(now + retry_after / 2, again(900));
     let left = retry_after - retry_after / 2;
     assert_eq!(early, [BrokerAction::Reject { id: LeaseId(900), retry_after: left }]);
-    let told = now + retry_after;
-    assert_eq!(broker.request(told, again(901)), [BrokerAction::Queue { id: LeaseId(901) }]);
-    let grants = broker.release(told, LeaseId(0));
+    let promised = now + retry_after;
+    assert_eq!(broker.request(promised, again(901)), [BrokerAction::Queue { id: LeaseId(901) }]);
+    let grants = broker.release(promised, LeaseId(0));
     // The first release shows how long leases are held, so that one more than the slots is leased.
     assert_eq!(grants[0], BrokerAction::Grant { id: LeaseId(901), server: Tag(1) });
 }
 
+// Guards against memory that grows with the number of rejected callers.
 #[test]
 fn many_rejected_callers_leave_a_bounded_number_of_promises() {
     let now = Instant::now();
@@ -239,6 +244,7 @@
     assert_eq!(broker.promised(), 0);
 }
 
+// Guards against a round trip between zones while the own zone has free slots.
 #[test]
 fn the_own_zone_is_preferred_and_then_the_server_with_the_most_free_slots() {
     let now = Instant::now();
@@ -257,6 +263,7 @@
     assert_eq!(granted[13], 1, "6 slots in the other zone");
 }
 
+// Guards against slots that are leased twice after a change of the broker, and against leases that never end.
 #[test]
 fn a_new_broker_counts_the_leases_that_instances_report() {
     let now = Instant::now();
--- a/tests/suite/slot_leases.rs
+++ b/tests/suite/slot_leases.rs
@@ -436,7 +436,8 @@
     assert!(granted.elapsed() >= time_left, "{:?}", granted.elapsed());
 }
 
-// Guards against more than one lease of a slot by each of two brokers, and by a new broker that was told of the lease.
+// Guards against more than one lease of a slot by each of two brokers, and by a new broker to which the lease was
+// reported.
 #[test]
 fn two_brokers_lease_a_slot_twice_at_most_and_a_new_one_not_at_all() {
     let site = Site::start(1);
@@ -452,17 +453,17 @@
         server: Tag::of("s0"),
         time_left,
     };
-    let told = Holder::open(&fleet[1], vec![held(ids[1])]);
+    let reporting = Holder::open(&fleet[1], vec![held(ids[1])]);
     thread::sleep(Duration::from_millis(400));
-    assert!(!told.acquire(4, time_left), "the lease of the ended stream was reported again");
-    assert!(told.sender.send(&ToBroker::Release(LeaseId(ids[1]))));
-    assert!(told.acquire(5, time_left));
-    // A broker that has not granted the lease itself is told of it.
+    assert!(!reporting.acquire(4, time_left), "the lease of the ended stream was reported again");
+    assert!(reporting.sender.send(&ToBroker::Release(LeaseId(ids[1]))));
+    assert!(reporting.acquire(5, time_left));
+    // A broker that has not granted the lease itself gets it reported.
     assert!(holders[0].sender.send(&ToBroker::Release(LeaseId(ids[0]))));
-    let told = Holder::open(&fleet[0], vec![held(6)]);
-    assert!(!told.acquire(7, time_left));
-    assert!(told.sender.send(&ToBroker::Release(LeaseId(6))));
-    told.acquire_soon(time_left);
+    let reporting = Holder::open(&fleet[0], vec![held(6)]);
+    assert!(!reporting.acquire(7, time_left));
+    assert!(reporting.sender.send(&ToBroker::Release(LeaseId(6))));
+    reporting.acquire_soon(time_left);
 }
 
 // Guards against waits of callers that have left, whose slots would be granted to nobody.
