--- a/tests/suite/slot_broker_rules.rs
+++ b/tests/suite/slot_broker_rules.rs
@@ -124,12 +124,19 @@
     }
 }
 
-fn run(events: Vec<RandomEvent>) -> Result<(), TestCaseError> {
-    let (mut broker, mut model, mut now) =
-        (SlotBroker::default(), Model::default(), Instant::now());
-    for event in events {
+/// A broker, its reference model and the simulated time.
+struct Run {
+    broker: SlotBroker,
+    model: Model,
+    now: Instant,
+}
+
+impl Run {
+    /// Passes an event to the broker and the model; returns the broker's last actions.
+    fn handle(&mut self, event: RandomEvent) -> Result<Vec<BrokerAction>, TestCaseError> {
+        let Run { broker, model, now } = self;
         let id = LeaseId(model.requests.len() as u64);
-        let actions = match event {
+        Ok(match event {
             RandomEvent::Request { team, priority, digest, wait_ms, excluded } => {
                 let team = team.map(Tag);
                 let excluded = excluded.into_iter().map(Tag).collect();
@@ -137,14 +144,14 @@
                 let new =
                     SlotRequest { team, priority, digest, wait_max, excluded, ..request(id.0) };
                 model.requests.push(new.clone());
-                model.arrived_at.insert(id, now);
-                broker.request(now, new)
+                model.arrived_at.insert(id, *now);
+                broker.request(*now, new)
             }
             RandomEvent::Adopt { server } => {
                 model.requests.push(request(id.0));
                 model.decided.insert(id);
-                model.held.insert(id, (Tag(server), now + SECOND));
-                broker.adopt(now, id, Tag(server), SECOND);
+                model.held.insert(id, (Tag(server), *now + SECOND));
+                broker.adopt(*now, id, Tag(server), SECOND);
                 Vec::new()
             }
             RandomEvent::Release(index) => {
@@ -153,29 +160,42 @@
                 if model.waiting.remove(&id) {
                     model.decided.insert(id);
                 }
-                broker.release(now, id)
+                broker.release(*now, id)
             }
             RandomEvent::Advance { ms } => {
-                let until = now + MS * ms as u32;
-                while let Some(due) = broker.next_tick().filter(|due| *due <= until) {
-                    now = due;
-                    model.apply(now, &broker.tick(now))?;
-                }
-                now = until;
-                broker.tick(now)
+                let until = *now + MS * ms as u32;
+                self.tick_until(Some(until))?;
+                self.now = until;
+                self.broker.tick(until)
             }
             RandomEvent::SetServers { count } => {
                 model.listed = count;
-                broker.set_servers(now, (0..count).map(server).collect())
+                broker.set_servers(*now, (0..count).map(server).collect())
             }
-        };
-        model.apply(now, &actions)?;
-        model.check(&broker)?;
+        })
     }
-    while let Some(due) = broker.next_tick() {
-        now = due;
-        model.apply(now, &broker.tick(now))?;
+
+    /// Lets the broker tick whenever it is due, up to a time, or until nothing can expire.
+    fn tick_until(&mut self, until: Option<Instant>) -> Result<(), TestCaseError> {
+        let is_before = |due: &Instant| until.is_none_or(|until| *due <= until);
+        while let Some(due) = self.broker.next_tick().filter(is_before) {
+            self.now = due;
+            self.model.apply(due, &self.broker.tick(due))?;
+        }
+        Ok(())
+    }
+}
+
+fn run(events: Vec<RandomEvent>) -> Result<(), TestCaseError> {
+    let mut run =
+        Run { broker: SlotBroker::default(), model: Model::default(), now: Instant::now() };
+    for event in events {
+        let actions = run.handle(event)?;
+        run.model.apply(run.now, &actions)?;
+        run.model.check(&run.broker)?;
     }
+    run.tick_until(None)?;
+    let Run { mut broker, model, now } = run;
     model.check(&broker)?;
     prop_assert_eq!(model.decided.len(), model.requests.len(), "a request was not decided on");
     broker.tick(now + SECOND * 2);
