--- a/src/routing/admission/mod.rs
+++ b/src/routing/admission/mod.rs
@@ -8,9 +8,9 @@
 //!
 //! `slot_broker` leases the slots of a service that has fewer slots than the fleet has instances; its parts are the
 //! servers with their leases (`slot_table`), the queue by team (`slot_queue`), the demand of the teams (`slot_demand`),
-//! the retry times promised to callers (`slot_promises`) and an estimate of the time for which leases are held
-//! (`slot_time`). `small_services` decides which services those are, and `broker_choice` which instance is the broker.
-//! `broker_silence` and `lease_times` tell an instance when to give up a broker or a lease.
+//! the retry times promised to callers (`slot_promises`) and the mean time for which leases are held (`moving_mean`).
+//! `small_services` decides which services those are, and `broker_choice` which instance is the broker.
+//! `broker_silence` and `lease_times` decide at an instance when it gives up a broker or a lease.
 
 mod broker_choice;
 mod broker_silence;
@@ -20,7 +20,9 @@
 mod fleet_demand;
 mod lease_times;
 mod max_min;
+mod moving_mean;
 mod rejected_requests;
+mod retry_delay;
 mod saturated_time;
 mod service_shares;
 mod service_time;
@@ -30,7 +32,6 @@
 mod slot_queue;
 mod slot_request;
 mod slot_table;
-mod slot_time;
 mod small_services;
 mod smoothed_rate;
 mod team_limits;
@@ -43,6 +44,7 @@
 pub use fleet_demand::FleetDemand;
 pub use lease_times::LeaseTimes;
 pub use max_min::fair_level;
+pub use retry_delay::max_retry_delay;
 pub use service_shares::SlotUsage;
 pub use slot_broker::SlotBroker;
 pub use slot_request::{BrokerAction, LeaseId, ServerSlots, SlotRequest};
--- a/src/routing/admission/rejected_requests.rs
+++ b/src/routing/admission/rejected_requests.rs
@@ -1,4 +1,6 @@
-//! Rejected requests whose callers may send them again at once.
+//! Rejected requests whose callers may send them again at once, so that retries do not raise the demand of a team.
+//!
+//! It handles callers that ignore `Retry-After`. Each instance recognises the retries that come to itself.
 
 use std::time::{Duration, Instant};
 
@@ -53,9 +55,9 @@
             self.0.swap_remove(&key);
             return false;
         }
-        let is_again = rejected.pending > 0;
+        let is_retry = rejected.pending > 0;
         rejected.pending = rejected.pending.saturating_sub(1);
-        is_again
+        is_retry
     }
 
     /// Forgets requests that no longer count as the same demand.
--- a/src/routing/admission/slot_broker.rs
+++ b/src/routing/admission/slot_broker.rs
@@ -11,12 +11,12 @@
 use std::time::{Duration, Instant};
 
 use super::{
-    BrokerAction, LeaseId, ServerSlots, SlotRequest,
+    BrokerAction, LeaseId, ServerSlots, SlotRequest, max_retry_delay,
+    moving_mean::MovingMean,
     slot_demand::SlotDemand,
     slot_promises::SlotPromises,
     slot_queue::{Rank, SlotQueue, Waiting},
     slot_table::SlotTable,
-    slot_time::SlotTime,
 };
 use crate::names::Tag;
 
@@ -24,9 +24,6 @@
 /// of which would otherwise wait behind the promises of less urgent ones.
 const PROMISED_SHARE: f64 = 0.5;
 
-/// Part of the time left that a caller is prepared to wait for a retry.
-const PATIENCE_SHARE: u32 = 3;
-
 /// Leases of the slots of one service.
 #[derive(Debug, Default)]
 pub struct SlotBroker {
@@ -34,7 +31,8 @@
     queue: SlotQueue,
     promises: SlotPromises,
     demand: SlotDemand,
-    slot_time: SlotTime,
+    /// Time from the grant of a lease to its release, which includes the way of the grant to its instance.
+    slot_time: MovingMean,
 }
 
 impl SlotBroker {
@@ -148,8 +146,8 @@
             let fits = |req: &SlotRequest| self.table.pick(req, slot_time).is_some();
             let backlog =
                 slot_time.unwrap_or_default() * self.queue.len() as u32 / self.table.slots().max(1);
-            let pressing = self.queue.pop_pressing(now, backlog, fits);
-            let Some(waiting) = pressing.or_else(|| self.queue.pop(now, fits)) else { return };
+            let near_expiry = self.queue.pop_near_expiry(now, backlog, fits);
+            let Some(waiting) = near_expiry.or_else(|| self.queue.pop(now, fits)) else { return };
             if let Some(server) = self.table.pick(&waiting.req, slot_time) {
                 actions.push(self.grant(now, &waiting.aged(now), server));
             }
@@ -173,14 +171,14 @@
 
     fn reject(&mut self, now: Instant, req: &SlotRequest) -> BrokerAction {
         self.demand.note_rejection(now, req.team, req.digest);
-        let patience = req.time_left / PATIENCE_SHARE;
+        let max_delay = max_retry_delay(req.time_left);
         let retry_after = match self.promise_interval(req) {
             Some(interval) => {
                 let SlotRequest { team, digest, priority, .. } = *req;
-                self.promises.promise(now, team, digest, priority, interval, patience)
+                self.promises.promise(now, team, digest, priority, interval, max_delay)
             }
             // When there will be a server is not known: the delay is the longest that the caller waits.
-            None => patience,
+            None => max_delay,
         };
         BrokerAction::Reject { id: req.id, retry_after }
     }
@@ -228,6 +226,8 @@
         if now.saturating_duration_since(since) < req.time_left {
             return req.wait_max;
         }
-        req.wait_max.saturating_sub(self.slot_time.excess()).max(req.wait_max / 3)
+        req.wait_max
+            .saturating_sub(Duration::from_secs_f64(self.slot_time.excess_seconds()))
+            .max(req.wait_max / 3)
     }
 }
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -60,4 +60,5 @@
 mod support;
 mod suspended;
 mod team_shares;
+mod team_shares_fleet;
 mod testbed;
--- a/tests/suite/slot_broker_rules.rs
+++ b/tests/suite/slot_broker_rules.rs
@@ -68,7 +68,7 @@
     proptest::collection::vec(random_event, 1..400)
 }
 
-/// Reference model: what the broker has told so far.
+/// Reference model: what follows from the actions of the broker so far.
 #[derive(Default)]
 struct Model {
     requests: Vec<SlotRequest>,
@@ -124,12 +124,19 @@
     }
 }
 
-fn run(events: Vec<RandomEvent>) -> Result<(), TestCaseError> {
-    let (mut broker, mut model, mut now) =
-        (SlotBroker::default(), Model::default(), Instant::now());
-    for event in events {
+/// A broker, its reference model and the simulated time.
+struct Run {
+    broker: SlotBroker,
+    model: Model,
+    now: Instant,
+}
+
+impl Run {
+    /// Passes an event to the broker and the model; returns the broker's last actions.
+    fn handle(&mut self, event: RandomEvent) -> Result<Vec<BrokerAction>, TestCaseError> {
+        let Run { broker, model, now } = self;
         let id = LeaseId(model.requests.len() as u64);
-        let actions = match event {
+        Ok(match event {
             RandomEvent::Request { team, priority, digest, wait_ms, excluded } => {
                 let team = team.map(Tag);
                 let excluded = excluded.into_iter().map(Tag).collect();
@@ -137,14 +144,14 @@
                 let new =
                     SlotRequest { team, priority, digest, wait_max, excluded, ..request(id.0) };
                 model.requests.push(new.clone());
-                model.arrived_at.insert(id, now);
-                broker.request(now, new)
+                model.arrived_at.insert(id, *now);
+                broker.request(*now, new)
             }
             RandomEvent::Adopt { server } => {
                 model.requests.push(request(id.0));
                 model.decided.insert(id);
-                model.held.insert(id, (Tag(server), now + SECOND));
-                broker.adopt(now, id, Tag(server), SECOND);
+                model.held.insert(id, (Tag(server), *now + SECOND));
+                broker.adopt(*now, id, Tag(server), SECOND);
                 Vec::new()
             }
             RandomEvent::Release(index) => {
@@ -153,29 +160,42 @@
                 if model.waiting.remove(&id) {
                     model.decided.insert(id);
                 }
-                broker.release(now, id)
+                broker.release(*now, id)
             }
             RandomEvent::Advance { ms } => {
-                let until = now + MS * ms as u32;
-                while let Some(due) = broker.next_tick().filter(|due| *due <= until) {
-                    now = due;
-                    model.apply(now, &broker.tick(now))?;
-                }
-                now = until;
-                broker.tick(now)
+                let until = *now + MS * ms as u32;
+                self.tick_until(Some(until))?;
+                self.now = until;
+                self.broker.tick(until)
             }
             RandomEvent::SetServers { count } => {
                 model.listed = count;
-                broker.set_servers(now, (0..count).map(server).collect())
+                broker.set_servers(*now, (0..count).map(server).collect())
             }
-        };
-        model.apply(now, &actions)?;
-        model.check(&broker)?;
+        })
     }
-    while let Some(due) = broker.next_tick() {
-        now = due;
-        model.apply(now, &broker.tick(now))?;
+
+    /// Lets the broker tick whenever it is due, up to a time, or until nothing can expire.
+    fn tick_until(&mut self, until: Option<Instant>) -> Result<(), TestCaseError> {
+        let is_before = |due: &Instant| until.is_none_or(|until| *due <= until);
+        while let Some(due) = self.broker.next_tick().filter(is_before) {
+            self.now = due;
+            self.model.apply(due, &self.broker.tick(due))?;
+        }
+        Ok(())
+    }
+}
+
+fn run(events: Vec<RandomEvent>) -> Result<(), TestCaseError> {
+    let mut run =
+        Run { broker: SlotBroker::default(), model: Model::default(), now: Instant::now() };
+    for event in events {
+        let actions = run.handle(event)?;
+        run.model.apply(run.now, &actions)?;
+        run.model.check(&run.broker)?;
     }
+    run.tick_until(None)?;
+    let Run { mut broker, model, now } = run;
     model.check(&broker)?;
     prop_assert_eq!(model.decided.len(), model.requests.len(), "a request was not decided on");
     broker.tick(now + SECOND * 2);
@@ -183,6 +203,8 @@
     Ok(())
 }
 
+// Guards against requests that are decided on twice or never, servers that are leased too far beyond their slots,
+// slots that are idle while a request waits, and promises that stay.
 #[test]
 fn each_request_gets_one_final_action_and_no_server_is_overfilled() {
     let cases = std::env::var("CARTVANE_CASES").ok().and_then(|text| text.parse().ok());
@@ -210,21 +232,24 @@
     unreachable!("a request is rejected")
 }
 
+// Guards against callers that gain by returning early, and against a promised retry time that is not kept.
 #[test]
-fn a_caller_that_returns_early_gets_no_earlier_time_and_one_that_returns_as_told_is_served_first() {
+fn a_caller_that_returns_early_gets_no_earlier_time_and_one_that_returns_at_its_promised_time_is_served_first()
+ {
     let now = Instant::now();
     let (mut broker, rejected, retry_after) = overloaded(now);
     let again = |id| SlotRequest { digest: rejected, ..request(id) };
     let early = broker.request(now + retry_after / 2, again(900));
     let left = retry_after - retry_after / 2;
     assert_eq!(early, [BrokerAction::Reject { id: LeaseId(900), retry_after: left }]);
-    let told = now + retry_after;
-    assert_eq!(broker.request(told, again(901)), [BrokerAction::Queue { id: LeaseId(901) }]);
-    let grants = broker.release(told, LeaseId(0));
+    let promised = now + retry_after;
+    assert_eq!(broker.request(promised, again(901)), [BrokerAction::Queue { id: LeaseId(901) }]);
+    let grants = broker.release(promised, LeaseId(0));
     // The first release shows how long leases are held, so that one more than the slots is leased.
     assert_eq!(grants[0], BrokerAction::Grant { id: LeaseId(901), server: Tag(1) });
 }
 
+// Guards against memory that grows with the number of rejected callers.
 #[test]
 fn many_rejected_callers_leave_a_bounded_number_of_promises() {
     let now = Instant::now();
@@ -239,6 +264,7 @@
     assert_eq!(broker.promised(), 0);
 }
 
+// Guards against a round trip between zones while the own zone has free slots.
 #[test]
 fn the_own_zone_is_preferred_and_then_the_server_with_the_most_free_slots() {
     let now = Instant::now();
@@ -257,6 +283,7 @@
     assert_eq!(granted[13], 1, "6 slots in the other zone");
 }
 
+// Guards against slots that are leased twice after a change of the broker, and against leases that never end.
 #[test]
 fn a_new_broker_counts_the_leases_that_instances_report() {
     let now = Instant::now();
