--- a/tests/suite/team_shares.rs
+++ b/tests/suite/team_shares.rs
@@ -6,7 +6,7 @@
 use cartvane::{
     names::{ServiceName, Tag},
     routing::{
-        ServiceLimits,
+        FleetDemand, ServiceLimits,
         admission::{
             CentiRate, PerMille, ServiceDemand, SlotUsage, TeamLimits, TeamRate, TeamUsage,
             TeamVerdict, team_retry_delay,
