--- a/src/routing/admission/slot_promises.rs
+++ b/src/routing/admission/slot_promises.rs
@@ -26,7 +26,7 @@
 const PRIORITY_MAX: u8 = 3;
 
 /// Ratio of the latest moments that are promised to one priority and to the next less urgent one. If all were promised
-/// the same, 0.05 of the second and 0.07 of the third priority of the largest team were served at 5 times the load.
+/// the same, promises would go to whoever was rejected first, whatever the priority.
 const HORIZON_RATIO: u32 = 4;
 
 #[derive(Debug, Clone, Copy)]
