fix(rollouts): the share of a trial expires although instances pass it on slowly

Callers saw: responses 500 of a version in trial up to 7 s after the store was lost, where its share may live for 2.5 s after the last decision, the lease included 6 s (rollouts::a_version_that_turns_bad_while_the_store_is_away_..., 30 requests for 28).

Cause: an instance counted the age of a state from its receipt. Two instances that send it to each other make it younger by the transit of each message: at a transit of 300 ms and a period of 250 ms it ages by a third of the time, so the share never expires as long as messages are slow. Evidence: event=rollouts_unread from 2.0 s on (no decision, so no verdict is late), and arrivals at the new servers until 8.8 s; the replay on a made-up clock, the_share_of_a_trial_expires_although_instances_pass_it_on_slowly, has a share of 0.1 instead of 0. Ruled out: verdicts that come late (none was reached), health checks (all arrivals were requests).

Change: the age counts from when the request was sent to which the reply answers, as for the configuration and the list of servers. A report, of which it is not known how long it waited, does not make a share valid. A controller's state is as old as what it was decided by. The same fault elsewhere: verdicts on requests that crash servers were merged by the time of receipt too; now by that of the request. Counts, limits of teams, intent and list of servers were right already.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -245,7 +245,7 @@
     let crash_suspects = &gateway.crash_suspects;
     let (watched, lasting): (Vec<_>, Vec<_>) =
         reply.verdicts.iter().partition(|verdict| verdict.judgement == Judgement::Watched);
-    crash_suspects.apply_verdicts(now, &lasting, "peer");
+    crash_suspects.apply_verdicts(sent_at, &lasting, "peer");
     if report.purpose != ExchangePurpose::Aggregate {
         return;
     }
@@ -305,7 +305,7 @@
 ) {
     // Orders come first: the intent or the list may make this instance ready.
     gateway.accept_orders(reply.orders, "peer");
-    gateway.rollouts.apply_updates(gateway, &reply.rollout_states, "peer");
+    gateway.rollouts.apply_updates(gateway, sent_at, &reply.rollout_states, "peer");
     intent_reader::apply_changes(gateway, &reply.changes);
     let then = |age_ms: u64| sent_at.checked_sub(Duration::from_millis(age_ms));
     if let Some(ConfirmedAgo { age_ms, store }) = reply.confirmed
--- a/src/gateway/peer_server.rs
+++ b/src/gateway/peer_server.rs
@@ -57,7 +57,7 @@
     if purpose == ExchangePurpose::Aggregate {
         record_report(gateway, now, &mut report);
     }
-    gateway.rollouts.apply_updates(gateway, &report.rollout_states, "peer");
+    gateway.rollouts.apply_reported_updates(gateway, &report.rollout_states);
     if purpose == ExchangePurpose::Aggregate {
         let (node, run) = (&report.from.node, report.run);
         gateway.rollouts.apply_reports(gateway, node, run, report.rollouts);
--- a/src/gateway/rollout_controller.rs
+++ b/src/gateway/rollout_controller.rs
@@ -141,7 +141,7 @@
     }
     let is_done = same.is_some_and(|same| same.stage == record.stage) && record.stage.is_final();
     if is_done {
-        publish(gateway, RolloutState::of(service, &record));
+        publish(gateway, began, RolloutState::of(service, &record));
         return None;
     }
     record.term = record.term.max(term + 1);
@@ -209,7 +209,7 @@
             progress.log_odds
         );
         // Propagated before it is written, so that the version gets no more requests in the meantime.
-        publish(gateway, state(held, next, 0.0, 0));
+        publish(gateway, now, state(held, next, 0.0, 0));
     }
     let is_due = now.saturating_duration_since(held.renewed) >= RENEW_INTERVAL;
     if next != stage || is_due {
@@ -223,18 +223,18 @@
         }
     }
     if next.is_final() {
-        publish(
-            gateway,
-            state(held, next, if next == Stage::Succeeded { 1.0 } else { 0.0 }, usize::MAX),
-        );
+        let share = if next == Stage::Succeeded { 1.0 } else { 0.0 };
+        publish(gateway, now, state(held, next, share, usize::MAX));
         return false;
     }
     let share = (policy.share(next, &progress) / SHARE_STEP).round() * SHARE_STEP;
     held.times.note(now, next, share);
     let servers = policy.servers(share, &progress);
+    // The time to live counts from the beginning of this step: a state that is published late, as after a suspension, is
+    // as old as what it was decided by.
     let is_fresh = gateway.clock.now().saturating_duration_since(held.renewed) < ROLLOUT_LEASE;
     if is_fresh {
-        publish(gateway, state(held, next, share, servers));
+        publish(gateway, now, state(held, next, share, servers));
     }
     true
 }
@@ -278,8 +278,9 @@
     state
 }
 
-fn publish(gateway: &Gateway, state: RolloutState) {
-    gateway.rollouts.apply_updates(gateway, &[RolloutUpdate { state, age_ms: 0 }], "own");
+/// Publishes a state that was decided at `now`, from when its time to live counts.
+fn publish(gateway: &Gateway, now: Instant, state: RolloutState) {
+    gateway.rollouts.apply_updates(gateway, now, &[RolloutUpdate { state, age_ms: 0 }], "own");
 }
 
 fn progress(gateway: &Gateway, now: Instant, held: &HeldRecord) -> RolloutProgress {
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -78,18 +78,46 @@
         self.is_recording.store(!evidence.is_empty(), Ordering::Relaxed);
     }
 
-    /// Applies states of roll-outs that were received or decided here.
-    pub fn apply_updates(&self, gateway: &Gateway, updates: &[RolloutUpdate], source: &str) {
+    /// Applies states of roll-outs that were decided here, or received in the reply to a request that was sent at
+    /// `sent_at`.
+    pub fn apply_updates(
+        &self,
+        gateway: &Gateway,
+        sent_at: Instant,
+        updates: &[RolloutUpdate],
+        source: &str,
+    ) {
+        let merge =
+            |states: &mut RolloutStates, update: &RolloutUpdate| states.merge(sent_at, update);
+        self.merge_all(gateway, updates, source, merge);
+    }
+
+    /// Applies states of roll-outs that another instance reported.
+    pub fn apply_reported_updates(&self, gateway: &Gateway, updates: &[RolloutUpdate]) {
+        let now = gateway.clock.now();
+        let merge =
+            |states: &mut RolloutStates, update: &RolloutUpdate| states.merge_reported(now, update);
+        self.merge_all(gateway, updates, "report", merge);
+    }
+
+    fn merge_all(
+        &self,
+        gateway: &Gateway,
+        updates: &[RolloutUpdate],
+        source: &str,
+        merge: impl Fn(&mut RolloutStates, &RolloutUpdate) -> Option<Stage>,
+    ) {
         if updates.is_empty() {
             return;
         }
-        let now = gateway.clock.now();
         for update in updates {
-            let changed = lock(&self.states).merge(now, update);
+            let changed = merge(&mut lock(&self.states), update);
             let RolloutState { service, to, term, .. } = &update.state;
             if let Some(stage) = changed {
                 log::warn!(
-                    "event=rollout_stage service={service} to={to} stage={stage:?} term={term} source={source}"
+                    "event=rollout_stage service={service} to={to} stage={stage:?} term={term} \
+                     source={source} age_ms={}",
+                    update.age_ms
                 );
             }
             if changed.is_some_and(Stage::is_final) {
@@ -216,7 +244,8 @@
             }
         };
         log::warn!("event=version_is_bad service={service} to={to} doubt={regression_score:.1}");
-        self.apply_updates(gateway, &[RolloutUpdate { state, age_ms: 0 }], "own");
+        let now = gateway.clock.now();
+        self.apply_updates(gateway, now, &[RolloutUpdate { state, age_ms: 0 }], "own");
         self.wakeup.set();
     }
 }
--- a/src/routing/rollout/state.rs
+++ b/src/routing/rollout/state.rs
@@ -154,10 +154,28 @@
         &self.orders
     }
 
-    /// Merges a state that was received or decided here; returns its stage if stage or version have changed.
-    pub fn merge(&mut self, now: Instant, update: &RolloutUpdate) -> Option<Stage> {
-        let as_of = now.checked_sub(Duration::from_millis(update.age_ms)).unwrap_or(now);
-        let state = &update.state;
+    /// Merges a state that was decided here, or received in the reply to a request that was sent at `sent_at`; returns
+    /// its stage if stage or version have changed.
+    ///
+    /// The state had its age at `sent_at` at the earliest. If the age were counted from the receipt, each transit would
+    /// make the state younger, and the share of a trial would never expire while two instances send it to each other
+    /// over a slow link.
+    pub fn merge(&mut self, sent_at: Instant, update: &RolloutUpdate) -> Option<Stage> {
+        let age = Duration::from_millis(update.age_ms);
+        let as_of = sent_at.checked_sub(age).unwrap_or(sent_at);
+        self.merge_as_of(as_of, &update.state)
+    }
+
+    /// Merges a state that an instance reported, as [`RolloutStates::merge`] does.
+    ///
+    /// It is not known when the report was sent: after a suspension of this instance that can be long ago. So the report
+    /// does not extend the time to live of a trial's share.
+    pub fn merge_reported(&mut self, now: Instant, update: &RolloutUpdate) -> Option<Stage> {
+        let as_of = now.checked_sub(TRIAL_SHARE_TTL).unwrap_or(now);
+        self.merge_as_of(as_of, &update.state)
+    }
+
+    fn merge_as_of(&mut self, as_of: Instant, state: &RolloutState) -> Option<Stage> {
         let before = self.known.get(&state.service);
         if before.is_some_and(|known| !state.supersedes(&known.state)) {
             return None;
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -38,6 +38,7 @@
 mod reader_takeover;
 mod report;
 mod responses;
+mod rollout_states;
 mod rollouts;
 mod rollouts_random;
 mod roster_fleet;
