fix(link): bytes that arrived before a deadline are read after it

Callers saw: a 504 although the response lay in the instance's socket, and streams that ended early.

Cause: a wait returned a timeout without a look at the socket if its deadline had passed when the thread ran. On a machine that is suspended or short of processor time the thread runs late. Ruled out: the server (its bytes had arrived), the caller (its pauses are not counted).

Change: a wait looks once more when its deadline has passed, for all reads: of servers, callers and other instances. A response head is also looked for after the decision to give it up, which takes a lock and a pick. A peer that never stops sending is read for 8 MB beyond its deadline at most.

--- a/src/gateway/server_call.rs
+++ b/src/gateway/server_call.rs
@@ -154,7 +154,11 @@
         match conn.fill_until(deadline, caller) {
             Ok(()) => {}
             Err(ReadError::Timeout) => {
-                deadline = (wait.extend)().ok_or(AttemptFault::HeadTimeout)?
+                if let Some(extended) = (wait.extend)() {
+                    deadline = extended;
+                } else if !has_arrived(conn)? {
+                    return Err(AttemptFault::HeadTimeout);
+                }
             }
             Err(ReadError::Cancelled) => return Err(AttemptFault::CallerGone),
             Err(_) => return Err(AttemptFault::AfterSend),
@@ -162,6 +166,11 @@
     }
 }
 
+/// Returns whether more of a response has arrived since the last read: the decision to give it up takes time too.
+fn has_arrived(conn: &mut Conn) -> Result<bool, AttemptFault> {
+    conn.fill_arrived().map_err(|_| AttemptFault::AfterSend)
+}
+
 fn next_piece(
     conn: &mut Conn,
     body: &mut BodyReader,
--- a/src/link/http1/conn.rs
+++ b/src/link/http1/conn.rs
@@ -32,6 +32,10 @@
 /// a wait exceeds its deadline by at most this duration. Each wait costs two system calls.
 const POLL_WAIT_MAX: Duration = Duration::from_secs(1);
 
+/// Maximum number of bytes that are read after their deadline: more than the kernel receives ahead. What had arrived by
+/// the deadline is delivered late, but a peer that never stops sending does not extend the deadline without an end.
+const LATE_BYTES_MAX: usize = 8 << 20;
+
 /// Minimum timeout set on a socket, which rejects a timeout of zero.
 const SOCKET_TIMEOUT_MIN: Duration = Duration::from_millis(1);
 
@@ -67,6 +71,8 @@
     buf: Vec<u8>,
     start: usize,
     end: usize,
+    /// Number of bytes read since a deadline that has passed.
+    late_bytes: usize,
     /// Current write timeout of the socket, so that it is set only when it changes.
     write_timeout: Option<Duration>,
 }
@@ -79,7 +85,15 @@
     /// The stream's options cannot be set.
     pub fn new(stream: TcpStream, clock: Clock) -> io::Result<Conn> {
         stream.set_nodelay(true)?;
-        Ok(Conn { stream, clock, buf: Vec::new(), start: 0, end: 0, write_timeout: None })
+        Ok(Conn {
+            stream,
+            clock,
+            buf: Vec::new(),
+            start: 0,
+            end: 0,
+            late_bytes: 0,
+            write_timeout: None,
+        })
     }
 
     /// Connects to `address` within `timeout`.
@@ -137,24 +151,29 @@
     ) -> Result<(), ReadError> {
         loop {
             let remaining = deadline.saturating_duration_since(self.clock.now());
-            if remaining.is_zero() {
-                return Err(ReadError::Timeout);
-            }
-            let wait = remaining.min(CONDITION_POLL_INTERVAL).max(SOCKET_TIMEOUT_MIN);
-            self.stream.set_read_timeout(Some(wait)).map_err(ReadError::Io)?;
-            match self.read_once() {
-                Ok(0) => return Err(ReadError::Closed),
-                Ok(_) => return Ok(()),
-                Err(e) if is_timeout(&e) => {
-                    if !keep_waiting() {
-                        return Err(ReadError::Cancelled);
-                    }
-                }
-                Err(e) => return Err(ReadError::Io(e)),
+            let check_at = self.clock.now() + remaining.min(CONDITION_POLL_INTERVAL);
+            match self.fill_watching(check_at, None) {
+                Err(ReadError::Timeout) if remaining.is_zero() => return Err(ReadError::Timeout),
+                Err(ReadError::Timeout) if !keep_waiting() => return Err(ReadError::Cancelled),
+                Err(ReadError::Timeout) => {}
+                filled => return filled,
             }
         }
     }
 
+    /// Reads what has arrived into the buffer, without waiting; returns whether there was anything.
+    ///
+    /// # Errors
+    ///
+    /// The connection was closed or has failed.
+    pub fn fill_arrived(&mut self) -> Result<bool, ReadError> {
+        match self.fill_watching(self.clock.now(), None) {
+            Ok(()) => Ok(true),
+            Err(ReadError::Timeout) => Ok(false),
+            Err(error) => Err(error),
+        }
+    }
+
     fn read_once(&mut self) -> io::Result<usize> {
         if self.start > 0 {
             self.buf.copy_within(self.start..self.end, 0);
@@ -207,15 +226,22 @@
         deadline: Instant,
         watched: Option<PollFd<'_>>,
     ) -> Result<(), ReadError> {
+        let is_late = self.clock.now() >= deadline;
         match self.wait(deadline, watched, PollFlags::IN)? {
-            Wake::Timeout => Err(ReadError::Timeout),
-            Wake::Watched => Err(ReadError::Cancelled),
-            Wake::Ready(_) => match self.read_once() {
-                Ok(0) => Err(ReadError::Closed),
-                Ok(_) => Ok(()),
-                Err(e) => Err(ReadError::Io(e)),
-            },
+            Wake::Timeout => return Err(ReadError::Timeout),
+            Wake::Watched => return Err(ReadError::Cancelled),
+            Wake::Ready(_) if is_late && self.late_bytes >= LATE_BYTES_MAX => {
+                return Err(ReadError::Timeout);
+            }
+            Wake::Ready(_) => {}
         }
+        let read = match self.read_once() {
+            Ok(0) => return Err(ReadError::Closed),
+            Ok(read) => read,
+            Err(e) => return Err(ReadError::Io(e)),
+        };
+        self.late_bytes = if is_late { self.late_bytes + read } else { 0 };
+        Ok(())
     }
 
     /// Writes `bytes` until all are sent, or until the peer sends a response before that.
@@ -265,6 +291,8 @@
         Ok(sockopt::set_tcp_user_timeout(&self.stream, millis)?)
     }
 
+    /// Waits for one of `events` until `deadline`. What has happened by then counts, however late this thread looks: a
+    /// machine that is short of processor time, or that was suspended, may not run it before the deadline has passed.
     fn wait(
         &self,
         deadline: Instant,
@@ -275,9 +303,6 @@
         fds.extend(watched);
         loop {
             let remaining = deadline.saturating_duration_since(self.clock.now());
-            if remaining.is_zero() {
-                return Ok(Wake::Timeout);
-            }
             let timeout = Timespec::try_from(remaining.min(POLL_WAIT_MAX)).ok();
             match poll(&mut fds, timeout.as_ref()) {
                 Ok(_) | Err(rustix::io::Errno::INTR) => {}
@@ -289,6 +314,9 @@
             if fds.get(1).is_some_and(|fd| !fd.revents().is_empty()) {
                 return Ok(Wake::Watched);
             }
+            if remaining.is_zero() {
+                return Ok(Wake::Timeout);
+            }
         }
     }
 
@@ -415,10 +443,3 @@
     /// The connection has failed.
     Broken,
 }
-
-fn is_timeout(e: &io::Error) -> bool {
-    matches!(
-        e.kind(),
-        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut | io::ErrorKind::Interrupted
-    )
-}
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -27,6 +27,7 @@
 mod intent_changes;
 mod intent_watch;
 mod large_intent;
+mod late_reads;
 mod log_lines;
 mod messages;
 mod notices;
