fix(link): a request that arrived before the idle timeout is served

Callers saw: a connection that was closed without a response, although their request had reached the instance within the idle timeout. A request that may run only once is not sent again by every caller then.

Cause: the monitor of idle connections handles 64 events at a time and then closes all connections whose timeout has passed. When it ran late, that included connections whose requests were among the events not yet handled. Evidence: the new test, in which the monitor stalls while 200 requests arrive and their timeout passes; all but the first 64 were closed unread ("not in time: all requests are served" before).

Change: a connection whose timeout has passed is served if a request has arrived. The same for connections of other instances, which share the monitor. Pooled connections to servers are checked before each use already (ServerConns::take).

--- a/src/link/idle.rs
+++ b/src/link/idle.rs
@@ -216,6 +216,13 @@
             // The timeout may have increased in the meantime.
             if (idle.deadline)(idle.since) > now {
                 self.watch(idle);
+                continue;
+            }
+            // This thread may run late, and a request that has arrived would be lost with its connection.
+            match idle.conn.state() {
+                ConnState::Readable => (idle.resume)(idle.conn),
+                ConnState::Open => log::debug!("event=idle_closed"),
+                ConnState::HalfClosed | ConnState::Broken => {}
             }
         }
     }
--- a/tests/suite/late_reads.rs
+++ b/tests/suite/late_reads.rs
@@ -3,12 +3,20 @@
 use std::{
     io::Write,
     net::{TcpListener, TcpStream},
-    time::Duration,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+        mpsc,
+    },
+    time::{Duration, Instant},
 };
 
 use cartvane::{
     clock::Clock,
-    link::http1::{Conn, ReadError, conn::ConnState},
+    link::{
+        http1::{Conn, ReadError, conn::ConnState},
+        idle::{IdleConn, IdleMonitor},
+    },
 };
 
 use crate::{support::eventually, suspended::AdvancingClock};
@@ -68,3 +76,46 @@
     };
     assert!(matches!(end, ReadError::Timeout), "{end}");
 }
+
+// Guards against requests that are closed unread on idle connections. The thread that monitors these handles 64 events at
+// a time; when it was late, it closed all other connections whose timeout had passed, whether or not a request had
+// arrived.
+#[test]
+fn requests_that_arrived_before_the_idle_timeout_are_served_when_the_monitor_is_late() {
+    const CONNS: usize = 200;
+    let advancing = AdvancingClock::new();
+    let (closing, _open) = std::io::pipe().expect("a pipe");
+    let monitor = IdleMonitor::spawn(advancing.clock.clone(), closing).expect("a monitor");
+    let served = Arc::new(AtomicUsize::new(0));
+    let watch = |conn: Conn, resume: Box<dyn FnOnce(Conn) + Send>| {
+        let deadline: Arc<dyn Fn(Instant) -> Instant + Send + Sync> =
+            Arc::new(|since| since + TIMEOUT);
+        let since = advancing.clock.now();
+        monitor.watch(IdleConn { conn, since, deadline, is_caller_conn: true, resume });
+    };
+    let (entered_tx, entered) = mpsc::channel();
+    let (leave, leave_rx) = mpsc::channel::<()>();
+    let (conn, mut stalling) = connected(&advancing.clock);
+    let stall = move |_| {
+        entered_tx.send(()).expect("the test waits");
+        leave_rx.recv().expect("the test goes on");
+    };
+    watch(conn, Box::new(stall));
+    let mut peers: Vec<TcpStream> = (0..CONNS)
+        .map(|_| {
+            let (conn, peer) = connected(&advancing.clock);
+            let served = Arc::clone(&served);
+            let serve = move |_| {
+                served.fetch_add(1, Ordering::SeqCst);
+            };
+            watch(conn, Box::new(serve));
+            peer
+        })
+        .collect();
+    stalling.write_all(b"x").expect("sent");
+    entered.recv().expect("the monitor is busy");
+    peers.iter_mut().for_each(|peer| peer.write_all(b"GET").expect("sent"));
+    advancing.advance(SUSPENSION);
+    leave.send(()).expect("the monitor goes on");
+    eventually("all requests are served", || served.load(Ordering::SeqCst) == CONNS);
+}
