fix(stream): a caller that reads nothing is noticed after 128 KB, not after megabytes

Callers saw: requests of others that wait for a slot or a lease that a request holds whose caller reads nothing. Such a request ended only when the kernel's buffers of both sides were full: with the default send buffer that takes over 2 MB, which an engine generates in seconds, and on a busy machine in minutes. A caller of 50 KB/s was also taken for stalled, as the kernel reports progress only when a third of the buffer is free, at that rate 16 s of reading.

Cause: whole responses limit the send buffer since slow readers were introduced, streams did not, neither at the gateway nor at the router.

Change: both limit it before a stream begins.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -16,7 +16,7 @@
     contract::outcome::{AttemptFault, Outcome},
     link::{
         http1::Conn,
-        response::{ResponseFraming, ResponseOptions, ResponseWriter},
+        response::{ResponseFraming, ResponseOptions, ResponseWriter, SEND_BUFFER_BYTES},
     },
     routing::BufferKind,
 };
@@ -37,10 +37,6 @@
 /// Size in bytes from which a body is sent with a limited send buffer of the kernel.
 const LARGE_BODY: usize = 64 << 10;
 
-/// Limit on the send buffer of the kernel for large bodies. The kernel reports that a caller has taken bytes only when a
-/// third of the buffer is free: with its default of over 2 MB, a caller that reads 100 KB/s would count as stalled.
-const SEND_BUFFER_BYTES: usize = 64 << 10;
-
 /// The result of collecting a response.
 pub enum Collected<'g> {
     /// The whole body.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -17,7 +17,7 @@
     contract::outcome::{AttemptFault, Outcome},
     link::{
         http1::Conn,
-        response::{ResponseFraming, ResponseOptions, ResponseWriter},
+        response::{ResponseFraming, ResponseOptions, ResponseWriter, SEND_BUFFER_BYTES},
     },
     routing::{BufferKind, EventSplitter, ResponseObservation, RouteKind},
 };
@@ -96,6 +96,7 @@
     let completed = |keep_alive, reason| {
         Some(Completion { status: code, outcome: Outcome::Run, keep_alive, reason })
     };
+    conn.limit_send_buffer(SEND_BUFFER_BYTES);
     let started =
         ResponseWriter::start(conn, CALLER_WRITE_TIMEOUT, status, &headers, &note, framing, &first);
     let Ok(mut writer) = started else { return completed(false, "caller left") };
--- a/src/instance/requests/forward.rs
+++ b/src/instance/requests/forward.rs
@@ -33,7 +33,9 @@
     link::{
         backend::{Attempt, BackendResponse},
         http1::{Conn, conn::ConnState},
-        response::{ResponseFraming, ResponseOptions, ResponseWriter, send_response},
+        response::{
+            ResponseFraming, ResponseOptions, ResponseWriter, SEND_BUFFER_BYTES, send_response,
+        },
     },
     names::{BackendId, Tag},
     utils::sync::lock,
@@ -384,6 +386,7 @@
         let framing = ResponseFraming::Chunked;
         let mut stored_body = self.claim.as_ref().map(|_| Vec::new());
         let mut caller_connected = true;
+        conn.limit_send_buffer(SEND_BUFFER_BYTES);
         let started =
             ResponseWriter::start(conn, stall, status, &headers, &self.options, framing, &[]);
         let mut writer = match started {
--- a/src/link/response.rs
+++ b/src/link/response.rs
@@ -16,6 +16,11 @@
 /// Largest piece that is copied into its chunk; a larger one is sent between the lines of its chunk.
 pub const COPIED_PIECE_MAX: usize = 8 << 10;
 
+/// Limit in bytes on the send buffer of the kernel for large bodies and streams. The kernel reports that a caller has
+/// taken bytes only when a third of the buffer is free: with its default of over 2 MB, a caller that reads 100 KB/s would
+/// count as stalled, and one that reads nothing would be noticed only after megabytes.
+pub const SEND_BUFFER_BYTES: usize = 64 << 10;
+
 /// Options of a response.
 #[derive(Debug, Clone)]
 pub struct ResponseOptions {
