test(idle-callers): the idle timeout is longer than the test takes

What callers saw: a connection that was closed without a response (status 0 for 200).

Cause, a fault of the test: it keeps 300 connections open, sends on one after the other, and expects a response on each, while the instance closes connections that are idle for 15 s (the default). The message that the test prints now shows it: in six copies with eight threads (load average 178) the requests that failed came after 15.07 to 15.26 s without one (a192 to a278). RFC 9112, 9.3, allows a server to close such a connection at any time; the request was not read.

--- a/tests/suite/idle_callers.rs
+++ b/tests/suite/idle_callers.rs
@@ -1,6 +1,10 @@
 //! Many idle connections of callers at one instance.
 
-use std::{io::Write as _, net::SocketAddr, time::Duration};
+use std::{
+    io::Write as _,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use cartvane::{clock::Clock, link::http1::Conn};
 use serde_json::{Value, json};
@@ -44,7 +48,13 @@
     let store = StoreStandIn::spawn().expect("a store");
     let server = Listed::spawn("s0").expect("a server");
     store.put("servers", "s0", &server.entry("app", "ready"));
-    store.put("op", "config", &intent());
+    let mut intent = intent();
+    // Longer than this test takes on a stalled machine: a connection that is idle for longer is closed.
+    intent["limits"] = json!({
+        "max_header_bytes": 16384, "max_body_bytes": 1_000_000, "header_timeout_ms": 60_000,
+        "idle_timeout_ms": 120_000
+    });
+    store.put("op", "config", &intent);
     let mut settings = boot(store.address());
     settings["limits"]["max_fds"] = 2000.into();
     let path = file("idle", &settings.to_string());
@@ -56,9 +66,15 @@
     };
     let callers = address(&started, "callers");
     eventually("a request is served", || request("first").send(callers).status == 200);
-    let mut idle: Vec<Conn> = (0..IDLE_CONNS).map(|_| connect(callers)).collect();
+    let mut idle: Vec<(Conn, Instant)> =
+        (0..IDLE_CONNS).map(|_| (connect(callers), Instant::now())).collect();
+    let send = |name: &str, number: usize, (conn, since): &mut (Conn, Instant)| {
+        let status = request(&format!("{name}{number}")).send_on(conn).status;
+        assert_eq!(status, 200, "{name}{number}, idle for {:?}", since.elapsed());
+        *since = Instant::now();
+    };
     for (number, conn) in idle.iter_mut().enumerate().step_by(2) {
-        assert_eq!(request(&format!("a{number}")).send_on(conn).status, 200);
+        send("a", number, conn);
     }
     eventually("idle connections hold no thread", || threads(&process) <= IDLE_THREADS);
     // Callers that send their request slowly hold one thread each and do not delay other callers.
@@ -73,7 +89,7 @@
         })
         .collect();
     for (number, conn) in idle.iter_mut().enumerate() {
-        assert_eq!(request(&format!("b{number}")).send_on(conn).status, 200);
+        send("b", number, conn);
     }
     drop(slow);
     eventually("closed connections hold no thread", || threads(&process) <= IDLE_THREADS);
