fix(gateway): a new list of servers and a verdict take effect before they are logged

Callers saw: 503 "no backend server took the request; it has not run" from an instance whose readiness check answered 200.

Cause: an instance counted as ready once its cluster state had a list of servers. The picker received that list only after a line of log for each change, and until then it refuses all requests, or uses the former list.

Change: the picker receives a list first, and readiness asks the picker. The same fault elsewhere, mended here: the split between versions was applied after the lines for an order, a stage and a verdict, so a bad version got requests for as long as the log took. Evacuated zones and notices of servers took effect first already.

starts::an_instance_that_is_ready_serves_requests_also_if_its_threads_stall has the thread stall at that line.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -394,8 +394,8 @@
 
     /// Returns whether the platform should send callers to this instance.
     pub fn is_ready(&self) -> bool {
-        let has_servers =
-            self.cluster_state.with_servers(|roster| roster.servers().next().is_some());
+        // The picker receives a list after the cluster state, and without servers it refuses all requests.
+        let has_servers = lock(&self.picker).has_servers();
         let is_complete = has_servers && self.cluster_state.intent().is_some();
         is_complete && !self.drain.is_draining() && !self.is_out_of_date(self.clock.now())
     }
--- a/src/gateway/rollout_controller.rs
+++ b/src/gateway/rollout_controller.rs
@@ -198,6 +198,8 @@
         None => policy.stage(&progress),
     };
     if next == Stage::RolledBack && decided != Some(next) {
+        // Propagated before it is written, so that the version gets no more requests in the meantime.
+        publish(gateway, now, state(held, next, 0.0, 0));
         log::warn!(
             "event=version_not_taken service={service} to={} answered={} evaluated={} of={} doubt={:.1} doubt_in_all={:.1} log_odds={:.1}",
             order.to,
@@ -208,8 +210,6 @@
             progress.total_regression_score,
             progress.log_odds
         );
-        // Propagated before it is written, so that the version gets no more requests in the meantime.
-        publish(gateway, now, state(held, next, 0.0, 0));
     }
     let is_due = now.saturating_duration_since(held.renewed) >= RENEW_INTERVAL;
     if next != stage || is_due {
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -44,13 +44,13 @@
         if !lock(&self.states).set_orders(orders) {
             return false;
         }
+        self.apply_splits(gateway);
+        self.start_evidence(orders);
+        self.wakeup.set();
         for (service, order) in orders {
             let to = &order.to;
             log::warn!("event=rollout_ordered service={service} to={to}");
         }
-        self.start_evidence(orders);
-        self.apply_splits(gateway);
-        self.wakeup.set();
         true
     }
 
@@ -110,8 +110,13 @@
         if updates.is_empty() {
             return;
         }
-        for update in updates {
-            let changed = merge(&mut lock(&self.states), update);
+        let changed: Vec<Option<Stage>> = {
+            let mut states = lock(&self.states);
+            updates.iter().map(|update| merge(&mut states, update)).collect()
+        };
+        // Before anything else: until then, requests are split as before.
+        self.apply_splits(gateway);
+        for (update, changed) in updates.iter().zip(changed) {
             let RolloutState { service, to, term, .. } = &update.state;
             if let Some(stage) = changed {
                 log::warn!(
@@ -124,7 +129,6 @@
                 self.discard_evidence(service, to);
             }
         }
-        self.apply_splits(gateway);
     }
 
     /// Returns whether any roll-out is undecided, or its decision is not stored yet for operators to read.
@@ -243,10 +247,10 @@
                 ..known.clone()
             }
         };
-        log::warn!("event=version_is_bad service={service} to={to} doubt={regression_score:.1}");
         let now = gateway.clock.now();
         self.apply_updates(gateway, now, &[RolloutUpdate { state, age_ms: 0 }], "own");
         self.wakeup.set();
+        log::warn!("event=version_is_bad service={service} to={to} doubt={regression_score:.1}");
     }
 }
 
--- a/src/gateway/roster_reader.rs
+++ b/src/gateway/roster_reader.rs
@@ -149,10 +149,11 @@
     source: &str,
 ) {
     let change = gateway.cluster_state.apply_server_list(gateway.clock.now(), as_of, era, list);
-    log_change(&change, source, gateway.clock.now().saturating_duration_since(as_of));
+    // Before anything else: until then, requests go to the servers of the former list.
     if change != RosterChange::default() {
         gateway.servers_changed();
     }
+    log_change(&change, source, gateway.clock.now().saturating_duration_since(as_of));
 }
 
 /// Changes of one kind up to which each is logged; of more at once only the number is logged. At a start with 3,000
--- a/src/routing/picker/mod.rs
+++ b/src/routing/picker/mod.rs
@@ -125,6 +125,11 @@
         self.is_available(tracked) && !tracked.notice.forbids_requests(now)
     }
 
+    /// Returns whether any servers are listed.
+    pub fn has_servers(&self) -> bool {
+        !self.servers.is_empty()
+    }
+
     /// Sets the current list of servers. The state of servers that are still listed is kept, but not that of servers
     /// that have restarted. Notices are also kept while a server is not listed.
     pub fn set_servers<'a>(
--- a/tests/suite/log_lines.rs
+++ b/tests/suite/log_lines.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::VecDeque,
     sync::{Mutex, Once, PoisonError},
+    thread,
     time::{Duration, Instant},
 };
 
@@ -17,6 +18,9 @@
 static BUFFER: Mutex<Option<Buffer>> = Mutex::new(None);
 static STARTED: Once = Once::new();
 
+/// Words of a line at which the thread that logs it stalls, as one that gets no processor time, and for how long.
+static STALL: Mutex<Option<(String, Duration)>> = Mutex::new(None);
+
 /// Installs the logger that fills the buffer; further calls do nothing.
 pub(crate) fn start() {
     STARTED.call_once(|| {
@@ -26,6 +30,7 @@
         let output = fern::Output::call(|record| {
             // Formatted before the lock is taken, since the instances of all tests wait for it.
             let line = record.args().to_string();
+            stall(&line);
             let mut buffer = BUFFER.lock().unwrap_or_else(PoisonError::into_inner);
             let Some(buffer) = buffer.as_mut() else { return };
             if buffer.lines.len() >= BUFFER_LINES_MAX {
@@ -38,6 +43,20 @@
     });
 }
 
+/// Has a thread stall for `time` when it logs a line that contains `words`.
+pub(crate) fn stall_at(words: &str, time: Duration) {
+    *STALL.lock().unwrap_or_else(PoisonError::into_inner) = Some((words.to_owned(), time));
+}
+
+fn stall(line: &str) {
+    let stall = STALL.lock().unwrap_or_else(PoisonError::into_inner).clone();
+    if let Some((words, time)) = stall
+        && line.contains(&words)
+    {
+        thread::sleep(time);
+    }
+}
+
 /// Returns the lines of all concurrent tests that contain one of `words`, with the milliseconds since the logger was
 /// installed.
 pub(crate) fn matching(words: &[&str]) -> String {
--- a/tests/suite/starts.rs
+++ b/tests/suite/starts.rs
@@ -10,8 +10,9 @@
 };
 
 use crate::{
+    log_lines,
     support::eventually,
-    testbed::{call, intent, settings},
+    testbed::{call, intent, settings, spawn},
 };
 
 const INSTANCES: usize = 20;
@@ -101,3 +102,18 @@
     let read: Vec<usize> = others.iter().map(reads).collect();
     assert!(read.iter().sum::<usize>() <= 2, "{read:?}");
 }
+
+// Guards against an instance that counts as ready while it refuses all requests: it had the list of servers, but the part
+// that picks one received it only after a line of log for each server. A thread that stalled there left callers with 503
+// for 0.4 s.
+#[test]
+fn an_instance_that_is_ready_serves_requests_also_if_its_threads_stall() {
+    let store = StoreStandIn::spawn().expect("a store");
+    let server = Listed::spawn("stalls-the-log").expect("a server");
+    store.put("servers", &server.id, &server.entry("app", "ready"));
+    store.put("op", "config", &intent(5));
+    log_lines::stall_at("event=server_added server=stalls-the-log", Duration::from_millis(500));
+    let instance = spawn("one", store.address(), Vec::new());
+    eventually("the instance is ready", || instance.gateway().is_ready());
+    assert_eq!(call("/once/", "a").send(instance.callers()).status, 200);
+}
