fix: decisions do not depend on the order of HashMaps

The same fault elsewhere: all iterations over HashMap and HashSet in src and platform were read. Five decided or sent something in an order that differs from process to process:

- the sums of the retry budget added floats, and listed services, in the order of the reporters;
- contexts of several leaving engines moved in random order, and few move at a time;
- expired permits were released, and so waiting requests served, in random order;
- remembered chats were replicated, and older generations dropped, in random order;
- permits were renewed, and homes ticked, in random order.

These maps are IndexMaps now. The others are looked up only, sorted after the iteration, or only count (aggregate.rs, server_crashes.rs, summary.rs, teams.rs, verdicts.rs, server_list.rs, candidates.rs, roster.rs, team_limits.rs, home.rs, baseline.rs).

Two tests; both fail before.

--- a/src/instance/homes/shards.rs
+++ b/src/instance/homes/shards.rs
@@ -1,11 +1,12 @@
 //! The homes that this instance holds: a thin layer of locks and routing of events around [`Home`].
 
 use std::{
-    collections::HashMap,
     sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
 
+use indexmap::IndexMap;
+
 use crate::{
     clock::Clock,
     contract::permit::{AnnouncedPermit, PermitId, Reply},
@@ -82,7 +83,7 @@
 pub struct HomeShards {
     clock: Clock,
     chats_max: usize,
-    slots: Mutex<HashMap<ShardId, Arc<HomeSlot>>>,
+    slots: Mutex<IndexMap<ShardId, Arc<HomeSlot>>>,
     deliver: Box<Deliver>,
 }
 
@@ -157,7 +158,7 @@
             self.dispatch(actions, None);
             let unused = now.duration_since(*lock(&slot.last_used)) > IDLE_HOME_RETENTION;
             if idle && unused && !is_own {
-                lock(&self.slots).remove(&id);
+                lock(&self.slots).swap_remove(&id);
             }
         }
     }
@@ -175,7 +176,7 @@
         let now = self.clock.now();
         for (id, slot) in self.all_slots() {
             let Some(shard) = snapshot.shard(id) else {
-                lock(&self.slots).remove(&id);
+                lock(&self.slots).swap_remove(&id);
                 continue;
             };
             let Some(settings) = self.settings(id, snapshot) else { continue };
--- a/src/instance/requests/permit_client.rs
+++ b/src/instance/requests/permit_client.rs
@@ -4,11 +4,12 @@
 //! and announcements are correct when they arrive.
 
 use std::{
-    collections::{HashMap, HashSet},
     sync::{Arc, Condvar, Mutex},
     time::{Duration, Instant},
 };
 
+use indexmap::{IndexMap, IndexSet};
+
 use crate::{
     clock::Clock,
     contract::permit::{AnnouncedPermit, PermitId, PermitRequest, Release, ReleaseKind, Reply},
@@ -106,17 +107,17 @@
 struct HomeLink {
     /// Held while a message is assembled and sent.
     send_lock: Arc<Mutex<()>>,
-    pending: HashMap<u32, PendingRequest>,
+    pending: IndexMap<u32, PendingRequest>,
     /// Shards whose permits are announced with the next message.
-    announce: HashSet<ShardId>,
+    announce: IndexSet<ShardId>,
     last_sent: Option<Instant>,
 }
 
 #[derive(Debug, Default)]
 struct State {
     counter: u32,
-    held: HashMap<u32, HeldPermit>,
-    links: HashMap<Tag, HomeLink>,
+    held: IndexMap<u32, HeldPermit>,
+    links: IndexMap<Tag, HomeLink>,
 }
 
 /// The permits of an entry, and its requests for more.
@@ -242,8 +243,8 @@
     fn withdraw(&self, home: Tag, shard: ShardId, number: u32) {
         let release = Release { number: u64::from(number), kind: ReleaseKind::Unused, load: None };
         self.send_batches(home, |held, link| {
-            link.pending.remove(&number);
-            held.remove(&number);
+            link.pending.swap_remove(&number);
+            held.swap_remove(&number);
             vec![ShardBatch {
                 releases: vec![ReleaseWire::new(&release)],
                 ..ShardBatch::new(shard)
@@ -261,7 +262,7 @@
         let release = Release { number: permit.number, kind, load };
         // An unreachable home learns of the release from a later count, or drops the permits of an unresponsive entry.
         self.send_batches(home, |held, _| {
-            held.remove(&number);
+            held.swap_remove(&number);
             vec![ShardBatch {
                 releases: vec![ReleaseWire::new(&release)],
                 ..ShardBatch::new(shard)
@@ -273,7 +274,7 @@
     fn send_batches(
         &self,
         home: Tag,
-        make: impl FnOnce(&mut HashMap<u32, HeldPermit>, &mut HomeLink) -> Vec<ShardBatch>,
+        make: impl FnOnce(&mut IndexMap<u32, HeldPermit>, &mut HomeLink) -> Vec<ShardBatch>,
     ) -> bool {
         let send_lock = Arc::clone(&lock(&self.state).links.entry(home).or_default().send_lock);
         let _send_guard = lock(&send_lock);
@@ -301,7 +302,8 @@
                 pending.slot.set(RequestState::Queued);
                 continue;
             }
-            if let Some(PendingRequest { shard, request, slot }) = link.pending.remove(&number) {
+            if let Some(PendingRequest { shard, request, slot }) = link.pending.swap_remove(&number)
+            {
                 if let Reply::Granted(engine) = reply {
                     let expires_at =
                         self.clock.now() + Duration::from_millis(u64::from(request.left_ms));
@@ -335,7 +337,7 @@
     pub fn note_home_lost(&self, home: Tag) {
         let mut state = lock(&self.state);
         let link = state.links.entry(home).or_default();
-        for (_, pending) in link.pending.drain() {
+        for (_, pending) in link.pending.drain(..) {
             pending.slot.set(RequestState::HomeLost);
         }
     }
@@ -346,8 +348,8 @@
     /// `home_of` returns the current home of a shard; permits of a shard that has moved are announced to its new home.
     pub fn send_due(&self, home_of: impl Fn(ShardId) -> Option<Tag>) {
         let now = self.clock.now();
-        let shards: HashSet<ShardId> = lock(&self.state).held.values().map(|h| h.shard).collect();
-        let homes: HashMap<ShardId, Tag> =
+        let shards: IndexSet<ShardId> = lock(&self.state).held.values().map(|h| h.shard).collect();
+        let homes: IndexMap<ShardId, Tag> =
             shards.into_iter().filter_map(|id| Some((id, home_of(id)?))).collect();
         let mut due_homes = Vec::new();
         {
@@ -360,7 +362,7 @@
                     links.entry(home).or_default().announce.insert(permit.shard);
                 }
             }
-            let holding: HashSet<Tag> = held.values().map(|h| h.home).collect();
+            let holding: IndexSet<Tag> = held.values().map(|h| h.home).collect();
             for (home, link) in links.iter() {
                 let keepalive_due =
                     link.last_sent.is_none_or(|at| now.duration_since(at) >= KEEPALIVE_PERIOD);
@@ -383,13 +385,13 @@
 /// Returns the permits held at a home, by shard: announcements where they are due, else counts.
 fn status_batches(
     home: Tag,
-    held: &HashMap<u32, HeldPermit>,
+    held: &IndexMap<u32, HeldPermit>,
     link: &mut HomeLink,
     now: Instant,
 ) -> Vec<ShardBatch> {
     let announce = std::mem::take(&mut link.announce);
     let held_shards = held.values().filter(|h| h.home == home).map(|h| h.shard);
-    let shards: HashSet<ShardId> = held_shards.chain(announce.iter().copied()).collect();
+    let shards: IndexSet<ShardId> = held_shards.chain(announce.iter().copied()).collect();
     let batch = |shard: ShardId| {
         let held_here = || held.iter().filter(move |(_, h)| h.home == home && h.shard == shard);
         let pending: Vec<u32> = link
--- a/src/routing/fleet_budget.rs
+++ b/src/routing/fleet_budget.rs
@@ -8,7 +8,7 @@
 //! they received last to the next aggregator.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::VecDeque,
     time::{Duration, Instant},
 };
 
@@ -69,7 +69,7 @@
 struct Reporter {
     at: Instant,
     run: RunId,
-    services: HashMap<ServiceName, RetrySpending>,
+    services: IndexMap<ServiceName, RetrySpending>,
 }
 
 /// The reports of all instances for which this one is the aggregator.
@@ -80,11 +80,11 @@
     /// Start of the current uninterrupted sequence of reports; earlier retries are unknown.
     since: Option<Instant>,
     last: Option<Instant>,
-    reporters: HashMap<NodeName, Reporter>,
+    reporters: IndexMap<NodeName, Reporter>,
     spent: IndexMap<ServiceName, VecDeque<(Instant, u32)>>,
     /// What all instances had spent before they reported here, according to the sums that they received from the
     /// former aggregator, and when this was reported.
-    spent_before: HashMap<ServiceName, (Instant, u32)>,
+    spent_before: IndexMap<ServiceName, (Instant, u32)>,
 }
 
 impl FleetBudget {
@@ -95,9 +95,9 @@
             window,
             since: None,
             last: None,
-            reporters: HashMap::new(),
+            reporters: IndexMap::new(),
             spent: IndexMap::new(),
-            spent_before: HashMap::new(),
+            spent_before: IndexMap::new(),
         }
     }
 
--- a/src/zone/context_moves.rs
+++ b/src/zone/context_moves.rs
@@ -1,6 +1,8 @@
 //! Moves the contexts of leaving engines to the engines that will serve their chats.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
+
+use indexmap::IndexMap;
 
 use crate::{
     names::Tag,
@@ -21,7 +23,7 @@
 /// Queues, by leaving engine, of the chats whose contexts are still to be moved.
 #[derive(Debug, Default)]
 pub struct ContextMoveQueue {
-    pending: HashMap<Tag, VecDeque<ChatKey>>,
+    pending: IndexMap<Tag, VecDeque<ChatKey>>,
 }
 
 impl ContextMoveQueue {
--- a/src/zone/permit_table.rs
+++ b/src/zone/permit_table.rs
@@ -1,9 +1,8 @@
 //! The permits that a home has granted, and the entries that hold them.
 
-use std::{
-    collections::HashMap,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
 
 use crate::{contract::permit::PermitId, names::Tag};
 
@@ -35,8 +34,8 @@
 /// Permits by identity, and the entries that hold them.
 #[derive(Debug, Default)]
 pub struct PermitTable {
-    permits: HashMap<PermitId, Permit>,
-    entries: HashMap<Tag, Entry>,
+    permits: IndexMap<PermitId, Permit>,
+    entries: IndexMap<Tag, Entry>,
 }
 
 impl PermitTable {
@@ -97,7 +96,7 @@
 
     /// Removes a permit.
     pub fn remove(&mut self, id: PermitId) -> Option<Permit> {
-        let permit = self.permits.remove(&id)?;
+        let permit = self.permits.swap_remove(&id)?;
         if let Some(entry) = self.entries.get_mut(&id.entry) {
             entry.held -= 1;
         }
--- a/src/zone/recent_chats.rs
+++ b/src/zone/recent_chats.rs
@@ -1,6 +1,6 @@
 //! The engines of recent chats, in bounded memory.
 
-use std::collections::HashMap;
+use indexmap::IndexMap;
 
 use super::rendezvous::ChatKey;
 use crate::names::Tag;
@@ -12,14 +12,18 @@
 #[derive(Debug)]
 pub struct RecentChats {
     generation_max: usize,
-    young: HashMap<ChatKey, Tag>,
-    old: HashMap<ChatKey, Tag>,
+    young: IndexMap<ChatKey, Tag>,
+    old: IndexMap<ChatKey, Tag>,
 }
 
 impl RecentChats {
     /// Returns an empty map of at most `max` chats.
     pub fn new(max: usize) -> RecentChats {
-        RecentChats { generation_max: (max / 2).max(1), young: HashMap::new(), old: HashMap::new() }
+        RecentChats {
+            generation_max: (max / 2).max(1),
+            young: IndexMap::new(),
+            old: IndexMap::new(),
+        }
     }
 
     /// Returns the engine that `chat` was last on.
@@ -45,8 +49,8 @@
 
     /// Removes `chat`.
     pub fn remove(&mut self, chat: ChatKey) {
-        self.young.remove(&chat);
-        self.old.remove(&chat);
+        self.young.swap_remove(&chat);
+        self.old.swap_remove(&chat);
     }
 
     /// Returns the number of entries stored; a chat in both generations counts twice.
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -55,6 +55,7 @@
 mod slot_lease_rules;
 mod slot_leases;
 mod slow_readers;
+mod stable_order;
 mod starts;
 mod state_machines;
 mod stopped_instances;
