--- a/tests/suite/rollouts_random.rs
+++ b/tests/suite/rollouts_random.rs
@@ -628,6 +628,28 @@
     assert!(accepted.is_empty(), "{} of {}: {accepted:?}", accepted.len(), outcomes.len());
 }
 
+// Fails (KNOWN-RED.txt). Guards against bad versions that are rolled back only after more than half of what operators
+// allow.
+#[test]
+fn a_bad_version_gets_under_half_of_what_operators_allow_in_cases_of_further_seeds() {
+    // The random cases with `CARTVANE_SEED` 90417 and 31337 and `CARTVANE_CASES` 30 that failed: the fleet, its instances,
+    // the number, and the combined seed.
+    let cases = [
+        (1, 62, 781, 0xc777_1507_125a_b505),
+        (0, 8, 214, 0x54c3_53be_b4ae_e69d),
+        (1, 62, 680, 0x54c3_53be_b4ae_e69d),
+        (3, 986, 900, 0x54c3_53be_b4ae_e69d),
+        (3, 986, 1145, 0x54c3_53be_b4ae_e69d),
+    ];
+    let cases = cases.map(|(fleet, instances, number, combined): (u64, usize, u64, u64)| {
+        let case = bad_version(number, instances, number ^ 0xbad ^ combined);
+        ((number + 1000 * fleet) ^ combined, case)
+    });
+    let outcomes = simulate(cases.to_vec());
+    let accepted: Vec<_> = outcomes.iter().filter(is_accepted).collect();
+    assert!(accepted.is_empty(), "{} of {}: {accepted:?}", accepted.len(), outcomes.len());
+}
+
 fn policy(order: &RolloutOrder) -> StagePolicy<'_> {
     StagePolicy { order, exposure_limit: EXPOSURE_LIMIT, exchange: period(8) }
 }
