test(partitioned-instances): callers of an instance without a path to any server are refused

Cause: not fixed here. Callers of the users' partitioned instances got 503 after 801 ms, 16 of 314 served at the first attempt.

Three instances in one process share four servers; the links of one are severed. For that, connections to backend servers are opened with a dialer that is passed in as the clock is, and the proxy of the soak test moves to the stand-ins.

--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -17,13 +17,16 @@
 use cartvane::utils::sync::lock;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
-use standins::{fault::Fault, listed::Listed, server::Received, store::StoreStandIn};
-
-use crate::{
+use standins::{
+    fault::Fault,
+    listed::Listed,
     proxy::{LinkMode, Proxy},
-    small_service,
+    server::Received,
+    store::StoreStandIn,
 };
 
+use crate::small_service;
+
 /// API key of the callers' team.
 pub(crate) const KEY: &str = "key-of-crew";
 
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -8,7 +8,6 @@
 mod notices;
 mod options;
 mod plan;
-mod proxy;
 mod rollouts;
 mod run;
 mod small_service;
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -3,9 +3,7 @@
 use std::time::Duration;
 
 use fastrand::Rng;
-use standins::store::StoreMode;
-
-use crate::proxy::LinkMode;
+use standins::{proxy::LinkMode, store::StoreMode};
 
 /// Shortest pause between two events, in milliseconds.
 const PAUSE_MIN_MS: u64 = 100;
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -14,7 +14,7 @@
 use cartvane::utils::sync::lock;
 use fastrand::Rng;
 use rustix::process::Signal;
-use standins::{caller::Call, fault::Fault, store::StoreMode};
+use standins::{caller::Call, fault::Fault, proxy::LinkMode, store::StoreMode};
 
 use crate::{
     callers::Callers,
@@ -23,7 +23,6 @@
     load, notices,
     options::Options,
     plan::{self, Event},
-    proxy::LinkMode,
     rollouts, small_service,
 };
 
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -13,7 +13,7 @@
 };
 use crate::{
     clock::Clock,
-    link::{idle::IdleMonitor, listener::Listener},
+    link::{dialer::Dialer, idle::IdleMonitor, listener::Listener},
 };
 
 /// A running instance, with its listeners. It stops when the handle is dropped; requests in flight finish.
@@ -32,7 +32,20 @@
     ///
     /// A listener or a thread cannot be started, or a pipe cannot be created.
     pub fn spawn(settings: GatewaySettings, clock: &Clock) -> anyhow::Result<GatewayHandle> {
-        let gateway = Arc::new(Gateway::open(settings, clock)?);
+        GatewayHandle::spawn_with_dialer(settings, clock, Dialer::system())
+    }
+
+    /// Starts an instance that connects to backend servers with `dialer`.
+    ///
+    /// # Errors
+    ///
+    /// A listener or a thread cannot be started, or a pipe cannot be created.
+    pub fn spawn_with_dialer(
+        settings: GatewaySettings,
+        clock: &Clock,
+        dialer: Dialer,
+    ) -> anyhow::Result<GatewayHandle> {
+        let gateway = Arc::new(Gateway::open(settings, clock, dialer)?);
         let closing = gateway.drain.idle_close_signal().context("cannot create a pipe")?;
         let idle = IdleMonitor::spawn(clock.clone(), closing)
             .context("cannot start the watch over idle connections")?;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -81,6 +81,7 @@
 use crate::{
     adapter::store::{Store, StoreError},
     clock::Clock,
+    link::dialer::Dialer,
     metrics::Metrics,
     names::{ServiceName, TeamName},
     routing::{
@@ -139,12 +140,16 @@
 }
 
 impl Gateway {
-    /// Creates the state of an instance that is not running yet.
+    /// Creates the state of an instance that is not running yet; `dialer` connects to backend servers.
     ///
     /// # Errors
     ///
     /// The metrics or a pipe cannot be created.
-    pub fn open(settings: GatewaySettings, clock: &Clock) -> anyhow::Result<Gateway> {
+    pub fn open(
+        settings: GatewaySettings,
+        clock: &Clock,
+        dialer: Dialer,
+    ) -> anyhow::Result<Gateway> {
         let metrics = Metrics::new()?;
         let share = StoreShare::new(settings.store.rates, clock.now());
         let store_share = Arc::new(Mutex::new(share));
@@ -155,7 +160,7 @@
             store_share,
             cluster_state: ClusterState::new(settings.bounds.intent_apply_time),
             picker: Mutex::new(open_picker(&settings)),
-            conns: ServerConns::new(clock.clone()),
+            conns: ServerConns::new(clock.clone(), dialer),
             peers: Peers::new(&settings, clock, &metrics.traffic()),
             crash_suspects: CrashSuspects::default(),
             rollouts: Rollouts::default(),
--- a/src/gateway/server_conns.rs
+++ b/src/gateway/server_conns.rs
@@ -12,7 +12,10 @@
 
 use crate::{
     clock::Clock,
-    link::http1::{Conn, conn::ConnState},
+    link::{
+        dialer::Dialer,
+        http1::{Conn, conn::ConnState},
+    },
     routing::Incarnation,
     utils::sync::lock,
 };
@@ -20,6 +23,9 @@
 /// Maximum time to connect: many round trips within a region, and less than callers' target latencies.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Minimum time to connect: a connection with a timeout of zero is an error.
+const CONNECT_TIMEOUT_MIN: Duration = Duration::from_millis(1);
+
 /// How long sent bytes may stay unacknowledged before the connection fails: several retransmissions on a link that
 /// loses packets.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -49,13 +55,14 @@
 pub struct ServerConns {
     idle: Mutex<HashMap<Incarnation, Vec<IdleConn>>>,
     clock: Clock,
+    dialer: Dialer,
     instances: AtomicUsize,
 }
 
 impl ServerConns {
-    /// Returns an empty pool.
-    pub fn new(clock: Clock) -> ServerConns {
-        ServerConns { idle: Mutex::default(), clock, instances: AtomicUsize::new(1) }
+    /// Returns an empty pool whose connections are opened with `dialer`.
+    pub fn new(clock: Clock, dialer: Dialer) -> ServerConns {
+        ServerConns { idle: Mutex::default(), clock, dialer, instances: AtomicUsize::new(1) }
     }
 
     /// Sets how many instances share the servers' connections.
@@ -88,7 +95,8 @@
     /// The connection could not be opened in time; nothing has been sent.
     pub fn connect(&self, address: SocketAddr, deadline: Instant) -> std::io::Result<Conn> {
         let time_left = deadline.saturating_duration_since(self.clock.now());
-        let conn = Conn::connect(address, time_left.min(CONNECT_TIMEOUT), &self.clock)?;
+        let timeout = time_left.min(CONNECT_TIMEOUT).max(CONNECT_TIMEOUT_MIN);
+        let conn = Conn::new(self.dialer.dial(address, timeout)?, self.clock.clone())?;
         conn.set_unacknowledged_timeout(UNACKNOWLEDGED_TIMEOUT)?;
         Ok(conn)
     }
--- a/soak/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -18,7 +18,7 @@
 
 /// How the proxy treats its connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum LinkMode {
+pub enum LinkMode {
     /// Forwards bytes.
     Open,
     /// Forwards bytes after this delay.
@@ -40,14 +40,14 @@
 }
 
 /// A running proxy.
-pub(crate) struct Proxy {
+pub struct Proxy {
     address: SocketAddr,
     shared: Arc<Shared>,
 }
 
 impl Proxy {
     /// Listens on a free port and forwards connections to `target`.
-    pub(crate) fn spawn(target: SocketAddr) -> std::io::Result<Proxy> {
+    pub fn spawn(target: SocketAddr) -> std::io::Result<Proxy> {
         let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
@@ -70,12 +70,12 @@
     }
 
     /// Returns the address that it listens on.
-    pub(crate) fn address(&self) -> SocketAddr {
+    pub fn address(&self) -> SocketAddr {
         self.address
     }
 
     /// Changes the mode, for open connections as well.
-    pub(crate) fn set_mode(&self, mode: LinkMode) {
+    pub fn set_mode(&self, mode: LinkMode) {
         *lock(&self.shared.mode) = mode;
         if mode == LinkMode::Reset {
             self.reset_all();
@@ -83,7 +83,7 @@
     }
 
     /// Forwards new connections to another target and closes the open ones.
-    pub(crate) fn retarget(&self, target: SocketAddr) {
+    pub fn retarget(&self, target: SocketAddr) {
         *lock(&self.shared.target) = target;
         self.reset_all();
     }
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -33,6 +33,7 @@
 mod notices;
 mod orders;
 mod overload;
+mod partitioned_instances;
 mod picking;
 mod platform;
 mod process;
