fix(gateway): servers that an instance does not reach are used through another instance

Cause: an instance took "I cannot connect" for "the server has failed". All servers were paused, the picker then took all of them again, and there was no way to a server but the instance's own.

Ruled out: servers that are full or down (no refusal came from them, and they had half of their usual load), and admission control (the 503 were not its).

Change: a server to which a connect fails is unreached (routing/reachability). Probes find out whether another instance reaches it, and check the other servers of its service. If one does, requests go through it in a tunnel, which copies bytes: the pick, the counts, the retry budget, leases and what is known of the outcome stay with the instance that received the request, and a tunnel is never longer than one instance. Instances that decline are skipped for a second. What an instance finds wrong on its own path is no evidence against servers, versions or requests, and is not reported. If nobody reaches the servers, a request is refused at once, with that reason. Logs and metrics tell the cases apart: server_unreached, server_seen, path= in the lines of requests, cartvane_unreached_servers, cartvane_tunnels_total, cartvane_tunnels_served.

--- a/src/contract/outcome.rs
+++ b/src/contract/outcome.rs
@@ -31,6 +31,8 @@
 pub enum AttemptFault {
     /// No connection could be made.
     Connect,
+    /// This instance has no path to the backend server, and no other instance provides one.
+    NoPath,
     /// The connection failed before the first byte of the request was written to it.
     BeforeSend,
     /// The connection failed after bytes of the request were sent and before the response's head arrived.
@@ -60,6 +62,7 @@
     pub fn outcome(self) -> Outcome {
         match self {
             AttemptFault::Connect
+            | AttemptFault::NoPath
             | AttemptFault::BeforeSend
             | AttemptFault::Refused
             | AttemptFault::Withheld
@@ -79,6 +82,7 @@
         !matches!(
             self,
             AttemptFault::CallerGone
+                | AttemptFault::NoPath
                 | AttemptFault::Refused
                 | AttemptFault::Withheld
                 | AttemptFault::LeaseExpired
@@ -95,6 +99,7 @@
     pub fn detail(self) -> &'static str {
         match self {
             AttemptFault::Connect => "no backend server accepted a connection",
+            AttemptFault::NoPath => "no instance has a path to the backend server",
             AttemptFault::BeforeSend => {
                 "the connection to the backend server failed before the request was sent"
             }
--- a/src/gateway/attempt_results.rs
+++ b/src/gateway/attempt_results.rs
@@ -8,7 +8,7 @@
 use super::forward::Forwarding;
 use crate::{
     contract::outcome::AttemptFault,
-    routing::{Picked, ResponseObservation, ResponseTimes},
+    routing::{Incarnation, Picked, ResponseObservation, ResponseTimes},
     utils::sync::lock,
 };
 
@@ -21,17 +21,13 @@
     pub fn note_fault(&mut self, picked: &Picked, fault: AttemptFault) {
         let now = self.gateway.clock.now();
         let server = &picked.server.id;
-        let mut picker = lock(&self.gateway.picker);
-        match fault {
-            AttemptFault::Connect => picker.note_unreachable(now, server),
-            AttemptFault::CallerGone | AttemptFault::Withheld | AttemptFault::BeforeSend => {}
-            // A refusal counts too: each further request to the server would spend a retry.
-            _ => picker.note_failure(now, server),
+        let is_of_path = self.is_of_path(picked, fault);
+        if !is_of_path {
+            self.note_server_fault(now, server, fault);
+            self.note_version_fault(picked, fault);
         }
-        drop(picker);
-        self.note_version_fault(picked, fault);
         self.attempts.note_failure(server, fault);
-        if fault.is_disconnect() {
+        if fault.is_disconnect() && !is_of_path {
             self.note_connection_lost(picked);
         }
         self.gateway.metrics.attempt(&self.request.service, Some(fault));
@@ -43,7 +39,7 @@
             };
             log::info!(
                 "event=attempt_failed request={} server={} rank={} load={:.1} fault={fault:?} \
-                 outcome={} arrivals={} sent_ms_ago={} received_ms_ago={}{suspect}",
+                 outcome={} arrivals={} sent_ms_ago={} received_ms_ago={} path={}{suspect}",
                 self.request.metadata.id,
                 server,
                 picked.rank,
@@ -52,10 +48,28 @@
                 self.attempts.arrivals(),
                 millis_since(now, self.sent_at),
                 millis_since(now, Some(self.request.received_at)),
+                self.path,
             );
         }
     }
 
+    /// Returns whether the current attempt failed on a connection of this instance, which does not reach the server:
+    /// that says nothing about the server.
+    fn is_of_path(&self, picked: &Picked, fault: AttemptFault) -> bool {
+        let is_of_connection = !matches!(fault, AttemptFault::Connect | AttemptFault::NoPath);
+        is_of_connection && self.path.is_direct() && self.gateway.is_unreached(&picked.server.id)
+    }
+
+    fn note_server_fault(&self, now: Instant, server: &Incarnation, fault: AttemptFault) {
+        let mut picker = lock(&self.gateway.picker);
+        match fault {
+            AttemptFault::Connect | AttemptFault::NoPath => picker.note_unreachable(now, server),
+            AttemptFault::CallerGone | AttemptFault::Withheld | AttemptFault::BeforeSend => {}
+            // A refusal counts too: each further request to the server would spend a retry.
+            _ => picker.note_failure(now, server),
+        }
+    }
+
     /// Records a fault as evidence on the server's software version. Failed connections are no evidence, as the machine
     /// or the network can cause them too.
     fn note_version_fault(&self, picked: &Picked, fault: AttemptFault) {
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -161,8 +161,13 @@
             if let Some(Refusal { reason, retry_after }) = refusal {
                 return LocalResponse::not_run(reason, retry_after);
             }
+            let reason = if self.last_fault == Some(AttemptFault::NoPath) {
+                "neither this instance nor another one reaches the backend servers; it has not run"
+            } else {
+                "no backend server took the request; it has not run"
+            };
             return LocalResponse::not_run(
-                "no backend server took the request; it has not run",
+                reason,
                 RETRY_AFTER_NO_SERVER.min(max_retry_delay(time_left)),
             );
         }
--- a/src/gateway/crash_suspects.rs
+++ b/src/gateway/crash_suspects.rs
@@ -172,7 +172,10 @@
                 false
             }
             Err(fault) => {
-                let refused = fault.kind() == ErrorKind::ConnectionRefused;
+                // Where this instance is partitioned, all servers seem to refuse.
+                gateway.note_connect_failed(&server.id, &fault);
+                let refused = fault.kind() == ErrorKind::ConnectionRefused
+                    && gateway.is_fault_of_server(server, now + CHECK_TIMEOUT);
                 log::info!("event=server_ended server={} sure={refused} reason={fault}", server.id);
                 refused
             }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -13,6 +13,7 @@
     request::{AttemptHeaders, Request},
     response::{CALLER_WRITE_TIMEOUT, ResponseMetadata},
     server_call::{self, HeadWait, ServerResponse},
+    server_path::ServerPath,
     slot_leases::{SlotLease, SlotOutcome},
     stall_timer::StallTimer,
     stream,
@@ -56,6 +57,8 @@
     /// Cold servers that the request has no permit for.
     pub(super) denied: Vec<Incarnation>,
     pub(super) last_attempt: Option<LastAttempt>,
+    /// Path of the current attempt.
+    pub(super) path: ServerPath,
     /// When the request was last sent.
     pub(super) sent_at: Option<Instant>,
     /// Servers on which a slot was leased although this instance may not use them.
@@ -75,6 +78,7 @@
             refusal: None,
             denied: Vec::new(),
             last_attempt: None,
+            path: ServerPath::Direct,
             sent_at: None,
             unusable: Vec::new(),
             broker_silence: Duration::ZERO,
@@ -256,17 +260,34 @@
         Ok(OpenResponse { response, picked: picked.clone(), in_flight, sent_at: now, head_at })
     }
 
-    /// Returns a connection to the picked server.
-    fn connect(&self, picked: &Picked) -> Result<Conn, AttemptFault> {
+    /// Returns a connection to the picked server, through another instance if this one does not reach it.
+    fn connect(&mut self, picked: &Picked) -> Result<Conn, AttemptFault> {
         let server = &picked.server;
-        let once = !self.request.route.kind.may_run_again();
-        let conns = &self.gateway.conns;
-        match conns.take(&server.id, once) {
-            Some(conn) => Ok(conn),
-            None => conns
-                .connect(server.address, self.request.deadline)
-                .map_err(|_| AttemptFault::Connect),
+        let (gateway, deadline) = (self.gateway, self.request.deadline);
+        self.path = ServerPath::Direct;
+        if !gateway.is_unreached(&server.id) {
+            let once = !self.request.route.kind.may_run_again();
+            if let Some(conn) = gateway.conns.take(&server.id, once) {
+                return Ok(conn);
+            }
+            match gateway.connect_directly(server, deadline) {
+                Ok(conn) => return Ok(conn),
+                // It takes less time to use another server than to find out whether another instance reaches this one.
+                Err(_) if self.has_other_server(picked) => return Err(AttemptFault::Connect),
+                Err(_) => {}
+            }
         }
+        let (conn, path) = gateway.open_tunnel(server, self.request.spread(), deadline)?;
+        self.path = path;
+        Ok(conn)
+    }
+
+    /// Returns whether the request may be tried at another server than the picked one.
+    fn has_other_server(&self, picked: &Picked) -> bool {
+        let mut tried = self.attempts.servers().to_vec();
+        tried.push(picked.server.id.clone());
+        let pick_request = PickRequest { tried: &tried, ..self.pick_request(None) };
+        lock(&self.gateway.picker).pick(self.gateway.clock.now(), &pick_request).is_ok()
     }
 
     /// Records that the request is sent to the picked server now.
@@ -282,6 +303,7 @@
             arrivals: self.attempts.arrivals(),
             running_since: None,
             first_byte_after: None,
+            path: self.path.clone(),
         });
     }
 
@@ -298,7 +320,8 @@
         let server = &picked.server;
         let stall_after =
             lock(&gateway.picker).admission(&request.service).stall_timeout(picked.wait);
-        let stall = StallTimer::new(gateway, &server.id, stall_after.map(|time| now + time));
+        let stalls_at = stall_after.map(|time| now + time);
+        let stall = StallTimer::new(gateway, server, self.path.is_direct(), stalls_at);
         let deadline = self.head_deadline(now, &server.id);
         let extend = || {
             stall.check();
@@ -417,6 +440,10 @@
 
     /// Returns the connection of a response that was read to its end to the pool.
     pub fn keep_connection(&self, server: &Incarnation, response: ServerResponse) {
+        // Only its first request may use a tunnel: the instance in between cannot tell an idle one from one in use.
+        if !self.path.is_direct() {
+            return;
+        }
         let keep_alive_for = response.metadata.keep_alive_for;
         let Some(conn) = response.into_reusable() else { return };
         let max_connections = self.gateway.max_connections(&self.request.service);
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -60,6 +60,7 @@
         spawn_thread(&gateway, "table", instance_table::run)?;
         spawn_thread(&gateway, "held", held_table::run)?;
         gateway.slot_leases.attach(&gateway);
+        gateway.path_probes.attach(&gateway);
         let callers = serve_callers(&gateway, &idle)?;
         log::warn!(
             "event=started node={} zone={} callers={} first_start={}",
--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use super::{Gateway, server_call::ServerResponse, slot_leases::SlotLease};
+use super::{
+    Gateway, server_call::ServerResponse, server_path::ServerPath, slot_leases::SlotLease,
+};
 use crate::{
     contract::outcome::Outcome,
     routing::{Incarnation, Picked},
@@ -39,6 +41,8 @@
     pub running_since: Option<Instant>,
     /// Time from the arrival of the request until the first bytes of the response were sent to the caller.
     pub first_byte_after: Option<Duration>,
+    /// Path to the server.
+    pub path: ServerPath,
 }
 
 /// A response whose head has arrived.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 pub mod log_sink;
 pub mod messages;
 pub mod notices;
+mod path_probes;
 pub mod peer_server;
 pub mod peers;
 pub mod pick_error;
@@ -40,6 +41,7 @@
 pub mod server_call;
 pub mod server_conns;
 pub mod server_list_cache;
+pub mod server_path;
 pub mod settings;
 pub mod skipped_log;
 pub mod slot_leases;
@@ -47,6 +49,7 @@
 pub mod startup;
 pub mod stream;
 mod team_shares;
+pub mod tunnels;
 
 use std::{
     collections::HashSet,
@@ -69,6 +72,7 @@
     crash_suspects::CrashSuspects,
     drain::Drain,
     in_flight::InFlightGuard,
+    path_probes::PathProbes,
     peers::Peers,
     request::Request,
     rollouts::Rollouts,
@@ -77,6 +81,7 @@
     settings::GatewaySettings,
     skipped_log::SkippedLog,
     slot_leases::SlotLeases,
+    tunnels::Tunnels,
 };
 use crate::{
     adapter::store::{Store, StoreError},
@@ -120,6 +125,10 @@
     cold_permits: ColdPermits,
     /// Slot leases of small services.
     pub slot_leases: SlotLeases,
+    /// Tunnels to backend servers through other instances.
+    pub tunnels: Tunnels,
+    /// Probes of the paths to servers.
+    path_probes: PathProbes,
     /// Drain before the process stops.
     pub drain: Drain,
     /// Whether the handle of the instance was dropped.
@@ -166,6 +175,8 @@
             rollouts: Rollouts::default(),
             cold_permits: ColdPermits::default(),
             slot_leases: SlotLeases::new(&settings, clock, &metrics.traffic()),
+            tunnels: Tunnels::default(),
+            path_probes: PathProbes::default(),
             drain: Drain::open().context("cannot create a pipe")?,
             is_stopped: AtomicBool::new(false),
             store_read_requested: Signal::default(),
@@ -393,10 +404,21 @@
             self.metrics.limited_teams(service, count);
         }
         self.metrics.held_requests(self.crash_suspects.held_count());
+        self.metrics.tunnels_served(self.tunnels.served());
+        self.update_reach_gauges();
         self.update_lease_gauges();
         self.metrics.log_lines_left_out(log_sink::take_dropped());
     }
 
+    /// Updates the gauges of the servers that this instance does not reach.
+    fn update_reach_gauges(&self) {
+        let Some(intent) = self.cluster_state.intent() else { return };
+        for service in intent.services.keys() {
+            let counts = lock(&self.picker).reach_counts(service);
+            self.metrics.unreached_servers(service, counts.unreached);
+        }
+    }
+
     /// Returns whether the platform should send callers to this instance.
     pub fn is_ready(&self) -> bool {
         // The picker receives a list after the cluster state, and without servers it refuses all requests.
--- a/src/gateway/peer_server.rs
+++ b/src/gateway/peer_server.rs
@@ -14,7 +14,7 @@
     intent_relay::{self, OFFER_PATH},
     messages::{ConfirmedAgo, ExchangePurpose, ExchangeReply, ExchangeReport},
     rollout_table::{ROLLOUT_PATH, perform_for_another},
-    roster_reader,
+    roster_reader, tunnels,
 };
 use crate::{
     configs::fleet::chunks::{decode, encode},
@@ -246,6 +246,7 @@
             }
         },
         handle_stream: |sender, receiver| gateway.serve_slot_stream(sender, receiver),
+        handle_tunnel: Some(&|conn, server| tunnels::serve(gateway, conn, server)),
         purpose: |path| match path {
             OFFER_PATH | ROLLOUT_PATH => Purpose::Config,
             PERMIT_PATH => Purpose::Permits,
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -176,6 +176,7 @@
             traffic: &shared.traffic,
             handle_call: |path: &str, body: &[u8]| peer_server::handle_call(shared, path, body),
             handle_stream: |sender, receiver| streams::serve(shared, sender, receiver),
+            handle_tunnel: None,
             purpose: peer_server::purpose,
         };
         peer::serve(conn, &service);
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -11,4 +11,5 @@
 pub mod response;
 pub mod text_server;
 pub mod traffic;
+pub mod tunnel;
 pub mod wire;
--- a/src/link/peer.rs
+++ b/src/link/peer.rs
@@ -27,6 +27,7 @@
         },
         listener::ConnOutcome,
         traffic::{Purpose, TrafficCounter},
+        tunnel::TUNNEL_PATH,
     },
     utils::{
         secret::{Secret, any_matches},
@@ -294,6 +295,9 @@
     }
 }
 
+/// Serves a tunnel on a connection to the server with this address until it is closed.
+pub type TunnelHandler<'s> = dyn Fn(Conn, &str) + 's;
+
 /// What serves the connections of peers.
 pub struct PeerService<'s, A, S> {
     /// Accepted credentials; `None` where instances have none because their network is private.
@@ -306,6 +310,8 @@
     pub handle_call: A,
     /// Handles a stream until it ends.
     pub handle_stream: S,
+    /// Serves tunnels; `None` if the instance opens none.
+    pub handle_tunnel: Option<&'s TunnelHandler<'s>>,
     /// Returns the purpose of the traffic at a path.
     pub purpose: fn(&str) -> Purpose,
 }
@@ -365,6 +371,12 @@
             serve_stream(conn, service);
             return ConnOutcome::Closed;
         }
+        if let Some(handle_tunnel) = service.handle_tunnel
+            && let Some(server) = head.target.strip_prefix(TUNNEL_PATH)
+        {
+            handle_tunnel(conn, server);
+            return ConnOutcome::Closed;
+        }
         let Ok(body) = read_message(&mut conn, &head, service.timeout) else {
             return ConnOutcome::Closed;
         };
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -59,6 +59,9 @@
     buffered_bytes: Gauge<u64>,
     responses_relayed: Counter<u64>,
     limited_teams: Gauge<u64>,
+    unreached_servers: Gauge<u64>,
+    tunnels: Counter<u64>,
+    tunnels_served: Gauge<u64>,
 }
 
 /// The metrics of an instance; clones share them.
@@ -209,6 +212,18 @@
                 "cartvane_limited_teams",
                 "Teams whose requests exceed their share of capacity, by service",
             ),
+            unreached_servers: gauge(
+                "cartvane_unreached_servers",
+                "Servers that this instance cannot connect to, by service",
+            ),
+            tunnels: counter(
+                "cartvane_tunnels",
+                "Requests to other instances for a tunnel to a server, by service and result",
+            ),
+            tunnels_served: gauge(
+                "cartvane_tunnels_served",
+                "Tunnels that this instance serves to others",
+            ),
             log_lines_left_out: counter(
                 "cartvane_log_lines_left_out",
                 "Log lines left out since there were too many",
@@ -264,6 +279,7 @@
     pub fn attempt(&self, service: &impl fmt::Display, fault: Option<AttemptFault>) {
         let result = fault.map_or("answered", |fault| match fault {
             AttemptFault::Connect => "connect",
+            AttemptFault::NoPath => "no-path",
             AttemptFault::BeforeSend => "before-send",
             AttemptFault::AfterSend => "after-send",
             AttemptFault::HeadTimeout => "head-timeout",
@@ -397,6 +413,21 @@
         self.instruments.limited_teams.record(count as u64, &[label("service", service)]);
     }
 
+    /// Sets the number of a service's servers that this instance cannot connect to, while others may.
+    pub fn unreached_servers(&self, service: &ServiceName, count: usize) {
+        self.instruments.unreached_servers.record(count as u64, &[label("service", service)]);
+    }
+
+    /// Counts a request to another instance for a tunnel to a server of `service`.
+    pub fn tunnel(&self, service: &ServiceName, result: &'static str) {
+        self.instruments.tunnels.add(1, &[label("service", service), label("result", result)]);
+    }
+
+    /// Sets the number of tunnels that are served to other instances.
+    pub fn tunnels_served(&self, count: usize) {
+        self.instruments.tunnels_served.record(count as u64, &[]);
+    }
+
     /// Sets the store's era.
     pub fn store_era(&self, era: u64) {
         self.instruments.store_era.record(era, &[]);
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -25,6 +25,7 @@
 pub mod operator_orders;
 pub mod pick;
 pub mod picker;
+pub mod reachability;
 pub mod reader_takeover;
 pub mod rollout;
 pub mod roster;
@@ -35,6 +36,7 @@
 pub mod store_share;
 pub mod store_version;
 pub mod team;
+pub mod tunnel_peers;
 pub mod unlisted;
 
 pub use admission::{
@@ -67,7 +69,8 @@
 pub use notice::Notice;
 pub use operator_orders::{OperatorOrders, OrderChange, OrdersSnapshot};
 pub use pick::{AdmissionTerms, Crowded, PickError, PickRequest, Picked};
-pub use picker::Picker;
+pub use picker::{Picker, ProbeTarget, ReachCounts};
+pub use reachability::Reachability;
 pub use reader_takeover::{CallFailure, ReaderTakeover};
 pub use rollout::{
     ExposureLimit, FailureDomains, ROLLOUT_LEASE, ResponseCounts, ResponseObservation,
@@ -83,4 +86,5 @@
 pub use store_share::{CallKind, StoreRates, StoreShare};
 pub use store_version::{StoreEra, StoreVersion};
 pub use team::{Team, Teams};
+pub use tunnel_peers::{TunnelPeers, TunnelReply};
 pub use unlisted::UnlistedNotices;
--- a/src/routing/picker/mod.rs
+++ b/src/routing/picker/mod.rs
@@ -8,6 +8,7 @@
 mod leased;
 mod least_loaded;
 mod notices;
+mod reachability;
 mod service_servers;
 mod slots;
 mod teams;
@@ -18,13 +19,15 @@
 
 use indexmap::{IndexMap, IndexSet};
 
+pub use self::reachability::{ProbeTarget, ReachCounts};
 use self::{
     service_servers::ServiceServers,
     versions::{RolloutServers, VersionGroup},
 };
 use super::{
     AdmissionControl, BackendServer, Crowded, FleetPosition, Health, InFlightCount, Incarnation,
-    Load, LoadReport, Notice, PickError, PickRequest, Picked, ServiceLoad, UnlistedNotices,
+    Load, LoadReport, Notice, PickError, PickRequest, Picked, Reachability, ServiceLoad,
+    UnlistedNotices,
     admission::{FleetTotal, TeamLimits, TeamUsage},
 };
 use crate::names::{RegionName, ServiceName, Tag, ZoneName};
@@ -67,6 +70,7 @@
     by_service: IndexMap<ServiceName, ServiceServers>,
     team_usage: TeamUsage,
     team_limits: TeamLimits,
+    reachability: Reachability,
 }
 
 impl Picker {
@@ -86,6 +90,7 @@
             by_service: IndexMap::new(),
             team_usage: TeamUsage::default(),
             team_limits: TeamLimits::default(),
+            reachability: Reachability::default(),
         }
     }
 
@@ -156,6 +161,7 @@
         }
         self.unlisted.prune(now);
         self.group_by_service();
+        self.reachability.retain(|server| self.servers.contains_key(server));
         self.group_by_version();
         self.update_totals(now);
     }
@@ -368,7 +374,7 @@
         let is_healthy = |t: &&&Tracked| {
             let (share, is_reliable) = t.health.failure_share(now);
             let fails_more = is_reliable && share > mean + FAILURES_BEYOND_MEAN;
-            !t.health.is_paused(now) && !fails_more
+            !t.health.is_paused(now) && !fails_more && !self.is_out_of_reach(&t.server.id)
         };
         usable.iter().filter(is_healthy).copied().collect()
     }
--- a/src/routing/picker/unresponsive.rs
+++ b/src/routing/picker/unresponsive.rs
@@ -46,8 +46,8 @@
     }
 
     /// Returns the servers that this instance sends nothing to because they are unresponsive, unreachable or have
-    /// requested a backoff, to report them to the other instances. Omits services of which most servers are affected:
-    /// in that case this instance is probably cut off.
+    /// requested a backoff, to report them to the other instances. Omits servers whose path is in doubt, and services of
+    /// which most servers are affected: in that case this instance is probably cut off.
     pub fn own_unresponsive(&self, now: Instant) -> Vec<Tag> {
         let mut services: IndexMap<&ServiceName, (usize, Vec<Tag>)> = IndexMap::new();
         for tracked in self.servers.values() {
@@ -55,7 +55,8 @@
             *count += 1;
             // Unless backoffs are reported, each instance is rejected by each of these servers and spends a retry.
             let backs_off = tracked.notice.backoff_left(now).is_some();
-            if backs_off || tracked.health.is_paused_locally(now) {
+            let is_paused = tracked.health.is_paused_locally(now);
+            if backs_off || is_paused && !self.reachability.is_path_in_doubt(&tracked.server.id) {
                 paused.push(tracked.server.tag());
             }
         }
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -67,3 +67,4 @@
 mod team_shares;
 mod team_shares_fleet;
 mod testbed;
+mod tunnels;
--- a/tests/suite/partitioned_instances.rs
+++ b/tests/suite/partitioned_instances.rs
@@ -1,10 +1,16 @@
 //! Instances that have no path to the backend servers, while callers and other instances reach them.
 
-use std::time::Duration;
+use std::{
+    io::Write,
+    net::TcpStream,
+    thread,
+    time::{Duration, Instant},
+};
 
-use cartvane::{clock::Clock, gateway::GatewayHandle};
+use cartvane::{clock::Clock, gateway::GatewayHandle, utils::sync::lock};
 use standins::{
     caller::Answer,
+    fault::Fault,
     links::{Cut, Links},
     listed::Listed,
     store::StoreStandIn,
@@ -90,3 +96,164 @@
         }
     }
 }
+
+/// Returns the servers that an instance would report to the others as unresponsive.
+fn reported(member: &Member) -> usize {
+    let gateway = member.instance.gateway();
+    lock(&gateway.picker).own_unresponsive(gateway.clock.now()).len()
+}
+
+/// Returns the number of requests of an instance that crashes of servers have interrupted, as it reports them.
+fn crashes(member: &Member) -> usize {
+    let gateway = member.instance.gateway();
+    gateway.crash_suspects.report(gateway.clock.now()).crashes.len()
+}
+
+/// Guards against sound servers that are avoided by all, and requests that are held, on the word of instances that have
+/// lost their own paths.
+#[test]
+fn instances_without_paths_do_not_report_sound_servers() {
+    for cut in [Cut::Hang, Cut::Reset, Cut::RefuseNew] {
+        let fleet = Fleet::start(3, 4);
+        fleet.send(0, "/idem/", "before", 10);
+        let streams: Vec<_> = (0..2)
+            .flat_map(|instance| (0..4).map(move |n| (instance, n)))
+            .map(|(instance, n)| {
+                let callers = fleet.members[instance].instance.callers();
+                let stream = call("/stream/?bytes=2000", &format!("{cut:?}-{instance}-{n}"));
+                thread::spawn(move || stream.send(callers).status)
+            })
+            .collect();
+        thread::sleep(Duration::from_millis(20));
+        fleet.members[..2].iter().for_each(|member| member.links.sever(cut));
+        for n in 0..10 {
+            for instance in 0..2 {
+                fleet.send(instance, "/idem/", &format!("{cut:?}-{instance}-{n}"), 2);
+            }
+            for member in &fleet.members[..2] {
+                assert_eq!((reported(member), crashes(member)), (0, 0), "{cut:?} in round {n}");
+            }
+        }
+        let answers = fleet.send(2, "/once/", "in-touch", 10);
+        assert_eq!(served(&answers), 10);
+        streams.into_iter().for_each(|stream| drop(stream.join()));
+        assert!(fleet.members.iter().all(|member| crashes(member) == 0), "{cut:?}");
+    }
+}
+
+/// Guards against requests that wait for connects while it is known that nobody reaches the servers, and against a
+/// refusal that names another reason.
+#[test]
+fn requests_that_no_instance_can_serve_are_refused_at_once() {
+    for cut in [Cut::Hang, Cut::Reset] {
+        let fleet = Fleet::start(3, 4);
+        fleet.members.iter().for_each(|member| member.links.sever(cut));
+        eventually("all have found out", || {
+            (0..3).all(|instance| {
+                fleet.send(instance, "/idem/", "finding", 1);
+                let gateway = fleet.members[instance].instance.gateway();
+                lock(&gateway.picker).reach_counts(&"app".parse().expect("a name")).is_partitioned()
+            })
+        });
+        for n in 0..10 {
+            let began = Instant::now();
+            let answer = &fleet.send(n % 3, "/once/", &format!("{cut:?}-{n}"), 1)[0];
+            assert_eq!(answer.status, 503);
+            assert!(answer.text().contains("neither this instance nor another one"), "the reason");
+            assert!(!answer.header("retry-after").is_empty());
+            assert!(began.elapsed() < Duration::from_millis(150), "{:?}", began.elapsed());
+        }
+        fleet.members.iter().for_each(|member| member.links.restore());
+        eventually("all serve again", || {
+            (0..3).all(|instance| served(&fleet.send(instance, "/idem/", "again", 2)) == 2)
+        });
+    }
+}
+
+/// Guards against instances that go on to use others after their own paths have returned.
+#[test]
+fn an_instance_whose_paths_return_uses_its_own_connections() {
+    let fleet = Fleet::start(2, 3);
+    fleet.members[0].links.sever(Cut::Hang);
+    eventually("requests go through the other instance", || {
+        fleet.send(0, "/idem/", "cut", 3);
+        fleet.members[1].links.dialled() > 10
+    });
+    fleet.members[0].links.restore();
+    let service = "app".parse().expect("a name");
+    let gateway = fleet.members[0].instance.gateway();
+    eventually("all servers are reached", || {
+        lock(&gateway.picker).reach_counts(&service).unreached == 0
+    });
+    let before = fleet.members[1].links.dialled();
+    assert_eq!(served(&fleet.send(0, "/idem/", "direct", 10)), 10);
+    assert_eq!(fleet.members[1].links.dialled(), before);
+}
+
+/// Guards against a service of which most servers are cut off, so that the few others get all requests of the instance.
+#[test]
+fn an_instance_that_reaches_some_servers_uses_the_others_too() {
+    let fleet = Fleet::start(2, 4);
+    let spared = [fleet.servers[0].address()];
+    fleet.members[0].links.sever_except(Cut::Reset, &spared);
+    fleet.send(0, "/idem/", "finding", 20);
+    let service = "app".parse().expect("a name");
+    let gateway = fleet.members[0].instance.gateway();
+    eventually("three servers are reached through the other instance", || {
+        let picker = lock(&gateway.picker);
+        let counts = picker.reach_counts(&service);
+        let of_others = |server: &&Listed| server.address() != spared[0];
+        let id = |server: &Listed| server.id.clone();
+        counts.unreached == 3
+            && fleet.servers.iter().filter(of_others).all(|server| {
+                let listed = gateway.cluster_state.with_servers(|roster| {
+                    roster.servers().find(|s| s.id.server.as_str() == id(server)).cloned()
+                });
+                listed.is_some_and(|listed| !picker.is_out_of_reach(&listed.id))
+            })
+    });
+    let before: Vec<usize> = fleet.servers.iter().map(|server| server.arrivals().len()).collect();
+    assert_eq!(served(&fleet.send(0, "/idem/", "spread", 80)), 80);
+    for (server, before) in fleet.servers.iter().zip(before) {
+        assert!(server.arrivals().len() >= before + 5, "{} is used", server.id);
+    }
+}
+
+/// Guards against requests that run on at a server after their caller has left, with an instance in between.
+#[test]
+fn a_caller_that_leaves_ends_its_request_behind_another_instance() {
+    let fleet = Fleet::start(2, 2);
+    fleet.members[0].links.sever(Cut::Reset);
+    fleet.send(0, "/idem/", "finding", 10);
+    let slow = Fault::Late(Duration::from_millis(1500));
+    fleet.servers.iter().for_each(|server| server.faults.set_standing(Some(slow)));
+    let mut stream = TcpStream::connect(fleet.members[0].instance.callers()).expect("connected");
+    stream.write_all(&call("/idem/", "leaving").bytes()).expect("sent");
+    eventually("a server runs the request", || fleet.runs("leaving") == 1);
+    let tunnels = || fleet.members[1].instance.gateway().tunnels.served();
+    assert_eq!(tunnels(), 1);
+    drop(stream);
+    let left_at = Instant::now();
+    eventually("the tunnel is closed", || tunnels() == 0);
+    assert!(left_at.elapsed() < Duration::from_millis(500), "{:?}", left_at.elapsed());
+    assert_eq!(fleet.runs("leaving"), 1);
+}
+
+/// Guards against a request that is sent twice because the instance in between ended.
+#[test]
+fn a_tunnel_that_breaks_leaves_the_outcome_unknown() {
+    let mut fleet = Fleet::start(2, 2);
+    fleet.members[0].links.sever(Cut::Reset);
+    fleet.send(0, "/idem/", "finding", 10);
+    let slow = Fault::Late(Duration::from_millis(800));
+    fleet.servers.iter().for_each(|server| server.faults.set_standing(Some(slow)));
+    let callers = fleet.members[0].instance.callers();
+    let caller = thread::spawn(move || call("/once/", "broken").send(callers));
+    eventually("a server runs the request", || fleet.runs("broken") == 1);
+    // The other instance loses its own connections.
+    fleet.members[1].links.sever(Cut::Reset);
+    let answer = caller.join().expect("the caller");
+    assert!([502, 504].contains(&answer.status), "{}", answer.status);
+    assert_eq!(fleet.runs("broken"), 1);
+    fleet.members.truncate(1);
+}
--- a/tests/suite/slot_leases.rs
+++ b/tests/suite/slot_leases.rs
@@ -233,6 +233,7 @@
                 traffic: &traffic,
                 handle_call: |_: &str, _: &[u8]| Err(503),
                 handle_stream,
+                handle_tunnel: None,
                 purpose: |_| Purpose::Slots,
             };
             peer::serve(conn, &service);
