feat(routing): brittle servers get no more than they have room for

What callers would see: servers that fall over as they reject too many requests, and the others after them.

Cause: Server-Brittle was decoded nowhere. A full server was found out by trying it, and each rejected request was retried at the next one.

Change: the header is decoded (platform/responses) into the rejections in a second that a server bears. A brittle server gets a request only if the instance is allotted one of its free slots (as at crowded servers, with a phase that changes with each exchange); after a rejection the instance pauses it for so long that all instances together stay below the number. Requests that find no room are refused at once, with Retry-After. Where an instance's part is less than one rejection in 5 s, the others receive the pause as a backoff.

--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -24,6 +24,16 @@
                 log::info!("event=server_says_leaving request={id} server={server}");
             }
         }
+        if lock(&self.picker).note_brittle(now, server, metadata.brittle) {
+            self.metrics.server_notice(service, "brittle");
+            let limit = metadata.brittle.map_or(0, |limit| limit.0);
+            log::info!("event=server_says_brittle request={id} server={server} limit={limit}");
+        }
+        let is_full = metadata.not_run && metadata.backoff.is_none();
+        if is_full && let Some(pause) = lock(&self.picker).note_rejected(now, server) {
+            let for_ms = pause.as_millis();
+            log::info!("event=brittle_server_full request={id} server={server} for_ms={for_ms}");
+        }
         if let Some(time) = metadata.backoff {
             self.metrics.server_notice(service, "backoff");
             if lock(&self.picker).note_backoff(now, server, time) {
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -11,7 +11,7 @@
         http1::Conn,
         response::{ResponseOptions, send_response},
     },
-    routing::LoadReport,
+    routing::{LoadReport, RejectionLimit},
 };
 
 /// Maximum wait for a caller that accepts no bytes.
@@ -34,6 +34,8 @@
     pub keep_alive_for: Option<Duration>,
     /// Whether the server announces that it is leaving.
     pub leaving: bool,
+    /// How many rejections in a second the server bears; `None` for a server that is not brittle.
+    pub brittle: Option<RejectionLimit>,
     /// How long this instance must send no further request to the server, which rejected this one.
     pub backoff: Option<Duration>,
 }
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -157,6 +157,20 @@
         Some(own * target / fleet.all - phase - f64::from(self.own))
     }
 
+    /// As [`Load::allotment`], with a phase that changes with each exchange, so that each instance gets a part of the
+    /// few free slots in turn.
+    pub fn alternating_allotment(
+        &self,
+        now: Instant,
+        target: f64,
+        position: FleetPosition,
+        phase: f64,
+    ) -> Option<f64> {
+        let exchange = self.fleet(now)?.exchange;
+        let phase = (phase + f64::from(exchange) * PHASE_STEP).fract();
+        self.allotment(now, target, position, phase)
+    }
+
     /// Returns this instance's own requests in flight.
     pub fn own(&self) -> u32 {
         self.own
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod admission;
 pub mod aggregate;
+pub mod brittleness;
 pub mod budget;
 pub mod buffer_budget;
 pub mod candidates;
@@ -45,6 +46,7 @@
     SlotBroker, SlotRequest, SmallServices, TeamLimitChange, max_retry_delay,
 };
 pub use aggregate::{Aggregate, InFlightCount, ServiceLoad};
+pub use brittleness::{Brittleness, RejectionLimit};
 pub use budget::RetryBudget;
 pub use buffer_budget::{BufferBudget, BufferClaim, BufferDenial, BufferKind};
 pub use candidates::{Candidates, InstanceInfo};
--- a/src/routing/picker/mod.rs
+++ b/src/routing/picker/mod.rs
@@ -5,6 +5,7 @@
 //! availability zone.
 
 mod affinity;
+mod brittle;
 mod leased;
 mod least_loaded;
 mod notices;
@@ -15,7 +16,11 @@
 mod unresponsive;
 mod versions;
 
-use std::{collections::HashMap, sync::Arc, time::Instant};
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use indexmap::{IndexMap, IndexSet};
 
@@ -25,9 +30,9 @@
     versions::{RolloutServers, VersionGroup},
 };
 use super::{
-    AdmissionControl, BackendServer, Crowded, FleetPosition, Health, InFlightCount, Incarnation,
-    Load, LoadReport, Notice, PickError, PickRequest, Picked, Reachability, ServiceLoad,
-    UnlistedNotices,
+    AdmissionControl, BackendServer, Brittleness, Crowded, FleetPosition, Health, InFlightCount,
+    Incarnation, Load, LoadReport, Notice, PickError, PickRequest, Picked, Reachability,
+    ServiceLoad, UnlistedNotices,
     admission::{FleetTotal, TeamLimits, TeamUsage},
 };
 use crate::names::{RegionName, ServiceName, Tag, ZoneName};
@@ -42,6 +47,7 @@
     health: Health,
     /// Notices that the server sent in its responses.
     notice: Notice,
+    brittleness: Brittleness,
     cold_until: Option<Instant>,
 }
 
@@ -151,6 +157,7 @@
                     load: Load::default(),
                     health: Health::default(),
                     notice: self.unlisted.take(&server.id),
+                    brittleness: Brittleness::default(),
                     cold_until: None,
                 },
             };
@@ -204,6 +211,9 @@
         {
             return Err(PickError::Backoff { left });
         }
+        if pool.is_empty() && self.has_full_brittle(now, request.service) {
+            return Err(PickError::Overload { admitted: 0.0, wait: Duration::ZERO });
+        }
         if let Some(server) = request.leased {
             return self.by_lease(now, server, &pool).ok_or(PickError::NoServer);
         }
@@ -273,6 +283,7 @@
             .filter(|t| self.accepts_requests(now, t))
             .filter(|t| !excluded(&t.server.id) && self.is_in_home_region(&t.server, request))
             .filter(|t| self.is_in_group(group, &t.server))
+            .filter(|t| !self.is_brittle_and_full(now, t))
             .collect();
         if request.denied.is_empty() || usable.iter().all(|t| t.is_cold(now)) {
             return usable;
--- a/standins/src/listed.rs
+++ b/standins/src/listed.rs
@@ -33,6 +33,15 @@
 /// Header of a server that leaves.
 const LEAVING: &str = "server-leaving";
 
+/// Header of a brittle server: the rejections in a second beyond which it falls over.
+const BRITTLE: &str = "server-brittle";
+
+/// Time over which the rejections of a brittle server are counted.
+const REJECTION_WINDOW: Duration = Duration::from_secs(1);
+
+/// How long a brittle server that has fallen over is down.
+const FALL_TIME: Duration = Duration::from_millis(1500);
+
 /// Pause between two events.
 const PAUSE: Duration = Duration::from_millis(5);
 
@@ -58,6 +67,7 @@
     /// Whether all answers say that the server leaves.
     leaving: AtomicBool,
     limit: Mutex<Option<SlotLimit>>,
+    brittle: Mutex<Option<Brittle>>,
     running: AtomicU32,
     notices: Mutex<Vec<SentNotice>>,
 }
@@ -80,6 +90,35 @@
     run_time: Duration,
 }
 
+/// A server that falls over when it has to reject more requests in a second than a limit.
+#[derive(Debug)]
+struct Brittle {
+    limit: u32,
+    /// Times of the rejections in the last second.
+    rejections: Vec<Instant>,
+    falls: u32,
+    rejected: usize,
+    /// Until when the server is down.
+    down_until: Option<Instant>,
+}
+
+impl Brittle {
+    fn is_down(&self, now: Instant) -> bool {
+        self.down_until.is_some_and(|until| now < until)
+    }
+
+    fn reject(&mut self, now: Instant) {
+        self.rejections.retain(|&at| now.saturating_duration_since(at) < REJECTION_WINDOW);
+        self.rejections.push(now);
+        self.rejected += 1;
+        if self.rejections.len() > self.limit as usize {
+            self.falls += 1;
+            self.rejections.clear();
+            self.down_until = Some(now + FALL_TIME);
+        }
+    }
+}
+
 /// What ends a server.
 struct Deadly {
     body: Vec<u8>,
@@ -103,6 +142,17 @@
         UnderWay(self)
     }
 
+    /// Counts a rejection, of which a brittle server may fall over.
+    fn note_rejection(&self) {
+        if let Some(brittle) = &mut *lock(&self.brittle) {
+            brittle.reject(Instant::now());
+        }
+    }
+
+    fn is_down(&self) -> bool {
+        lock(&self.brittle).as_ref().is_some_and(|brittle| brittle.is_down(Instant::now()))
+    }
+
     /// Takes one of `slots` slots; returns false if all are taken.
     fn take_slot(&self, slots: u32) -> bool {
         let take = |running| (running < slots).then_some(running + 1);
@@ -191,6 +241,23 @@
         *lock(&self.seen.limit) = Some(SlotLimit { slots, run_time });
     }
 
+    /// Has the server fall over when it rejects more than `limit` requests in a second, and say so in all answers.
+    pub fn make_brittle(&self, limit: u32) {
+        let brittle =
+            Brittle { limit, rejections: Vec::new(), falls: 0, rejected: 0, down_until: None };
+        *lock(&self.seen.brittle) = Some(brittle);
+    }
+
+    /// Returns how often the brittle server has fallen over.
+    pub fn falls(&self) -> u32 {
+        lock(&self.seen.brittle).as_ref().map_or(0, |brittle| brittle.falls)
+    }
+
+    /// Returns how many requests the brittle server has rejected.
+    pub fn rejected(&self) -> usize {
+        lock(&self.seen.brittle).as_ref().map_or(0, |brittle| brittle.rejected)
+    }
+
     /// Returns the entry that the server writes of itself.
     pub fn entry(&self, service: &str, state: &str) -> Value {
         json!({
@@ -307,11 +374,12 @@
         if let Some(reply) = self.refusal() {
             return send(conn, &reply.bytes(), Next::KeepAlive);
         }
-        if self.seen.has_ended() {
+        if self.seen.has_ended() || self.seen.is_down() {
             return Next::Close;
         }
         let limit = *lock(&self.seen.limit);
         if limit.is_some_and(|limit| !self.seen.take_slot(limit.slots)) {
+            self.seen.note_rejection();
             let reply = self.mark(Reply::new(503, "full").with("x-not-executed", "1"));
             return send(conn, &reply.bytes(), Next::KeepAlive);
         }
@@ -342,6 +410,11 @@
 
     /// Returns the answer with what the server says of itself in all of them.
     fn mark(&self, reply: Reply) -> Reply {
+        let limit = lock(&self.seen.brittle).as_ref().map(|brittle| brittle.limit);
+        let reply = match limit {
+            Some(limit) => reply.with(BRITTLE, limit),
+            None => reply,
+        };
         if self.says_leaving() { reply.with(LEAVING, "1") } else { reply }
     }
 
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod backoff_random;
 mod bodies;
+mod brittle_servers;
 mod budget_fleet;
 mod budget_random;
 mod callers;
