fix(gateway): a server that is silent for a second is not given up

What callers see: a request that may run only once ends with 502, as its server reads nothing for a second or so and then goes on; and streams are run again at another server.

Cause: TCP_USER_TIMEOUT was 1,000 ms on connections to servers. Where bytes wait to be sent it ends the connection after that time, also while the server acknowledges probes. Streams were resumed after 500 ms without a byte, whether their server had failed or only paused.

Change: sent bytes may stay unacknowledged for 2,500 ms, twice as long as a sound server is silent. Streams are resumed after 1,400 ms without a byte, which leaves the time until callers give up (2 s); after 500 ms as before if this instance has lost the path to the server. Keep-alive probes, for which the same option would decide when they give up, are not in use, which a test keeps so.

--- a/src/gateway/attempt_results.rs
+++ b/src/gateway/attempt_results.rs
@@ -57,7 +57,7 @@
     /// that says nothing about the server.
     fn is_of_path(&self, picked: &Picked, fault: AttemptFault) -> bool {
         let is_of_connection = !matches!(fault, AttemptFault::Connect | AttemptFault::NoPath);
-        is_of_connection && self.path.is_direct() && self.gateway.is_unreached(&picked.server.id)
+        is_of_connection && self.has_lost_path(&picked.server.id)
     }
 
     fn note_server_fault(&self, now: Instant, server: &Incarnation, fault: AttemptFault) {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -349,6 +349,11 @@
         if self.request.route.kind == RouteKind::AtMostOnce { None } else { caller }
     }
 
+    /// Returns whether the current attempt uses a connection of this instance, which has lost the path to its server.
+    pub(super) fn has_lost_path(&self, server: &Incarnation) -> bool {
+        self.path.is_direct() && self.gateway.is_unreached(server)
+    }
+
     /// Returns whether a server may have run the request.
     pub(super) fn may_have_run(&self) -> bool {
         self.attempts.may_have_run()
--- a/src/gateway/server_conns.rs
+++ b/src/gateway/server_conns.rs
@@ -26,9 +26,9 @@
 /// Minimum time to connect: a connection with a timeout of zero is an error.
 const CONNECT_TIMEOUT_MIN: Duration = Duration::from_millis(1);
 
-/// How long sent bytes may stay unacknowledged before the connection fails: several retransmissions on a link that
-/// loses packets.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1000);
+/// How long sent bytes may stay unacknowledged before the connection fails: twice as long as a sound server may be
+/// silent.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// Maximum idle time of a pooled connection if the server does not announce its keep-alive timeout. Servers configure
 /// it in whole seconds, so this is below the smallest one.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -26,8 +26,12 @@
 /// give up after eight gap targets.
 const STALL_GAP_TARGETS: u32 = 3;
 
-/// Minimum time without a byte after which a stream is resumed at another server.
-const STALL_TIMEOUT_MIN: Duration = Duration::from_millis(500);
+/// Minimum time without a byte after which a stream is resumed at another server: longer than a sound server may be
+/// silent, and early enough for a caller that gives up after two seconds.
+const STALL_TIMEOUT_MIN: Duration = Duration::from_millis(1400);
+
+/// Time without a byte after which a stream is resumed at another server if this instance has lost the path to its own.
+const LOST_PATH_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Minimum number of pieces after the first for a stream's interval between pieces to be known.
 const INTERVAL_PIECES_MIN: u32 = 3;
@@ -233,18 +237,24 @@
     events: &mut HeldEvents<'_>,
     caller: &Conn,
 ) -> SourceRead {
+    let mut waits_since = forwarding.gateway.clock.now();
     loop {
         let end = forwarding.request.deadline + events.blocked;
-        let deadline = stall_deadline(forwarding, end);
+        let deadline = stall_deadline(forwarding, waits_since, end);
         let piece = match source.response().next_piece(deadline, Some(caller)) {
             Ok(Some(piece)) => piece,
             Ok(None) => {
                 let rest = events.splitter.take_remainder();
                 return if rest.is_empty() { SourceRead::End } else { SourceRead::Events(rest) };
             }
-            Err(AttemptFault::StalledBody) if keeps_waiting(forwarding, source, end) => continue,
+            Err(AttemptFault::StalledBody)
+                if keeps_waiting(forwarding, source, waits_since, end) =>
+            {
+                continue;
+            }
             Err(fault) => return SourceRead::Fault(fault),
         };
+        waits_since = forwarding.gateway.clock.now();
         let complete = if source.is_event_stream { events.push(&piece) } else { piece };
         if !complete.is_empty() {
             return SourceRead::Events(complete);
@@ -252,21 +262,40 @@
     }
 }
 
-/// Returns whether to keep waiting for a stalled source: the request has time left until `end`, and no other server can
-/// resume the stream.
-fn keeps_waiting(forwarding: &Forwarding<'_>, source: &Source<'_>, end: Instant) -> bool {
+/// Returns whether to keep waiting for a stalled source: the request has time left until `end`, and its server may go on,
+/// or no other server can resume the stream.
+fn keeps_waiting(
+    forwarding: &Forwarding<'_>,
+    source: &Source<'_>,
+    waits_since: Instant,
+    end: Instant,
+) -> bool {
     let now = forwarding.gateway.clock.now();
+    if now >= end {
+        return false;
+    }
     let server = &source.open.picked.server.id;
-    now < end && !forwarding.could_retry_elsewhere(now, server)
+    let lost_path = forwarding.has_lost_path(server);
+    let may_go_on = !lost_path && now < waits_since + stall_timeout(forwarding);
+    may_go_on || !forwarding.could_retry_elsewhere(now, server)
 }
 
-/// Returns when a source without further bytes counts as stalled; at `end` the request is out of time.
-fn stall_deadline(forwarding: &Forwarding<'_>, end: Instant) -> Instant {
-    let request = forwarding.request;
-    if request.route.kind != RouteKind::ResumableStream {
+/// Returns when to check whether a source without further bytes has stalled; at `end` the request is out of time.
+fn stall_deadline(forwarding: &Forwarding<'_>, waits_since: Instant, end: Instant) -> Instant {
+    if forwarding.request.route.kind != RouteKind::ResumableStream {
         return end;
     }
-    let gap = request.route.gap_target.unwrap_or(request.route.target_latency);
-    let timeout = (gap * STALL_GAP_TARGETS).max(STALL_TIMEOUT_MIN);
-    end.min(forwarding.gateway.clock.now() + timeout)
+    let now = forwarding.gateway.clock.now();
+    let until_stall = (waits_since + stall_timeout(forwarding)).saturating_duration_since(now);
+    // The path may be lost at any time, and another server that can resume the stream may come up.
+    let until_check =
+        if until_stall.is_zero() { LOST_PATH_TIMEOUT } else { until_stall.min(LOST_PATH_TIMEOUT) };
+    end.min(now + until_check)
+}
+
+/// Returns the time without a byte after which a stream of the request counts as stalled.
+fn stall_timeout(forwarding: &Forwarding<'_>) -> Duration {
+    let route = &forwarding.request.route;
+    let gap = route.gap_target.unwrap_or(route.target_latency);
+    (gap * STALL_GAP_TARGETS).max(STALL_TIMEOUT_MIN)
 }
--- a/standins/src/fault.rs
+++ b/standins/src/fault.rs
@@ -51,6 +51,8 @@
     BreakAfter(usize),
     /// A stream falls silent after this many events, for this long.
     SilentAfter(usize, Duration),
+    /// A stream falls silent after this many events, for this long, and goes on.
+    PauseAfter(usize, Duration),
     /// An answer to another request comes before the right one.
     ForeignFirst,
     /// The answer states no length and ends with its connection.
--- a/standins/src/listed.rs
+++ b/standins/src/listed.rs
@@ -503,6 +503,7 @@
                     send_chunk(conn, &bytes.as_bytes()[..bytes.len() / 2]);
                     return Next::Close;
                 }
+                Fault::PauseAfter(count, time) if sent == count => thread::sleep(time),
                 Fault::SilentAfter(count, time) if sent == count => {
                     thread::sleep(time);
                     return Next::Close;
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -50,6 +50,7 @@
 mod server_notices;
 mod sessions;
 mod silent_links;
+mod silent_seconds;
 mod simulation;
 mod slot_broker;
 mod slot_broker_load;
