test(partitions-random): fleets of a run give back their connections

Cause: 60 cases in one process ran out of file descriptors ("Too many open files" after 74 s): the stand-in proxy kept a handle of each connection that it had forwarded, and instances that have ended keep each other's idle connections, and with them their own, for up to 300 s.

Change: the proxy drops the handle of a connection that has ended, and a fleet closes its links when it is dropped.

--- a/standins/src/links.rs
+++ b/standins/src/links.rs
@@ -64,6 +64,12 @@
         state.set_modes();
     }
 
+    /// Closes all connections for good.
+    pub fn close(&self) {
+        self.sever(Cut::Reset);
+        lock(&self.0).proxies.clear();
+    }
+
     /// Returns how many connections the instance has tried to open.
     pub fn dialled(&self) -> usize {
         lock(&self.0).dialled
--- a/standins/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -1,11 +1,12 @@
 //! A loopback TCP proxy that can delay, block (in one or both directions) or reset its connections.
 
 use std::{
+    collections::HashMap,
     io::{Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
     time::Duration,
@@ -34,8 +35,10 @@
 struct Shared {
     mode: Mutex<LinkMode>,
     target: Mutex<SocketAddr>,
-    /// Both sockets of each connection, to shut them down.
-    open: Mutex<Vec<TcpStream>>,
+    /// Sockets from which bytes are forwarded, to shut them down.
+    open: Mutex<HashMap<u64, TcpStream>>,
+    /// Number of sockets so far.
+    opened: AtomicU64,
     closed: AtomicBool,
 }
 
@@ -54,6 +57,7 @@
             mode: Mutex::new(LinkMode::Open),
             target: Mutex::new(target),
             open: Mutex::default(),
+            opened: AtomicU64::new(0),
             closed: AtomicBool::new(false),
         });
         let accepting = Arc::clone(&shared);
@@ -89,7 +93,7 @@
     }
 
     fn reset_all(&self) {
-        for stream in lock(&self.shared.open).drain(..) {
+        for (_, stream) in lock(&self.shared.open).drain() {
             // Fails if the connection is closed already.
             let _ = stream.shutdown(Shutdown::Both);
         }
@@ -119,9 +123,13 @@
         };
         // Nagle's algorithm would delay small packets and hide the order of events.
         let _ = to.set_nodelay(true);
-        lock(&shared.open).push(kept);
+        let number = shared.opened.fetch_add(1, Ordering::SeqCst);
+        lock(&shared.open).insert(number, kept);
         let shared = Arc::clone(shared);
-        thread::spawn(move || forward(&shared, from, to, is_response));
+        thread::spawn(move || {
+            forward(&shared, from, to, is_response);
+            lock(&shared.open).remove(&number);
+        });
     }
 }
 
--- a/tests/suite/partitioned_instances.rs
+++ b/tests/suite/partitioned_instances.rs
@@ -39,6 +39,13 @@
     members: Vec<Member>,
 }
 
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        // Idle connections between the instances keep them for minutes, and with them their connections to servers.
+        self.members.iter().for_each(|member| member.links.close());
+    }
+}
+
 impl Fleet {
     pub(crate) fn start(instances: usize, servers: usize) -> Fleet {
         log_lines::start();
