fix(gateway): a connect that had too little time says nothing about its server

What callers would see: servers, or other instances, that are avoided for a while because a request with hardly any time left could not connect to them.

Cause: the time to connect is at most what the request has left. When that ran out, the server counted as unreached, and an instance that was asked for a tunnel as silent. Found by reading the change.

Connecting has a file of its own (gateway/connecting), as has the brittle stand-in; cartvane_ready shows whether an instance reports that it is ready.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub mod buffers;
 pub mod cluster_state;
 pub mod cold_permits;
+mod connecting;
 pub mod connection;
 pub mod crash_suspects;
 pub mod drain;
@@ -404,6 +405,7 @@
             self.metrics.limited_teams(service, count);
         }
         self.metrics.held_requests(self.crash_suspects.held_count());
+        self.metrics.ready(self.is_ready());
         self.metrics.tunnels_served(self.tunnels.served());
         self.update_reach_gauges();
         self.update_lease_gauges();
--- a/src/gateway/path_probes.rs
+++ b/src/gateway/path_probes.rs
@@ -11,7 +11,7 @@
     time::{Duration, Instant},
 };
 
-use super::Gateway;
+use super::{Gateway, server_conns::CONNECT_TIMEOUT};
 use crate::{
     contract::outcome::AttemptFault,
     link::http1::Conn,
@@ -25,8 +25,8 @@
 /// Time between two rounds.
 const ROUND_PERIOD: Duration = Duration::from_millis(100);
 
-/// Maximum time for a probe.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Maximum time for a probe, and for another instance to reply about a server.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// The thread that probes, which runs only while a path is in doubt.
 #[derive(Default)]
@@ -72,15 +72,18 @@
         }
     }
 
-    /// Connects to a server directly, and records what that says about the path to it.
+    /// Connects to a server directly, and records what that says about the path to it: nothing if `deadline` left too
+    /// little time.
     pub(super) fn connect_directly(
         &self,
         server: &BackendServer,
         deadline: Instant,
     ) -> io::Result<Conn> {
+        let had_time = deadline >= self.clock.now() + CONNECT_TIMEOUT;
         let connected = self.conns.connect(server.address, deadline);
         match &connected {
             Ok(_) => self.note_connected(&server.id),
+            Err(fault) if !had_time && fault.kind() == io::ErrorKind::TimedOut => {}
             Err(fault) => self.note_connect_failed(&server.id, fault),
         }
         connected
--- a/src/gateway/server_conns.rs
+++ b/src/gateway/server_conns.rs
@@ -21,7 +21,7 @@
 };
 
 /// Maximum time to connect: many round trips within a region, and less than callers' target latencies.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Minimum time to connect: a connection with a timeout of zero is an error.
 const CONNECT_TIMEOUT_MIN: Duration = Duration::from_millis(1);
--- a/src/gateway/tunnels.rs
+++ b/src/gateway/tunnels.rs
@@ -17,7 +17,7 @@
         http1::Conn,
         tunnel::{self, TunnelStatus},
     },
-    routing::{BackendServer, InstanceInfo, TunnelPeers, TunnelReply},
+    routing::{BackendServer, InstanceInfo, Picker, TunnelPeers, TunnelReply},
     utils::sync::lock,
 };
 
@@ -121,6 +121,7 @@
         server: &BackendServer,
         deadline: Instant,
     ) -> (TunnelReply, Option<Conn>) {
+        let had_time = deadline >= self.clock.now() + REPLY_TIMEOUT;
         let asked = self.request_tunnel(peer.address, server.address, deadline);
         let (reply, label) = match &asked {
             Some((TunnelStatus::Open, _)) => (TunnelReply::Opened, "opened"),
@@ -131,8 +132,11 @@
             Some((TunnelStatus::Declined, _)) => (TunnelReply::Declined, "declined"),
             None => (TunnelReply::Silent, "silent"),
         };
-        let now = self.clock.now();
-        lock(&self.tunnels.peers).note_reply(now, &peer.node, server, reply);
+        // An instance that had too little time to reply is not silent.
+        if reply != TunnelReply::Silent || had_time {
+            let now = self.clock.now();
+            lock(&self.tunnels.peers).note_reply(now, &peer.node, server, reply);
+        }
         self.metrics.tunnel(&server.service, label);
         log::debug!("event=tunnel peer={} server={} result={label}", peer.node, server.id);
         (reply, asked.map(|(_, conn)| conn))
@@ -163,7 +167,7 @@
     /// Opens a connection to the server with this address for another instance.
     fn open_for_another(&self, address: &str) -> Result<Conn, TunnelStatus> {
         let Some(server) = self.listed_at(address) else { return Err(TunnelStatus::NoPath) };
-        let fault = |picker: &crate::routing::Picker| {
+        let fault = |picker: &Picker| {
             let counts = picker.reach_counts(&server.service);
             if counts.is_partitioned() {
                 TunnelStatus::Declined
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -59,6 +59,7 @@
     buffered_bytes: Gauge<u64>,
     responses_relayed: Counter<u64>,
     limited_teams: Gauge<u64>,
+    ready: Gauge<u64>,
     unreached_servers: Gauge<u64>,
     tunnels: Counter<u64>,
     tunnels_served: Gauge<u64>,
@@ -212,6 +213,10 @@
                 "cartvane_limited_teams",
                 "Teams whose requests exceed their share of capacity, by service",
             ),
+            ready: gauge(
+                "cartvane_ready",
+                "1 if this instance reports that it is ready for callers",
+            ),
             unreached_servers: gauge(
                 "cartvane_unreached_servers",
                 "Servers that this instance cannot connect to, by service",
@@ -413,6 +418,11 @@
         self.instruments.limited_teams.record(count as u64, &[label("service", service)]);
     }
 
+    /// Sets whether this instance reports that it is ready.
+    pub fn ready(&self, is_ready: bool) {
+        self.instruments.ready.record(u64::from(is_ready), &[]);
+    }
+
     /// Sets the number of a service's servers that this instance cannot connect to, while others may.
     pub fn unreached_servers(&self, service: &ServiceName, count: usize) {
         self.instruments.unreached_servers.record(count as u64, &[label("service", service)]);
--- a/standins/src/listed.rs
+++ b/standins/src/listed.rs
@@ -23,6 +23,7 @@
 use serde_json::{Value, json};
 
 use crate::{
+    brittle::Brittle,
     fault::{Fault, Faults},
     server::{Exchange, Next, Received, Reply, listen, send, send_chunk, send_last_chunk},
 };
@@ -36,12 +37,6 @@
 /// Header of a brittle server: the rejections in a second beyond which it falls over.
 const BRITTLE: &str = "server-brittle";
 
-/// Time over which the rejections of a brittle server are counted.
-const REJECTION_WINDOW: Duration = Duration::from_secs(1);
-
-/// How long a brittle server that has fallen over is down.
-const FALL_TIME: Duration = Duration::from_millis(1500);
-
 /// Pause between two events.
 const PAUSE: Duration = Duration::from_millis(5);
 
@@ -90,35 +85,6 @@
     run_time: Duration,
 }
 
-/// A server that falls over when it has to reject more requests in a second than a limit.
-#[derive(Debug)]
-struct Brittle {
-    limit: u32,
-    /// Times of the rejections in the last second.
-    rejections: Vec<Instant>,
-    falls: u32,
-    rejected: usize,
-    /// Until when the server is down.
-    down_until: Option<Instant>,
-}
-
-impl Brittle {
-    fn is_down(&self, now: Instant) -> bool {
-        self.down_until.is_some_and(|until| now < until)
-    }
-
-    fn reject(&mut self, now: Instant) {
-        self.rejections.retain(|&at| now.saturating_duration_since(at) < REJECTION_WINDOW);
-        self.rejections.push(now);
-        self.rejected += 1;
-        if self.rejections.len() > self.limit as usize {
-            self.falls += 1;
-            self.rejections.clear();
-            self.down_until = Some(now + FALL_TIME);
-        }
-    }
-}
-
 /// What ends a server.
 struct Deadly {
     body: Vec<u8>,
@@ -243,9 +209,7 @@
 
     /// Has the server fall over when it rejects more than `limit` requests in a second, and say so in all answers.
     pub fn make_brittle(&self, limit: u32) {
-        let brittle =
-            Brittle { limit, rejections: Vec::new(), falls: 0, rejected: 0, down_until: None };
-        *lock(&self.seen.brittle) = Some(brittle);
+        *lock(&self.seen.brittle) = Some(Brittle::new(limit));
     }
 
     /// Returns how often the brittle server has fallen over.
--- a/tests/suite/partitioned_instances.rs
+++ b/tests/suite/partitioned_instances.rs
@@ -222,6 +222,20 @@
     assert_eq!(fleet.members[1].links.dialled(), before);
 }
 
+/// Guards against servers that count as out of reach because a request had hardly any time left.
+#[test]
+fn a_connect_that_had_too_little_time_says_nothing_about_its_server() {
+    let fleet = Fleet::start(2, 2);
+    fleet.links(0).sever(Cut::Hang);
+    let mut hurried = call("/idem/", "hurried").with("x-deadline-ms", 40);
+    hurried.headers.retain(|(name, value)| name != "x-deadline-ms" || value == "40");
+    assert_ne!(hurried.send(fleet.callers(0)).status, 200);
+    let picker = &fleet.gateway(0).picker;
+    assert_eq!(lock(picker).reach_counts(&"app".parse().expect("a name")).unreached, 0);
+    fleet.send(0, "/idem/", "in-time", 3);
+    assert!(lock(picker).reach_counts(&"app".parse().expect("a name")).unreached > 0);
+}
+
 /// Guards against a service of which most servers are cut off, so that the few others get all requests of the instance.
 #[test]
 fn an_instance_that_reaches_some_servers_uses_the_others_too() {
