fix(routing): a server is down only on the word of instances that reach others

What callers would see: a sound server that all instances avoid for a moment.

Change: an instance says that a server is down, to others or in its report, only once it has reached other servers of the service since the failure, and not if most of them are unreached.

Measured: a_server_is_reported_only_once_another_one_of_its_service_was_reached failed before ("the own path is in doubt") and passes; 76 tests of partitions, tunnels, crashes, picking, gateway and notices pass.

--- a/src/gateway/tunnels.rs
+++ b/src/gateway/tunnels.rs
@@ -168,10 +168,9 @@
     fn open_for_another(&self, address: &str) -> Result<Conn, TunnelStatus> {
         let Some(server) = self.listed_at(address) else { return Err(TunnelStatus::NoPath) };
         let fault = |picker: &Picker| {
-            let counts = picker.reach_counts(&server.service);
-            if counts.is_partitioned() {
+            if picker.reach_counts(&server.service).is_partitioned() {
                 TunnelStatus::Declined
-            } else if counts.is_mostly_unreached() {
+            } else if picker.is_poor_witness(&server.service) {
                 TunnelStatus::NoPath
             } else {
                 TunnelStatus::ServerUnreachable
--- a/src/routing/picker/reachability.rs
+++ b/src/routing/picker/reachability.rs
@@ -54,6 +54,12 @@
         ReachCounts { unreached, all: self.servers_of(service).count() }
     }
 
+    /// Returns whether this instance knows too little of its own paths to the servers of a service to say that one of them
+    /// is down.
+    pub fn is_poor_witness(&self, service: &ServiceName) -> bool {
+        self.reachability.is_doubted(service) || self.reach_counts(service).is_mostly_unreached()
+    }
+
     /// Returns whether there is anything to probe, now or later.
     pub fn has_paths_in_doubt(&self) -> bool {
         self.reachability.is_in_doubt()
--- a/src/routing/reachability.rs
+++ b/src/routing/reachability.rs
@@ -72,9 +72,18 @@
     }
 
     /// Returns whether what this instance finds wrong with `server` may be the fault of its own path: the server is
-    /// suspected, or unreached and not known to be down.
+    /// suspected, or unreached and not known to be down, or no other server of its service has been reached since.
     pub fn is_path_in_doubt(&self, server: &Incarnation) -> bool {
-        self.suspected.contains(server) || self.seen(server).is_some_and(|seen| seen != Seen::Down)
+        if self.suspected.contains(server) {
+            return true;
+        }
+        let Some(unreached) = self.unreached.get(server) else { return false };
+        unreached.seen != Seen::Down || self.is_doubted(&unreached.service)
+    }
+
+    /// Returns whether a server of `service` was not reached, and others have not been checked since.
+    pub fn is_doubted(&self, service: &ServiceName) -> bool {
+        self.doubted.contains_key(service)
     }
 
     fn seen(&self, server: &Incarnation) -> Option<Seen> {
--- a/tests/suite/partitioned_instances.rs
+++ b/tests/suite/partitioned_instances.rs
@@ -22,6 +22,7 @@
 
 use crate::{
     log_lines,
+    routing::{picker, server},
     support::eventually,
     testbed::{call, intent, settings},
 };
@@ -173,6 +174,21 @@
     }
 }
 
+/// Guards against the word of one other instance, which may have lost its own paths a moment ago, by which a sound server
+/// is reported as unresponsive.
+#[test]
+fn a_server_is_reported_only_once_another_one_of_its_service_was_reached() {
+    let servers: Vec<_> = (0..4).map(|n| server(&format!("s{n}"), 9000 + n)).collect();
+    let (mut picker, now) = (picker(&servers), Instant::now());
+    let unreached = &servers[0];
+    picker.note_connect_failed(now, &unreached.id);
+    picker.note_unreachable(now, &unreached.id);
+    picker.note_seen(&unreached.id, false);
+    assert!(picker.own_unresponsive(now).is_empty(), "the own path is in doubt");
+    picker.note_checked(&unreached.service, true);
+    assert_eq!(picker.own_unresponsive(now), [unreached.tag()]);
+}
+
 /// Guards against requests that wait for connects while it is known that nobody reaches the servers, and against a
 /// refusal that names another reason.
 #[test]
