feat(gateway): logs and metrics tell what marks the end of a response

Change: ResponseBody follows the body of a response of a server to its end; the line of a request has end=framed, connection or inside-event, and cartvane_response_ends_total counts them. EventScanner finds the ends of events whose lines end with LF, CR LF or CR. No decision depends on it yet.

--- a/src/contract/mod.rs
+++ b/src/contract/mod.rs
@@ -1,7 +1,8 @@
-//! State machines, without I/O, of what instances, backend servers and the table agree on: claims, leases, permits,
-//! membership, orders to engines, retries and limits.
+//! State machines, without I/O, of what instances, backend servers and the table agree on: claims, permits, leases,
+//! event streams, membership, orders to engines, retries and limits.
 
 pub mod claim;
+pub mod event_scanner;
 pub mod fair_queue;
 pub mod lease;
 pub mod membership;
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -351,13 +351,14 @@
     let millis = |age: Option<Duration>| age.map_or(-1, |age| age.as_millis() as i64);
     let attempt = last_attempt.map_or_else(String::new, |attempt| {
         format!(
-            " server={} rank={} load={:.1} bound={:.1} arrivals={} first_ms={} path={}",
+            " server={} rank={} load={:.1} bound={:.1} arrivals={} first_ms={} end={} path={}",
             attempt.server,
             attempt.rank,
             attempt.load,
             attempt.bound,
             attempt.arrivals,
             millis(attempt.first_byte_after),
+            attempt.body_end.map_or_else(|| "none".to_owned(), |end| end.to_string()),
             attempt.path
         )
     });
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -273,6 +273,7 @@
             arrivals: self.attempts.arrivals(),
             running_since: None,
             first_byte_after: None,
+            body_end: None,
             path: self.path.clone(),
         });
     }
@@ -375,6 +376,7 @@
         };
         let OpenResponse { response, picked, in_flight, .. } = open;
         drop(in_flight);
+        self.note_body_end(&response);
         let buffered = BufferedResponse {
             status: response.head.status,
             headers: adapter::responses::forwarded_headers(&response.head),
@@ -395,6 +397,7 @@
         let OpenResponse { response, picked, in_flight, sent_at, head_at } = open;
         drop(in_flight);
         let status = response.head.status;
+        self.note_body_end(&response);
         self.keep_connection(&picked.server.id, response);
         if status.is_server_error() {
             self.note_server_error(&picked, status);
@@ -420,6 +423,15 @@
         self.gateway.conns.keep(server, conn, keep_alive_for, max_connections);
     }
 
+    /// Records how the body of a response has ended.
+    pub fn note_body_end(&mut self, response: &ServerResponse) {
+        let Some(end) = response.end() else { return };
+        self.gateway.metrics.response_end(&self.request.service, end);
+        if let Some(attempt) = &mut self.last_attempt {
+            attempt.body_end = Some(end);
+        }
+    }
+
     /// Records that the first bytes of a server's response are sent to the caller now.
     pub fn note_first_byte(&mut self) {
         let took = self.gateway.clock.now().saturating_duration_since(self.request.received_at);
--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -7,6 +7,7 @@
 };
 use crate::{
     contract::outcome::Outcome,
+    link::http1::BodyEnd,
     routing::{Incarnation, Picked},
     utils::sync::lock,
 };
@@ -41,6 +42,8 @@
     pub running_since: Option<Instant>,
     /// Time from the arrival of the request until the first bytes of the response were sent to the caller.
     pub first_byte_after: Option<Duration>,
+    /// How the body of the response ended; `None` if it was not read to an end.
+    pub body_end: Option<BodyEnd>,
     /// Path to the server.
     pub path: ServerPath,
 }
--- a/src/gateway/server_call.rs
+++ b/src/gateway/server_call.rs
@@ -12,7 +12,7 @@
     adapter,
     contract::outcome::AttemptFault,
     link::http1::{
-        BodyFraming, BodyReader, Conn, ReadError, ResponseHead,
+        BodyEnd, BodyFraming, Conn, ReadError, ResponseBody, ResponseHead,
         head::{write_header, write_headers},
     },
 };
@@ -43,7 +43,7 @@
     /// Metadata from the head.
     pub metadata: ResponseMetadata,
     conn: Conn,
-    body: BodyReader,
+    body: ResponseBody,
     /// Whether the request was sent to its end before the response head arrived.
     request_sent: bool,
 }
@@ -69,7 +69,7 @@
         let metadata = adapter::responses::decode(&head);
         (wait.on_metadata)(&metadata);
         let framing = head.framing(&request.method).map_err(|_| AttemptFault::Garbage)?;
-        let mut body = BodyReader::new(framing);
+        let mut body = ResponseBody::new(&head.headers, framing);
         let is_own = metadata.request_id.as_deref().is_none_or(|id| id == request.metadata.id);
         if is_own {
             return Ok(ServerResponse { head, metadata, conn, body, request_sent });
@@ -99,6 +99,11 @@
         next_piece(&mut self.conn, &mut self.body, deadline, caller)
     }
 
+    /// Returns how the body has ended; `None` if it has not been read to its end.
+    pub fn end(&self) -> Option<BodyEnd> {
+        self.body.end()
+    }
+
     /// Returns the length of the body that the head announces.
     pub fn announced_length(&self, method: &Method) -> Option<u64> {
         match self.head.framing(method) {
@@ -109,7 +114,7 @@
 
     /// Returns the connection, if it may carry another request.
     pub fn into_reusable(self) -> Option<Conn> {
-        let is_clean = self.body.is_done() && self.conn.buffered().is_empty();
+        let is_clean = self.body.end().is_some() && self.conn.buffered().is_empty();
         (is_clean && self.request_sent && self.head.keep_alive()).then_some(self.conn)
     }
 }
@@ -173,7 +178,7 @@
 
 fn next_piece(
     conn: &mut Conn,
-    body: &mut BodyReader,
+    body: &mut ResponseBody,
     deadline: Instant,
     caller: Option<&Conn>,
 ) -> Result<Option<Vec<u8>>, AttemptFault> {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -3,8 +3,6 @@
 
 use std::time::{Duration, Instant};
 
-use http::header::CONTENT_TYPE;
-
 use super::{
     buffers::{BufferHold, RELAY_WINDOW},
     forward::Forwarding,
@@ -16,7 +14,7 @@
     adapter,
     contract::outcome::{AttemptFault, Outcome},
     link::{
-        http1::Conn,
+        http1::{Conn, response_body::is_event_stream},
         response::{ResponseFraming, ResponseOptions, ResponseWriter, SEND_BUFFER_BYTES},
     },
     routing::{BufferKind, EventSplitter, ResponseObservation, RouteKind},
@@ -144,11 +142,12 @@
 }
 
 /// Records the end of a complete stream.
-fn note_end(forwarding: &Forwarding<'_>, open: OpenResponse<'_>, interval: &PieceInterval) {
+fn note_end(forwarding: &mut Forwarding<'_>, open: OpenResponse<'_>, interval: &PieceInterval) {
     let OpenResponse { response, picked, in_flight, sent_at, head_at } = open;
     forwarding.note_success(&picked, sent_at, head_at);
     forwarding.note_version(&picked, interval.observation(forwarding.gateway.clock.now()));
     drop(in_flight);
+    forwarding.note_body_end(&response);
     forwarding.keep_connection(&picked.server.id, response);
 }
 
@@ -219,10 +218,7 @@
 
 impl<'g> Source<'g> {
     fn new(open: OpenResponse<'g>) -> Source<'g> {
-        let headers = &open.response.head.headers;
-        let content_type = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
-        let is_event_stream =
-            content_type.is_some_and(|value| value.starts_with("text/event-stream"));
+        let is_event_stream = is_event_stream(&open.response.head.headers);
         Source { open, is_event_stream }
     }
 
--- a/src/link/http1/body.rs
+++ b/src/link/http1/body.rs
@@ -33,6 +33,8 @@
     Trailers(usize),
     UntilClose,
     Done,
+    /// The connection that frames the body was closed in order.
+    Closed,
 }
 
 /// Incremental reader of one body.
@@ -55,7 +57,12 @@
 
     /// Returns whether the complete body has been read.
     pub fn is_done(&self) -> bool {
-        self.state == State::Done
+        matches!(self.state, State::Done | State::Closed)
+    }
+
+    /// Returns whether the body has ended with its connection: nothing else marks its end.
+    pub fn has_ended_with_connection(&self) -> bool {
+        self.state == State::Closed
     }
 
     /// Returns the next bytes as soon as there are any; `None` at the end of the complete body.
@@ -83,18 +90,18 @@
         mut fill: impl FnMut(&mut Conn) -> Result<(), ReadError>,
     ) -> Result<Option<Vec<u8>>, ReadError> {
         loop {
-            if self.state == State::Done {
+            if self.is_done() {
                 return Ok(None);
             }
             if let Some(piece) = self.advance(conn)? {
                 return Ok(Some(piece));
             }
-            if self.state == State::Done {
+            if self.is_done() {
                 continue;
             }
             match fill(conn) {
                 Err(ReadError::Closed) if self.state == State::UntilClose => {
-                    self.state = State::Done
+                    self.state = State::Closed
                 }
                 filled => filled?,
             }
@@ -202,7 +209,7 @@
     fn advance(&mut self, conn: &mut Conn) -> Result<Option<Vec<u8>>, ReadError> {
         loop {
             match self.state {
-                State::Done => return Ok(None),
+                State::Done | State::Closed => return Ok(None),
                 State::UntilClose => return Ok(take_piece(conn, u64::MAX)),
                 State::Data(remaining) => {
                     let Some(piece) = take_piece(conn, remaining) else { return Ok(None) };
--- a/src/link/http1/mod.rs
+++ b/src/link/http1/mod.rs
@@ -5,7 +5,9 @@
 pub mod body;
 pub mod conn;
 pub mod head;
+pub mod response_body;
 
 pub use body::{BodyFraming, BodyReader, ChunkWriter};
 pub use conn::{Conn, ReadError};
 pub use head::{HeadError, RequestHead, ResponseHead};
+pub use response_body::{BodyEnd, ResponseBody};
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -11,7 +11,10 @@
 
 use crate::{
     contract::outcome::{AttemptFault, Outcome},
-    link::traffic::{Direction, TrafficCounter},
+    link::{
+        http1::BodyEnd,
+        traffic::{Direction, TrafficCounter},
+    },
     names::{BackendId, ServiceId, ServiceName},
 };
 
@@ -30,6 +33,7 @@
     permit_replies: Counter<u64>,
     dropped_responses: Counter<u64>,
     streams_resumed: Counter<u64>,
+    response_ends: Counter<u64>,
     control_bytes: Counter<u64>,
     control_messages: Counter<u64>,
     engine_load: Gauge<u64>,
@@ -134,6 +138,10 @@
                 "cartvane_streams_resumed",
                 "Streams resumed after their connection was lost",
             ),
+            response_ends: counter(
+                "cartvane_response_ends",
+                "Responses of backend servers read to their end, by what marks it",
+            ),
             control_bytes: counter(
                 "cartvane_control_bytes",
                 "Control traffic, heads included, by purpose and direction",
@@ -443,6 +451,11 @@
         self.instruments.store_era.record(era, &[]);
     }
 
+    /// Counts a response of a server of `service` that was read to its end.
+    pub fn response_end(&self, service: &impl fmt::Display, end: BodyEnd) {
+        self.instruments.response_ends.add(1, &[label("service", service), label("end", end)]);
+    }
+
     /// Counts a request that was rejected before it was sent to a backend server.
     pub fn refusal(&self, service: &impl fmt::Display, reason: &'static str) {
         self.instruments.refusals.add(1, &[label("service", service), label("reason", reason)]);
