test: streams without a length that end inside an event look complete

Change: the stand-ins send streams that end with their connection, with lines that end with LF, CR LF or CR, and break them off at any byte.

--- a/standins/src/engine/stream.rs
+++ b/standins/src/engine/stream.rs
@@ -21,6 +21,9 @@
 /// Time after which a stream without a reader is given up.
 const ORPHAN_TIME: Duration = Duration::from_secs(2);
 
+/// Longest wait for a router to take bytes.
+const WRITE_TIME: Duration = Duration::from_secs(5);
+
 /// Pause between two looks at a stream.
 const LOOK_PERIOD: Duration = Duration::from_millis(20);
 
@@ -113,10 +116,12 @@
     fault: Fault,
 ) -> Next {
     let resumable = if state.cfg.resumable { "engine-resumable: 1\r\n" } else { "" };
+    let is_unframed = fault == Fault::UnframedCut;
+    let framing = if is_unframed { "" } else { "transfer-encoding: chunked\r\n" };
     let leaving =
         if state.leaving.load(Ordering::SeqCst) { "engine-state: leaving\r\n" } else { "" };
     let head = format!(
-        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncartvane-attempt: {attempt}\r\nengine-load: {}\r\n{resumable}{leaving}engine-offset: {offset}\r\ntransfer-encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncartvane-attempt: {attempt}\r\nengine-load: {}\r\n{resumable}{leaving}engine-offset: {offset}\r\n{framing}\r\n",
         state.reported_load()
     );
     if send(conn, head.as_bytes(), Next::KeepAlive) == Next::Close {
@@ -166,6 +171,15 @@
             continue;
         }
         offset += piece.len();
+        if fault == Fault::UnframedCut {
+            // It breaks off inside its second event.
+            let end = if pieces == 0 { piece.len() } else { piece.len() / 2 };
+            if conn.send(&piece[..end], WRITE_TIME).is_err() || pieces > 0 {
+                return Next::Close;
+            }
+            pieces += 1;
+            continue;
+        }
         if !send_chunk(conn, &piece) {
             return Next::Close;
         }
--- a/standins/src/fault.rs
+++ b/standins/src/fault.rs
@@ -49,6 +49,10 @@
     WrongServer,
     /// A stream is cut in the middle of the event after this many.
     BreakAfter(usize),
+    /// A stream is cut after this many events and this many bytes of the next one.
+    BreakInside(usize, usize),
+    /// A stream without chunks is closed in order inside an event.
+    UnframedCut,
     /// A stream falls silent after this many events, for this long.
     SilentAfter(usize, Duration),
     /// A stream falls silent after this many events, for this long, and goes on.
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -20,3 +20,4 @@
 pub mod proxy;
 pub mod server;
 pub mod store;
+pub mod stream_format;
--- a/standins/src/listed.rs
+++ b/standins/src/listed.rs
@@ -25,7 +25,8 @@
 use crate::{
     brittle::Brittle,
     fault::{Fault, Faults},
-    server::{Exchange, Next, Received, Reply, listen, send, send_chunk, send_last_chunk},
+    server::{Exchange, Next, Received, Reply, listen, send},
+    stream_format::StreamFormat,
 };
 
 /// Events of a stream.
@@ -240,6 +241,11 @@
         lock(&self.seen.runs).values().sum()
     }
 
+    /// Forgets which requests ran here.
+    pub fn forget_runs(&self) {
+        lock(&self.seen.runs).clear();
+    }
+
     /// Returns the requests that arrived here.
     pub fn arrivals(&self) -> Vec<Received> {
         lock(&self.seen.requests).clone()
@@ -450,9 +456,11 @@
         let last = self.received.head.header("last-event-id").and_then(|last| last.parse().ok());
         let last: usize = last.unwrap_or(0);
         let leaving = if self.says_leaving() { "server-leaving: 1\r\n" } else { "" };
+        let format = StreamFormat::of(&self.received);
+        let framing = format.framing();
         let head = format!(
             "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nx-request-id: {id}\r\n{leaving}\
-             x-response-seal: {own}\r\nx-server-load: 1,0,8\r\ntransfer-encoding: chunked\r\n\r\n"
+             x-response-seal: {own}\r\nx-server-load: 1,0,8\r\n{framing}\r\n"
         );
         if fault == Fault::CloseAfterRun || conn.send(head.as_bytes(), PAUSE * 100).is_err() {
             return Next::Close;
@@ -461,10 +469,14 @@
             if self.seen.ends_by(&self.received.body, sent) {
                 return Next::Close;
             }
-            let bytes = large_event(number, self.number("bytes"));
+            let bytes = format.event(&large_event(number, self.number("bytes")));
             match fault {
                 Fault::BreakAfter(count) if sent == count => {
-                    send_chunk(conn, &bytes.as_bytes()[..bytes.len() / 2]);
+                    format.send(conn, &bytes.as_bytes()[..bytes.len() / 2]);
+                    return Next::Close;
+                }
+                Fault::BreakInside(count, part) if sent == count => {
+                    format.send(conn, &bytes.as_bytes()[..part]);
                     return Next::Close;
                 }
                 Fault::PauseAfter(count, time) if sent == count => thread::sleep(time),
@@ -474,11 +486,11 @@
                 }
                 _ => {}
             }
-            if !send_chunk(conn, bytes.as_bytes()) {
+            if !format.send(conn, bytes.as_bytes()) {
                 return Next::Close;
             }
             thread::sleep(PAUSE);
         }
-        if send_last_chunk(conn) { Next::KeepAlive } else { Next::Close }
+        format.end(conn)
     }
 }
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -3,6 +3,7 @@
 mod backoff_random;
 mod bodies;
 mod brittle_servers;
+mod broken_off_streams;
 mod budget_fleet;
 mod budget_random;
 mod callers;
--- a/tests/suite/responses.rs
+++ b/tests/suite/responses.rs
@@ -81,7 +81,7 @@
 ];
 
 /// Faults of an engine's stream, whether it can be resumed, and whether it is complete or ends with an error event.
-const STREAM_FAULTS: [(&str, Fault, bool, (bool, bool)); 10] = [
+const STREAM_FAULTS: [(&str, Fault, bool, (bool, bool)); 12] = [
     ("none", Fault::None, true, (true, false)),
     ("refused", Fault::RefuseNotRun, true, (true, false)),
     ("closed-after-reading", Fault::CloseAfterRead, true, (true, false)),
@@ -90,6 +90,8 @@
     ("garbage", Fault::Garbage, true, (true, false)),
     ("cut", Fault::CutBody, true, (true, false)),
     ("cut", Fault::CutBody, false, (false, true)),
+    ("cut inside an event without a length", Fault::UnframedCut, true, (true, false)),
+    ("cut inside an event without a length", Fault::UnframedCut, false, (false, true)),
     ("stalled", Fault::StallBody(STALL_TIME), true, (true, false)),
     ("stalled", Fault::StallBody(STALL_TIME), false, (false, true)),
 ];
