test(soak): streams end with their connection and are broken off inside events

Cause: nothing in the soak sent a stream without a length, so that one that looks complete could not be found. Change: callers ask for streams with and without chunks and for all line ends; servers break streams off inside an event at drawn times.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -14,6 +14,7 @@
 use standins::{
     caller::{Answer, Call},
     listed::{events, expected},
+    stream_format::StreamFormat,
 };
 
 use crate::{
@@ -94,13 +95,18 @@
 fn send_request(conn: &mut Conn, id: &str, rng: &mut Rng, checks: &Checks) -> bool {
     let kinds = ["idem", "once", "stream", "stream-resumable"];
     let kind = kinds[rng.usize(..kinds.len())];
-    let target = format!("/{kind}/{id}");
+    let is_stream = kind.starts_with("stream");
+    let (format, query) = StreamFormat::drawn(id);
+    let query = if is_stream { query.as_str() } else { "" };
+    let target = format!("/{kind}/{id}{query}");
     let body = "b".repeat(rng.usize(..3000));
     let call = Call { timeout: RESPONSE_TIMEOUT, ..Call::post(&target, KEY, body.clone()) }
         .with("x-request-id", id)
         .with("x-deadline-ms", 4000);
     let answer = call.send_on(conn);
-    check(kind, id, &target, body.as_bytes(), &answer, checks);
+    let whole =
+        if is_stream { format.event(&events(1)) } else { expected(&target, body.as_bytes()) };
+    check(id, &whole, &answer, checks);
     checks.count_request(answer.status == 200 && answer.whole);
     if matches!(kind, "once" | "stream") {
         checks.note_once(id, answer.status);
@@ -108,7 +114,7 @@
     answer.whole && answer.header("connection") != "close"
 }
 
-fn check(kind: &str, id: &str, target: &str, body: &[u8], answer: &Answer, checks: &Checks) {
+fn check(id: &str, whole: &str, answer: &Answer, checks: &Checks) {
     if answer.status != 200 {
         if matches!(answer.status, 400 | 401 | 404 | 413 | 431) {
             let observed = format!("status {}", answer.status);
@@ -124,7 +130,6 @@
         let observed = format!("id {:?}", answer.header("x-request-id"));
         checks.report_violation("a response belongs to its request and has a seal", id, observed);
     }
-    let whole = if kind.starts_with("stream") { events(1) } else { expected(target, body) };
     let text = answer.text();
     if answer.whole && text != whole {
         checks.report_violation(
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -33,6 +33,12 @@
 /// Mixed into a run's seed for the surge of a team.
 const SURGE_SEED_MASK: u64 = 0x7375_7267;
 
+/// Mixed into a run's seed for streams that are broken off.
+const BROKEN_STREAM_SEED_MASK: u64 = 0x6272_6f6b;
+
+/// Streams that are broken off at one server, one after another.
+const BROKEN_STREAMS: std::ops::Range<usize> = 1..8;
+
 /// Duration of a surge, in milliseconds.
 const SURGE_MS: std::ops::Range<u64> = 2000..4000;
 
@@ -75,6 +81,8 @@
     Crash(usize),
     /// The next requests at a backend server fail.
     ServerFaults(usize),
+    /// The next streams of a backend server, this many, are closed in order inside an event.
+    BreakStreams(usize, usize),
     /// The operator's intent changes, this many times in a row.
     ChangeIntent(u32),
     /// The operator's intent changes and grows by this many routes.
@@ -167,6 +175,23 @@
     (Duration::from_millis(rng.u64(..length_ms)), Event::Surge(time))
 }
 
+/// Returns when servers break off streams: six times in each run.
+///
+/// Uses a generator of its own, as [`random_growth`] does.
+pub(crate) fn random_broken_streams(
+    seed: u64,
+    length: Duration,
+    servers: usize,
+) -> Vec<(Duration, Event)> {
+    let mut rng = Rng::with_seed(seed ^ BROKEN_STREAM_SEED_MASK);
+    let length_ms = u64::try_from(length.as_millis()).unwrap_or(u64::MAX).max(1);
+    let mut random_break = || {
+        let at = Duration::from_millis(rng.u64(..length_ms));
+        (at, Event::BreakStreams(rng.usize(..servers), rng.usize(BROKEN_STREAMS)))
+    };
+    (0..6).map(|_| random_break()).collect()
+}
+
 /// Returns the three notices that servers of a run send in their responses.
 ///
 /// Uses a generator of its own, as [`random_growth`] does.
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -14,7 +14,7 @@
 use cartvane::utils::sync::lock;
 use fastrand::Rng;
 use rustix::process::Signal;
-use standins::{caller::Call, fault::Fault, proxy::LinkMode, store::StoreMode};
+use standins::{caller::Call, fault::Fault, listed::EVENTS, proxy::LinkMode, store::StoreMode};
 
 use crate::{
     callers::Callers,
@@ -36,6 +36,9 @@
 /// Number of callers for each instance.
 const CALLERS: usize = 4;
 
+/// Length of the shortest event in bytes.
+const EVENT_BYTES_MIN: usize = "id: 1\ndata: part 1\n\n".len();
+
 /// Time without a disturbance after which the time bounds of an instance hold.
 const UNDISTURBED_TIME: Duration = Duration::from_millis(3000);
 
@@ -91,6 +94,8 @@
     events.extend(restores.into_iter().map(|(at, event)| (at, event, rng.fork())));
     let notices = plan::random_notices(seed, options.fault_time, SERVERS);
     events.extend(notices.into_iter().map(|(at, event)| (at, event, rng.fork())));
+    let broken_streams = plan::random_broken_streams(seed, options.fault_time, SERVERS);
+    events.extend(broken_streams.into_iter().map(|(at, event)| (at, event, Rng::with_seed(seed))));
     let rollout = plan::random_rollout(seed, options.fault_time);
     events.extend(rollout.into_iter().map(|(at, event)| (at, event, rng.fork())));
     let (at, surge) = plan::random_surge(seed, options.fault_time);
@@ -218,6 +223,11 @@
                 (0..6).map(|_| faults[rng.usize(..faults.len())]).collect();
             fleet.inject_faults(endpoint, &random_faults);
         }
+        Event::BreakStreams(endpoint, count) => {
+            let broken = |_| Fault::BreakInside(rng.usize(..EVENTS), rng.usize(1..EVENT_BYTES_MIN));
+            let faults: Vec<Fault> = (0..count).map(broken).collect();
+            fleet.inject_faults(endpoint, &faults);
+        }
         Event::ChangeIntent(times) => change_intent(fleet, checks, times),
         Event::GrowIntent(routes) => {
             fleet.add_idle_routes(routes);
--- a/standins/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -94,8 +94,7 @@
 
     fn reset_all(&self) {
         for (_, stream) in lock(&self.shared.open).drain() {
-            // Fails if the connection is closed already.
-            let _ = stream.shutdown(Shutdown::Both);
+            reset(&stream);
         }
     }
 }
@@ -137,7 +136,9 @@
     let mut buf = vec![0; 16 << 10];
     loop {
         let count = match from.read(&mut buf) {
-            Ok(0) | Err(_) => break,
+            Ok(0) => break,
+            // A reset is passed on, so that it does not look like the end of a message.
+            Err(_) => return reset_both(&from, &to),
             Ok(count) => count,
         };
         loop {
@@ -149,23 +150,30 @@
                     break;
                 }
                 LinkMode::OneWay if !is_response => break,
-                LinkMode::Reset => return shut_down(&from, &to),
+                LinkMode::Reset => return reset_both(&from, &to),
                 LinkMode::OneWay | LinkMode::Blocked => thread::sleep(POLL_INTERVAL),
             }
             if shared.closed.load(Ordering::SeqCst) {
-                return shut_down(&from, &to);
+                return reset_both(&from, &to);
             }
         }
         if to.write_all(&buf[..count]).is_err() {
-            return shut_down(&from, &to);
+            return reset_both(&from, &to);
         }
     }
     // Half-close: the other direction stays open.
     let _ = to.shutdown(Shutdown::Write);
 }
 
-fn shut_down(from: &TcpStream, to: &TcpStream) {
-    // Fails if the connection is closed already.
-    let _ = from.shutdown(Shutdown::Both);
-    let _ = to.shutdown(Shutdown::Both);
+fn reset_both(from: &TcpStream, to: &TcpStream) {
+    reset(from);
+    reset(to);
+}
+
+/// Resets a connection, whatever other handles of it there are.
+fn reset(stream: &TcpStream) {
+    if rustix::net::connect_unspec(stream).is_err() {
+        // Fails if the connection is closed already.
+        let _ = stream.shutdown(Shutdown::Both);
+    }
 }
