feat(gateway): logs tell at which software version a stream runs and who takes it up

Change: the line of a request and stream_resumed have the server's version as software=; stream_taken_up has the attempt that the caller names in Resumes and its last event. Log lines of requests have a file of their own. No decision depends on it.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -8,8 +8,9 @@
     Gateway,
     buffers::{BufferHold, RELAY_WINDOW, append},
     forward::Forwarding,
-    in_flight::{Completion, LastAttempt},
+    in_flight::Completion,
     request::{Request, RequestMetadata},
+    request_log,
     response::LocalResponse,
 };
 use crate::{
@@ -298,8 +299,9 @@
     match admitted.and_then(|request| refuse_held(gateway, request, received_at)) {
         Ok(request) => {
             gateway.note_request(received_at, &request);
+            request_log::log_take_up(&request);
             let (completion, last_attempt) = Forwarding::new(gateway, &request).run(conn);
-            log_completion(gateway, &request, &completion, last_attempt.as_ref());
+            request_log::log_completion(gateway, &request, &completion, last_attempt.as_ref());
             ServedRequest { completion: Some(completion), service: request.service.to_string() }
         }
         Err(refusal) => {
@@ -341,46 +343,6 @@
     ))
 }
 
-fn log_completion(
-    gateway: &Gateway,
-    request: &Request,
-    completion: &Completion,
-    last_attempt: Option<&LastAttempt>,
-) {
-    let now = gateway.clock.now();
-    let millis = |age: Option<Duration>| age.map_or(-1, |age| age.as_millis() as i64);
-    let attempt = last_attempt.map_or_else(String::new, |attempt| {
-        format!(
-            " server={} rank={} load={:.1} bound={:.1} arrivals={} first_ms={} end={} path={}",
-            attempt.server,
-            attempt.rank,
-            attempt.load,
-            attempt.bound,
-            attempt.arrivals,
-            millis(attempt.first_byte_after),
-            attempt.body_end.map_or_else(|| "none".to_owned(), |end| end.to_string()),
-            attempt.path
-        )
-    });
-    log::info!(
-        "event=request request={} route={} service={} team={} status={} outcome={} reason={:?} \
-         took_ms={} target_ms={} stream={} version={} version_age_ms={} servers_age_ms={}{attempt}",
-        request.metadata.id,
-        request.route.name,
-        request.service,
-        request.team_name(),
-        completion.status,
-        completion.outcome,
-        completion.reason,
-        now.saturating_duration_since(request.received_at).as_millis(),
-        request.route.target_latency.as_millis(),
-        u8::from(request.route.kind.is_stream()),
-        request.version,
-        millis(gateway.cluster_state.intent_age(now)),
-        millis(gateway.cluster_state.servers_age(now)),
-    );
-}
-
 /// Decodes a request and finds its route, team and service, or refuses it.
 fn admit(
     gateway: &Gateway,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -267,6 +267,7 @@
         self.gateway.rollouts.note_sent(&picked.server);
         self.last_attempt = Some(LastAttempt {
             server: picked.server.id.clone(),
+            software: picked.server.version_text().to_owned(),
             rank: picked.rank,
             load: picked.load,
             bound: picked.bound,
--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -30,6 +30,8 @@
 pub struct LastAttempt {
     /// Server that the request was sent to.
     pub server: Incarnation,
+    /// Software version of that server.
+    pub software: String,
     /// Position of the server in the rendezvous order of the request.
     pub rank: usize,
     /// Estimated load of the server, in requests.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 mod probe;
 pub mod relay;
 pub mod request;
+mod request_log;
 pub mod response;
 pub mod rollout_controller;
 pub mod rollout_table;
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     names::{ServerId, ServiceName, Tag, TeamName},
-    routing::{AdmissionTerms, HomeRegions, RequestDigest, Route},
+    routing::{AdmissionTerms, HomeRegions, RequestDigest, Route, RouteKind},
     zone::rendezvous::ChatKey,
 };
 
@@ -27,6 +27,8 @@
     pub affinity: Option<u64>,
     /// Id of the last stream event that the caller received in an earlier attempt.
     pub last_event_id: Option<String>,
+    /// Id of the earlier attempt that brought the first event of the stream that the request takes up.
+    pub resumes: Option<String>,
 }
 
 /// A request whose head is invalid.
@@ -91,6 +93,13 @@
 }
 
 impl Request {
+    /// Returns whether the caller takes up a stream of which an earlier attempt brought events.
+    pub fn is_take_up(&self) -> bool {
+        let RequestMetadata { last_event_id, resumes, .. } = &self.metadata;
+        self.route.kind == RouteKind::ResumableStream
+            && (last_event_id.is_some() || resumes.is_some())
+    }
+
     /// Returns a digest that is the same when the request is sent again; hashes the whole body.
     pub fn digest(&self) -> RequestDigest {
         let host = self.headers.get(HOST).map_or(&b""[..], |host| host.as_bytes());
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -165,9 +165,10 @@
         let open = forwarding.open(Some(caller), Some(&last_event_id))?;
         if open.response.head.status.is_success() {
             log::info!(
-                "event=stream_resumed request={} server={} after_event={last_event_id}",
+                "event=stream_resumed request={} server={} software={} after_event={last_event_id}",
                 forwarding.request.metadata.id,
-                open.picked.server.id
+                open.picked.server.id,
+                open.picked.server.version_text()
             );
             forwarding.gateway.metrics.stream_resumed(&forwarding.request.service);
             return Some(Source::new(open));
--- a/src/routing/roster.rs
+++ b/src/routing/roster.rs
@@ -58,6 +58,11 @@
         *id == other.id && same_place && same_work && *leaving == other.leaving
     }
 
+    /// Returns its software version, for logs.
+    pub fn version_text(&self) -> &str {
+        self.version.as_ref().map_or("none", SoftwareVersion::as_str)
+    }
+
     /// Returns the tag of the incarnation in messages between instances.
     pub fn tag(&self) -> Tag {
         self.id.tag()
