--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! The contracts they stand for are written in docs/CONTRACTS.md.
 
+pub mod bodies;
 pub mod brittle;
 pub mod cache;
 pub mod caller;
--- a/standins/src/listed.rs
+++ b/standins/src/listed.rs
@@ -14,24 +14,20 @@
 };
 
 use cartvane::{
-    link::{
-        http1::{ChunkWriter, Conn, body::LAST_CHUNK},
-        listener::Listener,
-    },
+    link::{http1::Conn, listener::Listener},
     utils::sync::lock,
 };
 use serde_json::{Value, json};
 
+pub use crate::bodies::{EVENTS, events, expected, large_body, large_event, marked_event};
 use crate::{
+    bodies::in_chunks,
     brittle::Brittle,
     fault::{Fault, Faults},
     server::{Exchange, Next, Received, Reply, listen, send},
     stream_format::StreamFormat,
 };
 
-/// Events of a stream.
-pub const EVENTS: usize = 8;
-
 /// Header of a server that leaves.
 const LEAVING: &str = "server-leaving";
 
@@ -66,6 +62,8 @@
     brittle: Mutex<Option<Brittle>>,
     running: AtomicU32,
     notices: Mutex<Vec<SentNotice>>,
+    /// Version of its software, if it is not the usual one.
+    version: Mutex<Option<String>>,
 }
 
 /// What an answer said of the server beside the answer itself.
@@ -126,6 +124,10 @@
         self.running.fetch_update(Ordering::SeqCst, Ordering::SeqCst, take).is_ok()
     }
 
+    fn version(&self) -> String {
+        lock(&self.version).clone().unwrap_or_else(|| "v1".to_owned())
+    }
+
     fn has_ended(&self) -> bool {
         self.ended.load(Ordering::SeqCst)
     }
@@ -223,11 +225,21 @@
         lock(&self.seen.brittle).as_ref().map_or(0, |brittle| brittle.rejected)
     }
 
+    /// Gives the server another version of its software.
+    pub fn set_version(&self, version: &str) {
+        *lock(&self.seen.version) = Some(version.to_owned());
+    }
+
+    /// Returns the version of the server's software.
+    pub fn version(&self) -> String {
+        self.seen.version()
+    }
+
     /// Returns the entry that the server writes of itself.
     pub fn entry(&self, service: &str, state: &str) -> Value {
         json!({
             "service": service, "address": self.address().to_string(), "zone": "north",
-            "version": "v1", "slots": 8, "state": state, "cold_remaining_ms": 0, "seq": 1
+            "version": self.version(), "slots": 8, "state": state, "cold_remaining_ms": 0, "seq": 1
         })
     }
 
@@ -267,55 +279,6 @@
     }
 }
 
-/// Returns the body of the answer to a request.
-pub fn expected(received_target: &str, body: &[u8]) -> String {
-    format!(
-        "{received_target} {} bytes, hash {:016x}",
-        body.len(),
-        xxhash_rust::xxh3::xxh3_64(body)
-    )
-}
-
-/// Returns a stream's events from `first` on.
-pub fn events(first: usize) -> String {
-    (first..=EVENTS).map(event).collect()
-}
-
-fn event(number: usize) -> String {
-    large_event(number, 0)
-}
-
-/// Returns an event whose data has this many bytes more than usual.
-pub fn large_event(number: usize, bytes: usize) -> String {
-    format!("id: {number}\ndata: part {number}{}\n\n", "x".repeat(bytes))
-}
-
-/// Returns the body of an answer to a request that asks for this many bytes.
-pub fn large_body(bytes: usize) -> Vec<u8> {
-    let period: Vec<u8> = (0..7 * 26).map(|at| b'a' + (at / 7) as u8).collect();
-    // Copied in blocks: made byte by byte, a body of megabytes would take longer than routers wait for its head.
-    let mut body = period.repeat(bytes.div_ceil(period.len()));
-    body.truncate(bytes);
-    body
-}
-
-/// Size of the chunks of an answer that is asked for in chunks, in bytes.
-const CHUNK: usize = 30_000;
-
-/// Returns a whole answer in chunks instead of with a length.
-fn in_chunks(bytes: &[u8]) -> Vec<u8> {
-    let end = bytes.windows(4).position(|four| four == b"\r\n\r\n").unwrap_or_default();
-    let (head, body) = (String::from_utf8_lossy(&bytes[..end]), &bytes[end + 4..]);
-    let lines = head.split("\r\n").filter(|line| !line.starts_with("content-length"));
-    let head: Vec<&str> = lines.chain(["transfer-encoding: chunked", "", ""]).collect();
-    let mut buf = head.join("\r\n").into_bytes();
-    for chunk in body.chunks(CHUNK) {
-        buf.extend_from_slice(ChunkWriter::default().frame(chunk));
-    }
-    buf.extend_from_slice(LAST_CHUNK);
-    buf
-}
-
 /// One request in the hands of a server.
 struct Serving<'s> {
     own: &'s str,
@@ -469,7 +432,11 @@
             if self.seen.ends_by(&self.received.body, sent) {
                 return format.break_off(conn);
             }
-            let bytes = format.event(&large_event(number, self.number("bytes")));
+            let event = match self.number("marked") {
+                0 => large_event(number, self.number("bytes")),
+                _ => marked_event(number, &self.seen.version()),
+            };
+            let bytes = format.event(&event);
             match fault {
                 Fault::BreakAfter(count) if sent == count => {
                     format.send(conn, &bytes.as_bytes()[..bytes.len() / 2]);
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -67,6 +67,7 @@
 mod stopped_instances;
 mod store;
 mod store_eras;
+mod stream_versions;
 mod support;
 mod suspended;
 mod team_shares;
