fix(gateway): a stream is resumed only at the software version that began it

What callers saw: one response with events of two versions of a service, which do not fit together (ORDER); in the example the second run began 3 ms after the first had crashed.

Cause: a resumed run was picked like a new one. The pick knew what had been tried, load and health, but not which version had made the events that the caller holds.

Ruled out: versions of the list that differ from those that run; servers check the id that they are called by.

Change: with the first event that its caller receives, a request is bound to the version of its server. The pick, the leases of slots, the wait for a slow server and the paths through other instances know the rule. All other rules hold beside it: a version on trial is used at the servers that are in use, a barred one not at all. If no server of the version is left, the response ends at once and visibly, and stream_not_resumed and cartvane_streams_not_resumed_total say why.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -26,7 +26,7 @@
         response::{ResponseOptions, send_response},
     },
     names::Tag,
-    routing::{Incarnation, PickRequest, Picked, RouteKind},
+    routing::{Incarnation, PickRequest, Picked, RouteKind, VersionRule},
     utils::sync::lock,
 };
 
@@ -61,6 +61,8 @@
     pub(super) path: ServerPath,
     /// When the request was last sent.
     pub(super) sent_at: Option<Instant>,
+    /// Software versions that may run the request.
+    pub(super) version: VersionRule,
     /// Servers on which a slot was leased although this instance may not use them.
     pub(super) unusable: Vec<Tag>,
     /// Time that was spent waiting for slot brokers that did not respond.
@@ -80,6 +82,7 @@
             last_attempt: None,
             path: ServerPath::Direct,
             sent_at: None,
+            version: VersionRule::Any,
             unusable: Vec::new(),
             broker_silence: Duration::ZERO,
         }
@@ -189,6 +192,7 @@
             tried: self.attempts.servers(),
             denied: &self.denied,
             homes: &self.request.homes,
+            version: &self.version,
             target: self.request.route.target_latency,
             admission: (!self.attempts.may_have_run()).then(|| self.request.admission_terms()),
             leased,
--- a/src/gateway/head_deadline.rs
+++ b/src/gateway/head_deadline.rs
@@ -50,15 +50,10 @@
         let mut tried = self.attempts.servers().to_vec();
         tried.push(server.clone());
         let pick_request = PickRequest {
-            service: &self.request.service,
             affinity: None,
-            spread: self.request.spread(),
             tried: &tried,
-            denied: &self.denied,
-            homes: &self.request.homes,
-            target: self.request.route.target_latency,
             admission: Some(self.request.admission_terms()),
-            leased: None,
+            ..self.pick_request(None)
         };
         let has_other = lock(&self.gateway.picker).pick(now, &pick_request).is_ok();
         has_other && self.gateway.has_retry(now, &self.request.service, FAILURE_RESERVE)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -50,6 +50,7 @@
 pub mod stall_timer;
 pub mod startup;
 pub mod stream;
+mod stream_version;
 mod team_shares;
 pub mod tunnels;
 
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -9,6 +9,7 @@
     in_flight::{Completion, OpenResponse},
     response::CALLER_WRITE_TIMEOUT,
     server_call::ServerResponse,
+    stream_version::NotResumed,
 };
 use crate::{
     adapter,
@@ -90,6 +91,7 @@
     let request = forwarding.request;
     forwarding.note_running();
     forwarding.note_first_byte();
+    forwarding.bind_version(&source.open.picked.server);
     let keep_alive = forwarding.keep_alive() && !request.http10;
     let note = ResponseOptions::plain(keep_alive);
     let framing =
@@ -126,11 +128,12 @@
                 forwarding.note_fault(&picked, fault);
                 events.splitter.discard_partial();
                 match resume(forwarding, writer.conn(), &events.splitter) {
-                    Some(next) => {
+                    Ok(next) => {
                         source = next;
                         interval = PieceInterval::new(forwarding.gateway.clock.now());
                     }
-                    None => {
+                    Err(reason) => {
+                        forwarding.note_not_resumed(reason);
                         // No further bytes are sent, so that the response does not look complete.
                         writer.abort(&[]);
                         return completed(false, "stream broke");
@@ -151,18 +154,19 @@
     forwarding.keep_connection(&picked.server.id, response);
 }
 
-/// Resumes a broken stream at another server; `None` if no server resumes it.
+/// Resumes a broken stream at another server of its software version, or returns why none resumes it.
 fn resume<'a>(
     forwarding: &mut Forwarding<'a>,
     caller: &Conn,
     splitter: &EventSplitter,
-) -> Option<Source<'a>> {
+) -> Result<Source<'a>, NotResumed> {
     if !splitter.is_between_events() {
-        return None;
+        return Err(NotResumed::SplitEvent);
     }
-    let last_event_id = splitter.last_id()?.to_owned();
+    let last_event_id = splitter.last_id().ok_or(NotResumed::NoEventId)?.to_owned();
     while forwarding.may_retry() {
-        let open = forwarding.open(Some(caller), Some(&last_event_id))?;
+        let open = forwarding.open(Some(caller), Some(&last_event_id));
+        let open = open.ok_or_else(|| forwarding.reason_without_server())?;
         if open.response.head.status.is_success() {
             log::info!(
                 "event=stream_resumed request={} server={} software={} after_event={last_event_id}",
@@ -171,13 +175,13 @@
                 open.picked.server.version_text()
             );
             forwarding.gateway.metrics.stream_resumed(&forwarding.request.service);
-            return Some(Source::new(open));
+            return Ok(Source::new(open));
         }
         let picked = open.picked.clone();
         drop(open);
         forwarding.note_fault(&picked, AttemptFault::AfterSend);
     }
-    None
+    Err(NotResumed::NoAttemptLeft)
 }
 
 impl HeldEvents<'_> {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -34,6 +34,7 @@
     dropped_responses: Counter<u64>,
     streams_resumed: Counter<u64>,
     response_ends: Counter<u64>,
+    streams_not_resumed: Counter<u64>,
     control_bytes: Counter<u64>,
     control_messages: Counter<u64>,
     engine_load: Gauge<u64>,
@@ -138,6 +139,10 @@
                 "cartvane_streams_resumed",
                 "Streams resumed after their connection was lost",
             ),
+            streams_not_resumed: counter(
+                "cartvane_streams_not_resumed",
+                "Streams that broke off and were not resumed, by service and reason",
+            ),
             response_ends: counter(
                 "cartvane_response_ends",
                 "Responses of backend servers read to their end, by what marks it",
@@ -452,6 +457,12 @@
         self.instruments.store_era.record(era, &[]);
     }
 
+    /// Counts a stream that broke off and was not resumed.
+    pub fn stream_not_resumed(&self, service: &ServiceName, reason: &'static str) {
+        let labels = [label("service", service), label("reason", reason)];
+        self.instruments.streams_not_resumed.add(1, &labels);
+    }
+
     /// Counts a response of a server of `service` that was read to its end.
     pub fn response_end(&self, service: &impl fmt::Display, end: BodyEnd) {
         self.instruments.response_ends.add(1, &[label("service", service), label("end", end)]);
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -39,6 +39,7 @@
 pub mod team;
 pub mod tunnel_peers;
 pub mod unlisted;
+pub mod version_rule;
 
 pub use admission::{
     AdmissionControl, BrokerAction, BrokerChoice, BrokerSilence, FleetDemand, LeaseId, LeaseTimes,
@@ -90,3 +91,4 @@
 pub use team::{Team, Teams};
 pub use tunnel_peers::{TunnelPeers, TunnelReply};
 pub use unlisted::UnlistedNotices;
+pub use version_rule::VersionRule;
--- a/src/routing/pick.rs
+++ b/src/routing/pick.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::{BackendServer, HomeRegions, Incarnation};
+use super::{BackendServer, HomeRegions, Incarnation, VersionRule};
 use crate::names::{ServiceName, Tag};
 
 /// Parameters of one pick of a server.
@@ -18,6 +18,8 @@
     pub tried: &'a [Incarnation],
     /// Regions in which the request may be served.
     pub homes: &'a HomeRegions,
+    /// Software versions that may run the request.
+    pub version: &'a VersionRule,
     /// Cold servers for which no grant was obtained. If there are any, warm servers are preferred.
     pub denied: &'a [Incarnation],
     /// Target latency of the request, which bounds its wait for a slot.
@@ -48,6 +50,7 @@
             tried: &[],
             denied: &[],
             homes: &HomeRegions::Anywhere,
+            version: &VersionRule::Any,
             target: Duration::ZERO,
             admission: None,
             leased: None,
--- a/src/routing/picker/brittle.rs
+++ b/src/routing/picker/brittle.rs
@@ -3,10 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::{Picker, Tracked};
-use crate::{
-    names::ServiceName,
-    routing::{Incarnation, RejectionLimit, brittleness::RejectionPause},
-};
+use crate::routing::{Incarnation, PickRequest, RejectionLimit, brittleness::RejectionPause};
 
 /// Number of standard deviations of a load by which the target stays below the slots of a brittle server.
 const TARGET_DEVIATIONS: f64 = 0.4;
@@ -57,8 +54,10 @@
         allotment.is_none_or(|more| more > 0.0)
     }
 
-    /// Returns whether requests to a service may find no server because its brittle ones are full.
-    pub(super) fn has_full_brittle(&self, now: Instant, service: &ServiceName) -> bool {
-        self.servers_of(service).any(|t| self.is_brittle_and_full(now, t))
+    /// Returns whether a request may find no server because the brittle ones that could serve it are full.
+    pub(super) fn has_full_brittle(&self, now: Instant, request: &PickRequest<'_>) -> bool {
+        let mut possible =
+            self.servers_of(request.service).filter(|t| self.may_serve(&t.server, request));
+        possible.any(|t| self.is_brittle_and_full(now, t))
     }
 }
--- a/src/routing/picker/mod.rs
+++ b/src/routing/picker/mod.rs
@@ -110,6 +110,11 @@
         request.homes.allows(self.regions.get(&server.zone))
     }
 
+    /// Returns whether a request may be served by a server, wherever and at whatever version that is.
+    fn may_serve(&self, server: &BackendServer, request: &PickRequest<'_>) -> bool {
+        self.is_in_home_region(server, request) && request.version.allows(server.version.as_ref())
+    }
+
     /// Sets the position of this instance in the fleet.
     pub fn set_position(&mut self, position: FleetPosition) {
         self.position = position;
@@ -211,7 +216,7 @@
         {
             return Err(PickError::Backoff { left });
         }
-        if pool.is_empty() && self.has_full_brittle(now, request.service) {
+        if pool.is_empty() && self.has_full_brittle(now, request) {
             return Err(PickError::Overload { admitted: 0.0, wait: Duration::ZERO });
         }
         if let Some(server) = request.leased {
@@ -248,16 +253,9 @@
         if healthy.is_empty() { usable } else { healthy }
     }
 
-    /// Returns the servers that a request may use. If it should use a new version and no server of that may be used,
-    /// returns servers of the other versions.
+    /// Returns the servers that a request may use, of the first group of versions that has any.
     fn usable(&self, now: Instant, request: &PickRequest<'_>) -> Vec<&Tracked> {
-        let group = self.version_group(now, request);
-        let groups: &[VersionGroup] = if group == VersionGroup::New {
-            &[VersionGroup::New, VersionGroup::Old]
-        } else {
-            &[group]
-        };
-        for &group in groups {
+        for &group in self.version_groups(now, request) {
             for step in 0..self.candidate_steps(request.service) {
                 let usable = self.usable_of(now, request, group, step);
                 if !usable.is_empty() {
@@ -281,7 +279,7 @@
             .candidates(request, step)
             .into_iter()
             .filter(|t| self.accepts_requests(now, t))
-            .filter(|t| !excluded(&t.server.id) && self.is_in_home_region(&t.server, request))
+            .filter(|t| !excluded(&t.server.id) && self.may_serve(&t.server, request))
             .filter(|t| self.is_in_group(group, &t.server))
             .filter(|t| !self.is_brittle_and_full(now, t))
             .collect();
--- a/src/routing/picker/notices.rs
+++ b/src/routing/picker/notices.rs
@@ -46,7 +46,7 @@
         }
         let possible = self
             .servers_of(request.service)
-            .filter(|t| self.is_available(t) && self.is_in_home_region(&t.server, request));
+            .filter(|t| self.is_available(t) && self.may_serve(&t.server, request));
         possible.filter_map(|t| t.notice.backoff_left(now)).min()
     }
 }
--- a/src/routing/picker/versions.rs
+++ b/src/routing/picker/versions.rs
@@ -11,7 +11,7 @@
 use super::Picker;
 use crate::{
     names::{ServiceName, SoftwareVersion, Tag},
-    routing::{BackendServer, PickRequest, VersionSplit},
+    routing::{BackendServer, PickRequest, VersionRule, VersionSplit},
 };
 
 /// Groups of servers by their version, from which a request uses one.
@@ -62,8 +62,25 @@
         self.rollouts = rollouts;
     }
 
+    /// Returns the groups of servers that a request uses, in order of preference.
+    pub(super) fn version_groups(
+        &self,
+        now: Instant,
+        request: &PickRequest<'_>,
+    ) -> &'static [VersionGroup] {
+        if *request.version != VersionRule::Any {
+            // A stream goes on at its version whatever share that has, at the servers of a new version that are in use.
+            return &[VersionGroup::New, VersionGroup::Any];
+        }
+        match self.version_group(now, request) {
+            VersionGroup::New => &[VersionGroup::New, VersionGroup::Old],
+            VersionGroup::Old => &[VersionGroup::Old],
+            VersionGroup::Any => &[VersionGroup::Any],
+        }
+    }
+
     /// Returns the group of servers that a request uses. A request that has failed once uses the proven versions.
-    pub(super) fn version_group(&self, now: Instant, request: &PickRequest<'_>) -> VersionGroup {
+    fn version_group(&self, now: Instant, request: &PickRequest<'_>) -> VersionGroup {
         let Some(RolloutServers { split, others, .. }) = self.rollouts.get(request.service) else {
             return VersionGroup::Any;
         };
@@ -108,6 +125,17 @@
         !self.rollouts.contains_key(&server.service) || holder.version == server.version
     }
 
+    /// Returns the rule for a request that goes on with a stream that `server` began. Where no server of a service
+    /// states a version, there is nothing to tell them apart by.
+    pub fn rule_of_stream(&self, server: &BackendServer) -> VersionRule {
+        let is_versioned = self.servers_of(&server.service).any(|t| t.server.version.is_some());
+        if server.version.is_some() || is_versioned {
+            VersionRule::Only(server.version.clone())
+        } else {
+            VersionRule::Any
+        }
+    }
+
     /// Returns this instance's requests in flight at servers of other versions than `to`.
     pub fn in_flight_outside_version(&self, service: &ServiceName, to: &SoftwareVersion) -> u32 {
         let others = self.servers_of(service).filter(|t| t.server.version.as_ref() != Some(to));
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -74,3 +74,4 @@
 mod team_shares_fleet;
 mod testbed;
 mod tunnels;
+mod version_rules;
--- a/tests/suite/stream_versions.rs
+++ b/tests/suite/stream_versions.rs
@@ -211,6 +211,17 @@
     went_on as f64 / taken_up.max(1) as f64
 }
 
+/// Guards against a response that an instance goes on with at a server of another version.
+#[test]
+fn no_response_holds_events_of_two_versions() {
+    let fleet = Versions::start(&["v1", "v1.2", "v1", "v1.2"], 2);
+    fleet.break_runs(&mut Rng::with_seed(seed(60)), 500, 0.45);
+    let streams = fleet.receive_all(100, 60_000);
+    assert_eq!(streams.iter().filter(|held| held.is_mixed_in_one).count(), 0);
+    let resumed = streams.iter().filter(|held| held.is_whole && held.taken_up == 0).count();
+    assert!(resumed > 60, "{resumed} of 100 came whole in one response");
+}
+
 /// Guards against streams with events of two versions, and against instances that refuse to take streams up.
 #[test]
 fn a_stream_goes_on_at_the_version_that_began_it() {
