fix(gateway): a stream that its caller takes up goes on only at the version that began it

Cause: Resumes was read nowhere. A take-up was served as a new request with a Last-Event-Id, at any version, and no instance knew which version had begun a stream, not even at itself once the response had ended. A route with several services sent it to the service that its new id drew.

Ruled out: a version that the caller's request could carry (it carries nothing of ours), a choice of the version by a hash of the id (lists change and differ between instances), the store (235 streams a second, for 400 writes) and a broadcast (986 instances).

Change: while several versions of a service are in sight, an instance that passes on the first event of a stream records its version at three instances, which rendezvous hashing finds by team and attempt, with one datagram each. An instance at which a caller takes a stream up looks into its own records and asks these instances. Who cannot find out refuses with 503 at once: not known is not any. A version counts as in sight for 30 s after it was last listed; streams that run as a second one appears are recorded with their next event. With one version in sight nothing is sent, kept or waited for. An instance that has just started asks another one once which versions are in sight; where all have restarted, streams are recorded until 30 s have passed. Logs and metrics say for each take-up who knew the version, or why it was refused.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -299,7 +299,6 @@
     match admitted.and_then(|request| refuse_held(gateway, request, received_at)) {
         Ok(request) => {
             gateway.note_request(received_at, &request);
-            request_log::log_take_up(&request);
             let (completion, last_attempt) = Forwarding::new(gateway, &request).run(conn);
             request_log::log_completion(gateway, &request, &completion, last_attempt.as_ref());
             ServedRequest { completion: Some(completion), service: request.service.to_string() }
@@ -403,10 +402,10 @@
 }
 
 /// Returns the hash that selects one of a route's services: requests with a shared prompt go to the same one, the
-/// others are distributed by their ids.
+/// others are distributed by their ids, and a stream that is taken up by the id of its first attempt.
 fn share_point(route: &Route, metadata: &RequestMetadata) -> u64 {
     match metadata.affinity {
         Some(key) if route.affinity => ChatKey::of(&[&route.name, &key.to_string()]).0,
-        _ => ChatKey::of(&[&metadata.id]).0,
+        _ => ChatKey::of(&[metadata.resumes.as_ref().unwrap_or(&metadata.id)]).0,
     }
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -63,6 +63,8 @@
     pub(super) sent_at: Option<Instant>,
     /// Software versions that may run the request.
     pub(super) version: VersionRule,
+    /// Whether the version that began the stream was recorded.
+    pub(super) is_recorded: bool,
     /// Servers on which a slot was leased although this instance may not use them.
     pub(super) unusable: Vec<Tag>,
     /// Time that was spent waiting for slot brokers that did not respond.
@@ -83,6 +85,7 @@
             path: ServerPath::Direct,
             sent_at: None,
             version: VersionRule::Any,
+            is_recorded: false,
             unusable: Vec::new(),
             broker_silence: Duration::ZERO,
         }
@@ -95,6 +98,9 @@
     }
 
     fn forward(&mut self, conn: &mut Conn) -> Completion {
+        if !self.bind_take_up() {
+            return self.respond_failed(conn);
+        }
         loop {
             let Some(open) = self.open(Some(conn), None) else { return self.respond_failed(conn) };
             let is_stream = self.request.route.kind.is_stream();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -50,6 +50,7 @@
 pub mod stall_timer;
 pub mod startup;
 pub mod stream;
+pub mod stream_origins;
 mod stream_version;
 mod team_shares;
 pub mod tunnels;
@@ -84,6 +85,7 @@
     settings::GatewaySettings,
     skipped_log::SkippedLog,
     slot_leases::SlotLeases,
+    stream_origins::StreamVersions,
     tunnels::Tunnels,
 };
 use crate::{
@@ -128,6 +130,8 @@
     cold_permits: ColdPermits,
     /// Slot leases of small services.
     pub slot_leases: SlotLeases,
+    /// Versions at which streams began.
+    pub stream_versions: StreamVersions,
     /// Tunnels to backend servers through other instances.
     pub tunnels: Tunnels,
     /// Probes of the paths to servers.
@@ -165,6 +169,7 @@
         let metrics = Metrics::new()?;
         let share = StoreShare::new(settings.store.rates, clock.now());
         let store_share = Arc::new(Mutex::new(share));
+        let restarted_at = (!settings.first_start).then(|| clock.now());
         Ok(Gateway {
             clock: clock.clone(),
             metrics: metrics.clone(),
@@ -178,6 +183,7 @@
             rollouts: Rollouts::default(),
             cold_permits: ColdPermits::default(),
             slot_leases: SlotLeases::new(&settings, clock, &metrics.traffic()),
+            stream_versions: StreamVersions::new(restarted_at),
             tunnels: Tunnels::default(),
             path_probes: PathProbes::default(),
             drain: Drain::open().context("cannot create a pipe")?,
@@ -185,7 +191,7 @@
             store_read_requested: Signal::default(),
             usage: Usage::default(),
             buffers: Buffers::new(settings.buffer_bytes),
-            restarted_at: (!settings.first_start).then(|| clock.now()),
+            restarted_at,
             budgets: Mutex::default(),
             store_lost: Mutex::default(),
             skipped_log: Mutex::default(),
@@ -200,6 +206,7 @@
         self.is_stopped.store(true, Ordering::Relaxed);
         self.store_read_requested.set();
         self.rollouts.wakeup.set();
+        self.stream_versions.stop();
     }
 
     /// Returns whether the instance has not been stopped.
@@ -312,6 +319,7 @@
             roster.servers().map(|server| server.id.clone()).collect()
         });
         self.conns.retain(|server| listed.contains(server));
+        self.note_listed_versions();
         self.slots_changed();
     }
 
--- a/src/gateway/peer_server.rs
+++ b/src/gateway/peer_server.rs
@@ -14,7 +14,9 @@
     intent_relay::{self, OFFER_PATH},
     messages::{ConfirmedAgo, ExchangePurpose, ExchangeReply, ExchangeReport},
     rollout_table::{ROLLOUT_PATH, perform_for_another},
-    roster_reader, tunnels,
+    roster_reader,
+    stream_origins::messages::ORIGIN_PATH,
+    tunnels,
 };
 use crate::{
     configs::fleet::chunks::{decode, encode},
@@ -218,6 +220,11 @@
         timeout: EXCHANGE_TIMEOUT,
         traffic: &gateway.peers.traffic,
         handle_call: |path: &str, body: &[u8]| {
+            if path == ORIGIN_PATH && gateway.is_running() {
+                // A draining instance may be the only one that holds a record.
+                let query = decode(body).map_err(|_| 400_u16)?;
+                return Ok(encode(&gateway.answer_origin_query(&query)));
+            }
             if gateway.drain.is_draining() || !gateway.is_running() {
                 // The others switch to the next aggregator before this instance stops.
                 return Err(503);
@@ -251,6 +258,7 @@
             OFFER_PATH | ROLLOUT_PATH => Purpose::Config,
             PERMIT_PATH => Purpose::Permits,
             STREAM_PATH => Purpose::Slots,
+            ORIGIN_PATH => Purpose::Streams,
             _ => Purpose::Loads,
         },
     };
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -21,6 +21,7 @@
     peer_server::{FleetSums, SUMS_MAX_AGE},
     rollout_table::{ROLLOUT_PATH, RolloutTableReply, RolloutTableRequest},
     settings::GatewaySettings,
+    stream_origins::messages::{ORIGIN_PATH, ORIGIN_TIMEOUT, OriginQuery, OriginReply},
 };
 use crate::{
     clock::Clock,
@@ -76,6 +77,8 @@
     pub(super) is_probing: AtomicBool,
     /// Separate connections, so that permits do not wait for exchanges.
     permit_links: PeerClient,
+    /// Separate connections for questions about streams, for which callers wait.
+    origin_links: PeerClient,
     /// Known instances, in the order in which they become the aggregator.
     pub(super) candidates: Mutex<Candidates>,
     /// Decides when this instance polls the store for the intent.
@@ -117,6 +120,7 @@
             run,
             traffic: traffic.clone(),
             permit_links: PeerClient::new(clock.clone(), None, PERMIT_TIMEOUT, traffic.clone()),
+            origin_links: PeerClient::new(clock.clone(), None, ORIGIN_TIMEOUT, traffic.clone()),
             probe_links: PeerClient::new(clock.clone(), None, probe_timeout, traffic.clone()),
             is_probing: AtomicBool::new(false),
             links: PeerClient::new(clock.clone(), None, EXCHANGE_TIMEOUT, traffic.clone()),
@@ -264,6 +268,16 @@
         reply.map_err(|fault| fault.to_string())
     }
 
+    /// Asks another instance about streams and versions.
+    ///
+    /// # Errors
+    ///
+    /// The reason why it did not reply, for logs.
+    pub fn ask_origin(&self, of: SocketAddr, query: &OriginQuery) -> Result<OriginReply, String> {
+        let reply = self.origin_links.call(Purpose::Streams, of, ORIGIN_PATH, query);
+        reply.map_err(|fault| fault.to_string())
+    }
+
     /// Returns whether `instance` is this one.
     pub fn is_own(&self, instance: &InstanceInfo) -> bool {
         lock(&self.candidates).own().node == instance.node
--- a/src/gateway/pick_error.rs
+++ b/src/gateway/pick_error.rs
@@ -4,10 +4,14 @@
 
 use super::{attempts::Refusal, forward::Forwarding};
 use crate::{
-    routing::{PickError, admission::team_retry_delay, max_retry_delay},
+    routing::{PickError, VersionRule, admission::team_retry_delay, max_retry_delay},
     utils::sync::lock,
 };
 
+/// `Retry-After` if no server of the software version that began a stream takes it: about the time after which a paused
+/// one is tried again.
+const RETRY_AFTER_NO_VERSION: Duration = Duration::from_millis(300);
+
 /// Jitter of `Retry-After`, as a fraction of the remaining backoff. Without it all callers refused during the backoff
 /// would return together and overload the server at once.
 const BACKOFF_JITTER: f64 = 0.05;
@@ -20,7 +24,7 @@
             PickError::Overload { admitted, wait } => (admitted, wait),
             PickError::TeamShare { share } => return self.note_team_share(now, share, draw),
             PickError::Backoff { left } => return self.note_backoff(left, draw),
-            PickError::NoServer => return,
+            PickError::NoServer => return self.note_no_server(now),
         };
         self.gateway.note_rejection(now, request);
         let max = self.retry_delay_max(now);
@@ -43,6 +47,16 @@
         );
     }
 
+    /// Refuses a request that may only go to servers of one software version, of which none takes it.
+    fn note_no_server(&mut self, now: Instant) {
+        if self.version == VersionRule::Any {
+            return;
+        }
+        let retry_after = self.retry_delay_max(now).min(RETRY_AFTER_NO_VERSION);
+        self.refusal = Some(Refusal::no_server_of_version(retry_after));
+        self.gateway.metrics.refusal(&self.request.service, "no_server_of_version");
+    }
+
     /// Refuses a request that the slot broker has rejected; its caller is served if it returns after `retry_after`.
     pub(super) fn note_slot_rejected(&mut self, retry_after: Duration) {
         self.refusal = Some(Refusal::overload(retry_after));
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -8,20 +8,6 @@
     request::Request,
 };
 
-/// Logs a request that takes up a stream.
-pub(super) fn log_take_up(request: &Request) {
-    if !request.is_take_up() {
-        return;
-    }
-    let metadata = &request.metadata;
-    log::info!(
-        "event=stream_taken_up request={} resumes={} after_event={}",
-        metadata.id,
-        metadata.resumes.as_deref().unwrap_or("unknown"),
-        metadata.last_event_id.as_deref().unwrap_or("none")
-    );
-}
-
 /// Logs the end of a request.
 pub(super) fn log_completion(
     gateway: &Gateway,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -92,6 +92,7 @@
     forwarding.note_running();
     forwarding.note_first_byte();
     forwarding.bind_version(&source.open.picked.server);
+    forwarding.record_version(&source.open.picked.server);
     let keep_alive = forwarding.keep_alive() && !request.http10;
     let note = ResponseOptions::plain(keep_alive);
     let framing =
@@ -109,6 +110,7 @@
         match next_events(forwarding, &mut source, &mut events, writer.conn()) {
             SourceRead::Events(complete) => {
                 forwarding.note_running();
+                forwarding.record_version(&source.open.picked.server);
                 interval.count_piece();
                 let began = forwarding.gateway.clock.now();
                 if writer.write(&complete).is_err() {
@@ -123,6 +125,7 @@
             }
             SourceRead::Fault(AttemptFault::CallerGone) => return completed(false, "caller left"),
             SourceRead::Fault(fault) => {
+                forwarding.record_version(&source.open.picked.server);
                 let picked = source.open.picked.clone();
                 drop(source);
                 forwarding.note_fault(&picked, fault);
--- /dev/null
+++ b/src/gateway/stream_origins/messages.rs
@@ -0,0 +1,45 @@
+//! Messages about the software versions at which streams began.
+//!
+//! For instances of two builds that run side by side, the rules of `gateway::messages` apply.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    names::{ServiceName, SoftwareVersion},
+    routing::{SightedVersion, StreamKey, StreamOrigin},
+};
+
+/// Path of these calls.
+pub const ORIGIN_PATH: &str = "/origin";
+
+/// Maximum wait for a reply: several round trips between zones plus a scheduling delay on a slow processor.
+pub const ORIGIN_TIMEOUT: Duration = Duration::from_millis(60);
+
+/// A question to another instance.
+#[derive(Debug, Serialize, Deserialize)]
+pub enum OriginQuery {
+    /// At which version a stream began, which a caller takes up at a service.
+    Stream {
+        /// The stream.
+        key: StreamKey,
+        /// The service.
+        service: ServiceName,
+    },
+    /// Which versions are in sight.
+    Versions,
+}
+
+/// The reply to an [`OriginQuery`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OriginReply {
+    /// Where the stream began.
+    Began(StreamOrigin),
+    /// The stream is not known, and the only version of the service that is in sight is this one.
+    SoleVersion(Option<SoftwareVersion>),
+    /// The versions in sight.
+    Versions(Vec<SightedVersion>),
+    /// The instance does not know.
+    Unknown,
+}
--- /dev/null
+++ b/src/gateway/stream_origins/mod.rs
@@ -0,0 +1,244 @@
+//! Records at which software version streams began, at the instances that hold the records, and finds it out when a
+//! caller takes its stream up.
+//!
+//! Nothing is recorded or asked while all servers of a service have one version.
+
+pub mod messages;
+mod take_up;
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, OnceLock,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use indexmap::IndexMap;
+
+use self::messages::{OriginQuery, OriginReply};
+use super::{Gateway, request::Request};
+use crate::{
+    link::{datagrams::DatagramSocket, traffic::Purpose},
+    names::{NodeName, ServiceName, SoftwareVersion},
+    routing::{
+        InstanceInfo, StreamKey, StreamOrigin, StreamOrigins, StreamRecord, VersionSightings,
+        VersionsInSight, version_sightings::VERSION_RETENTION,
+    },
+    utils::sync::lock,
+};
+
+/// Time for which a record is held beyond the time that its caller waits, as messages and callers may be late.
+const RECORD_MARGIN: Duration = Duration::from_secs(5);
+
+/// Time for which an instance that did not reply is not asked again.
+const SILENCE_DURATION: Duration = Duration::from_secs(1);
+
+/// Pause between two rounds in which an instance that has started asks others for the versions in sight.
+const VERSIONS_POLL_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Instances that are asked in one such round.
+const VERSIONS_ASKED: usize = 2;
+
+/// What an instance knows of the versions at which streams began.
+pub struct StreamVersions {
+    sightings: Mutex<VersionSightings>,
+    origins: Mutex<StreamOrigins>,
+    /// Whether streams of any service may have to be recorded.
+    may_record: AtomicBool,
+    /// Instances that did not reply, and until when they are not asked again.
+    silent: Mutex<IndexMap<NodeName, Instant>>,
+    socket: OnceLock<DatagramSocket>,
+}
+
+impl StreamVersions {
+    /// Returns the state of an instance that knows nothing yet. `restarted_at` is the start of its process, unless all
+    /// instances start for the first time.
+    pub fn new(restarted_at: Option<Instant>) -> StreamVersions {
+        StreamVersions {
+            sightings: Mutex::new(VersionSightings::new(restarted_at)),
+            origins: Mutex::default(),
+            may_record: AtomicBool::new(restarted_at.is_some()),
+            silent: Mutex::default(),
+            socket: OnceLock::new(),
+        }
+    }
+
+    /// Returns the number of records held.
+    pub fn records(&self) -> usize {
+        lock(&self.origins).len()
+    }
+
+    /// Returns whether streams may have to be recorded; as cheap as it can be, since it is asked for each event.
+    pub fn may_record(&self) -> bool {
+        self.may_record.load(Ordering::Relaxed)
+    }
+
+    /// Ends the thread that receives records.
+    pub(super) fn stop(&self) {
+        if let Some(socket) = self.socket.get() {
+            socket.wake();
+        }
+    }
+
+    fn must_record(&self, now: Instant, service: &ServiceName) -> bool {
+        let sightings = lock(&self.sightings);
+        self.may_record.store(sightings.must_record_any(now), Ordering::Relaxed);
+        sightings.must_record(now, service)
+    }
+
+    fn is_silent(&self, now: Instant, node: &NodeName) -> bool {
+        lock(&self.silent).get(node).is_some_and(|until| now < *until)
+    }
+}
+
+impl Gateway {
+    /// Starts to receive records at `address`, and to ask other instances for the versions in sight. Without records the
+    /// instance still asks the others.
+    pub(super) fn start_stream_versions(self: &Arc<Gateway>, address: SocketAddr) {
+        let bound = DatagramSocket::bind(address, Purpose::Streams, self.peers.traffic.clone())
+            .map(|socket| {
+                let _ = self.stream_versions.socket.set(socket);
+            });
+        if let Err(error) = bound {
+            log::error!("event=no_stream_records address={address} reason={error}");
+        }
+        for (name, run) in
+            [("origins", receive_records as fn(&Arc<Gateway>)), ("versions", ask_for_versions)]
+        {
+            let gateway = Arc::clone(self);
+            let spawned = thread::Builder::new().name(name.to_owned()).spawn(move || run(&gateway));
+            if let Err(error) = spawned {
+                log::error!("event=no_thread name={name} reason={error}");
+            }
+        }
+    }
+
+    /// Notes the versions of the current list of servers.
+    pub(super) fn note_listed_versions(&self) {
+        let now = self.clock.now();
+        let mut sightings = lock(&self.stream_versions.sightings);
+        self.cluster_state.with_servers(|roster| sightings.note_list(now, roster.servers()));
+        let may_record = sightings.must_record_any(now);
+        self.stream_versions.may_record.store(may_record, Ordering::Relaxed);
+    }
+
+    fn versions_in_sight(&self, now: Instant, service: &ServiceName) -> VersionsInSight {
+        let is_alone = self.peers.has_joined(now) && self.peers.instances() == 1;
+        // Where there is no other instance, none can know of another version.
+        let list_age =
+            if is_alone { Some(Duration::ZERO) } else { self.cluster_state.servers_age(now) };
+        lock(&self.stream_versions.sightings).in_sight(now, service, list_age)
+    }
+
+    /// Records at which version the stream of a request began, if that has to be recorded; returns whether it was.
+    pub(super) fn record_stream(
+        &self,
+        request: &Request,
+        version: Option<&SoftwareVersion>,
+    ) -> bool {
+        let now = self.clock.now();
+        if !self.stream_versions.must_record(now, &request.service) {
+            return false;
+        }
+        let waits = request.metadata.timeout.unwrap_or_default().max(request.route.timeout);
+        let record = StreamRecord {
+            key: StreamKey::of(request.team_name(), &request.metadata.id),
+            origin: StreamOrigin::new(&request.service, version.cloned()),
+            ttl: waits + RECORD_MARGIN,
+        };
+        self.send_record(&record);
+        lock(&self.stream_versions.origins).record(now, record);
+        true
+    }
+
+    fn send_record(&self, record: &StreamRecord) {
+        let Some(socket) = self.stream_versions.socket.get() else { return };
+        for holder in self.holders(record.key) {
+            socket.send(holder.address, record);
+        }
+    }
+
+    /// Returns the other instances that hold the record of a stream.
+    fn holders(&self, key: StreamKey) -> Vec<InstanceInfo> {
+        let candidates = lock(&self.peers.candidates);
+        let own = &candidates.own().node;
+        let others = key.holders(&candidates).into_iter().filter(|holder| holder.node != *own);
+        others.cloned().collect()
+    }
+
+    /// Replies to another instance.
+    pub(super) fn answer_origin_query(&self, query: &OriginQuery) -> OriginReply {
+        let now = self.clock.now();
+        match query {
+            OriginQuery::Stream { key, service } => self.origin_known_here(now, *key, service),
+            OriginQuery::Versions => {
+                let observed = lock(&self.stream_versions.sightings).observed(now);
+                observed.map_or(OriginReply::Unknown, OriginReply::Versions)
+            }
+        }
+    }
+
+    fn origin_known_here(
+        &self,
+        now: Instant,
+        key: StreamKey,
+        service: &ServiceName,
+    ) -> OriginReply {
+        if let Some(origin) = lock(&self.stream_versions.origins).origin(now, key) {
+            return OriginReply::Began(origin.clone());
+        }
+        let sightings = lock(&self.stream_versions.sightings);
+        // An instance that asks has the same list or a newer one, unless it is cut off from the store.
+        match sightings.in_sight(now, service, Some(Duration::ZERO)) {
+            VersionsInSight::One(version) => OriginReply::SoleVersion(version),
+            _ => OriginReply::Unknown,
+        }
+    }
+}
+
+/// Receives records until the instance is stopped.
+fn receive_records(gateway: &Arc<Gateway>) {
+    let Some(socket) = gateway.stream_versions.socket.get() else { return };
+    loop {
+        let received = socket.receive::<StreamRecord>();
+        if !gateway.is_running() {
+            return;
+        }
+        match received {
+            Ok(Some(record)) => {
+                let now = gateway.clock.now();
+                lock(&gateway.stream_versions.origins).record(now, record);
+            }
+            Ok(None) => log::debug!("event=record_not_understood"),
+            Err(error) => {
+                log::warn!("event=records_not_received reason={error}");
+                thread::sleep(VERSIONS_POLL_INTERVAL);
+            }
+        }
+    }
+}
+
+/// Asks other instances for the versions in sight until one of them, or this instance itself, knows them all.
+fn ask_for_versions(gateway: &Arc<Gateway>) {
+    let give_up_at = gateway.clock.now() + VERSION_RETENTION;
+    while gateway.is_running() {
+        let now = gateway.clock.now();
+        if now >= give_up_at || lock(&gateway.stream_versions.sightings).knows_all(now) {
+            return;
+        }
+        for peer in gateway.peers.random_peers(&gateway.settings.seeds, VERSIONS_ASKED) {
+            if let Ok(OriginReply::Versions(sighted)) =
+                gateway.peers.ask_origin(peer, &OriginQuery::Versions)
+            {
+                let now = gateway.clock.now();
+                lock(&gateway.stream_versions.sightings).note_observed(now, sighted);
+                log::info!("event=versions_known peer={peer}");
+                return;
+            }
+        }
+        thread::sleep(VERSIONS_POLL_INTERVAL);
+    }
+}
--- /dev/null
+++ b/src/gateway/stream_origins/take_up.rs
@@ -0,0 +1,193 @@
+//! Binds a request that takes a stream up to the software version that began the stream.
+
+use std::time::Duration;
+
+use super::{
+    SILENCE_DURATION,
+    messages::{OriginQuery, OriginReply},
+};
+use crate::{
+    gateway::{Gateway, attempts::Refusal, forward::Forwarding, request::Request},
+    names::{NodeName, SoftwareVersion},
+    routing::{StreamKey, VersionRule, VersionsInSight},
+    utils::sync::lock,
+};
+
+/// `Retry-After` if an instance that may know the version did not reply: another one will be asked by then.
+const RETRY_AFTER_UNANSWERED: Duration = Duration::from_millis(100);
+
+/// `Retry-After` if nobody knows the version. The caller had better begin its stream anew.
+const RETRY_AFTER_UNKNOWN: Duration = Duration::from_secs(1);
+
+/// How the version of a stream was found out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Source {
+    /// All servers of the service have one version.
+    SoleVersion,
+    /// This instance holds the record.
+    OwnRecord,
+    /// Another instance replied.
+    Peer(String),
+}
+
+impl Source {
+    /// Returns the label value in metrics.
+    fn label(&self) -> &'static str {
+        match self {
+            Source::SoleVersion => "sole-version",
+            Source::OwnRecord => "own-record",
+            Source::Peer(_) => "peer",
+        }
+    }
+
+    /// Returns the text for logs.
+    fn text(&self) -> &str {
+        match self {
+            Source::Peer(node) => node,
+            _ => self.label(),
+        }
+    }
+}
+
+/// Why the version of a stream is not known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum NotKnown {
+    /// The caller does not name the attempt that brought the first event.
+    NotNamed,
+    /// No instance knows the attempt that the caller names.
+    NoRecord,
+    /// An instance that may know it did not reply.
+    Unanswered,
+    /// The stream began at another service.
+    OtherService,
+}
+
+impl NotKnown {
+    /// Returns the label value in metrics and logs.
+    fn label(self) -> &'static str {
+        match self {
+            NotKnown::NotNamed => "not-named",
+            NotKnown::NoRecord => "no-record",
+            NotKnown::Unanswered => "unanswered",
+            NotKnown::OtherService => "other-service",
+        }
+    }
+
+    fn refusal(self) -> Refusal {
+        match self {
+            NotKnown::Unanswered => Refusal::unknown_version(RETRY_AFTER_UNANSWERED),
+            _ => Refusal::unknown_version(RETRY_AFTER_UNKNOWN),
+        }
+    }
+}
+
+impl Forwarding<'_> {
+    /// Binds a request that takes a stream up to the version that began the stream; returns whether it may be sent. The
+    /// refusal is recorded otherwise.
+    pub(in crate::gateway) fn bind_take_up(&mut self) -> bool {
+        if !self.request.is_take_up() {
+            return true;
+        }
+        let found = self.gateway.version_of_stream(self.request);
+        let (gateway, request) = (self.gateway, self.request);
+        let label = match &found {
+            Ok((_, source)) => source.label(),
+            Err(reason) => reason.label(),
+        };
+        gateway.metrics.stream_take_up(&request.service, label);
+        match found {
+            Ok((version, source)) => {
+                self.version = version.map_or(VersionRule::Any, |v| VersionRule::Only(Some(v)));
+                log_take_up(
+                    request,
+                    &format!("software={} source={}", self.version, source.text()),
+                );
+                true
+            }
+            Err(reason) => {
+                self.refusal = Some(reason.refusal());
+                log_take_up(request, &format!("refused={}", reason.label()));
+                false
+            }
+        }
+    }
+}
+
+impl Gateway {
+    /// Finds out which version began the stream that a request takes up; `None` if its service has no versions.
+    fn version_of_stream(
+        &self,
+        request: &Request,
+    ) -> Result<(Option<SoftwareVersion>, Source), NotKnown> {
+        let now = self.clock.now();
+        let in_sight = self.versions_in_sight(now, &request.service);
+        if let VersionsInSight::One(version) = in_sight {
+            return Ok((version, Source::SoleVersion));
+        }
+        let attempt = request.metadata.resumes.as_deref().ok_or(NotKnown::NotNamed)?;
+        let key = StreamKey::of(request.team_name(), attempt);
+        if let Some(origin) = lock(&self.stream_versions.origins).origin(now, key) {
+            let version = origin.version_at(&request.service).ok_or(NotKnown::OtherService)?;
+            return Ok((Some(version.clone()), Source::OwnRecord));
+        }
+        self.ask_holders(request, key, &in_sight)
+    }
+
+    fn ask_holders(
+        &self,
+        request: &Request,
+        key: StreamKey,
+        in_sight: &VersionsInSight,
+    ) -> Result<(Option<SoftwareVersion>, Source), NotKnown> {
+        let query = OriginQuery::Stream { key, service: request.service.clone() };
+        let mut not_known = NotKnown::NoRecord;
+        if !self.peers.has_joined(self.clock.now()) {
+            not_known = NotKnown::Unanswered;
+        }
+        for holder in self.holders(key) {
+            let now = self.clock.now();
+            if now >= request.deadline || self.stream_versions.is_silent(now, &holder.node) {
+                not_known = NotKnown::Unanswered;
+                continue;
+            }
+            let source = Source::Peer(holder.node.to_string());
+            match self.peers.ask_origin(holder.address, &query) {
+                Ok(OriginReply::Began(origin)) => {
+                    let version =
+                        origin.version_at(&request.service).ok_or(NotKnown::OtherService)?;
+                    return Ok((Some(version.clone()), source));
+                }
+                Ok(OriginReply::SoleVersion(version))
+                    if *in_sight == VersionsInSight::Perhaps(version.clone()) =>
+                {
+                    return Ok((version, source));
+                }
+                Ok(_) => {}
+                Err(reason) => {
+                    log::info!("event=origin_unanswered peer={} reason={reason:?}", holder.node);
+                    self.note_silent(&holder.node);
+                    not_known = NotKnown::Unanswered;
+                }
+            }
+        }
+        Err(not_known)
+    }
+
+    fn note_silent(&self, node: &NodeName) {
+        let now = self.clock.now();
+        let mut silent = lock(&self.stream_versions.silent);
+        silent.retain(|_, until| now < *until);
+        silent.insert(node.clone(), now + SILENCE_DURATION);
+    }
+}
+
+/// Logs a request that takes a stream up, and what became of that.
+fn log_take_up(request: &Request, result: &str) {
+    let metadata = &request.metadata;
+    log::info!(
+        "event=stream_taken_up request={} resumes={} after_event={} {result}",
+        metadata.id,
+        metadata.resumes.as_deref().unwrap_or("none"),
+        metadata.last_event_id.as_deref().unwrap_or("none")
+    );
+}
--- a/src/gateway/stream_version.rs
+++ b/src/gateway/stream_version.rs
@@ -2,7 +2,7 @@
 
 use super::forward::Forwarding;
 use crate::{
-    routing::{BackendServer, VersionRule},
+    routing::{BackendServer, RouteKind, VersionRule},
     utils::sync::lock,
 };
 
@@ -39,6 +39,20 @@
         }
     }
 
+    /// Records the version of the server whose events the caller receives, once that has to be recorded. Another version
+    /// may appear while the stream runs.
+    pub(super) fn record_version(&mut self, server: &BackendServer) {
+        let request = self.request;
+        if self.is_recorded
+            || !self.gateway.stream_versions.may_record()
+            || request.route.kind != RouteKind::ResumableStream
+            || request.is_take_up()
+        {
+            return;
+        }
+        self.is_recorded = self.gateway.record_stream(request, server.version.as_ref());
+    }
+
     /// Returns why no server was found that resumes the stream.
     pub(super) fn reason_without_server(&self) -> NotResumed {
         let now = self.gateway.clock.now();
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -3,6 +3,7 @@
 pub mod backend;
 pub mod call;
 pub mod conn_pool;
+pub mod datagrams;
 pub mod dialer;
 pub mod http1;
 pub mod idle;
--- a/src/link/traffic.rs
+++ b/src/link/traffic.rs
@@ -23,11 +23,13 @@
     Operators,
     /// Slot leases of small services.
     Slots,
+    /// Versions at which streams began.
+    Streams,
 }
 
 impl Purpose {
     /// All purposes.
-    pub const ALL: [Purpose; 9] = [
+    pub const ALL: [Purpose; 10] = [
         Purpose::Permits,
         Purpose::Heartbeat,
         Purpose::Loads,
@@ -37,6 +39,7 @@
         Purpose::Probe,
         Purpose::Operators,
         Purpose::Slots,
+        Purpose::Streams,
     ];
 
     /// Returns the purpose's name in metrics.
@@ -51,6 +54,7 @@
             Purpose::Probe => "probe",
             Purpose::Operators => "operators",
             Purpose::Slots => "slots",
+            Purpose::Streams => "streams",
         }
     }
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -35,6 +35,7 @@
     streams_resumed: Counter<u64>,
     response_ends: Counter<u64>,
     streams_not_resumed: Counter<u64>,
+    stream_take_ups: Counter<u64>,
     control_bytes: Counter<u64>,
     control_messages: Counter<u64>,
     engine_load: Gauge<u64>,
@@ -139,6 +140,10 @@
                 "cartvane_streams_resumed",
                 "Streams resumed after their connection was lost",
             ),
+            stream_take_ups: counter(
+                "cartvane_stream_take_ups",
+                "Streams that callers took up, by service and how the version that began them was found",
+            ),
             streams_not_resumed: counter(
                 "cartvane_streams_not_resumed",
                 "Streams that broke off and were not resumed, by service and reason",
@@ -457,6 +462,12 @@
         self.instruments.store_era.record(era, &[]);
     }
 
+    /// Counts a request that takes a stream up.
+    pub fn stream_take_up(&self, service: &ServiceName, result: &'static str) {
+        let labels = [label("service", service), label("result", result)];
+        self.instruments.stream_take_ups.add(1, &labels);
+    }
+
     /// Counts a stream that broke off and was not resumed.
     pub fn stream_not_resumed(&self, service: &ServiceName, reason: &'static str) {
         let labels = [label("service", service), label("reason", reason)];
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -36,10 +36,12 @@
 pub mod startup;
 pub mod store_share;
 pub mod store_version;
+pub mod stream_origins;
 pub mod team;
 pub mod tunnel_peers;
 pub mod unlisted;
 pub mod version_rule;
+pub mod version_sightings;
 
 pub use admission::{
     AdmissionControl, BrokerAction, BrokerChoice, BrokerSilence, FleetDemand, LeaseId, LeaseTimes,
@@ -88,7 +90,9 @@
 pub use startup::StartupWait;
 pub use store_share::{CallKind, StoreRates, StoreShare};
 pub use store_version::{StoreEra, StoreVersion};
+pub use stream_origins::{StreamKey, StreamOrigin, StreamOrigins, StreamRecord};
 pub use team::{Team, Teams};
 pub use tunnel_peers::{TunnelPeers, TunnelReply};
 pub use unlisted::UnlistedNotices;
 pub use version_rule::VersionRule;
+pub use version_sightings::{SightedVersion, VersionSightings, VersionsInSight};
--- a/tests/suite/stream_versions.rs
+++ b/tests/suite/stream_versions.rs
@@ -3,7 +3,7 @@
 
 use std::{collections::BTreeSet, sync::Arc, thread, time::Duration};
 
-use cartvane::gateway::GatewayHandle;
+use cartvane::gateway::{GatewayHandle, settings::GatewaySettings};
 use fastrand::Rng;
 use serde_json::{Value, json};
 use standins::{
@@ -14,8 +14,8 @@
 };
 
 use crate::{
-    support::{eventually, seed},
-    testbed::{call, intent, route, spawn},
+    support::{cases, eventually, seed},
+    testbed::{KEY, call, intent, route, settings, spawn_with},
 };
 
 /// Attempts of a caller at one stream.
@@ -57,23 +57,21 @@
     stream["stream_resume"] = true.into();
     stream["max_attempts"] = 2.into();
     intent["routes"] = json!([stream]);
+    intent["tenants"] = json!([
+        {"name": "crew", "api_keys": [KEY], "priority": 3},
+        {"name": "port", "api_keys": [OTHER_KEY], "priority": 3}
+    ]);
     intent
 }
 
 impl Versions {
     /// Starts servers with these versions and as many instances.
     pub(crate) fn start(versions: &[&str], instances: usize) -> Versions {
-        let faults: Arc<Faults> = Arc::default();
-        let server = |(i, version): (usize, &&str)| {
-            let server = Listed::spawn_sharing(&format!("s{i}"), Arc::clone(&faults));
-            let server = server.expect("a server");
-            server.set_version(version);
-            server
-        };
-        let servers: Vec<Listed> = versions.iter().enumerate().map(server).collect();
         let store = StoreStandIn::spawn().expect("a store");
         store.put("op", "config", &streaming_intent());
-        let mut fleet = Versions { store, servers, faults, instances: Vec::new() };
+        let faults = Arc::default();
+        let mut fleet = Versions { store, servers: Vec::new(), faults, instances: Vec::new() };
+        versions.iter().for_each(|version| fleet.add_server(version));
         (0..versions.len()).for_each(|server| fleet.list(server));
         (0..instances).for_each(|number| fleet.start_instance(&format!("i{number}")));
         fleet.wait_for_peers();
@@ -87,10 +85,33 @@
         self.store.put("servers", &self.servers[server].id, &entry);
     }
 
-    /// Starts one more instance.
+    /// Starts one more server, which is not listed yet.
+    fn add_server(&mut self, version: &str) {
+        let name = format!("s{}", self.servers.len());
+        let server = Listed::spawn_sharing(&name, Arc::clone(&self.faults)).expect("a server");
+        server.set_version(version);
+        self.servers.push(server);
+    }
+
+    /// Removes the entry of a server.
+    pub(crate) fn unlist(&self, server: usize) {
+        self.store.remove("servers", &self.servers[server].id);
+    }
+
+    /// Starts one more instance with all others.
     pub(crate) fn start_instance(&mut self, name: &str) {
+        self.spawn_instance(name, true);
+    }
+
+    /// Starts one more instance while others run.
+    pub(crate) fn restart_instance(&mut self, name: &str) {
+        self.spawn_instance(name, false);
+    }
+
+    fn spawn_instance(&mut self, name: &str, first_start: bool) {
         let seeds = self.instances.iter().map(GatewayHandle::peers).take(1).collect();
-        let instance = spawn(name, self.store.address(), seeds);
+        let settings = settings(name, self.store.address(), seeds);
+        let instance = spawn_with(GatewaySettings { first_start, ..settings });
         eventually("the instance is ready", || instance.gateway().is_ready());
         self.instances.push(instance);
     }
@@ -241,3 +262,166 @@
     let streams = fleet.receive_all(72, 62_000);
     assert_versions_kept(&streams);
 }
+
+/// A second team, which may not take up the streams of the first.
+const OTHER_KEY: &str = "key-of-port";
+
+/// Returns what an instance says of one attempt: the status, whether it may be retried, and whether it ran.
+fn refusal_of(fleet: &Versions, answer: &Answer, id: &str) -> (u16, bool, u32) {
+    let runs = fleet.servers.iter().map(|server| server.runs(id)).sum();
+    (answer.status, !answer.header("retry-after").is_empty(), runs)
+}
+
+/// Begins a stream at an instance, which breaks off after three events and is not resumed; returns its version.
+fn begin(fleet: &Versions, instance: usize, id: &str) -> String {
+    // Two runs are allowed for one attempt, and both break off.
+    fleet.faults.push([Fault::BreakInside(3, 3), Fault::BreakInside(0, 3)]);
+    let answer = fleet.attempt(instance, id, None);
+    fleet.faults.clear();
+    let mut held = Held::default();
+    held.add(&answer, false);
+    assert_eq!((held.events.len(), held.is_whole), (3, false), "{held:?}");
+    held.versions.pop_first().expect("a version")
+}
+
+/// Takes a stream up after its third event; returns the versions that its caller holds then.
+fn take_up(
+    fleet: &Versions,
+    instance: usize,
+    id: &str,
+    first: &str,
+) -> Result<Vec<String>, Box<Answer>> {
+    let answer = fleet.attempt(instance, id, Some((first, 3)));
+    let mut held = Held::default();
+    held.add(&answer, true);
+    if held.is_whole { Ok(held.versions.into_iter().collect()) } else { Err(Box::new(answer)) }
+}
+
+/// Guards against knowledge that is lost with the instance that began a stream, or not there at one that has just
+/// started.
+#[test]
+fn a_stream_is_taken_up_at_a_new_instance_after_the_first_one_was_killed() {
+    let mut fleet = Versions::start(&["v1", "v2", "v1", "v2", "v3", "v3"], 5);
+    let begun: Vec<String> = (0..12).map(|n| begin(&fleet, n % 2, &format!("b{n}"))).collect();
+    assert!(begun.iter().collect::<BTreeSet<_>>().len() > 1, "{begun:?}");
+    fleet.instances.drain(..2);
+    fleet.restart_instance("i9");
+    let newest = fleet.instances.len() - 1;
+    eventually("the new instance knows the others", || {
+        fleet.instances[newest].gateway().peers.instances() >= 4
+    });
+    let mut went_on = 0;
+    for (n, version) in begun.iter().enumerate() {
+        let (id, first) = (format!("t{n}"), format!("b{n}"));
+        match take_up(&fleet, newest, &id, &first) {
+            Ok(versions) => {
+                assert_eq!(versions, [version.as_str()], "{first}");
+                went_on += 1;
+            }
+            Err(answer) => assert_eq!(refusal_of(&fleet, &answer, &id), (503, true, 0), "{first}"),
+        }
+    }
+    assert!(went_on >= 11, "{went_on} of 12 went on");
+}
+
+/// Guards against a caller that joins a stream of which nobody knows the version: by an id that is made up, of another
+/// team or missing.
+#[test]
+fn a_stream_of_unknown_version_is_refused_as_not_run() {
+    let fleet = Versions::start(&["v1", "v2", "v1", "v2"], 3);
+    let version = begin(&fleet, 0, "b");
+    let stream = |id: &str| call("/stream-resumable/?marked=1", id).with("connection", "close");
+    let mut other_team = stream("t1").with("resumes", "b").with("last-event-id", 3);
+    other_team.headers[0].1 = format!("Bearer {OTHER_KEY}");
+    let calls = [
+        ("t1", other_team),
+        ("t2", stream("t2").with("resumes", "made-up").with("last-event-id", 3)),
+        ("t3", stream("t3").with("last-event-id", 3)),
+        ("t4", stream("t4").with("resumes", "made-up")),
+    ];
+    for (id, call) in calls {
+        let began = std::time::Instant::now();
+        let answer = call.send(fleet.instances[1].callers());
+        assert_eq!(refusal_of(&fleet, &answer, id), (503, true, 0), "{id}: {}", answer.text());
+        assert!(began.elapsed() < Duration::from_millis(500), "{id}: refused at once");
+    }
+    // Without an event of its own, a stream that is named begins anew, at the version of the one that it names.
+    let anew = stream("t5").with("resumes", "b").send(fleet.instances[2].callers());
+    assert!(anew.text().contains(&version) && anew.whole, "{}", anew.text());
+    assert_eq!(take_up(&fleet, 2, "t6", "b").expect("it goes on"), [version]);
+}
+
+/// Guards against messages, records and waits on days with one version, and against a second one that appears while a
+/// stream runs.
+#[test]
+fn nothing_is_recorded_while_there_is_one_version() {
+    let mut fleet = Versions::start(&["v1", "v1", "v1"], 3);
+    let records = |fleet: &Versions| -> usize {
+        fleet.instances.iter().map(|i| i.gateway().stream_versions.records()).sum()
+    };
+    fleet.break_runs(&mut Rng::with_seed(seed(63)), 200, 0.3);
+    let calm = fleet.receive_all(30, 63_000);
+    fleet.faults.clear();
+    assert_eq!(records(&fleet), 0);
+    assert!(calm.iter().all(|held| held.refusals.is_empty()), "{calm:?}");
+    fleet.add_server("v2");
+    fleet.add_server("v2");
+    // A stream that began before pauses while the other version appears, goes on, and breaks off.
+    fleet.faults.push([Fault::PauseAfter(2, Duration::from_millis(1500))]);
+    thread::scope(|scope| {
+        let running = scope.spawn(|| fleet.attempt(0, "b", None));
+        thread::sleep(Duration::from_millis(100));
+        fleet.list(3);
+        fleet.list(4);
+        eventually("all instances see both versions", || {
+            fleet.instances.iter().all(|i| i.gateway().stream_versions.may_record())
+        });
+        assert!(running.join().expect("a caller").whole);
+    });
+    for instance in 1..3 {
+        let id = format!("t{instance}");
+        assert_eq!(take_up(&fleet, instance, &id, "b").expect("it goes on"), ["v1"]);
+    }
+    fleet.unlist(0);
+    fleet.unlist(1);
+    fleet.unlist(2);
+    eventually("the version has left", || {
+        fleet
+            .instances
+            .iter()
+            .all(|i| i.gateway().cluster_state.with_servers(|r| r.servers().count()) == 2)
+    });
+    let answer = take_up(&fleet, 1, "t9", "b").expect_err("its version has left");
+    assert_eq!(refusal_of(&fleet, &answer, "t9"), (503, true, 0), "{}", answer.text());
+}
+
+/// Guards against versions that are joined, and against too many refusals, under random versions, breaks and instances
+/// that stop and start.
+#[test]
+fn streams_keep_their_version_whichever_instances_stop() {
+    for case in 0..cases(6) {
+        let base = 64_000 + case * 100;
+        let mut rng = Rng::with_seed(seed(base));
+        let names = ["v1", "v2", "v3"];
+        let versions: Vec<&str> =
+            (0..rng.usize(4..9)).map(|n| names[if n < 2 { 0 } else { rng.usize(..3) }]).collect();
+        let mut fleet = Versions::start(&versions, rng.usize(3..6));
+        let share = 0.2 + 0.5 * rng.f64();
+        let mut streams = Vec::new();
+        for round in 0..3 {
+            fleet.break_runs(&mut rng, 1000, share);
+            streams.extend(fleet.receive_all(40, base * 10 + round));
+            fleet.faults.clear();
+            let stopped = rng.usize(..fleet.instances.len());
+            drop(fleet.instances.remove(stopped));
+            if rng.bool() {
+                fleet.restart_instance(&format!("n{round}"));
+            }
+        }
+        assert_versions_kept(&streams);
+        let refused = streams.iter().flat_map(|held| &held.refusals);
+        let unknown = refused.filter(|(_, text)| text.contains("not known")).count();
+        let taken_up: usize = streams.iter().map(|held| held.taken_up).sum();
+        assert!(unknown * 10 <= taken_up + 10, "case {case}: {unknown} of {taken_up} not known");
+    }
+}
