--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -2,16 +2,14 @@
 
 use std::time::{Duration, Instant};
 
-use http::{Method, StatusCode};
-
 use super::{
     Gateway,
     attempts::{Attempts, Refusal},
-    buffers::HeldBody,
     in_flight::{Completion, InFlightGuard, LastAttempt, OpenResponse},
     relay::{self, Collected},
     request::{AttemptHeaders, Request},
-    response::{CALLER_WRITE_TIMEOUT, ResponseMetadata},
+    responding::BufferedResponse,
+    response::ResponseMetadata,
     server_call::{self, HeadWait, ServerResponse},
     server_path::ServerPath,
     slot_leases::{SlotLease, SlotOutcome},
@@ -20,11 +18,8 @@
 };
 use crate::{
     adapter,
-    contract::outcome::{AttemptFault, Outcome},
-    link::{
-        http1::Conn,
-        response::{ResponseOptions, send_response},
-    },
+    contract::outcome::AttemptFault,
+    link::http1::Conn,
     names::Tag,
     routing::{Incarnation, PickRequest, Picked, RouteKind, VersionRule},
     utils::sync::lock,
@@ -34,13 +29,6 @@
 /// it.
 pub(super) const FAILURE_RESERVE: f64 = 0.5;
 
-/// A response of a server that was read to its end.
-struct BufferedResponse<'g> {
-    status: StatusCode,
-    headers: http::HeaderMap,
-    body: HeldBody<'g>,
-}
-
 /// No attempt is left, or the request was refused.
 struct NoAttempt;
 
@@ -51,7 +39,7 @@
     /// The request.
     pub request: &'a Request,
     pub(super) attempts: Attempts,
-    last_failure: Option<BufferedResponse<'a>>,
+    pub(super) last_failure: Option<BufferedResponse<'a>>,
     /// Why the request was refused without being sent.
     pub(super) refusal: Option<Refusal>,
     /// Cold servers that the request has no permit for.
@@ -417,11 +405,6 @@
         }
     }
 
-    /// Responds to a failed request; `None` if another attempt is allowed.
-    pub(super) fn respond_failed_unless_retry(&mut self, conn: &mut Conn) -> Option<Completion> {
-        if self.may_retry() { None } else { Some(self.respond_failed(conn)) }
-    }
-
     /// Returns the connection of a response that was read to its end to the pool.
     pub fn keep_connection(&self, server: &Incarnation, response: ServerResponse) {
         // Only its first request may use a tunnel: the instance in between cannot tell an idle one from one in use.
@@ -442,68 +425,4 @@
             attempt.body_end = Some(end);
         }
     }
-
-    /// Records that the first bytes of a server's response are sent to the caller now.
-    pub fn note_first_byte(&mut self) {
-        let took = self.gateway.clock.now().saturating_duration_since(self.request.received_at);
-        self.gateway.metrics.first_byte(&self.request.service, took);
-        if let Some(attempt) = &mut self.last_attempt {
-            attempt.first_byte_after = Some(took);
-        }
-    }
-
-    fn send_buffered(
-        &mut self,
-        conn: &mut Conn,
-        response: &BufferedResponse<'_>,
-        reason: &'static str,
-    ) -> Completion {
-        self.note_first_byte();
-        let keep_alive = self.keep_alive();
-        let note = ResponseOptions::plain(keep_alive);
-        let head_only = self.request.method == Method::HEAD;
-        let (headers, body) = (&response.headers, &response.body.bytes);
-        relay::prepare_caller(conn, body);
-        let sent = send_response(
-            conn,
-            CALLER_WRITE_TIMEOUT,
-            response.status,
-            headers,
-            &note,
-            body,
-            head_only,
-        );
-        Completion {
-            status: response.status.as_u16(),
-            outcome: Outcome::Run,
-            keep_alive: keep_alive && sent.is_ok(),
-            reason,
-        }
-    }
-
-    /// Responds to a request that no server served: with the last server error, if there is one.
-    pub fn respond_failed(&mut self, conn: &mut Conn) -> Completion {
-        if self.attempts.caller_left() {
-            return Completion {
-                status: 0,
-                outcome: Outcome::Unknown,
-                keep_alive: false,
-                reason: "caller left",
-            };
-        }
-        if let Some(response) = self.last_failure.take() {
-            return self.send_buffered(conn, &response, "server error");
-        }
-        let time_left = self.request.deadline.saturating_duration_since(self.gateway.clock.now());
-        let response = self.attempts.local_response(self.refusal, time_left);
-        let keep_alive = self.keep_alive();
-        let keep_alive = response.send(conn, keep_alive, self.request.method == Method::HEAD);
-        let status = response.status.as_u16();
-        Completion { status, outcome: self.attempts.outcome(), keep_alive, reason: response.reason }
-    }
-
-    /// Returns whether the caller's connection may serve another request after this one.
-    pub fn keep_alive(&self) -> bool {
-        self.request.keep_alive && !self.gateway.drain.is_draining()
-    }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -34,6 +34,7 @@
 pub mod relay;
 pub mod request;
 mod request_log;
+mod responding;
 pub mod response;
 pub mod rollout_controller;
 pub mod rollout_table;
