fix(gateway): a reply about a stream has more time than a pause of its holder

Cause: a holder with a small share of a core may pause for up to 90 ms, and counted as silent after 60 ms. Change: 100 ms.

--- a/src/gateway/stream_origins/messages.rs
+++ b/src/gateway/stream_origins/messages.rs
@@ -14,8 +14,8 @@
 /// Path of these calls.
 pub const ORIGIN_PATH: &str = "/origin";
 
-/// Maximum wait for a reply: several round trips between zones plus a scheduling delay on a slow processor.
-pub const ORIGIN_TIMEOUT: Duration = Duration::from_millis(60);
+/// Maximum wait for a reply: a small share of a core comes in parts, with pauses of up to 90 ms between them.
+pub const ORIGIN_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// A question to another instance.
 #[derive(Debug, Serialize, Deserialize)]
