fix(gateway): an instance holds no thread for records while there is one version

Change: an instance receives records from the moment in which streams may have to be recorded until they need not be, and asks for the versions in sight only if it has started while others ran. An instance that is alone does neither.

--- a/src/gateway/stream_origins/mod.rs
+++ b/src/gateway/stream_origins/mod.rs
@@ -9,7 +9,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc, Mutex, OnceLock,
+        Arc, Mutex, OnceLock, Weak,
         atomic::{AtomicBool, Ordering},
     },
     thread,
@@ -21,7 +21,10 @@
 use self::messages::{OriginQuery, OriginReply};
 use super::{Gateway, request::Request};
 use crate::{
-    link::{datagrams::DatagramSocket, traffic::Purpose},
+    link::{
+        datagrams::{DatagramSocket, Received},
+        traffic::Purpose,
+    },
     names::{NodeName, ServiceName, SoftwareVersion},
     routing::{
         InstanceInfo, StreamKey, StreamOrigin, StreamOrigins, StreamRecord, VersionSightings,
@@ -36,6 +39,9 @@
 /// Time for which an instance that did not reply is not asked again.
 const SILENCE_DURATION: Duration = Duration::from_secs(1);
 
+/// Time without a record after which the thread that receives them checks whether it is still needed.
+const RECEIVE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Pause between two rounds in which an instance that has started asks others for the versions in sight.
 const VERSIONS_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -50,7 +56,10 @@
     may_record: AtomicBool,
     /// Instances that did not reply, and until when they are not asked again.
     silent: Mutex<IndexMap<NodeName, Instant>>,
-    socket: OnceLock<DatagramSocket>,
+    /// The instance, and the address at which it receives records.
+    owner: OnceLock<(Weak<Gateway>, SocketAddr)>,
+    /// Only while streams may have to be recorded.
+    socket: Mutex<Option<Arc<DatagramSocket>>>,
 }
 
 impl StreamVersions {
@@ -62,7 +71,8 @@
             origins: Mutex::default(),
             may_record: AtomicBool::new(restarted_at.is_some()),
             silent: Mutex::default(),
-            socket: OnceLock::new(),
+            owner: OnceLock::new(),
+            socket: Mutex::default(),
         }
     }
 
@@ -78,15 +88,39 @@
 
     /// Ends the thread that receives records.
     pub(super) fn stop(&self) {
-        if let Some(socket) = self.socket.get() {
+        if let Some(socket) = &*lock(&self.socket) {
             socket.wake();
         }
     }
 
+    fn must_record_any(&self, now: Instant) -> bool {
+        let must = lock(&self.sightings).must_record_any(now);
+        self.may_record.store(must, Ordering::Relaxed);
+        must
+    }
+
+    /// Starts to receive records, unless that has been started.
+    fn receive(&self) {
+        let Some((gateway, address)) = self.owner.get() else { return };
+        let Some(gateway) = gateway.upgrade() else { return };
+        let mut socket = lock(&self.socket);
+        if socket.is_some() {
+            return;
+        }
+        let traffic = gateway.peers.traffic.clone();
+        match DatagramSocket::bind(*address, Purpose::Streams, RECEIVE_TIMEOUT, traffic) {
+            Ok(bound) => *socket = Some(Arc::new(bound)),
+            Err(error) => {
+                log::error!("event=no_stream_records address={address} reason={error}");
+                return;
+            }
+        }
+        drop(socket);
+        spawn(&gateway, "origins", receive_records);
+    }
+
     fn must_record(&self, now: Instant, service: &ServiceName) -> bool {
-        let sightings = lock(&self.sightings);
-        self.may_record.store(sightings.must_record_any(now), Ordering::Relaxed);
-        sightings.must_record(now, service)
+        self.must_record_any(now) && lock(&self.sightings).must_record(now, service)
     }
 
     fn is_silent(&self, now: Instant, node: &NodeName) -> bool {
@@ -95,41 +129,50 @@
 }
 
 impl Gateway {
-    /// Starts to receive records at `address`, and to ask other instances for the versions in sight. Without records the
-    /// instance still asks the others.
+    /// Has the instance receive records at `address` whenever streams may have to be recorded, and ask other instances for
+    /// the versions in sight if it has started while they ran.
     pub(super) fn start_stream_versions(self: &Arc<Gateway>, address: SocketAddr) {
-        let bound = DatagramSocket::bind(address, Purpose::Streams, self.peers.traffic.clone())
-            .map(|socket| {
-                let _ = self.stream_versions.socket.set(socket);
-            });
-        if let Err(error) = bound {
-            log::error!("event=no_stream_records address={address} reason={error}");
-        }
-        for (name, run) in
-            [("origins", receive_records as fn(&Arc<Gateway>)), ("versions", ask_for_versions)]
-        {
-            let gateway = Arc::clone(self);
-            let spawned = thread::Builder::new().name(name.to_owned()).spawn(move || run(&gateway));
-            if let Err(error) = spawned {
-                log::error!("event=no_thread name={name} reason={error}");
-            }
+        let _ = self.stream_versions.owner.set((Arc::downgrade(self), address));
+        if self.stream_versions.may_record() {
+            self.stream_versions.receive();
+            spawn(self, "versions", ask_for_versions);
         }
     }
 
     /// Notes the versions of the current list of servers.
     pub(super) fn note_listed_versions(&self) {
         let now = self.clock.now();
-        let mut sightings = lock(&self.stream_versions.sightings);
+        let stream_versions = &self.stream_versions;
+        let mut sightings = lock(&stream_versions.sightings);
         self.cluster_state.with_servers(|roster| sightings.note_list(now, roster.servers()));
-        let may_record = sightings.must_record_any(now);
-        self.stream_versions.may_record.store(may_record, Ordering::Relaxed);
+        drop(sightings);
+        if stream_versions.must_record_any(now) && !self.is_alone(now) {
+            stream_versions.receive();
+        }
+    }
+
+    /// Returns whether there is no other instance.
+    fn is_alone(&self, now: Instant) -> bool {
+        self.peers.has_joined(now) && self.peers.instances() == 1
+    }
+
+    /// Stops receiving records if no other instance has to record streams; returns whether it has.
+    fn stops_receiving(&self, now: Instant) -> bool {
+        let mut socket = lock(&self.stream_versions.socket);
+        let stops = !self.stream_versions.must_record_any(now) || self.is_alone(now);
+        if stops {
+            *socket = None;
+        }
+        stops
     }
 
     fn versions_in_sight(&self, now: Instant, service: &ServiceName) -> VersionsInSight {
-        let is_alone = self.peers.has_joined(now) && self.peers.instances() == 1;
         // Where there is no other instance, none can know of another version.
-        let list_age =
-            if is_alone { Some(Duration::ZERO) } else { self.cluster_state.servers_age(now) };
+        let list_age = if self.is_alone(now) {
+            Some(Duration::ZERO)
+        } else {
+            self.cluster_state.servers_age(now)
+        };
         lock(&self.stream_versions.sightings).in_sight(now, service, list_age)
     }
 
@@ -155,7 +198,8 @@
     }
 
     fn send_record(&self, record: &StreamRecord) {
-        let Some(socket) = self.stream_versions.socket.get() else { return };
+        let socket = lock(&self.stream_versions.socket).clone();
+        let Some(socket) = socket else { return };
         for holder in self.holders(record.key) {
             socket.send(holder.address, record);
         }
@@ -199,20 +243,31 @@
     }
 }
 
-/// Receives records until the instance is stopped.
-fn receive_records(gateway: &Arc<Gateway>) {
-    let Some(socket) = gateway.stream_versions.socket.get() else { return };
-    loop {
-        let received = socket.receive::<StreamRecord>();
-        if !gateway.is_running() {
-            return;
-        }
-        match received {
-            Ok(Some(record)) => {
+/// Starts a thread of the instance.
+fn spawn(gateway: &Arc<Gateway>, name: &str, run: fn(&Gateway)) {
+    let gateway = Arc::clone(gateway);
+    let spawned = thread::Builder::new().name(name.to_owned()).spawn(move || run(&gateway));
+    if let Err(error) = spawned {
+        log::error!("event=no_thread name={name} reason={error}");
+    }
+}
+
+/// Receives records until no streams have to be recorded, or the instance is stopped.
+fn receive_records(gateway: &Gateway) {
+    let socket = lock(&gateway.stream_versions.socket).clone();
+    let Some(socket) = socket else { return };
+    while gateway.is_running() {
+        match socket.receive::<StreamRecord>() {
+            Ok(Received::Message(record)) => {
                 let now = gateway.clock.now();
                 lock(&gateway.stream_versions.origins).record(now, record);
             }
-            Ok(None) => log::debug!("event=record_not_understood"),
+            Ok(Received::Invalid) => log::debug!("event=record_not_understood"),
+            Ok(Received::Nothing) => {
+                if gateway.stops_receiving(gateway.clock.now()) {
+                    return;
+                }
+            }
             Err(error) => {
                 log::warn!("event=records_not_received reason={error}");
                 thread::sleep(VERSIONS_POLL_INTERVAL);
@@ -222,11 +277,12 @@
 }
 
 /// Asks other instances for the versions in sight until one of them, or this instance itself, knows them all.
-fn ask_for_versions(gateway: &Arc<Gateway>) {
+fn ask_for_versions(gateway: &Gateway) {
     let give_up_at = gateway.clock.now() + VERSION_RETENTION;
     while gateway.is_running() {
         let now = gateway.clock.now();
-        if now >= give_up_at || lock(&gateway.stream_versions.sightings).knows_all(now) {
+        let knows_all = lock(&gateway.stream_versions.sightings).knows_all(now);
+        if now >= give_up_at || knows_all || gateway.is_alone(now) {
             return;
         }
         for peer in gateway.peers.random_peers(&gateway.settings.seeds, VERSIONS_ASKED) {
--- a/src/link/datagrams.rs
+++ b/src/link/datagrams.rs
@@ -2,8 +2,9 @@
 //! respond delays nobody.
 
 use std::{
-    io,
+    io::{self, ErrorKind},
     net::{SocketAddr, UdpSocket},
+    time::Duration,
 };
 
 use serde::{Serialize, de::DeserializeOwned};
@@ -16,6 +17,17 @@
 /// Maximum size of a message in bytes, which fits into one packet on all links.
 const MESSAGE_MAX: usize = 1200;
 
+/// What a wait for a datagram brought.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Received<T> {
+    /// A message.
+    Message(T),
+    /// A datagram that is no message.
+    Invalid,
+    /// Nothing in time.
+    Nothing,
+}
+
 /// A socket that sends and receives messages of one purpose.
 pub struct DatagramSocket {
     socket: UdpSocket,
@@ -24,7 +36,7 @@
 }
 
 impl DatagramSocket {
-    /// Binds a socket.
+    /// Binds a socket, at which a wait for a datagram takes `receive_timeout` at most.
     ///
     /// # Errors
     ///
@@ -32,9 +44,12 @@
     pub fn bind(
         address: SocketAddr,
         purpose: Purpose,
+        receive_timeout: Duration,
         traffic: TrafficCounter,
     ) -> io::Result<DatagramSocket> {
-        Ok(DatagramSocket { socket: UdpSocket::bind(address)?, purpose, traffic })
+        let socket = UdpSocket::bind(address)?;
+        socket.set_read_timeout(Some(receive_timeout))?;
+        Ok(DatagramSocket { socket, purpose, traffic })
     }
 
     /// Sends a message; it may be lost.
@@ -50,16 +65,22 @@
         }
     }
 
-    /// Waits for a datagram; returns its message, or `None` if it is none.
+    /// Waits for a datagram.
     ///
     /// # Errors
     ///
     /// The socket has failed.
-    pub fn receive<T: DeserializeOwned>(&self) -> io::Result<Option<T>> {
+    pub fn receive<T: DeserializeOwned>(&self) -> io::Result<Received<T>> {
         let mut buf = [0; MESSAGE_MAX];
-        let (len, _) = self.socket.recv_from(&mut buf)?;
+        let len = match self.socket.recv_from(&mut buf) {
+            Ok((len, _)) => len,
+            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                return Ok(Received::Nothing);
+            }
+            Err(error) => return Err(error),
+        };
         self.traffic.count_received(self.purpose, len);
-        Ok(decode(&buf[..len]).ok())
+        Ok(decode(&buf[..len]).map_or(Received::Invalid, Received::Message))
     }
 
     /// Wakes the thread that waits for a datagram.
