feat(gateway): the log tells the prompt parts of requests whose server ended

Change: parts= in attempt_failed of a lost connection; PromptPartId, and all shared parts of a prompt from its header, decoded only then.

--- a/src/gateway/attempt_results.rs
+++ b/src/gateway/attempt_results.rs
@@ -8,7 +8,7 @@
 use super::forward::Forwarding;
 use crate::{
     contract::outcome::AttemptFault,
-    routing::{Incarnation, Picked, ResponseObservation, ResponseTimes},
+    routing::{Incarnation, Picked, PromptPartId, ResponseObservation, ResponseTimes},
     utils::sync::lock,
 };
 
@@ -16,6 +16,9 @@
 /// did so 40 to 104 ms after they began to run it.
 const SURVIVED_AFTER: Duration = Duration::from_millis(500);
 
+/// Maximum number of prompt parts in a log line.
+const LOGGED_PARTS_MAX: usize = 32;
+
 impl Forwarding<'_> {
     /// Records that an attempt at a server failed.
     pub fn note_fault(&mut self, picked: &Picked, fault: AttemptFault) {
@@ -33,7 +36,9 @@
         self.gateway.metrics.attempt(&self.request.service, Some(fault));
         if fault != AttemptFault::CallerGone {
             let suspect = if fault.is_disconnect() {
-                format!(" digest={} ran_on={}", self.request.digest(), self.has_survived())
+                let parts = parts_text(&self.request.shared_parts());
+                let digest = self.request.digest();
+                format!(" digest={digest} ran_on={} parts={parts}", self.has_survived())
             } else {
                 String::new()
             };
@@ -140,6 +145,12 @@
     }
 }
 
+/// Returns the ids of prompt parts for log lines: as many of the first ones as a line has room for.
+fn parts_text(parts: &[PromptPartId]) -> String {
+    let shown: Vec<String> = parts.iter().take(LOGGED_PARTS_MAX).map(ToString::to_string).collect();
+    shown.join(",")
+}
+
 /// Returns the milliseconds since `at`, or -1 without a time, for log lines.
 fn millis_since(now: Instant, at: Option<Instant>) -> i64 {
     at.map_or(-1, |at| now.saturating_duration_since(at).as_millis() as i64)
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -9,8 +9,9 @@
 use http::{HeaderMap, Method, header::HOST};
 
 use crate::{
+    adapter,
     names::{ServerId, ServiceName, Tag, TeamName},
-    routing::{AdmissionTerms, HomeRegions, RequestDigest, Route, RouteKind},
+    routing::{AdmissionTerms, HomeRegions, PromptPartId, RequestDigest, Route, RouteKind},
     zone::rendezvous::ChatKey,
 };
 
@@ -113,6 +114,11 @@
         ])
     }
 
+    /// Returns the ids of the parts of its prompt that other requests may share; decodes the header at each call.
+    pub fn shared_parts(&self) -> Vec<PromptPartId> {
+        adapter::headers::shared_prompt_parts(&self.headers)
+    }
+
     /// Returns the hash by which requests without a shared prompt are distributed.
     pub fn spread(&self) -> u64 {
         ChatKey::of(&[&self.metadata.id]).0
--- a/src/routing/crash_suspects/mod.rs
+++ b/src/routing/crash_suspects/mod.rs
@@ -9,6 +9,7 @@
 pub mod attribution;
 pub mod digest;
 pub mod fingerprint;
+pub mod prompt_part;
 pub mod recent_successes;
 pub mod server_crashes;
 pub mod table;
@@ -17,6 +18,7 @@
 pub use attribution::{CrashAttribution, Finding};
 pub use digest::RequestDigest;
 pub use fingerprint::RequestFingerprint;
+pub use prompt_part::PromptPartId;
 pub use recent_successes::RecentSuccesses;
 pub use server_crashes::{CrashReport, ServerCrashes, Suspect};
 pub use table::{HeldRow, HeldTablePlan, HeldTableSync};
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -56,8 +56,8 @@
 pub use cold::{ColdGranters, ColdGrants, ColdTerms};
 pub use crash_suspects::{
     CrashAttribution, CrashReport, Finding, HeldRow, HeldTablePlan, HeldTableSync, Judgement,
-    RecentSuccesses, RequestDigest, RequestFingerprint, ServerCrashes, Suspect, VerdictUpdate,
-    Verdicts,
+    PromptPartId, RecentSuccesses, RequestDigest, RequestFingerprint, ServerCrashes, Suspect,
+    VerdictUpdate, Verdicts,
 };
 pub use events::EventSplitter;
 pub use fallback_reader::FallbackReader;
