--- a/standins/src/listed.rs
+++ b/standins/src/listed.rs
@@ -53,8 +53,8 @@
     runs: Mutex<HashMap<String, u32>>,
     requests: Mutex<Vec<Received>>,
     in_flight: AtomicU32,
-    /// Body at which the whole process ends, and how it stops listening.
-    deadly: Mutex<Option<Deadly>>,
+    /// What ends the whole process, and how it stops listening.
+    deadly: Mutex<Vec<Deadly>>,
     ended: AtomicBool,
     /// Whether all answers say that the server leaves.
     leaving: AtomicBool,
@@ -84,9 +84,18 @@
     run_time: Duration,
 }
 
+/// What a request has at which a server ends.
+#[derive(Debug, Clone, PartialEq)]
+enum Trigger {
+    /// This body.
+    Body(Vec<u8>),
+    /// A prompt with this part, by its id.
+    Part(String),
+}
+
 /// What ends a server.
 struct Deadly {
-    body: Vec<u8>,
+    trigger: Trigger,
     /// Events of a stream that are sent before.
     after_events: usize,
     listener: Arc<Mutex<Listener>>,
@@ -94,7 +103,7 @@
 
 impl fmt::Debug for Deadly {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Deadly").field("body", &self.body).finish_non_exhaustive()
+        f.debug_struct("Deadly").field("trigger", &self.trigger).finish_non_exhaustive()
     }
 }
 
@@ -137,14 +146,29 @@
         lock(&self.notices).push(SentNotice { request, at, backoff });
     }
 
-    /// Ends the server where a request has the body at which it ends.
-    fn ends_by(&self, body: &[u8], events: usize) -> bool {
-        let is_due = |deadly: &mut Deadly| deadly.body == body && deadly.after_events == events;
-        let Some(found) = lock(&self.deadly).take_if(is_due) else { return false };
-        // Its address refuses connections before the first of its connections ends.
-        lock(&found.listener).stop();
-        self.ended.store(true, Ordering::SeqCst);
-        true
+    /// Ends the server where a request has what ends it.
+    fn ends_by(&self, request: &Received, events: usize) -> bool {
+        let is_due =
+            |deadly: &Deadly| deadly.after_events == events && deadly.trigger.is_in(request);
+        let found = lock(&self.deadly).iter().any(is_due);
+        if found {
+            // Its address refuses connections before the first of its connections ends.
+            lock(&self.deadly).drain(..).for_each(|deadly| lock(&deadly.listener).stop());
+            self.ended.store(true, Ordering::SeqCst);
+        }
+        found
+    }
+}
+
+impl Trigger {
+    fn is_in(&self, request: &Received) -> bool {
+        match self {
+            Trigger::Body(body) => request.body == *body,
+            Trigger::Part(part) => {
+                let prompt = request.head.header("x-prefix-hash").unwrap_or_default();
+                prompt.split(',').any(|entry| entry.split(':').next() == Some(part))
+            }
+        }
     }
 }
 
@@ -190,8 +214,18 @@
 
     /// As [`Listed::ends_at`], where a stream has its first events before that.
     pub fn ends_at_event(&self, body: &[u8], after_events: usize) {
-        let (body, listener) = (body.to_vec(), Arc::clone(&self.listener));
-        *lock(&self.seen.deadly) = Some(Deadly { body, after_events, listener });
+        self.ends_by(Trigger::Body(body.to_vec()), after_events);
+    }
+
+    /// Has the server end as soon as it begins to answer a request whose prompt has this part: after as many events of a
+    /// stream.
+    pub fn ends_at_part(&self, part: &str, after_events: usize) {
+        self.ends_by(Trigger::Part(part.to_owned()), after_events);
+    }
+
+    fn ends_by(&self, trigger: Trigger, after_events: usize) {
+        let listener = Arc::clone(&self.listener);
+        lock(&self.seen.deadly).push(Deadly { trigger, after_events, listener });
     }
 
     /// Returns whether the server has ended.
@@ -322,7 +356,7 @@
             // The slot is free before the answer, at which the next request may be sent.
             self.seen.running.fetch_sub(1, Ordering::SeqCst);
         }
-        if self.seen.ends_by(&self.received.body, 0) {
+        if self.seen.ends_by(&self.received, 0) {
             return Next::Close;
         }
         if self.received.path().contains("/stream") { self.stream(conn) } else { self.whole(conn) }
@@ -429,7 +463,7 @@
             return Next::Close;
         }
         for (sent, number) in (last + 1..=EVENTS).enumerate() {
-            if self.seen.ends_by(&self.received.body, sent) {
+            if self.seen.ends_by(&self.received, sent) {
                 return format.break_off(conn);
             }
             let event = match self.number("marked") {
