fix(routing): crashes add up by the parts of prompts, not only by whole requests

Cause: evidence was collected by whole request (team, target, body). Requests that share a part have no two digests alike, so no suspect ever had three crashes. Change: reports of crashes name the prompt parts of the interrupted requests, and the parts that were answered since, with when the answer began. The aggregator adds crashes up by part and service. An answer that began after a crash refutes it. A part is held at four crashed servers with three different requests, a second after its first crash, when so many others were answered that a harmless part would have had four answers. Parts that were at exactly the same crashes are held together: only requests with all of them are refused, and the next crash or answer tells them apart. Verdicts, table, lifting and logs are those of requests. Held requests are looked for again before each sending. Ruled out: clearing for a fixed time (a part may become deadly after it was answered); answers by when they were sent or complete (an answer of some seconds clears too late). A stand-in answered one request on a server that had ended; it does not any more.

--- a/src/gateway/attempt_results.rs
+++ b/src/gateway/attempt_results.rs
@@ -14,7 +14,7 @@
 
 /// Time since the first event after which the request is taken not to crash the server: servers crashed by a request
 /// did so 40 to 104 ms after they began to run it.
-const SURVIVED_AFTER: Duration = Duration::from_millis(500);
+pub(super) const SURVIVED_AFTER: Duration = Duration::from_millis(500);
 
 /// Maximum number of prompt parts in a log line.
 const LOGGED_PARTS_MAX: usize = 32;
@@ -129,6 +129,15 @@
         self.note_version(picked, ResponseObservation::Took(took));
     }
 
+    /// Records a response that is complete now and was begun by its server at `began`: where it answers the prompt, the
+    /// prompt's parts did not crash the server.
+    pub(super) fn note_prompt_answered(&self, status: StatusCode, began: Instant) {
+        if status.is_success() {
+            let now = self.gateway.clock.now();
+            self.gateway.crash_suspects.note_answered(now, self.request, began);
+        }
+    }
+
     /// Records a successful response that ends now, to a request sent at `sent_at`, whose head arrived at `head_at`.
     pub fn note_success(&self, picked: &Picked, sent_at: Instant, head_at: Instant) {
         let now = self.gateway.clock.now();
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -19,8 +19,8 @@
 /// The refusal of a request that was not sent, or was not run by the servers it was sent to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Refusal {
-    reason: &'static str,
-    retry_after: Duration,
+    pub(super) reason: &'static str,
+    pub(super) retry_after: Duration,
 }
 
 impl Refusal {
@@ -51,6 +51,19 @@
         Refusal { reason, retry_after }
     }
 
+    /// Returns the refusal of a request that crashes servers.
+    pub fn crashing_request(retry_after: Duration) -> Refusal {
+        let reason = "backend servers ended as they ran this request; it has not run again";
+        Refusal { reason, retry_after }
+    }
+
+    /// Returns the refusal of a request with a part in its prompt that crashes servers.
+    pub fn crashing_part(retry_after: Duration) -> Refusal {
+        let reason = "backend servers ended as they ran requests with a part of this prompt; this one \
+                      has not run";
+        Refusal { reason, retry_after }
+    }
+
     /// Returns the refusal of a request whose servers all back off.
     pub fn backoff(retry_after: Duration) -> Refusal {
         let reason = "all backend servers want no requests for a while; this one has not run";
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -6,6 +6,7 @@
 
 use super::{
     Gateway,
+    attempts::Refusal,
     buffers::{BufferHold, RELAY_WINDOW, append},
     forward::Forwarding,
     in_flight::Completion,
@@ -324,22 +325,19 @@
     }
 }
 
-/// Refuses a held request, which crashes the servers that run it. All instances refuse it at once, with the time after
+/// Refuses a held request: it, or a part of its prompt, crashes the servers that run it. All instances refuse it at once, with the time after
 /// which it may be retried.
 fn refuse_held(
     gateway: &Gateway,
     request: Request,
     now: Instant,
 ) -> Result<Request, LocalResponse> {
-    let Some((digest, held_for)) = gateway.crash_suspects.held(now, &request) else {
+    let Some(held) = gateway.crash_suspects.held(now, &request) else {
         return Ok(request);
     };
-    gateway.metrics.refusal(&request.service, "ends_servers");
-    log::info!("event=request_held request={} digest={digest}", request.metadata.id);
-    Err(LocalResponse::not_run(
-        "backend servers ended as they ran this request; it has not run again",
-        held_for,
-    ))
+    gateway.note_held(&request, &held);
+    let Refusal { reason, retry_after } = held.refusal();
+    Err(LocalResponse::not_run(reason, retry_after))
 }
 
 /// Decodes a request and finds its route, team and service, or refuses it.
--- a/src/gateway/crash_suspects.rs
+++ b/src/gateway/crash_suspects.rs
@@ -1,6 +1,8 @@
-//! Crash suspects at this instance: requests that may crash the servers that run them, and the reports about them.
+//! Crash suspects at this instance: requests and parts of prompts that may crash the servers that run them, and the
+//! reports about them.
 
 use std::{
+    fmt,
     io::ErrorKind,
     sync::{
         Mutex,
@@ -9,13 +11,14 @@
     time::{Duration, Instant},
 };
 
-use super::{Gateway, request::Request};
+use super::{Gateway, attempts::Refusal, request::Request};
 use crate::{
     names::ServiceName,
     routing::{
-        BackendServer, CrashAttribution, CrashReport, Finding, Incarnation, Judgement, Picked,
-        RecentSuccesses, RequestDigest, RequestFingerprint, RunId, ServerCrashes, Suspect,
-        VerdictUpdate, Verdicts,
+        AnsweredParts, AnsweredReport, BackendServer, CrashAttribution, CrashReport, Finding,
+        Incarnation, Judgement, PartAttribution, PartFinding, Picked, PromptPartId,
+        RecentSuccesses, RequestFingerprint, RunId, ServerCrashes, Suspect, SuspectDigest,
+        SuspectKind, VerdictUpdate, Verdicts,
     },
     utils::{signal::Signal, sync::lock},
 };
@@ -24,17 +27,22 @@
 /// that waits for the check is retried on another server right after.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// Requests that are suspected of crashing servers, as this instance knows them.
+/// Requests and parts of prompts that are suspected of crashing servers, as this instance knows them.
 #[derive(Debug, Default)]
 pub struct CrashSuspects {
     /// Servers that crashed with requests of this instance in flight.
     crashes: Mutex<ServerCrashes>,
     /// Crash reports of all instances, if this one is the aggregator.
     attribution: Mutex<CrashAttribution>,
+    part_attribution: Mutex<PartAttribution>,
     verdicts: Mutex<Verdicts>,
     successes: Mutex<RecentSuccesses>,
+    /// Parts of prompts that were answered while servers crash.
+    answered: Mutex<AnsweredParts>,
+    /// Whether servers have crashed recently, for the hot path.
+    is_answered_recorded: AtomicBool,
     /// Requests that were watched or held and had a successful response, to be reported.
-    cleared: Mutex<Vec<RequestDigest>>,
+    cleared: Mutex<Vec<SuspectDigest>>,
     /// Set when the store's table of held requests has to be read.
     pub(super) verdicts_changed: Signal,
     is_table_read: AtomicBool,
@@ -46,15 +54,76 @@
     /// Crashes that it has not reported yet.
     pub crashes: Vec<CrashReport>,
     /// Requests that were watched or held and had a successful response.
-    pub cleared: Vec<RequestDigest>,
+    pub cleared: Vec<SuspectDigest>,
     /// Verdicts that it has.
     pub verdicts: Vec<VerdictUpdate>,
+    /// Responses while servers crash.
+    #[serde(default)]
+    pub answered: AnsweredReport,
+}
+
+/// Why a request is held.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Held {
+    /// Digest of the request, or of a part of its prompt.
+    pub digest: SuspectDigest,
+    /// Whether the request or a part of its prompt is held.
+    pub kind: SuspectKind,
+    /// For how long.
+    pub left: Duration,
+}
+
+impl Held {
+    /// Returns the refusal of the request.
+    pub fn refusal(&self) -> Refusal {
+        match self.kind {
+            SuspectKind::Request => Refusal::crashing_request(self.left),
+            SuspectKind::Part => Refusal::crashing_part(self.left),
+        }
+    }
+}
+
+impl Gateway {
+    /// Records that a held request is refused.
+    pub(super) fn note_held(&self, request: &Request, held: &Held) {
+        let reason = match held.kind {
+            SuspectKind::Request => "ends_servers",
+            SuspectKind::Part => "part_ends_servers",
+        };
+        self.metrics.refusal(&request.service, reason);
+        log::info!("event=request_held request={} {held}", request.metadata.id);
+    }
+}
+
+impl fmt::Display for Held {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let kind = match self.kind {
+            SuspectKind::Request => "request",
+            SuspectKind::Part => "part",
+        };
+        write!(f, "digest={} kind={kind} held_for_s={}", self.digest, self.left.as_secs())
+    }
 }
 
 impl CrashSuspects {
-    /// Returns for how long the request is held, with its digest.
-    pub fn held(&self, now: Instant, request: &Request) -> Option<(RequestDigest, Duration)> {
-        self.held_by(now, || request.fingerprint(), || request.digest())
+    /// Returns why the request is held, if it is.
+    pub fn held(&self, now: Instant, request: &Request) -> Option<Held> {
+        let held = self.held_by(now, || request.fingerprint(), || request.digest());
+        let held = held.map(|(digest, left)| Held { digest, kind: SuspectKind::Request, left });
+        held.or_else(|| self.held_part(now, || request.part_digests()))
+    }
+
+    /// Returns why a request with these parts is held, if it is for one of them. Looks up no part while none is held or
+    /// watched.
+    pub fn held_part(
+        &self,
+        now: Instant,
+        parts: impl FnOnce() -> Vec<SuspectDigest>,
+    ) -> Option<Held> {
+        let verdicts = lock(&self.verdicts);
+        let (digest, left) =
+            verdicts.has_parts().then(|| verdicts.held_part(now, &parts())).flatten()?;
+        Some(Held { digest, kind: SuspectKind::Part, left })
     }
 
     /// As [`CrashSuspects::held`]. Computes neither fingerprint nor digest while no request is held or watched.
@@ -62,8 +131,8 @@
         &self,
         now: Instant,
         fingerprint: impl FnOnce() -> RequestFingerprint,
-        digest: impl FnOnce() -> RequestDigest,
-    ) -> Option<(RequestDigest, Duration)> {
+        digest: impl FnOnce() -> SuspectDigest,
+    ) -> Option<(SuspectDigest, Duration)> {
         let verdicts = lock(&self.verdicts);
         if verdicts.is_idle() {
             return None;
@@ -76,6 +145,13 @@
     /// route allows.
     pub fn forbids_retry(&self, request: &Request) -> bool {
         self.forbids_retry_by(|| request.fingerprint(), || request.digest())
+            || self.forbids_part_retry(|| request.part_digests())
+    }
+
+    /// As [`CrashSuspects::forbids_retry`], for the parts of its prompt.
+    pub fn forbids_part_retry(&self, parts: impl FnOnce() -> Vec<SuspectDigest>) -> bool {
+        let verdicts = lock(&self.verdicts);
+        verdicts.has_parts() && verdicts.watches_part(&parts())
     }
 
     /// As [`CrashSuspects::forbids_retry`]. Computes neither fingerprint nor digest while no request is held or
@@ -83,7 +159,7 @@
     pub fn forbids_retry_by(
         &self,
         fingerprint: impl FnOnce() -> RequestFingerprint,
-        digest: impl FnOnce() -> RequestDigest,
+        digest: impl FnOnce() -> SuspectDigest,
     ) -> bool {
         let verdicts = lock(&self.verdicts);
         if verdicts.is_idle() {
@@ -106,8 +182,8 @@
         &self,
         now: Instant,
         fingerprint: RequestFingerprint,
-        digest: impl Fn() -> RequestDigest,
-    ) -> Option<RequestDigest> {
+        digest: impl Fn() -> SuspectDigest,
+    ) -> Option<SuspectDigest> {
         lock(&self.successes).note(now, fingerprint, &digest);
         let mut verdicts = lock(&self.verdicts);
         if verdicts.is_idle() {
@@ -129,14 +205,19 @@
         long_running: bool,
     ) {
         let now = gateway.clock.now();
-        let suspect =
-            Suspect { fingerprint: request.fingerprint(), digest: request.digest(), long_running };
+        let suspect = Suspect {
+            fingerprint: request.fingerprint(),
+            digest: request.digest(),
+            long_running,
+            parts: request.shared_parts(),
+            is_cleared: false,
+        };
         if self.has_crashed(gateway, &picked.server) {
             self.note_crash(now, &picked.server.id, &picked.server.service, suspect);
         }
     }
 
-    /// Notes a request that was in flight at a server that crashed, unless it had a successful response recently.
+    /// Notes a request that was in flight at a server that crashed.
     pub fn note_crash(
         &self,
         now: Instant,
@@ -144,10 +225,29 @@
         service: &ServiceName,
         suspect: Suspect,
     ) {
-        let mut successes = lock(&self.successes);
-        successes.alert(now);
-        if !successes.contains(now, suspect.fingerprint, suspect.digest) {
-            lock(&self.crashes).note(now, server, service, suspect);
+        self.alert(now);
+        let is_cleared = lock(&self.successes).contains(now, suspect.fingerprint, suspect.digest);
+        lock(&self.crashes).note(now, server, service, Suspect { is_cleared, ..suspect });
+    }
+
+    /// Notes a response that a server began at `began`, and either wrote to its end or went on with for a while.
+    pub fn note_answered(&self, now: Instant, request: &Request, began: Instant) {
+        self.note_answered_parts(now, &request.service, || request.shared_parts(), began);
+    }
+
+    /// As [`CrashSuspects::note_answered`]. Looks up no part unless servers have crashed recently.
+    pub fn note_answered_parts(
+        &self,
+        now: Instant,
+        service: &ServiceName,
+        parts: impl FnOnce() -> Vec<PromptPartId>,
+        began: Instant,
+    ) {
+        if self.is_answered_recorded.load(Ordering::Relaxed) {
+            let mut answered = lock(&self.answered);
+            if answered.is_alert(now) {
+                answered.note(service, &parts(), began);
+            }
         }
     }
 
@@ -188,6 +288,7 @@
             crashes: lock(&self.crashes).unreported(now),
             cleared: lock(&self.cleared).clone(),
             verdicts: self.verdict_updates(now),
+            answered: self.unreported_answers(now),
         }
     }
 
@@ -195,6 +296,14 @@
     pub fn mark_reported(&self, to: RunId, report: &CrashSuspectsReport) {
         lock(&self.crashes).mark_reported(to, &report.crashes);
         lock(&self.cleared).retain(|digest| !report.cleared.contains(digest));
+        lock(&self.answered).mark_reported(to, &report.answered);
+    }
+
+    fn unreported_answers(&self, now: Instant) -> AnsweredReport {
+        let mut answered = lock(&self.answered);
+        let report = answered.unreported(now);
+        self.is_answered_recorded.store(answered.is_alert(now), Ordering::Relaxed);
+        report
     }
 
     /// Applies the report of another instance, or the aggregator's own.
@@ -215,12 +324,29 @@
             );
         }
         self.apply_verdicts(now, &report.verdicts, "peer");
+        self.judge_parts(now, report);
         let mut verdicts = lock(&self.verdicts);
         for digest in &report.cleared {
             verdicts.clear(now, *digest);
         }
     }
 
+    /// Judges the parts of prompts after the report of another instance, or the aggregator's own.
+    fn judge_parts(&self, now: Instant, report: &CrashSuspectsReport) {
+        // Locked until the verdicts are in force: another report would find the same again.
+        let mut attribution = lock(&self.part_attribution);
+        let in_force = self.verdict_updates(now);
+        let judgements = attribution.record(now, &report.crashes, &report.answered, &in_force);
+        for digest in &judgements.cleared {
+            lock(&self.verdicts).clear(now, *digest);
+            self.verdicts_changed.set();
+            log::warn!("event=part_cleared digest={digest}");
+        }
+        let found: Vec<VerdictUpdate> = judgements.found.iter().map(PartFinding::verdict).collect();
+        self.apply_verdicts(now, &found, "own");
+        judgements.found.iter().for_each(|finding| log::warn!("event=part_found {finding}"));
+    }
+
     /// Applies verdicts, and returns those that are new.
     pub fn apply_verdicts(
         &self,
@@ -245,15 +371,16 @@
         lock(&self.verdicts).updates(now)
     }
 
-    /// Returns how many requests are held.
-    pub fn held_count(&self) -> usize {
-        lock(&self.verdicts).held_count()
+    /// Returns how many requests or parts are held.
+    pub fn held_count(&self, kind: SuspectKind) -> usize {
+        lock(&self.verdicts).held_count(kind)
     }
 
     /// Clears a request on an operator's decision.
-    pub fn lift(&self, now: Instant, digest: RequestDigest) {
+    pub fn lift(&self, now: Instant, digest: SuspectDigest) {
         lock(&self.verdicts).clear(now, digest);
         lock(&self.attribution).clear(now, digest);
+        lock(&self.part_attribution).clear(digest);
     }
 
     /// Requests a read of the store's table, unless it has been read.
@@ -270,7 +397,7 @@
 
     /// Replaces the watched requests.
     pub fn watch(&self, now: Instant, watched: &[VerdictUpdate]) {
-        if watched.is_empty() && lock(&self.verdicts).is_idle() {
+        if watched.is_empty() && lock(&self.verdicts).watches_nothing() {
             return;
         }
         let new = lock(&self.verdicts).watch(now, watched);
@@ -282,6 +409,7 @@
         let successes = lock(&self.successes);
         let successful = |update: &&VerdictUpdate| {
             update.judgement != Judgement::Cleared
+                && update.kind == SuspectKind::Request
                 && successes.contains(now, update.fingerprint, update.digest)
         };
         for verdict in new.iter().filter(successful) {
@@ -299,17 +427,22 @@
     /// Notes that servers have crashed recently.
     pub fn alert(&self, now: Instant) {
         lock(&self.successes).alert(now);
+        lock(&self.answered).alert(now);
+        self.is_answered_recorded.store(true, Ordering::Relaxed);
     }
 
-    /// Returns the requests that all instances have to watch, if this one is the aggregator.
+    /// Returns the requests and parts that all instances have to watch, if this one is the aggregator.
     pub fn watched(&self, now: Instant) -> Vec<VerdictUpdate> {
-        lock(&self.attribution).watched(now)
+        let mut watched = lock(&self.attribution).watched(now);
+        watched.extend(lock(&self.part_attribution).watched(now));
+        watched
     }
 }
 
 fn verdict_of(finding: &Finding) -> VerdictUpdate {
     let Finding { digest, fingerprint, .. } = *finding;
-    VerdictUpdate { digest, fingerprint, judgement: Judgement::Held, age_ms: 0 }
+    let kind = SuspectKind::Request;
+    VerdictUpdate { digest, fingerprint, judgement: Judgement::Held, age_ms: 0, kind }
 }
 
 impl Request {
@@ -318,4 +451,10 @@
         let team = self.team.as_ref().map_or("", |team| team.as_str());
         RequestFingerprint::of(team, &self.target, self.body.len())
     }
+
+    /// Returns the digests of the parts of its prompt that other requests may share.
+    pub fn part_digests(&self) -> Vec<SuspectDigest> {
+        let digest = |part| SuspectDigest::of_part(&self.service, part);
+        self.shared_parts().into_iter().map(digest).collect()
+    }
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -4,6 +4,7 @@
 
 use super::{
     Gateway,
+    attempt_results::SURVIVED_AFTER,
     attempts::{Attempts, Refusal},
     in_flight::{Completion, InFlightGuard, LastAttempt, OpenResponse},
     relay::{self, Collected},
@@ -196,11 +197,19 @@
     /// Records that events have arrived from the last server.
     pub fn note_running(&mut self) {
         let now = self.gateway.clock.now();
-        if let Some(attempt) = &mut self.last_attempt {
-            attempt.running_since.get_or_insert(now);
+        let Some(attempt) = &mut self.last_attempt else { return };
+        let began = *attempt.running_since.get_or_insert(now);
+        if !attempt.has_survived && now.saturating_duration_since(began) >= SURVIVED_AFTER {
+            attempt.has_survived = true;
+            self.gateway.crash_suspects.note_answered(now, self.request, began);
         }
     }
 
+    /// Returns when the first events arrived from the last server.
+    pub fn began(&self) -> Option<Instant> {
+        self.last_attempt.as_ref().and_then(|attempt| attempt.running_since)
+    }
+
     /// Returns whether another attempt is allowed.
     pub fn may_retry(&self) -> bool {
         self.attempts.may_retry(&self.request.route)
@@ -235,6 +244,10 @@
         let server = &picked.server;
         let conn = self.connect(picked)?;
         let now = gateway.clock.now();
+        // The verdict may have come while the request waited for a slot, a connection or another server.
+        if self.refuse_if_held(now) {
+            return Err(AttemptFault::Withheld);
+        }
         // Another response may have brought a notice of the server while the connection was opened.
         if lock(&gateway.picker).forbids_requests(now, &server.id) {
             return Err(AttemptFault::Withheld);
@@ -258,6 +271,15 @@
         Ok(OpenResponse { response, picked: picked.clone(), in_flight, sent_at: now, head_at })
     }
 
+    /// Refuses the request if it is held by now; returns whether it is.
+    fn refuse_if_held(&mut self, now: Instant) -> bool {
+        let Some(held) = self.gateway.crash_suspects.held(now, self.request) else { return false };
+        self.gateway.note_held(self.request, &held);
+        self.refusal = Some(held.refusal());
+        self.attempts.hold();
+        true
+    }
+
     /// Records that the request is sent to the picked server now.
     fn note_sent(&mut self, now: Instant, picked: &Picked) {
         self.attempts.note_sent();
@@ -271,6 +293,7 @@
             bound: picked.bound,
             arrivals: self.attempts.arrivals(),
             running_since: None,
+            has_survived: false,
             first_byte_after: None,
             body_end: None,
             path: self.path.clone(),
@@ -387,6 +410,7 @@
             self.last_failure = Some(buffered);
             return self.respond_failed_unless_retry(conn);
         }
+        self.note_prompt_answered(buffered.status, times.1);
         self.note_answered(&picked, times.0, times.1);
         Some(self.send_buffered(conn, &buffered, "answered"))
     }
@@ -401,6 +425,7 @@
         if status.is_server_error() {
             self.note_server_error(&picked, status);
         } else {
+            self.note_prompt_answered(status, head_at);
             self.note_answered(&picked, sent_at, head_at);
         }
     }
--- a/src/gateway/held_table.rs
+++ b/src/gateway/held_table.rs
@@ -12,7 +12,7 @@
     },
     configs::fleet::chunks::{decode, encode},
     routing::{
-        HeldRow, HeldTablePlan, HeldTableSync, RequestFingerprint,
+        HeldRow, HeldTablePlan, HeldTableSync, RequestFingerprint, SuspectKind,
         crash_suspects::digest::DigestError,
     },
     utils::sync::lock,
@@ -25,11 +25,13 @@
 /// Delay before the table is read again after a failed call.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 
-/// Value of a row. Its key is the digest of the request.
+/// Value of a row. Its key is the digest of the request or part.
 #[derive(Debug, Serialize, Deserialize)]
 struct RowValue {
     fingerprint: RequestFingerprint,
     until_ms: u64,
+    #[serde(default)]
+    kind: SuspectKind,
 }
 
 /// Keeps table and verdicts in sync until the instance stops, whenever this instance is the aggregator.
@@ -77,8 +79,10 @@
     if plan.write.is_empty() && plan.remove.is_empty() {
         return Ok(());
     }
-    let value =
-        |row: &HeldRow| encode(&RowValue { fingerprint: row.fingerprint, until_ms: row.until_ms });
+    let value = |row: &HeldRow| {
+        let HeldRow { fingerprint, until_ms, kind, .. } = *row;
+        encode(&RowValue { fingerprint, until_ms, kind })
+    };
     let puts: Vec<(String, Vec<u8>)> =
         plan.write.iter().map(|row| (row.digest.to_string(), value(row))).collect();
     let removed: Vec<String> = plan.remove.iter().map(ToString::to_string).collect();
@@ -92,8 +96,8 @@
     let value = decode::<RowValue>(&row.value).map_err(|fault| fault.to_string());
     let digest = row.key.parse().map_err(|fault: DigestError| fault.to_string());
     match (digest, value) {
-        (Ok(digest), Ok(RowValue { fingerprint, until_ms })) => {
-            Some(HeldRow { digest, fingerprint, until_ms })
+        (Ok(digest), Ok(RowValue { fingerprint, until_ms, kind })) => {
+            Some(HeldRow { digest, fingerprint, until_ms, kind })
         }
         (Err(fault), _) | (_, Err(fault)) => {
             log::warn!("event=row_skipped key={} reason={fault:?}", row.key);
--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -42,6 +42,8 @@
     pub arrivals: u32,
     /// When the first event or part of the response body arrived.
     pub running_since: Option<Instant>,
+    /// Whether the server went on for a while after that.
+    pub has_survived: bool,
     /// Time from the arrival of the request until the first bytes of the response were sent to the caller.
     pub first_byte_after: Option<Duration>,
     /// How the body of the response ended; `None` if it was not read to an end.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -97,7 +97,7 @@
     names::{ServiceName, TeamName},
     routing::{
         BudgetSum, BufferKind, CallKind, Incarnation, OrdersSnapshot, PickError, PickRequest,
-        Picked, Picker, RetryBudget, RetrySpending, StoreShare,
+        Picked, Picker, RetryBudget, RetrySpending, StoreShare, SuspectKind,
     },
     utils::{signal::Signal, sync::lock, usage::Usage},
 };
@@ -415,7 +415,8 @@
         for (service, count) in lock(&self.picker).team_limits().counts(now) {
             self.metrics.limited_teams(service, count);
         }
-        self.metrics.held_requests(self.crash_suspects.held_count());
+        self.metrics.held_requests(self.crash_suspects.held_count(SuspectKind::Request));
+        self.metrics.held_parts(self.crash_suspects.held_count(SuspectKind::Part));
         self.metrics.ready(self.is_ready());
         self.metrics.tunnels_served(self.tunnels.served());
         self.update_reach_gauges();
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -11,7 +11,7 @@
 use crate::{
     adapter,
     names::{ServerId, ServiceName, Tag, TeamName},
-    routing::{AdmissionTerms, HomeRegions, PromptPartId, RequestDigest, Route, RouteKind},
+    routing::{AdmissionTerms, HomeRegions, PromptPartId, Route, RouteKind, SuspectDigest},
     zone::rendezvous::ChatKey,
 };
 
@@ -102,10 +102,10 @@
     }
 
     /// Returns a digest that is the same when the request is sent again; hashes the whole body.
-    pub fn digest(&self) -> RequestDigest {
+    pub fn digest(&self) -> SuspectDigest {
         let host = self.headers.get(HOST).map_or(&b""[..], |host| host.as_bytes());
         let team = self.team_name();
-        RequestDigest::of(&[
+        SuspectDigest::of(&[
             team.as_bytes(),
             host,
             self.method.as_str().as_bytes(),
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -151,6 +151,7 @@
 fn note_end(forwarding: &mut Forwarding<'_>, open: OpenResponse<'_>, interval: &PieceInterval) {
     let OpenResponse { response, picked, in_flight, sent_at, head_at } = open;
     forwarding.note_success(&picked, sent_at, head_at);
+    forwarding.note_prompt_answered(response.head.status, forwarding.began().unwrap_or(head_at));
     forwarding.note_version(&picked, interval.observation(forwarding.gateway.clock.now()));
     drop(in_flight);
     forwarding.note_body_end(&response);
--- a/src/metrics/instruments.rs
+++ b/src/metrics/instruments.rs
@@ -37,6 +37,7 @@
     pub(super) refusals: Counter<u64>,
     pub(super) server_notices: Counter<u64>,
     pub(super) held_requests: Gauge<u64>,
+    pub(super) held_parts: Gauge<u64>,
     pub(super) cold_permits: Counter<u64>,
     pub(super) cold_servers: Gauge<u64>,
     pub(super) evacuated_zones: Gauge<u64>,
@@ -153,6 +154,10 @@
                 "cartvane_held_requests",
                 "Requests held back since servers ended as they ran them",
             ),
+            held_parts: gauge(
+                "cartvane_held_parts",
+                "Parts of prompts held back since servers ended as they ran requests with them",
+            ),
             cold_permits: counter(
                 "cartvane_cold_permits",
                 "Requests that would have gone to a cold server, by service and whether it took them",
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -191,6 +191,11 @@
         self.instruments.held_requests.record(count as u64, &[]);
     }
 
+    /// Sets the number of held parts of prompts.
+    pub fn held_parts(&self, count: usize) {
+        self.instruments.held_parts.record(count as u64, &[]);
+    }
+
     /// Counts a request that would have gone to a cold server, by whether the server took it.
     pub fn cold_permit(&self, service: &impl fmt::Display, result: &'static str) {
         self.instruments.cold_permits.add(1, &[label("service", service), label("result", result)]);
--- a/src/routing/crash_suspects/attribution.rs
+++ b/src/routing/crash_suspects/attribution.rs
@@ -8,7 +8,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::{
-    CrashReport, RequestDigest, RequestFingerprint, Suspect, VerdictUpdate,
+    CrashReport, RequestFingerprint, Suspect, SuspectDigest, SuspectKind, VerdictUpdate,
     verdicts::{CLEARED_DURATION, Judgement},
 };
 use crate::names::{ServiceName, Tag};
@@ -115,7 +115,7 @@
     /// Fingerprint of the request.
     pub fingerprint: RequestFingerprint,
     /// Digest of the request.
-    pub digest: RequestDigest,
+    pub digest: SuspectDigest,
     /// Servers that crashed with the request in flight.
     pub servers: Vec<Tag>,
     /// Servers of the service that crashed since the first of them.
@@ -126,10 +126,10 @@
 #[derive(Debug, Default)]
 pub struct CrashAttribution {
     crashes: IndexMap<Tag, Crash>,
-    suspects: IndexMap<RequestDigest, SuspectRecord>,
+    suspects: IndexMap<SuspectDigest, SuspectRecord>,
     /// Requests that will be held unless a successful response is reported for them.
-    pending: IndexSet<RequestDigest>,
-    cleared: IndexMap<RequestDigest, Instant>,
+    pending: IndexSet<SuspectDigest>,
+    cleared: IndexMap<SuspectDigest, Instant>,
     watched: Vec<VerdictUpdate>,
     scanned: Option<Instant>,
 }
@@ -141,11 +141,14 @@
             return Vec::new();
         }
         self.scan(now);
-        for crash in reports {
+        let is_evidence = |crash: &&CrashReport| {
+            crash.in_flight.is_empty() || crash.in_flight.iter().any(|suspect| !suspect.is_cleared)
+        };
+        for crash in reports.iter().filter(is_evidence) {
             let at = now.checked_sub(Duration::from_millis(crash.age_ms)).unwrap_or(now);
             let new = || Crash { at, service: crash.service.clone() };
             self.crashes.entry(crash.server).or_insert_with(new);
-            for suspect in &crash.in_flight {
+            for suspect in crash.in_flight.iter().filter(|suspect| !suspect.is_cleared) {
                 self.add_score(now, crash, suspect, at);
             }
         }
@@ -163,7 +166,7 @@
     }
 
     /// Notes that a request had a successful response, so that it does not crash servers.
-    pub fn clear(&mut self, now: Instant, digest: RequestDigest) {
+    pub fn clear(&mut self, now: Instant, digest: SuspectDigest) {
         self.suspects.shift_remove(&digest);
         self.watched.retain(|update| update.digest != digest);
         self.cleared.insert(digest, now);
@@ -218,7 +221,7 @@
         }
     }
 
-    fn judge(&mut self, now: Instant, digest: RequestDigest) -> Option<Finding> {
+    fn judge(&mut self, now: Instant, digest: SuspectDigest) -> Option<Finding> {
         let record = self.suspects.get(&digest).filter(|record| record.score() >= HELD_SCORE)?;
         let since = |crash: &&Crash| crash.service == record.service && crash.at >= record.first;
         let crashed = self.crashes.values().filter(since).count().max(record.servers.len());
@@ -236,7 +239,7 @@
     }
 
     /// Returns whether no other request was in flight at all the servers that crashed with this one.
-    fn is_alone(&self, digest: RequestDigest, record: &SuspectRecord) -> bool {
+    fn is_alone(&self, digest: SuspectDigest, record: &SuspectRecord) -> bool {
         let was_there = |other: &SuspectRecord| {
             let at = |server: Tag| other.servers.iter().any(|known| known.server == server);
             record.servers.iter().all(|known| at(known.server))
@@ -264,14 +267,15 @@
         }
         self.suspects.retain(|_, record| !is_old(record.last, CRASH_MAX_AGE));
         self.cleared.retain(|_, at| !is_old(*at, CLEARED_DURATION));
-        let mut watched: Vec<(&RequestDigest, &SuspectRecord)> = self.suspects.iter().collect();
+        let mut watched: Vec<(&SuspectDigest, &SuspectRecord)> = self.suspects.iter().collect();
         watched.retain(|(_, r)| r.score() >= WATCHED_SCORE && !is_old(r.last, WATCHED_DURATION));
         watched.sort_by_key(|(_, record)| Reverse(record.rank()));
-        let update = |(digest, record): (&RequestDigest, &SuspectRecord)| VerdictUpdate {
+        let update = |(digest, record): (&SuspectDigest, &SuspectRecord)| VerdictUpdate {
             digest: *digest,
             fingerprint: record.fingerprint,
             judgement: Judgement::Watched,
             age_ms: 0,
+            kind: SuspectKind::Request,
         };
         self.watched = watched.into_iter().take(WATCHED_MAX).map(update).collect();
     }
--- a/src/routing/crash_suspects/fingerprint.rs
+++ b/src/routing/crash_suspects/fingerprint.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::RequestDigest;
+use super::SuspectDigest;
 
 /// Hash of a request's team, target and body length. Requests with different fingerprints are different requests, so
 /// nearly all bodies need not be hashed.
@@ -16,7 +16,7 @@
     /// Returns the fingerprint of a request.
     pub fn of(team: &str, target: &str, body_bytes: usize) -> RequestFingerprint {
         let length = body_bytes.to_le_bytes();
-        let hash = RequestDigest::of(&[team.as_bytes(), target.as_bytes(), &length]);
+        let hash = SuspectDigest::of(&[team.as_bytes(), target.as_bytes(), &length]);
         RequestFingerprint(hash.0 as u32)
     }
 }
--- a/src/routing/crash_suspects/recent_successes.rs
+++ b/src/routing/crash_suspects/recent_successes.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::{RequestDigest, RequestFingerprint};
+use super::{RequestFingerprint, SuspectDigest};
 
 /// Number of remembered requests. At 40 requests per second, a request that is sent once a minute is still remembered;
 /// the table takes 160 KB.
@@ -22,7 +22,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Slot {
     fingerprint: RequestFingerprint,
-    success: Option<(RequestDigest, Instant)>,
+    success: Option<(SuspectDigest, Instant)>,
 }
 
 /// Requests with a recent success, by fingerprint.
@@ -53,7 +53,7 @@
         &mut self,
         now: Instant,
         fingerprint: RequestFingerprint,
-        digest: impl FnOnce() -> RequestDigest,
+        digest: impl FnOnce() -> SuspectDigest,
     ) {
         let alert = self.alert_until.is_some_and(|until| now < until);
         let entry = &mut self.slots[fingerprint.0 as usize % SLOTS];
@@ -76,7 +76,7 @@
         &self,
         now: Instant,
         fingerprint: RequestFingerprint,
-        digest: RequestDigest,
+        digest: SuspectDigest,
     ) -> bool {
         let slot = self.slots[fingerprint.0 as usize % SLOTS]
             .filter(|slot| slot.fingerprint == fingerprint);
--- a/src/routing/crash_suspects/server_crashes.rs
+++ b/src/routing/crash_suspects/server_crashes.rs
@@ -8,7 +8,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use super::{RequestDigest, RequestFingerprint};
+use super::{PromptPartId, RequestFingerprint, SuspectDigest};
 use crate::{
     names::{ServiceName, Tag},
     routing::{Incarnation, RunId},
@@ -17,10 +17,10 @@
 /// How long a crash is kept, so that it can be reported to the next aggregator if the current one is lost.
 const CRASH_MAX_AGE: Duration = Duration::from_secs(60);
 
-/// Maximum number of suspects in one report: 12 KB, which take 5 ms on a link of 20 Mbit/s.
+/// Maximum weight of the suspects in one report: 12 KB, which take 5 ms on a link of 20 Mbit/s.
 const REPORTED_MAX: usize = 512;
 
-/// Maximum number of suspects kept: enough for a server with 64 slots that crashes a hundred times a minute while it
+/// Maximum weight of the suspects kept: enough for a server with 64 slots that crashes a hundred times a minute while it
 /// runs requests of eight instances.
 const SUSPECTS_MAX: usize = 4096;
 
@@ -28,14 +28,28 @@
 const ALIVE_DURATION: Duration = Duration::from_millis(100);
 
 /// A request that was in flight at a server when it crashed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Suspect {
     /// Fingerprint of the request.
     pub fingerprint: RequestFingerprint,
     /// Digest of the request.
-    pub digest: RequestDigest,
+    pub digest: SuspectDigest,
     /// Whether the server had run the request for a while, rather than crashed as it began to run it.
     pub long_running: bool,
+    /// Parts of its prompt that other requests may share.
+    #[serde(default)]
+    pub parts: Vec<PromptPartId>,
+    /// Whether the request itself had a successful response recently, so that at most its parts are to blame.
+    #[serde(default)]
+    pub is_cleared: bool,
+}
+
+impl Suspect {
+    /// Returns its share in the size of a report, which always has room for one suspect: two parts take as many bytes as
+    /// the rest.
+    fn weight(&self) -> usize {
+        (1 + self.parts.len() / 2).min(REPORTED_MAX)
+    }
 }
 
 /// The crash of a server, as an instance reports it to the aggregator.
@@ -60,6 +74,12 @@
     reported: usize,
 }
 
+impl Crash {
+    fn weight(&self) -> usize {
+        self.in_flight.iter().map(Suspect::weight).sum()
+    }
+}
+
 /// Crashes of servers that one instance has observed.
 #[derive(Debug, Default)]
 pub struct ServerCrashes {
@@ -94,10 +114,10 @@
         suspect: Suspect,
     ) {
         self.crashes.retain(|_, crash| now.saturating_duration_since(crash.at) < CRASH_MAX_AGE);
-        let mut kept: usize = self.crashes.values().map(|crash| crash.in_flight.len()).sum();
+        let mut kept: usize = self.crashes.values().map(Crash::weight).sum();
         while kept >= SUSPECTS_MAX {
             let oldest = self.crashes.shift_remove_index(0);
-            kept -= oldest.map_or(kept, |(_, crash)| crash.in_flight.len());
+            kept -= oldest.map_or(kept, |(_, crash)| crash.weight());
         }
         let new =
             || Crash { at: now, service: service.clone(), in_flight: Vec::new(), reported: 0 };
@@ -109,12 +129,16 @@
         let mut left = REPORTED_MAX;
         let mut reports = Vec::new();
         for (server, crash) in &self.crashes {
-            let in_flight: Vec<Suspect> =
-                crash.in_flight.iter().skip(crash.reported).take(left).copied().collect();
+            let fits = |suspect: &&Suspect| {
+                let fits = suspect.weight() <= left;
+                left -= if fits { suspect.weight() } else { left };
+                fits
+            };
+            let rest = crash.in_flight.iter().skip(crash.reported);
+            let in_flight: Vec<Suspect> = rest.take_while(fits).cloned().collect();
             if in_flight.is_empty() {
                 continue;
             }
-            left -= in_flight.len();
             let age = now.saturating_duration_since(crash.at).as_millis();
             reports.push(CrashReport {
                 server: *server,
--- a/src/routing/crash_suspects/table.rs
+++ b/src/routing/crash_suspects/table.rs
@@ -2,18 +2,23 @@
 
 use std::collections::HashSet;
 
-use super::{Judgement, RequestDigest, RequestFingerprint, VerdictUpdate, verdicts::HOLD_DURATION};
+use super::{
+    Judgement, RequestFingerprint, SuspectDigest, SuspectKind, VerdictUpdate,
+    verdicts::HOLD_DURATION,
+};
 use crate::routing::StoreEra;
 
 /// A row of the table.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HeldRow {
-    /// Digest of the request.
-    pub digest: RequestDigest,
-    /// Fingerprint of the request.
+    /// Digest of the request or part.
+    pub digest: SuspectDigest,
+    /// Fingerprint of the request, or of the parts that a part is held together with.
     pub fingerprint: RequestFingerprint,
     /// When the hold expires, in milliseconds of the store's steady clock.
     pub until_ms: u64,
+    /// Whether a request or a part of prompts is held.
+    pub kind: SuspectKind,
 }
 
 /// Changes that make the table and the verdicts agree.
@@ -22,11 +27,11 @@
     /// Verdicts that only the table has.
     pub adopted: Vec<VerdictUpdate>,
     /// Requests whose rows an operator has removed.
-    pub lifted: Vec<RequestDigest>,
+    pub lifted: Vec<SuspectDigest>,
     /// Rows to write.
     pub write: Vec<HeldRow>,
     /// Rows to remove.
-    pub remove: Vec<RequestDigest>,
+    pub remove: Vec<SuspectDigest>,
 }
 
 /// What the aggregator knows of the table.
@@ -36,7 +41,7 @@
     /// Era of the store at the last read.
     era: StoreEra,
     /// Requests that had a row after the last plan was applied.
-    present: HashSet<RequestDigest>,
+    present: HashSet<SuspectDigest>,
 }
 
 impl HeldRow {
@@ -44,14 +49,15 @@
         let left = self.until_ms.checked_sub(now_ms).filter(|left| *left > 0)?;
         let total = u64::try_from(HOLD_DURATION.as_millis()).unwrap_or(u64::MAX);
         let age_ms = total.saturating_sub(left);
-        let HeldRow { digest, fingerprint, .. } = *self;
-        Some(VerdictUpdate { digest, fingerprint, judgement: Judgement::Held, age_ms })
+        let HeldRow { digest, fingerprint, kind, .. } = *self;
+        Some(VerdictUpdate { digest, fingerprint, judgement: Judgement::Held, age_ms, kind })
     }
 
     fn of(update: &VerdictUpdate, now_ms: u64) -> HeldRow {
         let total = u64::try_from(HOLD_DURATION.as_millis()).unwrap_or(u64::MAX);
         let until_ms = now_ms + total.saturating_sub(update.age_ms);
-        HeldRow { digest: update.digest, fingerprint: update.fingerprint, until_ms }
+        let VerdictUpdate { digest, fingerprint, kind, .. } = *update;
+        HeldRow { digest, fingerprint, until_ms, kind }
     }
 }
 
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -55,9 +55,10 @@
 pub use candidates::{Candidates, InstanceInfo};
 pub use cold::{ColdGranters, ColdGrants, ColdTerms};
 pub use crash_suspects::{
-    CrashAttribution, CrashReport, Finding, HeldRow, HeldTablePlan, HeldTableSync, Judgement,
-    PromptPartId, RecentSuccesses, RequestDigest, RequestFingerprint, ServerCrashes, Suspect,
-    VerdictUpdate, Verdicts,
+    AnsweredPart, AnsweredParts, AnsweredReport, CrashAttribution, CrashReport, Finding, HeldRow,
+    HeldTablePlan, HeldTableSync, Judgement, PartAttribution, PartFinding, PartJudgements,
+    PromptPartId, RecentSuccesses, RequestFingerprint, ServerCrashes, ServiceResponses, Suspect,
+    SuspectDigest, SuspectKind, VerdictUpdate, Verdicts,
 };
 pub use events::EventSplitter;
 pub use fallback_reader::FallbackReader;
--- a/standins/src/listed.rs
+++ b/standins/src/listed.rs
@@ -146,17 +146,17 @@
         lock(&self.notices).push(SentNotice { request, at, backoff });
     }
 
-    /// Ends the server where a request has what ends it.
+    /// Ends the server where a request has what ends it; returns whether it has ended.
     fn ends_by(&self, request: &Received, events: usize) -> bool {
         let is_due =
             |deadly: &Deadly| deadly.after_events == events && deadly.trigger.is_in(request);
-        let found = lock(&self.deadly).iter().any(is_due);
-        if found {
+        let deadly = lock(&self.deadly);
+        if let Some(found) = deadly.iter().find(|deadly| is_due(deadly)) {
             // Its address refuses connections before the first of its connections ends.
-            lock(&self.deadly).drain(..).for_each(|deadly| lock(&deadly.listener).stop());
+            lock(&found.listener).stop();
             self.ended.store(true, Ordering::SeqCst);
         }
-        found
+        self.has_ended()
     }
 }
 
--- a/tests/suite/crash_suspects.rs
+++ b/tests/suite/crash_suspects.rs
@@ -4,8 +4,8 @@
 
 use cartvane::routing::{
     CrashAttribution, CrashReport, HeldRow, HeldTablePlan, HeldTableSync, Incarnation, Judgement,
-    RecentSuccesses, RequestDigest, RequestFingerprint, RunId, ServerCrashes, StoreEra, Suspect,
-    VerdictUpdate, Verdicts, crash_suspects::verdicts::HOLD_DURATION,
+    RecentSuccesses, RequestFingerprint, RunId, ServerCrashes, StoreEra, Suspect, SuspectDigest,
+    SuspectKind, VerdictUpdate, Verdicts, crash_suspects::verdicts::HOLD_DURATION,
 };
 
 fn server(name: &str) -> Incarnation {
@@ -17,7 +17,13 @@
 }
 
 fn suspect(request: u64, long_running: bool) -> Suspect {
-    Suspect { fingerprint: fingerprint(request), digest: RequestDigest(request), long_running }
+    Suspect {
+        fingerprint: fingerprint(request),
+        digest: SuspectDigest(request),
+        long_running,
+        parts: Vec::new(),
+        is_cleared: false,
+    }
 }
 
 fn crash(name: &str, in_flight: impl IntoIterator<Item = Suspect>) -> CrashReport {
@@ -32,15 +38,16 @@
 fn verdict(request: u64, judgement: Judgement, age: Duration) -> VerdictUpdate {
     let age_ms = age.as_millis() as u64;
     VerdictUpdate {
-        digest: RequestDigest(request),
+        digest: SuspectDigest(request),
         fingerprint: fingerprint(request),
         judgement,
         age_ms,
+        kind: SuspectKind::Request,
     }
 }
 
 fn holds(verdicts: &Verdicts, now: Instant, request: u64) -> bool {
-    verdicts.held(now, fingerprint(request), || RequestDigest(request)).is_some()
+    verdicts.held(now, fingerprint(request), || SuspectDigest(request)).is_some()
 }
 
 /// Reports the crash of a server and returns the requests that are found to crash servers.
@@ -134,12 +141,12 @@
     let mut verdicts = Verdicts::default();
     let later = now + Duration::from_secs(1);
     verdicts.watch(now, &attribution.watched(later));
-    assert_eq!(verdicts.clear_successful(now, fingerprint(2), || RequestDigest(2)), None);
+    assert_eq!(verdicts.clear_successful(now, fingerprint(2), || SuspectDigest(2)), None);
     assert_eq!(
-        verdicts.clear_successful(now, fingerprint(1), || RequestDigest(1)),
-        Some(RequestDigest(1))
+        verdicts.clear_successful(now, fingerprint(1), || SuspectDigest(1)),
+        Some(SuspectDigest(1))
     );
-    attribution.clear(now, RequestDigest(1));
+    attribution.clear(now, SuspectDigest(1));
     assert_eq!(found(&mut attribution, now, &crash("c", [suspect(1, false)])), Vec::<u64>::new());
     assert!(attribution.watched(later).is_empty());
 }
@@ -158,7 +165,7 @@
     assert_eq!(verdicts.updates(now)[0].age_ms, 60_000);
     assert!(verdicts.updates(now + HOLD_DURATION).is_empty() && verdicts.is_idle());
     verdicts.merge(now, &[verdict(1, Judgement::Held, minute)]);
-    verdicts.clear(now, RequestDigest(1));
+    verdicts.clear(now, SuspectDigest(1));
     assert!(verdicts.merge(now, &[verdict(1, Judgement::Held, minute)]).is_empty());
     assert!(!holds(&verdicts, now, 1));
     // A cleared request that crashes servers again is held again.
@@ -200,20 +207,20 @@
     let mut note = |successes: &mut RecentSuccesses, at: Instant, request: u64| {
         successes.note(at, fingerprint(request), || {
             hashed += 1;
-            RequestDigest(request)
+            SuspectDigest(request)
         });
         hashed
     };
     assert_eq!(note(&mut successes, now, 1), 0);
-    assert!(!successes.contains(now, fingerprint(1), RequestDigest(1)));
+    assert!(!successes.contains(now, fingerprint(1), SuspectDigest(1)));
     assert_eq!(note(&mut successes, now, 1), 1);
     assert_eq!(note(&mut successes, now, 1), 1, "a repeated body is hashed once a second");
-    assert!(successes.contains(now, fingerprint(1), RequestDigest(1)));
+    assert!(successes.contains(now, fingerprint(1), SuspectDigest(1)));
     successes.alert(now);
     assert_eq!(note(&mut successes, now, 2), 2);
-    assert!(successes.contains(now, fingerprint(2), RequestDigest(2)));
+    assert!(successes.contains(now, fingerprint(2), SuspectDigest(2)));
     let later = now + Duration::from_secs(150);
-    assert!(!successes.contains(later, fingerprint(1), RequestDigest(1)));
+    assert!(!successes.contains(later, fingerprint(1), SuspectDigest(1)));
     assert_eq!(note(&mut successes, later, 3), 2);
 }
 
@@ -223,22 +230,23 @@
     let total_ms = HOLD_DURATION.as_millis() as u64;
     let held = |request: u64| verdict(request, Judgement::Held, Duration::ZERO);
     let row = |request: u64, until_ms: u64| HeldRow {
-        digest: RequestDigest(request),
+        digest: SuspectDigest(request),
         fingerprint: fingerprint(request),
         until_ms,
+        kind: SuspectKind::Request,
     };
     let mut sync = HeldTableSync::new(false);
     assert!(!sync.is_idle(&[]), "the table has not been read");
     let rows = [row(1, 1000 + total_ms / 2), row(2, 999)];
     let plan = sync.plan(1000, &rows, &[held(3)]);
     assert_eq!(plan.adopted, [verdict(1, Judgement::Held, HOLD_DURATION / 2)]);
-    assert_eq!(plan.remove, [RequestDigest(2)]);
+    assert_eq!(plan.remove, [SuspectDigest(2)]);
     assert_eq!(plan.write, [row(3, 1000 + total_ms)]);
     sync.mark_applied(&rows, &plan);
     let rows = [row(1, 1000 + total_ms / 2)];
     let cleared = verdict(1, Judgement::Cleared, Duration::ZERO);
     let plan = sync.plan(2000, &rows, &[cleared, held(3)]);
-    assert_eq!((plan.remove, plan.lifted), (vec![RequestDigest(1)], vec![RequestDigest(3)]));
+    assert_eq!((plan.remove, plan.lifted), (vec![SuspectDigest(1)], vec![SuspectDigest(3)]));
     // The store was restored from an older copy: the missing rows were lost with it, and no operator lifted a verdict.
     sync.mark_applied(&rows, &HeldTablePlan::default());
     sync.note_era(StoreEra(1));
--- a/tests/suite/crashing_requests_random.rs
+++ b/tests/suite/crashing_requests_random.rs
@@ -6,7 +6,7 @@
 use cartvane::{
     gateway::crash_suspects::CrashSuspects,
     names::ServiceName,
-    routing::{Incarnation, RequestDigest, RequestFingerprint, RunId, Suspect},
+    routing::{Incarnation, RequestFingerprint, RunId, Suspect, SuspectDigest},
 };
 
 const STEP: Duration = Duration::from_millis(10);
@@ -93,8 +93,8 @@
     outcome: Outcome,
 }
 
-fn digest_of(request: u64) -> (RequestFingerprint, RequestDigest) {
-    (RequestFingerprint(request as u32), RequestDigest(request))
+fn digest_of(request: u64) -> (RequestFingerprint, SuspectDigest) {
+    (RequestFingerprint(request as u32), SuspectDigest(request))
 }
 
 impl Simulation<'_> {
@@ -174,6 +174,8 @@
                 fingerprint,
                 digest,
                 long_running: flight.first.saturating_add(LONG_RUNNING) <= step,
+                parts: Vec::new(),
+                is_cleared: false,
             };
             let now = self.now(step);
             self.nodes[flight.instance].note_crash(now, &id, &self.service, suspect);
--- a/tests/suite/messages.rs
+++ b/tests/suite/messages.rs
@@ -10,6 +10,7 @@
     configs::fleet::chunks::{decode, encode},
     gateway::{
         cold_permits::{PermitReply, PermitRequest},
+        crash_suspects::CrashSuspectsReport,
         intent_relay::{Offer, OfferReply},
         messages::{ConfirmedAgo, ExchangePurpose, ExchangeReply, ExchangeReport},
     },
@@ -195,7 +196,7 @@
 }
 
 /// Messages as written by earlier builds.
-const EARLIER_BUILDS: [(&str, &str); 5] = [
+const EARLIER_BUILDS: [(&str, &str); 7] = [
     (
         "report",
         "9d94a6656467652d3181a2563492940a000001cd2025a56e6f727468ca3f00000091920703910905909090939090900cc2a6496e5475726e4d08",
@@ -208,6 +209,12 @@
         "reply without limits of teams",
         "9f9194a36c6c6dca4020000091920704c391099006c2900c9092289202cd019c949202cd019c91a56e6f72746881a36c6c6d92a27632920c0091a36170709081a74368616e67657392919892a162cd03e8a36c6c6d81a2563492940a00000102a56e6f727468c2c0c09202ce1dcd650090ccfa0281a557686f6c659194a6656467652d3181a2563492940a000001cd2025a56e6f727468ca3f000000",
     ),
+    (
+        "report without prompt parts",
+        "9e94a6656467652d3181a2563492940a000001cd2025a56e6f727468ca3f00000091920703910905909090939090900cc2a6496e5475726e4d0890",
+    ),
+    // A crash with one request in flight, and a verdict on it.
+    ("crash without prompt parts", "93919407a36c6c6d0591930102c29091940201a448656c6408"),
     ("permit", "9207a36c6c6d"),
     ("orders", "939202cd019c91a56e6f72746881a36c6c6d92a27632920c00"),
 ];
@@ -220,10 +227,13 @@
 // Guards against messages of earlier builds that are no longer decoded.
 #[test]
 fn messages_of_earlier_builds_are_decoded() {
-    let [report_bytes, reply_bytes, without_teams, permit, orders_bytes] =
+    let [report_bytes, reply_bytes, without_teams, without_parts, crash, permit, orders_bytes] =
         EARLIER_BUILDS.map(|(_, hex)| bytes_of(hex));
     let same = |read: Vec<u8>, now: Vec<u8>| assert_eq!(read, now);
     same(encode(&decode::<ExchangeReport>(&report_bytes).expect("a report")), encode(&report()));
+    same(encode(&decode::<ExchangeReport>(&without_parts).expect("a report")), encode(&report()));
+    let suspects: CrashSuspectsReport = decode(&crash).expect("a report of crashes");
+    assert_eq!((suspects.crashes[0].in_flight[0].parts.len(), suspects.verdicts.len()), (0, 1));
     let orders_before = OrdersSnapshot { unparsed: IndexSet::new(), ..orders() };
     let decoded = decode::<ExchangeReply>(&reply_bytes).expect("a reply");
     assert_eq!((decoded.intent_version, &decoded.orders), (12, &orders_before));
