fix(gateway): a request that is held while it waits for a slot is refused at once

Cause: requests were looked up among the held ones at their arrival and before each attempt; one that waited in the queue of a small service was refused only at its turn. Change: the wait for a slot ends with the verdict, and the slot is given back.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -144,6 +144,9 @@
             SlotOutcome::Leased(lease) => return Ok(Some(lease)),
             SlotOutcome::Rejected(retry_after) => self.note_slot_rejected(retry_after),
             SlotOutcome::CallerLeft => self.attempts.note_caller_left(),
+            SlotOutcome::Held => {
+                self.refuse_if_held(now);
+            }
         }
         Err(NoAttempt)
     }
--- a/src/gateway/slot_leases/request.rs
+++ b/src/gateway/slot_leases/request.rs
@@ -47,6 +47,8 @@
     Rejected(Duration),
     /// The caller disconnected while the request waited.
     CallerLeft,
+    /// The request was held while it waited, since it crashes servers.
+    Held,
 }
 
 impl SlotOutcome<'_> {
@@ -57,6 +59,7 @@
             SlotOutcome::Leased(_) => "granted",
             SlotOutcome::Rejected(_) => "rejected",
             SlotOutcome::CallerLeft => "caller-left",
+            SlotOutcome::Held => "held",
         }
     }
 }
@@ -76,6 +79,7 @@
     /// The broker has not decided in time.
     Silent,
     CallerLeft,
+    Held,
 }
 
 /// A request for a lease.
@@ -190,6 +194,10 @@
                 self.release_slot(id);
                 BrokerReply::AskNext
             }
+            WaitEnd::Held => {
+                self.release_slot(id);
+                BrokerReply::Final(SlotOutcome::Held)
+            }
             WaitEnd::CallerLeft => {
                 self.release_slot(id);
                 BrokerReply::Final(SlotOutcome::CallerLeft)
@@ -242,6 +250,9 @@
             if now >= until {
                 break WaitEnd::Silent;
             }
+            if self.crash_suspects.held(now, query.request).is_some() {
+                return WaitEnd::Held;
+            }
             if query.caller.is_some_and(has_left) {
                 return WaitEnd::CallerLeft;
             }
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -39,6 +39,7 @@
 mod notices;
 mod orders;
 mod overload;
+mod part_attribution;
 mod part_fleet;
 mod partitioned_instances;
 mod partitions_random;
