--- a/src/routing/crash_suspects/mod.rs
+++ b/src/routing/crash_suspects/mod.rs
@@ -13,6 +13,8 @@
 pub mod digest;
 pub mod fingerprint;
 pub mod part_attribution;
+pub mod part_finding;
+mod part_record;
 pub mod prompt_part;
 pub mod recent_successes;
 pub mod server_crashes;
@@ -24,7 +26,8 @@
 pub use attribution::{CrashAttribution, Finding};
 pub use digest::SuspectDigest;
 pub use fingerprint::RequestFingerprint;
-pub use part_attribution::{PartAttribution, PartFinding, PartJudgements};
+pub use part_attribution::PartAttribution;
+pub use part_finding::{PartFinding, PartJudgements};
 pub use prompt_part::PromptPartId;
 pub use recent_successes::RecentSuccesses;
 pub use server_crashes::{CrashReport, ServerCrashes, Suspect};
--- a/src/routing/crash_suspects/part_attribution.rs
+++ b/src/routing/crash_suspects/part_attribution.rs
@@ -8,34 +8,29 @@
 use std::{
     cmp::Reverse,
     collections::VecDeque,
-    fmt,
     time::{Duration, Instant},
 };
 
 use indexmap::{IndexMap, IndexSet};
 
 use super::{
-    AnsweredReport, CrashReport, Judgement, PromptPartId, RequestFingerprint, Suspect,
-    SuspectDigest, SuspectKind, VerdictUpdate,
+    AnsweredReport, CrashReport, Judgement, PartFinding, PartJudgements, PromptPartId,
+    RequestFingerprint, Suspect, SuspectDigest, SuspectKind, VerdictUpdate,
+    part_record::{HeldPart, JUDGED_AFTER, PartCrash, PartRecord},
 };
 use crate::names::{ServiceName, Tag};
 
 /// How long a crash counts: as for requests, long enough for parts that come rarely.
 const CRASH_MAX_AGE: Duration = Duration::from_secs(600);
 
-/// Crashed servers at which a part is held: one less than the operators' bound counts, as a crash may leave no evidence.
-const HELD_CRASHES: usize = 4;
-
-/// Crashed servers at which a part is held sooner. Where many servers are killed, a few of them may be those that a
-/// harmless part has come to one after the other, before one of them could answer.
-const HELD_SOON_CRASHES: usize = 8;
-
 /// Crashes of a held part at which no part with more crashes was in flight.
 const UNEXPLAINED_CRASHES: usize = 3;
 
 /// Crashes of a part that no request had met before, from which it is held although others explain them: several parts
-/// may have come to the same servers at once. It has to be so unlikely that the part is harmless.
+/// may have come to the same servers at once.
 const UNMISTAKABLE_CRASHES: usize = 8;
+
+/// Chance that a part with [`UNMISTAKABLE_CRASHES`] is harmless.
 const UNMISTAKABLE_CHANCE: f64 = 0.0001;
 
 /// Crashes of a held part that none of its requests had met before. A request that goes from one crashing server to the
@@ -44,24 +39,14 @@
 
 /// As [`HELD_NEW_CRASHES`], of a part with many requests: those that come at once go from server to server together.
 const HELD_NEW_CRASHES_OF_MANY: usize = 2;
-const MANY_REQUESTS: usize = 8;
 
-/// Crashed servers from which an interrupted request with the part is not retried.
-const WATCHED_CRASHES: usize = 3;
-
-/// How long a part is watched after its last crash.
-const WATCHED_DURATION: Duration = Duration::from_secs(20);
+/// Different requests from which a part has many.
+const MANY_REQUESTS: usize = 8;
 
 /// How long a part that was answered is not watched: in a series of crashes, parts that many requests have come under
 /// suspicion again and again until their next response is reported.
 const TRUSTED_DURATION: Duration = Duration::from_secs(5);
 
-/// Time from the first crash of a part to its verdict, beside that in which instances report their responses.
-const JUDGED_AFTER: Duration = Duration::from_millis(2000);
-
-/// As [`JUDGED_AFTER`], of a part with [`HELD_SOON_CRASHES`].
-const JUDGED_SOON_AFTER: Duration = Duration::from_millis(500);
-
 /// Reports of each instance that a verdict waits for: in one of them, crashes and responses are in step.
 const AWAITED_REPORTS: u32 = 2;
 
@@ -78,8 +63,10 @@
 /// Number of parts evicted at a time.
 const EVICTION_BATCH: usize = PARTS_MAX / 8;
 
-/// Maximum number of crashes kept, in all and of one part.
+/// Maximum number of crashes kept.
 const CRASHES_MAX: usize = 4096;
+
+/// Maximum number of crashes kept of one part.
 const PART_CRASHES_MAX: usize = 64;
 
 /// Maximum number of requests kept for one crash.
@@ -99,84 +86,6 @@
     interrupted: IndexSet<SuspectDigest>,
 }
 
-/// Crash of a server, as evidence against a part.
-#[derive(Debug)]
-struct PartCrash {
-    at: Instant,
-    /// Interrupted requests with the part.
-    requests: IndexSet<SuspectDigest>,
-}
-
-/// What is known of a part.
-#[derive(Debug)]
-struct PartRecord {
-    part: PromptPartId,
-    service: ServiceName,
-    /// Crashes that no response refutes, by server.
-    crashes: IndexMap<Tag, PartCrash>,
-    held: Option<HeldPart>,
-}
-
-/// The verdict on a part.
-#[derive(Debug, Clone, Copy)]
-struct HeldPart {
-    /// The parts that it is held together with.
-    group: RequestFingerprint,
-    since: Instant,
-    /// Whether this instance has the evidence.
-    is_own: bool,
-}
-
-/// A part that is found to crash servers.
-#[derive(Debug, Clone, PartialEq)]
-pub struct PartFinding {
-    /// The part.
-    pub part: PromptPartId,
-    /// Its digest.
-    pub digest: SuspectDigest,
-    /// The service whose servers it crashes.
-    pub service: ServiceName,
-    /// Identifies the parts that came together at every crash and cannot be told apart: only requests with all of them
-    /// are held.
-    pub group: RequestFingerprint,
-    /// Servers that crashed.
-    pub servers: Vec<Tag>,
-    /// Number of different requests with the part among those interrupted.
-    pub requests: usize,
-}
-
-impl PartFinding {
-    /// Returns the verdict on the part.
-    pub fn verdict(&self) -> VerdictUpdate {
-        VerdictUpdate {
-            digest: self.digest,
-            fingerprint: self.group,
-            judgement: Judgement::Held,
-            age_ms: 0,
-            kind: SuspectKind::Part,
-        }
-    }
-}
-
-impl fmt::Display for PartFinding {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let PartFinding { part, digest, service, group, servers, requests } = self;
-        let servers: Vec<String> = servers.iter().map(ToString::to_string).collect();
-        let servers = servers.join(",");
-        write!(f, "part={part} digest={digest} service={service} held_with={group} ")?;
-        write!(f, "requests={requests} servers={servers}")
-    }
-}
-
-/// Changes of verdicts.
-#[derive(Debug, Default, PartialEq)]
-pub struct PartJudgements {
-    /// Parts to hold.
-    pub found: Vec<PartFinding>,
-    /// Parts not to hold any more.
-    pub cleared: Vec<SuspectDigest>,
-}
-
 /// Crashes and responses that all instances have reported, by part.
 #[derive(Debug, Default)]
 pub struct PartAttribution {
@@ -193,85 +102,6 @@
     report_interval: Duration,
 }
 
-impl PartRecord {
-    fn first_crash(&self) -> Option<Instant> {
-        self.crashes.values().map(|crash| crash.at).min()
-    }
-
-    fn last_crash(&self) -> Option<Instant> {
-        self.crashes.values().map(|crash| crash.at).max()
-    }
-
-    /// Returns the interrupted requests with the part.
-    fn requests(&self) -> IndexSet<SuspectDigest> {
-        self.crashes.values().flat_map(|crash| &crash.requests).copied().collect()
-    }
-
-    /// Returns the number of crashes with a request that had been at none before.
-    fn new_crashes(&self) -> usize {
-        let mut crashes: Vec<&PartCrash> = self.crashes.values().collect();
-        crashes.sort_by_key(|crash| crash.at);
-        let mut seen: IndexSet<SuspectDigest> = IndexSet::new();
-        let has_new = |crash: &&&PartCrash| {
-            let known = seen.len();
-            seen.extend(&crash.requests);
-            seen.len() > known
-        };
-        crashes.iter().filter(has_new).count()
-    }
-
-    /// Returns whether the part was at all the crashes of another one.
-    fn covers(&self, other: &PartRecord) -> bool {
-        self.crashes.len() >= other.crashes.len()
-            && self.service == other.service
-            && other.crashes.keys().all(|server| self.crashes.contains_key(server))
-    }
-
-    /// Returns whether the part explains all crashes of another one and more, so that the other need not be blamed.
-    fn explains(&self, other: &PartRecord) -> bool {
-        self.crashes.len() > other.crashes.len() && self.covers(other)
-    }
-
-    /// Returns whether no crash and no request tells the part from another one.
-    fn is_same(&self, other: &PartRecord) -> bool {
-        self.crashes.len() == other.crashes.len()
-            && self.covers(other)
-            && self.requests() == other.requests()
-    }
-
-    /// Returns the time from its first crash to its verdict, beside that for reports, if it has enough crashes.
-    fn judged_after(&self) -> Option<Duration> {
-        match self.crashes.len() {
-            HELD_SOON_CRASHES.. => Some(JUDGED_SOON_AFTER),
-            HELD_CRASHES.. => Some(JUDGED_AFTER),
-            _ => None,
-        }
-    }
-
-    fn group(&self) -> Option<RequestFingerprint> {
-        self.held.map(|held| held.group)
-    }
-
-    /// Removes the crashes that a response refutes which began at `began`: the part had crashed no server so far.
-    fn refute(&mut self, began: Instant) {
-        self.crashes.retain(|_, crash| crash.at > began);
-    }
-
-    /// Returns whether its last response, which began at `answered`, refutes the verdict on the part.
-    fn is_refuted(&self, answered: Option<Instant>) -> bool {
-        let Some(held) = self.held else { return false };
-        answered.is_some_and(|began| began >= held.since || held.is_own && self.crashes.is_empty())
-    }
-
-    /// Returns whether the part comes under suspicion.
-    fn is_suspicious(&self, now: Instant) -> bool {
-        let age = self.last_crash().map(|at| now.saturating_duration_since(at));
-        self.held.is_none()
-            && self.crashes.len() >= WATCHED_CRASHES
-            && age.is_some_and(|age| age < WATCHED_DURATION)
-    }
-}
-
 impl PartAttribution {
     /// Sets the interval at which each instance reports.
     pub fn set_report_interval(&mut self, interval: Duration) {
