--- a/tests/suite/crashing_parts.rs
+++ b/tests/suite/crashing_parts.rs
@@ -3,7 +3,10 @@
 
 use std::time::Duration;
 
-use crate::part_fleet::{PartFleet, Place, Scenario};
+use crate::{
+    log_lines,
+    part_fleet::{PartFleet, Place, Scenario},
+};
 
 /// Time after the fifth crash from which all instances hold the part.
 const HELD_WITHIN: Duration = Duration::from_secs(3);
@@ -24,7 +27,8 @@
     let crashes = fleet.crashes();
     for part in 0..scenario.parts {
         let late = fleet.late_arrivals(part, HELD_WITHIN);
-        assert!(late <= LATE_MAX, "{late} requests with part {part}, {crashes} crashes");
+        let verdicts = log_lines::matching(&["event=part_"]);
+        assert!(late <= LATE_MAX, "{late} requests, part {part}, {crashes} crashes: {verdicts}");
     }
     let share = fleet.sound_share(SERVED_WITHIN);
     assert!(share >= SOUND_SHARE_MIN, "{share} of the sound requests, {crashes} crashes");
--- a/tests/suite/part_fleet.rs
+++ b/tests/suite/part_fleet.rs
@@ -23,6 +23,7 @@
 };
 
 use crate::{
+    log_lines,
     support::eventually,
     testbed::{KEY, intent, route, settings},
 };
@@ -101,6 +102,7 @@
 
 impl PartFleet {
     pub(crate) fn start(instances: usize, servers: usize, scenario: Scenario) -> PartFleet {
+        log_lines::start();
         let store = StoreStandIn::spawn().expect("a store");
         store.put("op", "config", &sticky_intent());
         let mut fleet = PartFleet {
