--- a/src/gateway/attempt_results.rs
+++ b/src/gateway/attempt_results.rs
@@ -17,7 +17,7 @@
 const SURVIVED_AFTER: Duration = Duration::from_millis(500);
 
 /// As [`SURVIVED_AFTER`], for the parts of its prompt. Where servers crash again and again, few responses last longer,
-/// and a part that has crashed none by then is told apart from those that do.
+/// and a part that has crashed none by then is distinguished from those that do.
 pub(super) const PART_SURVIVED_AFTER: Duration = Duration::from_millis(250);
 
 /// Maximum number of prompt parts in a log line.
--- a/src/routing/crash_suspects/part_attribution.rs
+++ b/src/routing/crash_suspects/part_attribution.rs
@@ -1,7 +1,7 @@
 //! Attributes server crashes to parts of prompts, from the crash reports and responses of all instances.
 //!
 //! Requests with a part that crashes servers need not be alike in anything else, so each of them has few crashes: their
-//! crashes add up by part. A crash also interrupts requests with harmless parts. Those are told apart by responses:
+//! crashes add up by part. A crash also interrupts requests with harmless parts. Responses distinguish those:
 //! whatever a server answers does not crash servers, and a response that began after a crash refutes that crash as
 //! evidence against its parts.
 
--- a/src/routing/crash_suspects/part_finding.rs
+++ b/src/routing/crash_suspects/part_finding.rs
@@ -16,8 +16,8 @@
     pub digest: SuspectDigest,
     /// The service whose servers it crashes.
     pub service: ServiceName,
-    /// Identifies the parts that came together at every crash and cannot be told apart: only requests with all of them
-    /// are held.
+    /// Identifies the parts that came together at every crash and cannot be distinguished: only requests with all
+    /// of them are held.
     pub group: RequestFingerprint,
     /// Servers that crashed.
     pub servers: Vec<Tag>,
--- a/src/routing/crash_suspects/verdicts.rs
+++ b/src/routing/crash_suspects/verdicts.rs
@@ -119,7 +119,7 @@
     }
 
     /// Returns for how long a request with these parts is still held, and one of the parts that it is held for. Parts
-    /// that cannot be told apart are held together: only requests with all of them are.
+    /// that cannot be distinguished are held together: only requests with all of them are.
     pub fn held_part(
         &self,
         now: Instant,
