feat(roster): servers that are kept although the list is missing them are logged and counted

Change: event=server_kept, once for each server that an instance begins to keep, and the gauge cartvane_kept_servers. No decision has changed.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -417,6 +417,8 @@
         }
         self.metrics.held_requests(self.crash_suspects.held_count(SuspectKind::Request));
         self.metrics.held_parts(self.crash_suspects.held_count(SuspectKind::Part));
+        let kept = self.cluster_state.with_servers(|roster| roster.kept().count());
+        self.metrics.kept_servers(kept);
         self.metrics.ready(self.is_ready());
         self.metrics.tunnels_served(self.tunnels.served());
         self.update_reach_gauges();
--- a/src/gateway/roster_reader.rs
+++ b/src/gateway/roster_reader.rs
@@ -168,6 +168,7 @@
         ("server_changed", &change.changed),
         ("server_gone", &change.removed),
         ("server_cold", &change.cold),
+        ("server_kept", &change.kept),
     ] {
         if ids.len() > SINGLE_LINES_MAX {
             log::info!("event={what} servers={} source={source} age_ms={age}", ids.len());
--- a/src/metrics/instruments.rs
+++ b/src/metrics/instruments.rs
@@ -38,6 +38,7 @@
     pub(super) server_notices: Counter<u64>,
     pub(super) held_requests: Gauge<u64>,
     pub(super) held_parts: Gauge<u64>,
+    pub(super) kept_servers: Gauge<u64>,
     pub(super) cold_permits: Counter<u64>,
     pub(super) cold_servers: Gauge<u64>,
     pub(super) evacuated_zones: Gauge<u64>,
@@ -158,6 +159,10 @@
                 "cartvane_held_parts",
                 "Parts of prompts held back since servers ended as they ran requests with them",
             ),
+            kept_servers: gauge(
+                "cartvane_kept_servers",
+                "Servers in use although the list is missing them",
+            ),
             cold_permits: counter(
                 "cartvane_cold_permits",
                 "Requests that would have gone to a cold server, by service and whether it took them",
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -196,6 +196,11 @@
         self.instruments.held_parts.record(count as u64, &[]);
     }
 
+    /// Sets the number of servers that are in use although the list is missing them.
+    pub fn kept_servers(&self, count: usize) {
+        self.instruments.kept_servers.record(count as u64, &[]);
+    }
+
     /// Counts a request that would have gone to a cold server, by whether the server took it.
     pub fn cold_permit(&self, service: &impl fmt::Display, result: &'static str) {
         self.instruments.cold_permits.add(1, &[label("service", service), label("result", result)]);
--- a/src/report/line.rs
+++ b/src/report/line.rs
@@ -115,7 +115,7 @@
 
     /// Returns whether the event is a change in what the instance knows of the cluster, or in its own process.
     pub fn is_state_change(&self) -> bool {
-        const STATE_CHANGES: [&str; 21] = [
+        const STATE_CHANGES: [&str; 22] = [
             "started",
             "draining",
             "stopped",
@@ -127,6 +127,7 @@
             "server_added",
             "server_leaving",
             "server_gone",
+            "server_kept",
             "server_crowded",
             "server_ended",
             "request_found",
--- a/src/routing/roster.rs
+++ b/src/routing/roster.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
 use super::{Incarnation, StoreEra, store_version::SETTLING_TIME};
@@ -92,6 +92,8 @@
     cold: IndexMap<Incarnation, Instant>,
     /// Whether servers were removed, or marked as leaving, against what the list contains.
     differs: bool,
+    /// Servers that are in use although the list is missing them.
+    kept: IndexSet<Incarnation>,
 }
 
 /// What a new list changed.
@@ -107,6 +109,8 @@
     pub removed: Vec<Incarnation>,
     /// Servers with a new time until which they are cold.
     pub cold: Vec<Incarnation>,
+    /// Servers that are no longer listed, and are kept for a while.
+    pub kept: Vec<Incarnation>,
 }
 
 impl Roster {
@@ -142,6 +146,7 @@
         let keeps_missing = unsettled || self.keep_missing_until.is_some_and(|until| now < until);
         self.removed.retain(|_, at| now.saturating_duration_since(*at) < REMOVED_TTL);
         let mut change = RosterChange::default();
+        let kept_before = std::mem::take(&mut self.kept);
         let mut servers: IndexMap<Incarnation, Arc<BackendServer>> = IndexMap::new();
         let by_server: HashMap<&ServerId, &Arc<BackendServer>> =
             self.servers.values().map(|known| (&known.id.server, known)).collect();
@@ -194,11 +199,13 @@
             });
             if keeps_missing && !server.leaving && !replaced {
                 servers.insert(id.clone(), Arc::clone(server));
+                self.kept.insert(id.clone());
             } else {
                 change.removed.push(id.clone());
                 self.removed.insert(id.clone(), now);
             }
         }
+        change.kept = self.kept.difference(&kept_before).cloned().collect();
         self.cold.retain(|id, until| servers.contains_key(id) && now < *until);
         self.servers = servers;
         change
@@ -276,6 +283,11 @@
         self.cold.iter().map(|(id, until)| (id, *until))
     }
 
+    /// Returns the servers that are in use although the list is missing them.
+    pub fn kept(&self) -> impl Iterator<Item = &Incarnation> {
+        self.kept.iter()
+    }
+
     /// Returns when the list was last current.
     pub fn as_of(&self) -> Option<Instant> {
         self.as_of
