--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -75,6 +75,7 @@
 mod stream_versions;
 mod support;
 mod suspended;
+mod suspended_fleet;
 mod team_shares;
 mod team_shares_fleet;
 mod testbed;
