fix(log): lines are written in pieces that a pipe takes whole

Cause: what a burst of lines says was missing from the output that is collected: a write of more than 8 KB is cut there. The lines of the first moments after a suspension, when all requests end at once, were lost, so the record had no server_kept and no server_gone. Ruled out: the limit of info lines a second (warnings were missing too), a full queue. Change: whole lines, at most 4,096 bytes a write (PIPE_BUF). Tests in log_sink.

--- a/src/gateway/log_sink.rs
+++ b/src/gateway/log_sink.rs
@@ -27,6 +27,10 @@
 /// Time between two writes, so that one write has many lines.
 const WRITE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Maximum size of a write in bytes, unless a single line is longer: a pipe takes it whole (POSIX, `PIPE_BUF`), while
+/// collectors of output may cut longer writes.
+const WRITE_BYTES_MAX: usize = 4096;
+
 /// Maximum wait for the last lines at the end of the process.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -96,23 +100,38 @@
     let mut out = std::io::stdout();
     while let Ok(first) = rx.recv() {
         thread::sleep(WRITE_INTERVAL);
-        let mut text = first;
-        text.push('\n');
-        let mut lines = 1;
-        for line in rx.try_iter() {
-            lines += 1;
-            text.push_str(&line);
-            text.push('\n');
-        }
+        let mut lines = vec![first];
+        lines.extend(rx.try_iter());
+        let count = lines.len() as u64;
         let dropped_lines = dropped.swap(0, Ordering::Relaxed);
         if dropped_lines > 0 {
             DROPPED_LINES.fetch_add(dropped_lines, Ordering::Relaxed);
-            text.push_str(&format!("{{\"event\":\"lines_left_out\",\"count\":{dropped_lines}}}\n"));
+            lines.push(format!("{{\"event\":\"lines_left_out\",\"count\":{dropped_lines}}}"));
         }
-        if out.write_all(text.as_bytes()).and_then(|()| out.flush()).is_err() {
+        if write_lines(&mut out, &lines).is_err() {
             // Nothing reads standard output. Requests are served without a log.
             dropped.fetch_add(dropped_lines, Ordering::Relaxed);
         }
-        QUEUED_LINES.fetch_sub(lines, Ordering::SeqCst);
+        QUEUED_LINES.fetch_sub(count, Ordering::SeqCst);
+    }
+}
+
+/// Writes whole lines, up to [`WRITE_BYTES_MAX`] at a time.
+///
+/// # Errors
+///
+/// The output cannot be written.
+pub fn write_lines(out: &mut impl Write, lines: &[String]) -> std::io::Result<()> {
+    let mut text = String::new();
+    for line in lines {
+        if !text.is_empty() && text.len() + line.len() >= WRITE_BYTES_MAX {
+            out.write_all(text.as_bytes())?;
+            out.flush()?;
+            text.clear();
+        }
+        text.push_str(line);
+        text.push('\n');
     }
+    out.write_all(text.as_bytes())?;
+    out.flush()
 }
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -35,6 +35,7 @@
 mod large_intent;
 mod late_reads;
 mod log_lines;
+mod log_sink;
 mod messages;
 mod notices;
 mod orders;
