fix(roster): what an instance assumes after a gap between lists is not handed on as read

Callers saw: requests sent to backend servers 2 to 3.3 s after the store's word that they were gone (bound 2 s), at instances that had read it. Cause: a list older than 2.5 s counted as an outage of the store, also where only this instance had been suspended. It kept the entries missing from the next list, and sent the merged list to the others with the age of the read; they restored the servers, removed them with their own next read, and so on for 2.5 s. Change: the list is sent as it was read. An instance with a gap asks others when they have received lists (POST /list-reads); an outage needs reads that failed and nobody who covers the gap. A removed server comes back only by a list read after its removal was noticed. A restore of the store counts from when the first instance saw it. Why it works: what is exchanged are observations; each conclusion stays where it is drawn. Also: scaling::a_list_is_not_confirmed... failed since, unnoticed: it compared the whole change, which now names the kept server; it asserts that.

--- a/src/gateway/cluster_state.rs
+++ b/src/gateway/cluster_state.rs
@@ -245,8 +245,8 @@
             return RosterChange::default();
         }
         let change = roster.apply_list(now, as_of, list);
-        // Other instances receive the merged list: after an outage of the store it keeps servers that the list lacks.
-        lock(&self.lists).push(roster.servers().map(|server| (**server).clone()).collect());
+        // Other instances receive what was read: each decides itself whether missing servers may be alive.
+        lock(&self.lists).push(roster.listed().map(|server| (**server).clone()).collect());
         drop(roster);
         self.update_complete();
         change
@@ -266,6 +266,11 @@
         newest.is_some() && newest == version && roster.confirm(now, as_of, era)
     }
 
+    /// Runs `f` with the list of servers, to note what is known of the store.
+    pub fn with_roster_mut<T>(&self, f: impl FnOnce(&mut Roster) -> T) -> T {
+        f(&mut lock(&self.roster))
+    }
+
     /// Marks servers whose entries in the store have been overwritten by ones that cannot be parsed.
     pub fn mark_overwritten<'k>(&self, keys: impl Iterator<Item = &'k str>) {
         let mut roster = lock(&self.roster);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -290,7 +290,7 @@
     let cluster_state = &gateway.cluster_state;
     let is_same = matches!(update, ServerListUpdate::Same);
     if is_same && cluster_state.confirm_list(gateway.clock.now(), version, as_of, era) {
-        return;
+        return gateway.check_list_gap();
     }
     if let Some(servers) = cluster_state.apply_list_update(version, update) {
         roster_reader::apply_list(gateway, servers, as_of, era, "peer");
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -62,6 +62,7 @@
         spawn_thread(&gateway, "held", held_table::run)?;
         gateway.slot_leases.attach(&gateway);
         gateway.path_probes.attach(&gateway);
+        gateway.gap_check.attach(&gateway);
         let callers = serve_callers(&gateway, &idle)?;
         log::warn!(
             "event=started node={} zone={} callers={} first_start={}",
--- a/src/gateway/log_sink.rs
+++ b/src/gateway/log_sink.rs
@@ -116,7 +116,7 @@
     }
 }
 
-/// Writes whole lines, up to [`WRITE_BYTES_MAX`] at a time.
+/// Writes whole lines, at most 4,096 bytes at a time unless a single one is longer.
 ///
 /// # Errors
 ///
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 pub mod drain;
 pub mod exchange;
 pub mod forward;
+mod gap_check;
 pub mod handle;
 mod head_deadline;
 pub mod held_table;
@@ -76,6 +77,7 @@
     cold_permits::ColdPermits,
     crash_suspects::CrashSuspects,
     drain::Drain,
+    gap_check::GapCheck,
     in_flight::InFlightGuard,
     path_probes::PathProbes,
     peers::Peers,
@@ -137,6 +139,8 @@
     pub tunnels: Tunnels,
     /// Probes of the paths to servers.
     path_probes: PathProbes,
+    /// Finds out whether a gap between lists of servers was an outage of the store.
+    gap_check: GapCheck,
     /// Drain before the process stops.
     pub drain: Drain,
     /// Whether the handle of the instance was dropped.
@@ -187,6 +191,7 @@
             stream_versions: StreamVersions::new(restarted_at),
             tunnels: Tunnels::default(),
             path_probes: PathProbes::default(),
+            gap_check: GapCheck::default(),
             drain: Drain::open().context("cannot create a pipe")?,
             is_stopped: AtomicBool::new(false),
             store_read_requested: Signal::default(),
--- a/src/gateway/peer_server.rs
+++ b/src/gateway/peer_server.rs
@@ -10,6 +10,7 @@
     Gateway,
     cold_permits::{PERMIT_PATH, PermitReply},
     exchange::{EXCHANGE_PATH, EXCHANGE_TIMEOUT},
+    gap_check::LIST_READS_PATH,
     intent_reader,
     intent_relay::{self, OFFER_PATH},
     messages::{ConfirmedAgo, ExchangePurpose, ExchangeReply, ExchangeReport},
@@ -238,6 +239,7 @@
                     }
                     Ok(encode(&reply_to(gateway, report)))
                 }
+                LIST_READS_PATH => gateway.list_reads().map(|reply| encode(&reply)).ok_or(503),
                 PERMIT_PATH => {
                     let request = decode(body).map_err(|_| 400_u16)?;
                     Ok(encode(&PermitReply { granted: gateway.grant(&request) }))
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -17,6 +17,7 @@
 use super::{
     cold_permits::{PERMIT_PATH, PERMIT_TIMEOUT, PermitReply, PermitRequest},
     exchange::EXCHANGE_TIMEOUT,
+    gap_check::{LIST_READS_PATH, ListReadsQuery, ListReadsReply},
     intent_relay::{OFFER_PATH, Offer, OfferReply},
     peer_server::{FleetSums, SUMS_MAX_AGE},
     rollout_table::{ROLLOUT_PATH, RolloutTableReply, RolloutTableRequest},
@@ -278,6 +279,17 @@
         reply.map_err(|fault| fault.to_string())
     }
 
+    /// Asks another instance when it has received lists of servers.
+    ///
+    /// # Errors
+    ///
+    /// The reason why it did not reply, for logs.
+    pub(super) fn ask_list_reads(&self, of: SocketAddr) -> Result<ListReadsReply, String> {
+        let query = ListReadsQuery::default();
+        let reply = self.links.call(Purpose::Loads, of, LIST_READS_PATH, &query);
+        reply.map_err(|fault| fault.to_string())
+    }
+
     /// Returns whether `instance` is this one.
     pub fn is_own(&self, instance: &InstanceInfo) -> bool {
         lock(&self.candidates).own().node == instance.node
--- a/src/gateway/roster_reader.rs
+++ b/src/gateway/roster_reader.rs
@@ -14,8 +14,8 @@
 use crate::{
     adapter::{servers::SkippedEntry, store::StoreError, tables::SERVER_TABLE},
     routing::{
-        BackendServer, RosterRole, RosterStep, RosterWatch, StoreEra, roster::RosterChange,
-        startup::STARTUP_POLL_INTERVAL,
+        BackendServer, DecidedGap, RosterRole, RosterStep, RosterWatch, StoreEra,
+        roster::RosterChange, startup::STARTUP_POLL_INTERVAL,
     },
     utils::sync::lock,
 };
@@ -76,7 +76,15 @@
 ///
 /// The store cannot be read.
 pub fn read(gateway: &Gateway) -> Result<(), StoreError> {
-    let as_of = gateway.clock.now();
+    let began = gateway.clock.now();
+    read_at(gateway, began).inspect_err(|_| {
+        let now = gateway.clock.now();
+        gateway.cluster_state.with_roster_mut(|roster| roster.note_failed_read(began, now));
+    })
+}
+
+/// Reads the list, which is current at `as_of`.
+fn read_at(gateway: &Gateway, as_of: Instant) -> Result<(), StoreError> {
     let mut cache = lock(&gateway.server_list_cache);
     let list = match cache.as_mut().filter(|list| list.can_read_changes(as_of)) {
         Some(cached) => match read_changes(gateway, cached) {
@@ -95,6 +103,8 @@
             list.version.era,
         )
     {
+        drop(cache);
+        gateway.check_list_gap();
         return Ok(());
     }
     let skipped: Vec<SkippedEntry> = list.skipped().cloned().collect();
@@ -149,11 +159,17 @@
     source: &str,
 ) {
     let change = gateway.cluster_state.apply_server_list(gateway.clock.now(), as_of, era, list);
+    use_change(gateway, &change, source, as_of);
+    gateway.check_list_gap();
+}
+
+/// Puts a change of the list that was current at `as_of` into use.
+pub(super) fn use_change(gateway: &Gateway, change: &RosterChange, source: &str, as_of: Instant) {
     // Before anything else: until then, requests go to the servers of the former list.
-    if change != RosterChange::default() {
+    if *change != RosterChange::default() {
         gateway.servers_changed();
     }
-    log_change(&change, source, gateway.clock.now().saturating_duration_since(as_of));
+    log_change(change, source, gateway.clock.now().saturating_duration_since(as_of));
 }
 
 /// Changes of one kind up to which each is logged; of more at once only the number is logged. At a start with 3,000
@@ -162,6 +178,9 @@
 
 fn log_change(change: &RosterChange, source: &str, age: Duration) {
     let age = age.as_millis();
+    if let Some(DecidedGap { length, cause }) = change.gap {
+        log::warn!("event=list_gap cause={cause} gap_ms={} source={source}", length.as_millis());
+    }
     for (what, ids) in [
         ("server_added", &change.added),
         ("server_leaving", &change.leaving),
--- a/src/report/line.rs
+++ b/src/report/line.rs
@@ -115,7 +115,7 @@
 
     /// Returns whether the event is a change in what the instance knows of the cluster, or in its own process.
     pub fn is_state_change(&self) -> bool {
-        const STATE_CHANGES: [&str; 22] = [
+        const STATE_CHANGES: [&str; 23] = [
             "started",
             "draining",
             "stopped",
@@ -128,6 +128,7 @@
             "server_leaving",
             "server_gone",
             "server_kept",
+            "list_gap",
             "server_crowded",
             "server_ended",
             "request_found",
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -21,6 +21,7 @@
 pub mod intent_change;
 pub mod intent_history;
 pub mod intent_watch;
+pub mod list_reads;
 pub mod load;
 pub mod notice;
 pub mod operator_orders;
@@ -71,6 +72,7 @@
 pub use intent_change::{IntentChange, IntentChangeError, PackedChange};
 pub use intent_history::IntentHistory;
 pub use intent_watch::{Confirmation, IntentWatch, WatchRole, WatchStep};
+pub use list_reads::{DecidedGap, GapCause, ListReads, ReadSpan};
 pub use load::{FleetPosition, Load, LoadReport};
 pub use notice::Notice;
 pub use operator_orders::{OperatorOrders, OrderChange, OrdersSnapshot};
@@ -84,7 +86,7 @@
     RolloutStates, RolloutUpdate, Stage, StagePolicy, StageTimes, TimeBin, VersionEvaluation,
     VersionSplit,
 };
-pub use roster::{BackendServer, Roster};
+pub use roster::{BackendServer, Roster, StoreWitness};
 pub use roster_watch::{RosterRole, RosterStep, RosterWatch};
 pub use route::{Route, RouteKey, RouteKind, RouteTable, ServiceShare};
 pub use server_list::{ListHistory, ListVersion, PackedList, ServerListError, ServerListUpdate};
--- a/src/routing/roster.rs
+++ b/src/routing/roster.rs
@@ -10,18 +10,9 @@
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
-use super::{Incarnation, StoreEra, store_version::SETTLING_TIME};
+use super::{DecidedGap, Incarnation, ListReads, ReadSpan, StoreEra, store_version::SETTLING_TIME};
 use crate::names::{ServerId, ServiceName, SoftwareVersion, Tag, ZoneName};
 
-/// How long servers missing from the first lists after an outage are kept: entries that expired meanwhile are written
-/// again within two seconds, as the users state, and the list is read about once a second.
-const MISSING_GRACE: Duration = Duration::from_millis(2500);
-
-/// Age of the current list above which the store is taken to have been unreachable for all instances. An instance
-/// that is the only one without access receives the list from others about once a second, and entries do not expire
-/// while any instance can read them.
-const OUTAGE_AGE: Duration = Duration::from_millis(2500);
-
 /// How long a removed server is remembered: the store may be restored from a copy some seconds old that still lists
 /// it.
 const REMOVED_TTL: Duration = Duration::from_secs(30);
@@ -78,14 +69,12 @@
 #[derive(Debug, Default)]
 pub struct Roster {
     servers: IndexMap<Incarnation, Arc<BackendServer>>,
-    /// When the list was last current in the store.
-    as_of: Option<Instant>,
-    /// Until when servers missing from a list are kept.
-    keep_missing_until: Option<Instant>,
+    /// When lists were current in the store.
+    reads: ListReads,
     /// Era of the store from which the list comes.
     era: StoreEra,
-    /// When all writers have had time to write again what a restore of the store lost.
-    settled_at: Option<Instant>,
+    /// When the current era was first seen, unless it is the first one known.
+    restored_at: Option<Instant>,
     /// Removed servers, and when their removal was noticed.
     removed: IndexMap<Incarnation, Instant>,
     /// When servers stop being cold.
@@ -96,6 +85,17 @@
     kept: IndexSet<Incarnation>,
 }
 
+/// What an instance knows of the store from the lists that it has received.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StoreWitness {
+    /// When it has received lists.
+    pub span: ReadSpan,
+    /// Era of the last one.
+    pub era: StoreEra,
+    /// When it first saw that era, unless it is the first one that it knows.
+    pub restored_at: Option<Instant>,
+}
+
 /// What a new list changed.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct RosterChange {
@@ -111,6 +111,8 @@
     pub cold: Vec<Incarnation>,
     /// Servers that are no longer listed, and are kept for a while.
     pub kept: Vec<Incarnation>,
+    /// A gap between lists whose cause has become known.
+    pub gap: Option<DecidedGap>,
 }
 
 impl Roster {
@@ -119,13 +121,18 @@
     /// After a restore of the store, a server known as leaving or removed stays so, and a server that the list is
     /// missing stays in use, until all writers have had time to write again what was lost.
     pub fn note_era(&mut self, now: Instant, era: StoreEra) -> bool {
-        if era > self.era && self.as_of.is_some() {
-            self.settled_at = Some(now + SETTLING_TIME);
+        if era > self.era && self.as_of().is_some() {
+            self.restored_at = Some(now);
         }
         self.era = self.era.max(era);
         era == self.era
     }
 
+    /// Returns whether writers may not have had time yet to write again what a restore of the store lost.
+    fn is_unsettled(&self, now: Instant) -> bool {
+        self.restored_at.is_some_and(|at| now < at + SETTLING_TIME)
+    }
+
     /// Returns the era of the current list.
     pub fn era(&self) -> StoreEra {
         self.era
@@ -138,12 +145,12 @@
         as_of: Instant,
         list: impl IntoIterator<Item = BackendServer>,
     ) -> RosterChange {
-        if !self.note_current(now, as_of) {
+        if !self.reads.note_list(as_of) {
             return RosterChange::default();
         }
         self.differs = false;
-        let unsettled = self.settled_at.is_some_and(|at| now < at);
-        let keeps_missing = unsettled || self.keep_missing_until.is_some_and(|until| now < until);
+        let unsettled = self.is_unsettled(now);
+        let keeps_missing = unsettled || self.reads.may_be_missing(as_of);
         self.removed.retain(|_, at| now.saturating_duration_since(*at) < REMOVED_TTL);
         let mut change = RosterChange::default();
         let kept_before = std::mem::take(&mut self.kept);
@@ -167,6 +174,10 @@
                     continue;
                 }
             }
+            if known.is_none() && self.was_removed_after(&server.id, as_of) {
+                self.differs = true;
+                continue;
+            }
             match known {
                 None => change.added.push(server.id.clone()),
                 Some(known) if !known.leaving && server.leaving => {
@@ -211,30 +222,77 @@
         change
     }
 
-    /// Notes that the list was current at `as_of`; returns whether that is later than known before.
-    fn note_current(&mut self, now: Instant, as_of: Instant) -> bool {
-        if self.as_of.is_some_and(|known| known >= as_of) {
-            return false;
-        }
-        if self.as_of.is_some_and(|known| as_of.duration_since(known) > OUTAGE_AGE) {
-            self.keep_missing_until = Some(now + MISSING_GRACE);
-        }
-        self.as_of = Some(as_of);
-        true
+    /// Returns whether a server was removed after `as_of`: a list from before that cannot restore it.
+    fn was_removed_after(&self, id: &Incarnation, as_of: Instant) -> bool {
+        self.removed.get(id).is_some_and(|removed_at| as_of < *removed_at)
     }
 
     /// Notes that the list was still current at `as_of`, in an era of the store, without a scan of its servers:
     /// nearly all updates from other instances, several a second, are that nothing has changed. Returns `false` if
     /// the list must be applied instead.
     pub fn confirm(&mut self, now: Instant, as_of: Instant, era: StoreEra) -> bool {
-        let unsettled = self.settled_at.is_some_and(|at| now < at);
+        let unsettled = self.is_unsettled(now);
         if era != self.era || unsettled || self.differs {
             return false;
         }
-        self.note_current(now, as_of);
+        if !self.kept.is_empty() && !self.reads.may_be_missing(as_of) {
+            return false;
+        }
+        self.reads.note_list(as_of);
         true
     }
 
+    /// Returns whether it is not known yet if servers that the list is missing may be alive.
+    pub fn is_undecided(&self) -> bool {
+        self.reads.is_undecided()
+    }
+
+    /// Notes that a read of the store that began at `began` has failed.
+    pub fn note_failed_read(&mut self, began: Instant, now: Instant) {
+        self.reads.note_failure(began, now);
+    }
+
+    /// Returns what this instance knows of the store, to tell other instances.
+    pub fn witness(&self) -> Option<StoreWitness> {
+        let span = self.reads.span()?;
+        Some(StoreWitness { span, era: self.era, restored_at: self.restored_at })
+    }
+
+    /// Notes what another instance knows of the store; returns the kept servers that are removed because of it.
+    pub fn note_witness(&mut self, now: Instant, witness: &StoreWitness) -> RosterChange {
+        let gap = self.reads.note_other(witness.span);
+        if witness.era == self.era
+            && let (Some(own), Some(other)) = (self.restored_at, witness.restored_at)
+        {
+            self.restored_at = Some(own.min(other));
+        }
+        RosterChange { gap, ..self.remove_kept(now) }
+    }
+
+    /// Decides whether servers that the list is missing may be alive, after `asked` other instances were asked; returns
+    /// the kept servers that are removed.
+    pub fn decide_missing(&mut self, now: Instant, asked: usize) -> RosterChange {
+        let gap = self.reads.decide(asked);
+        RosterChange { gap, ..self.remove_kept(now) }
+    }
+
+    /// Removes the kept servers, unless they may still be alive.
+    fn remove_kept(&mut self, now: Instant) -> RosterChange {
+        let unsettled = self.is_unsettled(now);
+        let may_be_alive = self.as_of().is_some_and(|as_of| self.reads.may_be_missing(as_of));
+        let mut change = RosterChange::default();
+        if unsettled || may_be_alive {
+            return change;
+        }
+        for id in std::mem::take(&mut self.kept) {
+            self.servers.shift_remove(&id);
+            self.cold.shift_remove(&id);
+            self.removed.insert(id.clone(), now);
+            change.removed.push(id);
+        }
+        change
+    }
+
     /// Notes that the entry of a server was overwritten by a value that cannot be parsed: the server is missing from
     /// the next list and must not be kept.
     pub fn mark_overwritten(&mut self, key: &str) {
@@ -248,6 +306,7 @@
     /// Removes a server until a list that contains it is applied.
     pub fn remove(&mut self, id: &Incarnation) {
         self.servers.shift_remove(id);
+        self.kept.shift_remove(id);
         self.differs = true;
     }
 
@@ -288,8 +347,13 @@
         self.kept.iter()
     }
 
+    /// Returns the servers that were listed, without those that are only kept.
+    pub fn listed(&self) -> impl Iterator<Item = &Arc<BackendServer>> {
+        self.servers.iter().filter(|(id, _)| !self.kept.contains(*id)).map(|(_, server)| server)
+    }
+
     /// Returns when the list was last current.
     pub fn as_of(&self) -> Option<Instant> {
-        self.as_of
+        self.reads.as_of()
     }
 }
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -77,6 +77,7 @@
 mod support;
 mod suspended;
 mod suspended_fleet;
+mod suspensions_random;
 mod team_shares;
 mod team_shares_fleet;
 mod testbed;
--- a/tests/suite/scaling.rs
+++ b/tests/suite/scaling.rs
@@ -168,7 +168,9 @@
     assert_eq!(roster.as_of(), Some(at(400)));
     // After an outage, servers missing from the first lists are kept.
     assert!(roster.confirm(at(9000), at(9000), era));
-    assert_eq!(roster.apply_list(at(9100), at(9100), servers(2)), RosterChange::default());
+    let kept = vec![servers(3).remove(2).id];
+    let change = roster.apply_list(at(9100), at(9100), servers(2));
+    assert_eq!(change, RosterChange { kept, ..RosterChange::default() });
 }
 
 // Guards against an aggregator that sums up the counts of all instances for each instance that reports, which makes
--- a/tests/suite/suspended_fleet.rs
+++ b/tests/suite/suspended_fleet.rs
@@ -30,7 +30,7 @@
 const SUSPENSION: Duration = Duration::from_secs(4);
 
 /// Log lines on changes of the list, for messages.
-const LIST_EVENTS: [&str; 3] = ["server_added", "server_gone", "server_kept"];
+const LIST_EVENTS: [&str; 4] = ["list_gap", "server_added", "server_gone", "server_kept"];
 
 struct Member {
     instance: GatewayHandle,
