fix(tunnels): no tunnel leads to a server that forbade requests to the instance in between

Callers saw: nothing by themselves; a request through another instance reached a server that had told that instance before that it leaves (DRAIN), or that it wants a pause. Cause: open_for_another asked neither the list's leaving nor the notices of the server. Change: the instance in between replies 410 or 429 with the time that is left, for the server that is named (its address may have a new owner), and the origin takes the notice as its own and asks no further instance.

--- a/src/gateway/peer_server.rs
+++ b/src/gateway/peer_server.rs
@@ -256,7 +256,7 @@
             }
         },
         handle_stream: |sender, receiver| gateway.serve_slot_stream(sender, receiver),
-        handle_tunnel: Some(&|conn, server| tunnels::serve(gateway, conn, server)),
+        handle_tunnel: Some(&|conn, server, id| tunnels::serve(gateway, conn, server, id)),
         purpose: |path| match path {
             OFFER_PATH | ROLLOUT_PATH => Purpose::Config,
             PERMIT_PATH => Purpose::Permits,
--- a/src/gateway/tunnels.rs
+++ b/src/gateway/tunnels.rs
@@ -17,7 +17,8 @@
         http1::Conn,
         tunnel::{self, TunnelStatus},
     },
-    routing::{BackendServer, InstanceInfo, Picker, TunnelPeers, TunnelReply},
+    names::NodeName,
+    routing::{BackendServer, Incarnation, InstanceInfo, Picker, TunnelPeers, TunnelReply},
     utils::sync::lock,
 };
 
@@ -96,6 +97,8 @@
                     return Ok((conn, ServerPath::Through(peer.node)));
                 }
                 (TunnelReply::ServerUnreachable, _) => witnesses += 1,
+                // Further instances may not know it yet.
+                (TunnelReply::Forbidden, _) => return Err(AttemptFault::NoPath),
                 _ => {}
             }
             if witnesses >= WITNESSES_MIN || self.clock.now() >= ask_until {
@@ -122,7 +125,7 @@
         deadline: Instant,
     ) -> (TunnelReply, Option<Conn>) {
         let had_time = deadline >= self.clock.now() + REPLY_TIMEOUT;
-        let asked = self.request_tunnel(peer.address, server.address, deadline);
+        let asked = self.request_tunnel(peer.address, server, deadline);
         let (reply, label) = match &asked {
             Some((TunnelStatus::Open, _)) => (TunnelReply::Opened, "opened"),
             Some((TunnelStatus::ServerUnreachable, _)) => {
@@ -130,6 +133,8 @@
             }
             Some((TunnelStatus::NoPath, _)) => (TunnelReply::NoPath, "no-path"),
             Some((TunnelStatus::Declined, _)) => (TunnelReply::Declined, "declined"),
+            Some((TunnelStatus::ServerLeaving, _)) => (TunnelReply::Forbidden, "server-leaving"),
+            Some((TunnelStatus::ServerPaused(_), _)) => (TunnelReply::Forbidden, "server-paused"),
             None => (TunnelReply::Silent, "silent"),
         };
         // An instance that had too little time to reply is not silent.
@@ -137,15 +142,33 @@
             let now = self.clock.now();
             lock(&self.tunnels.peers).note_reply(now, &peer.node, server, reply);
         }
+        if let Some((status, _)) = &asked {
+            self.take_relayed_notice(&peer.node, server, *status);
+        }
         self.metrics.tunnel(&server.service, label);
         log::debug!("event=tunnel peer={} server={} result={label}", peer.node, server.id);
         (reply, asked.map(|(_, conn)| conn))
     }
 
+    /// Applies the notice of a server that another instance has passed on instead of opening a tunnel.
+    fn take_relayed_notice(&self, peer: &NodeName, server: &BackendServer, status: TunnelStatus) {
+        let (now, id) = (self.clock.now(), &server.id);
+        let mut picker = lock(&self.picker);
+        let is_new = match status {
+            TunnelStatus::ServerLeaving => picker.note_leaving(now, id),
+            TunnelStatus::ServerPaused(time) => picker.note_backoff(now, id, time),
+            _ => false,
+        };
+        drop(picker);
+        if is_new {
+            log::info!("event=notice_relayed server={id} peer={peer}");
+        }
+    }
+
     fn request_tunnel(
         &self,
         peer: SocketAddr,
-        server: SocketAddr,
+        server: &BackendServer,
         deadline: Instant,
     ) -> Option<(TunnelStatus, Conn)> {
         let now = self.clock.now();
@@ -153,7 +176,7 @@
         let mut conn =
             Conn::connect(peer, until.saturating_duration_since(now), &self.clock).ok()?;
         conn.set_unacknowledged_timeout(UNACKNOWLEDGED_TIMEOUT).ok()?;
-        let status = tunnel::request(&mut conn, server, until).ok()?;
+        let status = tunnel::request(&mut conn, server.address, &server.id, until).ok()?;
         Some((status, conn))
     }
 
@@ -164,9 +187,13 @@
         }
     }
 
-    /// Opens a connection to the server with this address for another instance.
-    fn open_for_another(&self, address: &str) -> Result<Conn, TunnelStatus> {
-        let Some(server) = self.listed_at(address) else { return Err(TunnelStatus::NoPath) };
+    /// Opens a connection to the server with this address for another instance, which means the server `id` if it says
+    /// so.
+    fn open_for_another(&self, address: &str, id: Option<&str>) -> Result<Conn, TunnelStatus> {
+        let server = self.listed_at(address).ok_or(TunnelStatus::NoPath)?;
+        if id.is_some_and(|id| server.id.to_string() != id) {
+            return Err(TunnelStatus::NoPath);
+        }
         let fault = |picker: &Picker| {
             if picker.reach_counts(&server.service).is_partitioned() {
                 TunnelStatus::Declined
@@ -178,6 +205,9 @@
         };
         {
             let picker = lock(&self.picker);
+            if let Some(status) = forbidding_status(&picker, self.clock.now(), &server.id) {
+                return Err(status);
+            }
             if picker.is_unreached(&server.id) {
                 return Err(fault(&picker));
             }
@@ -198,14 +228,23 @@
     }
 }
 
-/// Serves a tunnel to the server with this address for another instance, until it is closed.
-pub(super) fn serve(gateway: &Gateway, mut origin: Conn, address: &str) {
+/// Returns the reply for a server that accepts no requests now, as far as this instance knows.
+fn forbidding_status(picker: &Picker, now: Instant, id: &Incarnation) -> Option<TunnelStatus> {
+    let notice = picker.notice(id);
+    if notice.is_leaving() {
+        return Some(TunnelStatus::ServerLeaving);
+    }
+    notice.backoff_left(now).map(TunnelStatus::ServerPaused)
+}
+
+/// Serves a tunnel to the server `id` with this address for another instance, until it is closed.
+pub(super) fn serve(gateway: &Gateway, mut origin: Conn, address: &str, id: Option<&str>) {
     // The drain waits for the requests in tunnels as for those of callers.
     let in_flight = gateway.drain.enter();
     let tunnel = gateway.tunnels.enter(gateway.max_served_tunnels());
     let may_open = in_flight.is_some() && tunnel.is_some() && !gateway.drain.is_draining();
     let opened =
-        if may_open { gateway.open_for_another(address) } else { Err(TunnelStatus::Declined) };
+        if may_open { gateway.open_for_another(address, id) } else { Err(TunnelStatus::Declined) };
     let status = opened.as_ref().err().copied().unwrap_or(TunnelStatus::Open);
     let replied = tunnel::reply(&mut origin, status, REPLY_TIMEOUT).is_ok();
     let is_watched = origin.set_unacknowledged_timeout(UNACKNOWLEDGED_TIMEOUT).is_ok();
--- a/src/link/peer.rs
+++ b/src/link/peer.rs
@@ -27,7 +27,7 @@
         },
         listener::ConnOutcome,
         traffic::{Purpose, TrafficCounter},
-        tunnel::TUNNEL_PATH,
+        tunnel::{SERVER_HEADER, TUNNEL_PATH},
     },
     utils::{
         secret::{Secret, any_matches},
@@ -295,8 +295,8 @@
     }
 }
 
-/// Serves a tunnel on a connection to the server with this address until it is closed.
-pub type TunnelHandler<'s> = dyn Fn(Conn, &str) + 's;
+/// Serves a tunnel on a connection to the server with this address, and this id if it was named, until it is closed.
+pub type TunnelHandler<'s> = dyn Fn(Conn, &str, Option<&str>) + 's;
 
 /// What serves the connections of peers.
 pub struct PeerService<'s, A, S> {
@@ -374,7 +374,7 @@
         if let Some(handle_tunnel) = service.handle_tunnel
             && let Some(server) = head.target.strip_prefix(TUNNEL_PATH)
         {
-            handle_tunnel(conn, server);
+            handle_tunnel(conn, server, head.header(SERVER_HEADER));
             return ConnOutcome::Closed;
         }
         let Ok(body) = read_message(&mut conn, &head, service.timeout) else {
--- a/src/link/tunnel.rs
+++ b/src/link/tunnel.rs
@@ -5,7 +5,7 @@
 //! instance.
 
 use std::{
-    io,
+    fmt, io,
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -24,6 +24,12 @@
 /// Maximum time for the origin to close a tunnel whose server has ended its response.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Header with the incarnation of the server that is meant: another one may listen at its address by now.
+pub const SERVER_HEADER: &str = "server-id";
+
+/// Header with the milliseconds for which a server wants no requests.
+const PAUSE_HEADER: &str = "pause-ms";
+
 /// Reply of an instance to a request for a tunnel.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TunnelStatus {
@@ -35,6 +41,10 @@
     NoPath,
     /// The instance opens no tunnels: it is partitioned from the service itself, draining or full.
     Declined,
+    /// The server is leaving, by its own word or by the list.
+    ServerLeaving,
+    /// The server has asked the instance for no requests for that long.
+    ServerPaused(Duration),
 }
 
 impl TunnelStatus {
@@ -44,20 +54,27 @@
             TunnelStatus::ServerUnreachable => StatusCode::BAD_GATEWAY,
             TunnelStatus::NoPath => StatusCode::NOT_FOUND,
             TunnelStatus::Declined => StatusCode::SERVICE_UNAVAILABLE,
+            TunnelStatus::ServerLeaving => StatusCode::GONE,
+            TunnelStatus::ServerPaused(_) => StatusCode::TOO_MANY_REQUESTS,
         }
     }
 
-    fn of(code: StatusCode) -> TunnelStatus {
-        match code {
+    fn of(head: &ResponseHead) -> TunnelStatus {
+        let pause_ms = head.header(PAUSE_HEADER).and_then(|value| value.parse().ok());
+        match head.status {
             StatusCode::OK => TunnelStatus::Open,
             StatusCode::BAD_GATEWAY => TunnelStatus::ServerUnreachable,
             StatusCode::NOT_FOUND => TunnelStatus::NoPath,
+            StatusCode::GONE => TunnelStatus::ServerLeaving,
+            StatusCode::TOO_MANY_REQUESTS => {
+                TunnelStatus::ServerPaused(Duration::from_millis(pause_ms.unwrap_or(0)))
+            }
             _ => TunnelStatus::Declined,
         }
     }
 }
 
-/// Asks the instance at the other end of `conn` for a tunnel to `server`.
+/// Asks the instance at the other end of `conn` for a tunnel to the server `id` at `server`.
 ///
 /// # Errors
 ///
@@ -65,13 +82,15 @@
 pub fn request(
     conn: &mut Conn,
     server: SocketAddr,
+    id: &impl fmt::Display,
     deadline: Instant,
 ) -> Result<TunnelStatus, ReadError> {
-    let head = format!("GET {TUNNEL_PATH}{server} HTTP/1.1\r\nhost:\r\n\r\n");
+    let head =
+        format!("GET {TUNNEL_PATH}{server} HTTP/1.1\r\nhost:\r\n{SERVER_HEADER}:{id}\r\n\r\n");
     conn.send_until_response(head.as_bytes(), deadline, None).map_err(|(_, error)| error)?;
     loop {
         match ResponseHead::take_buffered(conn, HEAD_MAX) {
-            Ok(Some(head)) => return Ok(TunnelStatus::of(head.status)),
+            Ok(Some(head)) => return Ok(TunnelStatus::of(&head)),
             Ok(None) => conn.fill_until(deadline, None)?,
             Err(_) => return Err(ReadError::Protocol("the reply is malformed")),
         }
@@ -84,7 +103,11 @@
 ///
 /// The reply could not be sent within `timeout`.
 pub fn reply(conn: &mut Conn, status: TunnelStatus, timeout: Duration) -> io::Result<()> {
-    let head = format!("HTTP/1.1 {} \r\n\r\n", status.code().as_u16());
+    let pause = match status {
+        TunnelStatus::ServerPaused(time) => format!("{PAUSE_HEADER}:{}\r\n", time.as_millis()),
+        _ => String::new(),
+    };
+    let head = format!("HTTP/1.1 {} \r\n{pause}\r\n", status.code().as_u16());
     conn.send(head.as_bytes(), timeout).map_err(|(_, error)| error)
 }
 
--- a/src/routing/picker/notices.rs
+++ b/src/routing/picker/notices.rs
@@ -39,6 +39,16 @@
         listed.unwrap_or_else(|| self.unlisted.get(id)).forbids_requests(now)
     }
 
+    /// Returns the notice of a server. A server that the list has as leaving counts as having said so.
+    pub fn notice(&self, id: &Incarnation) -> Notice {
+        let Some(tracked) = self.servers.get(id) else { return self.unlisted.get(id) };
+        let mut notice = tracked.notice;
+        if tracked.server.leaving {
+            notice.set_leaving();
+        }
+        notice
+    }
+
     /// Returns the time until the first backoff ends, if all servers that a request could use have requested one.
     pub(super) fn backoff_left(&self, now: Instant, request: &PickRequest<'_>) -> Option<Duration> {
         if !request.denied.is_empty() {
--- a/src/routing/tunnel_peers.rs
+++ b/src/routing/tunnel_peers.rs
@@ -41,6 +41,8 @@
     NoPath,
     /// It opens no tunnels to the service: it is partitioned itself, draining or full.
     Declined,
+    /// It knows that the server accepts no requests: it is leaving, or wants a pause.
+    Forbidden,
     /// It did not reply in time.
     Silent,
 }
@@ -111,7 +113,7 @@
     ) {
         let node = peer.clone();
         let (skipped, time) = match reply {
-            TunnelReply::Opened => {
+            TunnelReply::Opened | TunnelReply::Forbidden => {
                 self.useless_in_a_row = 0;
                 return;
             }
--- a/tests/suite/partitioned_instances.rs
+++ b/tests/suite/partitioned_instances.rs
@@ -319,3 +319,41 @@
     assert_eq!(fleet.runs("broken"), 1);
     fleet.members.truncate(1);
 }
+
+/// Guards against a tunnel to a server that the instance in between knows to be leaving, or to want a pause.
+#[test]
+fn no_tunnel_leads_to_a_server_that_forbade_requests_to_the_instance_in_between() {
+    for cut in [Cut::Hang, Cut::Reset, Cut::RefuseNew] {
+        for is_leaving in [true, false] {
+            let fleet = Fleet::start(3, 4);
+            let server = &fleet.servers[0];
+            if is_leaving {
+                server.leaves();
+            } else {
+                server.faults.set_standing(Some(Fault::RefuseFor(Duration::from_secs(60))));
+            }
+            for member in 1..3 {
+                let gateway = fleet.gateway(member);
+                let id = gateway.cluster_state.with_servers(|roster| {
+                    let listed = roster.servers().find(|s| s.id.server.as_str() == server.id);
+                    listed.expect("a listed server").id.clone()
+                });
+                let mut sent = 0;
+                let is_known = || {
+                    sent += 1;
+                    fleet.send(member, "/idem/", &format!("finding-{member}-{sent}"), 5);
+                    lock(&gateway.picker).forbids_requests(gateway.clock.now(), &id)
+                };
+                eventually("the instance has the notice", is_known);
+            }
+            fleet.links(0).sever(cut);
+            let before = server.arrivals().len();
+            let name = format!("{cut:?}-{is_leaving}");
+            fleet.send(0, "/idem/", &format!("{name}-finding"), 5);
+            let answers = fleet.send(0, "/idem/", &name, 40);
+            assert_eq!(served(&answers), 40, "{name}{}", log_lines::matching(&[&name]));
+            let after = server.arrivals().len();
+            assert_eq!(after, before, "{name}{}", log_lines::matching(&["tunnel", &name]));
+        }
+    }
+}
