fix(instances): an instance that was suspended does not remove the rows of all others

Callers would have seen: after restarts, instances that find no other one in the table. The aggregator removed each row whose instance had not reported for 2.5 s; right after a suspension of its own that is every other one. The constant named a minute, but was compared with the aggregator's own age. A row that is removed is not written again, except after a restore of the store. Change: an instance has stopped if it is silent for a minute in which others report without a gap; rows that are missing for instances that report are written again; at most 100 rows a transaction, as the store takes no more.

--- a/src/gateway/instance_table.rs
+++ b/src/gateway/instance_table.rs
@@ -34,14 +34,13 @@
 /// Time after the start for which an instance queries the seeds, before it reads the table itself.
 const SEED_QUERY_TIMEOUT: Duration = Duration::from_millis(1400);
 
-/// Time without a report of an instance after which its row is removed.
-const STALE_ROW_AGE: Duration = Duration::from_secs(60);
+/// Largest number of rows that are written or removed in one transaction of the store.
+const CHANGES_MAX: usize = 100;
 
 /// Maintains the table until the instance stops. Every instance writes its row once and discovers the others; the
-/// aggregator reads the table periodically and removes stale rows.
+/// aggregator reads the table periodically, removes rows of instances that have stopped, and writes missing ones.
 pub fn run(gateway: &Arc<Gateway>) {
     let Some(mut era) = join(gateway) else { return };
-    let joined_at = gateway.clock.now();
     let mut delay = STARTUP_INTERVAL;
     loop {
         thread::sleep(delay);
@@ -63,9 +62,7 @@
         {
             continue;
         }
-        if let Err(fault) =
-            prune_table(gateway, now.saturating_duration_since(joined_at) > STALE_ROW_AGE)
-        {
+        if let Err(fault) = maintain_table(gateway) {
             log::info!("event=instances_unread reason={:?}", fault.to_string());
         }
     }
@@ -141,8 +138,8 @@
     }
 }
 
-/// Reads the table, and adds its instances to the known ones.
-fn read_table(gateway: &Gateway) -> Result<(), StoreError> {
+/// Reads the table, and adds its instances to the known ones; returns them.
+fn read_table(gateway: &Gateway) -> Result<Vec<InstanceInfo>, StoreError> {
     let rows = gateway.store.rows(INSTANCE_TABLE)?;
     let parse = |row: StoreRow| match decode::<InstanceInfo>(&row.value) {
         Ok(instance) => Some(instance),
@@ -151,32 +148,55 @@
             None
         }
     };
-    let listed = rows.rows.into_iter().filter_map(parse).collect();
-    lock(&gateway.peers.candidates).add_all(listed);
+    let listed: Vec<InstanceInfo> = rows.rows.into_iter().filter_map(parse).collect();
+    lock(&gateway.peers.candidates).add_all(listed.clone());
     gateway.instances_changed();
-    Ok(())
+    Ok(listed)
 }
 
-/// Reads the table and, if `remove` is set, removes the rows of instances that no longer report.
-fn prune_table(gateway: &Gateway, remove: bool) -> Result<(), StoreError> {
-    read_table(gateway)?;
-    if !remove {
-        return Ok(());
-    }
+/// Reads the table, removes the rows of instances that have stopped, and writes those of running instances that it lacks.
+fn maintain_table(gateway: &Gateway) -> Result<(), StoreError> {
+    let listed = read_table(gateway)?;
     let now = gateway.clock.now();
-    let (live, stale): (Vec<InstanceInfo>, Vec<InstanceInfo>) = {
+    let (stopped, unlisted) = {
         let aggregate = lock(&gateway.peers.aggregate);
         let candidates = lock(&gateway.peers.candidates);
-        let is_live =
-            |i: &InstanceInfo| i == candidates.own() || aggregate.has_recent_report(now, &i.node);
-        candidates.all().iter().cloned().partition(is_live)
+        let has_stopped =
+            |i: &&InstanceInfo| i != &candidates.own() && aggregate.has_stopped(now, &i.node);
+        let is_unlisted =
+            |i: &&InstanceInfo| aggregate.is_running(now, &i.node) && !listed.contains(i);
+        let stopped: Vec<InstanceInfo> =
+            candidates.all().iter().filter(has_stopped).cloned().collect();
+        let unlisted: Vec<InstanceInfo> =
+            candidates.all().iter().filter(is_unlisted).cloned().collect();
+        (stopped, unlisted)
     };
-    if stale.is_empty() {
-        return Ok(());
+    remove_instances(gateway, &stopped)?;
+    write_rows(gateway, &unlisted)
+}
+
+/// Removes the rows of instances that have stopped, and forgets these.
+fn remove_instances(gateway: &Gateway, stopped: &[InstanceInfo]) -> Result<(), StoreError> {
+    for some in stopped.chunks(CHANGES_MAX) {
+        let changes: Vec<Change<'_>> =
+            some.iter().map(|i| Change::Remove { key: i.node.as_str() }).collect();
+        gateway.store.change(INSTANCE_TABLE, &changes)?;
+        log::info!("event=instances_removed count={}", some.len());
+        lock(&gateway.peers.candidates).remove_all(some);
+    }
+    Ok(())
+}
+
+/// Writes rows of instances that report to this one, but that the table lacks: they may have been removed while these
+/// instances were partitioned.
+fn write_rows(gateway: &Gateway, unlisted: &[InstanceInfo]) -> Result<(), StoreError> {
+    for some in unlisted.chunks(CHANGES_MAX) {
+        let values: Vec<Vec<u8>> = some.iter().map(encode).collect();
+        let rows = some.iter().zip(&values);
+        let changes: Vec<Change<'_>> =
+            rows.map(|(i, value)| Change::Put { key: i.node.as_str(), value }).collect();
+        gateway.store.change(INSTANCE_TABLE, &changes)?;
+        log::info!("event=instances_written count={}", some.len());
     }
-    let changes: Vec<Change<'_>> =
-        stale.iter().map(|i| Change::Remove { key: i.node.as_str() }).collect();
-    gateway.store.change(INSTANCE_TABLE, &changes)?;
-    lock(&gateway.peers.candidates).set(live);
     Ok(())
 }
--- a/src/routing/aggregate.rs
+++ b/src/routing/aggregate.rs
@@ -15,6 +15,9 @@
 /// within a second or two.
 const REPORT_MAX_AGE: Duration = Duration::from_millis(2500);
 
+/// Time without a report of an instance after which it counts as stopped.
+const STOPPED_AGE: Duration = Duration::from_secs(60);
+
 /// Interval between two scans for expired reports.
 const PRUNE_PERIOD: Duration = Duration::from_millis(100);
 
@@ -71,6 +74,10 @@
     latest: Option<(NodeName, Instant)>,
     /// When an instance other than the latest last reported.
     latest_of_others: Option<Instant>,
+    /// Start of the current uninterrupted sequence of reports: who reported before, or to another aggregator, is unknown.
+    since: Option<Instant>,
+    /// When each instance last reported.
+    reported_at: IndexMap<NodeName, Instant>,
 }
 
 impl Aggregate {
@@ -82,6 +89,11 @@
     }
 
     fn note_report(&mut self, now: Instant, node: &NodeName) {
+        let last = self.latest.as_ref().map(|(_, at)| *at);
+        if last.is_none_or(|at| now.saturating_duration_since(at) > REPORT_MAX_AGE) {
+            self.since = Some(now);
+        }
+        self.reported_at.insert(node.clone(), now);
         if let Some((last, at)) = self.latest.take()
             && last != *node
         {
@@ -99,6 +111,7 @@
         self.pruned_at = Some(now);
         self.reports.retain(|_, (at, _)| !is_old(*at, REPORT_MAX_AGE));
         self.unresponsive.retain(|_, (at, _)| !is_old(*at, REPORT_MAX_AGE));
+        self.reported_at.retain(|_, at| !is_old(*at, STOPPED_AGE));
     }
 
     /// Records the servers that do not respond to an instance.
@@ -153,9 +166,25 @@
         if last == node { self.latest_of_others } else { Some(*at) }
     }
 
-    /// Returns whether the last report of `node` has not expired.
-    pub fn has_recent_report(&self, now: Instant, node: &NodeName) -> bool {
+    /// Returns whether `node` has stopped: it has not reported for a minute, in which others have. An instance that was
+    /// suspended itself knows nothing about that time.
+    pub fn has_stopped(&self, now: Instant, node: &NodeName) -> bool {
+        let is_over = |at: Instant| now.saturating_duration_since(at) > STOPPED_AGE;
+        self.has_collected(now) && self.reported_at.get(node).is_none_or(|at| is_over(*at))
+    }
+
+    /// Returns whether `node` reports, to an aggregator that has collected reports for a minute.
+    pub fn is_running(&self, now: Instant, node: &NodeName) -> bool {
         let report = self.reports.get(node);
-        report.is_some_and(|(at, _)| now.saturating_duration_since(*at) <= REPORT_MAX_AGE)
+        let is_recent = |at: Instant| now.saturating_duration_since(at) <= REPORT_MAX_AGE;
+        self.has_collected(now) && report.is_some_and(|(at, _)| is_recent(*at))
+    }
+
+    /// Returns whether reports have arrived without interruption for a minute.
+    fn has_collected(&self, now: Instant) -> bool {
+        let last = self.latest.as_ref().map(|(_, at)| *at);
+        let is_recent = |at: Instant| now.saturating_duration_since(at) <= REPORT_MAX_AGE;
+        let is_long = |since: Instant| now.saturating_duration_since(since) > STOPPED_AGE;
+        last.is_some_and(is_recent) && self.since.is_some_and(is_long)
     }
 }
--- a/src/routing/candidates.rs
+++ b/src/routing/candidates.rs
@@ -128,6 +128,11 @@
         }
     }
 
+    /// Removes instances; this one always stays.
+    pub fn remove_all(&mut self, instances: &[InstanceInfo]) {
+        self.change(Vec::new(), instances.iter().map(|i| i.node.clone()).collect());
+    }
+
     fn change(&mut self, mut put: Vec<InstanceInfo>, mut removed: Vec<NodeName>) {
         let before = self.version;
         removed.retain(|node| *node != self.own.node);
--- a/tests/suite/suspended_fleet.rs
+++ b/tests/suite/suspended_fleet.rs
@@ -83,18 +83,10 @@
         Fleet { store, servers, members }
     }
 
-    /// Returns the instance that reads the list for the others.
+    /// Returns the instance of the highest rank, which reads the store for the others.
     fn aggregator(&self) -> usize {
-        let is_reader = |member: &Member| {
-            let gateway = member.gateway();
-            gateway.peers.is_reader(gateway.clock.now())
-        };
-        let mut found = None;
-        eventually("one instance reads for the others", || {
-            found = self.members.iter().position(is_reader);
-            found.is_some()
-        });
-        found.unwrap_or_default()
+        let is_first = |member: &Member| member.gateway().peers.position().number == 0;
+        self.members.iter().position(is_first).expect("an instance of the highest rank")
     }
 
     fn suspend(&self, members: impl IntoIterator<Item = usize>) {
@@ -180,3 +172,21 @@
         eventually("the entries are read again", || fleet.members.iter().all(is_read));
     }
 }
+
+/// Guards against an instance that takes its own suspension for the silence of all others, and removes their rows from
+/// the table by which instances discover each other.
+#[test]
+fn rows_of_running_instances_are_not_removed_by_one_that_was_suspended() {
+    let fleet = Fleet::start(2);
+    let rows = || fleet.store.keys("cartvane-instances");
+    eventually("all instances have written their rows", || rows().len() == INSTANCES);
+    // Longer than any row may be stale; then suspensions one after the other, of which one ends as the table is read.
+    let clock = &fleet.members[fleet.aggregator()].clock;
+    clock.advance(Duration::from_secs(70));
+    let until = Instant::now() + Duration::from_secs(11);
+    while Instant::now() < until {
+        clock.advance(SUSPENSION);
+        thread::sleep(Duration::from_millis(100));
+        assert_eq!(rows().len(), INSTANCES, "rows that are left: {:?}", rows());
+    }
+}
