test(soak): servers leave unnoticed while instances are stopped

Cause: the soak stopped instances and had servers leave, but never a server without an announcement while an instance was stopped for longer than 2.5 s, which is the incident. Change: twice in each run up to half of the instances are stopped for 2.7 to 3.5 s while the entry of a server is removed; the check of announced departures applies to it, under a name for both.

--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -174,6 +174,12 @@
         self.store.put("servers", &servers[endpoint.server].id, &entry);
     }
 
+    /// Removes the entry of an endpoint's server from the store.
+    pub(crate) fn remove_entry(&self, endpoint: usize) {
+        let server = lock(&self.endpoints[endpoint]).server;
+        self.store.remove("servers", &lock(&self.servers)[server].id);
+    }
+
     fn write_small_entries(&self) {
         for server in &lock(&self.servers)[self.small.clone()] {
             let mut entry = server.entry(small_service::SERVICE, "ready");
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -39,6 +39,13 @@
 /// Mixed into a run's seed for streams that are broken off.
 const BROKEN_STREAM_SEED_MASK: u64 = 0x6272_6f6b;
 
+/// Mixed into a run's seed for servers that leave while instances are stopped.
+const DEPARTURE_SEED_MASK: u64 = 0x6465_7061;
+
+/// Time for which instances are stopped while a server leaves, in milliseconds: their lists are old enough for an outage
+/// of the store.
+const STOPPED_MS: std::ops::Range<u64> = 2700..3500;
+
 /// Streams that are broken off at one server, one after another.
 const BROKEN_STREAMS: std::ops::Range<usize> = 1..8;
 
@@ -96,6 +103,9 @@
     AnnounceLeaving(usize),
     /// A backend server rejects requests for the first time, and asks in each response for a backoff of the second.
     AnnounceBackoff(usize, Duration, Duration),
+    /// The entry of a backend server is removed without notice, while these instances are stopped with SIGSTOP for this
+    /// time.
+    LeaveUnnoticed(usize, Vec<usize>, Duration),
     /// Operators order the roll-out of a version that fails every request.
     RollOut,
     /// A team sends many times its usual load to the small service for this time.
@@ -204,6 +214,27 @@
     (0..6).map(|_| random_break()).collect()
 }
 
+/// Returns when servers leave while instances are stopped: twice in each run.
+///
+/// Uses a generator of its own, as [`random_growth`] does.
+pub(crate) fn random_departures(
+    seed: u64,
+    length: Duration,
+    instances: usize,
+    servers: usize,
+) -> Vec<(Duration, Event)> {
+    let mut rng = Rng::with_seed(seed ^ DEPARTURE_SEED_MASK);
+    let length_ms = u64::try_from(length.as_millis()).unwrap_or(u64::MAX).max(1);
+    let mut random_departure = || {
+        let at = Duration::from_millis(rng.u64(..length_ms));
+        let count = rng.usize(1..=(instances / 2).max(1));
+        let stopped = rng.choose_multiple(0..instances, count);
+        let time = Duration::from_millis(rng.u64(STOPPED_MS));
+        (at, Event::LeaveUnnoticed(rng.usize(..servers), stopped, time))
+    };
+    (0..2).map(|_| random_departure()).collect()
+}
+
 /// Returns the three notices that servers of a run send in their responses.
 ///
 /// Uses a generator of its own, as [`random_growth`] does.
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -96,6 +96,8 @@
     events.extend(notices.into_iter().map(|(at, event)| (at, event, rng.fork())));
     let broken_streams = plan::random_broken_streams(seed, options.fault_time, SERVERS);
     events.extend(broken_streams.into_iter().map(|(at, event)| (at, event, Rng::with_seed(seed))));
+    let departures = plan::random_departures(seed, options.fault_time, options.instances, SERVERS);
+    events.extend(departures.into_iter().map(|(at, event)| (at, event, Rng::with_seed(seed))));
     let rollout = plan::random_rollout(seed, options.fault_time);
     events.extend(rollout.into_iter().map(|(at, event)| (at, event, rng.fork())));
     let (at, surge) = plan::random_surge(seed, options.fault_time);
@@ -154,13 +156,7 @@
             thread::sleep(time);
             restart(fleet, checks, number);
         }
-        Event::Freeze(number, time) => {
-            // Does not hold the instance's lock, so that a frozen process can receive other signals.
-            send(&fleet.pids[number], Signal::STOP);
-            thread::sleep(time);
-            send(&fleet.pids[number], Signal::CONT);
-            lock(&fleet.instances[number]).note_disturbed();
-        }
+        Event::Freeze(number, time) => freeze(fleet, &[number], time),
         Event::Reload(number) => reload(fleet, number),
         Event::KillAll => {
             fleet.instances.iter().for_each(|instance| lock(instance).kill());
@@ -204,7 +200,16 @@
         }
         Event::Surge(time) => small_service::surge(fleet, checks, time, rng.u64(..)),
         Event::RollOut => rollouts::roll_out(fleet, checks),
-        Event::Replace(endpoint) => drain_server(fleet, checks, endpoint),
+        Event::Replace(endpoint) => {
+            let leave = || fleet.write_entry(endpoint, "draining");
+            check_departure(fleet, checks, endpoint, leave);
+        }
+        Event::LeaveUnnoticed(endpoint, stopped, time) => {
+            thread::scope(|scope| {
+                scope.spawn(|| freeze(fleet, &stopped, time));
+                check_departure(fleet, checks, endpoint, || fleet.remove_entry(endpoint));
+            });
+        }
         Event::Crash(endpoint) => replace_server(fleet, checks, endpoint),
         Event::ServerFaults(endpoint) => {
             let faults = [
@@ -276,10 +281,19 @@
     }
 }
 
-/// Marks a server's entry as draining and checks that no request arrives there once the drain time has passed.
-fn drain_server(fleet: &Fleet, checks: &Checks, endpoint: usize) {
+/// Stops instances with SIGSTOP for `time`.
+fn freeze(fleet: &Fleet, numbers: &[usize], time: Duration) {
+    // Does not hold the instances' locks, so that a frozen process can receive other signals.
+    numbers.iter().for_each(|&number| send(&fleet.pids[number], Signal::STOP));
+    thread::sleep(time);
+    numbers.iter().for_each(|&number| send(&fleet.pids[number], Signal::CONT));
+    numbers.iter().for_each(|&number| lock(&fleet.instances[number]).note_disturbed());
+}
+
+/// Has a server leave by a change of its entry, and checks that no request arrives there once the drain time has passed.
+fn check_departure(fleet: &Fleet, checks: &Checks, endpoint: usize, leave: impl FnOnce()) {
     let since = Instant::now();
-    fleet.write_entry(endpoint, "draining");
+    leave();
     thread::sleep(DRAIN_TIME + TOLERANCE);
     let (id, before) = fleet.arrivals(endpoint);
     thread::sleep(Duration::from_millis(700));
@@ -290,7 +304,7 @@
             let number = request.rsplit_once("-i").and_then(|(_, number)| number.parse().ok());
             if number.is_some_and(|number| is_undisturbed(fleet, number, since)) {
                 checks.report_violation(
-                    "a draining server receives no new requests",
+                    "a server that leaves receives no new requests",
                     request,
                     format!("at {id}"),
                 );
@@ -377,7 +391,7 @@
         scope.spawn(|| small_service::check_shares(fleet, checks));
         change_intent(fleet, checks, 1);
     });
-    drain_server(fleet, checks, 0);
+    check_departure(fleet, checks, 0, || fleet.write_entry(0, "draining"));
     notices::announce_backoff(
         fleet,
         checks,
