--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -34,6 +34,7 @@
 mod intent_watch;
 mod large_intent;
 mod late_reads;
+mod list_reads;
 mod log_lines;
 mod log_sink;
 mod messages;
