--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -202,7 +202,7 @@
         Event::RollOut => rollouts::roll_out(fleet, checks),
         Event::Replace(endpoint) => {
             let leave = || fleet.write_entry(endpoint, "draining");
-            check_departure(fleet, checks, endpoint, leave);
+            check_departure(fleet, checks, endpoint, DRAINING_WATCH_TIME, leave);
         }
         Event::LeaveUnnoticed(endpoint, stopped, time) => {
             leave_unnoticed(fleet, checks, endpoint, stopped, time);
@@ -278,6 +278,12 @@
     }
 }
 
+/// How long a server that leaves is watched for requests, once it must not receive any.
+const DRAINING_WATCH_TIME: Duration = Duration::from_millis(700);
+
+/// The same for one that leaves while instances are stopped: these report to each other again within some seconds.
+const UNNOTICED_WATCH_TIME: Duration = Duration::from_secs(3);
+
 /// Stops instances with SIGSTOP for `time`.
 fn freeze(fleet: &Fleet, numbers: &[usize], time: Duration) {
     // Does not hold the instances' locks, so that a frozen process can receive other signals.
@@ -297,17 +303,24 @@
 ) {
     thread::scope(|scope| {
         scope.spawn(|| freeze(fleet, &stopped, time));
-        check_departure(fleet, checks, endpoint, || fleet.remove_entry(endpoint));
+        let leave = || fleet.remove_entry(endpoint);
+        check_departure(fleet, checks, endpoint, UNNOTICED_WATCH_TIME, leave);
     });
 }
 
 /// Has a server leave by a change of its entry, and checks that no request arrives there once the drain time has passed.
-fn check_departure(fleet: &Fleet, checks: &Checks, endpoint: usize, leave: impl FnOnce()) {
+fn check_departure(
+    fleet: &Fleet,
+    checks: &Checks,
+    endpoint: usize,
+    watch_time: Duration,
+    leave: impl FnOnce(),
+) {
     let since = Instant::now();
     leave();
     thread::sleep(DRAIN_TIME + TOLERANCE);
     let (id, before) = fleet.arrivals(endpoint);
-    thread::sleep(Duration::from_millis(700));
+    thread::sleep(watch_time);
     let (still, after) = fleet.arrivals(endpoint);
     if id == still {
         // A request id contains the number of the instance that the caller sent it to.
@@ -402,7 +415,8 @@
         scope.spawn(|| small_service::check_shares(fleet, checks));
         change_intent(fleet, checks, 1);
     });
-    check_departure(fleet, checks, 0, || fleet.write_entry(0, "draining"));
+    let leave = || fleet.write_entry(0, "draining");
+    check_departure(fleet, checks, 0, DRAINING_WATCH_TIME, leave);
     // The instance that reads the list for the others is most likely one of these.
     let all_but_one = (1..fleet.instances.len()).collect();
     leave_unnoticed(fleet, checks, 0, all_but_one, plan::STOPPED_TIME_MAX);
