refactor(gateway): checks of lost servers in one file; doubts and rows without races or squares

Change: one entry under one lock; a map of rows; spawn_scoped with a log line; crash_checks has all that connects.

--- a/src/gateway/crash_checks.rs
+++ b/src/gateway/crash_checks.rs
@@ -1,17 +1,18 @@
-//! Servers whose connections were lost, but whose addresses still took a new one: whether they have crashed shows a moment
-//! later.
+//! Checks whether servers whose connections were lost have crashed: then their addresses refuse new ones, at once or a
+//! moment later.
 //!
 //! The kernel takes connections for a process that is ending until it has closed all of its descriptors, and resets them
 //! then. So the new connection is watched for a while. If the server closes it and refuses the next one, it has crashed
 //! with the requests that it was running.
 
 use std::{
+    io::{self, ErrorKind},
     sync::{Arc, Mutex, OnceLock, Weak},
     thread,
     time::{Duration, Instant},
 };
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, map::Entry};
 
 use super::Gateway;
 use crate::{
@@ -20,6 +21,10 @@
     utils::sync::lock,
 };
 
+/// Timeout for the connection that checks whether a server has crashed: many round trips within a region. The request
+/// that waits for the check is retried on another server right after.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// How long a connection is watched: a process with thousands of descriptors ends within some milliseconds, on a busy
 /// machine within some tenths of a second.
 const WATCH_TIME: Duration = Duration::from_millis(500);
@@ -27,6 +32,18 @@
 /// Time between two looks at a connection.
 const LOOK_PERIOD: Duration = Duration::from_millis(5);
 
+/// What a check of a server whose connection was lost has shown.
+pub(super) enum ServerCheck {
+    /// It has crashed.
+    Crashed,
+    /// It has taken a connection; whether it keeps it shows a moment later.
+    Accepted(Conn),
+    /// It has taken a connection a moment ago, or does not refuse one.
+    Alive,
+    /// It leaves, or is not listed: that it ends is no crash.
+    NotInUse,
+}
+
 /// A server that may have crashed.
 struct Doubt {
     /// When its first connection was lost.
@@ -47,22 +64,22 @@
         self.gateway.get_or_init(|| Arc::downgrade(gateway));
     }
 
-    /// Adds a request to those that a server in doubt was running; returns whether the server is in doubt.
-    pub(super) fn add(&self, server: &Incarnation, suspect: &Suspect) -> bool {
-        let mut doubts = lock(&self.doubts);
-        let Some(doubt) = doubts.get_mut(server) else { return false };
-        doubt.suspects.push(suspect.clone());
-        true
+    /// Adds a request to those that a server was running, if the server is in doubt.
+    pub(super) fn add(&self, server: &Incarnation, suspect: Suspect) {
+        if let Some(doubt) = lock(&self.doubts).get_mut(server) {
+            doubt.suspects.push(suspect);
+        }
     }
 
     /// Watches a connection that a server has taken just after one was lost with the request `suspect`.
     pub(super) fn watch(&self, server: &Arc<BackendServer>, conn: Conn, suspect: Suspect) {
         let Some(gateway) = self.gateway.get().and_then(Weak::upgrade) else { return };
-        if self.add(&server.id, &suspect) {
-            return;
+        match lock(&self.doubts).entry(server.id.clone()) {
+            Entry::Occupied(mut doubt) => return doubt.get_mut().suspects.push(suspect),
+            Entry::Vacant(entry) => {
+                entry.insert(Doubt { since: gateway.clock.now(), suspects: vec![suspect] });
+            }
         }
-        let doubt = Doubt { since: gateway.clock.now(), suspects: vec![suspect] };
-        lock(&self.doubts).insert(server.id.clone(), doubt);
         let server = Arc::clone(server);
         let id = server.id.clone();
         let watching = move || gateway.watch_for_crash(&server, conn);
@@ -78,6 +95,50 @@
 }
 
 impl Gateway {
+    /// Checks whether a server whose connection was lost has crashed: then its address refuses connections. A server
+    /// that announced that it leaves is not checked, since it stops with the requests that it has not finished. `known`
+    /// says what a check has shown a moment ago.
+    pub(super) fn check_server(&self, server: &BackendServer, known: Option<bool>) -> ServerCheck {
+        match known {
+            Some(true) => return ServerCheck::Crashed,
+            Some(false) => return ServerCheck::Alive,
+            None if !self.is_in_use(server) => return ServerCheck::NotInUse,
+            None => {}
+        }
+        match self.conns.connect(server.address, self.clock.now() + CHECK_TIMEOUT) {
+            Ok(conn) => ServerCheck::Accepted(conn),
+            Err(fault) if self.is_refused_by_server(server, &fault) => ServerCheck::Crashed,
+            Err(_) => ServerCheck::Alive,
+        }
+    }
+
+    /// Returns whether a server is listed and does not leave.
+    fn is_in_use(&self, server: &BackendServer) -> bool {
+        self.cluster_state.with_servers(|roster| {
+            roster.servers().any(|listed| listed.id == server.id && !listed.leaving)
+        })
+    }
+
+    /// Returns whether a server that was in use a moment ago refuses connections by now.
+    fn refuses_connections(&self, server: &BackendServer) -> bool {
+        let deadline = self.clock.now() + CHECK_TIMEOUT;
+        self.is_in_use(server)
+            && match self.conns.connect(server.address, deadline) {
+                Ok(_) => false,
+                Err(fault) => self.is_refused_by_server(server, &fault),
+            }
+    }
+
+    /// Records a failed connect to a server; returns whether the server refused it. Where this instance is partitioned, all
+    /// servers seem to refuse.
+    fn is_refused_by_server(&self, server: &BackendServer, fault: &io::Error) -> bool {
+        self.note_connect_failed(&server.id, fault);
+        let refused = fault.kind() == ErrorKind::ConnectionRefused
+            && self.is_fault_of_server(server, self.clock.now() + CHECK_TIMEOUT);
+        log::info!("event=server_ended server={} sure={refused} reason={fault}", server.id);
+        refused
+    }
+
     /// Watches a connection to a server until the server closes it, or for [`WATCH_TIME`].
     fn watch_for_crash(&self, server: &Arc<BackendServer>, conn: Conn) {
         let until = self.clock.now() + WATCH_TIME;
--- a/src/gateway/crash_suspects.rs
+++ b/src/gateway/crash_suspects.rs
@@ -3,7 +3,6 @@
 
 use std::{
     fmt,
-    io::{self, ErrorKind},
     sync::{
         Mutex,
         atomic::{AtomicBool, Ordering},
@@ -11,23 +10,18 @@
     time::{Duration, Instant},
 };
 
-use super::{Gateway, attempts::Refusal, request::Request};
+use super::{Gateway, attempts::Refusal, crash_checks::ServerCheck, request::Request};
 use crate::{
-    link::http1::Conn,
     names::ServiceName,
     routing::{
-        AnsweredParts, AnsweredReport, BackendServer, CrashAttribution, CrashReport, Finding,
-        Incarnation, Judgement, PartAttribution, PartFinding, Picked, PromptPartId,
-        RecentSuccesses, RequestFingerprint, RunId, ServerCrashes, Suspect, SuspectDigest,
-        SuspectKind, VerdictUpdate, Verdicts,
+        AnsweredParts, AnsweredReport, CrashAttribution, CrashReport, Finding, Incarnation,
+        Judgement, PartAttribution, PartFinding, Picked, PromptPartId, RecentSuccesses,
+        RequestFingerprint, RunId, ServerCrashes, Suspect, SuspectDigest, SuspectKind,
+        VerdictUpdate, Verdicts,
     },
     utils::{signal::Signal, sync::lock},
 };
 
-/// Timeout for the connection that checks whether a server has crashed: many round trips within a region. The request
-/// that waits for the check is retried on another server right after.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(50);
-
 /// Requests and parts of prompts that are suspected of crashing servers, as this instance knows them.
 #[derive(Debug, Default)]
 pub struct CrashSuspects {
@@ -49,47 +43,6 @@
     is_table_read: AtomicBool,
 }
 
-/// What a check of a server whose connection was lost has shown.
-enum ServerCheck {
-    /// It has crashed.
-    Crashed,
-    /// It has taken a connection; whether it keeps it shows a moment later.
-    Accepted(Conn),
-    /// It has taken a connection a moment ago, or does not refuse one.
-    Alive,
-    /// It leaves, or is not listed: that it ends is no crash.
-    NotInUse,
-}
-
-impl Gateway {
-    /// Returns whether a server is listed and does not leave.
-    fn is_in_use(&self, server: &BackendServer) -> bool {
-        self.cluster_state.with_servers(|roster| {
-            roster.servers().any(|listed| listed.id == server.id && !listed.leaving)
-        })
-    }
-
-    /// Returns whether a server that was in use a moment ago refuses connections by now.
-    pub(super) fn refuses_connections(&self, server: &BackendServer) -> bool {
-        let deadline = self.clock.now() + CHECK_TIMEOUT;
-        self.is_in_use(server)
-            && match self.conns.connect(server.address, deadline) {
-                Ok(_) => false,
-                Err(fault) => self.is_refused_by_server(server, &fault),
-            }
-    }
-
-    /// Records a failed connect to a server; returns whether the server refused it. Where this instance is partitioned, all
-    /// servers seem to refuse.
-    fn is_refused_by_server(&self, server: &BackendServer, fault: &io::Error) -> bool {
-        self.note_connect_failed(&server.id, fault);
-        let refused = fault.kind() == ErrorKind::ConnectionRefused
-            && self.is_fault_of_server(server, self.clock.now() + CHECK_TIMEOUT);
-        log::info!("event=server_ended server={} sure={refused} reason={fault}", server.id);
-        refused
-    }
-}
-
 /// What an instance reports about server crashes and their suspects.
 #[derive(Debug, Default, serde::Serialize, serde::Deserialize)]
 pub struct CrashSuspectsReport {
@@ -255,12 +208,14 @@
             is_cleared: false,
         };
         let server = &picked.server;
-        match self.check(gateway, server) {
+        let known = lock(&self.crashes).has_crashed(now, &server.id);
+        match gateway.check_server(server, known) {
             ServerCheck::Crashed => self.note_crash(now, &server.id, &server.service, suspect),
-            ServerCheck::Accepted(conn) => gateway.crash_checks.watch(server, conn, suspect),
-            ServerCheck::Alive => {
-                gateway.crash_checks.add(&server.id, &suspect);
+            ServerCheck::Accepted(conn) => {
+                lock(&self.crashes).note_alive(now, &server.id);
+                gateway.crash_checks.watch(server, conn, suspect);
             }
+            ServerCheck::Alive => gateway.crash_checks.add(&server.id, suspect),
             ServerCheck::NotInUse => {}
         }
     }
@@ -299,28 +254,6 @@
         }
     }
 
-    /// Checks whether a server whose connection was lost has crashed: then its address refuses connections. A server
-    /// that announced that it leaves is not checked, since it stops with the requests that it has not finished.
-    fn check(&self, gateway: &Gateway, server: &BackendServer) -> ServerCheck {
-        let now = gateway.clock.now();
-        match lock(&self.crashes).has_crashed(now, &server.id) {
-            Some(true) => return ServerCheck::Crashed,
-            Some(false) => return ServerCheck::Alive,
-            None => {}
-        }
-        if !gateway.is_in_use(server) {
-            return ServerCheck::NotInUse;
-        }
-        match gateway.conns.connect(server.address, now + CHECK_TIMEOUT) {
-            Ok(conn) => {
-                lock(&self.crashes).note_alive(now, &server.id);
-                ServerCheck::Accepted(conn)
-            }
-            Err(fault) if gateway.is_refused_by_server(server, &fault) => ServerCheck::Crashed,
-            Err(_) => ServerCheck::Alive,
-        }
-    }
-
     /// Returns what this instance reports to the aggregator.
     pub fn report(&self, now: Instant) -> CrashSuspectsReport {
         CrashSuspectsReport {
--- a/src/gateway/gap_check.rs
+++ b/src/gateway/gap_check.rs
@@ -125,11 +125,7 @@
     fn decide_list_gap(&self) {
         for round in 1..=ROUNDS_MAX {
             let peers = self.peers.random_peers(&[], PEERS_ASKED_MAX);
-            thread::scope(|scope| {
-                for &peer in &peers {
-                    scope.spawn(move || self.ask_for_list_reads(peer));
-                }
-            });
+            self.ask_all(&peers);
             let asked = if round == ROUNDS_MAX { 0 } else { peers.len() };
             self.update_missing(|roster, now| roster.decide_missing(now, asked));
             let is_decided = !self.cluster_state.with_servers(|roster| roster.is_undecided());
@@ -140,6 +136,18 @@
         }
     }
 
+    /// Asks instances at the same time. One for which no thread can be started counts as silent.
+    fn ask_all(&self, peers: &[SocketAddr]) {
+        thread::scope(|scope| {
+            for &peer in peers {
+                let ask = move || self.ask_for_list_reads(peer);
+                if let Err(fault) = thread::Builder::new().spawn_scoped(scope, ask) {
+                    log::warn!("event=gap_not_checked reason={:?}", fault.to_string());
+                }
+            }
+        });
+    }
+
     fn ask_for_list_reads(&self, peer: SocketAddr) {
         let asked_at = self.clock.now();
         match self.peers.ask_list_reads(peer) {
--- a/src/gateway/instance_table.rs
+++ b/src/gateway/instance_table.rs
@@ -2,6 +2,8 @@
 
 use std::{sync::Arc, thread, time::Duration};
 
+use indexmap::IndexMap;
+
 use super::{Gateway, exchange};
 use crate::{
     adapter::{
@@ -9,6 +11,7 @@
         tables::INSTANCE_TABLE,
     },
     configs::fleet::chunks::{decode, encode},
+    names::NodeName,
     routing::{InstanceInfo, StoreEra, StoreVersion, startup::STARTUP_POLL_INTERVAL},
     utils::sync::lock,
 };
@@ -163,8 +166,10 @@
         let candidates = lock(&gateway.peers.candidates);
         let has_stopped =
             |i: &&InstanceInfo| i != &candidates.own() && aggregate.has_stopped(now, &i.node);
-        let is_unlisted =
-            |i: &&InstanceInfo| aggregate.is_running(now, &i.node) && !listed.contains(i);
+        let rows: IndexMap<&NodeName, &InstanceInfo> =
+            listed.iter().map(|i| (&i.node, i)).collect();
+        let has_row = |i: &InstanceInfo| rows.get(&i.node).is_some_and(|row| *row == i);
+        let is_unlisted = |i: &&InstanceInfo| aggregate.is_running(now, &i.node) && !has_row(i);
         let stopped: Vec<InstanceInfo> =
             candidates.all().iter().filter(has_stopped).cloned().collect();
         let unlisted: Vec<InstanceInfo> =
