fix(soak): the soak checks the server that left

By the logs s2-10 was added at all instances at 34.3 to 35.7 s and never left: it had replaced the server that left during the 3.5 s before the check, which took the id only then. Announced departures had the same fault. Change: the id is taken before the server leaves; if another one is there by then, nothing is checked.

--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -317,12 +317,14 @@
     leave: impl FnOnce(),
 ) {
     let since = Instant::now();
+    let (leaving, _) = fleet.arrivals(endpoint);
     leave();
     thread::sleep(DRAIN_TIME + TOLERANCE);
     let (id, before) = fleet.arrivals(endpoint);
     thread::sleep(watch_time);
     let (still, after) = fleet.arrivals(endpoint);
-    if id == still {
+    // Another event may have put a new server in its place.
+    if id == leaving && still == leaving {
         // A request id contains the number of the instance that the caller sent it to.
         for request in &after[before.len()..] {
             let number = request.rsplit_once("-i").and_then(|(_, number)| number.parse().ok());
