--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -7,7 +7,7 @@
 dir=$(mktemp -d) || exit 2
 # Ends the instances, if the stand-in ended before it could.
 clean() {
-    for pid in $(cat "$dir/pids" 2>/dev/null); do
+    for pid in $(cat "$dir/pids" "$dir"/*/pids 2>/dev/null); do
         if grep -qa gateway "/proc/$pid/cmdline" 2>/dev/null; then kill -9 "$pid" 2>/dev/null; fi
     done
     rm -rf "$dir"
--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -388,21 +388,34 @@
 
 impl Store {
     fn spawn() -> io::Result<(Arc<Store>, SocketAddr)> {
-        let (listener, address) = listen_on_free_port()?;
         let store = Arc::new(Store::default());
-        let serving = Arc::clone(&store);
+        let address = store.listen(0)?;
+        Ok((store, address))
+    }
+
+    /// Serves the store at a further address; its calls are counted under `place`.
+    fn listen(self: &Arc<Store>, place: usize) -> io::Result<SocketAddr> {
+        let (listener, address) = listen_on_free_port()?;
+        let serving = Arc::clone(self);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let store = Arc::clone(&serving);
-                thread::spawn(move || store.serve(Wire::new(stream)));
+                thread::spawn(move || store.serve(Wire::new(stream), place));
             }
         });
-        Ok((store, address))
+        Ok(address)
     }
 
-    fn serve(&self, mut wire: Wire) {
+    /// Returns how often a table's feed was read at each address so far.
+    fn feed_reads(&self, table: &str) -> Vec<u64> {
+        let state = lock(&self.state);
+        let of = |place| state.calls.get(&format!("{place} /v1/rows-feed {table}")).copied();
+        (0..8).map(|place| of(place).unwrap_or(0)).collect()
+    }
+
+    fn serve(&self, mut wire: Wire, place: usize) {
         while let Ok(request) = wire.read() {
-            let answer = self.answer(&request);
+            let answer = self.answer(&request, place);
             if wire.stream.write_all(&answer).is_err() {
                 return;
             }
@@ -420,10 +433,10 @@
         at
     }
 
-    fn answer(&self, request: &Message) -> Vec<u8> {
+    fn answer(&self, request: &Message, place: usize) -> Vec<u8> {
         let path = request.target().split('?').next().unwrap_or("").to_owned();
         let table = request.param("table");
-        *lock(&self.state).calls.entry(format!("{path} {table}")).or_default() += 1;
+        *lock(&self.state).calls.entry(format!("{place} {path} {table}")).or_default() += 1;
         let json = |body: String| reply(200, &[("content-type", "application/json")], body.as_bytes());
         match path.as_str() {
             "/v1/rows-get" => {
@@ -717,6 +730,9 @@
 
 /// One instance of the project's program.
 struct Gateway {
+    program: String,
+    dir: String,
+    settings: String,
     child: Mutex<Child>,
     frontend: SocketAddr,
     readiness: SocketAddr,
@@ -734,7 +750,7 @@
 fn spawn_gateways(
     program: &str,
     dir: &str,
-    store: SocketAddr,
+    stores: &[SocketAddr],
     zones: &[&str],
     bounds: &Bounds,
 ) -> io::Result<Vec<Gateway>> {
@@ -756,6 +772,7 @@
     for (number, place) in places.iter().enumerate() {
         let name = format!("edge-{}", number + 1);
         let Place { frontend, readiness, control } = place;
+        let store = stores[number % stores.len()];
         let settings = format!(
             "{{\"node_name\":\"{name}\",\"role\":\"router\",\"machine_class\":\"edge\",\
              \"serves\":[\"edge\",\"control\"],\"ip\":\"{}\",\"zone\":\"{}\",\"region\":\"region\",\
@@ -781,25 +798,47 @@
         );
         let path = format!("{dir}/{name}.json");
         fs::write(&path, settings)?;
-        let out = fs::File::create(format!("{dir}/{name}.log"))?;
-        let child = Command::new(program)
-            .arg("gateway")
-            .env_clear()
-            .env("CARTVANE_BOOT", &path)
-            .stdin(Stdio::null())
-            .stdout(out.try_clone()?)
-            .stderr(out)
-            .spawn()?;
+        let child = Mutex::new(start_gateway(program, dir, &path)?);
         let (frontend, readiness) = (*frontend, *readiness);
-        // So that the script can end the process if this one ends early.
-        let mut pids = fs::OpenOptions::new().create(true).append(true).open(format!("{dir}/pids"))?;
-        writeln!(pids, "{}", child.id())?;
-        gateways.push(Gateway { child: Mutex::new(child), frontend, readiness });
+        let (program, dir) = (program.to_owned(), dir.to_owned());
+        gateways.push(Gateway { program, dir, settings: path, child, frontend, readiness });
     }
     Ok(gateways)
 }
 
+fn start_gateway(program: &str, dir: &str, settings: &str) -> io::Result<Child> {
+    let out = fs::OpenOptions::new().create(true).append(true).open(settings.replace(".json", ".log"))?;
+    let child = Command::new(program)
+        .arg("gateway")
+        .env_clear()
+        .env("CARTVANE_BOOT", settings)
+        .stdin(Stdio::null())
+        .stdout(out.try_clone()?)
+        .stderr(out)
+        .spawn()?;
+    // So that the script can end the process if this one ends early.
+    let mut pids = fs::OpenOptions::new().create(true).append(true).open(format!("{dir}/pids"))?;
+    writeln!(pids, "{}", child.id())?;
+    Ok(child)
+}
+
 impl Gateway {
+    /// Starts the process again after it was killed, as the platform does.
+    fn restart(&self) -> io::Result<()> {
+        let settings = fs::read_to_string(&self.settings)?;
+        fs::write(&self.settings, settings.replace("\"bootstrap\":true", "\"bootstrap\":false"))?;
+        let mut child = lock(&self.child);
+        child.wait()?;
+        *child = start_gateway(&self.program, &self.dir, &self.settings)?;
+        Ok(())
+    }
+
+    /// Sends a signal, by its name, to the process.
+    fn signal(&self, name: &str) {
+        let pid = lock(&self.child).id().to_string();
+        let _ = Command::new("kill").args([&format!("-{name}"), &pid]).status();
+    }
+
     fn is_ready(&self) -> bool {
         let ask = || -> io::Result<u16> {
             let mut stream = TcpStream::connect_timeout(&self.readiness, Duration::from_millis(300))?;
@@ -938,6 +977,7 @@
     let verdict = match case.as_str() {
         "removed" => removed_workers(program, dir, trouble, &record),
         "smuggled" => smuggled_requests(program, dir, trouble, &record),
+        "taken-up" => streams_taken_up(program, dir, trouble, &record),
         other => Err(format!("no such case: {other}")),
     };
     let code = match &verdict {
@@ -1004,7 +1044,7 @@
          \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
     store.write("op", "config", Some(config.as_bytes().to_vec()));
 
-    let gateways = spawn_gateways(program, dir, store_address, &zones, &BOUNDS).map_err(failed)?;
+    let gateways = spawn_gateways(program, dir, &[store_address], &zones, &BOUNDS).map_err(failed)?;
     wait_ready(&gateways)?;
     record.note(format!("{} instances are ready, {} workers are listed", zones.len(), WORKERS + OTHERS));
 
@@ -1147,7 +1187,7 @@
          \"max_connections\":110}],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\
          \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
     store.write("op", "config", Some(config.as_bytes().to_vec()));
-    let gateways = spawn_gateways(program, dir, store_address, &zones, &BOUNDS).map_err(failed)?;
+    let gateways = spawn_gateways(program, dir, &[store_address], &zones, &BOUNDS).map_err(failed)?;
     wait_ready(&gateways)?;
     sleep_ms(2000);
 
@@ -1218,3 +1258,352 @@
     }
     Ok(unasked + changed == 0)
 }
+
+/// A worker of a service of models: its answers are streams of events, which it takes up after `Last-Event-Id`.
+struct StreamWorker {
+    id: String,
+    version: &'static str,
+    address: SocketAddr,
+    runs: Arc<Runs>,
+}
+
+/// Events of a stream, and the pause between two of them.
+const EVENTS: usize = 100;
+const EVENT_GAP_MS: u64 = 20;
+
+impl StreamWorker {
+    fn spawn(id: &str, version: &'static str, runs: &Arc<Runs>) -> io::Result<Arc<StreamWorker>> {
+        let (listener, address) = listen_on_free_port()?;
+        let runs = Arc::clone(runs);
+        let worker = Arc::new(StreamWorker { id: id.to_owned(), version, address, runs });
+        let serving = Arc::clone(&worker);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let worker = Arc::clone(&serving);
+                thread::spawn(move || worker.serve(Wire::new(stream)));
+            }
+        });
+        Ok(worker)
+    }
+
+    fn entry(&self, zone: &str, seq: u64) -> Vec<u8> {
+        format!(
+            "{{\"service\":\"quote-llm\",\"address\":\"{}\",\"zone\":\"{zone}\",\"version\":\"{}\",\
+             \"slots\":64,\"state\":\"ready\",\"cold_remaining_ms\":0,\"seq\":{seq}}}",
+            self.address, self.version
+        )
+        .into_bytes()
+    }
+
+    fn serve(&self, mut wire: Wire) {
+        while let Ok(request) = wire.read() {
+            if self.answer(&mut wire, &request).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn answer(&self, wire: &mut Wire, request: &Message) -> io::Result<()> {
+        if request.header("x-expect-instance").is_some_and(|id| id != self.id) {
+            return wire.stream.write_all(&reply(421, &[("x-instance-id", &self.id)], b""));
+        }
+        let id = request.header("x-request-id").unwrap_or_default();
+        let last = request.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let index = self.runs.begin(&self.id, id, &request.body);
+        let head = format!(
+            "HTTP/1.1 200 -\r\nx-request-id: {id}\r\nx-response-seal: seal.{}.{id}\r\n\
+             content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
+            self.id
+        );
+        wire.stream.write_all(head.as_bytes())?;
+        for number in last + 1..=EVENTS {
+            sleep_ms(EVENT_GAP_MS);
+            let event = format!("id: {number}\ndata: {number} of {}\n\n", self.version);
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            wire.stream.write_all(chunk.as_bytes())?;
+        }
+        wire.stream.write_all(b"0\r\n\r\n")?;
+        self.runs.end(index);
+        Ok(())
+    }
+}
+
+/// What a client has received of one stream.
+#[derive(Debug, Clone, Default)]
+struct Received {
+    first_attempt: String,
+    sent_at: u64,
+    place: usize,
+    /// Number and version of each event, in order, over both attempts.
+    events: Vec<(usize, String)>,
+    is_whole: bool,
+    /// The second attempt, if there was one.
+    second: Option<Second>,
+}
+
+/// The attempt that takes a stream up.
+#[derive(Debug, Clone)]
+struct Second {
+    place: usize,
+    at: u64,
+    /// Last event before it.
+    after: usize,
+    went_on: bool,
+    result: String,
+}
+
+impl Received {
+    fn version(&self) -> &str {
+        self.events.first().map_or("", |(_, version)| version)
+    }
+}
+
+/// Reads a stream until its end, or until it breaks off. Returns whether it ended as a whole one, or the status of an
+/// answer that is none.
+fn read_stream(to: SocketAddr, headers: &str, events: &mut Vec<(usize, String)>) -> Result<bool, String> {
+    let mut stream =
+        TcpStream::connect_timeout(&to, Duration::from_secs(1)).map_err(|_| "no connection".to_owned())?;
+    // A client gives a stream up after a gap of 2.4 s (eight pauses).
+    let _ = stream.set_read_timeout(Some(Duration::from_millis(2400)));
+    let _ = stream.set_nodelay(true);
+    let text = format!(
+        "POST /ask/quote HTTP/1.1\r\nHost: app.example\r\nX-Deadline-Ms: 8000\r\n{headers}Content-Length: 4\r\n\r\nask?"
+    );
+    stream.write_all(text.as_bytes()).map_err(|_| "not sent".to_owned())?;
+    let (mut wire, mut head_end) = (Wire::new(stream), None);
+    let mut used = 0;
+    loop {
+        if head_end.is_none()
+            && let Some(at) = wire.rest.windows(4).position(|w| w == b"\r\n\r\n")
+        {
+            let head = String::from_utf8_lossy(&wire.rest[..at]).into_owned();
+            let status = head.split(' ').nth(1).unwrap_or("").to_owned();
+            if status != "200" {
+                return Err(status);
+            }
+            head_end = Some(at + 4);
+            used = at + 4;
+        }
+        if head_end.is_some() {
+            // Chunks hold whole events or several; an event ends with an empty line.
+            let text = String::from_utf8_lossy(&wire.rest[used..]).into_owned();
+            let complete = text.rfind("\n\n").map_or(0, |at| at + 2);
+            for line in text[..complete].lines().filter_map(|line| line.strip_prefix("data: ")) {
+                let (number, version) = line.split_once(" of ").unwrap_or(("0", ""));
+                events.push((number.parse().unwrap_or(0), version.to_owned()));
+            }
+            used += complete;
+            if wire.rest[used..].windows(5).any(|w| w == b"0\r\n\r\n") {
+                return Ok(true);
+            }
+        }
+        if wire.more().is_err() {
+            return Ok(false);
+        }
+    }
+}
+
+/// Case "taken-up": workers of a second software version are added to a service, and 0.7 s later the instance that reads
+/// the platform's list for the others is killed. Clients take the streams that it carried up at the other instances.
+/// Played three times, each with a fleet of its own.
+fn streams_taken_up(program: &str, dir: &str, trouble: bool, record: &Arc<Record>) -> Verdict {
+    let mut held = true;
+    for round in 1..=3 {
+        record.note(format!("round {round}"));
+        let dir = format!("{dir}/{round}");
+        fs::create_dir_all(&dir).map_err(|error| error.to_string())?;
+        held &= streams_taken_up_once(program, &dir, trouble, record)?;
+    }
+    Ok(held)
+}
+
+fn streams_taken_up_once(program: &str, dir: &str, trouble: bool, record: &Arc<Record>) -> Verdict {
+    const BOUNDS: Bounds =
+        Bounds { drain_ms: 2000, grace_s: 8, config_apply_ms: 2000, budget_slack: 56 };
+    const INSTANCES: usize = 3;
+    const OLD_WORKERS: usize = 18;
+    const NEW_WORKERS: usize = 5;
+    /// Time between two new streams, over all instances: some 59 a second.
+    const GAP_US: u64 = 17_000;
+    /// Time from the new entries to the kill.
+    const KILLED_AFTER_MS: u64 = 700;
+    let failed = |error: io::Error| error.to_string();
+    // Shows by contrast what the second version does: with "v1", the added workers are of the first one.
+    let new_version: &'static str =
+        if env::var("SECOND_VERSION").is_ok_and(|version| version == "v1") { "v1" } else { "v2" };
+    let (store, first_address) = Store::spawn().map_err(failed)?;
+    let all_zones = ["ruwi", "seeb", "bawshar"];
+    let zones: Vec<&str> = (0..INSTANCES).map(|number| all_zones[number % 3]).collect();
+    // The same store at an address for each instance, which shows who reads it for the others.
+    let mut addresses = vec![first_address];
+    for place in 1..INSTANCES {
+        addresses.push(store.listen(place).map_err(failed)?);
+    }
+    let runs = Arc::new(Runs::default());
+    let spawn = |prefix: &str, version, count: usize| -> Result<Vec<Arc<StreamWorker>>, String> {
+        (0..count)
+            .map(|n| StreamWorker::spawn(&format!("{prefix}{n}"), version, &runs).map_err(failed))
+            .collect()
+    };
+    let (old, new) = (spawn("i-old", "v1", OLD_WORKERS)?, spawn("i-new", new_version, NEW_WORKERS)?);
+    for (number, worker) in old.iter().enumerate() {
+        store.write("servers", &worker.id, Some(worker.entry(all_zones[number % 3], 0)));
+    }
+    let config = "{\"version\":1,\"routes\":[{\"name\":\"msg-sort\",\"host\":\"app.example\",\
+         \"path_prefix\":\"/ask/\",\"type\":\"streaming\",\"timeout_ms\":8000,\
+         \"target_latency_ms\":400,\"priority\":0,\"service\":\"quote-llm\",\"max_attempts\":2,\
+         \"public\":true,\"sticky_sessions\":true,\"stream_resume\":true,\"gap_target_ms\":300}],\
+         \"services\":[{\"name\":\"quote-llm\",\"health_path\":\"/health\",\"max_connections\":370,\
+         \"engine\":{\"slots\":64}}],\"limits\":{\"max_header_bytes\":16384,\
+         \"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
+    store.write("op", "config", Some(config.as_bytes().to_vec()));
+    let gateways =
+        Arc::new(spawn_gateways(program, dir, &addresses, &zones, &BOUNDS).map_err(failed)?);
+    wait_ready(&gateways)?;
+    sleep_ms(4000);
+
+    let stop = Arc::new(AtomicBool::new(false));
+    let killed = Arc::new(AtomicUsize::new(usize::MAX));
+    let received: Arc<Mutex<Vec<Received>>> = Arc::default();
+    let open = Arc::new(AtomicUsize::new(0));
+    let clients = {
+        let (stop, killed, received) = (Arc::clone(&stop), Arc::clone(&killed), Arc::clone(&received));
+        let (open, gateways) = (Arc::clone(&open), Arc::clone(&gateways));
+        thread::spawn(move || {
+            let mut next = Instant::now();
+            for number in 0_usize.. {
+                if stop.load(Ordering::SeqCst) {
+                    return;
+                }
+                // The platform sends new connections to the instances in rotation.
+                let place = number % INSTANCES;
+                if place != killed.load(Ordering::SeqCst) {
+                    let (received, open) = (Arc::clone(&received), Arc::clone(&open));
+                    let (gateways, killed) = (Arc::clone(&gateways), Arc::clone(&killed));
+                    open.fetch_add(1, Ordering::SeqCst);
+                    thread::spawn(move || {
+                        let got = stream_of_client(number, place, &gateways, &killed);
+                        lock(&received).push(got);
+                        open.fetch_sub(1, Ordering::SeqCst);
+                    });
+                }
+                next += Duration::from_micros(GAP_US);
+                thread::sleep(next.saturating_duration_since(Instant::now()));
+            }
+        })
+    };
+    sleep_ms(2500);
+    let before = store.feed_reads("op");
+    sleep_ms(2500);
+    let reads: Vec<u64> = store.feed_reads("op").iter().zip(before).map(|(now, then)| now - then).collect();
+    let reader = (0..INSTANCES).max_by_key(|place| reads[*place]).unwrap_or(0);
+    record.note(format!(
+        "{INSTANCES} instances run; edge-{} reads the store for the others ({reads:?} reads of the feed in 2.5 s)",
+        reader + 1
+    ));
+    for (number, worker) in new.iter().enumerate() {
+        store.write("servers", &worker.id, Some(worker.entry(all_zones[number % 3], 0)));
+    }
+    record.note(format!("{NEW_WORKERS} workers of version {new_version} are added beside {OLD_WORKERS} of v1"));
+    sleep_ms(KILLED_AFTER_MS);
+    let killed_at = now_ms();
+    if trouble {
+        killed.store(reader, Ordering::SeqCst);
+        gateways[reader].signal("KILL");
+        record.note(format!("edge-{} is killed", reader + 1));
+        sleep_ms(500);
+        gateways[reader].restart().map_err(failed)?;
+        record.note(format!("edge-{} is started again", reader + 1));
+    }
+    sleep_ms(3500);
+    stop.store(true, Ordering::SeqCst);
+    clients.join().map_err(|_| "the clients failed".to_owned())?;
+    while open.load(Ordering::SeqCst) > 0 {
+        sleep_ms(10);
+    }
+    for (place, gateway) in gateways.iter().enumerate() {
+        if gateway.has_exited() {
+            return Err(format!("edge-{} has exited", place + 1));
+        }
+    }
+    let received = lock(&received).clone();
+    let taken_up: Vec<&Received> = received.iter().filter(|got| got.second.is_some()).collect();
+    let mut results: BTreeMap<String, usize> = BTreeMap::new();
+    for got in &taken_up {
+        let Some(second) = &got.second else { continue };
+        *results.entry(second.result.clone()).or_default() += 1;
+        record.note(format!(
+            "stream {} of {} broke off after event {}, {} ms after its first try; taken up at edge-{} it {}",
+            got.first_attempt,
+            got.version(),
+            second.after,
+            second.at - got.sent_at,
+            second.place + 1,
+            second.result
+        ));
+    }
+    let went_on = taken_up.iter().filter(|got| got.second.as_ref().is_some_and(|s| s.went_on)).count();
+    // New streams of the same time, first tries at the instances that were not disturbed.
+    let is_new = |got: &&Received| got.sent_at >= killed_at && got.place != reader;
+    let new: Vec<&Received> = received.iter().filter(is_new).collect();
+    let began = new.iter().filter(|got| !got.events.is_empty()).count();
+    let results: Vec<String> = results.iter().map(|(result, n)| format!("{result}: {n}")).collect();
+    record.note(format!("{} streams were sent; taken up again: {} ({})", received.len(), taken_up.len(), results.join(", ")));
+    record.note(format!("of {} streams that were taken up {went_on} went on", taken_up.len()));
+    record.note(format!("of {} new streams since the kill {began} began", new.len()));
+    let is_mixed = |got: &&Received| got.events.iter().any(|(_, version)| *version != got.events[0].1);
+    let mixed = received.iter().filter(is_mixed).count();
+    record.note(format!("streams with events of two software versions: {mixed}"));
+    let whole = received.iter().filter(|got| got.is_whole).count();
+    if !trouble {
+        if whole < received.len() {
+            return Err(format!("without trouble, only {whole} of {} streams were whole", received.len()));
+        }
+        return Ok(true);
+    }
+    if taken_up.len() < 12 || new.is_empty() {
+        return Err("fewer than 12 streams were taken up again".to_owned());
+    }
+    let share = went_on as f64 / taken_up.len() as f64;
+    let share_new = began as f64 / new.len() as f64;
+    record.note(format!("share that goes on: {share:.2}; half of the share of new streams that begin: {:.2}", share_new / 2.0));
+    Ok(share >= share_new / 2.0)
+}
+
+/// Opens a stream at one instance, and takes it up once at another one if it breaks off.
+fn stream_of_client(number: usize, place: usize, gateways: &[Gateway], killed: &AtomicUsize) -> Received {
+    let mut got = Received {
+        first_attempt: format!("s{number:05}a"),
+        sent_at: now_ms(),
+        place,
+        ..Received::default()
+    };
+    // A prompt of two shared parts and one of its own.
+    let prompt = format!("X-Prefix-Hash: a{}:119,b{}:580,c{number:x}:130\r\n", number % 40, number % 402);
+    let headers = format!("X-Request-Id: {}\r\n{prompt}", got.first_attempt);
+    let first = read_stream(gateways[place].frontend, &headers, &mut got.events);
+    got.is_whole = first == Ok(true);
+    if first != Ok(false) || got.events.is_empty() {
+        return got;
+    }
+    let mut other = (place + 1 + number / 8 % (gateways.len() - 1)) % gateways.len();
+    if other == killed.load(Ordering::SeqCst) {
+        other = (other + 1) % gateways.len();
+    }
+    let (at, after) = (now_ms(), got.events.last().map_or(0, |(number, _)| *number));
+    let headers = format!(
+        "X-Request-Id: s{number:05}b\r\n{prompt}Resumes: {}\r\nLast-Event-Id: {after}\r\n",
+        got.first_attempt
+    );
+    let before = got.events.len();
+    let second = read_stream(gateways[other].frontend, &headers, &mut got.events);
+    got.is_whole = second == Ok(true);
+    let result = match second {
+        Ok(true) => "went on to its end".to_owned(),
+        Ok(false) => "broke off".to_owned(),
+        Err(status) => format!("got {status}"),
+    };
+    let went_on = got.events.len() > before;
+    got.second = Some(Second { place: other, at, after, went_on, result });
+    got
+}
