--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -833,10 +833,9 @@
         Ok(())
     }
 
-    /// Sends a signal, by its name, to the process.
-    fn signal(&self, name: &str) {
-        let pid = lock(&self.child).id().to_string();
-        let _ = Command::new("kill").args([&format!("-{name}"), &pid]).status();
+    /// Kills the process.
+    fn kill(&self) -> io::Result<()> {
+        lock(&self.child).kill()
     }
 
     fn is_ready(&self) -> bool {
@@ -1405,10 +1404,10 @@
 
 /// Case "taken-up": workers of a second software version are added to a service, and 0.7 s later the instance that reads
 /// the platform's list for the others is killed. Clients take the streams that it carried up at the other instances.
-/// Played three times, each with a fleet of its own.
+/// Played five times, each with a fleet of its own.
 fn streams_taken_up(program: &str, dir: &str, trouble: bool, record: &Arc<Record>) -> Verdict {
     let mut held = true;
-    for round in 1..=3 {
+    for round in 1..=5 {
         record.note(format!("round {round}"));
         let dir = format!("{dir}/{round}");
         fs::create_dir_all(&dir).map_err(|error| error.to_string())?;
@@ -1509,7 +1508,7 @@
     let killed_at = now_ms();
     if trouble {
         killed.store(reader, Ordering::SeqCst);
-        gateways[reader].signal("KILL");
+        gateways[reader].kill().map_err(failed)?;
         record.note(format!("edge-{} is killed", reader + 1));
         sleep_ms(500);
         gateways[reader].restart().map_err(failed)?;
