--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -14,7 +14,7 @@
 }
 trap clean EXIT
 trap 'exit 2' INT TERM
-timeout 115 target/review-2/standin-2 smuggled target/release/cartvane "$here/record.txt" "$dir"
+timeout 115 target/review-2/standin-2 taken-up target/release/cartvane "$here/record.txt" "$dir"
 status=$?
 [ $status -le 1 ] || status=2
 exit $status
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of review/4 to review/6. Needs Rust only, no network and no crates.
+# Builds the stand-ins of review/4 and review/5. Needs Rust only, no network and no crates.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
