test(streams): resume streams at instances that are out of step in a release

Cause: an instance takes the one version on a list of up to 3 s for all there are, while others use a second version from the moment they read it. An instance that stood still or was cut off for less than that goes on at the old version with streams that began at the new one. Asked by another instance, it replies "one version" whatever the age of its list, so two instances out of step vouch for each other.

Each fleet has four processes. An instance is cut off by SIGSTOP while the second version is listed; its receive buffer is filled, so that datagrams about the version are lost; as it runs again the store refuses or is silent, and the other instances stand still. The verdict rests on what callers hold. Refusals must be 503 with Retry-After of requests that have not run.

--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -41,6 +41,7 @@
 mod messages;
 mod notices;
 mod orders;
+mod out_of_step;
 mod overload;
 mod part_attribution;
 mod part_fleet;
--- a/tests/suite/process.rs
+++ b/tests/suite/process.rs
@@ -74,8 +74,13 @@
     }
 
     fn event(&self, name: &str) -> Option<Value> {
+        self.events(name).into_iter().next()
+    }
+
+    /// Returns all log lines of an event so far.
+    pub(crate) fn events(&self, name: &str) -> Vec<Value> {
         let lines = self.lines.lock().expect("the lines");
-        lines.iter().find(|line| line["event"] == name).cloned()
+        lines.iter().filter(|line| line["event"] == name).cloned().collect()
     }
 
     pub(crate) fn wait_for(&self, name: &str) -> Value {
@@ -83,7 +88,8 @@
         self.event(name).expect("the event was logged")
     }
 
-    fn signal(&self, signal: Signal) {
+    /// Sends a signal to the process.
+    pub(crate) fn signal(&self, signal: Signal) {
         let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw).expect("a pid");
         kill_process(pid, signal).expect("the process takes signals");
     }
--- a/tests/suite/stream_versions.rs
+++ b/tests/suite/stream_versions.rs
@@ -1,7 +1,7 @@
 //! Streams of a service whose servers have several software versions: each goes on only at the version that began it, in
 //! one response and over the attempts of its caller.
 
-use std::{collections::BTreeSet, sync::Arc, thread, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, thread, time::Duration};
 
 use cartvane::gateway::{GatewayHandle, settings::GatewaySettings};
 use fastrand::Rng;
@@ -27,7 +27,7 @@
 
 /// Several instances, and servers of several versions that share their faults.
 pub(crate) struct Versions {
-    store: StoreStandIn,
+    pub(crate) store: StoreStandIn,
     servers: Vec<Listed>,
     pub(crate) faults: Arc<Faults>,
     pub(crate) instances: Vec<GatewayHandle>,
@@ -58,6 +58,16 @@
     intent
 }
 
+/// Sends one attempt at a stream to the instance with this address. `resumption` has the id of the first attempt and the
+/// number of the last event.
+pub(crate) fn attempt(to: SocketAddr, id: &str, resumption: Option<(&str, usize)>) -> Answer {
+    let mut call = call("/stream-resumable/?marked=1", id).with("connection", "close");
+    if let Some((first, last_event)) = resumption {
+        call = call.with("resumes", first).with("last-event-id", last_event);
+    }
+    call.send(to)
+}
+
 impl Versions {
     /// Starts servers with these versions and as many instances.
     pub(crate) fn start(versions: &[&str], instances: usize) -> Versions {
@@ -134,11 +144,7 @@
         id: &str,
         resumption: Option<(&str, usize)>,
     ) -> Answer {
-        let mut call = call("/stream-resumable/?marked=1", id).with("connection", "close");
-        if let Some((first, last_event)) = resumption {
-            call = call.with("resumes", first).with("last-event-id", last_event);
-        }
-        call.send(self.instances[instance].callers())
+        attempt(self.instances[instance].callers(), id, resumption)
     }
 
     /// Receives a stream, which is resumed at another instance each time that it breaks off.
@@ -249,7 +255,7 @@
 const OTHER_KEY: &str = "key-of-port";
 
 /// Returns what an instance says of one attempt: the status, whether it may be retried, and whether it ran.
-fn refusal_of(fleet: &Versions, answer: &Answer, id: &str) -> (u16, bool, u32) {
+pub(crate) fn refusal_of(fleet: &Versions, answer: &Answer, id: &str) -> (u16, bool, u32) {
     let runs = fleet.servers.iter().map(|server| server.runs(id)).sum();
     (answer.status, !answer.header("retry-after").is_empty(), runs)
 }
