fix(streams): keep a stream without a version at servers that state none

A stream that began while no server of its service stated a version could go on at any server, also at one that had joined since and states a version.

Cause: where no server states a version, the rule for the stream was 'any', which is also the rule of a request that has not begun. It is 'unstated' now.

Evidence: version_rules::a_stream_without_a_version_goes_on_only_at_servers_without_one fails with the former rule (goes to s2, which states v2) and passes now.

--- a/src/gateway/pick_error.rs
+++ b/src/gateway/pick_error.rs
@@ -4,7 +4,7 @@
 
 use super::{attempts::Refusal, forward::Forwarding};
 use crate::{
-    routing::{PickError, VersionRule, admission::team_retry_delay, max_retry_delay},
+    routing::{PickError, admission::team_retry_delay, max_retry_delay},
     utils::sync::lock,
 };
 
@@ -49,7 +49,7 @@
 
     /// Refuses a request that may only go to servers of one software version, of which none takes it.
     fn note_no_server(&mut self, now: Instant) {
-        if self.version == VersionRule::Any {
+        if !self.version.requires_version() {
             return;
         }
         let retry_after = self.retry_delay_max(now).min(RETRY_AFTER_NO_VERSION);
--- a/src/gateway/stream_origins/resumption.rs
+++ b/src/gateway/stream_origins/resumption.rs
@@ -100,7 +100,7 @@
         gateway.metrics.stream_resumption(&request.service, label);
         match found {
             Ok((version, source)) => {
-                self.version = version.map_or(VersionRule::Any, |v| VersionRule::Only(Some(v)));
+                self.version = VersionRule::sole(version);
                 log_resumption(
                     request,
                     &format!("software={} source={}", self.version, source.text()),
--- a/src/gateway/stream_version.rs
+++ b/src/gateway/stream_version.rs
@@ -57,7 +57,7 @@
     pub(super) fn reason_without_server(&self) -> NotResumed {
         let now = self.gateway.clock.now();
         let has_server = lock(&self.gateway.picker).pick(now, &self.pick_request(None)).is_ok();
-        if self.version != VersionRule::Any && !has_server {
+        if self.version.requires_version() && !has_server {
             NotResumed::NoServerOfVersion
         } else {
             NotResumed::NoAttemptLeft
--- a/src/routing/picker/versions.rs
+++ b/src/routing/picker/versions.rs
@@ -132,7 +132,7 @@
         if server.version.is_some() || is_versioned {
             VersionRule::Only(server.version.clone())
         } else {
-            VersionRule::Any
+            VersionRule::Unstated
         }
     }
 
--- a/tests/suite/version_rules.rs
+++ b/tests/suite/version_rules.rs
@@ -81,6 +81,16 @@
     assert_eq!(picked(&picker, &VersionRule::Any).0.len(), 5);
 }
 
+/// Guards against a stream of servers that state no version, which goes on at one that has joined and states one.
+#[test]
+fn a_stream_without_a_version_goes_on_only_at_servers_without_one() {
+    let without = |server: BackendServer| BackendServer { version: None, ..server };
+    let mut all: Vec<BackendServer> = servers(&["v1", "v1"]).into_iter().map(without).collect();
+    let rule = picker(&all).rule_of_stream(&all[0]);
+    all.push(BackendServer { version: version("v2"), ..server("s2", 2) });
+    assert_eq!(picked(&picker(&all), &rule).0, ["s0", "s1"]);
+}
+
 /// Guards against a stream whose version opens doors that are closed to other requests.
 #[test]
 fn servers_that_get_no_new_requests_get_no_streams_of_their_version() {
