fix(streams): read which versions may have begun a stream from the store

Cause: stale knowledge taken for current. 'One version' was concluded from a list of up to 3 s, or from the word of another instance whose list had no age, while others use a second version from the moment they read it.

Change: a version is registered in a row of the store before a list that has it is used or passed on, and stays for 30 s after it has left. A resumption without a record reads that row after it came: it began before, so that its version is in it, however old the list of this instance is. Who cannot read the store asks the holders of the record, which read it in its place; nobody concludes from a list.

Ruled out (docs/design/stream-versions.md): a shorter age of lists, a delay before a new version is used, lists confirmed by other instances, the list or the feed read again for each resumption.

After a restart of all with one version, resumptions go on at once.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -57,6 +57,7 @@
 mod stream_version;
 mod team_shares;
 pub mod tunnels;
+mod version_registry;
 
 use std::{
     collections::HashSet,
@@ -92,6 +93,7 @@
     slot_leases::SlotLeases,
     stream_origins::StreamVersions,
     tunnels::Tunnels,
+    version_registry::RegistryReads,
 };
 use crate::{
     adapter::store::{Store, StoreError},
@@ -139,6 +141,8 @@
     pub slot_leases: SlotLeases,
     /// Versions at which streams began.
     pub stream_versions: StreamVersions,
+    /// What was read of the registry of versions.
+    registry_reads: RegistryReads,
     /// Tunnels to backend servers through other instances.
     pub tunnels: Tunnels,
     /// Probes of the paths to servers.
@@ -194,6 +198,7 @@
             cold_permits: ColdPermits::default(),
             slot_leases: SlotLeases::new(&settings, clock, &metrics.traffic()),
             stream_versions: StreamVersions::new(restarted_at),
+            registry_reads: RegistryReads::default(),
             tunnels: Tunnels::default(),
             path_probes: PathProbes::default(),
             gap_check: GapCheck::default(),
--- a/src/gateway/roster_reader.rs
+++ b/src/gateway/roster_reader.rs
@@ -38,6 +38,7 @@
         }
         let role = gateway.peers.roster_role(now);
         lock(&gateway.store_share).set_reads_for_others(role.reader);
+        gateway.maintain_registry(now, role.reader);
         let as_of = gateway.cluster_state.with_servers(|roster| roster.as_of());
         match watch.next(now, &role, as_of) {
             RosterStep::Wait(time) => gateway.store_read_requested.wait(time),
@@ -108,7 +109,7 @@
         return Ok(());
     }
     let skipped: Vec<SkippedEntry> = list.skipped().cloned().collect();
-    let servers = list.servers();
+    let (servers, is_registered) = gateway.register_versions(list.servers(), list.version.era);
     if gateway.cluster_state.with_servers(|roster| roster.is_missing_version_of(&servers)) {
         read_orders_first(gateway);
     }
@@ -116,7 +117,9 @@
     gateway.cluster_state.mark_overwritten(skipped.iter().map(|entry| entry.key.as_str()));
     let applied = apply_list(gateway, servers, as_of, list.version.era, "store");
     gateway.announce_new_versions();
-    list.mark_applied(applied);
+    if is_registered {
+        list.mark_applied(applied);
+    }
     Ok(())
 }
 
--- a/src/gateway/stream_origins/messages.rs
+++ b/src/gateway/stream_origins/messages.rs
@@ -17,18 +17,15 @@
 /// Maximum wait for a reply: a small share of a core comes in parts, with pauses of up to 90 ms between them.
 pub const ORIGIN_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// A question to another instance.
+/// The question at which version a stream began, which a caller resumes.
 #[derive(Debug, Serialize, Deserialize)]
-pub enum OriginQuery {
-    /// At which version a stream began, which a caller resumes at a service.
-    Stream {
-        /// The stream.
-        key: StreamKey,
-        /// The service.
-        service: ServiceName,
-    },
-    /// Which versions are in sight.
-    Versions,
+pub struct OriginQuery {
+    /// The stream.
+    pub key: StreamKey,
+    /// The service at which it is resumed.
+    pub service: ServiceName,
+    /// Whether the receiver is to read the registry of versions if it has no record: the sender cannot.
+    pub reads_registry: bool,
 }
 
 /// The reply to an [`OriginQuery`].
@@ -36,10 +33,8 @@
 pub enum OriginReply {
     /// Where the stream began.
     Began(StreamOrigin),
-    /// The stream is not known, and the only version of the service that is in sight is this one.
-    SoleVersion(Option<SoftwareVersion>),
-    /// The versions in sight.
-    Versions(Vec<SightedVersion>),
+    /// The stream has no record, and this is the only registered version of the service, as of after the question came.
+    SoleRegistered(Option<SoftwareVersion>),
     /// The instance does not know.
     Unknown,
 }
--- a/src/gateway/stream_origins/mod.rs
+++ b/src/gateway/stream_origins/mod.rs
@@ -1,7 +1,7 @@
 //! Records at which software version streams began, at the instances that hold the records, and finds it out when a
 //! caller resumes its stream.
 //!
-//! Nothing is recorded or asked while all servers of a service have one version.
+//! Nothing is recorded while all servers of a service have one version, and a resumption reads one row of the store.
 
 pub mod messages;
 mod records;
@@ -28,8 +28,8 @@
     link::idle::IdleMonitor,
     names::{NodeName, ServiceName, SoftwareVersion},
     routing::{
-        SightedVersion, StreamKey, StreamOrigin, StreamOrigins, StreamRecord, VersionSightings,
-        VersionsInSight, version_sightings::VERSION_RETENTION,
+        RegisteredVersions, SightedVersion, StreamKey, StreamOrigin, StreamOrigins, StreamRecord,
+        VersionRegistry, VersionSightings, version_registry::ServiceVersion,
     },
     utils::sync::lock,
 };
@@ -40,11 +40,8 @@
 /// Time for which an instance that did not reply is not asked again.
 const SILENCE_DURATION: Duration = Duration::from_secs(1);
 
-/// Pause between two rounds in which an instance that has started asks others for the versions in sight.
-const VERSIONS_POLL_INTERVAL: Duration = Duration::from_millis(100);
-
-/// Instances that are asked in one such round.
-const VERSIONS_ASKED: usize = 2;
+/// Pause after which an instance that has started reads the registry of versions again if it could not.
+const REGISTRY_RETRY_DELAY: Duration = Duration::from_millis(500);
 
 /// What an instance knows of the versions at which streams began.
 pub struct StreamVersions {
@@ -96,8 +93,8 @@
 }
 
 impl Gateway {
-    /// Has the instance receive records at `address`, and ask other instances for the versions in sight if it has started
-    /// while they ran.
+    /// Has the instance receive records at `address`, and read which versions are registered if it has started while
+    /// others may have begun streams.
     pub(super) fn start_stream_versions(
         self: &Arc<Gateway>,
         address: SocketAddr,
@@ -105,7 +102,7 @@
     ) {
         self.stream_versions.link.attach(self, address, idle);
         if self.stream_versions.may_record() {
-            spawn(self, "versions", ask_for_versions);
+            spawn(self, "versions", learn_versions);
         }
     }
 
@@ -139,19 +136,21 @@
         self.stream_versions.must_record_any(now);
     }
 
-    /// Returns whether there is no other instance.
-    fn is_alone(&self, now: Instant) -> bool {
-        self.peers.has_joined(now) && self.peers.instances() == 1
+    /// Notes the versions that are registered in the store.
+    pub(super) fn note_registered(&self, registry: &VersionRegistry) {
+        let now = self.clock.now();
+        lock(&self.stream_versions.sightings).note_registered(now, registry);
+        self.stream_versions.must_record_any(now);
     }
 
-    fn versions_in_sight(&self, now: Instant, service: &ServiceName) -> VersionsInSight {
-        // Where there is no other instance, none can know of another version.
-        let list_age = if self.is_alone(now) {
-            Some(Duration::ZERO)
-        } else {
-            self.cluster_state.servers_age(now)
-        };
-        lock(&self.stream_versions.sightings).in_sight(now, service, list_age)
+    /// Returns whether a version has not been listed for as long as its streams may be resumed.
+    pub(super) fn has_left(&self, version: &ServiceVersion) -> bool {
+        lock(&self.stream_versions.sightings).has_left(self.clock.now(), version)
+    }
+
+    /// Returns whether this instance knows of several versions of a service.
+    fn has_several_versions(&self, now: Instant, service: &ServiceName) -> bool {
+        lock(&self.stream_versions.sightings).has_several(now, service)
     }
 
     /// Records at which version the stream of a request began, if that has to be recorded; returns whether it was.
@@ -178,29 +177,16 @@
     /// Replies to another instance.
     pub(super) fn answer_origin_query(&self, query: &OriginQuery) -> OriginReply {
         let now = self.clock.now();
-        match query {
-            OriginQuery::Stream { key, service } => self.origin_known_here(now, *key, service),
-            OriginQuery::Versions => {
-                let observed = lock(&self.stream_versions.sightings).observed(now);
-                observed.map_or(OriginReply::Unknown, OriginReply::Versions)
-            }
-        }
-    }
-
-    fn origin_known_here(
-        &self,
-        now: Instant,
-        key: StreamKey,
-        service: &ServiceName,
-    ) -> OriginReply {
-        if let Some(origin) = lock(&self.stream_versions.origins).origin(now, key) {
+        let OriginQuery { key, service, reads_registry } = query;
+        if let Some(origin) = lock(&self.stream_versions.origins).origin(now, *key) {
             return OriginReply::Began(origin.clone());
         }
-        let sightings = lock(&self.stream_versions.sightings);
-        // An instance that asks has the same list or a newer one, unless it is cut off from the store.
-        match sightings.in_sight(now, service, Some(Duration::ZERO)) {
-            VersionsInSight::One(version) => OriginReply::SoleVersion(version),
-            _ => OriginReply::Unknown,
+        if !reads_registry || self.has_several_versions(now, service) {
+            return OriginReply::Unknown;
+        }
+        match self.registered_versions(service, now) {
+            Ok(RegisteredVersions::One(version)) => OriginReply::SoleRegistered(version),
+            Ok(RegisteredVersions::Several) | Err(_) => OriginReply::Unknown,
         }
     }
 }
@@ -216,34 +202,30 @@
 
 /// Logs that services have several versions, by the list or by the word of another instance.
 fn log_several(source: &str, versions: &[SightedVersion]) {
-    for SightedVersion { service, version, .. } in versions {
+    for SightedVersion { service, version } in versions {
         let version = version.as_ref().map_or("none", SoftwareVersion::as_str);
         log::info!("event=version_in_sight service={service} software={version} source={source}");
     }
 }
 
-/// Asks other instances for the versions in sight until one of them, or this instance itself, knows them all.
-fn ask_for_versions(gateway: &Gateway) {
-    let give_up_at = gateway.clock.now() + VERSION_RETENTION;
+/// Reads which versions are registered, until the instance knows all that may have begun streams.
+fn learn_versions(gateway: &Gateway) {
     while gateway.is_running() {
         let now = gateway.clock.now();
-        let knows_all = lock(&gateway.stream_versions.sightings).knows_all(now);
-        if now >= give_up_at || knows_all || gateway.is_alone(now) {
+        if lock(&gateway.stream_versions.sightings).knows_all(now) {
             return;
         }
-        for peer in gateway.peers.random_peers(&gateway.settings.seeds, VERSIONS_ASKED) {
-            if let Ok(OriginReply::Versions(sighted)) =
-                gateway.peers.ask_origin(peer, &OriginQuery::Versions)
-            {
-                let now = gateway.clock.now();
-                lock(&gateway.stream_versions.sightings).note_observed(now, sighted);
-                log::info!("event=versions_known peer={peer}");
-                if gateway.stream_versions.must_record_any(now) {
+        match gateway.learn_registered_versions() {
+            Ok(()) => {
+                if gateway.stream_versions.may_record() {
                     gateway.announce_start();
                 }
                 return;
             }
+            Err(error) => {
+                log::info!("event=versions_unread reason={:?}", error.to_string());
+                thread::sleep(REGISTRY_RETRY_DELAY);
+            }
         }
-        thread::sleep(VERSIONS_POLL_INTERVAL);
     }
 }
--- a/src/gateway/stream_origins/resumption.rs
+++ b/src/gateway/stream_origins/resumption.rs
@@ -9,11 +9,11 @@
 use crate::{
     gateway::{Gateway, attempts::Refusal, forward::Forwarding, request::Request},
     names::{NodeName, SoftwareVersion},
-    routing::{HOLDERS, InstanceInfo, StreamKey, VersionRule, VersionsInSight},
+    routing::{HOLDERS, InstanceInfo, RegisteredVersions, StreamKey, VersionRule},
     utils::sync::lock,
 };
 
-/// `Retry-After` if an instance that may know the version did not reply: another one will be asked by then.
+/// `Retry-After` if an instance that may know the version did not reply, or the store: another one will be asked by then.
 const RETRY_AFTER_UNANSWERED: Duration = Duration::from_millis(100);
 
 /// `Retry-After` if nobody knows the version. The caller had better begin its stream anew.
@@ -22,32 +22,38 @@
 /// Questions without a reply after which no further instance is asked: each may take up the timeout of a call.
 const UNANSWERED_MAX: usize = 3;
 
+/// The software version that began a stream, `None` if its service has no versions, and how it was found out.
+type StreamVersion = (Option<SoftwareVersion>, Source);
+
 /// How the version of a stream was found out.
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum Source {
-    /// All servers of the service have one version.
-    SoleVersion,
     /// This instance holds the record.
     OwnRecord,
-    /// Another instance replied.
+    /// One version of the service is registered.
+    Registry,
+    /// Another instance holds the record.
     Peer(String),
+    /// One version of the service is registered, as another instance has read.
+    PeerRegistry(String),
 }
 
 impl Source {
     /// Returns the label value in metrics.
     fn label(&self) -> &'static str {
         match self {
-            Source::SoleVersion => "sole-version",
             Source::OwnRecord => "own-record",
+            Source::Registry => "registry",
             Source::Peer(_) => "peer",
+            Source::PeerRegistry(_) => "peer-registry",
         }
     }
 
     /// Returns the text for logs.
-    fn text(&self) -> &str {
+    fn text(&self) -> String {
         match self {
-            Source::Peer(node) => node,
-            _ => self.label(),
+            Source::OwnRecord | Source::Registry => self.label().to_owned(),
+            Source::Peer(node) | Source::PeerRegistry(node) => format!("{}:{node}", self.label()),
         }
     }
 }
@@ -61,6 +67,8 @@
     NoRecord,
     /// An instance that may know it did not reply.
     Unanswered,
+    /// No instance knows the attempt, and whether there are other versions could not be read.
+    RegistryUnread,
     /// The stream began at another service.
     OtherService,
 }
@@ -72,13 +80,16 @@
             NotKnown::NotNamed => "not-named",
             NotKnown::NoRecord => "no-record",
             NotKnown::Unanswered => "unanswered",
+            NotKnown::RegistryUnread => "registry-unread",
             NotKnown::OtherService => "other-service",
         }
     }
 
     fn refusal(self) -> Refusal {
         match self {
-            NotKnown::Unanswered => Refusal::unknown_version(RETRY_AFTER_UNANSWERED),
+            NotKnown::Unanswered | NotKnown::RegistryUnread => {
+                Refusal::unknown_version(RETRY_AFTER_UNANSWERED)
+            }
             _ => Refusal::unknown_version(RETRY_AFTER_UNKNOWN),
         }
     }
@@ -118,34 +129,49 @@
 
 impl Gateway {
     /// Finds out which version began the stream that a request resumes; `None` if its service has no versions.
-    fn version_of_stream(
-        &self,
-        request: &Request,
-    ) -> Result<(Option<SoftwareVersion>, Source), NotKnown> {
+    fn version_of_stream(&self, request: &Request) -> Result<StreamVersion, NotKnown> {
         let now = self.clock.now();
-        let in_sight = self.versions_in_sight(now, &request.service);
-        if let VersionsInSight::One(version) = in_sight {
-            return Ok((version, Source::SoleVersion));
-        }
-        let attempt = request.metadata.resumes.as_deref().ok_or(NotKnown::NotNamed)?;
-        let key = StreamKey::of(request.team_name(), attempt);
-        if let Some(origin) = lock(&self.stream_versions.origins).origin(now, key) {
+        let key = request
+            .metadata
+            .resumes
+            .as_deref()
+            .map(|attempt| StreamKey::of(request.team_name(), attempt));
+        if let Some(key) = key
+            && let Some(origin) = lock(&self.stream_versions.origins).origin(now, key)
+        {
             let version = origin.version_at(&request.service).ok_or(NotKnown::OtherService)?;
             return Ok((Some(version.clone()), Source::OwnRecord));
         }
-        self.ask_holders(request, key, &in_sight)
+        // The list of this instance may be older than the stream, so that it does not decide.
+        let mut not_known = NotKnown::NoRecord;
+        if !self.has_several_versions(now, &request.service) {
+            match self.registered_versions(&request.service, request.received_at) {
+                Ok(RegisteredVersions::One(version)) => return Ok((version, Source::Registry)),
+                Ok(RegisteredVersions::Several) => {}
+                Err(error) => {
+                    log::info!("event=registry_unread reason={:?}", error.to_string());
+                    not_known = NotKnown::RegistryUnread;
+                }
+            }
+        }
+        let key = key.ok_or(NotKnown::NotNamed)?;
+        self.ask_holders(request, key, not_known)
     }
 
-    /// Asks the instances that should hold the record, and further ones in place of those that do not reply.
+    /// Asks the instances that should hold the record, and further ones in place of those that do not reply. `not_known`
+    /// is the reason so far why the version is not known.
     fn ask_holders(
         &self,
         request: &Request,
         key: StreamKey,
-        in_sight: &VersionsInSight,
-    ) -> Result<(Option<SoftwareVersion>, Source), NotKnown> {
-        let query = OriginQuery::Stream { key, service: request.service.clone() };
+        mut not_known: NotKnown,
+    ) -> Result<StreamVersion, NotKnown> {
+        let query = OriginQuery {
+            key,
+            service: request.service.clone(),
+            reads_registry: not_known == NotKnown::RegistryUnread,
+        };
         // The record may be held where nobody replied.
-        let mut not_known = NotKnown::NoRecord;
         if !self.peers.has_joined(self.clock.now()) {
             not_known = NotKnown::Unanswered;
         }
@@ -159,19 +185,16 @@
                 not_known = NotKnown::Unanswered;
                 continue;
             }
-            let source = || Source::Peer(instance.node.to_string());
             match self.peers.ask_origin(instance.address, &query) {
                 Ok(OriginReply::Began(origin)) => {
                     let version =
                         origin.version_at(&request.service).ok_or(NotKnown::OtherService)?;
-                    return Ok((Some(version.clone()), source()));
+                    return Ok((Some(version.clone()), Source::Peer(instance.node.to_string())));
                 }
-                Ok(OriginReply::SoleVersion(version))
-                    if *in_sight == VersionsInSight::Perhaps(version.clone()) =>
-                {
-                    return Ok((version, source()));
+                Ok(OriginReply::SoleRegistered(version)) => {
+                    return Ok((version, Source::PeerRegistry(instance.node.to_string())));
                 }
-                Ok(_) => replies += 1,
+                Ok(OriginReply::Unknown) => replies += 1,
                 Err(reason) => {
                     log::info!("event=origin_unanswered peer={} reason={reason:?}", instance.node);
                     self.note_silent(&instance.node);
--- /dev/null
+++ b/src/gateway/version_registry.rs
@@ -0,0 +1,369 @@
+//! The registry of software versions in the platform's store: `routing::version_registry` has the rules.
+//!
+//! All instances use lists of servers whose versions are registered: the instance that reads a list from the store
+//! registers what is new before it uses the list or passes it on.
+
+use std::{
+    sync::Mutex,
+    time::{Duration, Instant},
+};
+
+use indexmap::IndexSet;
+
+use super::Gateway;
+use crate::{
+    adapter::{
+        store::{Condition, Put, StoreError},
+        tables::{VERSION_KEY, VERSION_TABLE},
+    },
+    configs::fleet::chunks::{decode, encode},
+    names::{ServiceName, SoftwareVersion},
+    routing::{
+        BackendServer, ListVersion, ListedVersions, RegisteredVersions, StoreEra, VersionRegistry,
+        version_registry::versions_of,
+    },
+    utils::sync::lock,
+};
+
+/// Attempts to write the registry in a row, while other instances change it at the same time.
+const WRITE_ATTEMPTS_MAX: usize = 3;
+
+/// Time without a byte after which a call for the registry has failed. The list of servers and callers wait for it.
+const REGISTRY_STALL_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Time after a failed call for the registry in which no other one is made for the same purpose, so that neither the list
+/// nor callers wait for a store that does not reply, one after the other.
+const FAILURE_BACKOFF: Duration = Duration::from_secs(1);
+
+/// Time after which servers of a version that cannot be registered are used all the same. The store takes no writes then
+/// but still serves the list, and without them a service could run out of servers.
+const UNREGISTERED_WAIT_MAX: Duration = Duration::from_secs(5);
+
+/// Age above which the list in use does not show which versions are registered: they may have left meanwhile.
+const LIST_AGE_MAX: Duration = Duration::from_secs(10);
+
+/// Age of the list up to which the registry is compared with it.
+const MAINTENANCE_LIST_AGE_MAX: Duration = Duration::from_secs(3);
+
+/// Time between two comparisons while they differ.
+const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(3);
+
+/// Time between two comparisons while versions that have left are only to be dropped.
+const DROP_INTERVAL: Duration = Duration::from_secs(10);
+
+/// The registry as it was read from the store.
+#[derive(Debug, Clone)]
+struct RegistryRead {
+    registry: VersionRegistry,
+    /// Version of the row; 0 if there is none.
+    row: u64,
+    /// Era of the store.
+    era: StoreEra,
+    /// Time on the store's clock, in milliseconds.
+    now_ms: u64,
+}
+
+/// Why the versions that may have begun a stream are not known.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum RegistryError {
+    /// The store cannot be read.
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    /// The last read has just failed.
+    #[error("the registry of versions could not be read a moment ago; try again")]
+    JustFailed,
+    /// The store was restored from a copy, and no list has been read since.
+    #[error("no list of servers has been read since the store was restored; try again")]
+    OtherEra,
+}
+
+/// What an instance knows of the registry.
+#[derive(Debug, Default)]
+pub(super) struct RegistryReads {
+    /// The last read for resumptions. Locked while the store is read, so that waiting resumptions share the next read.
+    for_resumptions: Mutex<ResumptionReads>,
+    unregistered: Mutex<Unregistered>,
+    maintenance: Mutex<Maintenance>,
+}
+
+#[derive(Debug, Default)]
+struct ResumptionReads {
+    /// The last read and when it began.
+    last: Option<(Instant, RegistryRead)>,
+    failed_at: Option<Instant>,
+}
+
+/// Versions that are listed but could not be registered.
+#[derive(Debug, Default)]
+struct Unregistered {
+    versions: ListedVersions,
+    /// When the first attempt to register them failed, and the last one.
+    since: Option<Instant>,
+    failed_at: Option<Instant>,
+}
+
+/// Comparison of the registry with the list in use.
+#[derive(Debug, Default)]
+struct Maintenance {
+    due_at: Option<Instant>,
+    /// The list last looked at.
+    list: Option<ListVersion>,
+    /// The versions of the list with which the registry agreed, if it did.
+    agreed: Option<ListedVersions>,
+    /// Whether a read for a resumption has shown a difference.
+    is_requested: bool,
+}
+
+impl Gateway {
+    /// Registers the versions of servers that were read from the store in `era`, and returns the servers that may be
+    /// used, with whether all versions are registered. Servers of versions that cannot be registered are held back while
+    /// others of their service can be used.
+    pub(super) fn register_versions(
+        &self,
+        servers: Vec<BackendServer>,
+        era: StoreEra,
+    ) -> (Vec<BackendServer>, bool) {
+        let now = self.clock.now();
+        let mut versions = versions_of(&servers);
+        if self.roster_era() != era {
+            // Servers that a restored store lacks are used for a while, and their streams go on.
+            versions.extend(self.used_versions());
+        }
+        let known = self.known_versions(now, era);
+        let new: ListedVersions = versions.difference(&known).cloned().collect();
+        if new.is_empty() {
+            *lock(&self.registry_reads.unregistered) = Unregistered::default();
+            return (servers, true);
+        }
+        let failed_at = lock(&self.registry_reads.unregistered).failed_at;
+        if !is_within(failed_at, now, FAILURE_BACKOFF) {
+            match self.write_registry(|read| read.registry.with_listed(&new)) {
+                Ok(read) => {
+                    *lock(&self.registry_reads.unregistered) = Unregistered::default();
+                    self.note_registered(&read.registry);
+                    return (servers, true);
+                }
+                Err(error) => self.note_unregistered(&new, &error),
+            }
+        }
+        (self.without_held_back(servers, &new), false)
+    }
+
+    fn roster_era(&self) -> StoreEra {
+        self.cluster_state.with_servers(|roster| roster.era())
+    }
+
+    /// Returns the versions of the servers in use.
+    fn used_versions(&self) -> ListedVersions {
+        self.cluster_state
+            .with_servers(|roster| versions_of(roster.servers().map(|server| &**server)))
+    }
+
+    /// Returns the versions that are registered in `era`, as the list in use shows: whoever read it registered them.
+    fn known_versions(&self, now: Instant, era: StoreEra) -> ListedVersions {
+        let is_recent = self.cluster_state.servers_age(now).is_some_and(|age| age <= LIST_AGE_MAX);
+        if !is_recent || self.roster_era() != era {
+            return ListedVersions::new();
+        }
+        let unregistered = lock(&self.registry_reads.unregistered);
+        self.used_versions().difference(&unregistered.versions).cloned().collect()
+    }
+
+    fn note_unregistered(&self, versions: &ListedVersions, error: &StoreError) {
+        let now = self.clock.now();
+        let mut unregistered = lock(&self.registry_reads.unregistered);
+        unregistered.versions.extend(versions.iter().cloned());
+        unregistered.since.get_or_insert(now);
+        unregistered.failed_at = Some(now);
+        let versions = unregistered.versions.len();
+        log::warn!("event=versions_unregistered count={versions} reason={:?}", error.to_string());
+    }
+
+    /// Returns the servers without those of unregistered versions, unless these have to be used all the same.
+    fn without_held_back(
+        &self,
+        mut servers: Vec<BackendServer>,
+        unregistered: &ListedVersions,
+    ) -> Vec<BackendServer> {
+        let now = self.clock.now();
+        let since = lock(&self.registry_reads.unregistered).since;
+        if since.is_some() && !is_within(since, now, UNREGISTERED_WAIT_MAX) {
+            return servers;
+        }
+        let is_registered = |server: &BackendServer| {
+            !unregistered.contains(&(server.service.clone(), server.version.clone()))
+        };
+        let usable = servers.iter().filter(|server| is_registered(server) && !server.leaving);
+        let served: IndexSet<ServiceName> = usable.map(|server| server.service.clone()).collect();
+        servers.retain(|server| is_registered(server) || !served.contains(&server.service));
+        servers
+    }
+
+    /// Brings the registry in line with the list: marks versions that have just left, and drops those that have left for
+    /// long enough. The instance that reads the list for the others does so whenever its versions change, any other one
+    /// if a resumption has shown that it is needed.
+    pub(super) fn maintain_registry(&self, now: Instant, is_reader: bool) {
+        let age = self.cluster_state.servers_age(now);
+        if age.is_none_or(|age| age > MAINTENANCE_LIST_AGE_MAX)
+            || !self.needs_maintenance(now, is_reader)
+        {
+            return;
+        }
+        let used = self.used_versions();
+        let written = self.write_registry(|read| self.maintained(read, &used));
+        let mut maintenance = lock(&self.registry_reads.maintenance);
+        match written {
+            Ok(read) if read.registry.has_unlisted() => {
+                maintenance.due_at = Some(now + DROP_INTERVAL);
+            }
+            Ok(_) => maintenance.agreed = Some(used),
+            Err(error) => {
+                log::info!("event=versions_unmaintained reason={:?}", error.to_string());
+            }
+        }
+    }
+
+    /// Returns whether the registry has to be compared with the list now, and notes that it is.
+    fn needs_maintenance(&self, now: Instant, is_reader: bool) -> bool {
+        let mut maintenance = lock(&self.registry_reads.maintenance);
+        let list = self.cluster_state.list_version();
+        if maintenance.list != list {
+            maintenance.list = list;
+            let is_same = maintenance.agreed.as_ref() == Some(&self.used_versions());
+            if !is_same && maintenance.agreed.take().is_some() {
+                maintenance.due_at = None;
+            }
+        }
+        let is_needed = maintenance.is_requested || (is_reader && maintenance.agreed.is_none());
+        if !is_needed || maintenance.due_at.is_some_and(|at| now < at) {
+            return false;
+        }
+        maintenance.due_at = Some(now + MAINTENANCE_INTERVAL);
+        maintenance.is_requested = false;
+        maintenance.agreed = None;
+        true
+    }
+
+    /// Returns what a registry has to be if exactly `used` are listed; `None` if it is so already.
+    fn maintained(&self, read: &RegistryRead, used: &ListedVersions) -> Option<VersionRegistry> {
+        if read.era != self.roster_era() {
+            return None;
+        }
+        self.note_registered(&read.registry);
+        read.registry.maintained(read.now_ms, used, |version| self.has_left(version))
+    }
+
+    /// Writes what `change` makes of the registry, if anything, and returns the registry as it is then.
+    fn write_registry(
+        &self,
+        change: impl Fn(&RegistryRead) -> Option<VersionRegistry>,
+    ) -> Result<RegistryRead, StoreError> {
+        let mut attempt = 1;
+        loop {
+            let read = self.read_registry()?;
+            let Some(registry) = change(&read) else { return Ok(read) };
+            match self.put_registry(&read, &registry) {
+                Ok(()) => {
+                    log_change(&read.registry, &registry);
+                    return Ok(RegistryRead { registry, ..read });
+                }
+                Err(StoreError::Conflict) if attempt < WRITE_ATTEMPTS_MAX => attempt += 1,
+                Err(error) => return Err(error),
+            }
+        }
+    }
+
+    fn read_registry(&self) -> Result<RegistryRead, StoreError> {
+        let store = self.store.with_short_stall_timeout(REGISTRY_STALL_TIMEOUT);
+        let rows = store.rows(VERSION_TABLE)?;
+        let (era, now_ms) = (rows.version.era, rows.now_ms);
+        let Some(row) = rows.rows.into_iter().find(|row| row.key == VERSION_KEY) else {
+            return Ok(RegistryRead { registry: VersionRegistry::default(), row: 0, era, now_ms });
+        };
+        let registry = decode(&row.value).unwrap_or_else(|error| {
+            log::warn!("event=row_skipped key={VERSION_KEY} reason={:?}", error.to_string());
+            VersionRegistry::default()
+        });
+        Ok(RegistryRead { registry, row: row.version, era, now_ms })
+    }
+
+    fn put_registry(
+        &self,
+        read: &RegistryRead,
+        registry: &VersionRegistry,
+    ) -> Result<(), StoreError> {
+        let condition = Condition { table: VERSION_TABLE, key: VERSION_KEY, version: read.row };
+        let put = Put { table: VERSION_TABLE, key: VERSION_KEY, value: &encode(registry) };
+        let store = self.store.with_short_stall_timeout(REGISTRY_STALL_TIMEOUT);
+        store.put_if(&condition, &[put]).map(drop)
+    }
+
+    /// Returns the versions that may have begun a stream of a service that a caller resumed at `resumed_at`.
+    ///
+    /// # Errors
+    ///
+    /// The registry cannot be read as of a later time.
+    pub(super) fn registered_versions(
+        &self,
+        service: &ServiceName,
+        resumed_at: Instant,
+    ) -> Result<RegisteredVersions, RegistryError> {
+        let mut reads = lock(&self.registry_reads.for_resumptions);
+        let read = self.registry_since(&mut reads, resumed_at)?;
+        // A restored store may lack versions. Whoever reads a list of the new era registers them again.
+        if read.era != self.roster_era() {
+            return Err(RegistryError::OtherEra);
+        }
+        Ok(read.registry.versions(service))
+    }
+
+    /// Returns the registry as of `since` or later.
+    fn registry_since<'r>(
+        &self,
+        reads: &'r mut ResumptionReads,
+        since: Instant,
+    ) -> Result<&'r RegistryRead, RegistryError> {
+        let is_current = reads.last.as_ref().is_some_and(|(began, _)| *began >= since);
+        if !is_current {
+            let began = self.clock.now();
+            if is_within(reads.failed_at, began, FAILURE_BACKOFF) {
+                return Err(RegistryError::JustFailed);
+            }
+            let read = self.read_registry().inspect_err(|_| {
+                reads.failed_at = Some(self.clock.now());
+            })?;
+            if self.maintained(&read, &self.used_versions()).is_some() {
+                lock(&self.registry_reads.maintenance).is_requested = true;
+            }
+            reads.last = Some((began, read));
+        }
+        reads.last.as_ref().map(|(_, read)| read).ok_or(RegistryError::JustFailed)
+    }
+
+    /// Reads which versions may have begun streams before this instance started.
+    ///
+    /// # Errors
+    ///
+    /// The store cannot be read.
+    pub(super) fn learn_registered_versions(&self) -> Result<(), StoreError> {
+        let read = self.read_registry()?;
+        self.note_registered(&read.registry);
+        Ok(())
+    }
+}
+
+fn is_within(since: Option<Instant>, now: Instant, time: Duration) -> bool {
+    since.is_some_and(|at| now.saturating_duration_since(at) < time)
+}
+
+/// Logs the versions that a write has added to the registry, or dropped from it.
+fn log_change(before: &VersionRegistry, after: &VersionRegistry) {
+    let (before, after): (ListedVersions, ListedVersions) =
+        (before.all().collect(), after.all().collect());
+    let added = after.difference(&before).map(|version| ("version_registered", version));
+    let dropped = before.difference(&after).map(|version| ("version_dropped", version));
+    for (event, (service, version)) in added.chain(dropped) {
+        let software = version.as_ref().map_or("none", SoftwareVersion::as_str);
+        log::info!("event={event} service={service} software={software}");
+    }
+}
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -43,6 +43,7 @@
 pub mod team;
 pub mod tunnel_peers;
 pub mod unlisted;
+pub mod version_registry;
 pub mod version_rule;
 pub mod version_sightings;
 
@@ -101,5 +102,6 @@
 pub use team::{Team, Teams};
 pub use tunnel_peers::{TunnelPeers, TunnelReply};
 pub use unlisted::UnlistedNotices;
+pub use version_registry::{ListedVersions, RegisteredVersions, VersionRegistry};
 pub use version_rule::VersionRule;
-pub use version_sightings::{SightedVersion, VersionSightings, VersionsInSight};
+pub use version_sightings::{SightedVersion, VersionSightings};
--- a/src/routing/version_sightings.rs
+++ b/src/routing/version_sightings.rs
@@ -9,25 +9,15 @@
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
-use super::BackendServer;
+use super::{
+    BackendServer, VersionRegistry,
+    version_registry::{ServiceVersion, VERSION_RETENTION},
+};
 use crate::names::{ServiceName, SoftwareVersion};
 
-/// Time for which streams may be resumed after their version was last listed: longer than callers wait for a stream.
-pub const VERSION_RETENTION: Duration = Duration::from_secs(30);
-
-/// Age of the list of servers above which another version may have appeared that other instances see.
-const LIST_AGE_MAX: Duration = Duration::from_secs(3);
-
-/// The versions of a service that an instance knows.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum VersionsInSight {
-    /// All streams of the service were begun by this version.
-    One(Option<SoftwareVersion>),
-    /// This instance knows of this version only, but other instances may know of another one.
-    Perhaps(Option<SoftwareVersion>),
-    /// There are several versions, or none.
-    Several,
-}
+/// Time for which a version counts as in sight after it was last listed: longer than it stays registered, so that all
+/// streams are recorded whose resumption the registry leaves open.
+const SIGHTING_RETENTION: Duration = VERSION_RETENTION.saturating_add(Duration::from_secs(20));
 
 /// When a version was listed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,20 +31,18 @@
     fn is_in_sight(self, now: Instant) -> bool {
         match self {
             Sighting::Listed => true,
-            Sighting::Until(at) => now.saturating_duration_since(at) < VERSION_RETENTION,
+            Sighting::Until(at) => now.saturating_duration_since(at) < SIGHTING_RETENTION,
         }
     }
 }
 
-/// A version that an instance has in sight, as it tells another one that has just started.
+/// A version of a service that several versions serve, as the instance that has listed them tells the others.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SightedVersion {
     /// The service.
     pub service: ServiceName,
     /// The version; `None` if servers state none.
     pub version: Option<SoftwareVersion>,
-    /// Time since it was last listed.
-    pub age: Duration,
 }
 
 /// The versions of all services.
@@ -96,20 +84,28 @@
         self.prune(now);
     }
 
-    /// Adds what an instance has observed that knows all versions; this one knows them all from then on.
-    pub fn note_observed(&mut self, now: Instant, sighted: Vec<SightedVersion>) {
-        for SightedVersion { service, version, age } in sighted {
-            let last_at = now.checked_sub(age).unwrap_or(now);
+    /// Adds the versions that are registered. This instance knows all versions that may have begun streams from then on.
+    pub fn note_registered(&mut self, now: Instant, registry: &VersionRegistry) {
+        for (service, version) in registry.all() {
             let versions = self.services.entry(service).or_default();
-            versions.entry(version).or_insert(Sighting::Until(last_at));
+            versions.entry(version).or_insert(Sighting::Until(now));
         }
         self.observed_since = None;
         self.prune(now);
     }
 
+    /// Returns whether a version has not been listed for as long as its streams may be resumed.
+    pub fn has_left(&self, now: Instant, (service, version): &ServiceVersion) -> bool {
+        let sighting = self.services.get(service).and_then(|versions| versions.get(version));
+        matches!(
+            sighting,
+            Some(Sighting::Until(at)) if now.saturating_duration_since(*at) >= VERSION_RETENTION
+        )
+    }
+
     /// Adds versions that another instance has listed, and this one may not have yet.
     pub fn note_listed_elsewhere(&mut self, now: Instant, sighted: Vec<SightedVersion>) {
-        for SightedVersion { service, version, .. } in sighted {
+        for SightedVersion { service, version } in sighted {
             let versions = self.services.entry(service.clone()).or_default();
             let sighting = versions.entry(version).or_insert(Sighting::Until(now));
             if *sighting != Sighting::Listed {
@@ -121,72 +117,31 @@
 
     /// Returns the versions of services that have several in sight, and had not when this was last called.
     pub fn take_new_several(&mut self, now: Instant) -> Vec<SightedVersion> {
-        let all: Vec<SightedVersion> = self.all(now).collect();
-        let has_several = |service: &ServiceName| self.sole_version(now, service).is_none();
-        let several: IndexSet<ServiceName> = all
-            .iter()
-            .map(|sighted| &sighted.service)
-            .filter(|service| has_several(service))
-            .cloned()
-            .collect();
+        let services = self.services.keys();
+        let several: IndexSet<ServiceName> =
+            services.filter(|service| self.has_several(now, service)).cloned().collect();
         let known = std::mem::replace(&mut self.announced, several);
-        let is_new = |sighted: &SightedVersion| {
-            self.announced.contains(&sighted.service) && !known.contains(&sighted.service)
+        let new = self.announced.difference(&known);
+        let sighted = |service: &ServiceName, version: &Option<SoftwareVersion>| SightedVersion {
+            service: service.clone(),
+            version: version.clone(),
         };
-        all.into_iter().filter(is_new).collect()
+        new.flat_map(|service| self.services[service].keys().map(move |v| sighted(service, v)))
+            .collect()
     }
 
-    /// Returns the versions in sight; `None` if this instance may not know all.
-    pub fn observed(&self, now: Instant) -> Option<Vec<SightedVersion>> {
-        self.knows_all(now).then(|| self.all(now).collect())
-    }
-
-    fn all(&self, now: Instant) -> impl Iterator<Item = SightedVersion> {
-        let sighted = move |service: &ServiceName, version: &Option<SoftwareVersion>, sighting| {
-            let age = match sighting {
-                Sighting::Listed => Duration::ZERO,
-                Sighting::Until(at) => now.saturating_duration_since(at),
-            };
-            SightedVersion { service: service.clone(), version: version.clone(), age }
-        };
-        self.services.iter().flat_map(move |(service, versions)| {
-            versions.iter().map(move |(version, sighting)| sighted(service, version, *sighting))
+    /// Returns whether several versions of a service are or were in sight.
+    pub fn has_several(&self, now: Instant, service: &ServiceName) -> bool {
+        let versions = self.services.get(service);
+        versions.is_some_and(|versions| {
+            versions.values().filter(|sighting| sighting.is_in_sight(now)).count() > 1
         })
     }
 
-    /// Returns the versions of a service; `list_age` is the time since the list of servers was current.
-    pub fn in_sight(
-        &self,
-        now: Instant,
-        service: &ServiceName,
-        list_age: Option<Duration>,
-    ) -> VersionsInSight {
-        let Some(version) = self.sole_version(now, service) else {
-            return VersionsInSight::Several;
-        };
-        let is_current = list_age.is_some_and(|age| age <= LIST_AGE_MAX);
-        if is_current && self.knows_all(now) {
-            VersionsInSight::One(version.clone())
-        } else {
-            VersionsInSight::Perhaps(version.clone())
-        }
-    }
-
-    /// Returns the only version of a service that is or was in sight; `None` if there are several or none.
-    fn sole_version(
-        &self,
-        now: Instant,
-        service: &ServiceName,
-    ) -> Option<&Option<SoftwareVersion>> {
-        let versions = self.services.get(service)?;
-        let mut in_sight = versions.iter().filter(|(_, sighting)| sighting.is_in_sight(now));
-        let (version, _) = in_sight.next()?;
-        in_sight.next().is_none().then_some(version)
-    }
-
-    /// Returns whether the streams of a service have to be recorded: not if all instances know that there is one version.
+    /// Returns whether the streams of a service have to be recorded: not if this instance knows of all versions, and
+    /// there is one.
     pub fn must_record(&self, now: Instant, service: &ServiceName) -> bool {
-        !self.knows_all(now) || self.sole_version(now, service).is_none()
+        !self.knows_all(now) || self.has_several(now, service)
     }
 
     /// Returns whether the streams of any service have to be recorded.
@@ -197,7 +152,7 @@
     /// Returns whether this instance knows all versions that may have begun a stream.
     pub fn knows_all(&self, now: Instant) -> bool {
         self.observed_since
-            .is_none_or(|since| now.saturating_duration_since(since) >= VERSION_RETENTION)
+            .is_none_or(|since| now.saturating_duration_since(since) >= SIGHTING_RETENTION)
     }
 
     fn prune(&mut self, now: Instant) {
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -90,4 +90,5 @@
 mod team_shares_fleet;
 mod testbed;
 mod tunnels;
+mod version_registry;
 mod version_rules;
--- a/tests/suite/sent_records.rs
+++ b/tests/suite/sent_records.rs
@@ -9,8 +9,8 @@
 use cartvane::{
     names::ServiceName,
     routing::{
-        HOLDERS, SentRecords, SightedVersion, StreamKey, StreamOrigin, StreamRecord,
-        VersionSightings, VersionsInSight,
+        HOLDERS, ListedVersions, SentRecords, SightedVersion, StreamKey, StreamOrigin,
+        StreamRecord, VersionRegistry, VersionSightings,
     },
 };
 use fastrand::Rng;
@@ -188,6 +188,13 @@
     assert!(network.sent.is_empty(), "the records have expired");
 }
 
+/// Returns a registry in which versions of one service are listed.
+fn registered(service: &ServiceName, versions: &[&str]) -> VersionRegistry {
+    let version = |name: &&str| (service.clone(), Some(name.parse().expect("a version")));
+    let listed: ListedVersions = versions.iter().map(version).collect();
+    VersionRegistry::default().with_listed(&listed).unwrap_or_default()
+}
+
 // Guards against streams of a second version that an instance takes for those of the only one that it has listed.
 #[test]
 fn versions_that_another_instance_has_listed_are_in_sight() {
@@ -196,20 +203,18 @@
     let sighted = |version: &str| SightedVersion {
         service: service.clone(),
         version: Some(version.parse().expect("a version")),
-        age: Duration::ZERO,
     };
     let mut sightings = VersionSightings::new(None);
-    sightings.note_observed(now, vec![sighted("v1")]);
-    let in_sight =
-        |sightings: &VersionSightings| sightings.in_sight(now, &service, Some(Duration::ZERO));
-    assert_eq!(in_sight(&sightings), VersionsInSight::One(sighted("v1").version));
+    sightings.note_registered(now, &registered(&service, &["v1"]));
+    assert!(!sightings.has_several(now, &service));
+    assert!(!sightings.must_record(now, &service), "one version, and it is known");
     assert!(sightings.take_new_several(now).is_empty());
     sightings.note_listed_elsewhere(now, vec![sighted("v1"), sighted("v2")]);
-    assert_eq!(in_sight(&sightings), VersionsInSight::Several);
+    assert!(sightings.has_several(now, &service));
     assert!(sightings.must_record(now, &service));
     assert!(sightings.take_new_several(now).is_empty(), "the others have been told");
     let mut reader = VersionSightings::new(None);
-    reader.note_observed(now, vec![sighted("v1"), sighted("v2")]);
+    reader.note_registered(now, &registered(&service, &["v1", "v2"]));
     assert_eq!(reader.take_new_several(now).len(), 2);
     assert!(reader.take_new_several(now).is_empty(), "once");
 }
