fix(units): give the slots of a backend server a maximum

Seen: a row with `slots` beside two ordinary ones ends the thread `roster` in a debug build, and the list is not followed any more, also after the row is gone. Cause: `sum.total + slots` over the servers of a service overflows in `Picker::service_slots`, called when a new list is put into use.

The number of slots is now a newtype, 1 to 4,096, 64 times the largest at the users' sites. A row with more is skipped and logged as one with 0 slots is. It is not lowered to the maximum: shares, leases and the rejections of a full service follow from the sum over its servers, and one claim of thousands beside servers of 8 or 64 would make a full service look empty. In a message of another instance the nearest valid number is taken, so that one of a build that believes any number does not cost the rest of its list. Sums of slots saturate.

Evidence: both tests of tests/suite/odd_rows.rs failed on the code before (the list was not followed within 20 s; 4,097 and 4,294,967,295 were used) and pass.

--- a/src/routing/admission/slot_table.rs
+++ b/src/routing/admission/slot_table.rs
@@ -45,13 +45,20 @@
     slots: u32,
 }
 
+impl Server {
+    /// Returns how many requests it may be leased at once.
+    fn lease_limit(&self, slot_time: Option<Duration>) -> u32 {
+        self.slots.saturating_add(extra_leases(self.slots, slot_time))
+    }
+}
+
 impl SlotTable {
     /// Replaces the servers that may be leased. Leases of servers that are not listed any more stay until they end.
     pub(super) fn set_servers(&mut self, servers: impl IntoIterator<Item = ServerSlots>) {
         let server =
             |s: ServerSlots| (s.server, Server { slots: s.slots, zone: s.zone, leased: 0 });
         self.servers = servers.into_iter().map(server).collect();
-        self.slots = self.servers.values().map(|server| server.slots).sum();
+        self.slots = saturating_sum(self.servers.values().map(|server| server.slots));
         for lease in self.leases.values() {
             if let Some(server) = self.servers.get_mut(&lease.server) {
                 server.leased += 1;
@@ -67,13 +74,12 @@
     /// Returns how many leases there are at once on the servers that a request may use, if it cannot get one at once.
     pub(super) fn lease_limit(&self, req: &SlotRequest, slot_time: Option<Duration>) -> u32 {
         let usable = self.servers.iter().filter(|(tag, _)| !req.excluded.contains(tag));
-        usable.map(|(_, server)| server.slots + extra_leases(server.slots, slot_time)).sum()
+        saturating_sum(usable.map(|(_, server)| server.lease_limit(slot_time)))
     }
 
     /// Returns whether any server can be leased once more.
     pub(super) fn has_room(&self, slot_time: Option<Duration>) -> bool {
-        let limit = |server: &Server| server.slots + extra_leases(server.slots, slot_time);
-        self.servers.values().any(|server| server.leased < limit(server))
+        self.servers.values().any(|server| server.leased < server.lease_limit(slot_time))
     }
 
     /// Returns the server that a request is to be sent to, if one can take it: one with a free slot, otherwise one that
@@ -81,7 +87,8 @@
     pub(super) fn pick(&self, req: &SlotRequest, slot_time: Option<Duration>) -> Option<Tag> {
         let best = |extra: &dyn Fn(u32) -> u32| {
             let open = self.servers.iter().filter_map(|(tag, server)| {
-                let left = (server.slots + extra(server.slots)).saturating_sub(server.leased);
+                let limit = server.slots.saturating_add(extra(server.slots));
+                let left = limit.saturating_sub(server.leased);
                 let is_open = left > 0 && !req.excluded.contains(tag);
                 is_open.then_some(((server.zone == req.zone, left), *tag))
             });
@@ -137,6 +144,11 @@
     }
 }
 
+/// Returns the sum of figures that servers state.
+fn saturating_sum(figures: impl Iterator<Item = u32>) -> u32 {
+    figures.fold(0, u32::saturating_add)
+}
+
 /// Returns how many requests a server may be leased beyond its slots: as many as begin within a round trip.
 fn extra_leases(slots: u32, slot_time: Option<Duration>) -> u32 {
     let Some(slot_time) = slot_time.filter(|time| !time.is_zero()) else { return 0 };
--- a/src/routing/picker/leased.rs
+++ b/src/routing/picker/leased.rs
@@ -20,8 +20,9 @@
         let slots = |service: &ServiceName| {
             let mut servers = self.leasable(service)?.map(|t| t.server.slots);
             servers.try_fold(ServiceSlots { total: 0, largest: 0 }, |sum, slots| {
-                let slots = slots?;
-                Some(ServiceSlots { total: sum.total + slots, largest: sum.largest.max(slots) })
+                let slots = slots?.get();
+                let total = sum.total.saturating_add(slots);
+                Some(ServiceSlots { total, largest: sum.largest.max(slots) })
             })
         };
         self.by_service.keys().map(|service| (service.clone(), slots(service))).collect()
@@ -39,7 +40,7 @@
     pub fn slots_to_lease(&self, service: &ServiceName) -> Option<Vec<ServerSlots>> {
         let slots = |t: &Tracked| {
             let (server, zone) = (t.server.tag(), t.server.zone.clone());
-            Some(ServerSlots { server, slots: t.server.slots?, zone })
+            Some(ServerSlots { server, slots: t.server.slots?.get(), zone })
         };
         self.leasable(service)?.map(slots).collect()
     }
--- a/src/routing/picker/slots.rs
+++ b/src/routing/picker/slots.rs
@@ -31,6 +31,6 @@
         if !admission.has_recent_counts(now) {
             return Duration::ZERO;
         }
-        admission.wait(tracked.load.queued(now, load, slots), slots)
+        admission.wait(tracked.load.queued(now, load, slots.get()), slots.get())
     }
 }
--- a/src/routing/roster.rs
+++ b/src/routing/roster.rs
@@ -11,7 +11,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::{DecidedGap, Incarnation, ListReads, ReadSpan, StoreEra, store_version::SETTLING_TIME};
-use crate::names::{ServerId, ServiceName, SoftwareVersion, Tag, ZoneName};
+use crate::{
+    names::{ServerId, ServiceName, SoftwareVersion, Tag, ZoneName},
+    units::SlotCount,
+};
 
 /// Longest time for which an entry makes its server cold. Anybody may write an entry, with any number in it.
 const COLD_TIME_MAX: Duration = Duration::from_secs(24 * 3600);
@@ -34,7 +37,7 @@
     /// Whether it accepts no new requests.
     pub leaving: bool,
     /// Number of requests that it runs at once, if its entry states it.
-    pub slots: Option<u32>,
+    pub slots: Option<SlotCount>,
     /// Version of its software, if its entry states it.
     pub version: Option<SoftwareVersion>,
     /// How long it was still going to be cold when its entry was first read.
--- a/src/routing/server_list.rs
+++ b/src/routing/server_list.rs
@@ -11,6 +11,7 @@
 use super::{BackendServer, Incarnation};
 use crate::{
     configs::fleet::chunks::{decode, encode},
+    units::SlotCount,
     utils::deflate,
 };
 
@@ -89,7 +90,7 @@
     /// Returns the version of a list.
     pub fn of(list: &[BackendServer]) -> ListVersion {
         let entry = |s: &BackendServer| {
-            let (id, slots) = (&s.id, s.slots.unwrap_or(0));
+            let (id, slots) = (&s.id, s.slots.map_or(0, SlotCount::get));
             let version = s.version.as_ref().map_or("", |version| version.as_str());
             let cold = s.cold_for.as_millis();
             let text =
--- a/src/units.rs
+++ b/src/units.rs
@@ -1,9 +1,13 @@
 //! Newtypes for sizes, rates, durations and revisions, with `Display` and `FromStr`.
 
+mod slot_count;
+
 use std::{fmt, str::FromStr, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
+pub use self::slot_count::{SlotCount, SlotCountError};
+
 /// Why a text is no valid quantity.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum UnitError {
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -40,6 +40,7 @@
 mod log_sink;
 mod messages;
 mod notices;
+mod odd_rows;
 mod orders;
 mod overload;
 mod part_attribution;
--- a/tests/suite/overload.rs
+++ b/tests/suite/overload.rs
@@ -9,6 +9,7 @@
         AdmissionControl, AdmissionTerms, Aggregate, BackendServer, PickError, PickRequest, Picker,
         ResponseTimes, ServiceLoad, admission::FleetTotal,
     },
+    units::SlotCount,
 };
 use fastrand::Rng;
 
@@ -305,7 +306,10 @@
 #[test]
 fn each_kind_of_request_waits_by_its_own_target() {
     let now = Instant::now();
-    let with_slots = |id, port, slots| BackendServer { slots: Some(slots), ..server(id, port) };
+    let with_slots = |id, port, slots| BackendServer {
+        slots: Some(SlotCount::nearest(slots)),
+        ..server(id, port)
+    };
     let servers = [with_slots("a", 1, 10), with_slots("b", 2, 40)];
     let mut picker = picker(&servers);
     let service: ServiceName = "llm".parse().expect("a valid name");
--- a/tests/suite/scaling.rs
+++ b/tests/suite/scaling.rs
@@ -20,7 +20,7 @@
         PickRequest, Picker, Roster, StoreEra, StoreRates, StoreShare, StoreVersion,
         roster::RosterChange,
     },
-    units::Rate,
+    units::{Rate, SlotCount},
     utils::cached::Cached,
 };
 use standins::store::{StoreMode, StoreStandIn};
@@ -41,7 +41,7 @@
     let zone = |number: usize| ["north", "south", "east"][number % 3].parse().expect("a zone");
     let server = |number: usize| BackendServer {
         zone: zone(number),
-        slots: Some(16),
+        slots: Some(SlotCount::nearest(16)),
         ..server(&format!("s{number}"), 1 + number as u16)
     };
     (0..count).map(server).collect()
--- a/tests/suite/simulation.rs
+++ b/tests/suite/simulation.rs
@@ -7,7 +7,10 @@
     time::Instant,
 };
 
-use cartvane::routing::{Aggregate, BackendServer, FleetPosition, InFlightCount, Picker};
+use cartvane::{
+    routing::{Aggregate, BackendServer, FleetPosition, InFlightCount, Picker},
+    units::SlotCount,
+};
 
 use crate::routing::{server, set_servers};
 
@@ -83,7 +86,8 @@
 
 /// Returns servers with `slots` slots each.
 pub(crate) fn servers(count: u16, slots: u32) -> Vec<BackendServer> {
-    let with_slots = |s: BackendServer| BackendServer { slots: Some(slots), ..s };
+    let with_slots =
+        |s: BackendServer| BackendServer { slots: Some(SlotCount::nearest(slots)), ..s };
     (0..count).map(|i| with_slots(server(&format!("s{i}"), i))).collect()
 }
 
