--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -31,6 +31,13 @@
     pub slots: u32,
 }
 
+impl LoadReport {
+    /// Returns the requests that the server has taken.
+    fn taken(&self) -> f64 {
+        f64::from(self.running) + f64::from(self.waiting)
+    }
+}
+
 /// Change of an instance's phase per exchange: the golden ratio, whose multiples are distributed evenly over [0, 1).
 const PHASE_STEP: f64 = 0.618_033_988_75;
 
@@ -203,17 +210,16 @@
             return own + others;
         }
         let Some((report, at, own_at_report)) = self.report else { return own.max(fallback) };
-        let at_report = f64::from(report.running + report.waiting);
         let since = own - f64::from(own_at_report);
         let age = now.saturating_duration_since(at).as_secs_f64();
         let trust = 0.5_f64.powf(age / REPORT_HALF_LIFE.as_secs_f64());
-        let reported = (at_report + since).max(own);
+        let reported = (report.taken() + since).max(own);
         (trust * reported + (1.0 - trust) * fallback).max(own)
     }
 
     /// Returns the load of the last report, for the mean over a service.
     pub fn last_reported(&self) -> Option<f64> {
-        self.report.map(|(report, _, _)| f64::from(report.running + report.waiting))
+        self.report.map(|(report, _, _)| report.taken())
     }
 }
 
--- a/tests/suite/notices.rs
+++ b/tests/suite/notices.rs
@@ -15,9 +15,9 @@
 const SECOND: Duration = Duration::from_secs(1);
 
 /// Name and value.
-type Header = (&'static str, &'static str);
+pub(crate) type Header = (&'static str, &'static str);
 
-fn head(status: u16, headers: &[Header]) -> ResponseHead {
+pub(crate) fn head(status: u16, headers: &[Header]) -> ResponseHead {
     let header = |&(name, value)| (HeaderName::from_static(name), HeaderValue::from_static(value));
     let headers: HeaderMap = headers.iter().map(header).collect();
     ResponseHead { status: StatusCode::from_u16(status).expect("a status"), http10: false, headers }
--- a/tests/suite/odd_rows.rs
+++ b/tests/suite/odd_rows.rs
@@ -1,11 +1,17 @@
 //! Odd figures and rows that another writer has put among those of the platform: they are bounded or skipped, and what
 //! else is listed stays in use.
 
-use cartvane::{adapter::servers, adapter::store::StoreRow};
+use std::time::Instant;
+
+use cartvane::{
+    adapter::{responses, servers, store::StoreRow},
+    routing::{Load, LoadReport},
+};
 use serde_json::{Value, json};
 use standins::listed::Listed;
 
 use crate::{
+    notices::head,
     support::eventually,
     testbed::{self, Testbed, call},
 };
@@ -63,3 +69,20 @@
         assert!(is_used || reason.contains("slots"), "{reason}");
     }
 }
+
+// Guards against a response whose figures overflow in a sum, at which each pick of a server of its service panicked.
+#[test]
+fn a_load_that_no_server_can_have_is_not_believed() {
+    let reported =
+        |text: &'static str| responses::decode(&head(200, &[("x-server-load", text)])).load;
+    let believed = LoadReport { running: 3, waiting: 4096, slots: 8 };
+    assert_eq!(reported("3, 4096, 8, 17.5"), Some(believed));
+    for text in ["4294967295,4294967295,8", "0,4097,8", "0,0,4097", "1e3,0,8", "-1,0,8"] {
+        assert_eq!(reported(text), None, "{text}");
+    }
+    let mut load = Load::default();
+    let now = Instant::now();
+    load.report(now, LoadReport { running: u32::MAX, waiting: u32::MAX, ..believed });
+    assert!(load.estimate(now, 0.0) > 8e9);
+    assert!(load.last_reported().is_some_and(|load| load > 8e9));
+}
