fix(platform): bound times, weights and rates where they are decoded

`BoundedTime`, at most 30 days, is now what decodes each time from outside: a longer one is lowered, since it means that there is no limit in practice. Settings are rejected instead with an error that names the field and the maximum, as their author can correct them.

--- a/src/gateway/slot_leases/messages.rs
+++ b/src/gateway/slot_leases/messages.rs
@@ -9,6 +9,7 @@
 use crate::{
     names::{NodeName, ServiceName, Tag},
     routing::{LeaseId, SlotRequest},
+    units::bounded_time,
 };
 
 /// A message to the broker.
@@ -47,6 +48,7 @@
     /// The server.
     pub server: Tag,
     /// Time until the lease expires.
+    #[serde(deserialize_with = "bounded_time::deserialize")]
     pub time_left: Duration,
 }
 
@@ -71,6 +73,7 @@
         server: Tag,
         /// Time between the broker's receipt of the request and the grant, from which the instance derives the age of a
         /// grant that it reads late.
+        #[serde(deserialize_with = "bounded_time::deserialize")]
         waited: Duration,
     },
     /// The request waits for a slot.
@@ -85,6 +88,7 @@
         /// The lease that was requested.
         id: LeaseId,
         /// Delay after which its caller should retry.
+        #[serde(deserialize_with = "bounded_time::deserialize")]
         retry_after: Duration,
         /// Number of requests of the service that wait.
         queue: u32,
--- a/src/routing/admission/slot_request.rs
+++ b/src/routing/admission/slot_request.rs
@@ -7,7 +7,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::names::{Tag, ZoneName};
+use crate::{
+    names::{Tag, ZoneName},
+    units::bounded_time,
+};
 
 /// Id of a slot lease, drawn at random by the instance that asks for it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -38,8 +41,10 @@
     /// Hash that is the same when the caller sends the request again.
     pub digest: u64,
     /// Time until the request misses its target latency even if a slot is free.
+    #[serde(deserialize_with = "bounded_time::deserialize")]
     pub wait_max: Duration,
     /// Time until the request's deadline, at which an unused or lost lease expires.
+    #[serde(deserialize_with = "bounded_time::deserialize")]
     pub time_left: Duration,
     /// Servers that must not be used.
     pub excluded: Vec<Tag>,
--- a/src/routing/cold.rs
+++ b/src/routing/cold.rs
@@ -14,7 +14,7 @@
 use super::{Candidates, InstanceInfo};
 use crate::{
     names::{NodeName, Tag},
-    units::Rate,
+    units::{BoundedTime, Rate, bounded_time},
     zone::rendezvous,
 };
 
@@ -40,6 +40,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct ColdTerms {
     /// How long a server stays cold after its start.
+    #[serde(deserialize_with = "bounded_time::deserialize")]
     pub duration: Duration,
     /// Rate of requests that it can serve, from all callers together.
     pub rate: Rate,
@@ -56,7 +57,7 @@
     /// Returns whether one more request may be sent to a cold server with this `rate` (generic cell rate algorithm).
     pub fn grant(&mut self, now: Instant, server: Tag, rate: Rate) -> bool {
         self.due.retain(|_, due| now.saturating_duration_since(*due) < DUE_MAX_AGE);
-        let interval = Duration::from_secs_f64(1.0 / (rate.0 * GRANTED_SHARE));
+        let interval = BoundedTime::from_secs(1.0 / (rate.0 * GRANTED_SHARE)).get();
         let due = self.due.entry(server).or_insert(now);
         if *due > now + interval.mul_f64(BURST - 1.0) {
             return false;
--- a/src/routing/intent.rs
+++ b/src/routing/intent.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{ColdTerms, RouteTable, Teams};
-use crate::names::ServiceName;
+use crate::{names::ServiceName, units::bounded_time};
 
 /// Limits and kind of the backend servers of a service.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -27,8 +27,10 @@
     /// Largest body, in bytes.
     pub body_bytes: usize,
     /// Longest time from the first byte of a head to its end.
+    #[serde(deserialize_with = "bounded_time::deserialize")]
     pub head_time: Duration,
     /// Longest time that a connection stays open without a request.
+    #[serde(deserialize_with = "bounded_time::deserialize")]
     pub idle_time: Duration,
 }
 
--- a/src/routing/roster.rs
+++ b/src/routing/roster.rs
@@ -13,7 +13,7 @@
 use super::{DecidedGap, Incarnation, ListReads, ReadSpan, StoreEra, store_version::SETTLING_TIME};
 use crate::{
     names::{ServerId, ServiceName, SoftwareVersion, Tag, ZoneName},
-    units::SlotCount,
+    units::{SlotCount, bounded_time},
 };
 
 /// Longest time for which an entry makes its server cold. Anybody may write an entry, with any number in it.
@@ -41,6 +41,7 @@
     /// Version of its software, if its entry states it.
     pub version: Option<SoftwareVersion>,
     /// How long it was still going to be cold when its entry was first read.
+    #[serde(deserialize_with = "bounded_time::deserialize")]
     pub cold_for: Duration,
 }
 
--- a/src/routing/route.rs
+++ b/src/routing/route.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::HomeRegions;
-use crate::names::ServiceName;
+use crate::{names::ServiceName, units::bounded_time};
 
 /// Whether requests may be retried, and the form of the response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -63,10 +63,13 @@
     /// Whether requests may be retried, and the form of the response.
     pub kind: RouteKind,
     /// Longest time until the response is complete.
+    #[serde(deserialize_with = "bounded_time::deserialize")]
     pub timeout: Duration,
     /// Time within which a response (the first event of a stream) is on time.
+    #[serde(deserialize_with = "bounded_time::deserialize")]
     pub target_latency: Duration,
     /// For streams, the longest pause between events that is still on time.
+    #[serde(deserialize_with = "bounded_time::deserialize_option")]
     pub gap_target: Option<Duration>,
     /// Priority of its requests; 0 is the most urgent.
     pub priority: u8,
--- a/src/routing/stream_origins.rs
+++ b/src/routing/stream_origins.rs
@@ -16,6 +16,7 @@
 use super::{Candidates, InstanceInfo};
 use crate::{
     names::{ServiceName, SoftwareVersion, Tag},
+    units::bounded_time,
     zone::rendezvous,
 };
 
@@ -82,6 +83,7 @@
     /// Where it began.
     pub origin: StreamOrigin,
     /// How long its caller may still take it up.
+    #[serde(deserialize_with = "bounded_time::deserialize")]
     pub ttl: Duration,
 }
 
--- a/src/routing/version_sightings.rs
+++ b/src/routing/version_sightings.rs
@@ -10,7 +10,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::BackendServer;
-use crate::names::{ServiceName, SoftwareVersion};
+use crate::{
+    names::{ServiceName, SoftwareVersion},
+    units::bounded_time,
+};
 
 /// Time for which streams may be resumed after their version was last listed: longer than callers wait for a stream.
 pub const VERSION_RETENTION: Duration = Duration::from_secs(30);
@@ -54,6 +57,7 @@
     /// The version; `None` if servers state none.
     pub version: Option<SoftwareVersion>,
     /// Time since it was last listed.
+    #[serde(deserialize_with = "bounded_time::deserialize")]
     pub age: Duration,
 }
 
--- a/src/units.rs
+++ b/src/units.rs
@@ -1,11 +1,13 @@
 //! Newtypes for sizes, rates, durations and revisions, with `Display` and `FromStr`.
 
+pub mod bounded_time;
 mod slot_count;
 
 use std::{fmt, str::FromStr, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
+pub use self::bounded_time::BoundedTime;
 pub use self::slot_count::{SlotCount, SlotCountError};
 
 /// Why a text is no valid quantity.
--- a/tests/suite/odd_rows.rs
+++ b/tests/suite/odd_rows.rs
@@ -1,21 +1,33 @@
 //! Odd figures and rows that another writer has put among those of the platform: they are bounded or skipped, and what
 //! else is listed stays in use.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use cartvane::{
-    adapter::{responses, servers, store::StoreRow},
-    routing::{Load, LoadReport},
+    adapter::{headers, intent, responses, servers, settings, store::StoreRow},
+    configs::fleet::chunks,
+    gateway::slot_leases::messages::HeldLease,
+    link::http1::RequestHead,
+    names::Tag,
+    routing::{ColdGrants, LeaseId, Load, LoadReport, RolloutOrder},
+    units::Rate,
 };
 use serde_json::{Value, json};
-use standins::listed::Listed;
+use standins::{caller::Call, listed::Listed};
 
 use crate::{
     notices::head,
+    platform::boot,
     support::eventually,
-    testbed::{self, Testbed, call},
+    testbed::{self, KEY, Testbed, call, intent as intent_value},
 };
 
+/// Longest time that is accepted from outside.
+const TIME_MAX: Duration = Duration::from_secs(30 * 24 * 3600);
+
+/// Numbers of which a duration has no sum with an instant, or cannot be made.
+const TOO_LONG: [f64; 3] = [1e21, 1e22, 1e300];
+
 fn entry() -> Value {
     json!({
         "service": "app", "address": "10.0.0.1:80", "zone": "north", "version": "v1", "slots": 8,
@@ -86,3 +98,111 @@
     assert!(load.estimate(now, 0.0) > 8e9);
     assert!(load.last_reported().is_some_and(|load| load > 8e9));
 }
+
+// Guards against a deadline whose sum with the present time overflows, and against the rejection of a long one.
+#[test]
+fn a_caller_may_wait_for_any_time() {
+    let bed = testbed::start(1);
+    for millis in TOO_LONG {
+        let call = Call::post("/idem/", KEY, "body").with("x-request-id", millis);
+        let response = bed.send(&call.with("x-deadline-ms", millis));
+        assert_eq!(response.status, 200, "{millis}");
+        let text = format!(
+            "POST /a HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\nX-Deadline-Ms: {millis}\r\n\r\n"
+        );
+        let head = RequestHead::parse(text.as_bytes()).expect("a head");
+        let decoded = headers::decode_request(&head).expect("a request");
+        assert_eq!(decoded.timeout, Some(TIME_MAX), "{millis}");
+    }
+}
+
+// Guards against times of the configuration whose sum with the present time overflows: no caller got a response, and
+// the thread that watches idle connections ended.
+#[test]
+fn a_configuration_may_have_any_time() {
+    for field in ["header_timeout_ms", "idle_timeout_ms", "timeout_ms", "cold_start_s"] {
+        let mut value = intent_value(5);
+        for limit in ["header_timeout_ms", "idle_timeout_ms"] {
+            if limit == field {
+                value["limits"][limit] = 1e22.into();
+            }
+        }
+        value["services"][0]["cold_per_s"] = 1e-300.into();
+        value["services"][0][field] = 1e22.into();
+        for route in value["routes"].as_array_mut().expect("routes") {
+            route[field] = 1e22.into();
+        }
+        let bed = testbed::start(1);
+        value["version"] = 6.into();
+        bed.store.put("op", "config", &value);
+        eventually("the configuration is in use", || {
+            bed.instance.gateway().cluster_state.version() == 6
+        });
+        bed.store.put("op", "evacuate/north", &json!({}));
+        bed.store.remove("op", "evacuate/north");
+        for number in 0..3 {
+            let response = bed.send(&call("/idem/", &format!("{field}{number}")));
+            assert_eq!(response.status, 200, "{field}");
+        }
+        assert_list_is_followed(&bed, "further");
+    }
+}
+
+#[test]
+fn times_shares_and_rates_of_a_configuration_are_bounded() {
+    let mut value = intent_value(5);
+    for field in ["timeout_ms", "target_latency_ms", "gap_target_ms"] {
+        value["routes"][0][field] = 1e300.into();
+    }
+    value["routes"][0]["traffic_split"] =
+        json!([{"service": "app", "weight": 1.7e308}, {"service": "b", "weight": 1.7e308}]);
+    value["services"][0]["cold_per_s"] = 1e-300.into();
+    value["services"][0]["cold_start_s"] = 1e300.into();
+    let decoded = intent::decode(value.to_string().as_bytes()).expect("a configuration");
+    let route = decoded.routes.find("cartvane", "/idem/x").expect("a route");
+    assert_eq!((route.timeout, route.target_latency), (TIME_MAX, TIME_MAX));
+    assert_eq!(route.gap_target, Some(TIME_MAX));
+    let of = |hash| route.service_for(hash).map(ToString::to_string);
+    assert_eq!((of(0), of(u64::MAX)), (Some("app".to_owned()), Some("b".to_owned())));
+    let (_, service) = decoded.services.first().expect("a service");
+    let cold = service.cold.expect("cold terms");
+    assert_eq!(cold.duration, TIME_MAX);
+    let server = servers::decode(&row(&entry())).expect("a server").tag();
+    for _ in 0..5 {
+        // May be granted or not, and does not panic.
+        ColdGrants::default().grant(Instant::now(), server, cold.rate);
+        ColdGrants::default().grant(Instant::now(), server, Rate(1e-300));
+    }
+}
+
+// Guards against a process that ends at its start with a trace instead of an error that names the setting.
+#[test]
+fn a_time_in_the_settings_that_is_too_long_is_named() {
+    for (field, value) in [("drain_ms", 1e300), ("grace_s", 1e22), ("retry_window_s", 1e10)] {
+        let mut boot = boot();
+        boot["bounds"][field] = value.into();
+        let decoded = settings::decode(boot.to_string().as_bytes(), "boot.json");
+        let error = decoded.expect_err(field).to_string();
+        assert!(error.contains(field) && error.contains("at most"), "{error}");
+    }
+}
+
+// Guards against a time in a message or a row whose sum with the present time overflows.
+#[test]
+fn a_time_of_another_instance_is_bounded() {
+    let held = |time_left| HeldLease {
+        id: LeaseId(1),
+        service: "app".parse().expect("a name"),
+        server: Tag(1),
+        time_left,
+    };
+    let order = |time_limit| RolloutOrder { to: "v2".parse().expect("a version"), time_limit };
+    let minute = Duration::from_secs(60);
+    for (sent, expected) in [(Duration::MAX, TIME_MAX), (minute, minute)] {
+        let lease: HeldLease = chunks::decode(&chunks::encode(&held(sent))).expect("a lease");
+        assert_eq!(lease.time_left, expected);
+        let decoded: RolloutOrder =
+            chunks::decode(&chunks::encode(&order(sent))).expect("an order");
+        assert_eq!(decoded.time_limit, expected);
+    }
+}
--- a/tests/suite/platform.rs
+++ b/tests/suite/platform.rs
@@ -11,7 +11,7 @@
 };
 use serde_json::{Value, json};
 
-fn boot() -> Value {
+pub(crate) fn boot() -> Value {
     json!({
         "node_name": "edge-north-1", "role": "router", "zone": "north", "region": "r",
         "listen": {
