fix(routing): sum figures of other instances without an overflow

Counts in the reports of other instances (requests in flight, retries, responses and requests of a roll-out) and fencing numbers in rows of roll-outs were added as they came. Two reports with the largest number overflow: in a debug build the thread that answers exchanges ends, in release the sum wraps to nearly nothing. Sums saturate now, or are made in a wider type, and so do the next term and step of a roll-out.

--- a/src/gateway/rollout_controller.rs
+++ b/src/gateway/rollout_controller.rs
@@ -144,7 +144,7 @@
         publish(gateway, began, RolloutState::of(service, &record));
         return None;
     }
-    record.term = record.term.max(term + 1);
+    record.term = record.term.max(term.saturating_add(1));
     record.barred.extend(lock(&gateway.rollouts.states).unproven(service).cloned());
     record.renewed_ms = now_ms;
     let row = RecordRow { service: service.clone(), version: expected, record };
@@ -271,7 +271,7 @@
     if let Some(published) = &held.published {
         state.step = published.step;
         if state != *published {
-            state.step += 1;
+            state.step = state.step.saturating_add(1);
         }
     }
     held.published = Some(state.clone());
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -241,7 +241,7 @@
             let Some(known) = known else { return };
             RolloutState {
                 stage: Stage::RolledBack,
-                step: known.step + 1,
+                step: known.step.saturating_add(1),
                 share: 0.0,
                 is_written: false,
                 ..known.clone()
--- a/src/routing/aggregate.rs
+++ b/src/routing/aggregate.rs
@@ -49,7 +49,7 @@
 
 impl ServiceLoad {
     fn new(service: &ServiceName, mut counts: Vec<InFlightCount>) -> ServiceLoad {
-        let sum: u32 = counts.iter().map(|(_, count)| count).sum();
+        let sum: u64 = counts.iter().map(|(_, count)| u64::from(*count)).sum();
         let mean = sum as f32 / counts.len().max(1) as f32;
         let is_complete = counts.len() <= LISTED_ALL_MAX;
         if !is_complete {
@@ -148,7 +148,8 @@
                 continue;
             }
             for &(server, count) in counts {
-                *sums.entry(server).or_default() += count;
+                let sum = sums.entry(server).or_default();
+                *sum = sum.saturating_add(count);
             }
         }
         let mut services: IndexMap<&ServiceName, Vec<InFlightCount>> = IndexMap::new();
--- a/src/routing/crash_suspects/table.rs
+++ b/src/routing/crash_suspects/table.rs
@@ -55,7 +55,7 @@
 
     fn of(update: &VerdictUpdate, now_ms: u64) -> HeldRow {
         let total = u64::try_from(HOLD_DURATION.as_millis()).unwrap_or(u64::MAX);
-        let until_ms = now_ms + total.saturating_sub(update.age_ms);
+        let until_ms = now_ms.saturating_add(total.saturating_sub(update.age_ms));
         let VerdictUpdate { digest, fingerprint, kind, .. } = *update;
         HeldRow { digest, fingerprint, until_ms, kind }
     }
--- a/src/routing/fleet_budget.rs
+++ b/src/routing/fleet_budget.rs
@@ -179,7 +179,8 @@
             *sustained.entry(&report.service).or_default() += report.sustained;
         }
         let spent = |service: &ServiceName| {
-            self.spent.get(service).map_or(0, |spent| spent.iter().map(|(_, count)| count).sum())
+            let spent = self.spent.get(service).into_iter().flatten();
+            spent.fold(0, |sum: u32, (_, count)| sum.saturating_add(*count))
         };
         let sum = |(service, sustained): (&ServiceName, f64)| BudgetSum {
             service: service.clone(),
--- a/src/routing/rollout/evaluation.rs
+++ b/src/routing/rollout/evaluation.rs
@@ -188,8 +188,9 @@
         let before = known.map(|known| &known.report);
         let since =
             |count: u64, of: fn(&RolloutReport) -> u64| count.saturating_sub(before.map_or(0, of));
-        self.sent += since(report.sent, |before| before.sent);
-        self.sent_new += since(report.sent_new, |before| before.sent_new);
+        self.sent = self.sent.saturating_add(since(report.sent, |before| before.sent));
+        let sent_new = since(report.sent_new, |before| before.sent_new);
+        self.sent_new = self.sent_new.saturating_add(sent_new);
         let new: Vec<ResponseCounts> =
             report.responses.iter().map(|counts| counts.since(before)).collect();
         self.reporters.insert(node.clone(), Reporter { at: now, run, report });
@@ -311,7 +312,8 @@
     /// Returns the number of requests in flight at servers of other versions.
     pub fn in_flight_old(&self, now: Instant) -> u32 {
         let is_recent = |r: &&Reporter| now.saturating_duration_since(r.at) <= REPORT_MAX_AGE;
-        self.reporters.values().filter(is_recent).map(|r| r.report.in_flight_old).sum()
+        let recent = self.reporters.values().filter(is_recent);
+        saturating_sum(recent.map(|r| r.report.in_flight_old))
     }
 }
 
@@ -341,7 +343,7 @@
 
     /// Returns the usual performance of the old version, once there are enough responses.
     fn baseline(&self, now: Instant) -> Option<Baseline> {
-        let all: u32 = self.all.values().sum();
+        let all = saturating_sum(self.all.values().copied());
         let is_old = now.saturating_duration_since(self.first) >= OLD_ROUTE_AGE;
         if all < if is_old { BASELINE_MIN_OLD_ROUTE } else { BASELINE_MIN } {
             return None;
@@ -351,7 +353,7 @@
         let usual = (f64::from(failures) + 1.0) / (f64::from(all) + 2.0);
         // If both versions fail or are slow at once, as in a burst of requests, that is evidence against neither.
         let (failures, successes) = split(&self.window, slow_from);
-        let (failures, all) = (f64::from(failures), f64::from(failures + successes));
+        let (failures, all) = (f64::from(failures), f64::from(failures) + f64::from(successes));
         let is_unusual =
             failures > usual * all + UNUSUAL_DEVIATIONS * (usual * all).sqrt() + UNUSUAL_RESPONSES;
         let failures = if is_unusual { failures / all } else { usual };
@@ -379,17 +381,23 @@
 
 fn add(to: &mut Bins, bins: &[(TimeBin, u32)]) {
     for &(bin, count) in bins {
-        *to.entry(bin).or_default() += count;
+        let sum = to.entry(bin).or_default();
+        *sum = sum.saturating_add(count);
     }
 }
 
+/// Returns the sum of counts, which other instances have reported.
+fn saturating_sum(counts: impl Iterator<Item = u32>) -> u32 {
+    counts.fold(0, u32::saturating_add)
+}
+
 /// Returns the first bin that counts as slow.
 fn slow_from(old: &Bins) -> TimeBin {
     let times = || old.iter().filter(|(bin, _)| bin.is_time());
-    let half = times().map(|(_, count)| count).sum::<u32>().div_ceil(2);
-    let mut count = 0;
+    let half = saturating_sum(times().map(|(_, count)| *count)).div_ceil(2);
+    let mut count = 0_u32;
     let median = times().find(|(_, n)| {
-        count += **n;
+        count = count.saturating_add(**n);
         count >= half
     });
     let Some((median, _)) = median else { return TimeBin::UNTIMED };
@@ -401,7 +409,7 @@
     let is_failure = |bin: &TimeBin| *bin == TimeBin::FAILED || bin.is_time() && *bin >= slow_from;
     let count = |failures: bool| {
         let counts = bins.iter().filter(|(bin, _)| is_failure(bin) == failures);
-        counts.map(|(_, count)| count).sum()
+        saturating_sum(counts.map(|(_, count)| *count))
     };
     (count(true), count(false))
 }
--- a/src/routing/rollout/record.rs
+++ b/src/routing/rollout/record.rs
@@ -51,7 +51,7 @@
         }
         barred.retain(|version| *version != order.to);
         barred.dedup();
-        let term = former.map_or(1, |former| former.term + 1);
+        let term = former.map_or(1, |former| former.term.saturating_add(1));
         let stage = Stage::Trial;
         RolloutRecord {
             order,
--- a/tests/suite/odd_rows.rs
+++ b/tests/suite/odd_rows.rs
@@ -9,7 +9,11 @@
     gateway::slot_leases::messages::HeldLease,
     link::http1::RequestHead,
     names::Tag,
-    routing::{ColdGrants, LeaseId, Load, LoadReport, RolloutOrder},
+    routing::{
+        Aggregate, BackendServer, ColdGrants, FailureDomains, FleetBudget, FleetSpentReport,
+        LeaseId, Load, LoadReport, ResponseCounts, RetrySpending, RolloutOrder, RolloutRecord,
+        RolloutReport, RunId, TimeBin, VersionEvaluation,
+    },
     units::Rate,
 };
 use serde_json::{Value, json};
@@ -206,3 +210,54 @@
         assert_eq!(decoded.time_limit, expected);
     }
 }
+
+// Guards against counts of other instances that overflow in a sum, which ended the thread that exchanges reports.
+#[test]
+fn counts_of_other_instances_do_not_overflow_in_sums() {
+    let now = Instant::now();
+    let node = |number: u64| format!("n{number}").parse().expect("a name");
+    let server = servers::decode(&row(&entry())).expect("a server");
+    let twin = BackendServer { id: "b".parse().expect("an id"), ..server.clone() };
+    let mut aggregate = Aggregate::default();
+    let mut budget = FleetBudget::new(RunId(1), Duration::from_secs(10));
+    let mut evaluation = VersionEvaluation::new("v2".parse().expect("a version"));
+    evaluation.set_domains(FailureDomains::new([(server.tag(), Tag(0))].into_iter()));
+    for number in 0..3 {
+        let at = now + Duration::from_millis(500 * number);
+        let counts = vec![(server.tag(), u32::MAX), (twin.tag(), u32::MAX)];
+        aggregate.record_counts(at, node(number), counts);
+        let spending = RetrySpending {
+            service: server.service.clone(),
+            total: u64::MAX,
+            uncounted: u32::MAX,
+            fleet_spent: Some(FleetSpentReport { aggregator: RunId(2), spent: u32::MAX }),
+            sustained: 1.0,
+        };
+        budget.record_report(at, &node(number), RunId(number), vec![spending]);
+        let bins = || vec![(TimeBin::FAILED, u32::MAX), (TimeBin::UNTIMED, u32::MAX)];
+        let counts = |server| ResponseCounts { route: Tag(1), server, bins: bins() };
+        let report = RolloutReport {
+            service: server.service.clone(),
+            to: "v2".parse().expect("a version"),
+            sent: u64::MAX,
+            sent_new: u64::MAX,
+            in_flight_old: u32::MAX,
+            responses: vec![counts(None), counts(Some(server.tag()))],
+        };
+        evaluation.add_report(at, &node(number), RunId(number), report);
+    }
+    let loads = aggregate.summary(now + Duration::from_secs(1), [&server, &twin].into_iter());
+    assert_eq!(loads[0].counts, [(server.tag(), u32::MAX), (twin.tag(), u32::MAX)]);
+    assert!((loads[0].mean - u32::MAX as f32).abs() < 1e3, "{}", loads[0].mean);
+    assert_eq!(budget.sums(now + Duration::from_secs(2))[0].spent, u32::MAX);
+    assert_eq!(evaluation.in_flight_old(now + Duration::from_secs(1)), u32::MAX);
+    assert_eq!(evaluation.sent(), (u64::MAX, u64::MAX));
+    assert!(evaluation.regression_score().is_finite());
+    let record = RolloutRecord::first(order(), node(0), u64::MAX, None);
+    let last = RolloutRecord { term: u64::MAX, ..record };
+    assert_eq!(RolloutRecord::first(order(), node(1), 0, Some(&last)).term, u64::MAX);
+}
+
+fn order() -> RolloutOrder {
+    RolloutOrder { to: "v2".parse().expect("a version"), time_limit: TIME_MAX }
+}
