feat(gateway): start the work of a thread again after a panic

Seen: a panic of the thread `roster` ends it, with a trace on standard error only; the list is not followed any more and the instance goes on to report that it is ready. Episodic threads (probes, gaps, roll-outs, slot ticks) leave a flag set and never start again.

All threads of an instance now run under utils/supervisor: a panic is caught, logged as one line (`thread_panicked`, with the panic's text and place by a panic hook), counted in `cartvane_thread_panics`, and the work is started again after 0.1 s, doubled up to 2 s. Threads for one call or connection are caught as well and leave their state as after a failure. The threads intent, roster and peers may not keep ending: after three panics in succession the instance is not ready until 5 s have passed without one. That cannot empty a zone, as the platform uses all instances of a zone of which fewer than half are in rotation. The thread roster first puts the known list into use again, which a panic may have prevented. In the program the panics of all other threads are logged, too.

Not included: the threads of gateway/stream_origins and those of the router mode in src/instance.

--- a/src/cli/gateway.rs
+++ b/src/cli/gateway.rs
@@ -10,6 +10,7 @@
     adapter::settings,
     context::Context,
     gateway::{GatewayHandle, log_sink},
+    utils::supervisor,
 };
 
 pub(super) const COMMAND: Command = Command {
@@ -35,6 +36,7 @@
     let settings = settings::read(cx).map_err(|e| CommandError::Refused(e.to_string()))?;
     log_sink::start(settings.node.as_str(), level, &cx.clock)
         .map_err(|e| CommandError::Refused(e.to_string()))?;
+    supervisor::log_all_panics();
     let instance = GatewayHandle::spawn(settings, &cx.clock)
         .map_err(|e| CommandError::Refused(format!("{e:#}")))?;
     for signal in signals.forever() {
--- a/src/gateway/crash_checks.rs
+++ b/src/gateway/crash_checks.rs
@@ -21,7 +21,7 @@
 use crate::{
     link::http1::{Conn, conn::ConnState},
     routing::{BackendServer, Incarnation, Suspect, server_contacts::CONTACT_TIME},
-    utils::sync::lock,
+    utils::{supervisor, sync::lock},
 };
 
 /// Timeout for the connection that checks whether a server has crashed: many round trips within a region. The request
@@ -91,7 +91,13 @@
         }
         let server = Arc::clone(server);
         let id = server.id.clone();
-        let watching = move || gateway.watch_for_crash(&server, conn);
+        let watching = move || {
+            let watched = supervisor::catch("crash", || gateway.watch_for_crash(&server, conn));
+            if watched.is_none() {
+                // Otherwise the server would count as watched for as long as it runs.
+                gateway.crash_checks.end_doubt(&server.id);
+            }
+        };
         if let Err(fault) = thread::Builder::new().name("crash".to_owned()).spawn(watching) {
             log::warn!("event=crash_not_checked server={id} reason={:?}", fault.to_string());
             lock(&self.doubts).shift_remove(&id);
--- a/src/gateway/gap_check.rs
+++ b/src/gateway/gap_check.rs
@@ -99,7 +99,7 @@
         if self.is_running.swap(true, Ordering::SeqCst) {
             return;
         }
-        let spawned = thread::Builder::new().name("gap".to_owned()).spawn(move || {
+        let spawned = gateway.spawn_thread("gap", |gateway| {
             gateway.decide_list_gap();
             gateway.gap_check.is_running.store(false, Ordering::SeqCst);
             // A gap that was found in the meantime.
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -1,6 +1,6 @@
 //! The handle of a running instance.
 
-use std::{net::SocketAddr, sync::Arc, thread};
+use std::{net::SocketAddr, sync::Arc};
 
 use anyhow::Context as _;
 
@@ -54,12 +54,12 @@
         let peers = serve_peers(&gateway, &idle)?;
         gateway.peers.advertise(peers.address());
         gateway.start_stream_versions(peers.address(), idle.clone());
-        spawn_thread(&gateway, "start", startup::run)?;
-        spawn_thread(&gateway, "intent", intent_reader::run)?;
-        spawn_thread(&gateway, "roster", roster_reader::run)?;
-        spawn_thread(&gateway, "peers", exchange::run)?;
-        spawn_thread(&gateway, "table", instance_table::run)?;
-        spawn_thread(&gateway, "held", held_table::run)?;
+        gateway.spawn_thread("start", startup::run)?;
+        gateway.spawn_required_thread("intent", intent_reader::run)?;
+        gateway.spawn_required_thread("roster", roster_reader::run)?;
+        gateway.spawn_required_thread("peers", exchange::run)?;
+        gateway.spawn_thread("table", instance_table::run)?;
+        gateway.spawn_thread("held", held_table::run)?;
         gateway.slot_leases.attach(&gateway);
         gateway.path_probes.attach(&gateway);
         gateway.gap_check.attach(&gateway);
@@ -120,13 +120,3 @@
         self.gateway.stop();
     }
 }
-
-fn spawn_thread(
-    gateway: &Arc<Gateway>,
-    name: &str,
-    run: impl Fn(&Arc<Gateway>) + Send + 'static,
-) -> anyhow::Result<()> {
-    let gateway = Arc::clone(gateway);
-    thread::Builder::new().name(name.to_owned()).spawn(move || run(&gateway))?;
-    Ok(())
-}
--- a/src/gateway/intent_relay.rs
+++ b/src/gateway/intent_relay.rs
@@ -11,7 +11,7 @@
 use super::{Gateway, intent_reader};
 use crate::{
     routing::{OrdersSnapshot, PackedChange, fanout},
-    utils::sync::lock,
+    utils::{supervisor, sync::lock},
 };
 
 /// Path of an offer.
@@ -78,7 +78,7 @@
         let gateway = Arc::clone(gateway);
         let spawned = thread::Builder::new()
             .name("spread".to_owned())
-            .spawn(move || relay_to_part(&gateway, &part));
+            .spawn(move || supervisor::catch("spread", || relay_to_part(&gateway, &part)));
         if let Err(fault) = spawned {
             // The instances of the part learn of the change in the exchange.
             log::warn!("event=not_handed_on reason={:?}", fault.to_string());
--- a/src/gateway/log_sink.rs
+++ b/src/gateway/log_sink.rs
@@ -14,7 +14,11 @@
 use log::{Level, LevelFilter};
 
 use crate::{
-    clock::Clock, contract::token_bucket::TokenBucket, logging, units::Rate, utils::sync::lock,
+    clock::Clock,
+    contract::token_bucket::TokenBucket,
+    logging,
+    units::Rate,
+    utils::{supervisor, sync::lock},
 };
 
 /// Maximum number of queued lines; further ones are dropped and counted.
@@ -67,7 +71,7 @@
     let (tx, rx) = sync_channel(QUEUE_LINES_MAX);
     let dropped = Arc::new(AtomicU64::new(0));
     let counted = Arc::clone(&dropped);
-    thread::Builder::new().name("log".to_owned()).spawn(move || write_all(&rx, &counted))?;
+    supervisor::spawn("log", clock, || true, move || write_all(&rx, &counted))?;
     let info_bucket = Mutex::new(TokenBucket::new(INFO_LINE_RATE, clock.now()));
     let (instance, clock) = (instance.to_owned(), clock.clone());
     fern::Dispatch::new()
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -60,6 +60,7 @@
 
 use std::{
     collections::HashSet,
+    io,
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
@@ -103,7 +104,12 @@
         BudgetSum, BufferKind, CallKind, Incarnation, OrdersSnapshot, PickError, PickRequest,
         Picked, Picker, RetryBudget, RetrySpending, StoreShare, SuspectKind,
     },
-    utils::{signal::Signal, sync::lock, usage::Usage},
+    utils::{
+        signal::Signal,
+        supervisor::{self, RequiredThreads},
+        sync::lock,
+        usage::Usage,
+    },
 };
 
 /// Maximum number of connections to a server whose service is not in the intent.
@@ -147,6 +153,8 @@
     gap_check: GapCheck,
     /// Drain before the process stops.
     pub drain: Drain,
+    /// Threads without which the instance must not get new callers.
+    required_threads: RequiredThreads,
     /// Whether the handle of the instance was dropped.
     is_stopped: AtomicBool,
     /// Set when this instance becomes the aggregator, which reads the store for the others.
@@ -198,6 +206,7 @@
             path_probes: PathProbes::default(),
             gap_check: GapCheck::default(),
             drain: Drain::open().context("cannot create a pipe")?,
+            required_threads: RequiredThreads::default(),
             is_stopped: AtomicBool::new(false),
             store_read_requested: Signal::default(),
             usage: Usage::default(),
@@ -219,6 +228,38 @@
         self.rollouts.wakeup.set();
     }
 
+    /// Starts a thread of the instance, whose work is started again after a panic until the instance stops.
+    ///
+    /// # Errors
+    ///
+    /// The thread cannot be started.
+    fn spawn_thread(
+        self: &Arc<Self>,
+        name: &'static str,
+        work: impl Fn(&Arc<Gateway>) + Send + 'static,
+    ) -> io::Result<()> {
+        let (gateway, running) = (Arc::clone(self), Arc::clone(self));
+        supervisor::spawn(name, &self.clock, move || running.is_running(), move || work(&gateway))
+    }
+
+    /// As [`Gateway::spawn_thread`], for a thread without which the instance must not get new callers.
+    ///
+    /// # Errors
+    ///
+    /// The thread cannot be started.
+    fn spawn_required_thread(
+        self: &Arc<Self>,
+        name: &'static str,
+        work: impl Fn(&Arc<Gateway>) + Send + 'static,
+    ) -> io::Result<()> {
+        let gateway = Arc::clone(self);
+        let run = move || {
+            let (threads, is_running) = (&gateway.required_threads, || gateway.is_running());
+            threads.keep_running(name, &gateway.clock, is_running, || work(&gateway));
+        };
+        thread::Builder::new().name(name.to_owned()).spawn(run).map(drop)
+    }
+
     /// Returns whether the instance has not been stopped.
     fn is_running(&self) -> bool {
         !self.is_stopped.load(Ordering::Relaxed)
@@ -432,6 +473,9 @@
         self.metrics.tunnels_served(self.tunnels.served());
         self.update_reach_gauges();
         self.update_lease_gauges();
+        for (thread, count) in supervisor::panics() {
+            self.metrics.thread_panics(&thread, count);
+        }
         self.metrics.log_lines_left_out(log_sink::take_dropped());
     }
 
@@ -449,7 +493,11 @@
         // The picker receives a list after the cluster state, and without servers it refuses all requests.
         let has_servers = lock(&self.picker).has_servers();
         let is_complete = has_servers && self.cluster_state.intent().is_some();
-        is_complete && !self.drain.is_draining() && !self.is_out_of_date(self.clock.now())
+        let now = self.clock.now();
+        // What this instance knows gets ever older while one of these threads keeps ending. If the same row ends them at
+        // all instances, the platform goes on to use all of them.
+        let is_informed = !self.is_out_of_date(now) && self.required_threads.failing(now).is_none();
+        is_complete && !self.drain.is_draining() && is_informed
     }
 
     /// Returns whether the active intent has been outdated for longer than a change may take to apply. New callers
--- a/src/gateway/path_probes.rs
+++ b/src/gateway/path_probes.rs
@@ -47,9 +47,7 @@
         if self.is_running.swap(true, Ordering::SeqCst) {
             return;
         }
-        let spawned = thread::Builder::new().name("probes".to_owned()).spawn(move || {
-            gateway.probe_paths();
-        });
+        let spawned = gateway.spawn_thread("probes", |gateway| gateway.probe_paths());
         if let Err(fault) = spawned {
             log::warn!("event=not_probed reason={:?}", fault.to_string());
             self.is_running.store(false, Ordering::SeqCst);
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -14,7 +14,7 @@
     exchange::{ExchangeOptions, exchange_for, log_silent},
     messages::ExchangePurpose,
 };
-use crate::utils::sync::lock;
+use crate::utils::{supervisor, sync::lock};
 
 /// Probes a silent instance of higher rank, if there is one and no probe is in progress.
 pub(super) fn probe_silent(gateway: &Arc<Gateway>) {
@@ -31,10 +31,12 @@
     let probe = move || {
         let peers = &for_thread.peers;
         let purpose = ExchangePurpose::Query;
-        match exchange_for(&for_thread, silent.address, purpose, ExchangeOptions::PROBE) {
+        let options = ExchangeOptions::PROBE;
+        let ask = || match exchange_for(&for_thread, silent.address, purpose, options) {
             Ok(()) => lock(&peers.takeover).note_reply(&silent.node),
             Err(fault) => log_silent(&silent.node, &fault),
-        }
+        };
+        supervisor::catch("probe", ask);
         peers.is_probing.store(false, Ordering::Relaxed);
     };
     if let Err(fault) = thread::Builder::new().name("probe".to_owned()).spawn(probe) {
--- a/src/gateway/rollout_controller.rs
+++ b/src/gateway/rollout_controller.rs
@@ -3,7 +3,6 @@
 
 use std::{
     sync::{Arc, atomic::Ordering},
-    thread,
     time::{Duration, Instant},
 };
 
@@ -52,9 +51,7 @@
     if !rollouts.has_unfinished() || rollouts.is_controller_running.swap(true, Ordering::Relaxed) {
         return;
     }
-    let shared = Arc::clone(gateway);
-    let spawned = thread::Builder::new().name("rollouts".to_owned()).spawn(move || run(&shared));
-    if let Err(fault) = spawned {
+    if let Err(fault) = gateway.spawn_thread("rollouts", run) {
         rollouts.is_controller_running.store(false, Ordering::Relaxed);
         log::error!("event=rollouts_not_kept reason={:?}", fault.to_string());
     }
--- a/src/gateway/roster_reader.rs
+++ b/src/gateway/roster_reader.rs
@@ -28,6 +28,10 @@
 
 /// Keeps the list up to date until the instance stops: carries out the steps that `routing::roster_watch` decides on.
 pub fn run(gateway: &Arc<Gateway>) {
+    // After a panic of this thread, a list may be known without being in use.
+    if gateway.cluster_state.with_servers(|roster| roster.as_of().is_some()) {
+        gateway.servers_changed();
+    }
     let mut watch = RosterWatch::new(gateway.settings.bounds.server_drain_time);
     let mut store_lost = false;
     while gateway.is_running() {
--- a/src/gateway/slot_leases/client.rs
+++ b/src/gateway/slot_leases/client.rs
@@ -23,7 +23,7 @@
     routing::{
         BrokerChoice, Candidates, InstanceInfo, LeaseId, LeaseTimes, RESPONSE_TIMEOUT, SlotRequest,
     },
-    utils::sync::lock,
+    utils::{supervisor, sync::lock},
 };
 
 /// Stack of the thread that reads a broker's messages; its deepest call decodes one message.
@@ -173,7 +173,11 @@
         let spawned = thread::Builder::new()
             .name("slot-stream".to_owned())
             .stack_size(READER_STACK_BYTES)
-            .spawn(move || client.run_link(&reading));
+            .spawn(move || {
+                if supervisor::catch("slot-stream", || client.run_link(&reading)).is_none() {
+                    client.give_up_link(&reading, "ended");
+                }
+            });
         if let Err(error) = spawned {
             log::warn!("event=no_slot_stream peer={} reason=\"{error}\"", link.node);
             link.close();
--- a/src/gateway/slot_leases/server.rs
+++ b/src/gateway/slot_leases/server.rs
@@ -276,8 +276,7 @@
         let Some(gateway) = gateway.filter(|_| !is_ticking.swap(true, Ordering::Relaxed)) else {
             return;
         };
-        let thread = thread::Builder::new().name("slots".to_owned());
-        if let Err(error) = thread.spawn(move || run(&gateway)) {
+        if let Err(error) = gateway.spawn_thread("slots", run) {
             log::warn!("event=no_slot_ticks reason=\"{error}\"");
             is_ticking.store(false, Ordering::Relaxed);
         }
--- a/src/link/idle.rs
+++ b/src/link/idle.rs
@@ -21,7 +21,7 @@
 use crate::{
     clock::Clock,
     link::http1::{Conn, conn::ConnState},
-    utils::sync::lock,
+    utils::{supervisor, sync::lock},
 };
 
 /// Maximum number of events read at once.
@@ -106,9 +106,8 @@
         let monitor = Arc::new(Monitor { epoll, clock, wake_writer, state });
         let thread_monitor = Arc::clone(&monitor);
         // The thread owns the read ends of the pipes and runs as long as the process.
-        thread::Builder::new()
-            .name("idle".to_owned())
-            .spawn(move || thread_monitor.run(&wake_reader, &closing))?;
+        let run = move || thread_monitor.run(&wake_reader, &closing);
+        supervisor::spawn("idle", &monitor.clock, || true, run)?;
         Ok(IdleMonitor { monitor })
     }
 
--- a/src/link/listener.rs
+++ b/src/link/listener.rs
@@ -17,6 +17,7 @@
         http1::Conn,
         idle::{IdleConn, IdleMonitor},
     },
+    utils::supervisor,
 };
 
 /// Stack size of a connection's thread in bytes. Only the pages that are used take memory.
@@ -82,9 +83,11 @@
         let service = Arc::clone(self);
         let thread = thread::Builder::new().name("conn".to_owned()).stack_size(THREAD_STACK_BYTES);
         let spawned = thread.spawn(move || {
-            if let ConnOutcome::Idle(conn) = (service.serve)(conn) {
-                service.watch_idle(conn, guard);
-            }
+            supervisor::catch("conn", || {
+                if let ConnOutcome::Idle(conn) = (service.serve)(conn) {
+                    service.watch_idle(conn, guard);
+                }
+            });
         });
         if let Err(error) = spawned {
             // The connection is dropped, so its caller sees that it is closed.
@@ -160,7 +163,8 @@
         let open_connections = Arc::new(AtomicUsize::new(0));
         let (stop, count) = (Arc::clone(&stopped), Arc::clone(&open_connections));
         let service = Arc::new(ConnService { serve, idle, clock: clock.clone() });
-        let thread = thread::Builder::new().name("accept".to_owned()).spawn(move || {
+        let (supervised, stopping) = (clock.clone(), Arc::clone(&stop));
+        let accept = move || {
             while !stop.load(Ordering::SeqCst) {
                 let Ok((stream, _)) = listener.accept() else {
                     thread::sleep(ACCEPT_PAUSE);
@@ -177,6 +181,10 @@
                 count.fetch_add(1, Ordering::SeqCst);
                 service.spawn(conn, OpenConnectionGuard(Arc::clone(&count)));
             }
+        };
+        let thread = thread::Builder::new().name("accept".to_owned()).spawn(move || {
+            let is_needed = || !stopping.load(Ordering::SeqCst);
+            supervisor::keep_running("accept", &supervised, is_needed, accept);
         })?;
         Ok(Listener { address, stopped, open_connections, thread: Some(thread) })
     }
--- a/src/metrics/instruments.rs
+++ b/src/metrics/instruments.rs
@@ -56,6 +56,7 @@
     pub(super) unreached_servers: Gauge<u64>,
     pub(super) tunnels: Counter<u64>,
     pub(super) tunnels_served: Gauge<u64>,
+    pub(super) thread_panics: Gauge<u64>,
 }
 
 impl Instruments {
@@ -213,6 +214,10 @@
                 "cartvane_tunnels",
                 "Requests to other instances for a tunnel to a server, by service and result",
             ),
+            thread_panics: gauge(
+                "cartvane_thread_panics",
+                "Panics since the start of the process, by thread; its work was started again",
+            ),
             tunnels_served: gauge(
                 "cartvane_tunnels_served",
                 "Tunnels that this instance serves to others",
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -293,6 +293,11 @@
             .add(1, &[label("service", service), label("notice", notice)]);
     }
 
+    /// Sets the number of panics of a thread.
+    pub fn thread_panics(&self, thread: &str, count: u64) {
+        self.instruments.thread_panics.record(count, &[label("thread", thread)]);
+    }
+
     /// Counts dropped log lines.
     pub fn log_lines_left_out(&self, count: u64) {
         self.instruments.log_lines_left_out.add(count, &[]);
--- a/src/utils/mod.rs
+++ b/src/utils/mod.rs
@@ -5,5 +5,6 @@
 pub mod nearest;
 pub mod secret;
 pub mod signal;
+pub mod supervisor;
 pub mod sync;
 pub mod usage;
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -82,6 +82,7 @@
 mod store_feed;
 mod stream_records;
 mod stream_versions;
+mod supervisor;
 mod support;
 mod suspended;
 mod suspended_fleet;
