--- a/src/gateway/rollout_controller.rs
+++ b/src/gateway/rollout_controller.rs
@@ -3,7 +3,6 @@
 
 use std::{
     sync::{Arc, atomic::Ordering},
-    thread,
     time::{Duration, Instant},
 };
 
@@ -52,9 +51,7 @@
     if !rollouts.has_unfinished() || rollouts.is_controller_running.swap(true, Ordering::Relaxed) {
         return;
     }
-    let shared = Arc::clone(gateway);
-    let spawned = thread::Builder::new().name("rollouts".to_owned()).spawn(move || run(&shared));
-    if let Err(fault) = spawned {
+    if let Err(fault) = gateway.spawn_thread("rollouts", run) {
         rollouts.is_controller_running.store(false, Ordering::Relaxed);
         log::error!("event=rollouts_not_kept reason={:?}", fault.to_string());
     }
@@ -144,7 +141,7 @@
         publish(gateway, began, RolloutState::of(service, &record));
         return None;
     }
-    record.term = record.term.max(term + 1);
+    record.term = record.term.max(term.saturating_add(1));
     record.barred.extend(lock(&gateway.rollouts.states).unproven(service).cloned());
     record.renewed_ms = now_ms;
     let row = RecordRow { service: service.clone(), version: expected, record };
@@ -271,7 +268,7 @@
     if let Some(published) = &held.published {
         state.step = published.step;
         if state != *published {
-            state.step += 1;
+            state.step = state.step.saturating_add(1);
         }
     }
     held.published = Some(state.clone());
