--- a/tests/suite/version_registry.rs
+++ b/tests/suite/version_registry.rs
@@ -123,7 +123,7 @@
         for version in self.list.difference(&list) {
             self.unlisted_since.insert(version.clone(), now_ms);
         }
-        list.iter().for_each(|version| drop(self.unlisted_since.remove(version)));
+        self.unlisted_since.retain(|version, _| !list.contains(version));
         (self.list, self.read_at_ms) = (list, read_at_ms);
     }
 
