feat(streams): checkpoints of streams in the store, for a restart of all instances

The records of where a stream began were in memory alone.

While a service has several versions in sight, each process of an instance now writes one row with the records of the streams that it carries: the first one at once, then at most once in max(100 ms, 10 ms an instance), so that the whole fleet makes at most 100 transactions a second. A resumption that finds no record here, at no holder and in no registry of one version reads the table, at most every 250 ms, and adds all records to those held. A thread that runs only meanwhile writes; no caller waits for it. With one version in sight nothing is written or read.

A record never changes, so that an old row can lack streams but not state them wrongly; a row that cannot be decoded is skipped with one line. Expired rows are removed on the condition that they have not changed, since a removal may be carried out seconds later.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -3,6 +3,8 @@
 
 use std::time::{Duration, Instant};
 
+use http::{HeaderMap, StatusCode};
+
 use super::{
     buffers::{BufferHold, RELAY_WINDOW},
     forward::Forwarding,
@@ -57,6 +59,15 @@
     blocked: Duration,
 }
 
+/// A stream whose first events have arrived.
+struct BeganStream<'g> {
+    status: StatusCode,
+    headers: HeaderMap,
+    source: Source<'g>,
+    events: HeldEvents<'g>,
+    first: Vec<u8>,
+}
+
 /// The result of reading from a source.
 enum SourceRead {
     Events(Vec<u8>),
@@ -88,23 +99,39 @@
             return forwarding.respond_failed_unless_retry(conn);
         }
     };
-    let request = forwarding.request;
     forwarding.note_running();
     forwarding.note_first_byte();
     forwarding.bind_version(&source.open.picked.server);
     forwarding.record_version(&source.open.picked.server);
+    let began = BeganStream { status, headers, source, events, first };
+    let (completion, is_complete) = relay_began(forwarding, conn, began);
+    forwarding.note_stream_end(is_complete);
+    Some(completion)
+}
+
+/// Relays a stream from its first events on; returns also whether the caller received it completely.
+fn relay_began(
+    forwarding: &mut Forwarding<'_>,
+    conn: &mut Conn,
+    began: BeganStream<'_>,
+) -> (Completion, bool) {
+    let BeganStream { status, headers, mut source, mut events, first } = began;
+    let request = forwarding.request;
     let keep_alive = forwarding.keep_alive() && !request.http10;
     let note = ResponseOptions::plain(keep_alive);
     let framing =
         if request.http10 { ResponseFraming::UntilClose } else { ResponseFraming::Chunked };
-    let code = status.as_u16();
-    let completed = |keep_alive, reason| {
-        Some(Completion { status: code, outcome: Outcome::Run, keep_alive, reason })
+    let completion = |keep_alive, reason| Completion {
+        status: status.as_u16(),
+        outcome: Outcome::Run,
+        keep_alive,
+        reason,
     };
+    let incomplete = |reason| (completion(false, reason), false);
     conn.limit_send_buffer(SEND_BUFFER_BYTES);
     let started =
         ResponseWriter::start(conn, CALLER_WRITE_TIMEOUT, status, &headers, &note, framing, &first);
-    let Ok(mut writer) = started else { return completed(false, "caller left") };
+    let Ok(mut writer) = started else { return incomplete("caller left") };
     let mut interval = PieceInterval::new(forwarding.gateway.clock.now());
     loop {
         match next_events(forwarding, &mut source, &mut events, writer.conn()) {
@@ -114,16 +141,16 @@
                 interval.count_piece();
                 let began = forwarding.gateway.clock.now();
                 if writer.write(&complete).is_err() {
-                    return completed(false, "caller left");
+                    return incomplete("caller left");
                 }
                 events.blocked += forwarding.gateway.clock.now().saturating_duration_since(began);
             }
             SourceRead::End => {
                 note_end(forwarding, source.open, &interval);
                 let sent = writer.finish().is_ok();
-                return completed(sent && keep_alive, "answered");
+                return (completion(sent && keep_alive, "answered"), sent);
             }
-            SourceRead::Fault(AttemptFault::CallerGone) => return completed(false, "caller left"),
+            SourceRead::Fault(AttemptFault::CallerGone) => return incomplete("caller left"),
             SourceRead::Fault(fault) => {
                 forwarding.record_version(&source.open.picked.server);
                 let picked = source.open.picked.clone();
@@ -139,7 +166,7 @@
                         forwarding.note_not_resumed(reason);
                         // No further bytes are sent, so that the response does not look complete.
                         writer.abort(&[]);
-                        return completed(false, "stream broke");
+                        return incomplete("stream broke");
                     }
                 }
             }
--- /dev/null
+++ b/src/gateway/stream_origins/checkpoints.rs
@@ -0,0 +1,233 @@
+//! Writes checkpoints of this instance's streams to the store, and reads those of all instances where nobody remembers a
+//! stream that a caller resumes. `routing::stream_checkpoints` decides what is written and when.
+//!
+//! A thread writes, only while streams of several versions are carried: no caller waits for it, and on other days nothing
+//! is written or read.
+
+use std::{
+    sync::{
+        Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use super::{StreamVersions, spawn};
+use crate::{
+    adapter::{
+        servers::SkippedEntry,
+        store::{Change, StoreError, StoreRow},
+        tables::STREAM_TABLE,
+    },
+    configs::fleet::chunks::{decode, encode},
+    gateway::{Gateway, request::Request, skipped_log::SkippedLog},
+    routing::{
+        CheckpointNeed, CheckpointRow, CheckpointStep, ExpiredRow, StoreClock, StreamCheckpoints,
+        StreamKey, StreamOrigin, StreamRecord,
+    },
+    utils::{signal::Signal, sync::lock},
+};
+
+/// Minimum time between two reads for resumptions: many callers come back at once after a restart.
+const READ_INTERVAL_MIN: Duration = Duration::from_millis(250);
+
+/// Time between two such reads, for each instance: all together make at most 400 reads a second.
+const READ_INTERVAL_PER_INSTANCE: Duration = Duration::from_micros(2500);
+
+/// The checkpoint of this instance, and what it has read of the others.
+#[derive(Default)]
+pub(super) struct CheckpointLink {
+    own: Mutex<StreamCheckpoints>,
+    /// Set when there is something new to write.
+    pub(super) changed: Signal,
+    is_writing: AtomicBool,
+    /// Locked while the store is read, so that waiting resumptions share the read.
+    reads: Mutex<CheckpointReads>,
+}
+
+#[derive(Default)]
+struct CheckpointReads {
+    /// When the last read for a resumption began, or failed.
+    last: Option<Instant>,
+    skipped: SkippedLog,
+}
+
+impl StreamVersions {
+    fn checkpoint_need(&self, now: Instant) -> CheckpointNeed {
+        let sightings = lock(&self.sightings);
+        if sightings.has_several_of_any(now) {
+            CheckpointNeed::SeveralVersions
+        } else if sightings.knows_all(now) {
+            CheckpointNeed::None
+        } else {
+            CheckpointNeed::Undecided
+        }
+    }
+}
+
+impl Gateway {
+    /// Has the record of a stream written to the store.
+    pub(super) fn checkpoint_record(&self, now: Instant, record: &StreamRecord) {
+        let checkpoints = &self.stream_versions.checkpoints;
+        if lock(&checkpoints.own).add(now, record) {
+            self.run_checkpoints();
+            checkpoints.changed.set();
+        }
+    }
+
+    /// Notes that a caller has received a stream completely.
+    pub(in crate::gateway) fn note_stream_complete(&self, request: &Request) {
+        if !self.stream_versions.may_record() {
+            return;
+        }
+        let metadata = &request.metadata;
+        let first = metadata.resumes.as_ref().unwrap_or(&metadata.id);
+        let key = StreamKey::of(request.team_name(), first);
+        lock(&self.stream_versions.checkpoints.own).note_complete(key);
+    }
+
+    /// Starts the thread that writes, unless it runs.
+    fn run_checkpoints(&self) {
+        let Some(gateway) = self.stream_versions.link.gateway() else { return };
+        if !self.stream_versions.checkpoints.is_writing.swap(true, Ordering::SeqCst) {
+            spawn(&gateway, "checkpoints", write_checkpoints);
+        }
+    }
+
+    /// Returns where a stream began, by the checkpoints of all instances. The store is read at most once in a while.
+    pub(super) fn checkpointed_origin(&self, key: StreamKey) -> Option<StreamOrigin> {
+        let mut reads = lock(&self.stream_versions.checkpoints.reads);
+        let now = self.clock.now();
+        if reads.is_due(now, self.instances()) {
+            reads.last = Some(now);
+            self.read_checkpoints_logged(&mut reads);
+            // A read that fails may take a second.
+            reads.last = Some(self.clock.now());
+        }
+        drop(reads);
+        lock(&self.stream_versions.origins).origin(self.clock.now(), key).cloned()
+    }
+
+    fn read_checkpoints_logged(&self, reads: &mut CheckpointReads) {
+        match self.read_checkpoints(reads) {
+            Ok(records) => log::info!("event=checkpoints_read records={records}"),
+            Err(error) => log::info!("event=checkpoints_unread reason={:?}", error.to_string()),
+        }
+    }
+
+    /// Adds the records of all rows to those that this instance holds; returns their number.
+    fn read_checkpoints(&self, reads: &mut CheckpointReads) -> Result<usize, StoreError> {
+        let read = self.store.rows(STREAM_TABLE)?;
+        let now = self.clock.now();
+        let (mut records, mut expired, mut skipped) = (Vec::new(), Vec::new(), Vec::new());
+        for row in read.rows {
+            match decode_row(&row, read.now_ms) {
+                Ok(of_row) if of_row.is_empty() => {
+                    expired.push(ExpiredRow { key: row.key, version: row.version });
+                }
+                Ok(of_row) => records.extend(of_row),
+                Err(reason) => {
+                    skipped.push(SkippedEntry { key: row.key, version: row.version, reason });
+                }
+            }
+        }
+        for SkippedEntry { key, reason, .. } in reads.skipped.take_unlogged(&skipped) {
+            log::warn!("event=row_skipped key={key} reason={reason:?}");
+        }
+        let count = records.len();
+        let mut origins = lock(&self.stream_versions.origins);
+        records.into_iter().for_each(|record| origins.record(now, record));
+        drop(origins);
+        self.note_checkpoints_read(StoreClock { read_at: now, now_ms: read.now_ms }, expired);
+        Ok(count)
+    }
+
+    /// Has expired rows removed, except the own one: the instance may have written it since.
+    fn note_checkpoints_read(&self, clock: StoreClock, mut expired: Vec<ExpiredRow>) {
+        let own = self.checkpoint_key();
+        expired.retain(|row| row.key != own);
+        let has_expired = !expired.is_empty();
+        lock(&self.stream_versions.checkpoints.own).note_read(clock, expired);
+        if has_expired {
+            self.run_checkpoints();
+            self.stream_versions.checkpoints.changed.set();
+        }
+    }
+
+    /// Returns the key of the row of this process.
+    fn checkpoint_key(&self) -> String {
+        format!("{}/{:016x}", self.settings.node, self.peers.run.0)
+    }
+
+    fn write_checkpoint(&self, row: &CheckpointRow) {
+        let (key, value) = (self.checkpoint_key(), encode(row));
+        let put = Change::Put { key: &key, value: &value };
+        if let Err(error) = self.store.change(STREAM_TABLE, &[put]) {
+            log::info!("event=checkpoint_unwritten reason={:?}", error.to_string());
+            lock(&self.stream_versions.checkpoints.own).note_write_failed();
+        }
+    }
+
+    /// Removes the own row, and has those removed that instances have left behind.
+    fn remove_checkpoint(&self) {
+        let checkpoints = &self.stream_versions.checkpoints;
+        let key = self.checkpoint_key();
+        match self.store.change(STREAM_TABLE, &[Change::Remove { key: &key }]) {
+            Ok(_) => {
+                self.read_checkpoints_logged(&mut lock(&checkpoints.reads));
+                lock(&checkpoints.own).note_removed();
+            }
+            Err(error) => log::info!("event=checkpoint_kept reason={:?}", error.to_string()),
+        }
+    }
+
+    fn remove_expired_checkpoints(&self, rows: &[ExpiredRow]) {
+        let unchanged: Vec<(&str, u64)> =
+            rows.iter().map(|row| (row.key.as_str(), row.version)).collect();
+        if let Err(error) = self.store.remove_unchanged(STREAM_TABLE, &unchanged) {
+            log::info!("event=expired_checkpoints_kept reason={:?}", error.to_string());
+        }
+    }
+
+    /// Does what the checkpoint needs now; returns whether the thread is to go on.
+    fn step_checkpoints(&self) -> bool {
+        let checkpoints = &self.stream_versions.checkpoints;
+        let now = self.clock.now();
+        let need = self.stream_versions.checkpoint_need(now);
+        let step = lock(&checkpoints.own).step(now, need, self.instances());
+        match step {
+            CheckpointStep::Read => self.read_checkpoints_logged(&mut lock(&checkpoints.reads)),
+            CheckpointStep::Write(row) => self.write_checkpoint(&row),
+            CheckpointStep::Remove => self.remove_checkpoint(),
+            CheckpointStep::RemoveExpired(rows) => self.remove_expired_checkpoints(&rows),
+            CheckpointStep::Wait(time) => checkpoints.changed.wait(time),
+            CheckpointStep::Done => return false,
+        }
+        true
+    }
+}
+
+impl CheckpointReads {
+    fn is_due(&self, now: Instant, instances: usize) -> bool {
+        let factor = u32::try_from(instances).unwrap_or(u32::MAX);
+        let interval = READ_INTERVAL_MIN.max(READ_INTERVAL_PER_INSTANCE.saturating_mul(factor));
+        self.last.is_none_or(|at| now.saturating_duration_since(at) >= interval)
+    }
+}
+
+/// Returns the records of a row that have not expired.
+fn decode_row(row: &StoreRow, now_ms: u64) -> Result<Vec<StreamRecord>, String> {
+    let decoded: CheckpointRow = decode(&row.value).map_err(|error| error.to_string())?;
+    decoded.records(now_ms).map_err(|error| error.to_string())
+}
+
+/// Writes checkpoints until there is nothing to write or to remove, or the instance is stopped.
+fn write_checkpoints(gateway: &Gateway) {
+    let checkpoints = &gateway.stream_versions.checkpoints;
+    while gateway.is_running() && gateway.step_checkpoints() {}
+    checkpoints.is_writing.store(false, Ordering::SeqCst);
+    // A record that was added in the meantime.
+    if gateway.is_running() && !lock(&checkpoints.own).is_idle() {
+        gateway.run_checkpoints();
+    }
+}
--- a/src/gateway/stream_origins/mod.rs
+++ b/src/gateway/stream_origins/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! Nothing is recorded while all servers of a service have one version, and a resumption reads one row of the store.
 
+mod checkpoints;
 pub mod messages;
 mod records;
 mod resumption;
@@ -20,6 +21,7 @@
 use indexmap::IndexMap;
 
 use self::{
+    checkpoints::CheckpointLink,
     messages::{OriginQuery, OriginReply},
     records::RecordLink,
 };
@@ -52,6 +54,7 @@
     /// Instances that did not reply, and until when they are not asked again.
     silent: Mutex<IndexMap<NodeName, Instant>>,
     link: RecordLink,
+    checkpoints: CheckpointLink,
 }
 
 impl StreamVersions {
@@ -64,6 +67,7 @@
             may_record: AtomicBool::new(restarted_at.is_some()),
             silent: Mutex::default(),
             link: RecordLink::default(),
+            checkpoints: CheckpointLink::default(),
         }
     }
 
@@ -114,6 +118,7 @@
         drop(sightings);
         if self.stream_versions.must_record_any(now) {
             self.stream_versions.link.open();
+            self.stream_versions.checkpoints.changed.set();
         }
     }
 
@@ -134,6 +139,7 @@
         log_several(&from.to_string(), &versions);
         lock(&self.stream_versions.sightings).note_listed_elsewhere(now, versions);
         self.stream_versions.must_record_any(now);
+        self.stream_versions.checkpoints.changed.set();
     }
 
     /// Notes the versions that are registered in the store.
@@ -141,6 +147,7 @@
         let now = self.clock.now();
         lock(&self.stream_versions.sightings).note_registered(now, registry);
         self.stream_versions.must_record_any(now);
+        self.stream_versions.checkpoints.changed.set();
     }
 
     /// Returns whether a version has not been listed for as long as its streams may be resumed.
@@ -163,15 +170,14 @@
         if !self.stream_versions.must_record(now, &request.service) {
             return false;
         }
-        let waits = request.metadata.timeout.unwrap_or_default().max(request.route.timeout);
-        let record = StreamRecord {
-            key: StreamKey::of(request.team_name(), &request.metadata.id),
-            origin: StreamOrigin::new(&request.service, version.cloned()),
-            ttl: waits + RECORD_MARGIN,
-        };
+        self.add_record(now, stream_record(request, version));
+        true
+    }
+
+    fn add_record(&self, now: Instant, record: StreamRecord) {
         lock(&self.stream_versions.origins).record(now, record.clone());
+        self.checkpoint_record(now, &record);
         self.send_record(record);
-        true
     }
 
     /// Replies to another instance.
@@ -191,6 +197,16 @@
     }
 }
 
+/// Returns the record of a stream that begins with a request.
+fn stream_record(request: &Request, version: Option<&SoftwareVersion>) -> StreamRecord {
+    let waits = request.metadata.timeout.unwrap_or_default().max(request.route.timeout);
+    StreamRecord {
+        key: StreamKey::of(request.team_name(), &request.metadata.id),
+        origin: StreamOrigin::new(&request.service, version.cloned()),
+        ttl: waits + RECORD_MARGIN,
+    }
+}
+
 /// Starts a thread of the instance.
 fn spawn(gateway: &Arc<Gateway>, name: &str, run: fn(&Gateway)) {
     let gateway = Arc::clone(gateway);
--- a/src/gateway/stream_origins/records.rs
+++ b/src/gateway/stream_origins/records.rs
@@ -106,9 +106,14 @@
         self.socket.get().map(|bound| &bound.socket)
     }
 
+    /// Returns the instance that this is a part of, while it is running.
+    pub(super) fn gateway(&self) -> Option<Arc<Gateway>> {
+        self.owner.get().and_then(|owner| owner.gateway.upgrade())
+    }
+
     /// Starts the thread that sends records, unless it runs.
     fn resend(&self) {
-        let Some(gateway) = self.owner.get().and_then(|o| o.gateway.upgrade()) else { return };
+        let Some(gateway) = self.gateway() else { return };
         if !self.is_resending.swap(true, Ordering::SeqCst) {
             spawn(&gateway, "records", resend_records);
         }
--- a/src/gateway/stream_origins/resumption.rs
+++ b/src/gateway/stream_origins/resumption.rs
@@ -36,6 +36,8 @@
     Peer(String),
     /// One version of the service is registered, as another instance has read.
     PeerRegistry(String),
+    /// The store has a checkpoint of the stream.
+    Checkpoint,
 }
 
 impl Source {
@@ -46,6 +48,7 @@
             Source::Registry => "registry",
             Source::Peer(_) => "peer",
             Source::PeerRegistry(_) => "peer-registry",
+            Source::Checkpoint => "checkpoint",
         }
     }
 
@@ -203,7 +206,9 @@
                 }
             }
         }
-        Err(not_known)
+        let origin = self.checkpointed_origin(key).ok_or(not_known)?;
+        let version = origin.version_at(&request.service).ok_or(NotKnown::OtherService)?;
+        Ok((Some(version.clone()), Source::Checkpoint))
     }
 
     /// Returns the other instances, in the order in which they hold the record of a stream.
--- a/src/gateway/stream_version.rs
+++ b/src/gateway/stream_version.rs
@@ -53,6 +53,17 @@
         self.is_recorded = self.gateway.record_stream(request, server.version.as_ref());
     }
 
+    /// Notes that the response to the caller has ended.
+    pub(super) fn note_stream_end(&self, is_complete: bool) {
+        let request = self.request;
+        if request.route.kind != RouteKind::ResumableStream {
+            return;
+        }
+        if is_complete {
+            self.gateway.note_stream_complete(request);
+        }
+    }
+
     /// Returns why no server was found that resumes the stream.
     pub(super) fn reason_without_server(&self) -> NotResumed {
         let now = self.gateway.clock.now();
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -39,6 +39,7 @@
 pub mod startup;
 pub mod store_share;
 pub mod store_version;
+pub mod stream_checkpoints;
 pub mod stream_origins;
 pub mod team;
 pub mod tunnel_peers;
@@ -98,6 +99,10 @@
 pub use startup::StartupWait;
 pub use store_share::{CallKind, StoreRates, StoreShare};
 pub use store_version::{StoreEra, StoreVersion};
+pub use stream_checkpoints::{
+    CheckpointNeed, CheckpointRow, CheckpointStep, ExpiredRow, InvalidRow, StoreClock,
+    StreamCheckpoints,
+};
 pub use stream_origins::{HOLDERS, StreamKey, StreamOrigin, StreamOrigins, StreamRecord};
 pub use team::{Team, Teams};
 pub use tunnel_peers::{TunnelPeers, TunnelReply};
--- a/src/routing/stream_origins.rs
+++ b/src/routing/stream_origins.rs
@@ -55,7 +55,7 @@
 }
 
 /// Service and software version of the server that began a stream.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct StreamOrigin {
     /// Tag of the service.
     pub service: Tag,
--- a/src/routing/version_sightings.rs
+++ b/src/routing/version_sightings.rs
@@ -138,6 +138,11 @@
         })
     }
 
+    /// Returns whether several versions of any service are or were in sight.
+    pub fn has_several_of_any(&self, now: Instant) -> bool {
+        self.services.keys().any(|service| self.has_several(now, service))
+    }
+
     /// Returns whether the streams of a service have to be recorded: not if this instance knows of all versions, and
     /// there is one.
     pub fn must_record(&self, now: Instant, service: &ServiceName) -> bool {
--- a/tests/suite/stream_versions.rs
+++ b/tests/suite/stream_versions.rs
@@ -98,7 +98,7 @@
     }
 
     /// Removes the entry of a server.
-    fn unlist(&self, server: usize) {
+    pub(crate) fn unlist(&self, server: usize) {
         self.store.remove("servers", &self.servers[server].id);
     }
 
@@ -112,7 +112,7 @@
         self.spawn_instance(name, false);
     }
 
-    fn spawn_instance(&mut self, name: &str, first_start: bool) {
+    pub(crate) fn spawn_instance(&mut self, name: &str, first_start: bool) {
         let seeds = self.instances.iter().map(GatewayHandle::peers).take(1).collect();
         let settings = settings(name, self.store.address(), seeds);
         let instance = spawn_with(GatewaySettings { first_start, ..settings });
@@ -261,7 +261,7 @@
 }
 
 /// Begins a stream at an instance, which breaks off after three events and is not resumed; returns its version.
-fn begin(fleet: &Versions, instance: usize, id: &str) -> String {
+pub(crate) fn begin(fleet: &Versions, instance: usize, id: &str) -> String {
     // Two runs are allowed for one attempt, and both break off.
     fleet.faults.push([Fault::BreakInside(3, 3), Fault::BreakInside(0, 3)]);
     let answer = fleet.attempt(instance, id, None);
