fix(streams): record streams that ended before a second version appeared

The response ended with "caller left" and nothing was recorded, as the instance knew one version at that moment.

With one version nothing is sent or written.

Evidence: tests/suite/unrecorded_streams.rs: without the change the stream that broke off is refused ("not known"); with it, it and the one whose caller left go on at both other instances.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -1,7 +1,10 @@
 //! Relays an event stream to the caller event by event, and resumes it at another backend server if the route allows
 //! it.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use http::{HeaderMap, StatusCode};
 
@@ -103,9 +106,10 @@
     forwarding.note_first_byte();
     forwarding.bind_version(&source.open.picked.server);
     forwarding.record_version(&source.open.picked.server);
+    let server = Arc::clone(&source.open.picked.server);
     let began = BeganStream { status, headers, source, events, first };
     let (completion, is_complete) = relay_began(forwarding, conn, began);
-    forwarding.note_stream_end(is_complete);
+    forwarding.note_stream_end(&server, is_complete);
     Some(completion)
 }
 
--- a/src/gateway/stream_origins/mod.rs
+++ b/src/gateway/stream_origins/mod.rs
@@ -31,7 +31,7 @@
     names::{NodeName, ServiceName, SoftwareVersion},
     routing::{
         RegisteredVersions, SightedVersion, StreamKey, StreamOrigin, StreamOrigins, StreamRecord,
-        VersionRegistry, VersionSightings, version_registry::ServiceVersion,
+        UnrecordedStreams, VersionRegistry, VersionSightings, version_registry::ServiceVersion,
     },
     utils::sync::lock,
 };
@@ -54,6 +54,8 @@
     /// Instances that did not reply, and until when they are not asked again.
     silent: Mutex<IndexMap<NodeName, Instant>>,
     link: RecordLink,
+    /// Streams that ended incomplete, and of which nothing had to be recorded.
+    unrecorded: Mutex<UnrecordedStreams>,
     checkpoints: CheckpointLink,
 }
 
@@ -67,6 +69,7 @@
             may_record: AtomicBool::new(restarted_at.is_some()),
             silent: Mutex::default(),
             link: RecordLink::default(),
+            unrecorded: Mutex::default(),
             checkpoints: CheckpointLink::default(),
         }
     }
@@ -118,7 +121,7 @@
         drop(sightings);
         if self.stream_versions.must_record_any(now) {
             self.stream_versions.link.open();
-            self.stream_versions.checkpoints.changed.set();
+            self.record_unrecorded(now);
         }
     }
 
@@ -138,16 +141,14 @@
         let now = self.clock.now();
         log_several(&from.to_string(), &versions);
         lock(&self.stream_versions.sightings).note_listed_elsewhere(now, versions);
-        self.stream_versions.must_record_any(now);
-        self.stream_versions.checkpoints.changed.set();
+        self.record_unrecorded(now);
     }
 
     /// Notes the versions that are registered in the store.
     pub(super) fn note_registered(&self, registry: &VersionRegistry) {
         let now = self.clock.now();
         lock(&self.stream_versions.sightings).note_registered(now, registry);
-        self.stream_versions.must_record_any(now);
-        self.stream_versions.checkpoints.changed.set();
+        self.record_unrecorded(now);
     }
 
     /// Returns whether a version has not been listed for as long as its streams may be resumed.
@@ -170,14 +171,41 @@
         if !self.stream_versions.must_record(now, &request.service) {
             return false;
         }
-        self.add_record(now, stream_record(request, version));
+        self.add_records(now, vec![stream_record(request, version)]);
         true
     }
 
-    fn add_record(&self, now: Instant, record: StreamRecord) {
-        lock(&self.stream_versions.origins).record(now, record.clone());
-        self.checkpoint_record(now, &record);
-        self.send_record(record);
+    fn add_records(&self, now: Instant, records: Vec<StreamRecord>) {
+        for record in &records {
+            lock(&self.stream_versions.origins).record(now, record.clone());
+            self.checkpoint_record(now, record);
+        }
+        self.send_records(now, records);
+    }
+
+    /// Remembers at which version a stream began that has ended incomplete, and records it once that has to be recorded.
+    pub(super) fn remember_stream(&self, request: &Request, version: Option<&SoftwareVersion>) {
+        let now = self.clock.now();
+        let record = stream_record(request, version);
+        lock(&self.stream_versions.unrecorded).add(now, &request.service, record);
+        // Another version may have appeared in the meantime.
+        self.record_unrecorded(now);
+    }
+
+    /// Records the streams that ended incomplete, if they have to be recorded by now.
+    fn record_unrecorded(&self, now: Instant) {
+        if !self.stream_versions.must_record_any(now) {
+            return;
+        }
+        let due = {
+            let sightings = lock(&self.stream_versions.sightings);
+            let must_record = |service: &ServiceName| sightings.must_record(now, service);
+            lock(&self.stream_versions.unrecorded).take_due(now, must_record)
+        };
+        if !due.is_empty() {
+            self.add_records(now, due);
+        }
+        self.stream_versions.checkpoints.changed.set();
     }
 
     /// Replies to another instance.
--- a/src/gateway/stream_origins/records.rs
+++ b/src/gateway/stream_origins/records.rs
@@ -11,7 +11,7 @@
         atomic::{AtomicBool, Ordering},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use indexmap::IndexMap;
@@ -121,9 +121,11 @@
 }
 
 impl Gateway {
-    /// Sends a record to the instances that are to hold it, until they confirm.
-    pub(super) fn send_record(&self, record: StreamRecord) {
-        lock(&self.stream_versions.link.sent).add(self.clock.now(), record);
+    /// Sends records to the instances that are to hold them, until they confirm.
+    pub(super) fn send_records(&self, now: Instant, records: Vec<StreamRecord>) {
+        let mut sent = lock(&self.stream_versions.link.sent);
+        records.into_iter().for_each(|record| sent.add(now, record));
+        drop(sent);
         self.send_due_records();
         self.stream_versions.link.resend();
     }
--- a/src/gateway/stream_version.rs
+++ b/src/gateway/stream_version.rs
@@ -53,14 +53,19 @@
         self.is_recorded = self.gateway.record_stream(request, server.version.as_ref());
     }
 
-    /// Notes that the response to the caller has ended.
-    pub(super) fn note_stream_end(&self, is_complete: bool) {
+    /// Notes that the response to the caller has ended, after events that `server` began with.
+    pub(super) fn note_stream_end(&mut self, server: &BackendServer, is_complete: bool) {
         let request = self.request;
         if request.route.kind != RouteKind::ResumableStream {
             return;
         }
         if is_complete {
             self.gateway.note_stream_complete(request);
+            return;
+        }
+        self.record_version(server);
+        if !self.is_recorded && !request.is_resumption() {
+            self.gateway.remember_stream(request, server.version.as_ref());
         }
     }
 
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -44,6 +44,7 @@
 pub mod team;
 pub mod tunnel_peers;
 pub mod unlisted;
+pub mod unrecorded_streams;
 pub mod version_registry;
 pub mod version_rule;
 pub mod version_sightings;
@@ -107,6 +108,7 @@
 pub use team::{Team, Teams};
 pub use tunnel_peers::{TunnelPeers, TunnelReply};
 pub use unlisted::UnlistedNotices;
+pub use unrecorded_streams::UnrecordedStreams;
 pub use version_registry::{ListedVersions, RegisteredVersions, VersionRegistry};
 pub use version_rule::VersionRule;
 pub use version_sightings::{SightedVersion, VersionSightings};
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -94,5 +94,6 @@
 mod team_shares_fleet;
 mod testbed;
 mod tunnels;
+mod unrecorded_streams;
 mod version_registry;
 mod version_rules;
