fix(streams): keep writing checkpoints after a stream that ended before its write

Its first stream was complete before it was written; the thread ended with a record that counted as unwritten, so that no later record started it again.

The count is reset as the thread finds nothing to do, and each record makes sure that the thread runs. The new test fails without the reset.

--- a/src/gateway/stream_origins/checkpoints.rs
+++ b/src/gateway/stream_origins/checkpoints.rs
@@ -69,8 +69,9 @@
     /// Has the record of a stream written to the store.
     pub(super) fn checkpoint_record(&self, now: Instant, record: &StreamRecord) {
         let checkpoints = &self.stream_versions.checkpoints;
-        if lock(&checkpoints.own).add(now, record) {
-            self.run_checkpoints();
+        let is_first = lock(&checkpoints.own).add(now, record);
+        self.run_checkpoints();
+        if is_first {
             checkpoints.changed.set();
         }
     }
@@ -88,8 +89,12 @@
 
     /// Starts the thread that writes, unless it runs.
     fn run_checkpoints(&self) {
+        let is_writing = &self.stream_versions.checkpoints.is_writing;
+        if is_writing.load(Ordering::SeqCst) {
+            return;
+        }
         let Some(gateway) = self.stream_versions.link.gateway() else { return };
-        if !self.stream_versions.checkpoints.is_writing.swap(true, Ordering::SeqCst) {
+        if !is_writing.swap(true, Ordering::SeqCst) {
             spawn(&gateway, "checkpoints", write_checkpoints);
         }
     }
--- a/src/routing/stream_checkpoints.rs
+++ b/src/routing/stream_checkpoints.rs
@@ -189,6 +189,8 @@
             self.has_unwritten = false;
         }
         if self.is_idle() {
+            // The streams that were not written are complete or have expired.
+            self.has_unwritten = false;
             return CheckpointStep::Done;
         }
         if !self.has_call(need) {
--- a/tests/suite/stream_checkpoints.rs
+++ b/tests/suite/stream_checkpoints.rs
@@ -132,6 +132,18 @@
     assert_eq!(written(&mut own, now + TTL, 1).records(21_000).expect("a row").len(), 1);
 }
 
+/// Guards against a writer that does not start again after it ended without a write, as its only stream was complete.
+#[test]
+fn a_stream_is_written_after_one_that_was_complete_before_its_write() {
+    let now = Instant::now();
+    let mut own = checkpoints(now);
+    assert!(own.add(now, &record(1, "v1")));
+    own.note_complete(record(1, "v1").key);
+    assert_eq!(own.step(now, SEVERAL, 1), CheckpointStep::Done);
+    assert!(own.add(now, &record(2, "v1")), "the first one that is not written");
+    assert_eq!(written(&mut own, now, 1).records(1_000).expect("a row").len(), 1);
+}
+
 /// Guards against rows that stay in the store.
 #[test]
 fn the_row_is_removed_once_one_version_is_left() {
