fix(streams): start the threads of stream records again after a panic

The thread that writes checkpoints, or sends records again, leaves a flag set if it ends by a panic, and would not start again. All threads of stream_origins run under the supervisor, as the others of an instance do.

--- a/src/gateway/stream_origins/mod.rs
+++ b/src/gateway/stream_origins/mod.rs
@@ -236,10 +236,8 @@
 }
 
 /// Starts a thread of the instance.
-fn spawn(gateway: &Arc<Gateway>, name: &str, run: fn(&Gateway)) {
-    let gateway = Arc::clone(gateway);
-    let spawned = thread::Builder::new().name(name.to_owned()).spawn(move || run(&gateway));
-    if let Err(error) = spawned {
+fn spawn(gateway: &Arc<Gateway>, name: &'static str, run: fn(&Gateway)) {
+    if let Err(error) = gateway.spawn_thread(name, move |gateway| run(gateway)) {
         log::error!("event=no_thread name={name} reason={error}");
     }
 }
--- a/src/gateway/stream_origins/resumption.rs
+++ b/src/gateway/stream_origins/resumption.rs
@@ -55,8 +55,8 @@
     /// Returns the text for logs.
     fn text(&self) -> String {
         match self {
-            Source::OwnRecord | Source::Registry => self.label().to_owned(),
             Source::Peer(node) | Source::PeerRegistry(node) => format!("{}:{node}", self.label()),
+            _ => self.label().to_owned(),
         }
     }
 }
