fix(streams): hold a stream's first event until its checkpoint is written

Cause: a caller had events of a stream before its record was durable.

Change: while several versions are in sight, in fleets of up to ten instances, the first event waits for the write that has its record, 150 ms at most, and not while the store takes no writes. The interval between two writes is 50 ms at least, 10 ms for each instance as before.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -106,6 +106,7 @@
     forwarding.note_first_byte();
     forwarding.bind_version(&source.open.picked.server);
     forwarding.record_version(&source.open.picked.server);
+    forwarding.wait_for_checkpoint();
     let server = Arc::clone(&source.open.picked.server);
     let began = BeganStream { status, headers, source, events, first };
     let (completion, is_complete) = relay_began(forwarding, conn, began);
--- a/src/gateway/stream_origins/checkpoints.rs
+++ b/src/gateway/stream_origins/checkpoints.rs
@@ -1,12 +1,12 @@
 //! Writes checkpoints of this instance's streams to the store, and reads those of all instances where nobody remembers a
 //! stream that a caller resumes. `routing::stream_checkpoints` decides what is written and when.
 //!
-//! A thread writes, only while streams of several versions are carried: no caller waits for it, and on other days nothing
-//! is written or read.
+//! A thread writes, only while streams of several versions are carried; on other days nothing is written or read. In a
+//! small fleet the first event of a stream waits for the write.
 
 use std::{
     sync::{
-        Mutex,
+        Condvar, Mutex,
         atomic::{AtomicBool, Ordering},
     },
     time::{Duration, Instant},
@@ -34,10 +34,15 @@
 /// Time between two such reads, for each instance: all together make at most 400 reads a second.
 const READ_INTERVAL_PER_INSTANCE: Duration = Duration::from_micros(2500);
 
+/// Longest time for which the first event of a stream waits until its record is written.
+const EVENT_HOLD_MAX: Duration = Duration::from_millis(150);
+
 /// The checkpoint of this instance, and what it has read of the others.
 #[derive(Default)]
 pub(super) struct CheckpointLink {
     own: Mutex<StreamCheckpoints>,
+    /// Notified after each write.
+    written: Condvar,
     /// Set when there is something new to write.
     pub(super) changed: Signal,
     is_writing: AtomicBool,
@@ -76,6 +81,18 @@
         }
     }
 
+    /// Waits until the records added so far are written, or a short time has passed.
+    pub(in crate::gateway) fn wait_for_checkpoint(&self) {
+        let checkpoints = &self.stream_versions.checkpoints;
+        let need = self.stream_versions.checkpoint_need(self.clock.now());
+        let instances = self.instances();
+        let own = lock(&checkpoints.own);
+        let number = own.added();
+        let holds = |own: &mut StreamCheckpoints| own.holds_event(number, need, instances);
+        // The event is sent whatever ended the wait.
+        drop(checkpoints.written.wait_timeout_while(own, EVENT_HOLD_MAX, holds));
+    }
+
     /// Notes that a caller has received a stream completely.
     pub(in crate::gateway) fn note_stream_complete(&self, request: &Request) {
         if !self.stream_versions.may_record() {
@@ -167,10 +184,16 @@
     fn write_checkpoint(&self, row: &CheckpointRow) {
         let (key, value) = (self.checkpoint_key(), encode(row));
         let put = Change::Put { key: &key, value: &value };
-        if let Err(error) = self.store.change(STREAM_TABLE, &[put]) {
-            log::info!("event=checkpoint_unwritten reason={:?}", error.to_string());
-            lock(&self.stream_versions.checkpoints.own).note_write_failed();
+        let written = self.store.change(STREAM_TABLE, &[put]);
+        let checkpoints = &self.stream_versions.checkpoints;
+        match written {
+            Ok(_) => lock(&checkpoints.own).note_written(),
+            Err(error) => {
+                log::info!("event=checkpoint_unwritten reason={:?}", error.to_string());
+                lock(&checkpoints.own).note_write_failed();
+            }
         }
+        checkpoints.written.notify_all();
     }
 
     /// Removes the own row, and has those removed that instances have left behind.
--- a/src/gateway/stream_version.rs
+++ b/src/gateway/stream_version.rs
@@ -53,6 +53,13 @@
         self.is_recorded = self.gateway.record_stream(request, server.version.as_ref());
     }
 
+    /// Waits until the record of the stream is written to the store, if its first event has to wait for that.
+    pub(super) fn wait_for_checkpoint(&self) {
+        if self.is_recorded {
+            self.gateway.wait_for_checkpoint();
+        }
+    }
+
     /// Notes that the response to the caller has ended, after events that `server` began with.
     pub(super) fn note_stream_end(&mut self, server: &BackendServer, is_complete: bool) {
         let request = self.request;
--- a/src/routing/stream_checkpoints.rs
+++ b/src/routing/stream_checkpoints.rs
@@ -11,13 +11,17 @@
 
 use super::{StreamKey, StreamOrigin, StreamRecord};
 
-/// Minimum time between two calls of an instance: a stream that is older goes on after a restart of all instances.
-const INTERVAL_MIN: Duration = Duration::from_millis(100);
+/// Minimum time between two calls of an instance.
+const INTERVAL_MIN: Duration = Duration::from_millis(50);
 
 /// Time between two calls of an instance, for each instance: all together make at most 100 transactions a second, half
 /// of what a part of the store takes.
 const INTERVAL_PER_INSTANCE: Duration = Duration::from_millis(10);
 
+/// Longest time between two calls for which the first event of a stream waits until its record is written: a small part of
+/// the time that callers expect the first event in. Fleets of over ten instances write less often.
+const HOLD_INTERVAL_MAX: Duration = Duration::from_millis(100);
+
 /// Time after which an instance that has nothing to write checks whether its row is still needed.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -112,6 +116,12 @@
     /// Streams that may be resumed and when their records expire, the newest last.
     carried: IndexMap<StreamKey, (StreamOrigin, Instant)>,
     has_unwritten: bool,
+    /// Number of records that were added, and how many of them the last write has, and the last one that was made.
+    added: u64,
+    writing: u64,
+    written: u64,
+    /// Whether the last write may not have been made.
+    has_failed: bool,
     /// Whether the store may have a row of this process.
     has_row: bool,
     clock: Option<StoreClock>,
@@ -119,6 +129,12 @@
     expired: Vec<ExpiredRow>,
 }
 
+/// Returns the time between two calls of an instance, of `instances` in all.
+fn interval(instances: usize) -> Duration {
+    let factor = u32::try_from(instances).unwrap_or(u32::MAX);
+    INTERVAL_MIN.max(INTERVAL_PER_INSTANCE.saturating_mul(factor))
+}
+
 impl CheckpointRow {
     fn new(
         written_ms: u64,
@@ -173,6 +189,7 @@
             self.carried.shift_remove_index(0);
         }
         self.carried.insert(record.key, (record.origin.clone(), now + record.ttl));
+        self.added += 1;
         !std::mem::replace(&mut self.has_unwritten, true)
     }
 
@@ -219,9 +236,8 @@
     }
 
     fn wait(&self, now: Instant, instances: usize) -> Duration {
-        let factor = u32::try_from(instances).unwrap_or(u32::MAX);
-        let interval = INTERVAL_MIN.max(INTERVAL_PER_INSTANCE.saturating_mul(factor));
-        self.last_call.map_or(Duration::ZERO, |at| (at + interval).saturating_duration_since(now))
+        let next = |at: Instant| (at + interval(instances)).saturating_duration_since(now);
+        self.last_call.map_or(Duration::ZERO, next)
     }
 
     fn take_call(&mut self, now: Instant, need: CheckpointNeed) -> CheckpointStep {
@@ -231,6 +247,7 @@
             Some(clock) if writes => {
                 self.has_unwritten = false;
                 self.has_row = true;
+                self.writing = self.added;
                 CheckpointStep::Write(self.row(now, clock))
             }
             _ if need == CheckpointNeed::None && self.has_row => CheckpointStep::Remove,
@@ -244,9 +261,31 @@
         CheckpointRow::new(clock.at(now), now, records)
     }
 
+    /// Notes that the last write was made.
+    pub fn note_written(&mut self) {
+        self.written = self.writing;
+        self.has_failed = false;
+    }
+
     /// Notes that the last write may not have been made.
     pub fn note_write_failed(&mut self) {
         self.has_unwritten = true;
+        self.has_failed = true;
+    }
+
+    /// Returns the number of records that were added so far.
+    pub fn added(&self) -> u64 {
+        self.added
+    }
+
+    /// Returns whether the first event of a stream waits for the write of its record, the `number`th one, so that a caller
+    /// that has received an event can resume its stream after a restart of all instances. It does not while the store
+    /// takes no writes.
+    pub fn holds_event(&self, number: u64, need: CheckpointNeed, instances: usize) -> bool {
+        need == CheckpointNeed::SeveralVersions
+            && self.written < number
+            && !self.has_failed
+            && interval(instances) <= HOLD_INTERVAL_MAX
     }
 
     /// Notes that the own row was removed. The clock is read again before the next one is written.
