fix(gateway): log a skipped row of any table once, and draw odd rows

Seen by the drawn test: rows of cartvane-instances, cartvane-held, cartvane-rollouts and orders that cannot be decoded were logged at each read (three lines for one row within 12 s in cartvane-instances), and a value that is no base64 at each read of the list. Each row of a table is now logged once, and again only after it has changed, with at most eight lines a read, as those of servers were.

tests/suite/odd_rows_random.rs draws any bytes and any JSON (nested 3,000 deep, numbers beyond their types, texts of 60,000 characters) in any field of rows of servers, configurations, orders and this project's own tables: no thread ends, a further server is in use and gone again within 3 s, requests are answered, and a row has one line.

--- a/src/gateway/held_table.rs
+++ b/src/gateway/held_table.rs
@@ -61,7 +61,7 @@
     }
     let read = gateway.store.rows(HELD_TABLE)?;
     sync.note_era(read.version.era);
-    let rows: Vec<HeldRow> = read.rows.iter().filter_map(decode_row).collect();
+    let rows = gateway.decode_rows(HELD_TABLE, &read.rows, decode_row);
     let plan = sync.plan(read.now_ms, &rows, &known);
     let now = gateway.clock.now();
     crash_suspects.apply_verdicts(now, &plan.adopted, "store");
@@ -95,16 +95,16 @@
         .try_for_each(|changes| gateway.store.change(HELD_TABLE, changes).map(drop))
 }
 
-fn decode_row(row: &StoreRow) -> Option<HeldRow> {
-    let value = decode::<RowValue>(&row.value).map_err(|fault| fault.to_string());
-    let digest = row.key.parse().map_err(|fault: DigestError| fault.to_string());
-    match (digest, value) {
-        (Ok(digest), Ok(RowValue { fingerprint, until_ms, kind })) => {
-            Some(HeldRow { digest, fingerprint, until_ms, kind })
-        }
-        (Err(fault), _) | (_, Err(fault)) => {
-            log::warn!("event=row_skipped key={} reason={fault:?}", row.key);
-            None
-        }
-    }
+/// Why a row is not a held request.
+#[derive(Debug, thiserror::Error)]
+enum RowError {
+    #[error("invalid key: {0}; remove the row")]
+    Key(#[from] DigestError),
+    #[error("invalid value: {0}; remove the row")]
+    Value(#[from] rmp_serde::decode::Error),
+}
+
+fn decode_row(row: &StoreRow) -> Result<HeldRow, RowError> {
+    let RowValue { fingerprint, until_ms, kind } = decode(&row.value)?;
+    Ok(HeldRow { digest: row.key.parse()?, fingerprint, until_ms, kind })
 }
--- a/src/gateway/instance_table.rs
+++ b/src/gateway/instance_table.rs
@@ -144,14 +144,8 @@
 /// Reads the table, and adds its instances to the known ones; returns them.
 fn read_table(gateway: &Gateway) -> Result<Vec<InstanceInfo>, StoreError> {
     let rows = gateway.store.rows(INSTANCE_TABLE)?;
-    let parse = |row: StoreRow| match decode::<InstanceInfo>(&row.value) {
-        Ok(instance) => Some(instance),
-        Err(fault) => {
-            log::warn!("event=row_skipped key={} reason={fault:?}", row.key);
-            None
-        }
-    };
-    let listed: Vec<InstanceInfo> = rows.rows.into_iter().filter_map(parse).collect();
+    let parse = |row: &StoreRow| decode::<InstanceInfo>(&row.value);
+    let listed = gateway.decode_rows(INSTANCE_TABLE, &rows.rows, parse);
     lock(&gateway.peers.candidates).add_all(listed.clone());
     gateway.instances_changed();
     Ok(listed)
--- a/src/gateway/intent_reader.rs
+++ b/src/gateway/intent_reader.rs
@@ -14,9 +14,10 @@
         tables::{INTENT_KEY, INTENT_TABLE},
     },
     routing::{
-        Confirmation, OrdersSnapshot, PackedChange, StoreVersion, WatchStep,
+        Confirmation, OrderChange, OrdersSnapshot, PackedChange, StoreVersion, WatchStep,
         startup::STARTUP_POLL_INTERVAL,
     },
+    utils::sync::lock,
 };
 
 /// Keeps the intent up to date until the instance stops. The aggregator polls the store for changes; the other instances
@@ -101,7 +102,7 @@
 fn read(gateway: &Arc<Gateway>) -> Result<(), StoreError> {
     let at = gateway.clock.now();
     let rows = gateway.store.rows(INTENT_TABLE)?;
-    let snapshot = OrdersSnapshot::from_changes(rows.version, orders::decode(&rows.rows));
+    let snapshot = OrdersSnapshot::from_changes(rows.version, decode_orders(gateway, &rows));
     gateway.cluster_state.offer_orders(at, snapshot);
     apply_rows(gateway, &rows, at);
     Ok(())
@@ -130,12 +131,19 @@
         return Ok(());
     };
     let rows = gateway.store.changes(INTENT_TABLE, confirmed.store, Duration::ZERO)?;
-    let changes = orders::decode(&rows.rows);
+    let changes = decode_orders(gateway, &rows);
     gateway.cluster_state.apply_order_changes(gateway.clock.now(), rows.version, changes);
     gateway.refresh_orders();
     Ok(())
 }
 
+/// Decodes the orders among rows, and logs those that are invalid.
+fn decode_orders(gateway: &Gateway, rows: &StoreRows) -> Vec<OrderChange> {
+    let decoded = orders::decode(&rows.rows);
+    lock(&gateway.skipped_rows).log_new(INTENT_TABLE, &decoded.skipped);
+    decoded.changes
+}
+
 /// Polls the store for changes of the intent and of orders after a version, for up to `wait`.
 fn poll_changes(
     gateway: &Arc<Gateway>,
@@ -147,7 +155,7 @@
     let store = gateway.store.with_stall_timeout(timeout);
     let rows = store.changes(INTENT_TABLE, after, wait)?;
     // A reply without changes arrives when the wait is over: nothing had changed until then.
-    let changes = orders::decode(&rows.rows);
+    let changes = decode_orders(gateway, &rows);
     gateway.cluster_state.apply_order_changes(began, rows.version, changes);
     let unchanged = rows.rows.is_empty() && gateway.clock.now() >= began + wait;
     apply_rows(gateway, &rows, if unchanged { began + wait } else { began });
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -49,6 +49,7 @@
 pub mod server_path;
 pub mod settings;
 pub mod skipped_log;
+pub mod skipped_rows;
 pub mod slot_leases;
 pub mod stall_timer;
 pub mod startup;
@@ -60,7 +61,7 @@
 
 use std::{
     collections::HashSet,
-    io,
+    fmt, io,
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
@@ -90,12 +91,16 @@
     server_list_cache::ServerListCache,
     settings::GatewaySettings,
     skipped_log::SkippedLog,
+    skipped_rows::SkippedRows,
     slot_leases::SlotLeases,
     stream_origins::StreamVersions,
     tunnels::Tunnels,
 };
 use crate::{
-    adapter::store::{Store, StoreError},
+    adapter::{
+        servers::SkippedEntry,
+        store::{Store, StoreError, StoreRow},
+    },
     clock::Clock,
     link::dialer::Dialer,
     metrics::Metrics,
@@ -169,6 +174,7 @@
     store_share: Arc<Mutex<StoreShare>>,
     store_lost: Mutex<bool>,
     skipped_log: Mutex<SkippedLog>,
+    skipped_rows: Mutex<SkippedRows>,
     server_list_cache: Mutex<Option<ServerListCache>>,
 }
 
@@ -215,6 +221,7 @@
             budgets: Mutex::default(),
             store_lost: Mutex::default(),
             skipped_log: Mutex::default(),
+            skipped_rows: Mutex::default(),
             server_list_cache: Mutex::default(),
             settings,
         })
@@ -411,6 +418,24 @@
         self.servers_changed();
     }
 
+    /// Decodes the rows of a table, and logs those that cannot be decoded.
+    fn decode_rows<T, E: fmt::Display>(
+        &self,
+        table: &'static str,
+        rows: &[StoreRow],
+        decode: impl Fn(&StoreRow) -> Result<T, E>,
+    ) -> Vec<T> {
+        let (mut decoded, mut skipped) = (Vec::new(), Vec::new());
+        for row in rows {
+            match decode(row) {
+                Ok(value) => decoded.push(value),
+                Err(error) => skipped.push(SkippedEntry::new(row, &error)),
+            }
+        }
+        lock(&self.skipped_rows).log_new(table, &skipped);
+        decoded
+    }
+
     /// Notes that the store replied.
     pub fn store_responded(&self) {
         *lock(&self.store_lost) = false;
--- a/src/gateway/rollout_table.rs
+++ b/src/gateway/rollout_table.rs
@@ -83,7 +83,7 @@
     match request {
         RolloutTableRequest::Read => {
             let read = gateway.store.rows(ROLLOUT_TABLE)?;
-            let rows = read.rows.iter().filter_map(decode_row).collect();
+            let rows = gateway.decode_rows(ROLLOUT_TABLE, &read.rows, decode_row);
             Ok(RolloutTableReply::Read { rows, now_ms: read.now_ms })
         }
         RolloutTableRequest::Write(row) => match write(gateway, row) {
@@ -105,14 +105,16 @@
     gateway.store.put_if(&condition, &puts).map(|version| version.counter)
 }
 
-fn decode_row(row: &StoreRow) -> Option<RecordRow> {
-    let record = decode(&row.value).map_err(|fault| fault.to_string());
-    let service = row.key.parse().map_err(|fault: IdError| fault.to_string());
-    match (service, record) {
-        (Ok(service), Ok(record)) => Some(RecordRow { service, version: row.version, record }),
-        (Err(fault), _) | (_, Err(fault)) => {
-            log::warn!("event=row_skipped table={ROLLOUT_TABLE} key={} reason={fault:?}", row.key);
-            None
-        }
-    }
+/// Why a row is not the record of a roll-out.
+#[derive(Debug, thiserror::Error)]
+enum RowError {
+    #[error("invalid key: {0}; remove the row")]
+    Key(#[from] IdError),
+    #[error("invalid value: {0}; remove the row")]
+    Value(#[from] rmp_serde::decode::Error),
+}
+
+fn decode_row(row: &StoreRow) -> Result<RecordRow, RowError> {
+    let (service, record) = (row.key.parse()?, decode(&row.value)?);
+    Ok(RecordRow { service, version: row.version, record })
 }
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -41,6 +41,7 @@
 mod messages;
 mod notices;
 mod odd_rows;
+mod odd_rows_random;
 mod orders;
 mod overload;
 mod part_attribution;
