--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub mod exchange;
 pub mod forward;
 mod gap_check;
+mod gauges;
 pub mod handle;
 mod head_deadline;
 pub mod held_table;
@@ -57,12 +58,13 @@
 pub mod stream_origins;
 mod stream_version;
 mod team_shares;
+mod threads;
 pub mod tunnels;
 mod version_registry;
 
 use std::{
     collections::HashSet,
-    fmt, io,
+    fmt,
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
@@ -108,15 +110,10 @@
     metrics::Metrics,
     names::{ServiceName, TeamName},
     routing::{
-        BudgetSum, BufferKind, CallKind, Incarnation, OrdersSnapshot, PickError, PickRequest,
-        Picked, Picker, RetryBudget, RetrySpending, StoreShare, SuspectKind,
-    },
-    utils::{
-        signal::Signal,
-        supervisor::{self, RequiredThreads},
-        sync::lock,
-        usage::Usage,
+        BudgetSum, CallKind, Incarnation, OrdersSnapshot, PickError, PickRequest, Picked, Picker,
+        RetryBudget, RetrySpending, StoreShare,
     },
+    utils::{signal::Signal, supervisor::RequiredThreads, sync::lock, usage::Usage},
 };
 
 /// Maximum number of connections to a server whose service is not in the intent.
@@ -240,38 +237,6 @@
         self.rollouts.wakeup.set();
     }
 
-    /// Starts a thread of the instance, whose work is started again after a panic until the instance stops.
-    ///
-    /// # Errors
-    ///
-    /// The thread cannot be started.
-    fn spawn_thread(
-        self: &Arc<Self>,
-        name: &'static str,
-        work: impl Fn(&Arc<Gateway>) + Send + 'static,
-    ) -> io::Result<()> {
-        let (gateway, running) = (Arc::clone(self), Arc::clone(self));
-        supervisor::spawn(name, &self.clock, move || running.is_running(), move || work(&gateway))
-    }
-
-    /// As [`Gateway::spawn_thread`], for a thread without which the instance must not get new callers.
-    ///
-    /// # Errors
-    ///
-    /// The thread cannot be started.
-    fn spawn_required_thread(
-        self: &Arc<Self>,
-        name: &'static str,
-        work: impl Fn(&Arc<Gateway>) + Send + 'static,
-    ) -> io::Result<()> {
-        let gateway = Arc::clone(self);
-        let run = move || {
-            let (threads, is_running) = (&gateway.required_threads, || gateway.is_running());
-            threads.keep_running(name, &gateway.clock, is_running, || work(&gateway));
-        };
-        thread::Builder::new().name(name.to_owned()).spawn(run).map(drop)
-    }
-
     /// Returns whether the instance has not been stopped.
     fn is_running(&self) -> bool {
         !self.is_stopped.load(Ordering::Relaxed)
@@ -462,62 +427,6 @@
         is_recent && self.cluster_state.with_watch(|watch| watch.is_settled(now))
     }
 
-    /// Updates the metrics that are gauges.
-    fn update_gauges(&self) {
-        let now = self.clock.now();
-        self.metrics.revision(self.cluster_state.version());
-        self.metrics.revision_newest(self.cluster_state.with_watch(|watch| watch.newest()));
-        for (subject, age) in [
-            ("intent", self.cluster_state.intent_age(now)),
-            ("servers", self.cluster_state.servers_age(now)),
-        ] {
-            if let Some(age) = age {
-                self.metrics.knowledge_age(subject, age);
-            }
-        }
-        let terms = &self.settings.bounds.retries;
-        for (service, budget) in lock(&self.budgets).iter_mut() {
-            self.metrics.budget_spent(service, budget.spent(now, terms));
-        }
-        for (server, count) in lock(&self.picker).in_flight() {
-            self.metrics.in_flight_at(server, count);
-        }
-        let confirmed = self.cluster_state.with_watch(|watch| watch.confirmed());
-        self.metrics.store_era(confirmed.map_or(0, |confirmed| confirmed.store.era.0));
-        self.metrics.evacuated_zones(self.cluster_state.evacuated_zones(now).len());
-        for (service, share) in lock(&self.picker).new_version_shares(now) {
-            self.metrics.rollout_share(&service, share);
-        }
-        self.metrics.cold_servers(lock(&self.picker).cold_count(now));
-        for kind in BufferKind::ALL {
-            self.metrics.buffered_bytes(kind.name(), self.buffers.held(kind));
-        }
-        for (service, count) in lock(&self.picker).team_limits().counts(now) {
-            self.metrics.limited_teams(service, count);
-        }
-        self.metrics.held_requests(self.crash_suspects.held_count(SuspectKind::Request));
-        self.metrics.held_parts(self.crash_suspects.held_count(SuspectKind::Part));
-        let kept = self.cluster_state.with_servers(|roster| roster.kept().count());
-        self.metrics.kept_servers(kept);
-        self.metrics.ready(self.is_ready());
-        self.metrics.tunnels_served(self.tunnels.served());
-        self.update_reach_gauges();
-        self.update_lease_gauges();
-        for (thread, count) in supervisor::panics() {
-            self.metrics.thread_panics(&thread, count);
-        }
-        self.metrics.log_lines_left_out(log_sink::take_dropped());
-    }
-
-    /// Updates the gauges of the servers that this instance does not reach.
-    fn update_reach_gauges(&self) {
-        let Some(intent) = self.cluster_state.intent() else { return };
-        for service in intent.services.keys() {
-            let counts = lock(&self.picker).reach_counts(service);
-            self.metrics.unreached_servers(service, counts.unreached);
-        }
-    }
-
     /// Returns whether the platform should send callers to this instance.
     pub fn is_ready(&self) -> bool {
         // The picker receives a list after the cluster state, and without servers it refuses all requests.
