--- a/src/utils/supervisor.rs
+++ b/src/utils/supervisor.rs
@@ -24,7 +24,7 @@
 const RESTART_DELAY_FIRST: Duration = Duration::from_millis(100);
 
 /// Longest such time. It bounds the load and the log lines of work that always panics, and how late the work goes on
-/// once the cause is gone.
+/// after its cause has ended.
 const RESTART_DELAY_MAX: Duration = Duration::from_secs(2);
 
 /// Time without a panic after which earlier ones count no more.
