test(link): wait for the bytes that show that a connection is not reused

The stand-in sends its answer and the endless bytes in two writes; when the answer is read between them, `call` returns keep_alive, which no reader can know better at that moment. The pool looks at the state of a connection before it is used again.

--- a/tests/suite/endless_bytes.rs
+++ b/tests/suite/endless_bytes.rs
@@ -7,7 +7,7 @@
     clock::Clock,
     link::{
         call::{CallTimeouts, call as call_with},
-        http1::{Conn, HeadError, ResponseHead},
+        http1::{Conn, HeadError, ResponseHead, conn::ConnState},
     },
 };
 use http::Method;
@@ -161,6 +161,11 @@
         let began = Instant::now();
         let message = b"GET /idem/x HTTP/1.1\r\nhost: s0\r\nx-request-id: r\r\n\r\n";
         let reply = call_with(&mut conn, &Method::GET, message, &timeouts, 1 << 20);
+        let is_reusable = reply.as_ref().is_ok_and(|reply| reply.keep_alive);
+        if is_reusable && !endless.is_slow {
+            // The bytes may come after the answer was read: a pool looks at the connection before it is used again.
+            eventually("the connection is not used again", || conn.state() != ConnState::Open);
+        }
         drop(conn);
         let is_whole = match endless.kind {
             EndlessKind::AfterAnswer => true,
@@ -168,7 +173,6 @@
             _ => false,
         };
         assert_eq!(reply.is_ok(), is_whole, "{endless:?}: {reply:?}");
-        assert!(!reply.is_ok_and(|reply| reply.keep_alive && !endless.is_slow), "{endless:?}");
         assert!(began.elapsed() < timeouts.total * 2, "{endless:?}: {:?}", began.elapsed());
     }
 }
