test(buffers): have further slow callers come until three quarters are held

All its 40 callers send at once; those that are refused at the same moment all leave, so that the ones that stay may hold less than the threshold, and nobody else comes.

Further slow callers of the team come until the bytes are held.

--- a/tests/suite/slow_readers.rs
+++ b/tests/suite/slow_readers.rs
@@ -271,17 +271,20 @@
         )
     };
     let (total, _) = peak(testbed.instance.gateway(), || {
-        let _slow: Vec<TcpStream> = (0..40)
-            .map(|id| {
-                let mut stream = TcpStream::connect(testbed.instance.callers()).expect("connected");
-                let begun = format!("{}{}", head(KEY, id, 60_000), "x".repeat(50_000));
-                // A refused caller may find its connection closed.
-                let _ = stream.write_all(begun.as_bytes());
-                stream
-            })
-            .collect();
+        let begin_slowly = |id: usize| {
+            let mut stream = TcpStream::connect(testbed.instance.callers()).expect("connected");
+            let begun = format!("{}{}", head(KEY, id, 60_000), "x".repeat(50_000));
+            // A refused caller may find its connection closed.
+            let _ = stream.write_all(begun.as_bytes());
+            stream
+        };
+        let mut slow: Vec<TcpStream> = (100..140).map(begin_slowly).collect();
         let held = || testbed.instance.gateway().buffers.total();
-        eventually("three quarters are held", || held() > budget / 4 * 3 - 80_000);
+        eventually("three quarters are held", || {
+            // Callers that are refused at the same moment leave room for further ones.
+            slow.push(begin_slowly(100 + slow.len()));
+            held() > budget / 4 * 3 - 80_000
+        });
         let mut refused = TcpStream::connect(testbed.instance.callers()).expect("connected");
         refused.write_all(head(KEY, 99, 400_000).as_bytes()).expect("sent");
         refused.set_read_timeout(Some(Duration::from_secs(10))).expect("a timeout");
