refactor(soak): split the run into faults of processes, departures, intent changes and the report

Nothing that a seed draws or checks has changed: the functions are moved. Runs take the folder in which they keep the processes' settings and logs as an option, as two copies of one seed in one folder shared their settings and failed (docs in soak/SEEDS.md, seed 79003).

--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -3,12 +3,16 @@
 
 mod callers;
 mod checks;
+mod departures;
 mod fleet;
+mod intent_changes;
 mod load;
 mod notices;
 mod odd_rows;
 mod options;
 mod plan;
+mod processes;
+mod report;
 mod resumptions;
 mod rollouts;
 mod run;
--- a/soak/src/notices.rs
+++ b/soak/src/notices.rs
@@ -8,11 +8,7 @@
 use cartvane::utils::sync::lock;
 use standins::{fault::Fault, listed::SentNotice, server::Received};
 
-use crate::{
-    checks::Checks,
-    fleet::Fleet,
-    run::{TOLERANCE, replace_server},
-};
+use crate::{checks::Checks, departures::replace_server, fleet::Fleet, run::TOLERANCE};
 
 /// Time after a notice in which requests that were already in transit may still arrive.
 const IN_TRANSIT_TIME: Duration = Duration::from_millis(500);
--- a/soak/src/options.rs
+++ b/soak/src/options.rs
@@ -1,18 +1,22 @@
 //! The command line.
 
-use std::{ffi::OsString, ops::Range, time::Duration};
+use std::{ffi::OsString, ops::Range, path::PathBuf, time::Duration};
 
 /// Usage text.
 pub(crate) const USAGE: &str =
-    "soak [--seed N | --seeds A..B] [--seconds S] [--instances N] [--verbose]
+    "soak [--seed N | --seeds A..B] [--seconds S] [--instances N] [--dir D] [--verbose]
 
   --seed N       one run whose random choices follow from N; also replays a failed seed
   --seeds A..B   a run for each seed from A to B - 1 (default 1..4)
   --seconds S    time in which faults are injected in a run (default 12)
   --instances N  instances in the fleet (default 4)
+  --dir D        folder of the runs, one at a time for each seed (default target/soak)
   --verbose      print each event as it is applied
 
-The processes of a run log to target/soak/SEED/.";
+The processes of a run log to D/SEED/.";
+
+/// Folder of the runs if none is given.
+const DIR_DEFAULT: &str = "target/soak";
 
 /// Longest time in which faults are injected, in seconds.
 const SECONDS_MAX: u64 = 3600;
@@ -29,6 +33,8 @@
     pub(crate) fault_time: Duration,
     /// Number of instances.
     pub(crate) instances: usize,
+    /// Folder of the runs, which has one for each seed.
+    pub(crate) dir: PathBuf,
     /// Whether events are printed.
     pub(crate) verbose: bool,
 }
@@ -48,6 +54,7 @@
         let range: Option<String> = args.opt_value_from_str("--seeds")?;
         let seconds: u64 = args.opt_value_from_str("--seconds")?.unwrap_or(12);
         let instances: usize = args.opt_value_from_str("--instances")?.unwrap_or(4);
+        let dir: Option<PathBuf> = args.opt_value_from_str("--dir")?;
         let verbose = args.contains("--verbose");
         let unknown = args.finish();
         anyhow::ensure!(unknown.is_empty(), "unknown option {unknown:?}");
@@ -69,6 +76,8 @@
             }
         };
         anyhow::ensure!(!seeds.is_empty(), "the range of seeds is empty");
-        Ok(Options { seeds, fault_time: Duration::from_secs(seconds), instances, verbose })
+        let fault_time = Duration::from_secs(seconds);
+        let dir = dir.unwrap_or_else(|| DIR_DEFAULT.into());
+        Ok(Options { seeds, fault_time, instances, dir, verbose })
     }
 }
--- a/soak/src/resumptions.rs
+++ b/soak/src/resumptions.rs
@@ -13,7 +13,7 @@
 use crate::{
     checks::Checks,
     fleet::Fleet,
-    run,
+    processes,
     stream_caller::StreamCaller,
     two_versions::{self, FIRST, SECOND, TwoVersions},
     version_event::Departure,
@@ -95,7 +95,7 @@
                 self.versions().unlist(fleet, FIRST);
                 thread::sleep(LISTED_TIME);
             }
-            run::kill_all(fleet, self.checks);
+            processes::kill_all(fleet, self.checks);
             begun.into_iter().map(|caller| caller.join().expect("a caller returns")).collect()
         });
         self.versions().faults.clear();
@@ -103,7 +103,7 @@
             self.versions().unlist(fleet, FIRST);
         }
         thread::sleep(down);
-        run::restart_all(fleet, self.checks);
+        processes::restart_all(fleet, self.checks);
         callers.retain(StreamCaller::is_broken_off);
         let results: Vec<_> = thread::scope(|scope| {
             let resume = |(stream, caller)| {
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -1,10 +1,6 @@
 //! One run: starts the fleet and the callers, applies random events, and checks the invariants.
 
 use std::{
-    collections::BTreeMap,
-    fmt,
-    os::unix::process::ExitStatusExt as _,
-    path::Path,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -15,17 +11,23 @@
 
 use cartvane::utils::sync::lock;
 use fastrand::Rng;
-use rustix::process::Signal;
 use standins::{caller::Call, fault::Fault, listed::EVENTS, proxy::LinkMode, store::StoreMode};
 
 use crate::{
     callers::Callers,
-    checks::{Checks, Violation},
-    fleet::{CONFIG_APPLY_TIME, DRAIN_TIME, Fleet, GRACE_PERIOD, Instance, KEY, send},
+    checks::Checks,
+    departures::{DRAINING_WATCH_TIME, check_departure, leave_unnoticed, replace_server},
+    fleet::{Fleet, KEY},
+    intent_changes::change_intent,
     load, notices,
     odd_rows::{self, OddRow},
     options::Options,
     plan::{self, Event, Growth},
+    processes::{
+        check_running, freeze, kill, kill_all, reload, restart, restart_all, set_store_link,
+        terminate,
+    },
+    report::Report,
     rollouts, small_service,
 };
 
@@ -51,53 +53,16 @@
 /// The invariant that all instances serve after faults.
 const SERVE_AGAIN: &str = "all instances serve again after the last fault";
 
-/// Time after which a started process has installed its signal handlers.
-const STARTUP_TIME: Duration = Duration::from_millis(500);
-
 /// Added to each time bound, because processes are scheduled late on a busy machine.
 pub(crate) const TOLERANCE: Duration = Duration::from_millis(1500);
 
-/// Violations of one invariant that are printed; the others are counted.
-const PRINTED_MAX: usize = 5;
-
-/// Result of a run.
-pub(crate) struct Report {
-    /// Violated invariants.
-    pub(crate) violations: Vec<Violation>,
-    requests: u64,
-    served: u64,
-    events: usize,
-    logs: String,
-}
-
-impl fmt::Display for Report {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{} events, {} of {} requests served", self.events, self.served, self.requests)?;
-        let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
-        for violation in &self.violations {
-            let count = counts.entry(violation.invariant).or_default();
-            *count += 1;
-            if *count <= PRINTED_MAX {
-                write!(f, "\n  VIOLATED {violation}")?;
-            }
-        }
-        for (invariant, count) in counts.into_iter().filter(|(_, count)| *count > PRINTED_MAX) {
-            write!(f, "\n  VIOLATED {count} times: {invariant}")?;
-        }
-        if !self.violations.is_empty() {
-            write!(f, "\n  logs: {}", self.logs)?;
-        }
-        Ok(())
-    }
-}
-
 /// Runs one seed.
 pub(crate) fn run(
     seed: u64,
     options: &Options,
     interrupted: &AtomicBool,
 ) -> anyhow::Result<Report> {
-    let dir = Path::new("target/soak").join(seed.to_string());
+    let dir = options.dir.join(seed.to_string());
     if dir.exists() {
         std::fs::remove_dir_all(&dir)?;
     }
@@ -275,187 +240,6 @@
     }
 }
 
-/// Has an instance reload its settings, unless it was started only just now: before the process has installed its
-/// handler, the default action of SIGHUP terminates it.
-fn reload(fleet: &Fleet, number: usize) {
-    let mut instance = lock(&fleet.instances[number]);
-    if instance.disturbed_at.elapsed() > STARTUP_TIME {
-        instance.signal(Signal::HUP);
-    }
-}
-
-fn terminate(fleet: &Fleet, checks: &Checks, number: usize) {
-    // Holds the lock until the process exits, so that no other event except one that already runs affects it.
-    let mut instance = lock(&fleet.instances[number]);
-    check_running(&mut instance, checks);
-    instance.signal(Signal::TERM);
-    if !instance.wait(GRACE_PERIOD + plan::FAULT_TIME_MAX + TOLERANCE) {
-        checks.report_violation(
-            "an instance exits within the grace period",
-            &format!("edge-{number}"),
-            "still running",
-        );
-        instance.kill();
-    }
-    if let Err(error) = instance.start() {
-        checks.report_violation("the soak itself works", "start", error.to_string());
-    }
-}
-
-/// Reports a process that has ended without having been told to.
-fn check_running(instance: &mut Instance, checks: &Checks) {
-    // Instances are killed at once without their locks, and have ended before the lock is taken.
-    let killed = Some(Signal::KILL.as_raw());
-    if let Some(status) = instance.exit_status().filter(|status| status.signal() != killed) {
-        let (subject, observed) = (instance.frontend.to_string(), status.to_string());
-        checks.report_violation("no process ends by itself", &subject, observed);
-    }
-}
-
-fn kill(fleet: &Fleet, checks: &Checks, number: usize) {
-    let mut instance = lock(&fleet.instances[number]);
-    check_running(&mut instance, checks);
-    instance.kill();
-}
-
-/// Kills all instances at once.
-pub(crate) fn kill_all(fleet: &Fleet, checks: &Checks) {
-    fleet.pids.iter().for_each(|pid| send(pid, Signal::KILL));
-    (0..fleet.instances.len()).for_each(|number| kill(fleet, checks, number));
-}
-
-/// Starts all instances, after a kill if they run.
-pub(crate) fn restart_all(fleet: &Fleet, checks: &Checks) {
-    (0..fleet.instances.len()).for_each(|number| restart(fleet, checks, number));
-}
-
-fn restart(fleet: &Fleet, checks: &Checks, number: usize) {
-    let mut instance = lock(&fleet.instances[number]);
-    check_running(&mut instance, checks);
-    instance.kill();
-    if let Err(error) = instance.start() {
-        checks.report_violation("the soak itself works", "start", error.to_string());
-    }
-}
-
-pub(crate) fn replace_server(fleet: &Fleet, checks: &Checks, endpoint: usize) {
-    if let Err(error) = fleet.replace_server(endpoint) {
-        checks.report_violation("the soak itself works", "replace", error.to_string());
-    }
-}
-
-/// How long a server that leaves is watched for requests, once it must not receive any.
-const DRAINING_WATCH_TIME: Duration = Duration::from_millis(700);
-
-/// The same for one that leaves while instances are stopped: these report to each other again within some seconds.
-const UNNOTICED_WATCH_TIME: Duration = Duration::from_secs(3);
-
-/// Stops instances with SIGSTOP for `time`.
-pub(crate) fn freeze(fleet: &Fleet, numbers: &[usize], time: Duration) {
-    // Does not hold the instances' locks, so that a frozen process can receive other signals.
-    numbers.iter().for_each(|&number| send(&fleet.pids[number], Signal::STOP));
-    thread::sleep(time);
-    numbers.iter().for_each(|&number| send(&fleet.pids[number], Signal::CONT));
-    numbers.iter().for_each(|&number| lock(&fleet.instances[number]).note_disturbed());
-}
-
-/// Has an instance's link to the store be in another mode for `time`.
-pub(crate) fn set_store_link(fleet: &Fleet, number: usize, mode: LinkMode, time: Duration) {
-    let set_mode = |mode| {
-        let mut instance = lock(&fleet.instances[number]);
-        instance.store_proxy.set_mode(mode);
-        instance.note_disturbed();
-    };
-    set_mode(mode);
-    thread::sleep(time);
-    set_mode(LinkMode::Open);
-}
-
-/// Removes the entry of a server while instances are stopped for `time`, and checks that the others send it nothing.
-fn leave_unnoticed(
-    fleet: &Fleet,
-    checks: &Checks,
-    endpoint: usize,
-    stopped: Vec<usize>,
-    time: Duration,
-) {
-    thread::scope(|scope| {
-        scope.spawn(|| freeze(fleet, &stopped, time));
-        let leave = || fleet.remove_entry(endpoint);
-        check_departure(fleet, checks, endpoint, UNNOTICED_WATCH_TIME, leave);
-    });
-}
-
-/// Has a server leave by a change of its entry, and checks that no request arrives there once the drain time has passed.
-fn check_departure(
-    fleet: &Fleet,
-    checks: &Checks,
-    endpoint: usize,
-    watch_time: Duration,
-    leave: impl FnOnce(),
-) {
-    let since = Instant::now();
-    let (leaving, _) = fleet.arrivals(endpoint);
-    leave();
-    thread::sleep(DRAIN_TIME + TOLERANCE);
-    let (id, before) = fleet.arrivals(endpoint);
-    thread::sleep(watch_time);
-    let (still, after) = fleet.arrivals(endpoint);
-    // Another event may have put a new server in its place.
-    if id == leaving && still == leaving {
-        // A request id contains the number of the instance that the caller sent it to.
-        for request in &after[before.len()..] {
-            let number = request.rsplit_once("-i").and_then(|(_, number)| number.parse().ok());
-            if number.is_some_and(|number| is_undisturbed(fleet, number, since)) {
-                checks.report_violation(
-                    "a server that leaves receives no new requests",
-                    request,
-                    format!("at {id}"),
-                );
-            }
-        }
-    }
-    replace_server(fleet, checks, endpoint);
-}
-
-/// Changes the intent and checks that, after the time for applying it, undisturbed instances serve the new version
-/// and not the one before.
-fn change_intent(fleet: &Fleet, checks: &Checks, times: u32) {
-    let since = Instant::now();
-    let mut version = 0;
-    for _ in 0..times {
-        version = fleet.change_intent();
-        thread::sleep(Duration::from_millis(60));
-    }
-    thread::sleep(CONFIG_APPLY_TIME + TOLERANCE);
-    for number in 0..fleet.instances.len() {
-        let new = probe(fleet, number, version);
-        let old = probe(fleet, number, version - 1);
-        if *lock(&fleet.version) != version || !is_undisturbed(fleet, number, since) {
-            continue;
-        }
-        if new == 404 || old == 200 {
-            let observed = format!("version {version}: new {new}, old {old}");
-            checks.report_violation(
-                "an intent change is applied in time",
-                &format!("edge-{number}"),
-                observed,
-            );
-        }
-    }
-}
-
-fn probe(fleet: &Fleet, number: usize, version: u64) -> u16 {
-    let Ok(instance) = fleet.instances[number].try_lock() else { return 0 };
-    let address = instance.frontend;
-    drop(instance);
-    let call = Call {
-        timeout: Duration::from_secs(3),
-        ..Call::post(&format!("/v{version}/"), KEY, "probe")
-    };
-    call.with("x-request-id", format!("probe-{number}-{version}")).send(address).status
-}
-
 /// Returns whether the store and an instance were undisturbed for [`UNDISTURBED_TIME`] before `since` and ever since.
 pub(crate) fn is_undisturbed(fleet: &Fleet, number: usize, since: Instant) -> bool {
     let Ok(instance) = fleet.instances[number].try_lock() else { return false };
--- a/soak/src/version_event.rs
+++ b/soak/src/version_event.rs
@@ -5,7 +5,7 @@
 use fastrand::Rng;
 use standins::proxy::LinkMode;
 
-use crate::{checks::Checks, fleet::Fleet, resumptions::Resumptions, run, two_versions};
+use crate::{checks::Checks, fleet::Fleet, processes, resumptions::Resumptions, two_versions};
 
 /// Mixed into a run's seed for these events; with this one the short runs of CI have events of all kinds, alone and mixed.
 const SEED_MASK: u64 = 0x7478_17c4;
@@ -75,11 +75,12 @@
                 resumptions.after_kill(&mut rng, departure, down);
             }
             VersionEvent::Stop(instance, time) => {
-                let stop = || run::freeze(fleet, &[instance], time);
+                let stop = || processes::freeze(fleet, &[instance], time);
                 resumptions.after_absence(&mut rng, instance, time, stop);
             }
             VersionEvent::CutOff(instance, time) => {
-                let cut_off = || run::set_store_link(fleet, instance, LinkMode::Blocked, time);
+                let cut_off =
+                    || processes::set_store_link(fleet, instance, LinkMode::Blocked, time);
                 resumptions.after_absence(&mut rng, instance, time, cut_off);
             }
         }
