fix(link): close pooled connections on which bytes arrive between requests

Seen: the test of endless bytes failed once in a run of the whole suite: a connection whose server went on sending after its answer was closed after 15.4 s, where 4 s are allowed.

Cause: a connection is pooled when its answer was read and nothing else has arrived. Nobody looks at it until it is taken for the next request or the list of servers changes. The test passed whenever the first further bytes came with the answer.

Class: all pools, also those to the store and to other instances. Idle connections of callers are watched already.

Fix: the thread of the exchange, which wakes four times a second or less, checks each pool once a second with one poll for all of its connections. Ruled out: registering each idle connection with epoll, which costs two system calls for each request.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -20,7 +20,7 @@
     roster_reader,
 };
 use crate::{
-    link::{peer::PeerError, traffic::Purpose},
+    link::{peer::PeerError, pool_check::POOL_CHECK_PERIOD, traffic::Purpose},
     routing::{
         Confirmation, Crowded, InFlightCount, Judgement, ListVersion, ServerListUpdate,
         ServiceLoad, StoreEra, fallback_reader,
@@ -41,10 +41,17 @@
 /// Minimum time between two rounds of queries.
 const ROUND_INTERVAL_MIN: Duration = Duration::from_millis(300);
 
-/// Makes an exchange in each period, until the instance stops.
+/// Makes an exchange in each period, until the instance stops. Checks the pools of connections too, as this thread wakes
+/// often enough for it.
 pub fn run(gateway: &Arc<Gateway>) {
+    let mut pools_checked_at = gateway.clock.now();
     while gateway.is_running() {
         exchange(gateway);
+        let now = gateway.clock.now();
+        if now.saturating_duration_since(pools_checked_at) >= POOL_CHECK_PERIOD {
+            gateway.close_unusable_conns();
+            pools_checked_at = now;
+        }
         let period = gateway.peers.period();
         thread::sleep(period.mul_f64(0.9 + 0.2 * fastrand::f64()));
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -382,6 +382,13 @@
         zones != previous || rollouts_changed
     }
 
+    /// Closes idle connections that cannot be used again.
+    fn close_unusable_conns(&self) {
+        self.conns.close_unusable();
+        self.peers.close_unusable();
+        self.store.close_unusable();
+    }
+
     /// Removes a server whose address now belongs to another one.
     pub fn remove_server(&self, id: &Incarnation) {
         self.cluster_state.remove_server(id);
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -295,6 +295,12 @@
         lock(&self.candidates).own().node == instance.node
     }
 
+    /// Closes idle connections to other instances that cannot be used again.
+    pub(super) fn close_unusable(&self) {
+        let all = [&self.links, &self.probe_links, &self.permit_links, &self.origin_links];
+        all.into_iter().for_each(PeerClient::close_unusable);
+    }
+
     /// Returns the time between two exchanges, which grows with the number of instances.
     pub(super) fn period(&self) -> Duration {
         let instances = u32::try_from(self.instances()).unwrap_or(u32::MAX);
--- a/src/gateway/server_conns.rs
+++ b/src/gateway/server_conns.rs
@@ -15,6 +15,7 @@
     link::{
         dialer::Dialer,
         http1::{Conn, conn::ConnState},
+        pool_check::take_unusable,
     },
     routing::Incarnation,
     utils::sync::lock,
@@ -125,6 +126,15 @@
         }
     }
 
+    /// Closes idle connections that are too old, that the server has closed, or on which bytes have arrived since the last
+    /// response.
+    pub fn close_unusable(&self) {
+        let now = self.clock.now();
+        let is_fresh = |idle: &IdleConn| now.saturating_duration_since(idle.since) < idle.max_age;
+        let unusable = take_unusable(&mut lock(&self.idle), is_fresh, |idle| &idle.conn);
+        drop(unusable);
+    }
+
     /// Closes the idle connections to servers for which `is_listed` returns false.
     pub fn retain(&self, is_listed: impl Fn(&Incarnation) -> bool) {
         lock(&self.idle).retain(|server, _| is_listed(server));
--- a/src/instance/background.rs
+++ b/src/instance/background.rs
@@ -37,6 +37,9 @@
 /// Ticks between two rounds of the slower work: loads, claims, metrics.
 const SLOW_TICKS: u64 = 5;
 
+/// Ticks between two checks of the pools of connections: one second.
+const POOL_CHECK_TICKS: u64 = 20;
+
 /// The threads of one instance.
 struct Workers {
     shared: Arc<Shared>,
@@ -132,6 +135,10 @@
         // From now on the next instance in rendezvous order is the home of every shard held here.
         lock(&shared.membership).leave();
     }
+    if ticks.is_multiple_of(POOL_CHECK_TICKS) {
+        shared.backends.close_unusable();
+        shared.peers.close_unusable();
+    }
     shared.permit_client.send_due(|id| shared.home_of_id(id));
     let Some(snapshot) = shared.snapshot.load_full() else { return };
     shared.homes.tick(&snapshot, |shard| shared.home_of(shard) == shared.tag);
--- a/src/link/backend.rs
+++ b/src/link/backend.rs
@@ -20,6 +20,7 @@
         conn::ConnState,
         head::{write_header, write_headers},
     },
+    link::pool_check::take_unusable,
     utils::sync::lock,
 };
 
@@ -149,6 +150,15 @@
         }
     }
 
+    /// Closes idle connections that are too old, that the server has closed, or on which bytes have arrived since the last
+    /// response. To be called each [`POOL_CHECK_PERIOD`](super::pool_check::POOL_CHECK_PERIOD).
+    pub fn close_unusable(&self) {
+        let now = self.clock.now();
+        let is_fresh = |idle: &IdleConn| now.saturating_duration_since(idle.since) < IDLE_AGE_MAX;
+        let unusable = take_unusable(&mut lock(&self.idle), is_fresh, |idle| &idle.conn);
+        drop(unusable);
+    }
+
     fn connect(&self, attempt: &Attempt<'_>) -> Result<Conn, AttemptFault> {
         let remaining = attempt.head_deadline.saturating_duration_since(self.clock.now());
         let timeout = remaining.min(self.connect_timeout);
--- a/src/link/conn_pool.rs
+++ b/src/link/conn_pool.rs
@@ -7,6 +7,7 @@
 use super::{
     call::{CallError, CallReply, CallTimeouts, call},
     http1::{Conn, conn::ConnState},
+    pool_check::take_unusable,
 };
 use crate::{clock::Clock, utils::sync::lock};
 
@@ -76,6 +77,13 @@
         Conn::connect(to, self.connect_timeout, &self.clock)
     }
 
+    /// Closes idle connections that the peer has closed, or on which bytes have arrived since the last call. To be called
+    /// each [`POOL_CHECK_PERIOD`](super::pool_check::POOL_CHECK_PERIOD).
+    pub fn close_unusable(&self) {
+        let unusable = take_unusable(&mut lock(&self.idle), |_| true, |conn| conn);
+        drop(unusable);
+    }
+
     fn call_on(
         &self,
         mut conn: Conn,
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -9,6 +9,7 @@
 pub mod idle;
 pub mod listener;
 pub mod peer;
+pub mod pool_check;
 pub mod response;
 pub mod text_server;
 pub mod traffic;
--- a/src/link/peer.rs
+++ b/src/link/peer.rs
@@ -151,6 +151,11 @@
         decode(&reply.body).map_err(|e| PeerError::Interrupted(to, e.to_string()))
     }
 
+    /// Closes idle connections that cannot be used again; see [`ConnPool::close_unusable`].
+    pub fn close_unusable(&self) {
+        self.conns.close_unusable();
+    }
+
     /// Opens a stream to a peer.
     ///
     /// # Errors
--- a/standins/src/endless.rs
+++ b/standins/src/endless.rs
@@ -10,6 +10,9 @@
 /// Pause between two pieces of slow bytes.
 const SLOW_PAUSE: Duration = Duration::from_millis(50);
 
+/// Pause after a whole answer: its receiver has read it by then, and keeps the connection for further requests.
+const LATE_PAUSE: Duration = Duration::from_millis(100);
+
 /// Size in bytes of a piece of slow bytes.
 const SLOW_PIECE: usize = 4;
 
@@ -47,10 +50,12 @@
     Trailers,
     /// Bytes after a whole answer.
     AfterAnswer,
+    /// Bytes a while after a whole answer, when no request is under way.
+    LongAfterAnswer,
 }
 
 impl EndlessKind {
-    /// All kinds.
+    /// All kinds that come in place of an answer or with it.
     pub const ALL: [EndlessKind; 11] = [
         EndlessKind::HeaderLines,
         EndlessKind::NoLineEnd,
@@ -86,7 +91,7 @@
             EndlessKind::ChunkExtension => (chunked + "1;", "x"),
             EndlessKind::NoChunk => (chunked + "3\r\nabc\r\n", "no chunk "),
             EndlessKind::Trailers => (chunked + "3\r\nabc\r\n0\r\n", "x-more: more\r\n"),
-            EndlessKind::AfterAnswer => {
+            EndlessKind::AfterAnswer | EndlessKind::LongAfterAnswer => {
                 (format!("HTTP/1.1 200 OK\r\n{headers}content-length: 3\r\n\r\nabc"), "more")
             }
         }
@@ -120,6 +125,9 @@
         let endless = repeated.repeat(1 + size / repeated.len());
         let (mut sent, mut at) = (0, 0);
         let mut closed = conn.send(first.as_bytes(), STALL).is_err();
+        if self.kind == EndlessKind::LongAfterAnswer {
+            thread::sleep(LATE_PAUSE);
+        }
         while !closed && began.elapsed() < GIVE_UP {
             let piece = &endless[at..(at + size).min(endless.len())];
             closed = conn.send(piece.as_bytes(), STALL).is_err();
--- a/tests/suite/endless_bytes.rs
+++ b/tests/suite/endless_bytes.rs
@@ -1,12 +1,17 @@
 //! Servers whose bytes come without end, fast or a few at a time: other servers serve their requests, and what is read
 //! and held of the bytes is bounded.
 
-use std::time::{Duration, Instant};
+use std::{
+    cell::Cell,
+    thread,
+    time::{Duration, Instant},
+};
 
 use cartvane::{
     clock::Clock,
     link::{
         call::{CallTimeouts, call as call_with},
+        conn_pool::{Call, ConnPool},
         http1::{Conn, HeadError, ResponseHead},
     },
 };
@@ -89,6 +94,54 @@
     assert!(faults.is_empty(), "{faults:#?}");
 }
 
+// Guards against a pooled connection that nobody looks at until it is used again.
+#[test]
+fn a_pooled_connection_on_which_bytes_arrive_is_closed() {
+    for is_slow in [false, true] {
+        let testbed = start_sharing(2);
+        let late = Endless { kind: EndlessKind::LongAfterAnswer, is_slow };
+        testbed.servers[0].faults.push([Fault::Endless(late)]);
+        assert_eq!(testbed.send(&call("/idem/x", "r0")).text(), "abc", "{late:?}");
+        let sent = sent(&testbed, 1)[0];
+        assert!(sent.bytes < BYTES_MAX, "{late:?}: {sent:?}");
+        assert!(
+            sent.closed_after.is_some_and(|after| after < CALLER_WAITS * 2),
+            "{late:?}: {sent:?}"
+        );
+    }
+}
+
+// Guards against the same on connections to the store and to instances, and against a check that closes sound ones.
+#[test]
+fn a_pool_for_calls_closes_a_connection_on_which_bytes_arrive_and_no_other() {
+    let late = Endless { kind: EndlessKind::LongAfterAnswer, is_slow: true };
+    let timeouts = CallTimeouts { head: CALLER_WAITS, stall: CALLER_WAITS, total: CALLER_WAITS };
+    let server = Listed::spawn("s0").expect("a server");
+    let pool = ConnPool::new(Clock::system(), CALLER_WAITS);
+    let connects = Cell::new(0);
+    let message = |is_first| {
+        connects.update(|count| count + usize::from(is_first));
+        b"GET /idem/x HTTP/1.1\r\nhost: s0\r\nx-request-id: r\r\n\r\n".to_vec()
+    };
+    let call = Call {
+        method: Method::GET,
+        message: &message,
+        timeouts,
+        reply_max: 1 << 20,
+        may_retry: |_| false,
+    };
+    pool.call(server.address(), &call).expect("a reply");
+    pool.close_unusable();
+    server.faults.push([Fault::Endless(late)]);
+    assert_eq!(pool.call(server.address(), &call).expect("a reply").body, b"abc");
+    assert_eq!(connects.get(), 1, "a connection on which nothing arrived is used again");
+    thread::sleep(Duration::from_millis(300));
+    pool.close_unusable();
+    eventually("the connection is closed", || server.endless_sent().len() == 1);
+    let after = server.endless_sent()[0].closed_after;
+    assert!(after.is_some_and(|after| after < CALLER_WAITS), "{after:?}");
+}
+
 // Guards against a request that may run once and runs twice, and against an answer that looks whole and is not.
 #[test]
 fn a_request_that_may_run_once_gets_the_truth() {
