fix(streams): let a few instances write the checkpoints of a large fleet

In fleets of over ten instances callers got 503 for streams that had begun just before a restart of all instances beside two versions.

Cause: each instance wrote its own row, at most once in 10 ms for each instance of the fleet, and the first event of a stream did not wait for that. Records made since the last write were in memory alone.

Change: four instances, by rendezvous rank of a fixed key weighted by their processors, write for all, each 50 ms. The instance that carries a stream sends the record to one of the four, by the stream's key, until it confirms that the write was made, and holds the first event for 150 ms at most. SentRecords sends them, now with the number of copies as a parameter; a silent writer is passed over like a silent holder. A writer is told of complete streams, so that its row has streams that run or broke off. It writes what others ask for also before its own list shows a second version. A full row drops its oldest records with a log line, and doesn't confirm those that were not written.

Ruled out: shorter intervals for all instances, since together they would make more transactions than the store takes; holding the first event for the longer interval, which is 0.62 s at 62 instances.

sent_records: the number of copies is passed to the constructor; what it checks is unchanged.

--- a/src/gateway/stream_origins/checkpoints.rs
+++ b/src/gateway/stream_origins/checkpoints.rs
@@ -1,8 +1,8 @@
 //! Writes checkpoints of this instance's streams to the store, and reads those of all instances where nobody remembers a
 //! stream that a caller resumes. `routing::stream_checkpoints` decides what is written and when.
 //!
-//! A thread writes, only while streams of several versions are carried; on other days nothing is written or read. In a
-//! small fleet the first event of a stream waits for the write.
+//! A thread writes, only while streams of several versions are carried; on other days nothing is written or read. The
+//! first event of a stream waits for the write. `checkpoint_writers` has records written by others, in large fleets.
 
 use std::{
     sync::{
@@ -22,8 +22,9 @@
     configs::fleet::chunks::{decode, encode},
     gateway::{Gateway, request::Request, skipped_log::SkippedLog},
     routing::{
-        CheckpointNeed, CheckpointRow, CheckpointStep, ExpiredRow, StoreClock, StreamCheckpoints,
-        StreamKey, StreamOrigin, StreamRecord,
+        CheckpointNeed, CheckpointRequests, CheckpointRow, CheckpointStep, EVENT_HOLD_MAX,
+        ExpiredRow, SELF_WRITING_MAX, StoreClock, StreamCheckpoints, StreamKey, StreamOrigin,
+        StreamRecord,
     },
     utils::{signal::Signal, sync::lock},
 };
@@ -34,13 +35,14 @@
 /// Time between two such reads, for each instance: all together make at most 400 reads a second.
 const READ_INTERVAL_PER_INSTANCE: Duration = Duration::from_micros(2500);
 
-/// Longest time for which the first event of a stream waits until its record is written.
-const EVENT_HOLD_MAX: Duration = Duration::from_millis(150);
-
 /// The checkpoint of this instance, and what it has read of the others.
 #[derive(Default)]
 pub(super) struct CheckpointLink {
-    own: Mutex<StreamCheckpoints>,
+    pub(super) own: Mutex<StreamCheckpoints>,
+    /// What other instances write for this one, in large fleets.
+    pub(super) requests: Mutex<CheckpointRequests>,
+    /// Notified when a writer has replied.
+    pub(super) requests_written: Condvar,
     /// Notified after each write.
     written: Condvar,
     /// Set when there is something new to write.
@@ -58,7 +60,7 @@
 }
 
 impl StreamVersions {
-    fn checkpoint_need(&self, now: Instant) -> CheckpointNeed {
+    pub(super) fn checkpoint_need(&self, now: Instant) -> CheckpointNeed {
         let sightings = lock(&self.sightings);
         if sightings.has_several_of_any(now) {
             CheckpointNeed::SeveralVersions
@@ -73,6 +75,9 @@
 impl Gateway {
     /// Has the record of a stream written to the store.
     pub(super) fn checkpoint_record(&self, now: Instant, record: &StreamRecord) {
+        if self.instances() > SELF_WRITING_MAX {
+            return self.request_write(now, record);
+        }
         let checkpoints = &self.stream_versions.checkpoints;
         let is_first = lock(&checkpoints.own).add(now, record);
         self.run_checkpoints();
@@ -81,11 +86,14 @@
         }
     }
 
-    /// Waits until the records added so far are written, or a short time has passed.
-    pub(in crate::gateway) fn wait_for_checkpoint(&self) {
+    /// Waits until the record of a stream is written, or a short time has passed.
+    pub(in crate::gateway) fn wait_for_checkpoint(&self, request: &Request) {
         let checkpoints = &self.stream_versions.checkpoints;
         let need = self.stream_versions.checkpoint_need(self.clock.now());
         let instances = self.instances();
+        if instances > SELF_WRITING_MAX {
+            return self.wait_for_writer(stream_key(request), need);
+        }
         let own = lock(&checkpoints.own);
         let number = own.added();
         let holds = |own: &mut StreamCheckpoints| own.holds_event(number, need, instances);
@@ -98,14 +106,13 @@
         if !self.stream_versions.may_record() {
             return;
         }
-        let metadata = &request.metadata;
-        let first = metadata.resumes.as_ref().unwrap_or(&metadata.id);
-        let key = StreamKey::of(request.team_name(), first);
+        let key = stream_key(request);
         lock(&self.stream_versions.checkpoints.own).note_complete(key);
+        self.note_complete_at_writers(key);
     }
 
     /// Starts the thread that writes, unless it runs.
-    fn run_checkpoints(&self) {
+    pub(super) fn run_checkpoints(&self) {
         let is_writing = &self.stream_versions.checkpoints.is_writing;
         if is_writing.load(Ordering::SeqCst) {
             return;
@@ -187,12 +194,20 @@
         let written = self.store.change(STREAM_TABLE, &[put]);
         let checkpoints = &self.stream_versions.checkpoints;
         match written {
-            Ok(_) => lock(&checkpoints.own).note_written(),
+            Ok(_) => {
+                let written = lock(&checkpoints.own).note_written();
+                self.confirm_writes(written);
+            }
             Err(error) => {
                 log::info!("event=checkpoint_unwritten reason={:?}", error.to_string());
-                lock(&checkpoints.own).note_write_failed();
+                let waiting = lock(&checkpoints.own).note_write_failed();
+                self.report_failed_write(waiting);
             }
         }
+        let dropped = lock(&checkpoints.own).take_dropped();
+        if dropped > 0 {
+            log::warn!("event=checkpoint_full dropped={dropped}");
+        }
         checkpoints.written.notify_all();
     }
 
@@ -222,7 +237,12 @@
         let checkpoints = &self.stream_versions.checkpoints;
         let now = self.clock.now();
         let need = self.stream_versions.checkpoint_need(now);
-        let step = lock(&checkpoints.own).step(now, need, self.instances());
+        let is_writer = self.is_checkpoint_writer();
+        let step = {
+            let mut own = lock(&checkpoints.own);
+            own.set_writer(is_writer);
+            own.step(now, need, self.instances())
+        };
         match step {
             CheckpointStep::Read => self.read_checkpoints_logged(&mut lock(&checkpoints.reads)),
             CheckpointStep::Write(row) => self.write_checkpoint(&row),
@@ -243,6 +263,13 @@
     }
 }
 
+/// Returns the key of the stream that a request begins or resumes.
+fn stream_key(request: &Request) -> StreamKey {
+    let metadata = &request.metadata;
+    let first = metadata.resumes.as_ref().unwrap_or(&metadata.id);
+    StreamKey::of(request.team_name(), first)
+}
+
 /// Returns the records of a row that have not expired.
 fn decode_row(row: &StoreRow, now_ms: u64) -> Result<Vec<StreamRecord>, String> {
     let decoded: CheckpointRow = decode(&row.value).map_err(|error| error.to_string())?;
--- a/src/gateway/stream_origins/messages.rs
+++ b/src/gateway/stream_origins/messages.rs
@@ -50,4 +50,12 @@
     Listed(Vec<SightedVersion>),
     /// The sender has started, and holds no records.
     Started,
+    /// Records that the receiver is to write to its checkpoint.
+    Write(Vec<StreamRecord>),
+    /// Streams whose records the sender has written.
+    Written(Vec<StreamKey>),
+    /// The sender could not write the records that it received.
+    WriteFailed,
+    /// A stream that its caller has received completely: its record need not be written any more.
+    Complete(StreamKey),
 }
--- a/src/gateway/stream_origins/mod.rs
+++ b/src/gateway/stream_origins/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! Nothing is recorded while all servers of a service have one version, and a resumption reads one row of the store.
 
+mod checkpoint_writers;
 mod checkpoints;
 pub mod messages;
 mod records;
--- a/src/gateway/stream_origins/records.rs
+++ b/src/gateway/stream_origins/records.rs
@@ -24,7 +24,7 @@
         idle::{IdleMonitor, WatchedSocket},
         traffic::Purpose,
     },
-    routing::{RecordSend, SentRecords, SightedVersion, StreamKey, StreamRecord},
+    routing::{HOLDERS, RecordSend, SentRecords, SightedVersion, StreamKey, StreamRecord},
     utils::sync::lock,
 };
 
@@ -41,7 +41,6 @@
 const VERSIONS_PER_DATAGRAM: usize = 2;
 
 /// The records that this instance has sent, and the socket for those of all.
-#[derive(Default)]
 pub(super) struct RecordLink {
     owner: OnceLock<Owner>,
     socket: OnceLock<RecordSocket>,
@@ -78,6 +77,17 @@
     }
 }
 
+impl Default for RecordLink {
+    fn default() -> RecordLink {
+        RecordLink {
+            owner: OnceLock::new(),
+            socket: OnceLock::new(),
+            sent: Mutex::new(SentRecords::new(HOLDERS)),
+            is_resending: AtomicBool::default(),
+        }
+    }
+}
+
 impl RecordLink {
     /// Sets the instance that this is a part of, and has it receive at `address`.
     pub(super) fn attach(&self, gateway: &Arc<Gateway>, address: SocketAddr, idle: IdleMonitor) {
@@ -102,7 +112,7 @@
         }
     }
 
-    fn socket(&self) -> Option<&DatagramSocket> {
+    pub(super) fn socket(&self) -> Option<&DatagramSocket> {
         self.socket.get().map(|bound| &bound.socket)
     }
 
@@ -112,7 +122,7 @@
     }
 
     /// Starts the thread that sends records, unless it runs.
-    fn resend(&self) {
+    pub(super) fn resend(&self) {
         let Some(gateway) = self.gateway() else { return };
         if !self.is_resending.swap(true, Ordering::SeqCst) {
             spawn(&gateway, "records", resend_records);
@@ -138,14 +148,8 @@
             let instances = lock(&self.peers.candidates).version();
             sent.take_due(now, instances, |key| self.addresses_by_rank(key))
         };
-        let mut batches: IndexMap<SocketAddr, Vec<StreamRecord>> = IndexMap::new();
-        for RecordSend { to, record } in due {
-            batches.entry(to).or_default().push(record);
-        }
-        for (to, records) in batches {
-            for records in records.chunks(RECORDS_PER_DATAGRAM) {
-                socket.send(to, &StreamDatagram::Records(records.to_vec()));
-            }
+        for (to, records) in batches(due) {
+            socket.send(to, &StreamDatagram::Records(records));
         }
     }
 
@@ -193,7 +197,16 @@
                 keys.into_iter().for_each(|key| sent.confirm(key, from));
             }
             StreamDatagram::Listed(versions) => self.note_versions_elsewhere(versions, from),
-            StreamDatagram::Started => lock(&link.sent).note_restarted(from),
+            StreamDatagram::Started => {
+                lock(&link.sent).note_restarted(from);
+                lock(&self.stream_versions.checkpoints.requests).note_restarted(from);
+            }
+            StreamDatagram::Write(records) => self.write_requested(now, &records, from),
+            StreamDatagram::Written(keys) => self.note_written_by(from, &keys),
+            StreamDatagram::WriteFailed => self.note_write_failed_at(from),
+            StreamDatagram::Complete(key) => {
+                lock(&self.stream_versions.checkpoints.own).note_complete(key);
+            }
         }
     }
 }
@@ -222,16 +235,32 @@
     }
 }
 
+/// Returns what goes into one datagram each.
+pub(super) fn batches(due: Vec<RecordSend>) -> Vec<(SocketAddr, Vec<StreamRecord>)> {
+    let mut by_receiver: IndexMap<SocketAddr, Vec<StreamRecord>> = IndexMap::new();
+    for RecordSend { to, record } in due {
+        by_receiver.entry(to).or_default().push(record);
+    }
+    let chunks = |(to, records): (SocketAddr, Vec<StreamRecord>)| {
+        let chunks = records.chunks(RECORDS_PER_DATAGRAM);
+        chunks.map(|chunk| (to, chunk.to_vec())).collect::<Vec<_>>()
+    };
+    by_receiver.into_iter().flat_map(chunks).collect()
+}
+
 /// Sends records again until all have expired, or the instance is stopped.
 fn resend_records(gateway: &Gateway) {
     let link = &gateway.stream_versions.link;
-    while gateway.is_running() && !lock(&link.sent).is_empty() {
+    let requests = &gateway.stream_versions.checkpoints.requests;
+    let has_records = || !lock(&link.sent).is_empty() || !lock(requests).is_empty();
+    while gateway.is_running() && has_records() {
         thread::sleep(RESEND_PERIOD);
         gateway.send_due_records();
+        gateway.request_due_writes();
     }
     link.is_resending.store(false, Ordering::SeqCst);
     // A record that was added in the meantime.
-    if gateway.is_running() && !lock(&link.sent).is_empty() {
+    if gateway.is_running() && has_records() {
         link.resend();
     }
 }
--- a/src/gateway/stream_version.rs
+++ b/src/gateway/stream_version.rs
@@ -56,7 +56,7 @@
     /// Waits until the record of the stream is written to the store, if its first event has to wait for that.
     pub(super) fn wait_for_checkpoint(&self) {
         if self.is_recorded {
-            self.gateway.wait_for_checkpoint();
+            self.gateway.wait_for_checkpoint(self.request);
         }
     }
 
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -7,6 +7,7 @@
 pub mod budget;
 pub mod buffer_budget;
 pub mod candidates;
+pub mod checkpoint_requests;
 pub mod cold;
 pub mod crash_suspects;
 pub mod events;
@@ -59,6 +60,9 @@
 pub use budget::RetryBudget;
 pub use buffer_budget::{BufferBudget, BufferClaim, BufferDenial, BufferKind};
 pub use candidates::{Candidates, InstanceInfo};
+pub use checkpoint_requests::{
+    CHECKPOINT_WRITERS, CheckpointRequests, CheckpointWriters, EVENT_HOLD_MAX, SELF_WRITING_MAX,
+};
 pub use cold::{ColdGranters, ColdGrants, ColdTerms};
 pub use crash_suspects::{
     AnsweredPart, AnsweredParts, AnsweredReport, CrashAttribution, CrashReport, Finding, HeldRow,
--- a/src/routing/sent_records.rs
+++ b/src/routing/sent_records.rs
@@ -1,7 +1,7 @@
 //! The records that an instance sends to others, until enough of them have confirmed each.
 //!
-//! A record that is sent may be lost: its datagram, or with it the instance that receives it. It is sent again until the
-//! first [`HOLDERS`] instances by rank hold it. An instance that does not confirm is passed over for a while, and the
+//! A record that is sent may be lost: its datagram, or with it the instance that receives it. It is sent again until
+//! enough of the first instances by rank hold it. An instance that does not confirm is passed over for a while, and the
 //! next one by rank receives the record too.
 
 use std::{
@@ -11,7 +11,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::{HOLDERS, StreamKey, StreamRecord};
+use super::{StreamKey, StreamRecord};
 
 /// Delay before a record is sent again for the first time, doubled with each further time: some round trips between
 /// zones plus a scheduling delay on a slow processor.
@@ -26,8 +26,8 @@
 /// Time for which a silent instance is passed over.
 const SILENCE_DURATION: Duration = Duration::from_secs(5);
 
-/// Maximum number of silent instances that a record is sent to if the others are too few.
-const SILENT_TRIED_MAX: usize = 2 * HOLDERS;
+/// Maximum number of silent instances that a record is sent to if the others are too few, for each copy.
+const SILENT_TRIED_PER_COPY: usize = 2;
 
 /// Maximum number of records that are sent again. The oldest ones are dropped beyond it.
 const RECORDS_MAX: usize = 10_000;
@@ -60,8 +60,10 @@
 }
 
 /// The records of an instance and who has confirmed them.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct SentRecords {
+    /// Number of instances that are to confirm each.
+    copies: usize,
     records: IndexMap<StreamKey, SentRecord>,
     /// Instances that do not confirm, and until when they are passed over.
     silent: IndexMap<SocketAddr, Instant>,
@@ -84,6 +86,11 @@
 }
 
 impl SentRecords {
+    /// Returns an empty set of records, each of which `copies` instances are to hold.
+    pub fn new(copies: usize) -> SentRecords {
+        SentRecords { copies, records: IndexMap::new(), silent: IndexMap::new() }
+    }
+
     /// Adds a record, which is due at once.
     pub fn add(&mut self, now: Instant, record: StreamRecord) {
         if self.records.len() >= RECORDS_MAX {
@@ -128,11 +135,11 @@
                 continue;
             }
             self.silent.extend(sent.note_silent(now));
-            let holders = holders(&by_rank(sent.record.key), &self.silent);
+            let holders = holders(&by_rank(sent.record.key), self.copies, &self.silent);
             let is_confirmed = |holder: &&SocketAddr| {
                 sent.copies.get(*holder).is_some_and(|copy| copy.is_confirmed)
             };
-            if holders.iter().filter(is_confirmed).count() >= holders.len().min(HOLDERS) {
+            if holders.iter().filter(is_confirmed).count() >= holders.len().min(self.copies) {
                 sent.settled_at = Some(instances);
                 continue;
             }
@@ -141,6 +148,23 @@
         due
     }
 
+    /// Removes a record; returns the instances that it was sent to.
+    pub fn remove(&mut self, key: StreamKey) -> Vec<SocketAddr> {
+        let removed = self.records.shift_remove(&key);
+        removed.into_iter().flat_map(|sent| sent.copies.into_keys()).collect()
+    }
+
+    /// Returns whether there is a record of the stream, and no instance has confirmed it.
+    pub fn is_unconfirmed(&self, key: StreamKey) -> bool {
+        let sent = self.records.get(&key);
+        sent.is_some_and(|sent| !sent.copies.values().any(|copy| copy.is_confirmed))
+    }
+
+    /// Returns the instances that the record of a stream was sent to.
+    pub fn receivers(&self, key: StreamKey) -> impl Iterator<Item = SocketAddr> {
+        self.records.get(&key).into_iter().flat_map(|sent| sent.copies.keys().copied())
+    }
+
     /// Returns the number of records that not enough instances have confirmed.
     pub fn unsettled(&self) -> usize {
         self.records.values().filter(|sent| sent.settled_at.is_none()).count()
@@ -177,12 +201,16 @@
 
 /// Returns the first instances by rank that are not silent. Where these are too few, silent ones are tried as well: some
 /// may be silent by chance.
-fn holders(by_rank: &[SocketAddr], silent: &IndexMap<SocketAddr, Instant>) -> IndexSet<SocketAddr> {
+fn holders(
+    by_rank: &[SocketAddr],
+    copies: usize,
+    silent: &IndexMap<SocketAddr, Instant>,
+) -> IndexSet<SocketAddr> {
     let is_silent = |holder: &&SocketAddr| silent.contains_key(*holder);
     let responsive = by_rank.iter().filter(|holder| !is_silent(holder));
-    let mut holders: IndexSet<SocketAddr> = responsive.take(HOLDERS).copied().collect();
-    if holders.len() < HOLDERS {
-        holders.extend(by_rank.iter().filter(is_silent).take(SILENT_TRIED_MAX));
+    let mut holders: IndexSet<SocketAddr> = responsive.take(copies).copied().collect();
+    if holders.len() < copies {
+        holders.extend(by_rank.iter().filter(is_silent).take(SILENT_TRIED_PER_COPY * copies));
     }
     holders
 }
--- a/src/routing/stream_checkpoints.rs
+++ b/src/routing/stream_checkpoints.rs
@@ -1,15 +1,18 @@
 //! Checkpoints of streams in the store: the records of the streams that an instance carries, for the time after all
 //! instances were killed at once.
 //!
-//! Each process of an instance writes one row. The record of a stream never changes, so that an old row may lack
+//! Each process of an instance writes one row; in large fleets a few instances write the records of all. The record of a stream never changes, so that an old row may lack
 //! streams, but states none wrongly.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
-use super::{StreamKey, StreamOrigin, StreamRecord};
+use super::{SELF_WRITING_MAX, StreamKey, StreamOrigin, StreamRecord};
 
 /// Minimum time between two calls of an instance.
 const INTERVAL_MIN: Duration = Duration::from_millis(50);
@@ -18,10 +21,6 @@
 /// of what a part of the store takes.
 const INTERVAL_PER_INSTANCE: Duration = Duration::from_millis(10);
 
-/// Longest time between two calls for which the first event of a stream waits until its record is written: a small part of
-/// the time that callers expect the first event in. Fleets of over ten instances write less often.
-const HOLD_INTERVAL_MAX: Duration = Duration::from_millis(100);
-
 /// Time after which an instance that has nothing to write checks whether its row is still needed.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -110,11 +109,27 @@
     Done,
 }
 
+/// A request of another instance to write a record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct WriteRequest {
+    from: SocketAddr,
+    /// Number of the record.
+    number: u64,
+}
+
 /// The checkpoint of an instance.
 #[derive(Debug, Default)]
 pub struct StreamCheckpoints {
+    /// Whether this instance writes for others.
+    is_writer: bool,
     /// Streams that may be resumed and when their records expire, the newest last.
     carried: IndexMap<StreamKey, (StreamOrigin, Instant)>,
+    /// Records that others wait for.
+    requested: IndexMap<StreamKey, WriteRequest>,
+    /// When the last record expires that another instance has had written: that instance has seen several versions.
+    requested_until: Option<Instant>,
+    /// Number of records that were dropped since the last write, as the row was full.
+    dropped: usize,
     has_unwritten: bool,
     /// Number of records that were added, and how many of them the last write has, and the last one that was made.
     added: u64,
@@ -129,7 +144,7 @@
     expired: Vec<ExpiredRow>,
 }
 
-/// Returns the time between two calls of an instance, of `instances` in all.
+/// Returns the time between two calls of an instance, of `instances` in all, that does not write for others.
 fn interval(instances: usize) -> Duration {
     let factor = u32::try_from(instances).unwrap_or(u32::MAX);
     INTERVAL_MIN.max(INTERVAL_PER_INSTANCE.saturating_mul(factor))
@@ -185,14 +200,36 @@
 impl StreamCheckpoints {
     /// Adds the record of a stream that this instance carries; returns whether it is the first one that is not written.
     pub fn add(&mut self, now: Instant, record: &StreamRecord) -> bool {
-        if self.carried.len() >= ROW_RECORDS_MAX {
-            self.carried.shift_remove_index(0);
+        if self.carried.len() >= ROW_RECORDS_MAX
+            && let Some((oldest, _)) = self.carried.shift_remove_index(0)
+        {
+            self.requested.swap_remove(&oldest);
+            self.dropped += 1;
         }
         self.carried.insert(record.key, (record.origin.clone(), now + record.ttl));
         self.added += 1;
         !std::mem::replace(&mut self.has_unwritten, true)
     }
 
+    /// Adds the record of a stream that the instance at `from` carries; returns whether it is the first one that is not
+    /// written.
+    pub fn add_requested(&mut self, now: Instant, record: &StreamRecord, from: SocketAddr) -> bool {
+        if let Some(request) = self.requested.get_mut(&record.key) {
+            // Sent again before its write was made.
+            request.from = from;
+            return false;
+        }
+        let is_first = self.add(now, record);
+        self.requested.insert(record.key, WriteRequest { from, number: self.added });
+        self.requested_until = self.requested_until.max(Some(now + record.ttl));
+        is_first
+    }
+
+    /// Sets whether this instance writes for others, and may write more often.
+    pub fn set_writer(&mut self, is_writer: bool) {
+        self.is_writer = is_writer;
+    }
+
     /// Notes that a caller has received a stream completely. The row loses its record with the next write.
     pub fn note_complete(&mut self, key: StreamKey) {
         self.carried.shift_remove(&key);
@@ -201,6 +238,9 @@
     /// Returns what is to be done now, which counts as being done. `instances` is the number of instances.
     pub fn step(&mut self, now: Instant, need: CheckpointNeed, instances: usize) -> CheckpointStep {
         self.carried.retain(|_, (_, expires_at)| now < *expires_at);
+        self.requested.retain(|key, _| self.carried.contains_key(key));
+        let is_requested = self.requested_until.is_some_and(|until| now < until);
+        let need = if is_requested { CheckpointNeed::SeveralVersions } else { need };
         if need == CheckpointNeed::None {
             self.carried.clear();
             self.has_unwritten = false;
@@ -213,7 +253,7 @@
         if !self.has_call(need) {
             return CheckpointStep::Wait(CHECK_INTERVAL);
         }
-        let wait = self.wait(now, instances);
+        let wait = self.wait(now, need, instances);
         if !wait.is_zero() {
             return CheckpointStep::Wait(wait);
         }
@@ -235,13 +275,21 @@
         may_call || !self.expired.is_empty()
     }
 
-    fn wait(&self, now: Instant, instances: usize) -> Duration {
-        let next = |at: Instant| (at + interval(instances)).saturating_duration_since(now);
+    fn wait(&self, now: Instant, need: CheckpointNeed, instances: usize) -> Duration {
+        let interval = match self.is_writer && self.writes(need) {
+            true => INTERVAL_MIN,
+            false => interval(instances),
+        };
+        let next = |at: Instant| (at + interval).saturating_duration_since(now);
         self.last_call.map_or(Duration::ZERO, next)
     }
 
+    fn writes(&self, need: CheckpointNeed) -> bool {
+        need == CheckpointNeed::SeveralVersions && self.has_unwritten
+    }
+
     fn take_call(&mut self, now: Instant, need: CheckpointNeed) -> CheckpointStep {
-        let writes = need == CheckpointNeed::SeveralVersions && self.has_unwritten;
+        let writes = self.writes(need);
         match self.clock {
             None if writes => CheckpointStep::Read,
             Some(clock) if writes => {
@@ -261,16 +309,24 @@
         CheckpointRow::new(clock.at(now), now, records)
     }
 
-    /// Notes that the last write was made.
-    pub fn note_written(&mut self) {
+    /// Notes that the last write was made; returns the streams in it that others wait for, with their addresses.
+    pub fn note_written(&mut self) -> Vec<(SocketAddr, StreamKey)> {
         self.written = self.writing;
         self.has_failed = false;
+        let written = self.requested.extract_if(.., |_, request| request.number <= self.writing);
+        written.map(|(key, request)| (request.from, key)).collect()
     }
 
-    /// Notes that the last write may not have been made.
-    pub fn note_write_failed(&mut self) {
+    /// Notes that the last write may not have been made; returns the instances that wait for it.
+    pub fn note_write_failed(&mut self) -> IndexSet<SocketAddr> {
         self.has_unwritten = true;
         self.has_failed = true;
+        self.requested.values().map(|request| request.from).collect()
+    }
+
+    /// Returns the number of records that were dropped since this was last called, as the row was full.
+    pub fn take_dropped(&mut self) -> usize {
+        std::mem::take(&mut self.dropped)
     }
 
     /// Returns the number of records that were added so far.
@@ -280,12 +336,12 @@
 
     /// Returns whether the first event of a stream waits for the write of its record, the `number`th one, so that a caller
     /// that has received an event can resume its stream after a restart of all instances. It does not while the store
-    /// takes no writes.
+    /// takes no writes, and in large fleets, where others write the record.
     pub fn holds_event(&self, number: u64, need: CheckpointNeed, instances: usize) -> bool {
         need == CheckpointNeed::SeveralVersions
             && self.written < number
             && !self.has_failed
-            && interval(instances) <= HOLD_INTERVAL_MAX
+            && instances <= SELF_WRITING_MAX
     }
 
     /// Notes that the own row was removed. The clock is read again before the next one is written.
--- a/src/routing/stream_origins.rs
+++ b/src/routing/stream_origins.rs
@@ -52,6 +52,11 @@
         ranked.sort_unstable_by(|a, b| b.0.total_cmp(&a.0));
         ranked.into_iter().map(|(_, instance)| instance).collect()
     }
+
+    /// Returns the indices of `nodes` by rank for the stream.
+    pub fn ranked(&self, nodes: impl Iterator<Item = (Tag, f64)>) -> Vec<usize> {
+        rendezvous::ranked(self.0, nodes)
+    }
 }
 
 /// Service and software version of the server that began a stream.
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -7,6 +7,7 @@
 mod budget_fleet;
 mod budget_random;
 mod callers;
+mod checkpoint_requests;
 mod cluster_state;
 mod cold_random;
 mod cold_servers;
--- a/tests/suite/restarted_fleet.rs
+++ b/tests/suite/restarted_fleet.rs
@@ -21,6 +21,9 @@
 /// Instances of each fleet.
 const INSTANCES: usize = 4;
 
+/// Instances of a fleet in which a few write the checkpoints of all.
+const LARGE_FLEET: usize = 16;
+
 /// Streams that break off before the restart.
 const STREAMS: usize = 24;
 
@@ -105,6 +108,17 @@
     }
 }
 
+/// Guards against large fleets whose callers have events of streams that no checkpoint has: all streams begin at one
+/// instance, and all instances are stopped without a pause.
+#[test]
+fn streams_of_a_large_fleet_that_have_just_begun_go_on_after_all_instances_restarted() {
+    let mut fleet = Versions::start(&TWO_VERSIONS, LARGE_FLEET);
+    let begun: Vec<String> = (0..STREAMS).map(|n| begin(&fleet, 0, &format!("b{n}"))).collect();
+    fleet.instances.clear();
+    (0..LARGE_FLEET).for_each(|n| fleet.spawn_instance(&format!("i{n}"), false));
+    assert_most_went_on(&resume_all(&fleet, &begun, &["v1", "v2"], "first"));
+}
+
 /// Guards against joins and refusals where the instances take the restart for their first start.
 #[test]
 fn streams_go_on_after_a_restart_that_counts_as_the_first_start() {
--- a/tests/suite/sent_records.rs
+++ b/tests/suite/sent_records.rs
@@ -55,7 +55,7 @@
         Network {
             rng: Rng::with_seed(seed),
             now: Instant::now(),
-            sent: SentRecords::default(),
+            sent: SentRecords::new(HOLDERS),
             responsive: listed.iter().copied().collect(),
             listed,
             loss: 0.0,
--- a/tests/suite/stream_checkpoints.rs
+++ b/tests/suite/stream_checkpoints.rs
@@ -10,6 +10,8 @@
     },
 };
 
+use crate::testbed::port;
+
 const TTL: Duration = Duration::from_secs(20);
 
 const SEVERAL: CheckpointNeed = CheckpointNeed::SeveralVersions;
@@ -119,6 +121,40 @@
     assert!(!own.holds_event(own.added(), SEVERAL, 8));
 }
 
+/// Guards against writers that write rarely, confirm what is not written, or write nothing before their own list shows a
+/// second version, and against rows of theirs that stay.
+#[test]
+fn a_writer_writes_often_and_confirms_what_it_has_written() {
+    let (now, interval, from) = (Instant::now(), Duration::from_millis(50), port(7));
+    let mut own = checkpoints(now);
+    own.set_writer(true);
+    let key = |number| record(number, "v1").key;
+    assert!(own.add_requested(now, &record(1, "v1"), from));
+    let first = own.step(now, CheckpointNeed::None, 986);
+    assert!(matches!(first, CheckpointStep::Write(_)), "{first:?}");
+    own.add_requested(now, &record(2, "v1"), from);
+    assert_eq!(own.note_written(), [(from, key(1))], "the other one came after the write began");
+    assert_eq!(own.step(now, CheckpointNeed::None, 986), CheckpointStep::Wait(interval));
+    written(&mut own, now + interval, 986);
+    assert!(own.note_write_failed().contains(&from));
+    assert!(!own.add_requested(now, &record(2, "v1"), from), "sent again");
+    assert_eq!(written(&mut own, now + 2 * interval, 986).records(1_000).expect("a row").len(), 2);
+    assert_eq!(own.note_written(), [(from, key(2))]);
+    assert_eq!(own.step(now + TTL, CheckpointNeed::None, 986), CheckpointStep::Remove);
+}
+
+/// Guards against confirmations of records that a full row has dropped, and against their loss unseen.
+#[test]
+fn a_full_row_drops_the_oldest_records_and_counts_them() {
+    let now = Instant::now();
+    let mut own = checkpoints(now);
+    own.add_requested(now, &record(9_999, "v1"), port(7));
+    add_all(&mut own, now, 3_005, |_| "v1".to_owned());
+    written(&mut own, now, 62);
+    assert!(own.note_written().is_empty());
+    assert_eq!((own.take_dropped(), own.take_dropped()), (6, 0));
+}
+
 /// Guards against rows that the store refuses, and against the newest streams being left out.
 #[test]
 fn a_row_holds_the_newest_records_and_fits_the_store() {
