perf(streams): rank the writers of checkpoints once for each list of instances

Each record that was sent, and each step of a thread that writes, ranked all instances anew to find the four writers, which are the same until the list changes. Which of them writes a stream is still ranked for each. Not measured at 986 instances; found by reading.

--- a/src/gateway/stream_origins/checkpoint_writers.rs
+++ b/src/gateway/stream_origins/checkpoint_writers.rs
@@ -34,12 +34,8 @@
             return;
         }
         let need = self.stream_versions.checkpoint_need(now);
-        let (writers, version, own) = {
-            let candidates = lock(&self.peers.candidates);
-            let own = candidates.own().address;
-            (CheckpointWriters::of(&candidates), candidates.version(), own)
-        };
-        let due = lock(requests).take_due(now, need, version, &writers);
+        let (writers, own) = (self.checkpoint_writers(), self.own_address());
+        let due = lock(requests).take_due(now, need, &writers);
         for (to, records) in batches(due) {
             if to == own {
                 self.write_requested(now, &records, own);
@@ -62,9 +58,14 @@
     /// Returns whether this instance is a writer, by its own list of instances. A list that is not complete yet does not
     /// show who is.
     pub(super) fn is_checkpoint_writer(&self) -> bool {
-        let candidates = lock(&self.peers.candidates);
-        candidates.all().len() > SELF_WRITING_MAX
-            && CheckpointWriters::of(&candidates).contains(candidates.own().address)
+        self.peers.instances() > SELF_WRITING_MAX
+            && self.checkpoint_writers().contains(self.own_address())
+    }
+
+    fn checkpoint_writers(&self) -> CheckpointWriters {
+        let mut writers = lock(&self.stream_versions.checkpoints.writers);
+        writers.update(&lock(&self.peers.candidates));
+        writers.clone()
     }
 
     /// Waits until the record of a stream is written, or a short time has passed.
--- a/src/gateway/stream_origins/checkpoints.rs
+++ b/src/gateway/stream_origins/checkpoints.rs
@@ -22,9 +22,9 @@
     configs::fleet::chunks::{decode, encode},
     gateway::{Gateway, request::Request, skipped_log::SkippedLog},
     routing::{
-        CheckpointNeed, CheckpointRequests, CheckpointRow, CheckpointStep, EVENT_HOLD_MAX,
-        ExpiredRow, SELF_WRITING_MAX, StoreClock, StreamCheckpoints, StreamKey, StreamOrigin,
-        StreamRecord,
+        CheckpointNeed, CheckpointRequests, CheckpointRow, CheckpointStep, CheckpointWriters,
+        EVENT_HOLD_MAX, ExpiredRow, SELF_WRITING_MAX, StoreClock, StreamCheckpoints, StreamKey,
+        StreamOrigin, StreamRecord,
     },
     utils::{signal::Signal, sync::lock},
 };
@@ -41,6 +41,7 @@
     pub(super) own: Mutex<StreamCheckpoints>,
     /// What other instances write for this one, in large fleets.
     pub(super) requests: Mutex<CheckpointRequests>,
+    pub(super) writers: Mutex<CheckpointWriters>,
     /// Notified when a writer has replied.
     pub(super) requests_written: Condvar,
     /// Notified after each write.
--- a/src/routing/checkpoint_requests.rs
+++ b/src/routing/checkpoint_requests.rs
@@ -30,7 +30,11 @@
 
 /// The writers, by one list of instances.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct CheckpointWriters(Vec<(Tag, SocketAddr)>);
+pub struct CheckpointWriters {
+    /// Version of the list.
+    list: u64,
+    writers: Vec<(Tag, SocketAddr)>,
+}
 
 /// The records that an instance has written by others.
 #[derive(Debug)]
@@ -50,18 +54,25 @@
             let instance = &instances.all()[index];
             (Tag::of(instance.node.as_str()), instance.address)
         });
-        CheckpointWriters(writers.collect())
+        CheckpointWriters { list: instances.version(), writers: writers.collect() }
+    }
+
+    /// Follows a change of the list; all instances are ranked only then.
+    pub fn update(&mut self, instances: &Candidates) {
+        if self.list != instances.version() {
+            *self = CheckpointWriters::of(instances);
+        }
     }
 
     /// Returns the writers by rank for a stream.
     pub fn by_rank(&self, key: StreamKey) -> Vec<SocketAddr> {
-        let nodes = self.0.iter().map(|(node, _)| (*node, 1.0));
-        key.ranked(nodes).into_iter().map(|index| self.0[index].1).collect()
+        let nodes = self.writers.iter().map(|(node, _)| (*node, 1.0));
+        key.ranked(nodes).into_iter().map(|index| self.writers[index].1).collect()
     }
 
     /// Returns whether the instance at this address is a writer.
     pub fn contains(&self, address: SocketAddr) -> bool {
-        self.0.iter().any(|(_, writer)| *writer == address)
+        self.writers.iter().any(|(_, writer)| *writer == address)
     }
 }
 
@@ -77,12 +88,11 @@
         self.sent.add(now, record);
     }
 
-    /// Returns what is to be sent now. `instances` is the version of the list of instances.
+    /// Returns what is to be sent now.
     pub fn take_due(
         &mut self,
         now: Instant,
         need: CheckpointNeed,
-        instances: u64,
         writers: &CheckpointWriters,
     ) -> Vec<RecordSend> {
         match need {
@@ -92,7 +102,7 @@
             }
             CheckpointNeed::Undecided => Vec::new(),
             CheckpointNeed::SeveralVersions => {
-                self.sent.take_due(now, instances, |key| writers.by_rank(key))
+                self.sent.take_due(now, writers.list, |key| writers.by_rank(key))
             }
         }
     }
--- a/tests/suite/checkpoint_requests.rs
+++ b/tests/suite/checkpoint_requests.rs
@@ -44,7 +44,7 @@
     now: Instant,
     writers: &CheckpointWriters,
 ) -> Vec<SocketAddr> {
-    requests.take_due(now, SEVERAL, 1, writers).into_iter().map(|send| send.to).collect()
+    requests.take_due(now, SEVERAL, writers).into_iter().map(|send| send.to).collect()
 }
 
 /// Guards against instances that ask different ones to write a stream, and against one writer for most streams.
@@ -69,7 +69,7 @@
     let mut requests = CheckpointRequests::default();
     let key = record(1).key;
     requests.add(now, record(1));
-    assert!(requests.take_due(now, CheckpointNeed::Undecided, 1, &writers).is_empty());
+    assert!(requests.take_due(now, CheckpointNeed::Undecided, &writers).is_empty());
     let writer = sent(&mut requests, now, &writers)[0];
     assert!(requests.holds_event(key, SEVERAL));
     assert!(!requests.holds_event(key, CheckpointNeed::None));
@@ -82,7 +82,7 @@
     assert!(sent(&mut requests, now + Duration::from_secs(1), &writers).is_empty());
     assert_eq!(requests.note_complete(key), [writer], "told that it is complete");
     requests.add(now, record(3));
-    assert!(requests.take_due(now, CheckpointNeed::None, 1, &writers).is_empty());
+    assert!(requests.take_due(now, CheckpointNeed::None, &writers).is_empty());
     assert!(requests.is_empty(), "one version is left");
 }
 
