--- a/src/gateway/stream_origins/checkpoint_writers.rs
+++ b/src/gateway/stream_origins/checkpoint_writers.rs
@@ -1,7 +1,7 @@
 //! Has records of streams written by the few instances that write the checkpoints of a large fleet, and writes for others
 //! if this instance is one of them. `routing::checkpoint_requests` decides who writes a record and when it is sent again.
 
-use std::{net::SocketAddr, time::Instant};
+use std::{net::SocketAddr, sync::PoisonError, time::Instant};
 
 use indexmap::{IndexMap, IndexSet};
 
@@ -73,8 +73,13 @@
         let checkpoints = &self.stream_versions.checkpoints;
         let requests = lock(&checkpoints.requests);
         let holds = |requests: &mut CheckpointRequests| requests.holds_event(key, need);
-        // The event is sent whatever ended the wait.
-        drop(checkpoints.requests_written.wait_timeout_while(requests, EVENT_HOLD_MAX, holds));
+        let waited =
+            checkpoints.requests_written.wait_timeout_while(requests, EVENT_HOLD_MAX, holds);
+        // The event is sent whatever ended the wait, and the next ones do not wait for a late writer.
+        let (mut requests, result) = waited.unwrap_or_else(PoisonError::into_inner);
+        if result.timed_out() {
+            requests.note_late_writers_of(key);
+        }
     }
 
     /// Tells the writers that the record of a stream need not be written any more.
@@ -118,14 +123,15 @@
         }
     }
 
-    /// Tells the instances that wait for the last write that it may not have been made.
-    pub(super) fn report_failed_write(&self, waiting: IndexSet<SocketAddr>) {
+    /// Tells the instances that wait for the last write that it may not have been made, or that it came too late for first
+    /// events to wait for the next ones.
+    pub(super) fn report_late_write(&self, waiting: IndexSet<SocketAddr>) {
         let own = self.own_address();
         for to in waiting {
             if to == own {
-                self.note_write_failed_at(own);
+                self.note_late_writer(own);
             } else {
-                self.send_to_instance(to, &StreamDatagram::WriteFailed);
+                self.send_to_instance(to, &StreamDatagram::WritesLate);
             }
         }
     }
@@ -140,9 +146,9 @@
     }
 
     /// Notes that the instance at `writer` could not write.
-    pub(super) fn note_write_failed_at(&self, writer: SocketAddr) {
+    pub(super) fn note_late_writer(&self, writer: SocketAddr) {
         let checkpoints = &self.stream_versions.checkpoints;
-        lock(&checkpoints.requests).note_write_failed(writer);
+        lock(&checkpoints.requests).note_late(writer);
         checkpoints.requests_written.notify_all();
     }
 }
--- a/src/gateway/stream_origins/checkpoints.rs
+++ b/src/gateway/stream_origins/checkpoints.rs
@@ -5,18 +5,21 @@
 //! first event of a stream waits for the write. `checkpoint_writers` has records written by others, in large fleets.
 
 use std::{
+    net::SocketAddr,
     sync::{
-        Condvar, Mutex,
+        Condvar, Mutex, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
     time::{Duration, Instant},
 };
 
+use indexmap::IndexSet;
+
 use super::{StreamVersions, spawn};
 use crate::{
     adapter::{
         servers::SkippedEntry,
-        store::{Change, StoreError, StoreRow},
+        store::{Change, Store, StoreError, StoreRow},
         tables::STREAM_TABLE,
     },
     configs::fleet::chunks::{decode, encode},
@@ -35,6 +38,13 @@
 /// Time between two such reads, for each instance: all together make at most 400 reads a second.
 const READ_INTERVAL_PER_INSTANCE: Duration = Duration::from_micros(2500);
 
+/// Time without a byte after which a read for a resumption has failed: a caller waits for it.
+const READ_STALL_TIMEOUT: Duration = Duration::from_millis(650);
+
+/// Time after a failed read in which no other one is made for a resumption, so that callers do not wait one after another
+/// for a store that does not reply.
+const FAILURE_BACKOFF: Duration = Duration::from_secs(1);
+
 /// The checkpoint of this instance, and what it has read of the others.
 #[derive(Default)]
 pub(super) struct CheckpointLink {
@@ -55,8 +65,9 @@
 
 #[derive(Default)]
 struct CheckpointReads {
-    /// When the last read for a resumption began, or failed.
+    /// When the last read for a resumption ended.
     last: Option<Instant>,
+    has_failed: bool,
     skipped: SkippedLog,
 }
 
@@ -98,8 +109,12 @@
         let own = lock(&checkpoints.own);
         let number = own.added();
         let holds = |own: &mut StreamCheckpoints| own.holds_event(number, need, instances);
-        // The event is sent whatever ended the wait.
-        drop(checkpoints.written.wait_timeout_while(own, EVENT_HOLD_MAX, holds));
+        let waited = checkpoints.written.wait_timeout_while(own, EVENT_HOLD_MAX, holds);
+        // The event is sent whatever ended the wait, and the next ones do not wait for a late write.
+        let (mut own, result) = waited.unwrap_or_else(PoisonError::into_inner);
+        if result.timed_out() {
+            own.note_late();
+        }
     }
 
     /// Notes that a caller has received a stream completely.
@@ -129,25 +144,35 @@
         let mut reads = lock(&self.stream_versions.checkpoints.reads);
         let now = self.clock.now();
         if reads.is_due(now, self.instances()) {
-            reads.last = Some(now);
-            self.read_checkpoints_logged(&mut reads);
-            // A read that fails may take a second.
+            let store = self.store.with_short_stall_timeout(READ_STALL_TIMEOUT);
+            reads.has_failed = !self.read_checkpoints_logged(&store, &mut reads);
             reads.last = Some(self.clock.now());
         }
         drop(reads);
         lock(&self.stream_versions.origins).origin(self.clock.now(), key).cloned()
     }
 
-    fn read_checkpoints_logged(&self, reads: &mut CheckpointReads) {
-        match self.read_checkpoints(reads) {
-            Ok(records) => log::info!("event=checkpoints_read records={records}"),
-            Err(error) => log::info!("event=checkpoints_unread reason={:?}", error.to_string()),
+    /// Reads the table and logs the result; returns whether it was read.
+    fn read_checkpoints_logged(&self, store: &Store, reads: &mut CheckpointReads) -> bool {
+        match self.read_checkpoints(store, reads) {
+            Ok(records) => {
+                log::info!("event=checkpoints_read records={records}");
+                true
+            }
+            Err(error) => {
+                log::info!("event=checkpoints_unread reason={:?}", error.to_string());
+                false
+            }
         }
     }
 
     /// Adds the records of all rows to those that this instance holds; returns their number.
-    fn read_checkpoints(&self, reads: &mut CheckpointReads) -> Result<usize, StoreError> {
-        let read = self.store.rows(STREAM_TABLE)?;
+    fn read_checkpoints(
+        &self,
+        store: &Store,
+        reads: &mut CheckpointReads,
+    ) -> Result<usize, StoreError> {
+        let read = store.rows(STREAM_TABLE)?;
         let now = self.clock.now();
         let (mut records, mut expired, mut skipped) = (Vec::new(), Vec::new(), Vec::new());
         for row in read.rows {
@@ -192,17 +217,23 @@
     fn write_checkpoint(&self, row: &CheckpointRow) {
         let (key, value) = (self.checkpoint_key(), encode(row));
         let put = Change::Put { key: &key, value: &value };
+        let began = self.clock.now();
         let written = self.store.change(STREAM_TABLE, &[put]);
+        let took = self.clock.now().saturating_duration_since(began);
         let checkpoints = &self.stream_versions.checkpoints;
         match written {
             Ok(_) => {
-                let written = lock(&checkpoints.own).note_written();
+                let written = lock(&checkpoints.own).note_written(took);
+                let waited: IndexSet<SocketAddr> = written.iter().map(|(to, _)| *to).collect();
                 self.confirm_writes(written);
+                if took > EVENT_HOLD_MAX {
+                    self.report_late_write(waited);
+                }
             }
             Err(error) => {
                 log::info!("event=checkpoint_unwritten reason={:?}", error.to_string());
                 let waiting = lock(&checkpoints.own).note_write_failed();
-                self.report_failed_write(waiting);
+                self.report_late_write(waiting);
             }
         }
         let dropped = lock(&checkpoints.own).take_dropped();
@@ -218,7 +249,7 @@
         let key = self.checkpoint_key();
         match self.store.change(STREAM_TABLE, &[Change::Remove { key: &key }]) {
             Ok(_) => {
-                self.read_checkpoints_logged(&mut lock(&checkpoints.reads));
+                self.read_checkpoints_logged(&self.store, &mut lock(&checkpoints.reads));
                 lock(&checkpoints.own).note_removed();
             }
             Err(error) => log::info!("event=checkpoint_kept reason={:?}", error.to_string()),
@@ -245,7 +276,9 @@
             own.step(now, need, self.instances())
         };
         match step {
-            CheckpointStep::Read => self.read_checkpoints_logged(&mut lock(&checkpoints.reads)),
+            CheckpointStep::Read => {
+                self.read_checkpoints_logged(&self.store, &mut lock(&checkpoints.reads));
+            }
             CheckpointStep::Write(row) => self.write_checkpoint(&row),
             CheckpointStep::Remove => self.remove_checkpoint(),
             CheckpointStep::RemoveExpired(rows) => self.remove_expired_checkpoints(&rows),
@@ -260,6 +293,7 @@
     fn is_due(&self, now: Instant, instances: usize) -> bool {
         let factor = u32::try_from(instances).unwrap_or(u32::MAX);
         let interval = READ_INTERVAL_MIN.max(READ_INTERVAL_PER_INSTANCE.saturating_mul(factor));
+        let interval = if self.has_failed { interval.max(FAILURE_BACKOFF) } else { interval };
         self.last.is_none_or(|at| now.saturating_duration_since(at) >= interval)
     }
 }
--- a/src/gateway/stream_origins/messages.rs
+++ b/src/gateway/stream_origins/messages.rs
@@ -54,8 +54,8 @@
     Write(Vec<StreamRecord>),
     /// Streams whose records the sender has written.
     Written(Vec<StreamKey>),
-    /// The sender could not write the records that it received.
-    WriteFailed,
+    /// The sender could not write the records that it received, or not in time for first events to wait for it.
+    WritesLate,
     /// A stream that its caller has received completely: its record need not be written any more.
     Complete(StreamKey),
 }
--- a/src/gateway/stream_origins/records.rs
+++ b/src/gateway/stream_origins/records.rs
@@ -203,7 +203,7 @@
             }
             StreamDatagram::Write(records) => self.write_requested(now, &records, from),
             StreamDatagram::Written(keys) => self.note_written_by(from, &keys),
-            StreamDatagram::WriteFailed => self.note_write_failed_at(from),
+            StreamDatagram::WritesLate => self.note_late_writer(from),
             StreamDatagram::Complete(key) => {
                 lock(&self.stream_versions.checkpoints.own).note_complete(key);
             }
--- a/src/gateway/stream_origins/resumption.rs
+++ b/src/gateway/stream_origins/resumption.rs
@@ -206,6 +206,10 @@
                 }
             }
         }
+        // A store that does not answer for the registry is not asked for another table.
+        if query.reads_registry {
+            return Err(not_known);
+        }
         let origin = self.checkpointed_origin(key).ok_or(not_known)?;
         let version = origin.version_at(&request.service).ok_or(NotKnown::OtherService)?;
         Ok((Some(version.clone()), Source::Checkpoint))
--- a/src/routing/checkpoint_requests.rs
+++ b/src/routing/checkpoint_requests.rs
@@ -40,8 +40,8 @@
 #[derive(Debug)]
 pub struct CheckpointRequests {
     sent: SentRecords,
-    /// Writers that could not write when they were last heard of.
-    failing: IndexSet<SocketAddr>,
+    /// Writers that could not write in time when they were last heard of.
+    late: IndexSet<SocketAddr>,
 }
 
 impl CheckpointWriters {
@@ -78,7 +78,7 @@
 
 impl Default for CheckpointRequests {
     fn default() -> CheckpointRequests {
-        CheckpointRequests { sent: SentRecords::new(1), failing: IndexSet::new() }
+        CheckpointRequests { sent: SentRecords::new(1), late: IndexSet::new() }
     }
 }
 
@@ -109,19 +109,24 @@
 
     /// Notes that a writer has written the record of a stream.
     pub fn note_written(&mut self, key: StreamKey, writer: SocketAddr) {
-        self.failing.swap_remove(&writer);
+        self.late.swap_remove(&writer);
         self.sent.confirm(key, writer);
     }
 
-    /// Notes that a write of this writer may not have been made.
-    pub fn note_write_failed(&mut self, writer: SocketAddr) {
-        self.failing.insert(writer);
+    /// Notes that the writers that were asked for the record of a stream have not confirmed it in time.
+    pub fn note_late_writers_of(&mut self, key: StreamKey) {
+        self.late.extend(self.sent.receivers(key));
+    }
+
+    /// Notes that a write of this writer may not have been made, or came too late.
+    pub fn note_late(&mut self, writer: SocketAddr) {
+        self.late.insert(writer);
     }
 
     /// Notes that an instance has restarted. What it wrote before stays in the store, but nobody removes complete streams
     /// from it.
     pub fn note_restarted(&mut self, writer: SocketAddr) {
-        self.failing.swap_remove(&writer);
+        self.late.swap_remove(&writer);
         self.sent.note_restarted(writer);
     }
 
@@ -130,12 +135,12 @@
         self.sent.remove(key)
     }
 
-    /// Returns whether the first event of a stream waits for the write of its record. It does not while the store takes no
-    /// writes from the writer that was asked.
+    /// Returns whether the first event of a stream waits for the write of its record. It does not while the
+    /// writer that was asked does not write in time.
     pub fn holds_event(&self, key: StreamKey, need: CheckpointNeed) -> bool {
         need == CheckpointNeed::SeveralVersions
             && self.sent.is_unconfirmed(key)
-            && !self.sent.receivers(key).any(|writer| self.failing.contains(&writer))
+            && !self.sent.receivers(key).any(|writer| self.late.contains(&writer))
     }
 
     /// Returns whether there are no records.
--- a/src/routing/stream_checkpoints.rs
+++ b/src/routing/stream_checkpoints.rs
@@ -1,8 +1,8 @@
 //! Checkpoints of streams in the store: the records of the streams that an instance carries, for the time after all
 //! instances were killed at once.
 //!
-//! Each process of an instance writes one row; in large fleets a few instances write the records of all. The record of a stream never changes, so that an old row may lack
-//! streams, but states none wrongly.
+//! Each process of an instance writes one row; in large fleets a few instances write the records of all. The record of a
+//! stream never changes, so that an old row may lack streams, but states none wrongly.
 
 use std::{
     net::SocketAddr,
@@ -12,7 +12,7 @@
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
-use super::{SELF_WRITING_MAX, StreamKey, StreamOrigin, StreamRecord};
+use super::{EVENT_HOLD_MAX, SELF_WRITING_MAX, StreamKey, StreamOrigin, StreamRecord};
 
 /// Minimum time between two calls of an instance.
 const INTERVAL_MIN: Duration = Duration::from_millis(50);
@@ -135,8 +135,8 @@
     added: u64,
     writing: u64,
     written: u64,
-    /// Whether the last write may not have been made.
-    has_failed: bool,
+    /// Whether the last write may not have been made, or took longer than first events wait.
+    is_late: bool,
     /// Whether the store may have a row of this process.
     has_row: bool,
     clock: Option<StoreClock>,
@@ -309,10 +309,11 @@
         CheckpointRow::new(clock.at(now), now, records)
     }
 
-    /// Notes that the last write was made; returns the streams in it that others wait for, with their addresses.
-    pub fn note_written(&mut self) -> Vec<(SocketAddr, StreamKey)> {
+    /// Notes that the last write was made and took this long; returns the streams in it that others wait for, with their
+    /// addresses.
+    pub fn note_written(&mut self, took: Duration) -> Vec<(SocketAddr, StreamKey)> {
         self.written = self.writing;
-        self.has_failed = false;
+        self.is_late = took > EVENT_HOLD_MAX;
         let written = self.requested.extract_if(.., |_, request| request.number <= self.writing);
         written.map(|(key, request)| (request.from, key)).collect()
     }
@@ -320,10 +321,15 @@
     /// Notes that the last write may not have been made; returns the instances that wait for it.
     pub fn note_write_failed(&mut self) -> IndexSet<SocketAddr> {
         self.has_unwritten = true;
-        self.has_failed = true;
+        self.is_late = true;
         self.requested.values().map(|request| request.from).collect()
     }
 
+    /// Notes that a first event has waited for the next write for as long as it may.
+    pub fn note_late(&mut self) {
+        self.is_late = true;
+    }
+
     /// Returns the number of records that were dropped since this was last called, as the row was full.
     pub fn take_dropped(&mut self) -> usize {
         std::mem::take(&mut self.dropped)
@@ -336,11 +342,11 @@
 
     /// Returns whether the first event of a stream waits for the write of its record, the `number`th one, so that a caller
     /// that has received an event can resume its stream after a restart of all instances. It does not while the store
-    /// takes no writes, and in large fleets, where others write the record.
+    /// takes no writes or takes them too slowly, and in large fleets, where others write the record.
     pub fn holds_event(&self, number: u64, need: CheckpointNeed, instances: usize) -> bool {
         need == CheckpointNeed::SeveralVersions
             && self.written < number
-            && !self.has_failed
+            && !self.is_late
             && instances <= SELF_WRITING_MAX
     }
 
--- a/tests/suite/checkpoint_requests.rs
+++ b/tests/suite/checkpoint_requests.rs
@@ -73,10 +73,13 @@
     let writer = sent(&mut requests, now, &writers)[0];
     assert!(requests.holds_event(key, SEVERAL));
     assert!(!requests.holds_event(key, CheckpointNeed::None));
-    requests.note_write_failed(writer);
+    requests.note_late(writer);
     assert!(!requests.holds_event(key, SEVERAL));
     requests.note_written(record(2).key, writer);
     assert!(requests.holds_event(key, SEVERAL), "the store takes writes again");
+    requests.note_late_writers_of(key);
+    assert!(!requests.holds_event(key, SEVERAL), "it came too late for one already");
+    requests.note_written(record(2).key, writer);
     requests.note_written(key, writer);
     assert!(!requests.holds_event(key, SEVERAL));
     assert!(sent(&mut requests, now + Duration::from_secs(1), &writers).is_empty());
--- a/tests/suite/restarted_fleet.rs
+++ b/tests/suite/restarted_fleet.rs
@@ -167,6 +167,22 @@
     }
 }
 
+/// Guards against callers that wait for reads of several tables, and one after another, at a store that does not reply.
+#[test]
+fn resumptions_are_refused_soon_while_the_store_is_silent() {
+    const CALLERS: usize = 4;
+    let fleet = Versions::start(&["v1"; 4], INSTANCES);
+    let begun = begin_all(&fleet);
+    fleet.store.set_mode(StoreMode::Silent);
+    let began = Instant::now();
+    for caller in 0..CALLERS {
+        let id = format!("silent-{caller}");
+        let answer = resume(&fleet, 0, &id, &format!("b{caller}")).expect_err(&begun[caller]);
+        assert_eq!(refusal_of(&fleet, &answer, &id), (503, true, 0));
+    }
+    assert!(began.elapsed() < Duration::from_secs(2), "{:?}", began.elapsed());
+}
+
 /// Guards against refusals after a restart where there was one version all the time, named attempts or not.
 #[test]
 fn streams_of_the_only_version_go_on_after_all_instances_restarted() {
--- a/tests/suite/stream_checkpoints.rs
+++ b/tests/suite/stream_checkpoints.rs
@@ -5,8 +5,8 @@
 use cartvane::{
     configs::fleet::chunks::{decode, encode},
     routing::{
-        CheckpointNeed, CheckpointRow, CheckpointStep, ExpiredRow, StoreClock, StreamCheckpoints,
-        StreamKey, StreamOrigin, StreamRecord,
+        CheckpointNeed, CheckpointRow, CheckpointStep, EVENT_HOLD_MAX, ExpiredRow, StoreClock,
+        StreamCheckpoints, StreamKey, StreamOrigin, StreamRecord,
     },
 };
 
@@ -14,6 +14,9 @@
 
 const TTL: Duration = Duration::from_secs(20);
 
+/// Time of a write at a store that replies at once.
+const QUICK: Duration = Duration::from_millis(5);
+
 const SEVERAL: CheckpointNeed = CheckpointNeed::SeveralVersions;
 
 /// What a row may have at most in the store.
@@ -114,13 +117,30 @@
     written(&mut own, now, 8);
     own.add(now, &record(2, "v1"));
     assert!(own.holds_event(number, SEVERAL, 8), "the write may still fail");
-    own.note_written();
+    own.note_written(QUICK);
     assert!(!own.holds_event(number, SEVERAL, 8));
     assert!(own.holds_event(own.added(), SEVERAL, 8), "the write began before this record");
     own.note_write_failed();
     assert!(!own.holds_event(own.added(), SEVERAL, 8));
 }
 
+/// Guards against first events that all wait, one after another, for a store that takes each write too late.
+#[test]
+fn no_first_event_waits_for_a_slow_store_after_one_has_waited_in_vain() {
+    let now = Instant::now();
+    let mut own = checkpoints(now);
+    own.add(now, &record(1, "v1"));
+    written(&mut own, now, 8);
+    assert!(own.holds_event(own.added(), SEVERAL, 8));
+    own.note_late();
+    assert!(!own.holds_event(own.added(), SEVERAL, 8));
+    own.add(now, &record(2, "v1"));
+    for (took, is_held) in [(EVENT_HOLD_MAX * 2, false), (QUICK, true)] {
+        own.note_written(took);
+        assert_eq!(own.holds_event(own.added(), SEVERAL, 8), is_held, "{took:?}");
+    }
+}
+
 /// Guards against writers that write rarely, confirm what is not written, or write nothing before their own list shows a
 /// second version, and against rows of theirs that stay.
 #[test]
@@ -133,13 +153,17 @@
     let first = own.step(now, CheckpointNeed::None, 986);
     assert!(matches!(first, CheckpointStep::Write(_)), "{first:?}");
     own.add_requested(now, &record(2, "v1"), from);
-    assert_eq!(own.note_written(), [(from, key(1))], "the other one came after the write began");
+    assert_eq!(
+        own.note_written(QUICK),
+        [(from, key(1))],
+        "the other one came after the write began"
+    );
     assert_eq!(own.step(now, CheckpointNeed::None, 986), CheckpointStep::Wait(interval));
     written(&mut own, now + interval, 986);
     assert!(own.note_write_failed().contains(&from));
     assert!(!own.add_requested(now, &record(2, "v1"), from), "sent again");
     assert_eq!(written(&mut own, now + 2 * interval, 986).records(1_000).expect("a row").len(), 2);
-    assert_eq!(own.note_written(), [(from, key(2))]);
+    assert_eq!(own.note_written(QUICK), [(from, key(2))]);
     assert_eq!(own.step(now + TTL, CheckpointNeed::None, 986), CheckpointStep::Remove);
 }
 
@@ -151,7 +175,7 @@
     own.add_requested(now, &record(9_999, "v1"), port(7));
     add_all(&mut own, now, 3_005, |_| "v1".to_owned());
     written(&mut own, now, 62);
-    assert!(own.note_written().is_empty());
+    assert!(own.note_written(QUICK).is_empty());
     assert_eq!((own.take_dropped(), own.take_dropped()), (6, 0));
 }
 
