test(streams): list the second version while all streams are certain to run

Seen: 2 of 12 streams went on, once, beside other builds; no caller saw anything.

Cause: the test lists a second version 240 ms after it starts its streams and expects all of them to run then, as they pause for 300 ms. What has ended whole by then is not recorded, and need not be: its caller holds all of it.

A record is sent before the third event is passed on, which is before the instance is stopped.

Change: servers hold the streams after two events until the test releases them, and the list changes once all twelve are held.

--- a/standins/src/engine/stream.rs
+++ b/standins/src/engine/stream.rs
@@ -43,7 +43,7 @@
 }
 
 pub(super) fn serve_stream(state: &Arc<State>, exchange: Exchange<'_>, chat: &ChatRequest) -> Next {
-    let Exchange { conn, received, fault } = exchange;
+    let Exchange { conn, received, fault, .. } = exchange;
     let attempt = received.head.header("cartvane-attempt").unwrap_or("none").to_owned();
     state.runs.add(&received);
     let generation: Arc<Generation> = Arc::default();
--- a/standins/src/fault.rs
+++ b/standins/src/fault.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::VecDeque,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
@@ -59,6 +62,8 @@
     SilentAfter(usize, Duration),
     /// A stream falls silent after this many events, for this long, and goes on.
     PauseAfter(usize, Duration),
+    /// A stream falls silent after this many events, until [`Faults::release_streams`] is called, and goes on.
+    HoldAfter(usize),
     /// An answer to another request comes before the right one.
     ForeignFirst,
     /// The answer states no length and ends with its connection.
@@ -90,13 +95,36 @@
 pub struct Faults {
     line: Arc<Mutex<VecDeque<Fault>>>,
     standing: Mutex<Option<Fault>>,
+    held_streams: AtomicUsize,
+    /// Whether streams are held no more.
+    released: (Mutex<bool>, Condvar),
 }
 
 impl Faults {
     /// Returns faults that share their line with `other`: whichever server is asked first has the
     /// first of them.
     pub fn sharing(other: &Faults) -> Faults {
-        Faults { line: Arc::clone(&other.line), standing: Mutex::default() }
+        Faults { line: Arc::clone(&other.line), ..Faults::default() }
+    }
+
+    /// Has a stream wait until [`Faults::release_streams`] is called.
+    pub(crate) fn hold_stream(&self) {
+        self.held_streams.fetch_add(1, Ordering::SeqCst);
+        let (released, changed) = &self.released;
+        let waited = changed.wait_while(lock(released), |released| !*released);
+        drop(waited);
+    }
+
+    /// Returns how many streams were held.
+    pub fn held_streams(&self) -> usize {
+        self.held_streams.load(Ordering::SeqCst)
+    }
+
+    /// Has all streams that are held go on, and holds none from now on.
+    pub fn release_streams(&self) {
+        let (released, changed) = &self.released;
+        *lock(released) = true;
+        changed.notify_all();
     }
 
     /// Adds faults for the next requests.
--- a/standins/src/listed.rs
+++ b/standins/src/listed.rs
@@ -349,16 +349,17 @@
     seen: &'s Seen,
     received: Received,
     fault: Fault,
+    faults: &'s Faults,
     /// The request's id.
     id: String,
 }
 
 fn serve(own: &str, seen: &Seen, exchange: Exchange<'_>) -> Next {
-    let Exchange { conn, received, fault } = exchange;
+    let Exchange { conn, received, fault, faults } = exchange;
     let _under_way = seen.begin();
     lock(&seen.requests).push(received.clone());
     let id = received.head.header("x-request-id").unwrap_or_default().to_owned();
-    Serving { own, seen, received, fault, id }.answer(conn)
+    Serving { own, seen, received, fault, faults, id }.answer(conn)
 }
 
 impl Serving<'_> {
@@ -522,6 +523,7 @@
                     return Next::Close;
                 }
                 Fault::PauseAfter(count, time) if sent == count => thread::sleep(time),
+                Fault::HoldAfter(count) if sent == count => self.faults.hold_stream(),
                 Fault::SilentAfter(count, time) if sent == count => {
                     thread::sleep(time);
                     return format.break_off(conn);
--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -142,6 +142,8 @@
     pub received: Received,
     /// What goes wrong with it.
     pub fault: Fault,
+    /// The faults of the stand-in.
+    pub faults: &'e Faults,
 }
 
 /// Whether a connection goes on.
@@ -198,6 +200,7 @@
             conn: &mut conn,
             received: Received { head, body, at: Instant::now() },
             fault,
+            faults,
         };
         if serve(exchange) == Next::Close {
             return;
@@ -207,7 +210,7 @@
 
 /// Answers with `make`, which runs the request, as the exchange's fault has it.
 pub fn answer(exchange: Exchange<'_>, make: impl FnOnce(&Received) -> Reply) -> Next {
-    let Exchange { conn, received, fault } = exchange;
+    let Exchange { conn, received, fault, .. } = exchange;
     match fault {
         Fault::RefuseNotRun => {
             let reply = Reply::new(503, "full").with("cartvane-outcome", "not-run");
--- a/tests/suite/stream_records.rs
+++ b/tests/suite/stream_records.rs
@@ -14,8 +14,8 @@
     support::eventually,
 };
 
-/// Pause of a stream after its second event.
-const PAUSE: Duration = Duration::from_millis(300);
+/// Time in which an instance passes on the events that a server has sent.
+const FORWARDING_TIME: Duration = Duration::from_millis(100);
 
 /// Has an instance read a list with one more server, of another version, which the store does not have yet.
 fn list_second_version(instance: &GatewayHandle) {
@@ -36,15 +36,17 @@
 fn a_stream_is_resumed_although_its_instance_was_the_only_one_to_see_a_second_version() {
     const STREAMS: usize = 12;
     let mut fleet = Versions::start(&["v1", "v1", "v1"], 3);
-    fleet.faults.push([Fault::PauseAfter(2, PAUSE); STREAMS]);
+    fleet.faults.push([Fault::HoldAfter(2); STREAMS]);
     let killed = 0;
     thread::scope(|scope| {
         let fleet = &fleet;
         let streams: Vec<_> = (0..STREAMS)
             .map(|n| scope.spawn(move || fleet.attempt(killed, &format!("b{n}"), None)))
             .collect();
-        thread::sleep(PAUSE - Duration::from_millis(60));
+        eventually("all streams have begun", || fleet.faults.held_streams() == STREAMS);
+        thread::sleep(FORWARDING_TIME);
         list_second_version(&fleet.instances[killed]);
+        fleet.faults.release_streams();
         assert!(streams.into_iter().all(|stream| stream.join().expect("a caller").whole));
     });
     drop(fleet.instances.remove(killed));
