fix(instances): a row that names no instance ranks no longer first

Operators saw nothing of it: with a row of another name at an instance's own address (or at 0.0.0.0 with its port) and more cores, that instance took the row for the aggregator, reported to itself, got replies, and so neither read the store for the others nor controlled roll-outs. The same happens to an instance that is started again under another name at its address.

Cause: the list of instances is keyed by name alone, and two names may lead to one instance.

One instance is known at an address now: one that reports itself replaces others, a row of the table never replaces a known one, and among rows the newest counts. A row at the address of a running instance of another name is removed from the table. A row whose key is not its name, or with port 0, is skipped and logged.

Two instances beside such a row were not played, only the list's rules are tested.

--- a/src/gateway/instance_table.rs
+++ b/src/gateway/instance_table.rs
@@ -1,6 +1,6 @@
 //! The table of instances in the platform's store, by which they discover each other.
 
-use std::{sync::Arc, thread, time::Duration};
+use std::{cmp::Reverse, sync::Arc, thread, time::Duration};
 
 use indexmap::IndexMap;
 
@@ -141,17 +141,40 @@
     }
 }
 
+/// Why a row names no instance.
+#[derive(Debug, thiserror::Error)]
+enum RowError {
+    #[error("{0}")]
+    Decode(#[from] rmp_serde::decode::Error),
+    #[error("it is the row of {0}; the key must be the name of the instance")]
+    Key(NodeName),
+    #[error("address: port 0; state the port at which the instance listens")]
+    Port,
+}
+
+fn decode_row(row: &StoreRow) -> Result<InstanceInfo, RowError> {
+    let instance: InstanceInfo = decode(&row.value)?;
+    if instance.node.as_str() != row.key {
+        return Err(RowError::Key(instance.node));
+    }
+    if instance.address.port() == 0 {
+        return Err(RowError::Port);
+    }
+    Ok(instance)
+}
+
 /// Reads the table, and adds its instances to the known ones; returns them.
 fn read_table(gateway: &Gateway) -> Result<Vec<InstanceInfo>, StoreError> {
-    let rows = gateway.store.rows(INSTANCE_TABLE)?;
-    let parse = |row: &StoreRow| decode::<InstanceInfo>(&row.value);
-    let listed = gateway.decode_rows(INSTANCE_TABLE, &rows.rows, parse);
+    let mut rows = gateway.store.rows(INSTANCE_TABLE)?.rows;
+    rows.sort_by_key(|row| Reverse(row.version));
+    let listed = gateway.decode_rows(INSTANCE_TABLE, &rows, decode_row);
     lock(&gateway.peers.candidates).add_all(listed.clone());
     gateway.instances_changed();
     Ok(listed)
 }
 
-/// Reads the table, removes the rows of instances that have stopped, and writes those of running instances that it lacks.
+/// Reads the table, removes the rows of instances that have stopped or run under another name, and writes those of
+/// running instances that it lacks.
 fn maintain_table(gateway: &Gateway) -> Result<(), StoreError> {
     let listed = read_table(gateway)?;
     let now = gateway.clock.now();
@@ -164,8 +187,14 @@
             listed.iter().map(|i| (&i.node, i)).collect();
         let has_row = |i: &InstanceInfo| rows.get(&i.node).is_some_and(|row| *row == i);
         let is_unlisted = |i: &&InstanceInfo| aggregate.is_running(now, &i.node) && !has_row(i);
+        // A row is of an instance that was renamed, or of none, where one of another name is running.
+        let is_displaced = |row: &&InstanceInfo| {
+            let other = candidates.other_at(row);
+            other.is_some_and(|i| i == candidates.own() || aggregate.is_running(now, &i.node))
+        };
+        let displaced = listed.iter().filter(is_displaced);
         let stopped: Vec<InstanceInfo> =
-            candidates.all().iter().filter(has_stopped).cloned().collect();
+            candidates.all().iter().filter(has_stopped).chain(displaced).cloned().collect();
         let unlisted: Vec<InstanceInfo> =
             candidates.all().iter().filter(is_unlisted).cloned().collect();
         (stopped, unlisted)
--- a/src/routing/candidates.rs
+++ b/src/routing/candidates.rs
@@ -16,7 +16,10 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{FleetPosition, InstanceChange, InstanceHistory, InstanceListUpdate};
-use crate::names::{NodeName, ZoneName};
+use crate::{
+    names::{NodeName, ZoneName},
+    units::cores,
+};
 
 /// First period for which an instance is skipped after it did not respond; doubled with each further failure.
 const SKIP_FIRST: Duration = Duration::from_secs(1);
@@ -37,6 +40,7 @@
     /// Its availability zone.
     pub zone: ZoneName,
     /// Its share of processors, in cores; stronger instances rank first.
+    #[serde(deserialize_with = "cores::deserialize")]
     pub cores: f32,
 }
 
@@ -63,7 +67,8 @@
     /// Sets this instance's address, once it is bound.
     pub fn set_own_address(&mut self, address: SocketAddr) {
         self.own.address = address;
-        self.change(vec![self.own.clone()], Vec::new());
+        let removed = self.others_at(&self.own);
+        self.change(vec![self.own.clone()], removed);
     }
 
     /// Sets the list of all instances; this instance is always included.
@@ -71,7 +76,9 @@
         let own = self.own.node.clone();
         if self.ranked.len() <= 1 {
             // An instance that has just started knows no list that could have changed.
-            let others = instances.into_iter().filter(|instance| instance.node != own);
+            let is_other =
+                |i: &InstanceInfo| i.node != own && !reaches(i.address, self.own.address);
+            let others = instances.into_iter().filter(is_other);
             self.ranked = others.collect();
             self.ranked.push(self.own.clone());
             return self.rank();
@@ -108,21 +115,43 @@
         }
     }
 
-    /// Adds or replaces one instance.
+    /// Adds or replaces an instance that reported itself, which replaces others at its address.
     pub fn add(&mut self, instance: InstanceInfo) {
         if !self.ranked.contains(&instance) {
-            self.change(vec![instance], Vec::new());
+            let removed = self.others_at(&instance);
+            self.change(vec![instance], removed);
         }
     }
 
+    /// Returns the nodes other than that of `instance` that are listed at its address.
+    fn others_at(&self, instance: &InstanceInfo) -> Vec<NodeName> {
+        let is_other = |known: &&InstanceInfo| {
+            known.node != instance.node && reaches(known.address, instance.address)
+        };
+        self.ranked.iter().filter(is_other).map(|known| known.node.clone()).collect()
+    }
+
+    /// Returns the known instance that listens where `row` names another one.
+    pub fn other_at(&self, row: &InstanceInfo) -> Option<&InstanceInfo> {
+        let is_other =
+            |known: &&InstanceInfo| known.node != row.node && reaches(row.address, known.address);
+        self.ranked.iter().find(is_other)
+    }
+
     fn by_node(&self) -> HashMap<&NodeName, &InstanceInfo> {
         self.ranked.iter().map(|instance| (&instance.node, instance)).collect()
     }
 
-    /// Adds or replaces instances.
+    /// Adds or replaces instances of the table of all instances, the newest rows first. Those at an address at which
+    /// another one is known are left out: an instance that reported itself, or has the newer row, is what listens there.
     pub fn add_all(&mut self, mut instances: Vec<InstanceInfo>) {
         let known = self.by_node();
-        instances.retain(|instance| known.get(&instance.node) != Some(&instance));
+        let mut nodes: HashMap<SocketAddr, NodeName> =
+            self.ranked.iter().map(|known| (known.address, known.node.clone())).collect();
+        instances.retain(|instance| {
+            let node = nodes.entry(instance.address).or_insert_with(|| instance.node.clone());
+            *node == instance.node && known.get(&instance.node) != Some(&instance)
+        });
         if !instances.is_empty() {
             self.change(instances, Vec::new());
         }
@@ -136,7 +165,10 @@
     fn change(&mut self, mut put: Vec<InstanceInfo>, mut removed: Vec<NodeName>) {
         let before = self.version;
         removed.retain(|node| *node != self.own.node);
-        put.retain(|instance| instance.node != self.own.node || *instance == self.own);
+        put.retain(|instance| match instance.node == self.own.node {
+            true => *instance == self.own,
+            false => !reaches(instance.address, self.own.address),
+        });
         if put.len() + removed.len() > INSERTED_MAX {
             self.rerank(&put, &removed);
         } else {
@@ -233,6 +265,12 @@
     }
 }
 
+/// Returns whether what is sent to `address` arrives at an instance that listens at `own`. An address that names no host
+/// leads to the sender.
+fn reaches(address: SocketAddr, own: SocketAddr) -> bool {
+    address.port() == own.port() && (address.ip() == own.ip() || address.ip().is_unspecified())
+}
+
 /// Compares by rank: the strongest first, instances of the same strength by the hashes of their names.
 fn by_rank(a: &InstanceInfo, b: &InstanceInfo) -> Ordering {
     let order = |i: &InstanceInfo| xxh3_64(i.node.as_str().as_bytes());
--- a/src/units.rs
+++ b/src/units.rs
@@ -1,6 +1,7 @@
 //! Newtypes for sizes, rates, durations and revisions, with `Display` and `FromStr`.
 
 pub mod bounded_time;
+pub mod cores;
 pub mod counter;
 pub mod request_count;
 mod slot_count;
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -40,6 +40,7 @@
 mod log_sink;
 mod messages;
 mod notices;
+mod odd_instances;
 mod odd_rows;
 mod odd_rows_random;
 mod odd_rows_router;
