fix(streams): let the strongest instances write checkpoints

Cause: weighted by processors, about half of the four writers of 62 instances are weak ones, of which each waits for its share of a core. In a test of 16 instances in one process first events wait for 0 to 39 ms, so neither the interval nor the messages make up the difference.

Change: the strongest instances write, and of as strong ones the first by rendezvous rank.

--- a/src/routing/checkpoint_requests.rs
+++ b/src/routing/checkpoint_requests.rs
@@ -45,15 +45,19 @@
 }
 
 impl CheckpointWriters {
-    /// Returns the writers of a fleet, which may include this instance. Strong instances are preferred, since a writer
-    /// encodes the records of many.
+    /// Returns the writers of a fleet, which may include this instance: the strongest ones, since first events wait for
+    /// them, and a small share of a core comes in parts with pauses between them.
     pub fn of(instances: &Candidates) -> CheckpointWriters {
-        let nodes = || instances.all().iter().map(weighted);
-        let ranked = rendezvous::ranked(WRITERS_KEY, nodes());
-        let writers = ranked.into_iter().take(CHECKPOINT_WRITERS).map(|index| {
-            let instance = &instances.all()[index];
-            (Tag::of(instance.node.as_str()), instance.address)
-        });
+        let mut ranked: Vec<(f32, f64, &InstanceInfo)> = instances
+            .all()
+            .iter()
+            .map(|instance| (instance.cores, score(instance), instance))
+            .collect();
+        ranked.sort_unstable_by(|a, b| b.0.total_cmp(&a.0).then(b.1.total_cmp(&a.1)));
+        let writers = ranked
+            .into_iter()
+            .take(CHECKPOINT_WRITERS)
+            .map(|(_, _, instance)| (Tag::of(instance.node.as_str()), instance.address));
         CheckpointWriters { list: instances.version(), writers: writers.collect() }
     }
 
@@ -144,6 +148,7 @@
     }
 }
 
-fn weighted(instance: &InstanceInfo) -> (Tag, f64) {
-    (Tag::of(instance.node.as_str()), f64::from(instance.cores).max(f64::MIN_POSITIVE))
+/// Ranks instances of the same strength.
+fn score(instance: &InstanceInfo) -> f64 {
+    rendezvous::score(WRITERS_KEY, Tag::of(instance.node.as_str()), 1.0)
 }
--- a/tests/suite/checkpoint_requests.rs
+++ b/tests/suite/checkpoint_requests.rs
@@ -47,7 +47,8 @@
     requests.take_due(now, SEVERAL, writers).into_iter().map(|send| send.to).collect()
 }
 
-/// Guards against instances that ask different ones to write a stream, and against one writer for most streams.
+/// Guards against instances that ask different ones to write a stream, and against one writer for most streams or weak
+/// ones.
 #[test]
 fn all_instances_share_the_streams_among_the_same_few_writers() {
     let seen: Vec<CheckpointWriters> = (1..=62).map(|own| writers(own, 1..=62)).collect();
@@ -58,7 +59,9 @@
     }
     assert_eq!(shares.len(), CHECKPOINT_WRITERS);
     assert!(shares.values().all(|count| (150..=350).contains(count)), "{shares:?}");
-    assert_eq!((1..=62).filter(|n| seen[0].contains(port(*n))).count(), CHECKPOINT_WRITERS);
+    let writers: Vec<u16> = (1..=62).filter(|n| seen[0].contains(port(*n))).collect();
+    assert_eq!(writers.len(), CHECKPOINT_WRITERS);
+    assert!(writers.iter().all(|n| n.is_multiple_of(8)), "the strongest: {writers:?}");
 }
 
 /// Guards against first events that are sent before their records are written, or that wait although the store takes no
