fix(roster): read a list of few long rows by its changes

With some hundred odd rows among those of the servers, a change of the list was in use after 0.6 to 1.5 s instead of 0.1 s; the users ask for one second.

Only lists of more than 500 rows were read by their changes, however long the rows. Ruled out: the registry of versions, the reading of orders and the list's use took less than 1 ms together; log lines are one for each row.

A list above 128 KiB is read by its changes now, too.

--- a/src/gateway/server_list_cache.rs
+++ b/src/gateway/server_list_cache.rs
@@ -22,6 +22,10 @@
 /// corrects anything that a reply with changes has left out.
 const WHOLE_READ_INTERVAL: Duration = Duration::from_secs(10);
 
+/// Size of a list above which only its changes are read, as of one with more than [`PAGE_ROWS`] rows of usual length: a few
+/// foreign rows of megabytes made each read last longer than its period.
+const WHOLE_READ_BYTES_MAX: usize = 128 << 10;
+
 /// What the newest row of a key says.
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum Entry {
@@ -47,6 +51,8 @@
     pub version: StoreVersion,
     /// When the whole list was last read.
     whole_read_at: Instant,
+    /// Bytes of the rows read since, the whole list included.
+    bytes: usize,
     /// Whether rows have been read that differ from the list last applied.
     has_changes: bool,
     /// Version of the list last applied, which other instances receive.
@@ -73,6 +79,7 @@
         ServerListCache {
             version,
             whole_read_at: at,
+            bytes: 0,
             has_changes: true,
             applied: None,
             entries: IndexMap::new(),
@@ -81,13 +88,15 @@
 
     /// Returns whether reading the changes is cheaper than the whole list, and the store still has their history.
     pub fn can_read_changes(&self, now: Instant) -> bool {
-        let is_long = self.entries.len() > PAGE_ROWS;
+        let is_long = self.entries.len() > PAGE_ROWS || self.bytes > WHOLE_READ_BYTES_MAX;
         is_long && now.saturating_duration_since(self.whole_read_at) < WHOLE_READ_INTERVAL
     }
 
     /// Applies rows that are new, changed or removed, in any order. Nearly all of them are heartbeats, which change
     /// nothing in the list.
     pub fn apply_rows(&mut self, rows: StoreRows) {
+        let bytes: usize = rows.rows.iter().map(|row| row.value.len()).sum();
+        self.bytes = self.bytes.saturating_add(bytes);
         rows.rows.iter().for_each(|row| self.apply_row(row));
         self.version = self.version.max(rows.version);
     }
--- a/tests/suite/server_list_cache.rs
+++ b/tests/suite/server_list_cache.rs
@@ -182,3 +182,15 @@
         "{read} bytes: the changes suffice, the whole list was not read"
     );
 }
+
+// Guards against a few long foreign rows that are read with the whole list each time, so that the list is followed late.
+#[test]
+fn a_list_of_few_rows_and_many_bytes_is_read_by_its_changes() {
+    let now = Instant::now();
+    for (bytes, reads_changes) in [(100, false), (100_000, false), (200_000, true)] {
+        let mut cache = ServerListCache::new(now, StoreVersion::default());
+        let long = StoreRow { value: vec![b'x'; bytes], ..row(1, 2, Write::Invalid) };
+        cache.apply_rows(reply(2, &[row(0, 1, Write::Ready), long]));
+        assert_eq!(cache.can_read_changes(now), reads_changes, "{bytes}");
+    }
+}
