--- a/tests/suite/restarted_fleet.rs
+++ b/tests/suite/restarted_fleet.rs
@@ -175,9 +175,9 @@
     let begun = begin_all(&fleet);
     fleet.store.set_mode(StoreMode::Silent);
     let began = Instant::now();
-    for caller in 0..CALLERS {
+    for (caller, version) in begun.iter().enumerate().take(CALLERS) {
         let id = format!("silent-{caller}");
-        let answer = resume(&fleet, 0, &id, &format!("b{caller}")).expect_err(&begun[caller]);
+        let answer = resume(&fleet, 0, &id, &format!("b{caller}")).expect_err(version);
         assert_eq!(refusal_of(&fleet, &answer, &id), (503, true, 0));
     }
     assert!(began.elapsed() < Duration::from_secs(2), "{:?}", began.elapsed());
