--- a/src/gateway/stream_origins/checkpoints.rs
+++ b/src/gateway/stream_origins/checkpoints.rs
@@ -41,6 +41,7 @@
     pub(super) own: Mutex<StreamCheckpoints>,
     /// What other instances write for this one, in large fleets.
     pub(super) requests: Mutex<CheckpointRequests>,
+    /// The instances that write, as of the last list of instances.
     pub(super) writers: Mutex<CheckpointWriters>,
     /// Notified when a writer has replied.
     pub(super) requests_written: Condvar,
--- a/src/routing/stream_checkpoints.rs
+++ b/src/routing/stream_checkpoints.rs
@@ -1,8 +1,8 @@
 //! Checkpoints of streams in the store: the records of the streams that an instance carries, for the time after all
 //! instances were killed at once.
 //!
-//! Each process of an instance writes one row; in large fleets a few instances write the records of all. The record of a stream never changes, so that an old row may lack
-//! streams, but states none wrongly.
+//! Each process of an instance writes one row; in large fleets a few instances write the records of all. The record of a
+//! stream never changes, so that an old row may lack streams, but states none wrongly.
 
 use std::{
     net::SocketAddr,
