fix(streams): go on with a stream only at the service that began it

Callers held events of two services in one stream: after the operator had moved a resumable route, on a split route if they named no first attempt, and at an instance that was suspended while a route was moved. Each service had one version, so nothing was recorded, and the one registered version of the service that the route leads to now was taken for the origin.

Cause: "one version" was proved by the store, "one service" was taken from the intent of the instance that has the caller. Stale knowledge taken for current, as with versions.

The shares of resumable routes are now registered in a second row of the registry before an intent that changes them is used, and read with it in the same call. Streams of such routes are recorded for as long as the former shares are in sight. A path that gets a route of its own or loses it counts as changed. On a split route a resumption that names no attempt is refused. The registry and the sightings are the same code for versions and shares.

Ruled out: the split itself. With an unchanged split, attempts that name the first one come to its service by the hash of the id. The former service is not used for a stream that began there: the new configuration forbids it.

The test of remembered streams names the route of each stream as well, since the route decides too whether a stream is recorded; it checks what it did.

--- a/src/gateway/intent_reader.rs
+++ b/src/gateway/intent_reader.rs
@@ -186,8 +186,11 @@
     let began = gateway.clock.now();
     match intent::decode(&row.value) {
         Ok(decoded) => {
+            gateway.register_shares(&decoded);
+            let before = gateway.cluster_state.intent();
             let is_newer = gateway.cluster_state.offer_intent(decoded, confirmed);
             if is_newer {
+                gateway.note_intent(before.as_deref());
                 log_activation(gateway, "store", row.value.len(), began);
             }
             Some(is_newer)
@@ -206,8 +209,10 @@
         return;
     }
     let began = gateway.clock.now();
+    let before = gateway.cluster_state.intent();
     match gateway.cluster_state.offer_changes(changes) {
         Ok(true) => {
+            gateway.note_intent(before.as_deref());
             let bytes = changes.iter().map(|change| change.len()).sum();
             log_activation(gateway, "peer", bytes, began);
         }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -11,7 +11,10 @@
 use crate::{
     adapter,
     names::{ServerId, ServiceName, Tag, TeamName},
-    routing::{AdmissionTerms, HomeRegions, PromptPartId, Route, RouteKind, SuspectDigest},
+    routing::{
+        AdmissionTerms, HomeRegions, PromptPartId, Route, RouteKind, RouteTag, StreamScope,
+        SuspectDigest,
+    },
     zone::rendezvous::ChatKey,
 };
 
@@ -101,6 +104,17 @@
             && (last_event_id.is_some() || resumes.is_some())
     }
 
+    /// Returns whether its service is the one of all attempts at the stream that it resumes, while the shares of the route
+    /// stay the same.
+    pub fn has_service_of_stream(&self) -> bool {
+        self.metadata.resumes.is_some() || self.affinity().is_some() || !self.route.is_split()
+    }
+
+    /// Returns what decides whether the stream that it begins has to be recorded.
+    pub fn stream_scope(&self) -> StreamScope {
+        StreamScope { service: self.service.clone(), route: RouteTag::of(&self.route) }
+    }
+
     /// Returns a digest that is the same when the request is sent again; hashes the whole body.
     pub fn digest(&self) -> SuspectDigest {
         let host = self.headers.get(HOST).map_or(&b""[..], |host| host.as_bytes());
--- a/src/gateway/stream_origins/messages.rs
+++ b/src/gateway/stream_origins/messages.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     names::{ServiceName, SoftwareVersion},
-    routing::{SightedVersion, StreamKey, StreamOrigin, StreamRecord},
+    routing::{RouteShares, SightedVersion, StreamKey, StreamOrigin, StreamRecord},
 };
 
 /// Path of these calls.
@@ -24,6 +24,8 @@
     pub key: StreamKey,
     /// The service at which it is resumed.
     pub service: ServiceName,
+    /// The route by which it is resumed, with the shares that lead it there.
+    pub shares: RouteShares,
     /// Whether the receiver is to read the registry of versions if it has no record: the sender cannot.
     pub reads_registry: bool,
 }
@@ -33,7 +35,8 @@
 pub enum OriginReply {
     /// Where the stream began.
     Began(StreamOrigin),
-    /// The stream has no record, and this is the only registered version of the service, as of after the question came.
+    /// The stream has no record, and this is the only registered version of the service, as of after the question came. The
+    /// route has no other registered shares.
     SoleRegistered(Option<SoftwareVersion>),
     /// The instance does not know.
     Unknown,
--- a/src/gateway/stream_origins/mod.rs
+++ b/src/gateway/stream_origins/mod.rs
@@ -30,8 +30,11 @@
     link::idle::IdleMonitor,
     names::{NodeName, ServiceName, SoftwareVersion},
     routing::{
-        RegisteredVersions, SightedVersion, StreamKey, StreamOrigin, StreamOrigins, StreamRecord,
-        UnrecordedStreams, VersionRegistry, VersionSightings, version_registry::ServiceVersion,
+        Intent, ListedShares, RegisteredVersions, RouteRegistry, RouteTag, SharesTag,
+        SightedVersion, StreamKey, StreamOrigin, StreamOrigins, StreamRecord, StreamScope,
+        UnrecordedStreams, VersionRegistry, VersionSightings,
+        route_shares::{changed_shares, listed_shares},
+        version_registry::ServiceVersion,
     },
     utils::sync::lock,
 };
@@ -90,8 +93,20 @@
         must
     }
 
-    fn must_record(&self, now: Instant, service: &ServiceName) -> bool {
-        self.must_record_any(now) && lock(&self.sightings).must_record(now, service)
+    fn must_record(&self, now: Instant, request: &Request) -> bool {
+        if !self.must_record_any(now) {
+            return false;
+        }
+        let sightings = lock(&self.sightings);
+        sightings.must_record(now, &request.service)
+            || sightings.has_several_shares(now, RouteTag::of(&request.route))
+    }
+
+    /// Returns whether records are written to the store: not those of routes that have changed while each service has one
+    /// version, since operators change routes on days without a release as well.
+    fn must_checkpoint(&self, now: Instant) -> bool {
+        let sightings = lock(&self.sightings);
+        sightings.has_several_of_any(now) || !sightings.knows_all(now)
     }
 
     fn is_silent(&self, now: Instant, node: &NodeName) -> bool {
@@ -119,6 +134,11 @@
         let mut sightings = lock(&self.stream_versions.sightings);
         self.cluster_state.with_servers(|roster| sightings.note_list(now, roster.servers()));
         drop(sightings);
+        self.open_records(now);
+    }
+
+    /// Records the streams that have ended and have to be recorded by now, and the others with their next event.
+    fn open_records(&self, now: Instant) {
         if self.stream_versions.must_record_any(now) {
             self.stream_versions.link.open();
             self.record_unrecorded(now);
@@ -144,21 +164,51 @@
         self.record_unrecorded(now);
     }
 
-    /// Notes the versions that are registered in the store.
-    pub(super) fn note_registered(&self, registry: &VersionRegistry) {
+    /// Notes the versions and shares that are registered in the store.
+    pub(super) fn note_registered(&self, versions: &VersionRegistry, routes: &RouteRegistry) {
         let now = self.clock.now();
-        lock(&self.stream_versions.sightings).note_registered(now, registry);
+        let mut sightings = lock(&self.stream_versions.sightings);
+        sightings.note_registered_shares(now, routes);
+        sightings.note_registered(now, versions);
+        drop(sightings);
         self.record_unrecorded(now);
     }
 
+    /// Notes the shares of the active intent, which has replaced `before`.
+    pub(super) fn note_intent(&self, before: Option<&Intent>) {
+        let Some(intent) = self.cluster_state.intent() else { return };
+        let now = self.clock.now();
+        let listed = listed_shares(&intent.routes);
+        let changed =
+            before.map(|before| changed_shares(&before.routes, &intent.routes)).unwrap_or_default();
+        lock(&self.stream_versions.sightings).note_shares(now, &listed, &changed);
+        self.open_records(now);
+    }
+
     /// Returns whether a version has not been listed for as long as its streams may be resumed.
     pub(super) fn has_left(&self, version: &ServiceVersion) -> bool {
         lock(&self.stream_versions.sightings).has_left(self.clock.now(), version)
     }
 
-    /// Returns whether this instance knows of several versions of a service.
-    fn has_several_versions(&self, now: Instant, service: &ServiceName) -> bool {
-        lock(&self.stream_versions.sightings).has_several(now, service)
+    /// Returns whether shares have not been in use for as long as streams that they led may be resumed.
+    pub(super) fn have_shares_left(&self, shares: &(RouteTag, SharesTag)) -> bool {
+        lock(&self.stream_versions.sightings).have_shares_left(self.clock.now(), shares)
+    }
+
+    /// Returns the shares of the active intent.
+    pub(super) fn used_shares(&self) -> ListedShares {
+        lock(&self.stream_versions.sightings).listed_shares()
+    }
+
+    /// Returns the shares that are or were in use until a short time ago.
+    pub(super) fn shares_in_sight(&self) -> ListedShares {
+        lock(&self.stream_versions.sightings).shares_in_sight()
+    }
+
+    /// Returns whether this instance knows of several versions of a service, or several shares of a route.
+    fn has_several_origins(&self, now: Instant, service: &ServiceName, route: RouteTag) -> bool {
+        let sightings = lock(&self.stream_versions.sightings);
+        sightings.has_several(now, service) || sightings.has_several_shares(now, route)
     }
 
     /// Records at which version the stream of a request began, if that has to be recorded; returns whether it was.
@@ -168,7 +218,7 @@
         version: Option<&SoftwareVersion>,
     ) -> bool {
         let now = self.clock.now();
-        if !self.stream_versions.must_record(now, &request.service) {
+        if !self.stream_versions.must_record(now, request) {
             return false;
         }
         self.add_records(now, vec![stream_record(request, version)]);
@@ -176,9 +226,12 @@
     }
 
     fn add_records(&self, now: Instant, records: Vec<StreamRecord>) {
+        let must_checkpoint = self.stream_versions.must_checkpoint(now);
         for record in &records {
             lock(&self.stream_versions.origins).record(now, record.clone());
-            self.checkpoint_record(now, record);
+            if must_checkpoint {
+                self.checkpoint_record(now, record);
+            }
         }
         self.send_records(now, records);
     }
@@ -187,7 +240,7 @@
     pub(super) fn remember_stream(&self, request: &Request, version: Option<&SoftwareVersion>) {
         let now = self.clock.now();
         let record = stream_record(request, version);
-        lock(&self.stream_versions.unrecorded).add(now, &request.service, record);
+        lock(&self.stream_versions.unrecorded).add(now, request.stream_scope(), record);
         // Another version may have appeared in the meantime.
         self.record_unrecorded(now);
     }
@@ -199,7 +252,10 @@
         }
         let due = {
             let sightings = lock(&self.stream_versions.sightings);
-            let must_record = |service: &ServiceName| sightings.must_record(now, service);
+            let must_record = |scope: &StreamScope| {
+                sightings.must_record(now, &scope.service)
+                    || sightings.has_several_shares(now, scope.route)
+            };
             lock(&self.stream_versions.unrecorded).take_due(now, must_record)
         };
         if !due.is_empty() {
@@ -211,14 +267,14 @@
     /// Replies to another instance.
     pub(super) fn answer_origin_query(&self, query: &OriginQuery) -> OriginReply {
         let now = self.clock.now();
-        let OriginQuery { key, service, reads_registry } = query;
+        let OriginQuery { key, service, shares, reads_registry } = query;
         if let Some(origin) = lock(&self.stream_versions.origins).origin(now, *key) {
             return OriginReply::Began(origin.clone());
         }
-        if !reads_registry || self.has_several_versions(now, service) {
+        if !reads_registry || self.has_several_origins(now, service, shares.route) {
             return OriginReply::Unknown;
         }
-        match self.registered_versions(service, now) {
+        match self.registered_versions(service, *shares, now) {
             Ok(RegisteredVersions::One(version)) => OriginReply::SoleRegistered(version),
             Ok(RegisteredVersions::Several) | Err(_) => OriginReply::Unknown,
         }
--- a/src/gateway/stream_origins/resumption.rs
+++ b/src/gateway/stream_origins/resumption.rs
@@ -9,7 +9,7 @@
 use crate::{
     gateway::{Gateway, attempts::Refusal, forward::Forwarding, request::Request},
     names::{NodeName, SoftwareVersion},
-    routing::{HOLDERS, InstanceInfo, RegisteredVersions, StreamKey, VersionRule},
+    routing::{HOLDERS, InstanceInfo, RegisteredVersions, RouteShares, StreamKey, VersionRule},
     utils::sync::lock,
 };
 
@@ -64,7 +64,7 @@
 /// Why the version of a stream is not known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum NotKnown {
-    /// The caller does not name the attempt that brought the first event.
+    /// The caller does not name the attempt that brought the first event, and several versions or services may have.
     NotNamed,
     /// No instance knows the attempt that the caller names.
     NoRecord,
@@ -145,10 +145,14 @@
             let version = origin.version_at(&request.service).ok_or(NotKnown::OtherService)?;
             return Ok((Some(version.clone()), Source::OwnRecord));
         }
-        // The list of this instance may be older than the stream, so that it does not decide.
+        if !request.has_service_of_stream() {
+            return Err(NotKnown::NotNamed);
+        }
+        // The list and the intent of this instance may be older than the stream, so that they do not decide.
+        let shares = RouteShares::of(&request.route);
         let mut not_known = NotKnown::NoRecord;
-        if !self.has_several_versions(now, &request.service) {
-            match self.registered_versions(&request.service, request.received_at) {
+        if !self.has_several_origins(now, &request.service, shares.route) {
+            match self.registered_versions(&request.service, shares, request.received_at) {
                 Ok(RegisteredVersions::One(version)) => return Ok((version, Source::Registry)),
                 Ok(RegisteredVersions::Several) => {}
                 Err(error) => {
@@ -158,7 +162,7 @@
             }
         }
         let key = key.ok_or(NotKnown::NotNamed)?;
-        self.ask_holders(request, key, not_known)
+        self.ask_holders(request, key, shares, not_known)
     }
 
     /// Asks the instances that should hold the record, and further ones in place of those that do not reply. `not_known`
@@ -167,11 +171,13 @@
         &self,
         request: &Request,
         key: StreamKey,
+        shares: RouteShares,
         mut not_known: NotKnown,
     ) -> Result<StreamVersion, NotKnown> {
         let query = OriginQuery {
             key,
             service: request.service.clone(),
+            shares,
             reads_registry: not_known == NotKnown::RegistryUnread,
         };
         // The record may be held where nobody replied.
--- a/src/gateway/version_registry.rs
+++ b/src/gateway/version_registry.rs
@@ -9,17 +9,20 @@
 };
 
 use indexmap::IndexSet;
+use serde::{Serialize, de::DeserializeOwned};
 
 use super::Gateway;
 use crate::{
     adapter::{
-        store::{Condition, Put, StoreError},
-        tables::{VERSION_KEY, VERSION_TABLE},
+        store::{Condition, Put, StoreError, StoreRows},
+        tables::{ROUTE_KEY, VERSION_KEY, VERSION_TABLE},
     },
     configs::fleet::chunks::{decode, encode},
     names::{ServiceName, SoftwareVersion},
     routing::{
-        BackendServer, ListVersion, ListedVersions, RegisteredVersions, StoreEra, VersionRegistry,
+        BackendServer, Intent, ListVersion, ListedShares, ListedVersions, RegisteredVersions,
+        RouteRegistry, RouteShares, StoreEra, VersionRegistry,
+        route_shares::{changed_shares, listed_shares},
         version_registry::versions_of,
     },
     utils::sync::lock,
@@ -51,12 +54,28 @@
 /// Time between two comparisons while versions that have left are only to be dropped.
 const DROP_INTERVAL: Duration = Duration::from_secs(10);
 
+/// A row of the registry.
+#[derive(Debug, Clone, Default)]
+struct RegistryRow<R> {
+    registry: R,
+    /// Version of the row; 0 if there is none.
+    version: u64,
+    /// Whether it cannot be decoded.
+    is_spoiled: bool,
+}
+
+/// What a registry is to be; `None` where it is so already.
+#[derive(Debug, Default)]
+struct RegistryChange {
+    versions: Option<VersionRegistry>,
+    routes: Option<RouteRegistry>,
+}
+
 /// The registry as it was read from the store.
 #[derive(Debug, Clone)]
 struct RegistryRead {
-    registry: VersionRegistry,
-    /// Version of the row; 0 if there is none.
-    row: u64,
+    versions: RegistryRow<VersionRegistry>,
+    routes: RegistryRow<RouteRegistry>,
     /// Era of the store.
     era: StoreEra,
     /// Time on the store's clock, in milliseconds.
@@ -102,14 +121,21 @@
     failed_at: Option<Instant>,
 }
 
-/// Comparison of the registry with the list in use.
+/// What may begin streams now.
+#[derive(Debug, PartialEq, Eq)]
+struct UsedOrigins {
+    versions: ListedVersions,
+    shares: ListedShares,
+}
+
+/// Comparison of the registry with the list and the intent in use.
 #[derive(Debug, Default)]
 struct Maintenance {
     due_at: Option<Instant>,
-    /// The list last looked at.
-    list: Option<ListVersion>,
-    /// The versions of the list with which the registry agreed, if it did.
-    agreed: Option<ListedVersions>,
+    /// The list and the version of the intent last looked at.
+    known: (Option<ListVersion>, u64),
+    /// What the registry agreed with, if it did.
+    agreed: Option<UsedOrigins>,
     /// Whether a read for a resumption has shown a difference.
     is_requested: bool,
 }
@@ -125,9 +151,11 @@
     ) -> (Vec<BackendServer>, bool) {
         let now = self.clock.now();
         let mut versions = versions_of(&servers);
+        let mut shares = ListedShares::new();
         if self.roster_era() != era {
             // Servers that a restored store lacks are used for a while, and their streams go on.
             versions.extend(self.used_versions());
+            shares = self.shares_in_sight();
         }
         let known = self.known_versions(now, era);
         let new: ListedVersions = versions.difference(&known).cloned().collect();
@@ -137,10 +165,14 @@
         }
         let failed_at = lock(&self.registry_reads.unregistered).failed_at;
         if !is_within(failed_at, now, FAILURE_BACKOFF) {
-            match self.write_registry(|read| read.registry.with_listed(&new)) {
+            let with_new = |read: &RegistryRead| RegistryChange {
+                versions: read.versions.registry.with_listed(&new),
+                routes: read.routes.registry.with_listed(&shares),
+            };
+            match self.write_registry(with_new) {
                 Ok(read) => {
                     *lock(&self.registry_reads.unregistered) = Unregistered::default();
-                    self.note_registered(&read.registry);
+                    self.note_registered(&read.versions.registry, &read.routes.registry);
                     return (servers, true);
                 }
                 Err(error) => self.note_unregistered(&new, &error),
@@ -149,6 +181,34 @@
         (self.without_held_back(servers, &new), false)
     }
 
+    /// Registers the shares of routes that an intent changes, which was read from the store and is not active yet: an
+    /// instance that does not know it then reads that streams may have begun at another service. A store that takes no
+    /// writes does not hold the intent up. An instance that has started while others may run does not know what changes.
+    pub(super) fn register_shares(&self, intent: &Intent) {
+        let changed = match self.cluster_state.intent() {
+            Some(active) if active.version < intent.version => {
+                changed_shares(&active.routes, &intent.routes)
+            }
+            None if !self.settings.first_start => listed_shares(&intent.routes),
+            _ => return,
+        };
+        if changed.is_empty() {
+            return;
+        }
+        let with_changed = |read: &RegistryRead| RegistryChange {
+            versions: None,
+            routes: read.routes.registry.with_listed(&changed),
+        };
+        match self.write_registry(with_changed) {
+            Ok(_) => log::info!("event=shares_registered count={}", changed.len()),
+            Err(error) => log::warn!(
+                "event=shares_unregistered version={} reason={:?}",
+                intent.version,
+                error.to_string()
+            ),
+        }
+    }
+
     fn roster_era(&self) -> StoreEra {
         self.cluster_state.with_servers(|roster| roster.era())
     }
@@ -159,6 +219,11 @@
             .with_servers(|roster| versions_of(roster.servers().map(|server| &**server)))
     }
 
+    /// Returns what may begin streams by the list and the intent in use.
+    fn used_origins(&self) -> UsedOrigins {
+        UsedOrigins { versions: self.used_versions(), shares: self.used_shares() }
+    }
+
     /// Returns the versions that are registered in `era`, as the list in use shows: whoever read it registered them.
     fn known_versions(&self, now: Instant, era: StoreEra) -> ListedVersions {
         let is_recent = self.cluster_state.servers_age(now).is_some_and(|age| age <= LIST_AGE_MAX);
@@ -209,11 +274,11 @@
         {
             return;
         }
-        let used = self.used_versions();
+        let used = self.used_origins();
         let written = self.write_registry(|read| self.maintained(read, &used));
         let mut maintenance = lock(&self.registry_reads.maintenance);
         match written {
-            Ok(read) if read.registry.has_unlisted() => {
+            Ok(read) if read.has_unlisted() => {
                 maintenance.due_at = Some(now + DROP_INTERVAL);
             }
             Ok(_) => maintenance.agreed = Some(used),
@@ -226,10 +291,10 @@
     /// Returns whether the registry has to be compared with the list now, and notes that it is.
     fn needs_maintenance(&self, now: Instant, is_reader: bool) -> bool {
         let mut maintenance = lock(&self.registry_reads.maintenance);
-        let list = self.cluster_state.list_version();
-        if maintenance.list != list {
-            maintenance.list = list;
-            let is_same = maintenance.agreed.as_ref() == Some(&self.used_versions());
+        let known = (self.cluster_state.list_version(), self.cluster_state.version());
+        if maintenance.known != known {
+            maintenance.known = known;
+            let is_same = maintenance.agreed.as_ref() == Some(&self.used_origins());
             if !is_same && maintenance.agreed.take().is_some() {
                 maintenance.due_at = None;
             }
@@ -244,29 +309,35 @@
         true
     }
 
-    /// Returns what a registry has to be if exactly `used` are listed; `None` if it is so already.
-    fn maintained(&self, read: &RegistryRead, used: &ListedVersions) -> Option<VersionRegistry> {
+    /// Returns what a registry has to be if exactly `used` are in use.
+    fn maintained(&self, read: &RegistryRead, used: &UsedOrigins) -> RegistryChange {
         if read.era != self.roster_era() {
-            return None;
+            return RegistryChange::default();
+        }
+        let (versions, routes) = (&read.versions.registry, &read.routes.registry);
+        self.note_registered(versions, routes);
+        let has_left = |version: &_| self.has_left(version);
+        let have_left = |shares: &_| self.have_shares_left(shares);
+        RegistryChange {
+            versions: versions.maintained(read.now_ms, &used.versions, has_left),
+            routes: match self.cluster_state.intent() {
+                Some(_) => routes.maintained(read.now_ms, &used.shares, have_left),
+                None => None,
+            },
         }
-        self.note_registered(&read.registry);
-        read.registry.maintained(read.now_ms, used, |version| self.has_left(version))
     }
 
     /// Writes what `change` makes of the registry, if anything, and returns the registry as it is then.
     fn write_registry(
         &self,
-        change: impl Fn(&RegistryRead) -> Option<VersionRegistry>,
+        change: impl Fn(&RegistryRead) -> RegistryChange,
     ) -> Result<RegistryRead, StoreError> {
         let mut attempt = 1;
         loop {
-            let read = self.read_registry()?;
-            let Some(registry) = change(&read) else { return Ok(read) };
-            match self.put_registry(&read, &registry) {
-                Ok(()) => {
-                    log_change(&read.registry, &registry);
-                    return Ok(RegistryRead { registry, ..read });
-                }
+            let mut read = self.read_registry()?;
+            let change = change(&read);
+            match self.put_change(&mut read, change) {
+                Ok(()) => return Ok(read),
                 Err(StoreError::Conflict) if attempt < WRITE_ATTEMPTS_MAX => attempt += 1,
                 Err(error) => return Err(error),
             }
@@ -277,28 +348,43 @@
         let store = self.store.with_short_stall_timeout(REGISTRY_STALL_TIMEOUT);
         let rows = store.rows(VERSION_TABLE)?;
         let (era, now_ms) = (rows.version.era, rows.now_ms);
-        let Some(row) = rows.rows.into_iter().find(|row| row.key == VERSION_KEY) else {
-            return Ok(RegistryRead { registry: VersionRegistry::default(), row: 0, era, now_ms });
-        };
-        let registry = decode(&row.value).unwrap_or_else(|error| {
-            log::warn!("event=row_skipped key={VERSION_KEY} reason={:?}", error.to_string());
-            VersionRegistry::default()
-        });
-        Ok(RegistryRead { registry, row: row.version, era, now_ms })
+        let (versions, routes) = (decode_row(&rows, VERSION_KEY), decode_row(&rows, ROUTE_KEY));
+        Ok(RegistryRead { versions, routes, era, now_ms })
+    }
+
+    /// Writes the rows that change. A registry of versions stays valid whatever the one of routes is, and the other way
+    /// round, so that they need not be written at once.
+    fn put_change(
+        &self,
+        read: &mut RegistryRead,
+        change: RegistryChange,
+    ) -> Result<(), StoreError> {
+        if let Some(versions) = change.versions {
+            self.put_registry(VERSION_KEY, read.versions.version, &versions)?;
+            log_change(&read.versions.registry, &versions);
+            read.versions.registry = versions;
+        }
+        if let Some(routes) = change.routes {
+            self.put_registry(ROUTE_KEY, read.routes.version, &routes)?;
+            read.routes.registry = routes;
+        }
+        Ok(())
     }
 
     fn put_registry(
         &self,
-        read: &RegistryRead,
-        registry: &VersionRegistry,
+        key: &str,
+        version: u64,
+        registry: &impl Serialize,
     ) -> Result<(), StoreError> {
-        let condition = Condition { table: VERSION_TABLE, key: VERSION_KEY, version: read.row };
-        let put = Put { table: VERSION_TABLE, key: VERSION_KEY, value: &encode(registry) };
+        let condition = Condition { table: VERSION_TABLE, key, version };
+        let put = Put { table: VERSION_TABLE, key, value: &encode(registry) };
         let store = self.store.with_short_stall_timeout(REGISTRY_STALL_TIMEOUT);
         store.put_if(&condition, &[put]).map(drop)
     }
 
-    /// Returns the versions that may have begun a stream of a service that a caller resumed at `resumed_at`.
+    /// Returns the versions that may have begun a stream of a service, to which a route with these shares leads its
+    /// caller, who resumed it at `resumed_at`. A stream that other shares may have led is as one of several versions.
     ///
     /// # Errors
     ///
@@ -306,6 +392,7 @@
     pub(super) fn registered_versions(
         &self,
         service: &ServiceName,
+        shares: RouteShares,
         resumed_at: Instant,
     ) -> Result<RegisteredVersions, RegistryError> {
         let mut reads = lock(&self.registry_reads.for_resumptions);
@@ -314,7 +401,11 @@
         if read.era != self.roster_era() {
             return Err(RegistryError::OtherEra);
         }
-        Ok(read.registry.versions(service))
+        let mut registered = read.routes.registry.of(&shares.route);
+        if read.routes.is_spoiled || registered.any(|registered| *registered != shares.shares) {
+            return Ok(RegisteredVersions::Several);
+        }
+        Ok(read.versions.registry.versions(service))
     }
 
     /// Returns the registry as of `since` or later.
@@ -332,7 +423,7 @@
             let read = self.read_registry().inspect_err(|_| {
                 reads.failed_at = Some(self.clock.now());
             })?;
-            if self.maintained(&read, &self.used_versions()).is_some() {
+            if !self.maintained(&read, &self.used_origins()).is_empty() {
                 lock(&self.registry_reads.maintenance).is_requested = true;
             }
             reads.last = Some((began, read));
@@ -347,11 +438,37 @@
     /// The store cannot be read.
     pub(super) fn learn_registered_versions(&self) -> Result<(), StoreError> {
         let read = self.read_registry()?;
-        self.note_registered(&read.registry);
+        self.note_registered(&read.versions.registry, &read.routes.registry);
         Ok(())
     }
 }
 
+impl RegistryRead {
+    fn has_unlisted(&self) -> bool {
+        self.versions.registry.has_unlisted() || self.routes.registry.has_unlisted()
+    }
+}
+
+impl RegistryChange {
+    fn is_empty(&self) -> bool {
+        self.versions.is_none() && self.routes.is_none()
+    }
+}
+
+/// Returns the row of `key`; an empty one if there is none or it cannot be decoded.
+fn decode_row<R: Default + DeserializeOwned>(rows: &StoreRows, key: &str) -> RegistryRow<R> {
+    let Some(row) = rows.rows.iter().find(|row| row.key == key) else {
+        return RegistryRow::default();
+    };
+    match decode(&row.value) {
+        Ok(registry) => RegistryRow { registry, version: row.version, is_spoiled: false },
+        Err(error) => {
+            log::warn!("event=row_skipped key={key} reason={:?}", error.to_string());
+            RegistryRow { registry: R::default(), version: row.version, is_spoiled: true }
+        }
+    }
+}
+
 fn is_within(since: Option<Instant>, now: Instant, time: Duration) -> bool {
     since.is_some_and(|at| now.saturating_duration_since(at) < time)
 }
--- a/src/routing/route.rs
+++ b/src/routing/route.rs
@@ -91,6 +91,16 @@
         RouteKey { host: self.host.to_ascii_lowercase(), prefix: self.prefix.clone() }
     }
 
+    /// Returns the shares that requests go to.
+    pub fn used_shares(&self) -> impl Iterator<Item = &ServiceShare> {
+        self.shares.iter().filter(|share| share.weight > 0.0)
+    }
+
+    /// Returns whether requests are split between services.
+    pub fn is_split(&self) -> bool {
+        self.used_shares().count() > 1
+    }
+
     /// Returns the service for a request; requests with the same `hash` get the same service.
     pub fn service_for(&self, hash: u64) -> Option<&ServiceName> {
         let total: f64 = self.shares.iter().map(|share| share.weight.max(0.0)).sum();
--- /dev/null
+++ b/src/routing/sightings.rs
@@ -0,0 +1,130 @@
+//! Which values are in use, or were until recently: streams that began under them may still be resumed.
+
+use std::{
+    hash::Hash,
+    time::{Duration, Instant},
+};
+
+use indexmap::{IndexMap, IndexSet};
+
+use super::registry::RETENTION;
+
+/// Time for which a value counts as in sight after it was last in use: longer than it stays registered, so that all
+/// streams are recorded whose resumption the registry leaves open.
+pub const SIGHTING_RETENTION: Duration = RETENTION.saturating_add(Duration::from_secs(20));
+
+/// When a value was in use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Sighting {
+    Listed,
+    /// No longer in use since then.
+    Until(Instant),
+}
+
+impl Sighting {
+    fn is_in_sight(self, now: Instant) -> bool {
+        match self {
+            Sighting::Listed => true,
+            Sighting::Until(at) => now.saturating_duration_since(at) < SIGHTING_RETENTION,
+        }
+    }
+}
+
+/// The values of all keys.
+#[derive(Debug)]
+pub struct Sightings<K, V> {
+    entries: IndexMap<K, IndexMap<V, Sighting>>,
+    /// Keys with several values, so that a check of all keys is cheap.
+    several: IndexSet<K>,
+}
+
+impl<K, V> Default for Sightings<K, V> {
+    fn default() -> Sightings<K, V> {
+        Sightings { entries: IndexMap::new(), several: IndexSet::new() }
+    }
+}
+
+impl<K: Clone + Eq + Hash, V: Clone + Eq + Hash> Sightings<K, V> {
+    /// Notes all values that are in use.
+    pub fn note_listed(&mut self, now: Instant, listed: impl IntoIterator<Item = (K, V)>) {
+        for sighting in self.entries.values_mut().flat_map(IndexMap::values_mut) {
+            if *sighting == Sighting::Listed {
+                *sighting = Sighting::Until(now);
+            }
+        }
+        for (key, value) in listed {
+            self.entries.entry(key).or_default().insert(value, Sighting::Listed);
+        }
+        self.update(now);
+    }
+
+    /// Adds values that may have been in use.
+    pub fn note_earlier(&mut self, now: Instant, values: impl IntoIterator<Item = (K, V)>) {
+        for (key, value) in values {
+            self.entries.entry(key).or_default().entry(value).or_insert(Sighting::Until(now));
+        }
+        self.update(now);
+    }
+
+    /// Adds a value that is in use elsewhere, and may not be here yet.
+    pub fn note_elsewhere(&mut self, now: Instant, (key, value): (K, V)) {
+        let sighting = self.entries.entry(key).or_default().entry(value);
+        let sighting = sighting.or_insert(Sighting::Until(now));
+        if *sighting != Sighting::Listed {
+            *sighting = Sighting::Until(now);
+        }
+        self.update(now);
+    }
+
+    /// Returns whether a value has not been in use for as long as its streams may be resumed.
+    pub fn has_left(&self, now: Instant, (key, value): &(K, V)) -> bool {
+        let sighting = self.entries.get(key).and_then(|values| values.get(value));
+        matches!(
+            sighting,
+            Some(Sighting::Until(at)) if now.saturating_duration_since(*at) >= RETENTION
+        )
+    }
+
+    /// Returns all values with their keys.
+    pub fn all(&self) -> impl Iterator<Item = (K, V)> {
+        self.entries
+            .iter()
+            .flat_map(|(key, values)| values.keys().map(|value| (key.clone(), value.clone())))
+    }
+
+    /// Returns the values of a key.
+    pub fn of<'s>(&'s self, key: &K) -> impl Iterator<Item = &'s V> + use<'s, K, V> {
+        self.entries.get(key).into_iter().flat_map(IndexMap::keys)
+    }
+
+    /// Returns the values that are in use now.
+    pub fn listed(&self) -> impl Iterator<Item = (K, V)> {
+        self.entries.iter().flat_map(|(key, values)| {
+            let listed = values.iter().filter(|(_, sighting)| **sighting == Sighting::Listed);
+            listed.map(|(value, _)| (key.clone(), value.clone()))
+        })
+    }
+
+    /// Returns whether several values of a key are or were in use.
+    pub fn has_several(&self, now: Instant, key: &K) -> bool {
+        self.several.contains(key)
+            && self.entries.get(key).is_some_and(|values| {
+                values.values().filter(|sighting| sighting.is_in_sight(now)).count() > 1
+            })
+    }
+
+    /// Returns the keys of which several values are or were in use.
+    pub fn with_several(&self, now: Instant) -> impl Iterator<Item = &K> {
+        self.several.iter().filter(move |key| self.has_several(now, key))
+    }
+
+    /// Drops what is out of sight.
+    fn update(&mut self, now: Instant) {
+        for values in self.entries.values_mut() {
+            values.retain(|_, sighting| sighting.is_in_sight(now));
+        }
+        self.entries.retain(|_, values| !values.is_empty());
+        let several = self.entries.iter().filter(|(_, values)| values.len() > 1);
+        self.several = several.map(|(key, _)| key.clone()).collect();
+    }
+}
--- a/src/routing/version_sightings.rs
+++ b/src/routing/version_sightings.rs
@@ -1,41 +1,18 @@
-//! Which software versions of a service's servers are listed, or were until recently: streams that they began may still
-//! be resumed.
+//! Which software versions of a service's servers, and which shares of a route, are in use, or were until recently:
+//! streams that began under them may still be resumed.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Instant};
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
 
 use super::{
-    BackendServer, VersionRegistry,
-    version_registry::{ServiceVersion, VERSION_RETENTION},
+    BackendServer, ListedShares, RouteRegistry, RouteTag, SharesTag, VersionRegistry,
+    sightings::{SIGHTING_RETENTION, Sightings},
+    version_registry::ServiceVersion,
 };
 use crate::names::{ServiceName, SoftwareVersion};
 
-/// Time for which a version counts as in sight after it was last listed: longer than it stays registered, so that all
-/// streams are recorded whose resumption the registry leaves open.
-const SIGHTING_RETENTION: Duration = VERSION_RETENTION.saturating_add(Duration::from_secs(20));
-
-/// When a version was listed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Sighting {
-    Listed,
-    /// No longer listed since then.
-    Until(Instant),
-}
-
-impl Sighting {
-    fn is_in_sight(self, now: Instant) -> bool {
-        match self {
-            Sighting::Listed => true,
-            Sighting::Until(at) => now.saturating_duration_since(at) < SIGHTING_RETENTION,
-        }
-    }
-}
-
 /// A version of a service that several versions serve, as the instance that has listed them tells the others.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SightedVersion {
@@ -45,12 +22,13 @@
     pub version: Option<SoftwareVersion>,
 }
 
-/// The versions of all services.
+/// The versions of all services, and the shares of all routes.
 #[derive(Debug)]
 pub struct VersionSightings {
     /// Since when versions have been observed; `None` if no streams can have begun before that.
     observed_since: Option<Instant>,
-    services: IndexMap<ServiceName, IndexMap<Option<SoftwareVersion>, Sighting>>,
+    versions: Sightings<ServiceName, Option<SoftwareVersion>>,
+    shares: Sightings<RouteTag, SharesTag>,
     /// Services with several versions that other instances have been told of.
     announced: IndexSet<ServiceName>,
 }
@@ -61,7 +39,8 @@
     pub fn new(restarted_at: Option<Instant>) -> VersionSightings {
         VersionSightings {
             observed_since: restarted_at,
-            services: IndexMap::new(),
+            versions: Sightings::default(),
+            shares: Sightings::default(),
             announced: IndexSet::new(),
         }
     }
@@ -72,75 +51,82 @@
         now: Instant,
         servers: impl Iterator<Item = &'s Arc<BackendServer>>,
     ) {
-        for sighting in self.services.values_mut().flat_map(IndexMap::values_mut) {
-            if *sighting == Sighting::Listed {
-                *sighting = Sighting::Until(now);
-            }
-        }
-        for server in servers {
-            let versions = self.services.entry(server.service.clone()).or_default();
-            versions.insert(server.version.clone(), Sighting::Listed);
-        }
-        self.prune(now);
+        let version =
+            |server: &Arc<BackendServer>| (server.service.clone(), server.version.clone());
+        self.versions.note_listed(now, servers.map(version));
+    }
+
+    /// Notes the shares of the active intent, and those that it has changed.
+    pub fn note_shares(&mut self, now: Instant, listed: &ListedShares, changed: &ListedShares) {
+        self.shares.note_listed(now, listed.iter().copied());
+        self.shares.note_earlier(now, changed.iter().copied());
     }
 
     /// Adds the versions that are registered. This instance knows all versions that may have begun streams from then on.
     pub fn note_registered(&mut self, now: Instant, registry: &VersionRegistry) {
-        for (service, version) in registry.all() {
-            let versions = self.services.entry(service).or_default();
-            versions.entry(version).or_insert(Sighting::Until(now));
-        }
+        self.versions.note_earlier(now, registry.all());
         self.observed_since = None;
-        self.prune(now);
+    }
+
+    /// Adds the shares that are registered.
+    pub fn note_registered_shares(&mut self, now: Instant, registry: &RouteRegistry) {
+        self.shares.note_earlier(now, registry.all());
     }
 
     /// Returns whether a version has not been listed for as long as its streams may be resumed.
-    pub fn has_left(&self, now: Instant, (service, version): &ServiceVersion) -> bool {
-        let sighting = self.services.get(service).and_then(|versions| versions.get(version));
-        matches!(
-            sighting,
-            Some(Sighting::Until(at)) if now.saturating_duration_since(*at) >= VERSION_RETENTION
-        )
+    pub fn has_left(&self, now: Instant, version: &ServiceVersion) -> bool {
+        self.versions.has_left(now, version)
+    }
+
+    /// Returns whether shares have not been in use for as long as streams that they led may be resumed.
+    pub fn have_shares_left(&self, now: Instant, shares: &(RouteTag, SharesTag)) -> bool {
+        self.shares.has_left(now, shares)
+    }
+
+    /// Returns the shares of the active intent.
+    pub fn listed_shares(&self) -> ListedShares {
+        self.shares.listed().collect()
+    }
+
+    /// Returns the shares that are or were in use until a short time ago.
+    pub fn shares_in_sight(&self) -> ListedShares {
+        self.shares.all().collect()
     }
 
     /// Adds versions that another instance has listed, and this one may not have yet.
     pub fn note_listed_elsewhere(&mut self, now: Instant, sighted: Vec<SightedVersion>) {
         for SightedVersion { service, version } in sighted {
-            let versions = self.services.entry(service.clone()).or_default();
-            let sighting = versions.entry(version).or_insert(Sighting::Until(now));
-            if *sighting != Sighting::Listed {
-                *sighting = Sighting::Until(now);
-            }
+            self.versions.note_elsewhere(now, (service.clone(), version));
             self.announced.insert(service);
         }
     }
 
     /// Returns the versions of services that have several in sight, and had not when this was last called.
     pub fn take_new_several(&mut self, now: Instant) -> Vec<SightedVersion> {
-        let services = self.services.keys();
-        let several: IndexSet<ServiceName> =
-            services.filter(|service| self.has_several(now, service)).cloned().collect();
+        let several: IndexSet<ServiceName> = self.versions.with_several(now).cloned().collect();
         let known = std::mem::replace(&mut self.announced, several);
         let new = self.announced.difference(&known);
         let sighted = |service: &ServiceName, version: &Option<SoftwareVersion>| SightedVersion {
             service: service.clone(),
             version: version.clone(),
         };
-        new.flat_map(|service| self.services[service].keys().map(move |v| sighted(service, v)))
+        new.flat_map(|service| self.versions.of(service).map(move |v| sighted(service, v)))
             .collect()
     }
 
     /// Returns whether several versions of a service are or were in sight.
     pub fn has_several(&self, now: Instant, service: &ServiceName) -> bool {
-        let versions = self.services.get(service);
-        versions.is_some_and(|versions| {
-            versions.values().filter(|sighting| sighting.is_in_sight(now)).count() > 1
-        })
+        self.versions.has_several(now, service)
+    }
+
+    /// Returns whether a route has or had several shares in sight.
+    pub fn has_several_shares(&self, now: Instant, route: RouteTag) -> bool {
+        self.shares.has_several(now, &route)
     }
 
     /// Returns whether several versions of any service are or were in sight.
     pub fn has_several_of_any(&self, now: Instant) -> bool {
-        self.services.keys().any(|service| self.has_several(now, service))
+        self.versions.with_several(now).next().is_some()
     }
 
     /// Returns whether the streams of a service have to be recorded: not if this instance knows of all versions, and
@@ -149,9 +135,11 @@
         !self.knows_all(now) || self.has_several(now, service)
     }
 
-    /// Returns whether the streams of any service have to be recorded.
+    /// Returns whether any streams have to be recorded.
     pub fn must_record_any(&self, now: Instant) -> bool {
-        self.services.keys().any(|service| self.must_record(now, service))
+        !self.knows_all(now)
+            || self.has_several_of_any(now)
+            || self.shares.with_several(now).next().is_some()
     }
 
     /// Returns whether this instance knows all versions that may have begun a stream.
@@ -159,11 +147,4 @@
         self.observed_since
             .is_none_or(|since| now.saturating_duration_since(since) >= SIGHTING_RETENTION)
     }
-
-    fn prune(&mut self, now: Instant) {
-        for versions in self.services.values_mut() {
-            versions.retain(|_, sighting| sighting.is_in_sight(now));
-        }
-        self.services.retain(|_, versions| !versions.is_empty());
-    }
 }
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -39,6 +39,7 @@
 mod log_lines;
 mod log_sink;
 mod messages;
+mod moved_streams;
 mod notices;
 mod odd_rows;
 mod odd_rows_random;
--- a/tests/suite/out_of_step.rs
+++ b/tests/suite/out_of_step.rs
@@ -13,6 +13,7 @@
 use standins::{fault::Fault, held_stream::HeldStream, store::StoreMode};
 
 use crate::{
+    moved_streams::{OTHER_SERVICE, split_intent},
     process::{Process, boot, file},
     stream_versions::{Versions, attempt, refusal_of},
     support::eventually,
@@ -111,6 +112,15 @@
         (2..2 + SECOND_SERVERS.len()).for_each(|server| self.versions.list(server));
     }
 
+    /// Leads the streams to servers of the second version, which are those of another service.
+    fn move_route(&mut self) {
+        for server in 2..2 + SECOND_SERVERS.len() {
+            self.versions.add_server(SECOND);
+            self.versions.list_in(server, OTHER_SERVICE);
+        }
+        self.versions.store.put("op", "config", &split_intent(6, &[(OTHER_SERVICE, 1)]));
+    }
+
     /// Begins streams through some instances, which break off; returns `count` that began at the second version.
     fn begin_at_second_version(&self, through: &[usize], count: usize) -> Vec<Begun> {
         let until = Instant::now() + Duration::from_secs(20);
@@ -274,6 +284,24 @@
     assert_none_joined(&results);
 }
 
+/// Guards against an instance that goes on at the former service with streams of a route that was moved while it stood
+/// still.
+#[test]
+fn a_process_that_stood_still_while_a_route_was_moved_joins_no_services() {
+    let mut fleet = Fleet::start(7);
+    let (others, stopped) = ([0, 1, 2], [3]);
+    fleet.signal(&stopped, Signal::STOP);
+    fleet.move_route();
+    let begun = fleet.begin_at_second_version(&others, STREAMS);
+    let resumed = thread::scope(|scope| {
+        let resuming = scope.spawn(|| fleet.resume(&stopped, begun));
+        thread::sleep(SENDING_TIME);
+        fleet.signal(&stopped, Signal::CONT);
+        resuming.join().expect("the callers")
+    });
+    assert_none_joined(&[("moved".to_owned(), resumed)]);
+}
+
 /// Guards against an instance that refuses to resume streams although it has the new list again.
 #[test]
 fn an_instance_that_is_in_step_again_resumes_streams_at_their_version() {
--- a/tests/suite/stream_versions.rs
+++ b/tests/suite/stream_versions.rs
@@ -45,7 +45,7 @@
 }
 
 /// Returns an intent with one resumable streaming route; a server may break off many of its streams in a row.
-fn streaming_intent() -> Value {
+pub(crate) fn streaming_intent() -> Value {
     let mut intent = intent(5);
     let mut stream = route("stream-resumable", "streaming", "app");
     stream["stream_resume"] = true.into();
@@ -84,7 +84,12 @@
 
     /// Writes the entry of a server, with many slots.
     pub(crate) fn list(&self, server: usize) {
-        let mut entry = self.servers[server].entry("app", "ready");
+        self.list_in(server, "app");
+    }
+
+    /// Writes the entry of a server of a service.
+    pub(crate) fn list_in(&self, server: usize, service: &str) {
+        let mut entry = self.servers[server].entry(service, "ready");
         entry["slots"] = 500.into();
         self.store.put("servers", &self.servers[server].id, &entry);
     }
@@ -147,6 +152,12 @@
         attempt(self.instances[instance].callers(), id, resumption)
     }
 
+    /// Sends one attempt to go on after the third event of a stream whose first attempt is not named.
+    pub(crate) fn attempt_unnamed(&self, instance: usize, id: &str) -> Answer {
+        let call = call("/stream-resumable/?marked=1", id).with("connection", "close");
+        call.with("last-event-id", 3).send(self.instances[instance].callers())
+    }
+
     /// Receives a stream, which is resumed at another instance each time that it breaks off.
     fn receive(&self, name: &str, rng: &mut Rng) -> Held {
         let mut held = Held::default();
--- a/tests/suite/unrecorded_streams.rs
+++ b/tests/suite/unrecorded_streams.rs
@@ -7,15 +7,16 @@
 };
 
 use cartvane::{
+    adapter::intent::decode,
     names::ServiceName,
-    routing::{StreamKey, StreamOrigin, StreamRecord, UnrecordedStreams},
+    routing::{RouteTag, StreamKey, StreamOrigin, StreamRecord, StreamScope, UnrecordedStreams},
 };
 use standins::fault::Fault;
 
 use crate::{
     stream_versions::{Versions, begin, resume},
     support::eventually,
-    testbed::call,
+    testbed::{call, intent},
 };
 
 /// Begins a stream at the first instance, whose caller leaves after three events.
@@ -63,23 +64,28 @@
     StreamRecord { key, origin, ttl: Duration::from_secs(10) }
 }
 
+fn scope(service: &str) -> StreamScope {
+    let intent = decode(intent(5).to_string().as_bytes()).expect("an intent");
+    let route = intent.routes.find("cartvane", "/stream-resumable/").expect("a route");
+    StreamScope { service: service.parse().expect("a name"), route: RouteTag::of(route) }
+}
+
 /// Guards against memory that grows with the callers that leave, and against records of streams that have expired or of
 /// a service with one version.
 #[test]
 fn remembered_streams_are_bounded_and_expire() {
-    let service: ServiceName = "app".parse().expect("a name");
-    let other: ServiceName = "other".parse().expect("a name");
+    let (service, other) = (scope("app"), scope("other"));
     let now = Instant::now();
     let mut streams = UnrecordedStreams::default();
-    (0..2_500).for_each(|number| streams.add(now, &service, record(number)));
+    (0..2_500).for_each(|number| streams.add(now, service.clone(), record(number)));
     assert_eq!(streams.len(), 2_000);
-    assert!(streams.take_due(now, |service| *service == other).is_empty());
+    assert!(streams.take_due(now, |scope| *scope == other).is_empty());
     let later = now + Duration::from_secs(4);
     let due = streams.take_due(later, |due| *due == service);
     assert_eq!(due.len(), 2_000);
     assert!(due.iter().all(|record| record.ttl == Duration::from_secs(6)));
     assert!(streams.is_empty());
-    streams.add(now, &service, record(1));
+    streams.add(now, service.clone(), record(1));
     assert!(streams.take_due(now + Duration::from_secs(10), |_| true).is_empty());
     assert!(streams.is_empty());
 }
