fix(streams): keep versions for as long as callers of the routes may come back

A version was dropped from the registry 30 s after its last server had left and was out of sight after 50 s, whatever the timeouts of the routes: a caller of a route with a timeout of 100 s could resume a stream of a version that was no longer registered, and it went on at the other one.

Cause: the retention was a constant that took the waits of today's callers for the longest there are. Versions, shares of routes and records now take it from one place, by the longest timeout of a resumable route in the active intent: 10 s longer, as lists are used for so long, between 30 s and 600 s. An intent with shorter timeouts shortens it only after the former time, as streams that began before it still run. Nothing is dropped before an intent is known.

Ruled out: deadlines of single requests that are longer than the timeout of their route. No instance knows those of the others; records keep to them.

The model and the tests of the registry pass the retention in, which was a constant of the crate; the waits and bounds that they check are the same.

--- a/src/gateway/stream_origins/mod.rs
+++ b/src/gateway/stream_origins/mod.rs
@@ -34,14 +34,12 @@
         SightedVersion, StreamKey, StreamOrigin, StreamOrigins, StreamRecord, StreamScope,
         UnrecordedStreams, VersionRegistry, VersionSightings,
         route_shares::{changed_shares, listed_shares},
+        stream_retention::record_ttl,
         version_registry::ServiceVersion,
     },
     utils::sync::lock,
 };
 
-/// Time for which a record is held beyond the time that its caller waits, as messages and callers may be late.
-const RECORD_MARGIN: Duration = Duration::from_secs(5);
-
 /// Time for which an instance that did not reply is not asked again.
 const SILENCE_DURATION: Duration = Duration::from_secs(1);
 
@@ -181,7 +179,10 @@
         let listed = listed_shares(&intent.routes);
         let changed =
             before.map(|before| changed_shares(&before.routes, &intent.routes)).unwrap_or_default();
-        lock(&self.stream_versions.sightings).note_shares(now, &listed, &changed);
+        let mut sightings = lock(&self.stream_versions.sightings);
+        sightings.note_routes(now, &intent.routes);
+        sightings.note_shares(now, &listed, &changed);
+        drop(sightings);
         self.open_records(now);
     }
 
@@ -195,6 +196,11 @@
         lock(&self.stream_versions.sightings).have_shares_left(self.clock.now(), shares)
     }
 
+    /// Returns how long versions and shares stay registered.
+    pub(super) fn registry_retention(&self) -> Duration {
+        lock(&self.stream_versions.sightings).retention().registered(self.clock.now())
+    }
+
     /// Returns the shares of the active intent.
     pub(super) fn used_shares(&self) -> ListedShares {
         lock(&self.stream_versions.sightings).listed_shares()
@@ -283,11 +289,11 @@
 
 /// Returns the record of a stream that begins with a request.
 fn stream_record(request: &Request, version: Option<&SoftwareVersion>) -> StreamRecord {
-    let waits = request.metadata.timeout.unwrap_or_default().max(request.route.timeout);
+    let wait = request.metadata.timeout.unwrap_or_default().max(request.route.timeout);
     StreamRecord {
         key: StreamKey::of(request.team_name(), &request.metadata.id),
         origin: StreamOrigin::new(&request.service, version.cloned()),
-        ttl: waits + RECORD_MARGIN,
+        ttl: record_ttl(wait),
     }
 }
 
--- a/src/gateway/version_registry.rs
+++ b/src/gateway/version_registry.rs
@@ -316,12 +316,13 @@
         }
         let (versions, routes) = (&read.versions.registry, &read.routes.registry);
         self.note_registered(versions, routes);
+        let retention = self.registry_retention();
         let has_left = |version: &_| self.has_left(version);
         let have_left = |shares: &_| self.have_shares_left(shares);
         RegistryChange {
-            versions: versions.maintained(read.now_ms, &used.versions, has_left),
+            versions: versions.maintained(read.now_ms, &used.versions, retention, has_left),
             routes: match self.cluster_state.intent() {
-                Some(_) => routes.maintained(read.now_ms, &used.shares, have_left),
+                Some(_) => routes.maintained(read.now_ms, &used.shares, retention, have_left),
                 None => None,
             },
         }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -44,6 +44,7 @@
 pub mod store_version;
 pub mod stream_checkpoints;
 pub mod stream_origins;
+pub mod stream_retention;
 pub mod team;
 pub mod tunnel_peers;
 pub mod unlisted;
@@ -109,6 +110,7 @@
     StreamCheckpoints,
 };
 pub use stream_origins::{HOLDERS, StreamKey, StreamOrigin, StreamOrigins, StreamRecord};
+pub use stream_retention::StreamRetention;
 pub use team::{Team, Teams};
 pub use tunnel_peers::{TunnelPeers, TunnelReply};
 pub use unlisted::UnlistedNotices;
--- a/src/routing/registry.rs
+++ b/src/routing/registry.rs
@@ -9,9 +9,6 @@
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
-/// Time for which a value stays registered after it was last in use: longer than callers wait for a stream.
-pub const RETENTION: Duration = Duration::from_secs(30);
-
 /// A registered value.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct Registered<V> {
@@ -35,9 +32,9 @@
 }
 
 impl<V> Registered<V> {
-    /// Returns whether no stream that began under it can still be resumed at `now_ms` on the store's clock.
-    fn has_expired(&self, now_ms: u64) -> bool {
-        let retention_ms = duration_ms(RETENTION);
+    /// Returns whether it has not been in use for `retention` at `now_ms` on the store's clock.
+    fn has_expired(&self, now_ms: u64, retention: Duration) -> bool {
+        let retention_ms = duration_ms(retention);
         self.unlisted_since_ms.is_some_and(|since| now_ms.saturating_sub(since) >= retention_ms)
     }
 }
@@ -69,12 +66,13 @@
     }
 
     /// Returns the registry as it has to be at `now_ms` on the store's clock if exactly `listed` are in use; `None` if it
-    /// is so already. Other values are dropped after [`RETENTION`], of those only the ones for which `has_left` holds:
+    /// is so already. Other values are dropped after `retention`, of those only the ones for which `has_left` holds:
     /// the mark in the registry may be of an earlier absence.
     pub fn maintained(
         &self,
         now_ms: u64,
         listed: &IndexSet<(K, V)>,
+        retention: Duration,
         has_left: impl Fn(&(K, V)) -> bool,
     ) -> Option<Registry<K, V>> {
         let mut registry = self.clone();
@@ -89,7 +87,9 @@
                     _ => Some(now_ms),
                 };
             }
-            values.retain(|known| !(known.has_expired(now_ms) && has_left(&with_key(known))));
+            values.retain(|known| {
+                !(known.has_expired(now_ms, retention) && has_left(&with_key(known)))
+            });
         }
         registry.entries.retain(|_, values| !values.is_empty());
         listed.iter().for_each(|listed| registry.set_listed(listed));
--- a/src/routing/sightings.rs
+++ b/src/routing/sightings.rs
@@ -7,11 +7,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::registry::RETENTION;
-
-/// Time for which a value counts as in sight after it was last in use: longer than it stays registered, so that all
-/// streams are recorded whose resumption the registry leaves open.
-pub const SIGHTING_RETENTION: Duration = RETENTION.saturating_add(Duration::from_secs(20));
+use super::StreamRetention;
 
 /// When a value was in use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -22,10 +18,10 @@
 }
 
 impl Sighting {
-    fn is_in_sight(self, now: Instant) -> bool {
+    fn is_in_sight(self, now: Instant, retention: Duration) -> bool {
         match self {
             Sighting::Listed => true,
-            Sighting::Until(at) => now.saturating_duration_since(at) < SIGHTING_RETENTION,
+            Sighting::Until(at) => now.saturating_duration_since(at) < retention,
         }
     }
 }
@@ -36,15 +32,25 @@
     entries: IndexMap<K, IndexMap<V, Sighting>>,
     /// Keys with several values, so that a check of all keys is cheap.
     several: IndexSet<K>,
+    retention: StreamRetention,
 }
 
 impl<K, V> Default for Sightings<K, V> {
     fn default() -> Sightings<K, V> {
-        Sightings { entries: IndexMap::new(), several: IndexSet::new() }
+        Sightings {
+            entries: IndexMap::new(),
+            several: IndexSet::new(),
+            retention: StreamRetention::default(),
+        }
     }
 }
 
 impl<K: Clone + Eq + Hash, V: Clone + Eq + Hash> Sightings<K, V> {
+    /// Sets how long values are kept.
+    pub fn set_retention(&mut self, retention: StreamRetention) {
+        self.retention = retention;
+    }
+
     /// Notes all values that are in use.
     pub fn note_listed(&mut self, now: Instant, listed: impl IntoIterator<Item = (K, V)>) {
         for sighting in self.entries.values_mut().flat_map(IndexMap::values_mut) {
@@ -79,9 +85,10 @@
     /// Returns whether a value has not been in use for as long as its streams may be resumed.
     pub fn has_left(&self, now: Instant, (key, value): &(K, V)) -> bool {
         let sighting = self.entries.get(key).and_then(|values| values.get(value));
+        let retention = self.retention.registered(now);
         matches!(
             sighting,
-            Some(Sighting::Until(at)) if now.saturating_duration_since(*at) >= RETENTION
+            Some(Sighting::Until(at)) if now.saturating_duration_since(*at) >= retention
         )
     }
 
@@ -109,7 +116,9 @@
     pub fn has_several(&self, now: Instant, key: &K) -> bool {
         self.several.contains(key)
             && self.entries.get(key).is_some_and(|values| {
-                values.values().filter(|sighting| sighting.is_in_sight(now)).count() > 1
+                let retention = self.retention.in_sight(now);
+                let in_sight = values.values().filter(|seen| seen.is_in_sight(now, retention));
+                in_sight.count() > 1
             })
     }
 
@@ -120,8 +129,9 @@
 
     /// Drops what is out of sight.
     fn update(&mut self, now: Instant) {
+        let retention = self.retention.in_sight(now);
         for values in self.entries.values_mut() {
-            values.retain(|_, sighting| sighting.is_in_sight(now));
+            values.retain(|_, sighting| sighting.is_in_sight(now, retention));
         }
         self.entries.retain(|_, values| !values.is_empty());
         let several = self.entries.iter().filter(|(_, values)| values.len() > 1);
--- a/src/routing/stream_origins.rs
+++ b/src/routing/stream_origins.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Candidates, InstanceInfo};
+use super::{Candidates, InstanceInfo, stream_retention::RETENTION_MAX};
 use crate::{
     names::{ServiceName, SoftwareVersion, Tag},
     units::bounded_time,
@@ -26,9 +26,6 @@
 /// Maximum number of records that an instance holds. The oldest ones are dropped beyond it.
 const RECORDS_MAX: usize = 100_000;
 
-/// Longest time for which a record is held.
-const RECORD_TTL_MAX: Duration = Duration::from_secs(600);
-
 /// Identifies a stream: by the team of its caller and the id of the attempt that brought its first event.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct StreamKey(u64);
@@ -100,7 +97,7 @@
     pub fn record(&mut self, now: Instant, record: StreamRecord) {
         self.prune(now);
         let StreamRecord { key, origin, ttl } = record;
-        let expires_at = now + ttl.min(RECORD_TTL_MAX);
+        let expires_at = now + ttl.min(RETENTION_MAX);
         if self.origin(now, key).is_some() {
             return;
         }
--- a/src/routing/version_registry.rs
+++ b/src/routing/version_registry.rs
@@ -6,9 +6,6 @@
 use super::{BackendServer, registry::Registry};
 use crate::names::{ServiceName, SoftwareVersion};
 
-/// Time for which a version stays registered after the last of its servers has left the list.
-pub use super::registry::RETENTION as VERSION_RETENTION;
-
 /// A version of a service; `None` if its servers state none.
 pub type ServiceVersion = (ServiceName, Option<SoftwareVersion>);
 
--- a/src/routing/version_sightings.rs
+++ b/src/routing/version_sightings.rs
@@ -7,9 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    BackendServer, ListedShares, RouteRegistry, RouteTag, SharesTag, VersionRegistry,
-    sightings::{SIGHTING_RETENTION, Sightings},
-    version_registry::ServiceVersion,
+    BackendServer, ListedShares, RouteRegistry, RouteTable, RouteTag, SharesTag, StreamRetention,
+    VersionRegistry, sightings::Sightings, version_registry::ServiceVersion,
 };
 use crate::names::{ServiceName, SoftwareVersion};
 
@@ -31,6 +30,7 @@
     shares: Sightings<RouteTag, SharesTag>,
     /// Services with several versions that other instances have been told of.
     announced: IndexSet<ServiceName>,
+    retention: StreamRetention,
 }
 
 impl VersionSightings {
@@ -42,6 +42,7 @@
             versions: Sightings::default(),
             shares: Sightings::default(),
             announced: IndexSet::new(),
+            retention: StreamRetention::default(),
         }
     }
 
@@ -56,6 +57,18 @@
         self.versions.note_listed(now, servers.map(version));
     }
 
+    /// Notes the routes of the active intent, which say how long callers wait.
+    pub fn note_routes(&mut self, now: Instant, routes: &RouteTable) {
+        self.retention.note_routes(now, routes);
+        self.versions.set_retention(self.retention);
+        self.shares.set_retention(self.retention);
+    }
+
+    /// Returns how long versions and shares are kept.
+    pub fn retention(&self) -> StreamRetention {
+        self.retention
+    }
+
     /// Notes the shares of the active intent, and those that it has changed.
     pub fn note_shares(&mut self, now: Instant, listed: &ListedShares, changed: &ListedShares) {
         self.shares.note_listed(now, listed.iter().copied());
@@ -144,7 +157,8 @@
 
     /// Returns whether this instance knows all versions that may have begun a stream.
     pub fn knows_all(&self, now: Instant) -> bool {
-        self.observed_since
-            .is_none_or(|since| now.saturating_duration_since(since) >= SIGHTING_RETENTION)
+        self.observed_since.is_none_or(|since| {
+            now.saturating_duration_since(since) >= self.retention.in_sight(now)
+        })
     }
 }
--- a/tests/suite/version_registry.rs
+++ b/tests/suite/version_registry.rs
@@ -1,18 +1,27 @@
 //! The registry of software versions: whichever instances read the list, write and maintain the registry, and however old
 //! their lists are, a stream that callers still resume has its version in it.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
 
 use cartvane::{
+    adapter::intent::decode,
     names::{ServiceName, SoftwareVersion},
     routing::{
-        ListedVersions, RegisteredVersions, VersionRegistry,
-        version_registry::{ServiceVersion, VERSION_RETENTION},
+        ListedVersions, RegisteredVersions, RouteTable, SightedVersion, StreamRetention,
+        VersionRegistry, VersionSightings,
+        stream_retention::{RETENTION_MAX, RETENTION_MIN},
+        version_registry::ServiceVersion,
     },
 };
 use fastrand::Rng;
 
-use crate::support::{cases, seed};
+use crate::{
+    moved_streams::split_intent,
+    support::{cases, seed},
+};
 
 fn service() -> ServiceName {
     "llm".parse().expect("a name")
@@ -33,10 +42,10 @@
 /// Guards against a version that is dropped while callers may still resume its streams, and one that stays for ever.
 #[test]
 fn a_version_stays_registered_for_a_while_after_it_has_left() {
-    let retention_ms = VERSION_RETENTION.as_millis() as u64;
+    let retention_ms = RETENTION_MIN.as_millis() as u64;
     let one = |number| RegisteredVersions::One(version(number));
     let maintained = |registry: &VersionRegistry, now_ms, versions: &[usize]| {
-        registry.maintained(now_ms, &listed(versions.iter().copied()), |_| true)
+        registry.maintained(now_ms, &listed(versions.iter().copied()), RETENTION_MIN, |_| true)
     };
     let first = VersionRegistry::default().with_listed(&listed([1])).expect("a change");
     assert_eq!(first.with_listed(&listed([1])), None, "nothing is written twice");
@@ -63,8 +72,8 @@
 #[test]
 fn a_version_is_dropped_only_once_its_absence_was_seen_for_long_enough() {
     let both = VersionRegistry::default().with_listed(&listed([1, 2])).expect("a change");
-    let left = both.maintained(0, &listed([2]), |_| false).expect("a change");
-    assert_eq!(left.maintained(1_000_000, &listed([2]), |_| false), None);
+    let left = both.maintained(0, &listed([2]), RETENTION_MIN, |_| false).expect("a change");
+    assert_eq!(left.maintained(1_000_000, &listed([2]), RETENTION_MIN, |_| false), None);
 }
 
 /// A service at which nothing is registered is unknown, and has not one version.
@@ -74,8 +83,9 @@
     assert_eq!(empty.versions(&service()), RegisteredVersions::Several);
 }
 
-/// Longest time for which a caller resumes a stream after it began.
-const RESUMED_MAX_MS: u64 = 15_000;
+/// Longest times for which a caller resumes a stream after it began, on two routes.
+const SHORT_WAIT_MS: u64 = 15_000;
+const LONG_WAIT_MS: u64 = 100_000;
 
 /// Age of a list up to which instances use it, and take its versions for registered.
 const LIST_AGE_MAX_MS: u64 = 10_000;
@@ -115,6 +125,9 @@
     instances: Vec<Instance>,
     writes: Vec<Write>,
     streams: Vec<(u64, ServiceVersion)>,
+    /// How long callers resume their streams, and how long versions stay registered for them.
+    wait_ms: u64,
+    retention: Duration,
 }
 
 impl Instance {
@@ -127,8 +140,8 @@
         (self.list, self.read_at_ms) = (list, read_at_ms);
     }
 
-    fn has_left(&self, version: &ServiceVersion, now_ms: u64) -> bool {
-        let retention_ms = VERSION_RETENTION.as_millis() as u64;
+    fn has_left(&self, version: &ServiceVersion, now_ms: u64, retention: Duration) -> bool {
+        let retention_ms = retention.as_millis() as u64;
         self.unlisted_since.get(version).is_some_and(|since| now_ms - since >= retention_ms)
     }
 
@@ -138,7 +151,10 @@
 }
 
 impl Model {
-    fn new(rng: Rng) -> Model {
+    fn new(rng: Rng, wait_ms: u64) -> Model {
+        let now = Instant::now();
+        let mut retention = StreamRetention::default();
+        retention.note_routes(now, &routes(wait_ms));
         Model {
             rng,
             now_ms: 0,
@@ -148,6 +164,8 @@
             instances: (0..4).map(|_| Instance::default()).collect(),
             writes: Vec::new(),
             streams: Vec::new(),
+            wait_ms,
+            retention: retention.registered(now),
         }
     }
 
@@ -196,8 +214,10 @@
                 instance.unlisted_since.entry(version).or_insert(self.now_ms);
             }
         }
-        let has_left = |version: &ServiceVersion| instance.has_left(version, self.now_ms);
-        if let Some(registry) = self.registry.maintained(self.now_ms, &instance.list, has_left) {
+        let (now_ms, retention) = (self.now_ms, self.retention);
+        let has_left = |version: &ServiceVersion| instance.has_left(version, now_ms, retention);
+        let maintained = self.registry.maintained(now_ms, &instance.list, retention, has_left);
+        if let Some(registry) = maintained {
             self.write(number, registry, None);
         }
     }
@@ -245,7 +265,7 @@
 
     /// Checks that the version of each stream that may be resumed now is registered.
     fn check(&mut self) {
-        let since = self.now_ms.saturating_sub(RESUMED_MAX_MS);
+        let since = self.now_ms.saturating_sub(self.wait_ms);
         self.streams.retain(|(began, _)| *began >= since);
         let known = registered(&self.registry);
         for (began, version) in &self.streams {
@@ -259,7 +279,50 @@
 #[test]
 fn the_version_of_each_stream_is_registered_whoever_writes() {
     for case in 0..cases(40) {
-        let mut model = Model::new(Rng::with_seed(seed(79_000 + case)));
+        let mut model = Model::new(Rng::with_seed(seed(79_000 + case)), SHORT_WAIT_MS);
+        (0..2_000).for_each(|_| model.step());
+    }
+}
+
+/// Guards against a version that is dropped while callers of a route with a long timeout may still resume its streams.
+#[test]
+fn the_version_of_each_stream_stays_registered_while_its_caller_may_resume_it() {
+    for case in 0..cases(4) {
+        let mut model = Model::new(Rng::with_seed(seed(79_500 + case)), LONG_WAIT_MS);
         (0..2_000).for_each(|_| model.step());
     }
 }
+
+/// Returns one resumable route with this timeout.
+fn routes(timeout_ms: u64) -> RouteTable {
+    let mut intent = split_intent(5, &[("app", 1)]);
+    intent["routes"][0]["timeout_ms"] = timeout_ms.into();
+    decode(intent.to_string().as_bytes()).expect("an intent").routes
+}
+
+/// Guards against a version that is out of sight, so that its streams are not recorded, or a time without a bound: with
+/// long and endless timeouts, and after an intent with shorter ones.
+#[test]
+fn versions_and_shares_are_kept_for_as_long_as_callers_of_the_routes_wait() {
+    let (start, secs) = (Instant::now(), Duration::from_secs);
+    let registered = |routes_by_time: &[(u64, u64)], at: u64| {
+        let mut retention = StreamRetention::default();
+        for (since, timeout_ms) in routes_by_time {
+            retention.note_routes(start + secs(*since), &routes(*timeout_ms));
+        }
+        retention.registered(start + secs(at))
+    };
+    assert_eq!(registered(&[], 0), RETENTION_MAX, "nothing is dropped before an intent is known");
+    assert_eq!(registered(&[(0, 20_000)], 0), RETENTION_MIN);
+    assert!(registered(&[(0, LONG_WAIT_MS)], 0) > Duration::from_millis(LONG_WAIT_MS));
+    assert_eq!(registered(&[(0, u64::MAX)], 0), RETENTION_MAX);
+    let shortened = [(0, LONG_WAIT_MS), (10, 15_000), (20, 10_000)];
+    assert!(registered(&shortened, 100) > Duration::from_millis(LONG_WAIT_MS));
+    assert_eq!(registered(&shortened, 300), RETENTION_MIN);
+    let mut sightings = VersionSightings::new(None);
+    sightings.note_routes(start, &routes(LONG_WAIT_MS));
+    let sighted = |number| SightedVersion { service: service(), version: version(number) };
+    sightings.note_listed_elsewhere(start, vec![sighted(1), sighted(2)]);
+    assert!(sightings.has_several(start + secs(105), &service()));
+    assert!(!sightings.has_several(start + secs(200), &service()));
+}
