test(streams): failing cases of a restored, a slow and a silent store

What callers see: - Restored store: all instances restart and the store comes back from a copy that is older than the second version. Streams of that version go on at the first one, with status 200. - Slow store (600 ms a reply), one version: 24 of 24 resumptions are refused.

Cause: - A restored registry counts once a list of the new era was read. Only versions of servers in use are registered anew, and after a restart no instance uses a server that the copy lacks. - A read of the registry is given up after 400 ms, and the holders that read it in its place have to reply within 100 ms. - After the registry (400 ms) and up to three holders (100 ms each) the table of checkpoints is read with the ordinary timeout of 900 ms, also while one version is known.

Ruled out: a damaged stand-in. A store that answers 503 at once refuses within 10 ms.

--- a/tests/suite/restarted_fleet.rs
+++ b/tests/suite/restarted_fleet.rs
@@ -255,3 +255,43 @@
     let count = lines.lines().filter(|line| !line.is_empty()).count();
     assert!((1..=INSTANCES).contains(&count), "one line of each instance: {lines}");
 }
+
+/// Guards against streams that go on at the version in a copy of the store: the copy is older than the second version, and
+/// after a restart no instance uses a server that the copy lacks.
+#[test]
+fn streams_of_a_version_that_the_restored_store_lacks_do_not_go_on_at_another_one() {
+    let mut fleet = Versions::start(&["v1"; 3], INSTANCES);
+    let copy = fleet.store.copy();
+    (0..3).for_each(|_| fleet.add_server("v2"));
+    (3..6).for_each(|server| fleet.list(server));
+    eventually("streams begin at the second version", || begin(&fleet, 0, "probe") == "v2");
+    let begun = begin_all(&fleet);
+    assert!(begun.contains(&"v2".to_owned()), "{begun:?}");
+    thread::sleep(CHECKPOINTED);
+    fleet.instances.clear();
+    fleet.store.come_back(copy);
+    (0..INSTANCES).for_each(|n| fleet.spawn_instance(&format!("i{n}"), false));
+    // Each must be refused until its version is listed again.
+    resume_all(&fleet, &begun, &["v2"], "restored");
+}
+
+/// Guards against refusals on a day with one version, as the store is slow and replies to every call.
+#[test]
+fn streams_of_the_only_version_go_on_while_the_store_is_slow() {
+    let fleet = Versions::start(&["v1"; 4], INSTANCES);
+    let begun = begin_all(&fleet);
+    fleet.store.set_mode(StoreMode::Slow(600));
+    thread::sleep(Duration::from_secs(1));
+    assert_most_went_on(&resume_all(&fleet, &begun, &["v1"], "slow"));
+}
+
+/// Guards against callers that wait for reads of several tables, one after another, at a store that does not reply.
+#[test]
+fn a_resumption_is_refused_within_a_second_while_the_store_is_silent() {
+    let fleet = Versions::start(&["v1"; 4], INSTANCES);
+    let begun = begin_all(&fleet);
+    fleet.store.set_mode(StoreMode::Silent);
+    let began = Instant::now();
+    resume_all(&fleet, &begun[..1], &["v1"], "silent");
+    assert!(began.elapsed() < Duration::from_secs(1), "{:?}", began.elapsed());
+}
