test(streams): failing case of a mark that outlives its absence

This test fails on purpose: it shows a gap of the rule and comes without a fix.

What callers see: a version is dropped from the registry a second after it has left. An instance that knows neither the version nor the stream would then go on with the stream at another version; that last step was not run.

Cause: an instance whose list is a moment old marks a version that others use, and is away for 30 to 50 s. The reader has compared the registry before and does so again only when its own versions change. By then the mark is kept with its old time. The instance that was away has not seen the version listed and takes its first sighting for the time of leaving.

--- a/tests/suite/version_registry.rs
+++ b/tests/suite/version_registry.rs
@@ -10,8 +10,8 @@
     adapter::intent::decode,
     names::{ServiceName, SoftwareVersion},
     routing::{
-        ListedVersions, RegisteredVersions, RouteTable, SightedVersion, StreamRetention,
-        VersionRegistry, VersionSightings,
+        ListedVersions, RegisteredVersions, RouteTable, SightedVersion,
+        StreamRetention, VersionRegistry, VersionSightings,
         stream_retention::{RETENTION_MAX, RETENTION_MIN},
         version_registry::ServiceVersion,
     },
@@ -326,3 +326,25 @@
     assert!(sightings.has_several(start + secs(105), &service()));
     assert!(!sightings.has_several(start + secs(200), &service()));
 }
+
+/// Guards against a mark that outlives the absence it was made in, and an instance that was away while the version served:
+/// together they drop it as soon as it leaves.
+#[test]
+fn a_mark_of_an_instance_that_was_away_does_not_drop_a_version_that_has_just_left() {
+    let start = Instant::now();
+    let both = VersionRegistry::default().with_listed(&listed([1, 2])).expect("a change");
+    // An instance whose list is a moment old reads that version 2 is registered, marks it and stands still.
+    let mut away = VersionSightings::new(None);
+    away.note_routes(start, &routes(SHORT_WAIT_MS));
+    away.note_registered(start, &both);
+    let marked = both.maintained(0, &listed([1]), RETENTION_MIN, |_| false).expect("a mark");
+    // The reader has compared the registry before. At 40 s version 2 leaves, and it compares again.
+    let registry =
+        marked.maintained(40_000, &listed([1]), RETENTION_MIN, |_| false).unwrap_or(marked);
+    let now = start + Duration::from_secs(41);
+    away.note_list(now, [].iter());
+    away.note_registered(now, &registry);
+    let dropped =
+        registry.maintained(41_000, &listed([1]), RETENTION_MIN, |left| away.has_left(now, left));
+    assert_eq!(dropped, None, "streams that it began a second ago may be resumed");
+}
