fix(streams): a restored registry counts only once it is complete

What callers saw: all instances restart while the store comes back from a copy that is older than the second version of a service. Streams of that version go on at the first one, with status 200.

Cause: a registry of another era counted as soon as one list of that era was read. Only versions of servers in use were registered anew, and after a restart no instance uses a server that the copy lacks. A copy that has one version says nothing of those that came after it.

Fix: a third row of the table, read with the two others, states the era of the store in which the registry was written, and whether by an instance that knows all versions and had a recent list as the era began. It registers all versions and shares that it had in sight, not only listed ones. A copy has the row of an earlier era or none. Without such an instance the registry counts once its first write of the era is as old as the retention, by the store's clock. Until then a resumption is as one of several versions: a record or a checkpoint decides. A store that was never restored has no such row, so that nothing is read or written for it, and rows of the former build are read as before. An instance that started while others ran takes a registry for complete by the same rule, and not if a row cannot be decoded.

Ruled out: the era inside the row of versions. An instance of the former build could not decode the row, and a write by it in the new era would appear complete.

--- a/src/gateway/stream_origins/mod.rs
+++ b/src/gateway/stream_origins/mod.rs
@@ -31,9 +31,9 @@
     link::idle::IdleMonitor,
     names::{NodeName, ServiceName, SoftwareVersion},
     routing::{
-        Intent, ListedShares, RegisteredVersions, RouteRegistry, RouteTag, SharesTag,
-        SightedVersion, StreamKey, StreamOrigin, StreamOrigins, StreamRecord, StreamScope,
-        UnrecordedStreams, VersionRegistry, VersionSightings,
+        Intent, ListedShares, ListedVersions, RegisteredVersions, Roster, RouteRegistry, RouteTag,
+        SharesTag, SightedVersion, StreamKey, StreamOrigin, StreamOrigins, StreamRecord,
+        StreamScope, UnrecordedStreams, VersionRegistry, VersionSightings,
         route_shares::{changed_shares, listed_shares},
         stream_retention::record_ttl,
         version_registry::ServiceVersion,
@@ -163,12 +163,17 @@
         self.record_unrecorded(now);
     }
 
-    /// Notes the versions and shares that are registered in the store.
-    pub(super) fn note_registered(&self, versions: &VersionRegistry, routes: &RouteRegistry) {
+    /// Notes the versions and shares that are registered in the store, and whether these are all.
+    pub(super) fn note_registered(
+        &self,
+        versions: &VersionRegistry,
+        routes: &RouteRegistry,
+        is_complete: bool,
+    ) {
         let now = self.clock.now();
         let mut sightings = lock(&self.stream_versions.sightings);
         sightings.note_registered_shares(now, routes);
-        sightings.note_registered(now, versions);
+        sightings.note_registered(now, versions, is_complete);
         drop(sightings);
         self.record_unrecorded(now);
     }
@@ -207,6 +212,17 @@
         lock(&self.stream_versions.sightings).listed_shares()
     }
 
+    /// Returns the versions and shares that are or were in use until a short time ago, if this instance knows all that may
+    /// have begun streams. One whose list was old as the store was restored may have missed some.
+    pub(super) fn all_in_sight(&self, now: Instant) -> Option<(ListedVersions, ListedShares)> {
+        let missed_at = self.cluster_state.with_servers(Roster::missed_restore_at);
+        let sightings = lock(&self.stream_versions.sightings);
+        let retention = sightings.retention().in_sight(now);
+        let has_missed = missed_at.is_some_and(|at| now.saturating_duration_since(at) < retention);
+        let knows_all = sightings.knows_all(now) && !has_missed;
+        knows_all.then(|| (sightings.versions_in_sight(), sightings.shares_in_sight()))
+    }
+
     /// Returns the shares that are or were in use until a short time ago.
     pub(super) fn shares_in_sight(&self) -> ListedShares {
         lock(&self.stream_versions.sightings).shares_in_sight()
--- a/src/gateway/version_registry.rs
+++ b/src/gateway/version_registry.rs
@@ -15,13 +15,13 @@
 use crate::{
     adapter::{
         store::{Condition, Put, StoreError, StoreRows},
-        tables::{ROUTE_KEY, VERSION_KEY, VERSION_TABLE},
+        tables::{ERA_KEY, ROUTE_KEY, VERSION_KEY, VERSION_TABLE},
     },
     configs::fleet::chunks::{decode, encode},
     names::{ServiceName, SoftwareVersion},
     routing::{
         BackendServer, Intent, ListVersion, ListedShares, ListedVersions, RegisteredVersions,
-        RouteRegistry, RouteShares, StoreEra, VersionRegistry,
+        RegistryEra, RouteRegistry, RouteShares, StoreEra, VersionRegistry,
         route_shares::{changed_shares, listed_shares},
         version_registry::versions_of,
     },
@@ -69,6 +69,7 @@
 struct RegistryChange {
     versions: Option<VersionRegistry>,
     routes: Option<RouteRegistry>,
+    era: Option<RegistryEra>,
 }
 
 /// The registry as it was read from the store.
@@ -76,6 +77,8 @@
 struct RegistryRead {
     versions: RegistryRow<VersionRegistry>,
     routes: RegistryRow<RouteRegistry>,
+    /// What the store states of the registry since it was restored.
+    stated: RegistryEra,
     /// Era of the store.
     era: StoreEra,
     /// Time on the store's clock, in milliseconds.
@@ -157,6 +160,7 @@
             versions.extend(self.used_versions());
             shares = self.shares_in_sight();
         }
+        let in_sight = self.all_in_sight_before(now, era);
         let known = self.known_versions(now, era);
         let new: ListedVersions = versions.difference(&known).cloned().collect();
         if new.is_empty() {
@@ -165,14 +169,24 @@
         }
         let failed_at = lock(&self.registry_reads.unregistered).failed_at;
         if !is_within(failed_at, now, FAILURE_BACKOFF) {
-            let with_new = |read: &RegistryRead| RegistryChange {
-                versions: read.versions.registry.with_listed(&new),
-                routes: read.routes.registry.with_listed(&shares),
+            let with_new = |read: &RegistryRead| {
+                let (mut new, mut shares) = (new.clone(), shares.clone());
+                let in_sight = in_sight.clone().filter(|_| read.era == era);
+                let knows_all = in_sight.is_some();
+                if let Some((earlier, earlier_shares)) = in_sight.filter(|_| !read.is_complete()) {
+                    new.extend(earlier);
+                    shares.extend(earlier_shares);
+                }
+                RegistryChange {
+                    versions: read.versions.registry.with_listed(&new),
+                    routes: read.routes.registry.with_listed(&shares),
+                    era: read.stated.after_write(read.era, read.now_ms, knows_all),
+                }
             };
             match self.write_registry(with_new) {
                 Ok(read) => {
                     *lock(&self.registry_reads.unregistered) = Unregistered::default();
-                    self.note_registered(&read.versions.registry, &read.routes.registry);
+                    self.note_registry(&read);
                     return (servers, true);
                 }
                 Err(error) => self.note_unregistered(&new, &error),
@@ -196,8 +210,8 @@
             return;
         }
         let with_changed = |read: &RegistryRead| RegistryChange {
-            versions: None,
             routes: read.routes.registry.with_listed(&changed),
+            ..RegistryChange::default()
         };
         match self.write_registry(with_changed) {
             Ok(_) => log::info!("event=shares_registered count={}", changed.len()),
@@ -209,6 +223,30 @@
         }
     }
 
+    /// Returns what may have begun streams before `era` of the store, if this instance knows all of it.
+    fn all_in_sight_before(
+        &self,
+        now: Instant,
+        era: StoreEra,
+    ) -> Option<(ListedVersions, ListedShares)> {
+        let is_followed = self
+            .cluster_state
+            .with_servers(|roster| roster.era() == era || roster.is_followed(now));
+        self.all_in_sight(now).filter(|_| is_followed)
+    }
+
+    /// Notes what is registered.
+    fn note_registry(&self, read: &RegistryRead) {
+        let is_spoiled = read.versions.is_spoiled || read.routes.is_spoiled;
+        let is_complete = !is_spoiled && self.covers(read);
+        self.note_registered(&read.versions.registry, &read.routes.registry, is_complete);
+    }
+
+    /// Returns whether the registry has all versions that may have begun streams which callers still resume.
+    fn covers(&self, read: &RegistryRead) -> bool {
+        read.stated.covers(read.era, read.now_ms, self.registry_retention())
+    }
+
     fn roster_era(&self) -> StoreEra {
         self.cluster_state.with_servers(|roster| roster.era())
     }
@@ -315,7 +353,18 @@
             return RegistryChange::default();
         }
         let (versions, routes) = (&read.versions.registry, &read.routes.registry);
-        self.note_registered(versions, routes);
+        self.note_registry(read);
+        let in_sight = self.all_in_sight_before(self.clock.now(), read.era);
+        let era = read.stated.after_write(read.era, read.now_ms, in_sight.is_some());
+        if let Some((mut earlier, mut shares)) = in_sight.filter(|_| !read.is_complete()) {
+            earlier.extend(used.versions.iter().cloned());
+            shares.extend(used.shares.iter().copied());
+            return RegistryChange {
+                versions: versions.with_listed(&earlier),
+                routes: routes.with_listed(&shares),
+                era,
+            };
+        }
         let retention = self.registry_retention();
         let has_left = |version: &_| self.has_left(version);
         let have_left = |shares: &_| self.have_shares_left(shares);
@@ -325,6 +374,7 @@
                 Some(_) => routes.maintained(read.now_ms, &used.shares, retention, have_left),
                 None => None,
             },
+            era,
         }
     }
 
@@ -350,25 +400,28 @@
         let rows = store.rows(VERSION_TABLE)?;
         let (era, now_ms) = (rows.version.era, rows.now_ms);
         let (versions, routes) = (decode_row(&rows, VERSION_KEY), decode_row(&rows, ROUTE_KEY));
-        Ok(RegistryRead { versions, routes, era, now_ms })
+        let stated = decode_row(&rows, ERA_KEY).registry;
+        Ok(RegistryRead { versions, routes, stated, era, now_ms })
     }
 
     /// Writes the rows that change. A registry of versions stays valid whatever the one of routes is, and the other way
-    /// round, so that they need not be written at once.
+    /// round, so that they need not be written at once. What is stated of both comes with the last of them.
     fn put_change(
         &self,
         read: &mut RegistryRead,
         change: RegistryChange,
     ) -> Result<(), StoreError> {
-        if let Some(versions) = change.versions {
-            self.put_registry(VERSION_KEY, read.versions.version, &versions)?;
-            log_change(&read.versions.registry, &versions);
-            read.versions.registry = versions;
-        }
         if let Some(routes) = change.routes {
-            self.put_registry(ROUTE_KEY, read.routes.version, &routes)?;
+            self.put_registry(ROUTE_KEY, read.routes.version, &routes, None)?;
             read.routes.registry = routes;
         }
+        if change.versions.is_some() || change.era.is_some() {
+            let versions = change.versions.unwrap_or_else(|| read.versions.registry.clone());
+            self.put_registry(VERSION_KEY, read.versions.version, &versions, change.era)?;
+            log_change(&read.versions.registry, &versions);
+            read.versions.registry = versions;
+            read.stated = change.era.unwrap_or(read.stated);
+        }
         Ok(())
     }
 
@@ -377,15 +430,19 @@
         key: &str,
         version: u64,
         registry: &impl Serialize,
+        era: Option<RegistryEra>,
     ) -> Result<(), StoreError> {
         let condition = Condition { table: VERSION_TABLE, key, version };
-        let put = Put { table: VERSION_TABLE, key, value: &encode(registry) };
+        let (registry, era) = (encode(registry), era.map(|era| encode(&era)));
+        let mut puts = vec![Put { table: VERSION_TABLE, key, value: &registry }];
+        puts.extend(era.as_ref().map(|value| Put { table: VERSION_TABLE, key: ERA_KEY, value }));
         let store = self.store.with_short_stall_timeout(REGISTRY_STALL_TIMEOUT);
-        store.put_if(&condition, &[put]).map(drop)
+        store.put_if(&condition, &puts).map(drop)
     }
 
     /// Returns the versions that may have begun a stream of a service, to which a route with these shares leads its
-    /// caller, who resumed it at `resumed_at`. A stream that other shares may have led is as one of several versions.
+    /// caller, who resumed it at `resumed_at`. A stream that other shares may have led, or a version that a restored store
+    /// lacks, is as one of several versions.
     ///
     /// # Errors
     ///
@@ -403,7 +460,10 @@
             return Err(RegistryError::OtherEra);
         }
         let mut registered = read.routes.registry.of(&shares.route);
-        if read.routes.is_spoiled || registered.any(|registered| *registered != shares.shares) {
+        if !self.covers(read)
+            || read.routes.is_spoiled
+            || registered.any(|registered| *registered != shares.shares)
+        {
             return Ok(RegisteredVersions::Several);
         }
         Ok(read.versions.registry.versions(service))
@@ -439,12 +499,17 @@
     /// The store cannot be read.
     pub(super) fn learn_registered_versions(&self) -> Result<(), StoreError> {
         let read = self.read_registry()?;
-        self.note_registered(&read.versions.registry, &read.routes.registry);
+        self.note_registry(&read);
         Ok(())
     }
 }
 
 impl RegistryRead {
+    /// Returns whether all that was in use before the store was restored is registered in its present era.
+    fn is_complete(&self) -> bool {
+        self.stated.covers(self.era, 0, Duration::MAX)
+    }
+
     fn has_unlisted(&self) -> bool {
         self.versions.registry.has_unlisted() || self.routes.registry.has_unlisted()
     }
@@ -452,7 +517,7 @@
 
 impl RegistryChange {
     fn is_empty(&self) -> bool {
-        self.versions.is_none() && self.routes.is_none()
+        self.versions.is_none() && self.routes.is_none() && self.era.is_none()
     }
 }
 
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -31,6 +31,7 @@
 pub mod reachability;
 pub mod reader_takeover;
 pub mod registry;
+pub mod registry_era;
 pub mod rollout;
 pub mod roster;
 pub mod roster_watch;
@@ -93,6 +94,7 @@
 pub use picker::{Picker, ProbeTarget, ReachCounts};
 pub use reachability::Reachability;
 pub use reader_takeover::{CallFailure, ReaderTakeover};
+pub use registry_era::RegistryEra;
 pub use rollout::{
     ExposureLimit, FailureDomains, ROLLOUT_LEASE, ResponseCounts, ResponseObservation,
     RolloutEvidence, RolloutOrder, RolloutProgress, RolloutRecord, RolloutReport, RolloutState,
--- a/src/routing/registry.rs
+++ b/src/routing/registry.rs
@@ -105,6 +105,6 @@
     }
 }
 
-fn duration_ms(duration: Duration) -> u64 {
+pub(super) fn duration_ms(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/src/routing/roster.rs
+++ b/src/routing/roster.rs
@@ -19,6 +19,9 @@
 /// Longest time for which an entry makes its server cold. Anybody may write an entry, with any number in it.
 const COLD_TIME_MAX: Duration = Duration::from_secs(24 * 3600);
 
+/// Age up to which a list shows what was in use before a restore of the store: instances use a list for that long.
+const FOLLOWED_AGE_MAX: Duration = Duration::from_secs(10);
+
 /// How long a removed server is remembered: the store may be restored from a copy some seconds old that still lists
 /// it.
 const REMOVED_TTL: Duration = Duration::from_secs(30);
@@ -82,6 +85,8 @@
     era: StoreEra,
     /// When the current era was first seen, unless it is the first one known.
     restored_at: Option<Instant>,
+    /// When an era was first seen of which this instance did not see the beginning.
+    missed_restore_at: Option<Instant>,
     /// Removed servers, and when their removal was noticed.
     removed: IndexMap<Incarnation, Instant>,
     /// When servers stop being cold.
@@ -128,8 +133,13 @@
     /// After a restore of the store, a server known as leaving or removed stays so, and a server that the list is
     /// missing stays in use, until all writers have had time to write again what was lost.
     pub fn note_era(&mut self, now: Instant, era: StoreEra) -> bool {
-        if era > self.era && self.as_of().is_some() {
-            self.restored_at = Some(now);
+        if era > self.era {
+            if self.as_of().is_some() {
+                self.restored_at = Some(now);
+            }
+            if !self.is_followed(now) {
+                self.missed_restore_at = Some(now);
+            }
         }
         self.era = self.era.max(era);
         era == self.era
@@ -140,6 +150,16 @@
         self.restored_at.is_some_and(|at| now < at + SETTLING_TIME)
     }
 
+    /// Returns whether the list is recent, so that it has the versions that were in use until now.
+    pub fn is_followed(&self, now: Instant) -> bool {
+        self.as_of().is_some_and(|at| now.saturating_duration_since(at) <= FOLLOWED_AGE_MAX)
+    }
+
+    /// Returns when this instance last learned of a restore of the store without a recent list from before.
+    pub fn missed_restore_at(&self) -> Option<Instant> {
+        self.missed_restore_at
+    }
+
     /// Returns the era of the current list.
     pub fn era(&self) -> StoreEra {
         self.era
--- a/src/routing/version_sightings.rs
+++ b/src/routing/version_sightings.rs
@@ -7,8 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    BackendServer, ListedShares, RouteRegistry, RouteTable, RouteTag, SharesTag, StreamRetention,
-    VersionRegistry, sightings::Sightings, version_registry::ServiceVersion,
+    BackendServer, ListedShares, ListedVersions, RouteRegistry, RouteTable, RouteTag, SharesTag,
+    StreamRetention, VersionRegistry, sightings::Sightings, version_registry::ServiceVersion,
 };
 use crate::names::{ServiceName, SoftwareVersion};
 
@@ -75,10 +75,18 @@
         self.shares.note_earlier(now, changed.iter().copied());
     }
 
-    /// Adds the versions that are registered. This instance knows all versions that may have begun streams from then on.
-    pub fn note_registered(&mut self, now: Instant, registry: &VersionRegistry) {
+    /// Adds the versions that are registered. If these are all, this instance knows all versions that may have begun
+    /// streams from then on.
+    pub fn note_registered(&mut self, now: Instant, registry: &VersionRegistry, is_complete: bool) {
         self.versions.note_earlier(now, registry.all());
-        self.observed_since = None;
+        if is_complete {
+            self.observed_since = None;
+        }
+    }
+
+    /// Returns the versions of which servers are listed or were until a short time ago.
+    pub fn versions_in_sight(&self) -> ListedVersions {
+        self.versions.all().collect()
     }
 
     /// Adds the shares that are registered.
--- a/tests/suite/restarted_fleet.rs
+++ b/tests/suite/restarted_fleet.rs
@@ -275,6 +275,18 @@
     resume_all(&fleet, &begun, &["v2"], "restored");
 }
 
+/// Guards against refusals after a restore that instances live through, who know that there is one version.
+#[test]
+fn streams_of_the_only_version_go_on_after_the_store_was_restored() {
+    let mut fleet = Versions::start(&["v1"; 4], INSTANCES);
+    let begun = begin_all(&fleet);
+    fleet.store.come_back(fleet.store.copy());
+    thread::sleep(Duration::from_secs(2));
+    assert_most_went_on(&resume_all(&fleet, &begun, &["v1"], "restored"));
+    restart_all(&mut fleet, false);
+    assert_most_went_on(&resume_all(&fleet, &begun, &["v1"], "restarted"));
+}
+
 /// Guards against refusals on a day with one version, as the store is slow and replies to every call.
 #[test]
 fn streams_of_the_only_version_go_on_while_the_store_is_slow() {
--- a/tests/suite/sent_records.rs
+++ b/tests/suite/sent_records.rs
@@ -205,7 +205,7 @@
         version: Some(version.parse().expect("a version")),
     };
     let mut sightings = VersionSightings::new(None);
-    sightings.note_registered(now, &registered(&service, &["v1"]));
+    sightings.note_registered(now, &registered(&service, &["v1"]), true);
     assert!(!sightings.has_several(now, &service));
     assert!(!sightings.must_record(now, &service), "one version, and it is known");
     assert!(sightings.take_new_several(now).is_empty());
@@ -214,7 +214,7 @@
     assert!(sightings.must_record(now, &service));
     assert!(sightings.take_new_several(now).is_empty(), "the others have been told");
     let mut reader = VersionSightings::new(None);
-    reader.note_registered(now, &registered(&service, &["v1", "v2"]));
+    reader.note_registered(now, &registered(&service, &["v1", "v2"]), true);
     assert_eq!(reader.take_new_several(now).len(), 2);
     assert!(reader.take_new_several(now).is_empty(), "once");
 }
--- a/tests/suite/version_registry.rs
+++ b/tests/suite/version_registry.rs
@@ -10,7 +10,7 @@
     adapter::intent::decode,
     names::{ServiceName, SoftwareVersion},
     routing::{
-        ListedVersions, RegisteredVersions, RouteTable, SightedVersion,
+        ListedVersions, RegisteredVersions, RegistryEra, RouteTable, SightedVersion, StoreEra,
         StreamRetention, VersionRegistry, VersionSightings,
         stream_retention::{RETENTION_MAX, RETENTION_MIN},
         version_registry::ServiceVersion,
@@ -327,6 +327,23 @@
     assert!(!sightings.has_several(start + secs(200), &service()));
 }
 
+/// Guards against a restored copy that counts although it may lack versions, and a registry that never counts again.
+#[test]
+fn a_restored_registry_counts_once_it_is_complete_or_its_streams_have_expired() {
+    let secs = Duration::from_secs;
+    let (first, later) = (StoreEra::default(), StoreEra(2));
+    let none = RegistryEra::default();
+    assert!(none.covers(first, 0, secs(30)) && none.after_write(first, 0, true).is_none());
+    assert!(!none.covers(later, 90_000, secs(30)), "nobody has written it in this era");
+    let begun = none.after_write(later, 5_000, false).expect("a change");
+    assert!(!begun.covers(later, 34_999, secs(30)) && begun.covers(later, 35_000, secs(30)));
+    assert_eq!(begun.after_write(later, 9_000, false), None);
+    let complete = begun.after_write(later, 9_000, true).expect("a change");
+    assert!(complete.covers(later, 9_000, secs(30)));
+    assert_eq!(complete.after_write(later, 10_000, false), None);
+    assert!(!complete.covers(StoreEra(3), 90_000, secs(30)), "a copy has the row of its era");
+}
+
 /// Guards against a mark that outlives the absence it was made in, and an instance that was away while the version served:
 /// together they drop it as soon as it leaves.
 #[test]
@@ -336,14 +353,14 @@
     // An instance whose list is a moment old reads that version 2 is registered, marks it and stands still.
     let mut away = VersionSightings::new(None);
     away.note_routes(start, &routes(SHORT_WAIT_MS));
-    away.note_registered(start, &both);
+    away.note_registered(start, &both, true);
     let marked = both.maintained(0, &listed([1]), RETENTION_MIN, |_| false).expect("a mark");
     // The reader has compared the registry before. At 40 s version 2 leaves, and it compares again.
     let registry =
         marked.maintained(40_000, &listed([1]), RETENTION_MIN, |_| false).unwrap_or(marked);
     let now = start + Duration::from_secs(41);
     away.note_list(now, [].iter());
-    away.note_registered(now, &registry);
+    away.note_registered(now, &registry, true);
     let dropped =
         registry.maintained(41_000, &listed([1]), RETENTION_MIN, |left| away.has_left(now, left));
     assert_eq!(dropped, None, "streams that it began a second ago may be resumed");
