fix(streams): read the registry from a store that is slow

What callers saw: the store replies to each call after 600 ms, and one version serves. Every resumption is refused, as with a store that is away.

Cause: a read of the registry was given up after 400 ms, although the list of servers, from the same store, is followed with 900 ms. A version that appeared in such a time could not be registered for the same reason, and was used unregistered after 5 s.

Fix: a read that a caller waits for has a timeout of 650 ms. While the list itself came slowly, what is new in it is registered with the ordinary timeout of calls to the store; otherwise the list still waits 400 ms at most.

Ruled out: 900 ms for resumptions as well, which a caller at a silent store would wait for.

--- a/src/gateway/roster_reader.rs
+++ b/src/gateway/roster_reader.rs
@@ -113,7 +113,8 @@
         return Ok(());
     }
     let skipped: Vec<SkippedEntry> = list.skipped().cloned().collect();
-    let (servers, is_registered) = gateway.register_versions(list.servers(), list.version.era);
+    let (servers, is_registered) =
+        gateway.register_versions(list.servers(), list.version.era, as_of);
     if gateway.cluster_state.with_servers(|roster| roster.is_missing_version_of(&servers)) {
         read_orders_first(gateway);
     }
--- a/src/gateway/version_registry.rs
+++ b/src/gateway/version_registry.rs
@@ -31,9 +31,19 @@
 /// Attempts to write the registry in a row, while other instances change it at the same time.
 const WRITE_ATTEMPTS_MAX: usize = 3;
 
-/// Time without a byte after which a call for the registry has failed. The list of servers and callers wait for it.
+/// Time without a byte after which a call for the registry has failed that the list of servers waits for.
 const REGISTRY_STALL_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// The same for a read that a caller waits for: longer than a slow store takes for a reply. A silent one delays a caller
+/// only once in a while, as the next reads fail at once.
+const RESUMPTION_STALL_TIMEOUT: Duration = Duration::from_millis(650);
+
+/// The same while the list itself comes slowly. At least the timeout of all calls to the store, which then counts.
+const SLOW_STORE_STALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time for a read of the list from which on the store is slow.
+const SLOW_LIST_TIME: Duration = Duration::from_millis(200);
+
 /// Time after a failed call for the registry in which no other one is made for the same purpose, so that neither the list
 /// nor callers wait for a store that does not reply, one after the other.
 const FAILURE_BACKOFF: Duration = Duration::from_secs(1);
@@ -144,13 +154,14 @@
 }
 
 impl Gateway {
-    /// Registers the versions of servers that were read from the store in `era`, and returns the servers that may be
-    /// used, with whether all versions are registered. Servers of versions that cannot be registered are held back while
+    /// Registers the versions of servers that were read from the store in `era`, by a read that began at `as_of`, and
+    /// returns the servers that may be used, with whether all versions are registered. Servers of versions that cannot be registered are held back while
     /// others of their service can be used.
     pub(super) fn register_versions(
         &self,
         servers: Vec<BackendServer>,
         era: StoreEra,
+        as_of: Instant,
     ) -> (Vec<BackendServer>, bool) {
         let now = self.clock.now();
         let mut versions = versions_of(&servers);
@@ -183,7 +194,10 @@
                     era: read.stated.after_write(read.era, read.now_ms, knows_all),
                 }
             };
-            match self.write_registry(with_new) {
+            // A store whose list comes slowly but is used takes as long for the registry.
+            let is_slow = now.saturating_duration_since(as_of) >= SLOW_LIST_TIME;
+            let timeout = if is_slow { SLOW_STORE_STALL_TIMEOUT } else { REGISTRY_STALL_TIMEOUT };
+            match self.write_registry(timeout, with_new) {
                 Ok(read) => {
                     *lock(&self.registry_reads.unregistered) = Unregistered::default();
                     self.note_registry(&read);
@@ -213,7 +227,7 @@
             routes: read.routes.registry.with_listed(&changed),
             ..RegistryChange::default()
         };
-        match self.write_registry(with_changed) {
+        match self.write_registry(REGISTRY_STALL_TIMEOUT, with_changed) {
             Ok(_) => log::info!("event=shares_registered count={}", changed.len()),
             Err(error) => log::warn!(
                 "event=shares_unregistered version={} reason={:?}",
@@ -313,7 +327,8 @@
             return;
         }
         let used = self.used_origins();
-        let written = self.write_registry(|read| self.maintained(read, &used));
+        let written =
+            self.write_registry(REGISTRY_STALL_TIMEOUT, |read| self.maintained(read, &used));
         let mut maintenance = lock(&self.registry_reads.maintenance);
         match written {
             Ok(read) if read.has_unlisted() => {
@@ -378,16 +393,18 @@
         }
     }
 
-    /// Writes what `change` makes of the registry, if anything, and returns the registry as it is then.
+    /// Writes what `change` makes of the registry, if anything, and returns the registry as it is then. A call without a
+    /// byte for `timeout` has failed.
     fn write_registry(
         &self,
+        timeout: Duration,
         change: impl Fn(&RegistryRead) -> RegistryChange,
     ) -> Result<RegistryRead, StoreError> {
         let mut attempt = 1;
         loop {
-            let mut read = self.read_registry()?;
+            let mut read = self.read_registry(timeout)?;
             let change = change(&read);
-            match self.put_change(&mut read, change) {
+            match self.put_change(timeout, &mut read, change) {
                 Ok(()) => return Ok(read),
                 Err(StoreError::Conflict) if attempt < WRITE_ATTEMPTS_MAX => attempt += 1,
                 Err(error) => return Err(error),
@@ -395,8 +412,8 @@
         }
     }
 
-    fn read_registry(&self) -> Result<RegistryRead, StoreError> {
-        let store = self.store.with_short_stall_timeout(REGISTRY_STALL_TIMEOUT);
+    fn read_registry(&self, timeout: Duration) -> Result<RegistryRead, StoreError> {
+        let store = self.store.with_short_stall_timeout(timeout);
         let rows = store.rows(VERSION_TABLE)?;
         let (era, now_ms) = (rows.version.era, rows.now_ms);
         let (versions, routes) = (decode_row(&rows, VERSION_KEY), decode_row(&rows, ROUTE_KEY));
@@ -408,16 +425,18 @@
     /// round, so that they need not be written at once. What is stated of both comes with the last of them.
     fn put_change(
         &self,
+        timeout: Duration,
         read: &mut RegistryRead,
         change: RegistryChange,
     ) -> Result<(), StoreError> {
         if let Some(routes) = change.routes {
-            self.put_registry(ROUTE_KEY, read.routes.version, &routes, None)?;
+            self.put_registry(timeout, ROUTE_KEY, read.routes.version, &routes, None)?;
             read.routes.registry = routes;
         }
         if change.versions.is_some() || change.era.is_some() {
             let versions = change.versions.unwrap_or_else(|| read.versions.registry.clone());
-            self.put_registry(VERSION_KEY, read.versions.version, &versions, change.era)?;
+            let row = read.versions.version;
+            self.put_registry(timeout, VERSION_KEY, row, &versions, change.era)?;
             log_change(&read.versions.registry, &versions);
             read.versions.registry = versions;
             read.stated = change.era.unwrap_or(read.stated);
@@ -427,6 +446,7 @@
 
     fn put_registry(
         &self,
+        timeout: Duration,
         key: &str,
         version: u64,
         registry: &impl Serialize,
@@ -436,7 +456,7 @@
         let (registry, era) = (encode(registry), era.map(|era| encode(&era)));
         let mut puts = vec![Put { table: VERSION_TABLE, key, value: &registry }];
         puts.extend(era.as_ref().map(|value| Put { table: VERSION_TABLE, key: ERA_KEY, value }));
-        let store = self.store.with_short_stall_timeout(REGISTRY_STALL_TIMEOUT);
+        let store = self.store.with_short_stall_timeout(timeout);
         store.put_if(&condition, &puts).map(drop)
     }
 
@@ -481,7 +501,7 @@
             if is_within(reads.failed_at, began, FAILURE_BACKOFF) {
                 return Err(RegistryError::JustFailed);
             }
-            let read = self.read_registry().inspect_err(|_| {
+            let read = self.read_registry(RESUMPTION_STALL_TIMEOUT).inspect_err(|_| {
                 reads.failed_at = Some(self.clock.now());
             })?;
             if !self.maintained(&read, &self.used_origins()).is_empty() {
@@ -498,7 +518,7 @@
     ///
     /// The store cannot be read.
     pub(super) fn learn_registered_versions(&self) -> Result<(), StoreError> {
-        let read = self.read_registry()?;
+        let read = self.read_registry(RESUMPTION_STALL_TIMEOUT)?;
         self.note_registry(&read);
         Ok(())
     }
--- a/tests/suite/restarted_fleet.rs
+++ b/tests/suite/restarted_fleet.rs
@@ -297,6 +297,18 @@
     assert_most_went_on(&resume_all(&fleet, &begun, &["v1"], "slow"));
 }
 
+/// Guards against a version that is used unregistered, as its servers appear while the store is slow.
+#[test]
+fn a_version_that_appears_while_the_store_is_slow_is_registered_before_it_is_used() {
+    let mut fleet = Versions::start(&["v1"], INSTANCES);
+    fleet.store.set_mode(StoreMode::Slow(600));
+    fleet.add_server("v-slow");
+    fleet.list(1);
+    eventually("streams begin at the second version", || begin(&fleet, 0, "probe") == "v-slow");
+    let lines = log_lines::matching(&["software=v-slow"]);
+    assert!(lines.contains("event=version_registered"), "{lines}");
+}
+
 /// Guards against callers that wait for reads of several tables, one after another, at a store that does not reply.
 #[test]
 fn a_resumption_is_refused_within_a_second_while_the_store_is_silent() {
