--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -30,18 +30,23 @@
 pub mod picker;
 pub mod reachability;
 pub mod reader_takeover;
+pub mod registry;
+pub mod registry_era;
 pub mod rollout;
 pub mod roster;
 pub mod roster_watch;
 pub mod route;
+pub mod route_shares;
 pub mod sent_records;
 pub mod server_contacts;
 pub mod server_list;
+pub mod sightings;
 pub mod startup;
 pub mod store_share;
 pub mod store_version;
 pub mod stream_checkpoints;
 pub mod stream_origins;
+pub mod stream_retention;
 pub mod team;
 pub mod tunnel_peers;
 pub mod unlisted;
@@ -89,6 +94,7 @@
 pub use picker::{Picker, ProbeTarget, ReachCounts};
 pub use reachability::Reachability;
 pub use reader_takeover::{CallFailure, ReaderTakeover};
+pub use registry_era::RegistryEra;
 pub use rollout::{
     ExposureLimit, FailureDomains, ROLLOUT_LEASE, ResponseCounts, ResponseObservation,
     RolloutEvidence, RolloutOrder, RolloutProgress, RolloutRecord, RolloutReport, RolloutState,
@@ -98,6 +104,7 @@
 pub use roster::{BackendServer, Roster, StoreWitness};
 pub use roster_watch::{RosterRole, RosterStep, RosterWatch};
 pub use route::{Route, RouteKey, RouteKind, RouteTable, ServiceShare};
+pub use route_shares::{ListedShares, RouteRegistry, RouteShares, RouteTag, SharesTag};
 pub use sent_records::{RecordSend, SentRecords};
 pub use server_contacts::ServerContacts;
 pub use server_list::{ListHistory, ListVersion, PackedList, ServerListError, ServerListUpdate};
@@ -109,10 +116,11 @@
     StreamCheckpoints,
 };
 pub use stream_origins::{HOLDERS, StreamKey, StreamOrigin, StreamOrigins, StreamRecord};
+pub use stream_retention::StreamRetention;
 pub use team::{Team, Teams};
 pub use tunnel_peers::{TunnelPeers, TunnelReply};
 pub use unlisted::UnlistedNotices;
-pub use unrecorded_streams::UnrecordedStreams;
+pub use unrecorded_streams::{StreamScope, UnrecordedStreams};
 pub use version_registry::{ListedVersions, RegisteredVersions, VersionRegistry};
 pub use version_rule::VersionRule;
 pub use version_sightings::{SightedVersion, VersionSightings};
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -40,6 +40,7 @@
 mod log_lines;
 mod log_sink;
 mod messages;
+mod moved_streams;
 mod notices;
 mod odd_instances;
 mod odd_rows;
