fix(streams): compare the registry again after each change

What callers saw: with one version in use the registry keeps two, so that each resumption without a record is refused, without an end.

Cause: the reader stopped comparing once the registry agreed with what is in use. A registration that the store carries out late, or one by a reader that was suspended between its list and its write, then leaves a version in the row that no list has. An instance whose read for a resumption showed it marked it once and did not come back to drop it, and its own sighting was out of sight by then.

Fix: the decision when to compare is a module of routing, with the clock passed in. The reader compares once more after the retention, which is longer than a write may take; if that shows no change, no more. An instance that a resumption has shown a difference, or a marked version that should have been dropped, goes on each 10 s until nothing is unlisted. What an instance registers itself has it compare again as well.

Evidence: a test of the decision with a passed-in clock, and one of the expiry. Not run: a fleet whose registry gets a late registration, as versions expire by the stand-in's clock, after 30 s.

--- a/src/gateway/version_registry.rs
+++ b/src/gateway/version_registry.rs
@@ -4,6 +4,7 @@
 //! registers what is new before it uses the list or passes it on.
 
 use std::{
+    cell::Cell,
     sync::Mutex,
     time::{Duration, Instant},
 };
@@ -20,8 +21,9 @@
     configs::fleet::chunks::{decode, encode},
     names::{ServiceName, SoftwareVersion},
     routing::{
-        BackendServer, Intent, ListVersion, ListedShares, ListedVersions, RegisteredVersions,
-        RegistryEra, RouteRegistry, RouteShares, StoreEra, VersionRegistry,
+        BackendServer, Comparison, Intent, ListedShares, ListedVersions, RegisteredVersions,
+        RegistryEra, RegistryMaintenance, RouteRegistry, RouteShares, StoreEra, UsedOrigins,
+        VersionRegistry,
         route_shares::{changed_shares, listed_shares},
         version_registry::versions_of,
     },
@@ -58,12 +60,6 @@
 /// Age of the list up to which the registry is compared with it.
 const MAINTENANCE_LIST_AGE_MAX: Duration = Duration::from_secs(3);
 
-/// Time between two comparisons while they differ.
-const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(3);
-
-/// Time between two comparisons while versions that have left are only to be dropped.
-const DROP_INTERVAL: Duration = Duration::from_secs(10);
-
 /// A row of the registry.
 #[derive(Debug, Clone, Default)]
 struct RegistryRow<R> {
@@ -115,7 +111,7 @@
     /// The last read for resumptions. Locked while the store is read, so that waiting resumptions share the next read.
     for_resumptions: Mutex<ResumptionReads>,
     unregistered: Mutex<Unregistered>,
-    maintenance: Mutex<Maintenance>,
+    maintenance: Mutex<RegistryMaintenance>,
 }
 
 #[derive(Debug, Default)]
@@ -134,25 +130,6 @@
     failed_at: Option<Instant>,
 }
 
-/// What may begin streams now.
-#[derive(Debug, PartialEq, Eq)]
-struct UsedOrigins {
-    versions: ListedVersions,
-    shares: ListedShares,
-}
-
-/// Comparison of the registry with the list and the intent in use.
-#[derive(Debug, Default)]
-struct Maintenance {
-    due_at: Option<Instant>,
-    /// The list and the version of the intent last looked at.
-    known: (Option<ListVersion>, u64),
-    /// What the registry agreed with, if it did.
-    agreed: Option<UsedOrigins>,
-    /// Whether a read for a resumption has shown a difference.
-    is_requested: bool,
-}
-
 impl Gateway {
     /// Registers the versions of servers that were read from the store in `era`, by a read that began at `as_of`, and
     /// returns the servers that may be used, with whether all versions are registered. Servers of versions that cannot be registered are held back while
@@ -197,7 +174,9 @@
             // A store whose list comes slowly but is used takes as long for the registry.
             let is_slow = now.saturating_duration_since(as_of) >= SLOW_LIST_TIME;
             let timeout = if is_slow { SLOW_STORE_STALL_TIMEOUT } else { REGISTRY_STALL_TIMEOUT };
-            match self.write_registry(timeout, with_new) {
+            let written = self.write_registry(timeout, with_new);
+            lock(&self.registry_reads.maintenance).note_registered();
+            match written {
                 Ok(read) => {
                     *lock(&self.registry_reads.unregistered) = Unregistered::default();
                     self.note_registry(&read);
@@ -227,7 +206,9 @@
             routes: read.routes.registry.with_listed(&changed),
             ..RegistryChange::default()
         };
-        match self.write_registry(REGISTRY_STALL_TIMEOUT, with_changed) {
+        let written = self.write_registry(REGISTRY_STALL_TIMEOUT, with_changed);
+        lock(&self.registry_reads.maintenance).note_registered();
+        match written {
             Ok(_) => log::info!("event=shares_registered count={}", changed.len()),
             Err(error) => log::warn!(
                 "event=shares_unregistered version={} reason={:?}",
@@ -321,47 +302,38 @@
     /// if a resumption has shown that it is needed.
     pub(super) fn maintain_registry(&self, now: Instant, is_reader: bool) {
         let age = self.cluster_state.servers_age(now);
+        let known = (self.cluster_state.list_version(), self.cluster_state.version());
         if age.is_none_or(|age| age > MAINTENANCE_LIST_AGE_MAX)
-            || !self.needs_maintenance(now, is_reader)
+            || !lock(&self.registry_reads.maintenance).begin(
+                now,
+                known,
+                || self.used_origins(),
+                is_reader,
+            )
         {
             return;
         }
         let used = self.used_origins();
-        let written =
-            self.write_registry(REGISTRY_STALL_TIMEOUT, |read| self.maintained(read, &used));
-        let mut maintenance = lock(&self.registry_reads.maintenance);
+        let has_changed = Cell::new(false);
+        let written = self.write_registry(REGISTRY_STALL_TIMEOUT, |read| {
+            let change = self.maintained(read, &used);
+            has_changed.set(!change.is_empty());
+            change
+        });
         match written {
-            Ok(read) if read.has_unlisted() => {
-                maintenance.due_at = Some(now + DROP_INTERVAL);
+            Ok(read) => {
+                let has_unlisted = read.has_unlisted();
+                let comparison = Comparison { has_changed: has_changed.get(), has_unlisted };
+                let retention = self.registry_retention();
+                let mut maintenance = lock(&self.registry_reads.maintenance);
+                maintenance.note_compared(now, comparison, used, retention);
             }
-            Ok(_) => maintenance.agreed = Some(used),
             Err(error) => {
                 log::info!("event=versions_unmaintained reason={:?}", error.to_string());
             }
         }
     }
 
-    /// Returns whether the registry has to be compared with the list now, and notes that it is.
-    fn needs_maintenance(&self, now: Instant, is_reader: bool) -> bool {
-        let mut maintenance = lock(&self.registry_reads.maintenance);
-        let known = (self.cluster_state.list_version(), self.cluster_state.version());
-        if maintenance.known != known {
-            maintenance.known = known;
-            let is_same = maintenance.agreed.as_ref() == Some(&self.used_origins());
-            if !is_same && maintenance.agreed.take().is_some() {
-                maintenance.due_at = None;
-            }
-        }
-        let is_needed = maintenance.is_requested || (is_reader && maintenance.agreed.is_none());
-        if !is_needed || maintenance.due_at.is_some_and(|at| now < at) {
-            return false;
-        }
-        maintenance.due_at = Some(now + MAINTENANCE_INTERVAL);
-        maintenance.is_requested = false;
-        maintenance.agreed = None;
-        true
-    }
-
     /// Returns what a registry has to be if exactly `used` are in use.
     fn maintained(&self, read: &RegistryRead, used: &UsedOrigins) -> RegistryChange {
         if read.era != self.roster_era() {
@@ -504,8 +476,10 @@
             let read = self.read_registry(RESUMPTION_STALL_TIMEOUT).inspect_err(|_| {
                 reads.failed_at = Some(self.clock.now());
             })?;
-            if !self.maintained(&read, &self.used_origins()).is_empty() {
-                lock(&self.registry_reads.maintenance).is_requested = true;
+            // Whoever has marked a version may be lost before it is dropped.
+            let has_expired = read.has_expired(self.registry_retention());
+            if has_expired || !self.maintained(&read, &self.used_origins()).is_empty() {
+                lock(&self.registry_reads.maintenance).request();
             }
             reads.last = Some((began, read));
         }
@@ -530,6 +504,11 @@
         self.stated.covers(self.era, 0, Duration::MAX)
     }
 
+    fn has_expired(&self, retention: Duration) -> bool {
+        self.versions.registry.has_expired(self.now_ms, retention)
+            || self.routes.registry.has_expired(self.now_ms, retention)
+    }
+
     fn has_unlisted(&self) -> bool {
         self.versions.registry.has_unlisted() || self.routes.registry.has_unlisted()
     }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -32,6 +32,7 @@
 pub mod reader_takeover;
 pub mod registry;
 pub mod registry_era;
+pub mod registry_maintenance;
 pub mod rollout;
 pub mod roster;
 pub mod roster_watch;
@@ -95,6 +96,7 @@
 pub use reachability::Reachability;
 pub use reader_takeover::{CallFailure, ReaderTakeover};
 pub use registry_era::RegistryEra;
+pub use registry_maintenance::{Comparison, RegistryMaintenance, UsedOrigins};
 pub use rollout::{
     ExposureLimit, FailureDomains, ROLLOUT_LEASE, ResponseCounts, ResponseObservation,
     RolloutEvidence, RolloutOrder, RolloutProgress, RolloutRecord, RolloutReport, RolloutState,
--- a/src/routing/registry.rs
+++ b/src/routing/registry.rs
@@ -58,6 +58,11 @@
         self.entries.values().flatten().any(|known| known.unlisted_since_ms.is_some())
     }
 
+    /// Returns whether a value is registered that has not been in use for `retention` at `now_ms` on the store's clock.
+    pub fn has_expired(&self, now_ms: u64, retention: Duration) -> bool {
+        self.entries.values().flatten().any(|known| known.has_expired(now_ms, retention))
+    }
+
     /// Returns the registry with `listed` registered as in use; `None` if they are already.
     pub fn with_listed(&self, listed: &IndexSet<(K, V)>) -> Option<Registry<K, V>> {
         let mut registry = self.clone();
--- a/tests/suite/version_registry.rs
+++ b/tests/suite/version_registry.rs
@@ -10,8 +10,9 @@
     adapter::intent::decode,
     names::{ServiceName, SoftwareVersion},
     routing::{
-        ListedVersions, RegisteredVersions, RegistryEra, RouteTable, SightedVersion, StoreEra,
-        StreamRetention, VersionRegistry, VersionSightings,
+        Comparison, ListedVersions, RegisteredVersions, RegistryEra, RegistryMaintenance,
+        RouteTable, SightedVersion, StoreEra, StreamRetention, UsedOrigins, VersionRegistry,
+        VersionSightings,
         stream_retention::{RETENTION_MAX, RETENTION_MIN},
         version_registry::ServiceVersion,
     },
@@ -56,6 +57,8 @@
     let left = maintained(&both, 1_000, &[2]).expect("a change");
     assert_eq!(maintained(&left, 1_000 + retention_ms - 1, &[2]), None);
     assert_eq!(left.versions(&service()), RegisteredVersions::Several);
+    let has_expired = |at_ms| left.has_expired(at_ms, RETENTION_MIN);
+    assert!(!has_expired(1_000 + retention_ms - 1) && has_expired(1_000 + retention_ms));
     let back = left.with_listed(&listed([1])).expect("a version that is back is listed");
     assert_eq!(maintained(&back, 2_000 + retention_ms, &[1, 2]), None);
     let dropped = maintained(&left, 1_000 + retention_ms, &[2]).expect("a change");
@@ -344,6 +347,45 @@
     assert!(!complete.covers(StoreEra(3), 90_000, secs(30)), "a copy has the row of its era");
 }
 
+/// Guards against a registry that stays at several versions with one in use: a registration that the store carries out after
+/// the reader has compared, and a reader that does so for ever.
+#[test]
+fn the_registry_is_compared_again_after_each_change_and_until_nothing_is_unlisted() {
+    let (start, secs) = (Instant::now(), Duration::from_secs);
+    let used = |number| UsedOrigins { versions: listed([number]), ..UsedOrigins::default() };
+    let mut maintenance = RegistryMaintenance::default();
+    let mut compared = |at, number, has_changed, has_unlisted, is_reader| {
+        let (now, known) = (start + secs(at), (None, number as u64));
+        let is_due = maintenance.begin(now, known, || used(number), is_reader);
+        if is_due {
+            let comparison = Comparison { has_changed, has_unlisted };
+            maintenance.note_compared(now, comparison, used(number), RETENTION_MIN);
+        }
+        is_due
+    };
+    assert!(compared(0, 1, true, false, true));
+    assert!(!compared(29, 1, false, false, true));
+    assert!(compared(30, 1, false, false, true), "a late registration is found");
+    assert!(!compared(10_000, 1, false, false, true), "a calm day costs nothing");
+    assert!(compared(10_001, 2, true, true, true), "a version has left");
+    assert!(!compared(10_010, 2, false, true, true));
+    assert!(compared(10_011, 2, true, false, true), "it was dropped");
+    assert!(compared(10_041, 2, true, true, true), "a late registration is marked");
+    assert!(!compared(10_060, 2, false, true, false), "not by other instances");
+    maintenance.request();
+    let mut requested = |at, has_unlisted| {
+        let now = start + secs(at);
+        let is_due = maintenance.begin(now, (None, 2), || used(2), false);
+        if is_due {
+            let comparison = Comparison { has_changed: false, has_unlisted };
+            maintenance.note_compared(now, comparison, used(2), RETENTION_MIN);
+        }
+        is_due
+    };
+    assert!(requested(10_070, true) && requested(10_080, true) && requested(10_090, false));
+    assert!(!requested(10_100, false));
+}
+
 /// Guards against a mark that outlives the absence it was made in, and an instance that was away while the version served:
 /// together they drop it as soon as it leaves.
 #[test]
