fix(streams): drop a version only after following the list all the time

What callers saw: a version is dropped from the registry a second after it has left. An instance that knows neither the version nor the stream would then go on with the stream at another version.

Cause: an instance took its first sighting of an unlisted version, by the registry, for the time of its leaving, although it stood still afterwards while the version served. With a mark of the same earlier absence, which nobody had removed, both conditions for dropping were met. The span of lists that instances tell each other does not show this, as the word of others closes its gaps.

A sighting that is out of sight no longer stands in for a new one when the registry is noted: it was kept and removed at once, so that the version was dropped a comparison later.

Ruled out: marking anew with the present time by an instance that cannot vouch. Two of them in turn would keep a version for ever, and the mark does not decide alone.

--- a/src/gateway/stream_origins/mod.rs
+++ b/src/gateway/stream_origins/mod.rs
@@ -194,12 +194,18 @@
 
     /// Returns whether a version has not been listed for as long as its streams may be resumed.
     pub(super) fn has_left(&self, version: &ServiceVersion) -> bool {
-        lock(&self.stream_versions.sightings).has_left(self.clock.now(), version)
+        let followed_since = self.cluster_state.with_servers(Roster::followed_since);
+        followed_since.is_some_and(|since| {
+            lock(&self.stream_versions.sightings).has_left(self.clock.now(), since, version)
+        })
     }
 
     /// Returns whether shares have not been in use for as long as streams that they led may be resumed.
     pub(super) fn have_shares_left(&self, shares: &(RouteTag, SharesTag)) -> bool {
-        lock(&self.stream_versions.sightings).have_shares_left(self.clock.now(), shares)
+        let followed_since = self.cluster_state.with_servers(Roster::followed_since);
+        followed_since.is_some_and(|since| {
+            lock(&self.stream_versions.sightings).have_shares_left(self.clock.now(), since, shares)
+        })
     }
 
     /// Returns how long versions and shares stay registered.
--- a/src/routing/list_reads.rs
+++ b/src/routing/list_reads.rs
@@ -85,6 +85,8 @@
 #[derive(Debug, Default)]
 pub struct ListReads {
     span: Option<ReadSpan>,
+    /// Since when this instance has received lists without a gap, whatever others have received in a gap before.
+    followed_since: Option<Instant>,
     /// When a read of this instance last failed.
     failed_at: Option<Instant>,
     gap: Option<Gap>,
@@ -96,6 +98,11 @@
         self.span.map(|span| span.until)
     }
 
+    /// Returns since when this instance has itself received lists without a gap.
+    pub fn followed_since(&self) -> Option<Instant> {
+        self.followed_since
+    }
+
     /// Returns the time up to now in which there was no gap, to tell other instances.
     pub fn span(&self) -> Option<ReadSpan> {
         let span = self.span?;
@@ -107,6 +114,7 @@
     pub fn note_list(&mut self, as_of: Instant) -> bool {
         let Some(span) = &mut self.span else {
             self.span = Some(ReadSpan::starting_at(as_of, false));
+            self.followed_since = Some(as_of);
             return true;
         };
         if as_of <= span.until {
@@ -127,6 +135,7 @@
         let before = undecided.map_or(last, |gap| gap.before);
         let failed_at = self.failed_at.filter(|at| *at > before.until);
         self.span = Some(ReadSpan::starting_at(as_of, failed_at.is_some()));
+        self.followed_since = Some(as_of);
         let others = Vec::new();
         self.gap = Some(Gap { before, to: as_of, failed_at, others, outage_ended: None });
     }
--- a/src/routing/roster.rs
+++ b/src/routing/roster.rs
@@ -155,6 +155,11 @@
         self.as_of().is_some_and(|at| now.saturating_duration_since(at) <= FOLLOWED_AGE_MAX)
     }
 
+    /// Returns since when this instance has itself received lists without a gap.
+    pub fn followed_since(&self) -> Option<Instant> {
+        self.reads.followed_since()
+    }
+
     /// Returns when this instance last learned of a restore of the store without a recent list from before.
     pub fn missed_restore_at(&self) -> Option<Instant> {
         self.missed_restore_at
--- a/src/routing/sightings.rs
+++ b/src/routing/sightings.rs
@@ -66,6 +66,8 @@
 
     /// Adds values that may have been in use.
     pub fn note_earlier(&mut self, now: Instant, values: impl IntoIterator<Item = (K, V)>) {
+        // An older sighting that is out of sight would otherwise stand in for the new one, and be dropped with it.
+        self.update(now);
         for (key, value) in values {
             self.entries.entry(key).or_default().entry(value).or_insert(Sighting::Until(now));
         }
@@ -82,13 +84,15 @@
         self.update(now);
     }
 
-    /// Returns whether a value has not been in use for as long as its streams may be resumed.
-    pub fn has_left(&self, now: Instant, (key, value): &(K, V)) -> bool {
+    /// Returns whether a value has not been in use for as long as its streams may be resumed. It may have been while this
+    /// instance did not follow what is in use, as it has without a gap only since `followed_since`.
+    pub fn has_left(&self, now: Instant, followed_since: Instant, (key, value): &(K, V)) -> bool {
         let sighting = self.entries.get(key).and_then(|values| values.get(value));
         let retention = self.retention.registered(now);
         matches!(
             sighting,
-            Some(Sighting::Until(at)) if now.saturating_duration_since(*at) >= retention
+            Some(Sighting::Until(at))
+                if now.saturating_duration_since(followed_since.max(*at)) >= retention
         )
     }
 
--- a/src/routing/version_sightings.rs
+++ b/src/routing/version_sightings.rs
@@ -94,14 +94,25 @@
         self.shares.note_earlier(now, registry.all());
     }
 
-    /// Returns whether a version has not been listed for as long as its streams may be resumed.
-    pub fn has_left(&self, now: Instant, version: &ServiceVersion) -> bool {
-        self.versions.has_left(now, version)
+    /// Returns whether a version has not been listed for as long as its streams may be resumed, by lists that this
+    /// instance has received without a gap since `followed_since`.
+    pub fn has_left(
+        &self,
+        now: Instant,
+        followed_since: Instant,
+        version: &ServiceVersion,
+    ) -> bool {
+        self.versions.has_left(now, followed_since, version)
     }
 
     /// Returns whether shares have not been in use for as long as streams that they led may be resumed.
-    pub fn have_shares_left(&self, now: Instant, shares: &(RouteTag, SharesTag)) -> bool {
-        self.shares.has_left(now, shares)
+    pub fn have_shares_left(
+        &self,
+        now: Instant,
+        followed_since: Instant,
+        shares: &(RouteTag, SharesTag),
+    ) -> bool {
+        self.shares.has_left(now, followed_since, shares)
     }
 
     /// Returns the shares of the active intent.
--- a/tests/suite/version_registry.rs
+++ b/tests/suite/version_registry.rs
@@ -13,6 +13,7 @@
         Comparison, ListedVersions, RegisteredVersions, RegistryEra, RegistryMaintenance,
         RouteTable, SightedVersion, StoreEra, StreamRetention, UsedOrigins, VersionRegistry,
         VersionSightings,
+        list_reads::{ListReads, ReadSpan},
         stream_retention::{RETENTION_MAX, RETENTION_MIN},
         version_registry::ServiceVersion,
     },
@@ -401,9 +402,18 @@
     let registry =
         marked.maintained(40_000, &listed([1]), RETENTION_MIN, |_| false).unwrap_or(marked);
     let now = start + Duration::from_secs(41);
+    let mut reads = ListReads::default();
+    assert!(reads.note_list(start) && reads.note_list(now));
+    // Another instance has received lists all the time.
+    let (failed_before, failed_after) = (false, false);
+    reads.note_other(ReadSpan { since: start, until: now, failed_before, failed_after });
+    let since = reads.followed_since().expect("a list");
     away.note_list(now, [].iter());
     away.note_registered(now, &registry, true);
-    let dropped =
-        registry.maintained(41_000, &listed([1]), RETENTION_MIN, |left| away.has_left(now, left));
+    let has_left = |left: &ServiceVersion| away.has_left(now, since, left);
+    let dropped = registry.maintained(41_000, &listed([1]), RETENTION_MIN, has_left);
     assert_eq!(dropped, None, "streams that it began a second ago may be resumed");
+    away.note_registered(start + Duration::from_secs(60), &registry, true);
+    let gone = (service(), version(2));
+    assert!(away.has_left(start + Duration::from_secs(95), since, &gone), "it is dropped later");
 }
