test(streams): show the join at a version that could not be registered

While the store can be read but takes no writes, other instances use servers of an unregistered version after 5 s, and an instance that was suspended since before reads one registered version and goes on there with streams of the other one.

Weighed, and not landed: in trials such an instance asked the holders of the record as well while its list was older than the bound for leaving servers, named another version, or the store listed one that it could not register.

--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -106,6 +106,8 @@
     mode: StoreMode,
     /// How it behaves towards reads of single tables.
     table_modes: BTreeMap<String, StoreMode>,
+    /// Whether it replies 503 to all writes.
+    refuses_writes: bool,
     /// Bytes a second of each connection; 0: as fast as it goes.
     bytes_per_second: usize,
     /// Most rows of one reply with whole rows; 0: as many as the users' store sends.
@@ -197,6 +199,11 @@
         lock(&self.shared.state).table_modes.insert(table.to_owned(), mode);
     }
 
+    /// Has the store reply 503 to all writes, while it can be read.
+    pub fn refuse_writes(&self) {
+        lock(&self.shared.state).refuses_writes = true;
+    }
+
     /// Sets how fast replies leave on each connection, in bytes a second; 0: as fast as it goes.
     pub fn set_link(&self, bytes_per_second: usize) {
         lock(&self.shared.state).bytes_per_second = bytes_per_second;
@@ -298,7 +305,13 @@
         let mut state = lock(&shared.state);
         *state.calls.entry(received.path().to_owned()).or_default() += 1;
         let table = received.param("table").unwrap_or_default();
-        (state.table_modes.get(table).copied().unwrap_or(state.mode), state.era)
+        let is_write = received.path() == "/v1/rows-tx";
+        let mode = match state.table_modes.get(table) {
+            _ if is_write && state.refuses_writes => StoreMode::Busy,
+            Some(mode) => *mode,
+            None => state.mode,
+        };
+        (mode, state.era)
     };
     let refuse = |status| Reply::new(status, "").with(ERA_HEADER, era).bytes();
     match mode {
--- a/tests/suite/out_of_step.rs
+++ b/tests/suite/out_of_step.rs
@@ -302,6 +302,25 @@
     assert_none_joined(&[("moved".to_owned(), resumed)]);
 }
 
+/// Guards against an instance that takes the one registered version for the only one, while the store takes no writes and
+/// others use a second version that could not be registered.
+#[test]
+fn a_process_that_stood_still_joins_no_version_that_could_not_be_registered() {
+    let mut fleet = Fleet::start(8);
+    let (others, stopped) = ([0, 1, 2], [3]);
+    fleet.signal(&stopped, Signal::STOP);
+    fleet.versions.store.refuse_writes();
+    fleet.list_second_version();
+    let begun = fleet.begin_at_second_version(&others, STREAMS);
+    let resumed = thread::scope(|scope| {
+        let resuming = scope.spawn(|| fleet.resume(&stopped, begun));
+        thread::sleep(SENDING_TIME);
+        fleet.signal(&stopped, Signal::CONT);
+        resuming.join().expect("the callers")
+    });
+    assert_none_joined(&[("unregistered".to_owned(), resumed)]);
+}
+
 /// Guards against an instance that refuses to resume streams although it has the new list again.
 #[test]
 fn an_instance_that_is_in_step_again_resumes_streams_at_their_version() {
