feat(log): say what an instance knew of the others' requests at each pick

The request line had the estimated load of its server and the bound, but not whether the estimate contained the requests of other instances, how old those were, or by how many instances room was divided: counts_age_ms (-1: without) and instances. counts_known and counts_lost are logged when that knowledge begins and ends, cartvane_knowledge_age has it as a metric (counts).

Ruled out: a line per request beyond the bound, as no instance can tell.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -12,7 +12,9 @@
 };
 
 use super::{
-    Gateway, intent_reader,
+    Gateway,
+    counts_log::CountsLog,
+    intent_reader,
     messages::{ConfirmedAgo, ExchangePurpose, ExchangeReply, ExchangeReport},
     peer_server::fleet_sums,
     peers::{Missing, log_no_help},
@@ -44,9 +46,11 @@
 /// Makes an exchange in each period, until the instance stops. Checks the pools of connections too, as this thread wakes
 /// often enough for it.
 pub fn run(gateway: &Arc<Gateway>) {
+    let mut counts_log = CountsLog::default();
     let mut pools_checked_at = gateway.clock.now();
     while gateway.is_running() {
         exchange(gateway);
+        counts_log.update(gateway);
         let now = gateway.clock.now();
         if now.saturating_duration_since(pools_checked_at) >= POOL_CHECK_PERIOD {
             gateway.close_unusable_conns();
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -294,6 +294,8 @@
             software: picked.server.version_text().to_owned(),
             rank: picked.rank,
             load: picked.load,
+            counts_age: picked.counts_age,
+            instances: lock(&self.gateway.picker).position().instances,
             bound: picked.bound,
             arrivals: self.attempts.arrivals(),
             running_since: None,
--- a/src/gateway/gauges.rs
+++ b/src/gateway/gauges.rs
@@ -15,6 +15,7 @@
         for (subject, age) in [
             ("intent", self.cluster_state.intent_age(now)),
             ("servers", self.cluster_state.servers_age(now)),
+            ("counts", lock(&self.picker).counts_age(now)),
         ] {
             if let Some(age) = age {
                 self.metrics.knowledge_age(subject, age);
--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -36,6 +36,10 @@
     pub rank: usize,
     /// Estimated load of the server, in requests.
     pub load: f64,
+    /// Age of the counts of the other instances in that estimate; `None` if it was made without.
+    pub counts_age: Option<Duration>,
+    /// Number of instances among which the capacity was divided.
+    pub instances: usize,
     /// Load bound that applied.
     pub bound: f64,
     /// How often the request may have arrived at a server, over all its attempts.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 pub mod cold_permits;
 mod connecting;
 pub mod connection;
+mod counts_log;
 mod crash_checks;
 pub mod crash_suspects;
 pub mod drain;
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -19,11 +19,13 @@
     let millis = |age: Option<Duration>| age.map_or(-1, |age| age.as_millis() as i64);
     let attempt = last_attempt.map_or_else(String::new, |attempt| {
         format!(
-            " server={} software={} rank={} load={:.1} bound={:.1} arrivals={} first_ms={} end={} path={}",
+            " server={} software={} rank={} load={:.1} counts_age_ms={} instances={} bound={:.1} arrivals={} first_ms={} end={} path={}",
             attempt.server,
             attempt.software,
             attempt.rank,
             attempt.load,
+            millis(attempt.counts_age),
+            attempt.instances,
             attempt.bound,
             attempt.arrivals,
             millis(attempt.first_byte_after),
--- a/src/report/line.rs
+++ b/src/report/line.rs
@@ -115,7 +115,7 @@
 
     /// Returns whether the event is a change in what the instance knows of the cluster, or in its own process.
     pub fn is_state_change(&self) -> bool {
-        const STATE_CHANGES: [&str; 23] = [
+        const STATE_CHANGES: [&str; 25] = [
             "started",
             "draining",
             "stopped",
@@ -130,6 +130,8 @@
             "server_kept",
             "list_gap",
             "server_crowded",
+            "counts_known",
+            "counts_lost",
             "server_ended",
             "request_found",
             "request_judged",
--- a/src/routing/pick.rs
+++ b/src/routing/pick.rs
@@ -97,6 +97,8 @@
     pub rank: usize,
     /// Estimated load of the server, in requests.
     pub load: f64,
+    /// Age of the counts of the other instances in that estimate; `None` if it was made without.
+    pub counts_age: Option<Duration>,
     /// Bound with which the load was compared, in requests.
     pub bound: f64,
     /// How long the request is expected to wait for a slot there.
--- a/src/routing/picker/affinity.rs
+++ b/src/routing/picker/affinity.rs
@@ -108,7 +108,8 @@
         let cold = pool[i].is_cold(now);
         let considered = pool.len();
         let (load, wait) = (loads[i], waits[at]);
-        Some(Picked { server, rank: at, load, bound, wait, cold, considered, holder })
+        let counts_age = self.usable_counts_age(now);
+        Some(Picked { server, rank: at, load, counts_age, bound, wait, cold, considered, holder })
     }
 
     /// Returns the mean load of a service's servers; `loads` are the loads of the candidates among them.
--- a/src/routing/picker/leased.rs
+++ b/src/routing/picker/leased.rs
@@ -60,6 +60,7 @@
             server: Arc::clone(&tracked.server),
             rank: 0,
             load,
+            counts_age: self.usable_counts_age(now),
             bound: f64::INFINITY,
             wait: Duration::ZERO,
             cold: tracked.is_cold(now),
--- a/src/routing/picker/least_loaded.rs
+++ b/src/routing/picker/least_loaded.rs
@@ -52,7 +52,17 @@
         let server = Arc::clone(&pool[at].server);
         let wait = self.wait(now, pool[at], load);
         let (cold, bound) = (pool[at].is_cold(now), f64::INFINITY);
-        let considered = pool.len();
-        Some(Picked { server, rank: 0, load, bound, wait, cold, considered, holder: None })
+        let (considered, counts_age) = (pool.len(), self.usable_counts_age(now));
+        Some(Picked {
+            server,
+            rank: 0,
+            load,
+            counts_age,
+            bound,
+            wait,
+            cold,
+            considered,
+            holder: None,
+        })
     }
 }
--- a/src/routing/picker/mod.rs
+++ b/src/routing/picker/mod.rs
@@ -34,6 +34,7 @@
     Incarnation, Load, LoadReport, Notice, PickError, PickRequest, Picked, Reachability,
     ServerContacts, ServiceLoad, UnlistedNotices,
     admission::{FleetTotal, TeamLimits, TeamUsage},
+    load::FLEET_COUNT_MAX_AGE,
 };
 use crate::names::{RegionName, ServiceName, Tag, ZoneName};
 
@@ -67,6 +68,8 @@
     load_bound: f64,
     /// Position of this instance in the fleet.
     position: FleetPosition,
+    /// When the counts of the other instances were last received.
+    counted_at: Option<Instant>,
     admission: IndexMap<ServiceName, AdmissionControl>,
     /// Availability zones that get no new requests.
     evacuated: IndexSet<ZoneName>,
@@ -90,6 +93,7 @@
             regions: IndexMap::new(),
             load_bound,
             position,
+            counted_at: None,
             admission: IndexMap::new(),
             evacuated: IndexSet::new(),
             unlisted: UnlistedNotices::default(),
@@ -325,6 +329,7 @@
         loads: &[ServiceLoad],
         own: &[InFlightCount],
     ) -> Vec<Crowded> {
+        self.counted_at = Some(now);
         let mut crowded = Vec::new();
         let own: HashMap<Tag, u32> = own.iter().copied().collect();
         for load in loads {
@@ -351,6 +356,16 @@
         crowded
     }
 
+    /// Returns how long ago the counts of the other instances were last received.
+    pub fn counts_age(&self, now: Instant) -> Option<Duration> {
+        self.counted_at.map(|at| now.saturating_duration_since(at))
+    }
+
+    /// Returns the age of the counts of the other instances, unless they are too old to be used.
+    pub fn usable_counts_age(&self, now: Instant) -> Option<Duration> {
+        self.counts_age(now).filter(|&age| age < FLEET_COUNT_MAX_AGE)
+    }
+
     /// Returns this instance's requests in flight, by server, to report them to the other instances.
     pub fn own_counts(&self) -> Vec<InFlightCount> {
         let busy = self.servers.values().filter(|t| t.load.own() > 0);
