fix(load): servers that are not listed in a sum share the rest of the load

What callers saw: a bound that was too high in services with more than 64 servers. Of those only the servers clearly above the mean are listed in the sums, and each of the others counted with the mean of all. The total, the mean and with it the bound grew with every listed server.

Evidence: placement::the_servers_that_are_not_listed_share_the_rest_of_the_load fails before: load 5.0 where 1.25 are left (100 servers with a mean of 5, of which 20 are listed with 20 each). Why it works: the mean is sent, so what is left is its total less the listed. Ruled out: listing all servers, 1.5 KB more in each reply.

--- a/src/routing/picker/mod.rs
+++ b/src/routing/picker/mod.rs
@@ -340,7 +340,7 @@
         for load in loads {
             let counts: HashMap<Tag, u32> = load.counts.iter().copied().collect();
             let bounds = self.bounds(f64::from(load.mean));
-            let uncounted = if load.is_complete { 0.0 } else { f64::from(load.mean) };
+            let uncounted = if load.is_complete { 0.0 } else { self.mean_of_unlisted(load) };
             let mut total = FleetTotal { all: 0.0, own: 0.0, at: now };
             for tracked in self.servers.values_mut().filter(|t| t.server.service == load.service) {
                 let tag = tracked.server.tag();
@@ -371,6 +371,15 @@
         self.counts_age(now).filter(|&age| age < FLEET_COUNT_MAX_AGE)
     }
 
+    /// Returns the mean load of the servers that are not listed in `load`.
+    fn mean_of_unlisted(&self, load: &ServiceLoad) -> f64 {
+        let servers = self.servers_of(&load.service).count();
+        let listed: u32 = load.counts.iter().map(|(_, count)| count).sum();
+        let rest = f64::from(load.mean) * servers as f64 - f64::from(listed);
+        let unlisted = servers.saturating_sub(load.counts.len()).max(1);
+        rest.max(0.0) / unlisted as f64
+    }
+
     /// Returns this instance's requests in flight, by server, to report them to the other instances.
     pub fn own_counts(&self) -> Vec<InFlightCount> {
         let busy = self.servers.values().filter(|t| t.load.own() > 0);
--- a/tests/suite/placement.rs
+++ b/tests/suite/placement.rs
@@ -2,14 +2,41 @@
 
 use std::time::Instant;
 
-use cartvane::routing::BackendServer;
+use cartvane::{
+    names::Tag,
+    routing::{BackendServer, Incarnation, PickRequest, ServiceLoad},
+};
 
 use crate::routing::{picker, server};
 
+/// Hash of a prompt.
+const PROMPT: u64 = 0x5bd1_e995_7f4a_7c15;
+
 fn fleet(count: u16) -> Vec<BackendServer> {
     (0..count).map(|i| server(&format!("s{i}"), i)).collect()
 }
 
+fn load(mean: f32, counts: Vec<(Tag, u32)>, is_complete: bool) -> ServiceLoad {
+    ServiceLoad { service: "llm".parse().expect("a valid name"), mean, counts, is_complete }
+}
+
+// Unlisted servers counted with the mean of all, so that the mean and with it the bound grew with the listed ones.
+#[test]
+fn the_servers_that_are_not_listed_share_the_rest_of_the_load() {
+    let now = Instant::now();
+    let servers = fleet(100);
+    let mut picker = picker(&servers);
+    let listed: Vec<(Tag, u32)> = servers[..20].iter().map(|s| (s.tag(), 20)).collect();
+    picker.set_fleet_loads(now, &[load(5.0, listed, false)], &[]);
+    let service = "llm".parse().expect("a valid name");
+    let tried: Vec<Incarnation> = servers[..20].iter().map(|s| s.id.clone()).collect();
+    let request =
+        PickRequest { affinity: Some(PROMPT), tried: &tried, ..PickRequest::new(&service) };
+    let picked = picker.pick(now, &request).expect("a server is picked");
+    // 500 requests, of which 400 are at the listed servers.
+    assert!((picked.load - 1.25).abs() < 0.01, "{picked:?}");
+}
+
 // Requests at a server that came back to the list counted as none, and their ends were taken from later ones.
 #[test]
 fn requests_at_a_server_that_leaves_the_list_count_again_when_it_is_back() {
