fix(picker): place prompts by their demand over all instances

Cause: each of many instances with hardly one request in flight decided alone, by a sum that is older than the requests it counts, that there was room for one more: all sent the popular prompt to the same server until an exchange showed it, all left it, and returned together when the mode that divides the room ended. Where no sum was known, after a start or while exchanges fail, an instance took a server for as empty as its own count. The same sums spilled ordinary prompts at random without relieving servers that had many of them. Class: many deciders that act at once on the same old or missing knowledge.

The fix: the exchange sums the requests in flight by prompt, and a popular one is spread per request over as many servers as its demand needs, which is forgotten gradually. A server keeps a share of its other prompts by its mean load over seconds, which does not become outdated; prompts spill at the bound itself. Not knowing is not room: an instance that has just started spreads all prompts until it knows the counts, and an aggregator withholds its sums until most instances have reported. The mean is over all listed servers.

Not tried: a push of popular prompts to all instances.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -24,8 +24,8 @@
 use crate::{
     link::{peer::PeerError, pool_check::POOL_CHECK_PERIOD, traffic::Purpose},
     routing::{
-        Confirmation, Crowded, InFlightCount, Judgement, ListVersion, ServerListUpdate,
-        ServiceLoad, StoreEra, fallback_reader,
+        Confirmation, Crowded, InFlightCount, Judgement, ListVersion, PromptCount,
+        ServerListUpdate, ServiceLoad, StoreEra, fallback_reader,
     },
     utils::sync::lock,
 };
@@ -72,7 +72,7 @@
         let aggregator = lock(&peers.candidates).aggregator(now).cloned();
         let Some(aggregator) = aggregator else {
             let sums = fleet_sums(gateway, now);
-            apply_loads(gateway, now, &sums.loads, None);
+            apply_loads(gateway, now, &sums.loads, &sums.popular_prompts, None);
             lock(&gateway.picker).note_reported_unresponsive(now, &sums.unresponsive);
             gateway.set_budget_sums(now, sums.budgets.clone());
             gateway.apply_team_limits(now, now, sums.team_limits.as_deref());
@@ -219,9 +219,14 @@
         let candidates = lock(&peers.candidates);
         (candidates.own().clone(), candidates.version())
     };
-    let (counts, unresponsive) = {
-        let picker = lock(&gateway.picker);
-        (picker.own_counts(), picker.own_unresponsive(now))
+    let (counts, prompts, unresponsive) = {
+        let mut picker = lock(&gateway.picker);
+        let prompts = if purpose == ExchangePurpose::Aggregate {
+            picker.prompts().own_counts()
+        } else {
+            Vec::new()
+        };
+        (picker.own_counts(), prompts, picker.own_unresponsive(now))
     };
     let to_aggregator = purpose == ExchangePurpose::Aggregate;
     let reads_servers = purpose == ExchangePurpose::ReadStore && missing == Missing::Servers;
@@ -243,6 +248,7 @@
         list_version: list,
         instances_hash: instances,
         team_demands: if to_aggregator { gateway.team_demands(now) } else { Vec::new() },
+        prompts,
     }
 }
 
@@ -266,22 +272,27 @@
     if reply.crash_alert {
         crash_suspects.alert(now);
     }
-    apply_loads(gateway, now, &reply.loads, Some(report.counts));
+    apply_loads(gateway, now, &reply.loads, &reply.popular_prompts, Some(report.counts));
     lock(&gateway.picker).note_reported_unresponsive(now, &reply.unresponsive);
     gateway.set_budget_sums(now, std::mem::take(&mut reply.budgets));
     gateway.apply_team_limits(now, sent_at, reply.team_limits.as_deref());
 }
 
 /// Applies the loads over all instances. `reported` are the counts of this instance that they contain, if those differ
-/// from the current ones.
+/// from the current ones. Without loads, because the aggregator does not know them yet, the previous ones stay.
 fn apply_loads(
     gateway: &Gateway,
     now: Instant,
     loads: &[ServiceLoad],
+    popular_prompts: &[PromptCount],
     reported: Option<Vec<InFlightCount>>,
 ) {
+    if loads.is_empty() {
+        return;
+    }
     let crowded = {
         let mut picker = lock(&gateway.picker);
+        picker.prompts().set_fleet_counts(now, popular_prompts);
         let own = reported.unwrap_or_else(|| picker.own_counts());
         picker.set_fleet_loads(now, loads, &own)
     };
--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -8,7 +8,7 @@
 use crate::{
     contract::outcome::Outcome,
     link::http1::BodyEnd,
-    routing::{Incarnation, Picked},
+    routing::{Incarnation, Picked, PromptTag},
     utils::sync::lock,
 };
 
@@ -76,12 +76,18 @@
     pub gateway: &'g Gateway,
     /// The server.
     pub server: Incarnation,
+    /// Shared prompt of the request.
+    pub prompt: Option<PromptTag>,
     /// Lease of the slot that the request occupies there, if the service is small.
     pub lease: Option<SlotLease<'g>>,
 }
 
 impl Drop for InFlightGuard<'_> {
     fn drop(&mut self) {
-        lock(&self.gateway.picker).finish_request(&self.server);
+        let mut picker = lock(&self.gateway.picker);
+        picker.finish_request(&self.server);
+        if let Some(prompt) = self.prompt {
+            picker.prompts().finish_request(prompt);
+        }
     }
 }
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -15,8 +15,9 @@
     names::Tag,
     routing::{
         BudgetSum, InFlightCount, InstanceInfo, InstanceListUpdate, ListVersion, OrdersSnapshot,
-        PackedChange, RetrySpending, RolloutReport, RolloutUpdate, RunId, ServerListUpdate,
-        ServiceDemand, ServiceLimits, ServiceLoad, StoreEra, StoreVersion, VerdictUpdate,
+        PackedChange, PromptCount, RetrySpending, RolloutReport, RolloutUpdate, RunId,
+        ServerListUpdate, ServiceDemand, ServiceLimits, ServiceLoad, StoreEra, StoreVersion,
+        VerdictUpdate,
     },
 };
 
@@ -67,12 +68,15 @@
     /// Demand of teams at the sender, by service in use.
     #[serde(default)]
     pub team_demands: Vec<ServiceDemand>,
+    /// The sender's requests in flight, by shared prompt.
+    #[serde(default)]
+    pub prompts: Vec<PromptCount>,
 }
 
 /// The reply to an [`ExchangeReport`].
 #[derive(Debug, Serialize, Deserialize)]
 pub struct ExchangeReply {
-    /// Load of each service, over all instances.
+    /// Load of each service, over all instances; empty until most of them have reported.
     pub loads: Vec<ServiceLoad>,
     /// Servers that several instances have reported as unresponsive, or as accepting no requests.
     pub unresponsive: Vec<Tag>,
@@ -105,6 +109,9 @@
     /// Limits of teams at each service whose demand is above its capacity; `None` if they are not known.
     #[serde(default)]
     pub team_limits: Option<Vec<ServiceLimits>>,
+    /// Requests in flight with popular prompts, over all instances.
+    #[serde(default)]
+    pub popular_prompts: Vec<PromptCount>,
 }
 
 /// Confirmation that a version of the intent was the newest in the store.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -112,7 +112,7 @@
     names::{ServiceName, TeamName},
     routing::{
         BudgetSum, CallKind, Incarnation, OrdersSnapshot, PickError, PickRequest, Picked, Picker,
-        RetryBudget, RetrySpending, StoreShare,
+        PromptTag, RetryBudget, RetrySpending, StoreShare,
     },
     utils::{signal::Signal, supervisor::RequiredThreads, sync::lock, usage::Usage},
 };
@@ -289,7 +289,11 @@
         let picked = picker.pick(now, wanted)?;
         let server = picked.server.id.clone();
         picker.start_request(now, &server);
-        Ok((picked, InFlightGuard { gateway: self, server, lease: None }))
+        let prompt = wanted.affinity.map(PromptTag::of);
+        if let Some(prompt) = prompt {
+            picker.prompts().start_request(prompt);
+        }
+        Ok((picked, InFlightGuard { gateway: self, server, prompt, lease: None }))
     }
 
     /// Returns whether the budget of `service` has a retry left beyond `reserve`.
@@ -458,6 +462,7 @@
 fn open_picker(settings: &GatewaySettings) -> Picker {
     let mut picker = Picker::new(settings.zone.clone(), settings.bounds.load);
     picker.set_regions(settings.regions.clone());
+    picker.await_counts();
     picker
 }
 
--- a/src/gateway/peer_server.rs
+++ b/src/gateway/peer_server.rs
@@ -28,7 +28,9 @@
         traffic::Purpose,
     },
     names::Tag,
-    routing::{BudgetSum, InstanceListUpdate, ServiceLimits, ServiceLoad, VerdictUpdate},
+    routing::{
+        BudgetSum, InstanceListUpdate, PromptCount, ServiceLimits, ServiceLoad, VerdictUpdate,
+    },
     utils::sync::lock,
 };
 
@@ -93,6 +95,11 @@
         list_era: list.era,
         instances,
         team_limits: sums.team_limits.clone().filter(|_| purpose == ExchangePurpose::Aggregate),
+        popular_prompts: if purpose == ExchangePurpose::Aggregate {
+            sums.popular_prompts.clone()
+        } else {
+            Vec::new()
+        },
     }
 }
 
@@ -123,6 +130,7 @@
     let was_inactive = !peers.is_aggregator(now);
     let mut aggregate = lock(&peers.aggregate);
     aggregate.record_counts(now, node.clone(), mem::take(&mut report.counts));
+    aggregate.record_prompts(now, node.clone(), mem::take(&mut report.prompts));
     aggregate.record_unresponsive(now, node.clone(), mem::take(&mut report.unresponsive));
     drop(aggregate);
     lock(&peers.budget).record_report(now, node, report.run, mem::take(&mut report.spending));
@@ -154,8 +162,10 @@
 /// Sums over the reports of all instances.
 #[derive(Debug)]
 pub(super) struct FleetSums {
-    /// Load of each service.
+    /// Load of each service; empty until most instances have reported, as the sums of a few would pass for room.
     pub(super) loads: Vec<ServiceLoad>,
+    /// Requests in flight with popular prompts.
+    pub(super) popular_prompts: Vec<PromptCount>,
     /// Servers that several instances have reported as unresponsive.
     pub(super) unresponsive: Vec<Tag>,
     /// Retries spent at each service.
@@ -172,7 +182,8 @@
             unresponsive: unresponsive_servers(gateway, now),
             budgets: budget_sums(gateway, now),
             team_limits: gateway.fleet_team_limits(now, &loads),
-            loads,
+            popular_prompts: popular_prompts(gateway, now),
+            loads: if is_settled(gateway, now) { loads } else { Vec::new() },
         }
     })
 }
@@ -186,6 +197,19 @@
         .with_servers(|roster| aggregate.summary(now, roster.servers().map(|server| &**server)))
 }
 
+fn popular_prompts(gateway: &Gateway, now: Instant) -> Vec<PromptCount> {
+    let own = lock(&gateway.picker).prompts().own_counts();
+    let mut aggregate = lock(&gateway.peers.aggregate);
+    aggregate.record_prompts(now, gateway.settings.node.clone(), own);
+    aggregate.popular_prompts(now)
+}
+
+/// Returns whether this instance knows which others there are, and what nearly all of them have in flight.
+fn is_settled(gateway: &Gateway, now: Instant) -> bool {
+    let instances = gateway.peers.instances();
+    gateway.peers.has_joined(now) && lock(&gateway.peers.aggregate).is_settled(now, instances)
+}
+
 fn budget_sums(gateway: &Gateway, now: Instant) -> Vec<BudgetSum> {
     let own = gateway.spending(now);
     let mut budget = lock(&gateway.peers.budget);
--- a/src/routing/aggregate.rs
+++ b/src/routing/aggregate.rs
@@ -8,7 +8,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use super::BackendServer;
+use super::{BackendServer, PromptCount, prompt_demand::popular_prompts};
 use crate::names::{NodeName, ServiceName, Tag};
 
 /// Age at which the counts of an instance are dropped: it has stopped reporting, and its requests end
@@ -18,6 +18,13 @@
 /// Time without a report of an instance after which it counts as stopped.
 const STOPPED_AGE: Duration = Duration::from_secs(60);
 
+/// Share of the instances whose reports make the sums usable: what is missing is less than random variation.
+const SETTLED_SHARE: f64 = 0.75;
+
+/// Time without interruption after which the sums are usable however many instances have reported: longer than the
+/// longest time between two reports of an instance.
+const SETTLED_AFTER: Duration = Duration::from_millis(1300);
+
 /// Interval between two scans for expired reports.
 const PRUNE_PERIOD: Duration = Duration::from_millis(100);
 
@@ -67,6 +74,7 @@
 #[derive(Debug, Default)]
 pub struct Aggregate {
     reports: IndexMap<NodeName, (Instant, Vec<InFlightCount>)>,
+    prompts: IndexMap<NodeName, (Instant, Vec<PromptCount>)>,
     unresponsive: IndexMap<NodeName, (Instant, Vec<Tag>)>,
     /// When expired reports were last dropped.
     pruned_at: Option<Instant>,
@@ -110,10 +118,23 @@
         }
         self.pruned_at = Some(now);
         self.reports.retain(|_, (at, _)| !is_old(*at, REPORT_MAX_AGE));
+        self.prompts.retain(|_, (at, _)| !is_old(*at, REPORT_MAX_AGE));
         self.unresponsive.retain(|_, (at, _)| !is_old(*at, REPORT_MAX_AGE));
         self.reported_at.retain(|_, at| !is_old(*at, STOPPED_AGE));
     }
 
+    /// Records the requests in flight of an instance, by prompt.
+    pub fn record_prompts(&mut self, now: Instant, node: NodeName, prompts: Vec<PromptCount>) {
+        self.prompts.insert(node, (now, prompts));
+    }
+
+    /// Returns the requests in flight of all instances with popular prompts.
+    pub fn popular_prompts(&self, now: Instant) -> Vec<PromptCount> {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) <= REPORT_MAX_AGE;
+        let recent = self.prompts.values().filter(|(at, _)| is_recent(*at));
+        popular_prompts(recent.flat_map(|(_, prompts)| prompts.iter().copied()))
+    }
+
     /// Records the servers that do not respond to an instance.
     pub fn record_unresponsive(&mut self, now: Instant, node: NodeName, unresponsive: Vec<Tag>) {
         self.unresponsive.insert(node, (now, unresponsive));
@@ -181,6 +202,15 @@
         self.has_collected(now) && report.is_some_and(|(at, _)| is_recent(*at))
     }
 
+    /// Returns whether the sums contain nearly all of `instances`: most of them have reported, or all had the time to.
+    pub fn is_settled(&self, now: Instant, instances: usize) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) <= REPORT_MAX_AGE;
+        let reported = self.reports.values().filter(|(at, _)| is_recent(*at)).count();
+        let has_most = reported as f64 >= SETTLED_SHARE * instances as f64;
+        let had_time = |since: Instant| now.saturating_duration_since(since) >= SETTLED_AFTER;
+        has_most || self.since.is_some_and(had_time)
+    }
+
     /// Returns whether reports have arrived without interruption for a minute.
     fn has_collected(&self, now: Instant) -> bool {
         let last = self.latest.as_ref().map(|(_, at)| *at);
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -16,9 +16,9 @@
 /// late, and all at the same time, that it has headroom again.
 const CROWDED_DURATION: Duration = Duration::from_millis(3000);
 
-/// Share of the spill load from which a crowded server stays crowded: demand for a popular prompt persists, while a
-/// single exchange may count few requests by chance.
-const STAYS_CROWDED_SHARE: f64 = 0.7;
+/// Share of the limit from which a crowded server stays crowded: demand for a popular prompt persists, while a single
+/// exchange may count few requests by chance.
+const STAYS_CROWDED_SHARE: f64 = 0.6;
 
 /// Load that a backend server reports in a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -61,15 +61,6 @@
     pub instances: usize,
 }
 
-/// Bounds on the load of a backend server, in requests.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct LoadBounds {
-    /// Load at which requests with prompts spill to other servers.
-    pub spill: f64,
-    /// Load that exceeds the operator's bound.
-    pub limit: f64,
-}
-
 /// Load of a backend server as observed by this instance.
 #[derive(Debug, Clone, Default)]
 pub struct Load {
@@ -97,20 +88,14 @@
     }
 
     /// Sets the requests in flight of all instances, of which this instance reported `own`; returns whether the server
-    /// has become crowded.
-    pub fn set_fleet_count(
-        &mut self,
-        now: Instant,
-        all: f64,
-        own: u32,
-        bounds: LoadBounds,
-    ) -> bool {
+    /// has become crowded, that is, clearly exceeds `limit`.
+    pub fn set_fleet_count(&mut self, now: Instant, all: f64, own: u32, limit: f64) -> bool {
         let was_crowded = self.is_crowded(now);
         let exchange = self.fleet.map_or(0, |fleet| fleet.exchange.wrapping_add(1));
         self.fleet = Some(FleetCount { exchange, all, own, at: now });
-        let stays_crowded = was_crowded && all >= STAYS_CROWDED_SHARE * bounds.spill;
+        let stays_crowded = was_crowded && all >= STAYS_CROWDED_SHARE * limit;
         // With few requests, random variation alone exceeds the limit.
-        let over_limit = all > bounds.limit.max(bounds.spill + bounds.spill.sqrt());
+        let over_limit = all > limit + limit.sqrt();
         if over_limit || stays_crowded {
             self.crowded_at = Some(now);
         }
--- a/src/routing/picker/affinity.rs
+++ b/src/routing/picker/affinity.rs
@@ -8,13 +8,10 @@
     time::{Duration, Instant},
 };
 
-use super::{Picker, Tracked};
+use super::{Picker, Tracked, placement::spread};
 use crate::{
     names::ServiceName,
-    routing::{
-        AdmissionControl, BackendServer, PickRequest, Picked,
-        load::{LoadBounds, target_load},
-    },
+    routing::{AdmissionControl, BackendServer, PickRequest, Picked, load::target_load},
     zone::rendezvous,
 };
 
@@ -22,18 +19,14 @@
 /// changes by as much from one moment to the next.
 const BOUND_SLACK: f64 = 3.0;
 
-/// Position of the spill load between the mean and the operator's bound; the rest is headroom for requests of other
-/// instances that are on their way.
-const SPILL_SHARE: f64 = 0.6;
-
-/// Mean load, as a share of the spill load, above which capacity is scarce and all instances keep to their allotments
+/// Mean load, as a share of the limit, above which capacity is scarce and all instances keep to their allotments
 /// at every server: where servers of evacuated zones count in the bound, random variation alone would take the load of
 /// the others over it.
-const SCARCE_SHARE: f64 = 0.7;
+const SCARCE_SHARE: f64 = 0.6;
 
-/// Position between the mean and the spill load of the load that all instances target together while capacity is
+/// Position between the mean and the limit of the load that all instances target together while capacity is
 /// scarce.
-const SCARCE_TARGET_SHARE: f64 = 0.5;
+const SCARCE_TARGET_SHARE: f64 = 0.3;
 
 /// Number of servers, drawn per request, from which the least loaded is picked if capacity is scarce and this instance
 /// has no allotment left: few enough that the instances do not all pick the same server, and different ones for each
@@ -53,13 +46,17 @@
         fallback_load: f64,
     ) -> Option<Picked> {
         let loads: Vec<f64> = pool.iter().map(|t| t.load.estimate(now, fallback_load)).collect();
-        let bound = self.bounds(self.mean_load(now, request.service, &loads)).spill;
-        let order = if self.is_small(request.service) {
+        let bound = self.limit(self.mean_load(now, request.service, &loads));
+        let mut order = if self.is_small(request.service) {
             rendezvous::ranked(key, pool.iter().map(|t| (t.server.stable_tag(), 1.0)))
         } else {
             // The candidates of a large service are ordered already.
             (0..pool.len()).collect()
         };
+        let width = self.width(request);
+        spread(&mut order, width, request.spread);
+        let placement_key = if width > 1 { request.spread } else { key };
+        let keeps = |i: usize| pool[i].weight.keeps(placement_key, pool[i].server.stable_tag());
         let mean = loads.iter().sum::<f64>() / loads.len().max(1) as f64;
         let is_scarce = mean > SCARCE_SHARE * bound;
         let scarce_target =
@@ -84,7 +81,8 @@
             admission.is_some_and(|a| a.is_nearly_full(now, self.slots_of(now, request.service)));
         let is_free = |&(at, &i): &(usize, &usize)| {
             let has_slot = !nearly_full || self.has_allotted_slot(now, pool[i]);
-            headrooms[at] > 0.0 && waits[at].is_zero() && has_slot && !has_queue(now, pool[i])
+            let is_free = headrooms[at] > 0.0 && waits[at].is_zero() && !has_queue(now, pool[i]);
+            is_free && has_slot && keeps(i)
         };
         let is_free_in_time =
             |&(at, _): &(usize, &usize)| headrooms[at] > 0.0 && waits[at] <= max_wait;
@@ -112,21 +110,19 @@
         Some(Picked { server, rank: at, load, counts_age, bound, wait, cold, considered, holder })
     }
 
-    /// Returns the mean load of a service's servers; `loads` are the loads of the candidates among them.
+    /// Returns the mean load of a service's servers, including those that may not be used now; `loads` are the loads of
+    /// the candidates among them, if the counts of the other instances are not known.
     fn mean_load(&self, now: Instant, service: &ServiceName, loads: &[f64]) -> f64 {
-        if !self.is_small(service)
-            && let Some(mean) = self.by_service.get(service).and_then(|servers| servers.mean(now))
-        {
+        if let Some(mean) = self.by_service.get(service).and_then(|servers| servers.mean(now)) {
             return mean;
         }
         let counted = loads.len() + self.evacuated_of(service);
         loads.iter().sum::<f64>() / counted.max(1) as f64
     }
 
-    /// Returns the load bounds of a server of a service with a mean load of `mean`.
-    pub(super) fn bounds(&self, mean: f64) -> LoadBounds {
-        let spill = (1.0 + (self.load_bound - 1.0) * SPILL_SHARE) * mean + BOUND_SLACK;
-        LoadBounds { spill, limit: self.load_bound * mean + BOUND_SLACK }
+    /// Returns the load that a server may have in a service with a mean load of `mean`.
+    pub(super) fn limit(&self, mean: f64) -> f64 {
+        self.load_bound * mean + BOUND_SLACK
     }
 
     /// Returns the server that holds the KV cache of the prompt `key` if `picked` does not: the first other one in the
--- a/src/routing/picker/mod.rs
+++ b/src/routing/picker/mod.rs
@@ -9,6 +9,7 @@
 mod leased;
 mod least_loaded;
 mod notices;
+mod placement;
 mod reachability;
 mod service_servers;
 mod slots;
@@ -31,8 +32,8 @@
 };
 use super::{
     AdmissionControl, BackendServer, Brittleness, Crowded, FleetPosition, Health, InFlightCount,
-    Incarnation, Load, LoadReport, Notice, PickError, PickRequest, Picked, Reachability,
-    ServerContacts, ServiceLoad, UnlistedLoads, UnlistedNotices,
+    Incarnation, Load, LoadReport, Notice, PickError, PickRequest, Picked, PlacementWeight,
+    PromptDemand, Reachability, ServerContacts, ServiceLoad, UnlistedLoads, UnlistedNotices,
     admission::{FleetTotal, TeamLimits, TeamUsage},
     load::FLEET_COUNT_MAX_AGE,
 };
@@ -45,6 +46,7 @@
 struct Tracked {
     server: Arc<BackendServer>,
     load: Load,
+    weight: PlacementWeight,
     health: Health,
     /// Notices that the server sent in its responses.
     notice: Notice,
@@ -70,6 +72,9 @@
     position: FleetPosition,
     /// When the counts of the other instances were last received.
     counted_at: Option<Instant>,
+    prompts: PromptDemand,
+    /// Whether the counts of the other instances are awaited for the first time.
+    awaits_counts: bool,
     admission: IndexMap<ServiceName, AdmissionControl>,
     /// Availability zones that get no new requests.
     evacuated: IndexSet<ZoneName>,
@@ -95,6 +100,8 @@
             load_bound,
             position,
             counted_at: None,
+            prompts: PromptDemand::default(),
+            awaits_counts: false,
             admission: IndexMap::new(),
             evacuated: IndexSet::new(),
             unlisted: UnlistedNotices::default(),
@@ -168,6 +175,7 @@
                 None => Tracked {
                     server: Arc::clone(server),
                     load: self.unlisted_loads.take(&server.id),
+                    weight: PlacementWeight::default(),
                     health: Health::default(),
                     notice: self.unlisted.take(&server.id),
                     brittleness: Brittleness::default(),
@@ -265,7 +273,7 @@
     /// Returns the servers that a request may use, of the first group of versions that has any.
     fn usable(&self, now: Instant, request: &PickRequest<'_>) -> Vec<&Tracked> {
         for &group in self.version_groups(now, request) {
-            for step in 0..self.candidate_steps(request.service) {
+            for step in self.candidate_steps(request) {
                 let usable = self.usable_of(now, request, group, step);
                 if !usable.is_empty() {
                     return usable;
@@ -321,6 +329,11 @@
         }
     }
 
+    /// Returns the demand for shared prompts.
+    pub fn prompts(&mut self) -> &mut PromptDemand {
+        &mut self.prompts
+    }
+
     /// Records a load report of a server.
     pub fn report(&mut self, now: Instant, id: &Incarnation, report: LoadReport) {
         self.update(id, |t| t.load.report(now, report));
@@ -335,11 +348,13 @@
         own: &[InFlightCount],
     ) -> Vec<Crowded> {
         self.counted_at = Some(now);
+        self.awaits_counts = false;
         let mut crowded = Vec::new();
         let own: HashMap<Tag, u32> = own.iter().copied().collect();
         for load in loads {
             let counts: HashMap<Tag, u32> = load.counts.iter().copied().collect();
-            let bounds = self.bounds(f64::from(load.mean));
+            let limit = self.limit(f64::from(load.mean));
+            let target = self.placement_target(load);
             let uncounted = if load.is_complete { 0.0 } else { self.mean_of_unlisted(load) };
             let mut total = FleetTotal { all: 0.0, own: 0.0, at: now };
             for tracked in self.servers.values_mut().filter(|t| t.server.service == load.service) {
@@ -349,9 +364,10 @@
                 let all = all.max(f64::from(own));
                 total.all += all;
                 total.own += f64::from(own);
-                if tracked.load.set_fleet_count(now, all, own, bounds) {
+                tracked.weight.observe(now, all, target);
+                if tracked.load.set_fleet_count(now, all, own, limit) {
                     let server = tracked.server.id.clone();
-                    crowded.push(Crowded { server, load: all, limit: bounds.limit });
+                    crowded.push(Crowded { server, load: all, limit });
                 }
             }
             self.admission.entry(load.service.clone()).or_default().set_fleet_total(total);
--- a/src/routing/picker/service_servers.rs
+++ b/src/routing/picker/service_servers.rs
@@ -6,7 +6,7 @@
 //! probe. All instances thus find the same servers in the same order for a prompt, even while servers are added or
 //! removed, and each server is found equally often.
 
-use std::time::Instant;
+use std::{ops::Range, time::Instant};
 
 use indexmap::IndexMap;
 use xxhash_rust::xxh3::xxh3_64;
@@ -82,9 +82,21 @@
 
     /// Returns the mean number of requests in flight per server, unless the counts of the other instances are too old.
     pub(super) fn mean(&self, now: Instant) -> Option<f64> {
-        let (others, at) = self.others?;
+        let (_, at) = self.others?;
         let is_recent = now.saturating_duration_since(at) < FLEET_COUNT_MAX_AGE;
-        is_recent.then(|| (others + f64::from(self.own)) / self.all.len().max(1) as f64)
+        self.last_mean().filter(|_| is_recent)
+    }
+
+    /// Returns the mean number of requests in flight per server by the last counts of the other instances, however old
+    /// they are.
+    pub(super) fn last_mean(&self) -> Option<f64> {
+        let (others, _) = self.others?;
+        Some((others + f64::from(self.own)) / self.all.len().max(1) as f64)
+    }
+
+    /// Returns the number of servers.
+    pub(super) fn len(&self) -> usize {
+        self.all.len()
     }
 
     /// Returns the candidates for a request, those of a large service in order of preference.
@@ -112,7 +124,10 @@
             servers.all.push(index);
             servers.own += tracked.load.own();
         }
-        for (service, servers) in by_service.iter_mut().filter(|(_, servers)| !servers.is_small()) {
+        for (service, servers) in &mut by_service {
+            servers.others = self.by_service.get(service).and_then(|previous| previous.others);
+        }
+        for servers in by_service.values_mut().filter(|servers| !servers.is_small()) {
             for &index in &servers.all {
                 let server = &self.servers[index].server;
                 servers.ring.push(server, index);
@@ -122,7 +137,6 @@
             }
             servers.ring.0.sort_unstable();
             servers.zone_ring.0.sort_unstable();
-            servers.others = self.by_service.get(service).and_then(|previous| previous.others);
         }
         self.by_service = by_service;
     }
@@ -164,9 +178,14 @@
         indexes.map(|index| &self.servers[index]).collect()
     }
 
-    /// Returns the number of steps after which all servers of a service are candidates.
-    pub(super) fn candidate_steps(&self, service: &ServiceName) -> usize {
-        if self.is_small(service) { 1 } else { 3 }
+    /// Returns the steps after the last of which all servers of a service are candidates. A prompt that is spread over
+    /// many servers begins with more of them.
+    pub(super) fn candidate_steps(&self, request: &PickRequest<'_>) -> Range<usize> {
+        if self.is_small(request.service) {
+            return 0..1;
+        }
+        let first = usize::from(self.width(request) > PROBES / 2);
+        first..3
     }
 
     /// Returns whether a service is small, so that a pick scans all of its servers.
--- a/src/zone/rendezvous.rs
+++ b/src/zone/rendezvous.rs
@@ -36,6 +36,12 @@
     -weight / unit.ln()
 }
 
+/// Returns a number in [0, 1) for `node` and `key`, independent of the score.
+pub fn draw(key: u64, node: Tag) -> f64 {
+    let hash = xxh3_64_with_seed(&node.0.to_le_bytes(), !key);
+    (hash >> 11) as f64 / (1u64 << 53) as f64
+}
+
 /// Returns the indices of `nodes` in rendezvous order for `key`, highest score first.
 pub fn ranked(key: u64, nodes: impl Iterator<Item = (Tag, f64)>) -> Vec<usize> {
     let mut scored: Vec<(f64, usize)> =
--- a/tests/suite/herding.rs
+++ b/tests/suite/herding.rs
@@ -7,7 +7,7 @@
 };
 
 use cartvane::routing::{
-    Aggregate, BackendServer, FleetPosition, Incarnation, PickRequest, Picker,
+    Aggregate, BackendServer, FleetPosition, Incarnation, PickRequest, Picker, PromptTag,
 };
 
 /// The operator's bound on the load of a server, as a multiple of the mean.
@@ -103,6 +103,12 @@
         }
     }
 
+    /// Returns the prompt of a caller's requests.
+    fn prompt(&self, caller: usize) -> Option<u64> {
+        let has_same = |share| (caller as f64) < share * self.case.callers as f64;
+        self.case.same_prompt.map(|share| if has_same(share) { 7 } else { 1000 + caller as u64 })
+    }
+
     /// Ends a caller's request and sends its next one, which is counted if `counted` is set.
     fn next_request(&mut self, now: Instant, caller: usize, counted: bool) {
         let instance = caller % self.case.instances;
@@ -111,11 +117,11 @@
         if let Some(at) = self.running_at[caller].take() {
             self.loads[at] -= 1;
             self.pickers[instance].finish_request(&id(at));
+            if let Some(key) = self.prompt(caller) {
+                self.pickers[instance].prompts().finish_request(PromptTag::of(key));
+            }
         }
-        let affinity = self.case.same_prompt.map(|share| {
-            let has_same = (caller as f64) < share * self.case.callers as f64;
-            if has_same { 7 } else { 1000 + caller as u64 }
-        });
+        let affinity = self.prompt(caller);
         let service = "llm".parse().expect("a valid name");
         let request = PickRequest {
             service: &service,
@@ -128,6 +134,9 @@
         let picked = self.pickers[instance].pick(now, &request).expect("a server is picked");
         let at = self.servers.iter().position(|s| s.id == picked.server.id).expect("listed");
         self.pickers[instance].start_request(now, &id(at));
+        if let Some(key) = affinity {
+            self.pickers[instance].prompts().start_request(PromptTag::of(key));
+        }
         self.loads[at] += 1;
         self.running_at[caller] = Some(at);
         if counted {
@@ -142,6 +151,11 @@
         let own = self.pickers[instance].own_counts();
         let node = format!("n{instance}").parse().expect("a valid name");
         self.aggregate.record_counts(now, node, own.clone());
+        let node = format!("n{instance}").parse().expect("a valid name");
+        let prompts = self.pickers[instance].prompts().own_counts();
+        self.aggregate.record_prompts(now, node, prompts);
+        let popular = self.aggregate.popular_prompts(now);
+        self.pickers[instance].prompts().set_fleet_counts(now, &popular);
         let loads = self.aggregate.summary(now, self.servers.iter());
         self.pickers[instance].set_fleet_loads(now, &loads, &own);
     }
--- a/tests/suite/messages.rs
+++ b/tests/suite/messages.rs
@@ -17,8 +17,9 @@
     names::Tag,
     routing::{
         BudgetSum, InstanceInfo, InstanceListUpdate, Intent, IntentChange, ListHistory,
-        ListVersion, OrdersSnapshot, PackedChange, RetrySpending, RolloutOrder, RunId,
-        ServerListUpdate, ServiceDemand, ServiceLimits, ServiceLoad, StoreEra, StoreVersion,
+        ListVersion, OrdersSnapshot, PackedChange, PromptCount, PromptTag, RetrySpending,
+        RolloutOrder, RunId, ServerListUpdate, ServiceDemand, ServiceLimits, ServiceLoad, StoreEra,
+        StoreVersion,
         admission::{CentiRate, PerMille, TeamRate},
     },
 };
@@ -67,6 +68,7 @@
         list_version: Some(ListVersion(77)),
         instances_hash: 8,
         team_demands: Vec::new(),
+        prompts: Vec::new(),
     }
 }
 
@@ -94,6 +96,7 @@
         list_era: StoreEra(2),
         instances: Some(InstanceListUpdate::Whole(vec![instance()])),
         team_limits: None,
+        popular_prompts: Vec::new(),
     }
 }
 
@@ -126,6 +129,19 @@
     Some(["llm", "app"].map(limits).into())
 }
 
+fn popular_prompts(prompts: u32) -> Vec<PromptCount> {
+    (0..prompts).map(|number| (PromptTag(u32::MAX - number), 12 + number)).collect()
+}
+
+// Guards against prompts that take up the control traffic of an instance, a few KB a second.
+#[test]
+fn popular_prompts_add_few_bytes_to_an_exchange() {
+    let with_prompts =
+        ExchangeReply { popular_prompts: popular_prompts(64), ..reply(lists().since(None)) };
+    let added = encode(&with_prompts).len() - encode(&reply(lists().since(None))).len();
+    assert!(added <= 500, "{added} bytes");
+}
+
 // Guards against fields that take up the control traffic of the median instance, 12 KB a second.
 #[test]
 fn shares_of_teams_add_few_bytes_to_an_exchange() {
@@ -190,13 +206,14 @@
         ("orders", hex(&orders())),
         ("demand of teams", hex(&team_demands(1))),
         ("limits of teams", hex(&team_limits(1))),
+        ("popular prompts", hex(&popular_prompts(1))),
     ];
     let text = lines.map(|(name, bytes)| format!("{name}: {bytes}")).join("\n");
     insta::assert_snapshot!(text);
 }
 
 /// Messages as written by earlier builds.
-const EARLIER_BUILDS: [(&str, &str); 7] = [
+const EARLIER_BUILDS: [(&str, &str); 8] = [
     (
         "report",
         "9d94a6656467652d3181a2563492940a000001cd2025a56e6f727468ca3f00000091920703910905909090939090900cc2a6496e5475726e4d08",
@@ -213,6 +230,10 @@
         "report without prompt parts",
         "9e94a6656467652d3181a2563492940a000001cd2025a56e6f727468ca3f00000091920703910905909090939090900cc2a6496e5475726e4d0890",
     ),
+    (
+        "report without prompts",
+        "9e94a6656467652d3181a2563492940a000001cd2025a56e6f727468ca3f00000091920703910905909090949090909290900cc2a6496e5475726e4d0890",
+    ),
     // A crash with one request in flight, and a verdict on it.
     ("crash without prompt parts", "93919407a36c6c6d0591930102c29091940201a448656c6408"),
     ("permit", "9207a36c6c6d"),
@@ -227,10 +248,20 @@
 // Guards against messages of earlier builds that are no longer decoded.
 #[test]
 fn messages_of_earlier_builds_are_decoded() {
-    let [report_bytes, reply_bytes, without_teams, without_parts, crash, permit, orders_bytes] =
-        EARLIER_BUILDS.map(|(_, hex)| bytes_of(hex));
+    let [
+        report_bytes,
+        reply_bytes,
+        without_teams,
+        without_parts,
+        without_prompts,
+        crash,
+        permit,
+        orders_bytes,
+    ] = EARLIER_BUILDS.map(|(_, hex)| bytes_of(hex));
     let same = |read: Vec<u8>, now: Vec<u8>| assert_eq!(read, now);
     same(encode(&decode::<ExchangeReport>(&report_bytes).expect("a report")), encode(&report()));
+    let read = decode::<ExchangeReport>(&without_prompts).expect("a report");
+    same(encode(&read), encode(&report()));
     same(encode(&decode::<ExchangeReport>(&without_parts).expect("a report")), encode(&report()));
     let suspects: CrashSuspectsReport = decode(&crash).expect("a report of crashes");
     assert_eq!((suspects.crashes[0].in_flight[0].parts.len(), suspects.verdicts.len()), (0, 1));
