fix(drain): answer requests that are taken while the process is stopped

What callers saw: in a planned stop requests that came after the signal were passed on and cut without an answer when the process ended, among them ones that may not be repeated.

Cause: until callers can use another instance all requests are taken, also those that may last longer than the grace; their deadline lay behind the end of the process. Later ones are taken only if they end in time, which planned_stop::late_in_the_grace_only_requests_that_end_in_time_are_taken shows.

The fix: the deadline of a request that is taken while the process is stopped is 0.2 s before its end at the latest. The server is told that, and the caller gets 504 in place of a closed connection.

Ruled out: refusing such requests at once, as most of them end in time and their callers have no other instance yet. Remains: requests from before the signal that last longer than the grace are cut.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -391,7 +391,7 @@
         headers: head.headers,
         body,
         received_at,
-        deadline: received_at + timeout,
+        deadline: gateway.drain.response_due(received_at + timeout),
         keep_alive,
         http10: head.http10,
         version: intent.version,
--- a/src/gateway/drain.rs
+++ b/src/gateway/drain.rs
@@ -22,6 +22,9 @@
 /// How long before the kill the process ends by itself: time for the last steps on a slow machine.
 const KILL_MARGIN: Duration = Duration::from_millis(700);
 
+/// How long before the process ends its last responses are due: time to send them.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(200);
+
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Wait after new requests are rejected, for requests that were just being accepted.
@@ -105,6 +108,13 @@
         period.is_none_or(|p| now < p.since + IDLE_CLOSE_DELAY || now + longest < p.end)
     }
 
+    /// Returns by when a request that arrives now must be answered: by `deadline`, and while draining before the process
+    /// ends, so that its caller gets a response in place of a closed connection.
+    pub fn response_due(&self, deadline: Instant) -> Instant {
+        let period = *lock(&self.period);
+        period.map_or(deadline, |p| deadline.min(p.end - RESPONSE_MARGIN))
+    }
+
     /// Returns a pipe that becomes readable when idle connections must be closed.
     ///
     /// # Errors
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -56,6 +56,7 @@
 mod partitions_random;
 mod picking;
 mod placement;
+mod planned_stop;
 mod platform;
 mod process;
 mod reader_takeover;
