test(answers): early answers that break off, statuses that are none, heads that break off

Reports of other operators (MIXED): a 200 without a length whose connection is reset while the upload is written, an answer with status 000, and a head that breaks off reached callers as whole answers.

Played against a scripted server, with bodies of 20 bytes and 6 MB on routes of idempotent requests, of ones that may not be repeated and of both kinds of streams: no part looked whole, so nothing is changed. A sound answer of the same server is passed on in all eight cases, also to the long upload. Traced on the way: the scripted server first closed kept connections without saying so, and a request that may not be repeated got 502 on one of them (a fault of the test; it says so now).

--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -19,6 +19,7 @@
 mod crashing_requests_random;
 mod crowded_instance;
 mod drain;
+mod early_answers;
 mod end_to_end;
 mod endless_bytes;
 mod evacuations;
