--- a/tests/suite/herding.rs
+++ b/tests/suite/herding.rs
@@ -10,6 +10,8 @@
     Aggregate, BackendServer, FleetPosition, Incarnation, PickRequest, Picker, PromptTag,
 };
 
+use crate::simulated_fleet::report;
+
 /// The operator's bound on the load of a server, as a multiple of the mean.
 const LOAD_BOUND: f64 = 2.0;
 
@@ -148,12 +150,7 @@
     }
 
     fn exchange(&mut self, now: Instant, instance: usize) {
-        let own = self.pickers[instance].own_counts();
-        let node = format!("n{instance}").parse().expect("a valid name");
-        self.aggregate.record_counts(now, node, own.clone());
-        let node = format!("n{instance}").parse().expect("a valid name");
-        let prompts = self.pickers[instance].prompts().own_counts();
-        self.aggregate.record_prompts(now, node, prompts);
+        let own = report(now, &mut self.aggregate, instance, &mut self.pickers[instance]);
         let popular = self.aggregate.popular_prompts(now);
         self.pickers[instance].prompts().set_fleet_counts(now, &popular);
         let loads = self.aggregate.summary(now, self.servers.iter());
--- a/tests/suite/load_bound_fleet.rs
+++ b/tests/suite/load_bound_fleet.rs
@@ -3,7 +3,10 @@
 
 use std::time::Duration;
 
-use crate::simulated_fleet::{Case, Outcome, Trouble, simulate};
+use crate::{
+    simulated_fleet::{Case, Outcome, Trouble, simulate},
+    support,
+};
 
 /// Share of the arrivals in five seconds that may exceed the bound.
 const OVER_BOUND_MAX: f64 = 0.03;
@@ -113,3 +116,38 @@
 fn the_first_seconds_of_a_very_popular_prompt_at_277_instances_stay_within_the_bound() {
     assert_within([Case { popular: 0.4, ..LARGE }], |outcome| outcome.calm);
 }
+
+/// Cases that are drawn in CI.
+const DRAWN_CASES: u64 = 6;
+
+/// Draws a fleet with one to ten requests in flight at each server, and what befalls it.
+fn draw(seed: u64) -> Case {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let log_uniform =
+        |rng: &mut fastrand::Rng, from: f64, to: f64| from * (to / from).powf(rng.f64());
+    let servers = log_uniform(&mut rng, 8.0, 200.0) as usize;
+    let request_time = log_uniform(&mut rng, 0.2, 1.2);
+    let in_flight = log_uniform(&mut rng, 1.0, 10.0) * servers as f64;
+    let trouble = match rng.u8(0..5) {
+        0 => Trouble::Nothing,
+        1 => Trouble::NoExchange(ms(rng.u64(1000..4000))),
+        2 => Trouble::Restart(ms(300), ms(rng.u64(700..3000))),
+        3 => Trouble::Silence(0.3 + 0.6 * rng.f64(), ms(rng.u64(500..1500))),
+        _ => Trouble::Unlisted(0.2 + 0.5 * rng.f64(), ms(rng.u64(200..1000))),
+    };
+    Case {
+        instances: log_uniform(&mut rng, 4.0, 986.0) as usize,
+        servers,
+        rate: (in_flight / request_time).min(1500.0),
+        popular: 0.4 * rng.f64().powi(2),
+        request_time: Duration::from_secs_f64(request_time),
+        trouble,
+        seed,
+    }
+}
+
+#[test]
+fn drawn_fleets_stay_within_the_bound() {
+    let seed = support::seed(82);
+    assert_within_bound((0..support::cases(DRAWN_CASES)).map(|case| draw(seed.wrapping_add(case))));
+}
--- a/tests/suite/simulated_fleet.rs
+++ b/tests/suite/simulated_fleet.rs
@@ -8,7 +8,12 @@
     time::{Duration, Instant},
 };
 
-use cartvane::routing::{Aggregate, BackendServer, FleetPosition, PickRequest, Picker, PromptTag};
+use cartvane::{
+    names::NodeName,
+    routing::{
+        Aggregate, BackendServer, FleetPosition, InFlightCount, PickRequest, Picker, PromptTag,
+    },
+};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// The operator's bound on the load of a server, as a multiple of the mean.
@@ -250,12 +255,7 @@
             return;
         }
         let now = self.start + at;
-        let own = self.pickers[instance].own_counts();
-        let node = format!("n{instance}").parse().expect("a valid name");
-        self.aggregate.record_counts(now, node, own.clone());
-        let node = format!("n{instance}").parse().expect("a valid name");
-        let prompts = self.pickers[instance].prompts().own_counts();
-        self.aggregate.record_prompts(now, node, prompts);
+        let own = report(now, &mut self.aggregate, instance, &mut self.pickers[instance]);
         if !self.aggregate.is_settled(now, self.case.instances) {
             return;
         }
@@ -360,6 +360,20 @@
     }
 }
 
+/// Reports the requests in flight of an instance to the aggregate and returns its counts.
+pub(crate) fn report(
+    now: Instant,
+    aggregate: &mut Aggregate,
+    instance: usize,
+    picker: &mut Picker,
+) -> Vec<InFlightCount> {
+    let own = picker.own_counts();
+    let node: NodeName = format!("n{instance}").parse().expect("a valid name");
+    aggregate.record_counts(now, node.clone(), own.clone());
+    aggregate.record_prompts(now, node, picker.prompts().own_counts());
+    own
+}
+
 /// Simulates a case.
 pub(crate) fn simulate(case: Case) -> Outcome {
     let mut simulation = Simulation::new(case);
