--- a/src/routing/picker/affinity.rs
+++ b/src/routing/picker/affinity.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use super::{Picker, Tracked, placement::spread};
+use super::{Picker, Tracked, placement::Placement};
 use crate::{
     names::ServiceName,
     routing::{AdmissionControl, BackendServer, PickRequest, Picked, load::target_load},
@@ -34,7 +34,7 @@
 const SCARCE_CHOICES: usize = 8;
 
 impl Picker {
-    /// Picks the first server in the rendezvous order of a prompt that has headroom and a free slot, or else headroom
+    /// Picks the first server in the order of a prompt that keeps it and has headroom and a free slot, or else headroom
     /// and an acceptable wait. If there is none, picks the one with the most headroom, preferably with a free slot, or a
     /// lightly loaded one while capacity is scarce.
     pub(super) fn by_affinity(
@@ -47,15 +47,7 @@
     ) -> Option<Picked> {
         let loads: Vec<f64> = pool.iter().map(|t| t.load.estimate(now, fallback_load)).collect();
         let bound = self.limit(self.mean_load(now, request.service, &loads));
-        let mut order = if self.is_small(request.service) {
-            rendezvous::ranked(key, pool.iter().map(|t| (t.server.stable_tag(), 1.0)))
-        } else {
-            // The candidates of a large service are ordered already.
-            (0..pool.len()).collect()
-        };
-        let width = self.width(request);
-        spread(&mut order, width, request.spread);
-        let placement_key = if width > 1 { request.spread } else { key };
+        let Placement { order, key: placement_key } = self.placement(key, request, pool);
         let keeps = |i: usize| pool[i].weight.keeps(placement_key, pool[i].server.stable_tag());
         let mean = loads.iter().sum::<f64>() / loads.len().max(1) as f64;
         let is_scarce = mean > SCARCE_SHARE * bound;
--- a/src/routing/picker/placement.rs
+++ b/src/routing/picker/placement.rs
@@ -1,7 +1,10 @@
 //! Among how many servers the requests with one prompt are spread, and which of these a request is sent to.
 
-use super::Picker;
-use crate::routing::{PickRequest, PromptTag, ServiceLoad};
+use super::{Picker, Tracked};
+use crate::{
+    routing::{PickRequest, PromptTag, ServiceLoad},
+    zone::rendezvous,
+};
 
 /// Number of standard deviations by which a server's load may vary without exceeding the operator's bound.
 const DEVIATIONS: f64 = 3.0;
@@ -18,6 +21,16 @@
     ((limit + half * half).sqrt() - half).powi(2)
 }
 
+/// Where the requests with one prompt are sent.
+#[derive(Debug)]
+pub(super) struct Placement {
+    /// Indexes of the candidates, in order of preference.
+    pub(super) order: Vec<usize>,
+    /// Hash by which a server keeps the request or gives it up: of the prompt, or of the request if the prompt is
+    /// spread over several servers.
+    pub(super) key: u64,
+}
+
 impl Picker {
     /// Has requests spread over all servers until the counts of the other instances are first known: an instance that
     /// has just started does not know for which prompts there is room.
@@ -35,6 +48,29 @@
         steady_load(self.limit(mean)).max(mean_of_usable * EVEN_RATIO)
     }
 
+    /// Returns where a request with the prompt `key` is sent among the candidates in `pool`. The first servers in the
+    /// rendezvous order of a popular prompt begin at one that differs between requests.
+    pub(super) fn placement(
+        &self,
+        key: u64,
+        request: &PickRequest<'_>,
+        pool: &[&Tracked],
+    ) -> Placement {
+        let mut order = if self.is_small(request.service) {
+            rendezvous::ranked(key, pool.iter().map(|t| (t.server.stable_tag(), 1.0)))
+        } else {
+            // The candidates of a large service are ordered already.
+            (0..pool.len()).collect()
+        };
+        let width = self.width(request).min(order.len());
+        if width <= 1 {
+            return Placement { order, key };
+        }
+        let first = (request.spread % width as u64) as usize;
+        order[..width].rotate_left(first);
+        Placement { order, key: request.spread }
+    }
+
     /// Returns among how many servers the requests with the same prompt as this one are spread, so that none gets more
     /// than random variation allows: one unless the prompt is popular. More than there are means all.
     pub(super) fn width(&self, request: &PickRequest<'_>) -> usize {
@@ -56,12 +92,3 @@
         if 2 * width > servers.len() { usize::MAX } else { width }
     }
 }
-
-/// Lets the first `width` servers of `order` begin at one that differs between requests.
-pub(super) fn spread(order: &mut [usize], width: usize, spread: u64) {
-    let width = width.min(order.len());
-    if width > 1 {
-        let first = (spread % width as u64) as usize;
-        order[..width].rotate_left(first);
-    }
-}
